Meta: Lay the foundation: design page, common types, HTTP, RPC, settings

Cause: nothing exists yet; later packages need shared interfaces before they can be written side by side.

--- /dev/null
+++ b/AK/Clock.cpp
@@ -0,0 +1,26 @@
+#include <AK/Clock.h>
+
+#include <chrono>
+#include <thread>
+
+namespace AK
+{
+
+Milliseconds SystemClock::now() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
+Milliseconds SystemClock::wallTime() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+void SystemClock::sleep(Milliseconds duration) const
+{
+    if (duration > 0) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(duration));
+    }
+}
+
+} // namespace AK
--- /dev/null
+++ b/AK/Clock.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+
+namespace AK
+{
+
+/// A point in time or a span, in milliseconds.
+using Milliseconds = int64_t;
+
+/// The one source of time. Policies take a time as an argument; services take a Clock in their constructor.
+class Clock
+{
+public:
+    virtual ~Clock() = default;
+
+    /// Monotonic time in milliseconds since an arbitrary start.
+    virtual Milliseconds now() const = 0;
+
+    /// Wall time in milliseconds since the Unix epoch.
+    virtual Milliseconds wallTime() const = 0;
+
+    /// Blocks the calling thread.
+    virtual void sleep(Milliseconds duration) const = 0;
+};
+
+/// The clock of the machine.
+class SystemClock final : public Clock
+{
+public:
+    Milliseconds now() const override;
+    Milliseconds wallTime() const override;
+    void sleep(Milliseconds duration) const override;
+};
+
+} // namespace AK
--- /dev/null
+++ b/Kernel/Daemon.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <Kernel/ServiceRegistry.h>
+#include <functional>
+
+namespace Kernel
+{
+
+/// Blocks SIGTERM and SIGINT in the calling thread and ignores SIGPIPE. Must run before any thread starts, so that every thread inherits the mask.
+void blockShutdownSignals();
+
+/// Starts the services in order, waits for SIGTERM or SIGINT, drains and stops them in reverse order.
+class Daemon
+{
+public:
+    explicit Daemon(ServiceRegistry &registry);
+
+    /// Returns after a complete shutdown. `started` is called once all services run; `stopping` when the signal has arrived.
+    /// Errors: the status of the service that failed to start.
+    absl::Status run(const std::function<void()> &started, const std::function<void()> &stopping);
+
+private:
+    void stopFrom(size_t count);
+
+    ServiceRegistry &registry;
+};
+
+} // namespace Kernel
--- /dev/null
+++ b/Meta/catkinlink.sh
@@ -0,0 +1,108 @@
+#!/usr/bin/env bash
+# Builds, runs, tests and measures catkinlink. See README.md.
+set -euo pipefail
+
+root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
+cd "$root"
+build=${CATKINLINK_BUILD:-$root/build}
+jobs=${CATKINLINK_JOBS:-$(nproc)}
+packages=(
+    build-essential cmake ninja-build pkg-config ccache clang-format clang-tidy python3-minimal
+    libcivetweb-dev libcapnp-dev libabsl-dev liblog4cxx-dev libtclap-dev nlohmann-json3-dev libvalijson-dev libboost-dev libssl-dev
+    libgtest-dev
+)
+
+say() { printf '%s\n' "$*" >&2; }
+
+install_missing() {
+    local missing=() name
+    for name in "${packages[@]}"; do
+        dpkg-query -W -f='${Status}' "$name" 2>/dev/null | grep -q 'install ok installed' || missing+=("$name")
+    done
+    [ ${#missing[@]} -eq 0 ] && return
+    say "installing: ${missing[*]}"
+    apt-get update -qq >&2
+    DEBIAN_FRONTEND=noninteractive apt-get install -y -qq --no-install-recommends "${missing[@]}" >&2
+}
+
+build_all() {
+    local launcher=()
+    command -v ccache >/dev/null && launcher=(-DCMAKE_CXX_COMPILER_LAUNCHER=ccache)
+    [ -f "$build/build.ninja" ] || cmake -S . -B "$build" -G Ninja "${launcher[@]}" >&2
+    ninja -C "$build" -j "$jobs" >&2
+}
+
+source_files() { git ls-files --cached --others --exclude-standard -- '*.cpp' '*.h' | grep -v '/generated/' | sort -u; }
+
+check_format() {
+    say "checking the format"
+    source_files | xargs -r clang-format --dry-run --Werror
+}
+
+# Runs clang-tidy on every source file whose content, or any header, has changed since the last clean run.
+check_lint() {
+    say "running the linter"
+    local cache=${XDG_CACHE_HOME:-$HOME/.cache}/catkinlink-lint
+    mkdir -p "$cache"
+    source_files | grep '\.cpp$' | xargs -r -P "$jobs" -n 1 Meta/lint-file.sh "$build" "$cache"
+}
+
+run_tests() {
+    (cd "$build" && ctest --output-on-failure -j "${CATKINLINK_TEST_JOBS:-4}" "$@")
+}
+
+print_known_red() {
+    [ -s KNOWN-RED.txt ] || return 0
+    say "known failing cases, not run by the test command:"
+    cat KNOWN-RED.txt
+}
+
+usage() {
+    cat <<'TEXT'
+usage: Meta/catkinlink.sh COMMAND
+  run [--once]        build and start a small site on loopback, roll out a version and make calls;
+                      --once ends after the tour and exits 0 only if each step was right
+  test                build, check format and lint, run all tests
+  measure NAME [...]  run one measurement; the last line is a JSON object; 'measure list' names them
+  build               build only
+  format              format all sources in place
+TEXT
+}
+
+command=${1:-}
+[ $# -gt 0 ] && shift
+case "$command" in
+run)
+    install_missing
+    build_all
+    exec "$build/bin/tour" --bin "$build/bin" "$@"
+    ;;
+test)
+    install_missing
+    build_all
+    check_format
+    check_lint
+    print_known_red
+    run_tests "$@"
+    ;;
+measure)
+    install_missing
+    build_all
+    exec "$build/bin/measure" --bin "$build/bin" "$@"
+    ;;
+build)
+    install_missing
+    build_all
+    ;;
+lint)
+    check_format
+    check_lint
+    ;;
+format)
+    source_files | xargs -r clang-format -i
+    ;;
+*)
+    usage
+    [ "$command" = help ] || [ "$command" = --help ] || exit 2
+    ;;
+esac
--- /dev/null
+++ b/Userland/Libraries/LibHttp/HttpServer.cpp
@@ -0,0 +1,217 @@
+#include <LibHttp/HttpServer.h>
+
+#include <AK/Text.h>
+#include <civetweb.h>
+#include <optional>
+
+namespace LibHttp
+{
+
+namespace
+{
+
+constexpr AK::Milliseconds idlePollMs = 5;
+
+HttpRequest readHead(mg_connection *connection)
+{
+    const mg_request_info *info = mg_get_request_info(connection);
+    HttpRequest request;
+    request.method = info->request_method;
+    request.path = info->request_uri;
+    request.query = info->query_string != nullptr ? info->query_string : "";
+    for (int i = 0; i < info->num_headers; ++i) {
+        request.headers[AK::toLower(info->http_headers[i].name)] = info->http_headers[i].value;
+    }
+    return request;
+}
+
+// Reads the body; nothing when it exceeds the limit or ends before its Content-Length.
+std::optional<std::string> readBody(mg_connection *connection, size_t limit)
+{
+    const long long announced = mg_get_request_info(connection)->content_length;
+    if (announced > static_cast<long long>(limit)) {
+        return std::nullopt;
+    }
+    std::string body;
+    std::string buffer(8192, '\0');
+    while (true) {
+        const int size = mg_read(connection, buffer.data(), buffer.size());
+        if (size <= 0) {
+            const bool whole = size == 0 && (announced < 0 || body.size() == static_cast<size_t>(announced));
+            return whole ? std::optional(std::move(body)) : std::nullopt;
+        }
+        body.append(buffer, 0, static_cast<size_t>(size));
+        if (body.size() > limit) {
+            return std::nullopt;
+        }
+    }
+}
+
+class CountGuard
+{
+public:
+    explicit CountGuard(std::atomic<int> &counter)
+        : counter(counter)
+    {
+        ++this->counter;
+    }
+    ~CountGuard()
+    {
+        --this->counter;
+    }
+    CountGuard(const CountGuard &) = delete;
+    CountGuard &operator=(const CountGuard &) = delete;
+
+private:
+    std::atomic<int> &counter;
+};
+
+} // namespace
+
+HttpExchange::HttpExchange(mg_connection *connection, HttpRequest request)
+    : connection(connection)
+    , message(std::move(request))
+{
+}
+
+const HttpRequest &HttpExchange::request() const
+{
+    return this->message;
+}
+
+bool HttpExchange::writeHead(int status, const HttpHeaders &headers, std::string_view framing)
+{
+    std::string head = AK::concat("HTTP/1.1 ", status, " ", reasonPhrase(status), "\r\n");
+    for (const auto &[name, value] : headers) {
+        head += AK::concat(name, ": ", value, "\r\n");
+    }
+    head += AK::concat("connection: close\r\n", framing, "\r\n\r\n");
+    this->headSent = true;
+    return mg_write(this->connection, head.data(), head.size()) == static_cast<int>(head.size());
+}
+
+bool HttpExchange::respond(const HttpResponse &response)
+{
+    if (!this->writeHead(response.status, response.headers, AK::concat("content-length: ", response.body.size()))) {
+        return false;
+    }
+    return response.body.empty() || mg_write(this->connection, response.body.data(), response.body.size()) == static_cast<int>(response.body.size());
+}
+
+bool HttpExchange::beginStream(int status, const HttpHeaders &headers)
+{
+    return this->writeHead(status, headers, "transfer-encoding: chunked");
+}
+
+bool HttpExchange::writeChunk(std::string_view data)
+{
+    return data.empty() || mg_send_chunk(this->connection, data.data(), static_cast<unsigned int>(data.size())) > 0;
+}
+
+void HttpExchange::endStream()
+{
+    mg_send_chunk(this->connection, "", 0);
+}
+
+bool HttpExchange::started() const
+{
+    return this->headSent;
+}
+
+HttpServer::HttpServer(AK::Endpoint endpoint, HttpServerLimits limits, Handler handler)
+    : endpoint(std::move(endpoint))
+    , limits(limits)
+    , handler(std::move(handler))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    this->stop();
+}
+
+absl::Status HttpServer::start()
+{
+    static const unsigned initialized = mg_init_library(0);
+    (void)initialized;
+    const std::string address = this->endpoint.text();
+    const std::string threads = std::to_string(this->limits.threads);
+    const std::string queue = std::to_string(std::max(64, this->limits.threads));
+    const char *options[] = {
+        "listening_ports",
+        address.c_str(),
+        "num_threads",
+        threads.c_str(),
+        "connection_queue",
+        queue.c_str(),
+        "listen_backlog",
+        "512",
+        "tcp_nodelay",
+        "1",
+        "enable_keep_alive",
+        "no",
+        "request_timeout_ms",
+        "30000",
+        nullptr,
+    };
+    mg_callbacks callbacks{};
+    callbacks.begin_request = &HttpServer::beginRequest;
+    this->context = mg_start(&callbacks, this, options);
+    if (this->context == nullptr) {
+        return absl::UnavailableError(AK::concat("cannot listen on http address ", address));
+    }
+    return absl::OkStatus();
+}
+
+int HttpServer::beginRequest(mg_connection *connection)
+{
+    auto *server = static_cast<HttpServer *>(mg_get_user_data(mg_get_context(connection)));
+    server->serve(connection);
+    return 1;
+}
+
+void HttpServer::serve(mg_connection *connection)
+{
+    const CountGuard guard(this->active);
+    HttpRequest request = readHead(connection);
+    const bool hasBody = request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
+    std::optional<std::string> body = hasBody ? readBody(connection, this->limits.bodyBytes) : std::string();
+    const bool whole = body.has_value();
+    request.body = std::move(body).value_or("");
+    HttpExchange exchange(connection, std::move(request));
+    if (!whole) {
+        exchange.respond(jsonResponse(413, AK::concat(R"({"error":"request body is incomplete or larger than )", this->limits.bodyBytes, R"( bytes"})")));
+        return;
+    }
+    this->handler(exchange);
+    if (!exchange.started()) {
+        exchange.respond(jsonResponse(500, R"({"error":"the handler gave no response"})"));
+    }
+}
+
+int HttpServer::inFlight() const
+{
+    return this->active;
+}
+
+bool HttpServer::waitIdle(const AK::Clock &clock, AK::Milliseconds limit) const
+{
+    const AK::Milliseconds end = clock.now() + limit;
+    while (this->active > 0) {
+        if (clock.now() >= end) {
+            return false;
+        }
+        clock.sleep(idlePollMs);
+    }
+    return true;
+}
+
+void HttpServer::stop()
+{
+    if (this->context != nullptr) {
+        mg_stop(this->context);
+        this->context = nullptr;
+    }
+}
+
+} // namespace LibHttp
--- /dev/null
+++ b/Userland/Libraries/LibSettings/JsonFile.cpp
@@ -0,0 +1,61 @@
+#include <LibSettings/JsonFile.h>
+
+#include <AK/Text.h>
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <vector>
+
+namespace LibSettings
+{
+
+namespace
+{
+
+constexpr int depthLimit = 32;
+
+} // namespace
+
+absl::StatusOr<nlohmann::json> parseJson(const std::string &text, const std::string &source)
+{
+    if (text.size() > documentLimitBytes) {
+        return absl::InvalidArgumentError(AK::concat(source, ": ", text.size(), " bytes, the limit is ", documentLimitBytes));
+    }
+    std::string problem;
+    std::vector<std::set<std::string>> keysOfObjects;
+    const auto checkEvent = [&](int depth, nlohmann::json::parse_event_t event, nlohmann::json &value) {
+        if (depth > depthLimit && problem.empty()) {
+            problem = AK::concat("nests deeper than ", depthLimit, " levels");
+        }
+        if (event == nlohmann::json::parse_event_t::object_start) {
+            keysOfObjects.emplace_back();
+        } else if (event == nlohmann::json::parse_event_t::object_end) {
+            keysOfObjects.pop_back();
+        } else if (event == nlohmann::json::parse_event_t::key && !keysOfObjects.back().insert(value.get<std::string>()).second && problem.empty()) {
+            problem = AK::concat("key \"", value.get<std::string>(), "\" stands twice in one object");
+        }
+        return true;
+    };
+    try {
+        nlohmann::json parsed = nlohmann::json::parse(text, checkEvent);
+        if (!problem.empty()) {
+            return absl::InvalidArgumentError(AK::concat(source, ": ", problem));
+        }
+        return parsed;
+    } catch (const nlohmann::json::exception &exception) {
+        return absl::InvalidArgumentError(AK::concat(source, ": ", exception.what()));
+    }
+}
+
+absl::StatusOr<nlohmann::json> readJsonFile(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        return absl::NotFoundError(AK::concat("settings file \"", path, "\" cannot be opened"));
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseJson(text.str(), path);
+}
+
+} // namespace LibSettings
--- /dev/null
+++ b/Userland/Libraries/LibSettings/JsonSchema.cpp
@@ -0,0 +1,62 @@
+#include <LibSettings/JsonSchema.h>
+
+#include <AK/Text.h>
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validator.hpp>
+
+namespace LibSettings
+{
+
+namespace
+{
+
+constexpr int maxReported = 5;
+
+// valijson gives the path as ["<root>", "[field]", "[0]"].
+std::string pointerOf(const std::vector<std::string> &context)
+{
+    std::string pointer;
+    for (size_t i = 1; i < context.size(); ++i) {
+        std::string part = context[i];
+        if (part.size() >= 2 && part.front() == '[' && part.back() == ']') {
+            part = part.substr(1, part.size() - 2);
+        }
+        pointer += "/" + part;
+    }
+    return pointer.empty() ? "/" : pointer;
+}
+
+} // namespace
+
+absl::Status validateAgainstSchema(const nlohmann::json &document, std::string_view schema, std::string_view what)
+{
+    valijson::Schema parsed;
+    const nlohmann::json schemaJson = nlohmann::json::parse(schema);
+    valijson::SchemaParser().populateSchema(valijson::adapters::NlohmannJsonAdapter(schemaJson), parsed);
+    valijson::ValidationResults results;
+    valijson::Validator validator;
+    if (validator.validate(parsed, valijson::adapters::NlohmannJsonAdapter(document), &results)) {
+        return absl::OkStatus();
+    }
+    std::string message(what);
+    valijson::ValidationResults::Error error;
+    size_t deepest = 0;
+    std::vector<valijson::ValidationResults::Error> errors;
+    while (results.popError(error)) {
+        deepest = std::max(deepest, error.context.size());
+        errors.push_back(error);
+    }
+    int reported = 0;
+    for (const auto &violation : errors) {
+        // Shallower errors only repeat that a nested value failed.
+        if (violation.context.size() == deepest && reported < maxReported) {
+            message += AK::concat(reported == 0 ? ": " : "; ", pointerOf(violation.context), ": ", violation.description);
+            ++reported;
+        }
+    }
+    return absl::InvalidArgumentError(message);
+}
+
+} // namespace LibSettings
--- /dev/null
+++ b/Userland/Libraries/LibSettings/JsonSchema.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <absl/status/status.h>
+#include <nlohmann/json.hpp>
+#include <string_view>
+
+namespace LibSettings
+{
+
+/// Checks a document against a JSON Schema (draft 7).
+/// Errors: kInvalidArgument listing up to five violations, each with the path of the field (JSON Pointer) and the reason; `what` names the document.
+absl::Status validateAgainstSchema(const nlohmann::json &document, std::string_view schema, std::string_view what);
+
+} // namespace LibSettings
--- /dev/null
+++ b/Userland/Libraries/LibWire/EventLoop.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <AK/Clock.h>
+#include <AK/Text.h>
+#include <absl/status/statusor.h>
+#include <kj/async-io.h>
+
+namespace LibWire
+{
+
+/// The kj event loop of the calling thread, made on first use and destroyed with the thread.
+kj::AsyncIoContext &threadEventLoop();
+
+/// The text of a kj exception without source positions.
+std::string describeException(const kj::Exception &exception);
+
+/// Waits for a promise on the given wait scope for at most `timeout` ms.
+/// Errors: kDeadlineExceeded when the time is over (the promise is then cancelled), kUnavailable when the peer is gone, kInternal when the peer reported a
+/// failure.
+template <typename Type>
+absl::StatusOr<Type> waitFor(kj::Promise<Type> promise, AK::Milliseconds timeout, kj::WaitScope &scope)
+{
+    try {
+        kj::Promise<kj::Maybe<Type>> guarded = promise.then([](Type &&value) -> kj::Maybe<Type> { return kj::mv(value); });
+        kj::Promise<kj::Maybe<Type>> expiry =
+            threadEventLoop().provider->getTimer().afterDelay(timeout * kj::MILLISECONDS).then([]() -> kj::Maybe<Type> { return nullptr; });
+        kj::Maybe<Type> result = guarded.exclusiveJoin(kj::mv(expiry)).wait(scope);
+        KJ_IF_MAYBE (value, result) {
+            return kj::mv(*value);
+        }
+        return absl::DeadlineExceededError(AK::concat("no reply from the peer within ", timeout, " ms"));
+    } catch (const kj::Exception &exception) {
+        const bool gone = exception.getType() == kj::Exception::Type::DISCONNECTED;
+        return absl::Status(gone ? absl::StatusCode::kUnavailable : absl::StatusCode::kInternal, describeException(exception));
+    }
+}
+
+} // namespace LibWire
--- /dev/null
+++ b/Userland/Libraries/LibWire/RpcConnection.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <AK/Endpoint.h>
+#include <LibWire/EventLoop.h>
+#include <LibWire/KeyRing.h>
+#include <LibWire/generated/wire.capnp.h>
+#include <capnp/rpc-twoparty.h>
+#include <memory>
+
+namespace LibWire
+{
+
+/// What a process needs to log in at others.
+struct RpcIdentity {
+    std::string process;
+    std::shared_ptr<KeyRing> keys;
+};
+
+/// A client connection to another process, bound to the thread that made it. Closing it cancels all its calls at the peer.
+class RpcConnection
+{
+public:
+    /// Connects and sends the login; the login's result arrives together with that of the first call.
+    /// Errors: kUnavailable when there is no connection within `timeout` ms. Nothing of a later call can have run in that case.
+    static absl::StatusOr<std::unique_ptr<RpcConnection>> open(const AK::Endpoint &target, const RpcIdentity &identity, AK::Milliseconds timeout,
+                                                               kj::WaitScope &scope = threadEventLoop().waitScope);
+
+    Wire::Node::Client &node();
+
+    /// Sends a prepared request and waits for its reply. Errors as waitFor().
+    template <typename Request>
+    auto call(Request &&request, AK::Milliseconds timeout) -> absl::StatusOr<kj::Decay<decltype(request.send().wait(kj::instance<kj::WaitScope &>()))>>
+    {
+        using Reply = kj::Decay<decltype(request.send().wait(kj::instance<kj::WaitScope &>()))>;
+        return waitFor<Reply>(kj::Promise<Reply>(request.send()), timeout, this->scope);
+    }
+
+    kj::WaitScope &waitScope();
+
+private:
+    RpcConnection(kj::Own<kj::AsyncIoStream> stream, kj::WaitScope &scope);
+
+    kj::WaitScope &scope;
+    kj::Own<kj::AsyncIoStream> stream;
+    capnp::TwoPartyClient client;
+    Wire::Node::Client remote;
+};
+
+} // namespace LibWire
