Tests: Add the harness, the tour and the control measurement

Cause: the whole path has to be seen working with real processes, and every measurement needs the same site on loopback. Change: Harness::Site starts fakes and daemons on a loopback network of its own; the tour checks each step of the path; measure control fits processor time, memory and bytes of each role over several fleet sizes; RPC sockets count their bytes from the kernel's counters; the HTTP front and the composition of the daemon.

--- /dev/null
+++ b/Tests/Harness/ChildProcess.cpp
@@ -0,0 +1,180 @@
+#include <Harness/ChildProcess.h>
+
+#include <array>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fcntl.h>
+#include <fstream>
+#include <sstream>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace Harness
+{
+
+namespace
+{
+
+constexpr AK::Milliseconds waitPollMs = 5;
+
+std::vector<char *> argumentPointers(std::string &program, std::vector<std::string> &arguments)
+{
+    std::vector<char *> pointers{program.data()};
+    for (std::string &argument : arguments) {
+        pointers.push_back(argument.data());
+    }
+    pointers.push_back(nullptr);
+    return pointers;
+}
+
+// Runs in the child. Ends with the parent, so that a killed test leaves no daemons behind.
+[[noreturn]] void execute(std::vector<char *> &arguments, int output, int errors)
+{
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    ::dup2(output, STDOUT_FILENO);
+    ::dup2(errors, STDERR_FILENO);
+    sigset_t none;
+    sigemptyset(&none);
+    sigprocmask(SIG_SETMASK, &none, nullptr);
+    ::execv(arguments[0], arguments.data());
+    std::perror(arguments[0]);
+    ::_exit(127);
+}
+
+int statusOf(int raw)
+{
+    return WIFEXITED(raw) ? WEXITSTATUS(raw) : 128 + WTERMSIG(raw);
+}
+
+} // namespace
+
+ChildProcess::ChildProcess(std::string program, std::vector<std::string> arguments, std::string logFile)
+{
+    std::vector<char *> pointers = argumentPointers(program, arguments);
+    const int log = ::open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    this->child = ::fork();
+    if (this->child == 0) {
+        execute(pointers, log, log);
+    }
+    ::close(log);
+    if (this->child < 0) {
+        std::perror("fork");
+        std::abort();
+    }
+}
+
+ChildProcess::~ChildProcess()
+{
+    this->kill();
+}
+
+pid_t ChildProcess::pid() const
+{
+    return this->child;
+}
+
+bool ChildProcess::running()
+{
+    return !this->wait(0).has_value();
+}
+
+void ChildProcess::signal(int number)
+{
+    if (!this->exitStatus) {
+        ::kill(this->child, number);
+    }
+}
+
+std::optional<int> ChildProcess::wait(AK::Milliseconds limit)
+{
+    const AK::SystemClock clock;
+    const AK::Milliseconds end = clock.now() + limit;
+    while (!this->exitStatus) {
+        int raw = 0;
+        if (::waitpid(this->child, &raw, WNOHANG) == this->child) {
+            this->exitStatus = statusOf(raw);
+            break;
+        }
+        if (clock.now() >= end) {
+            return std::nullopt;
+        }
+        clock.sleep(waitPollMs);
+    }
+    return this->exitStatus;
+}
+
+void ChildProcess::kill()
+{
+    if (!this->exitStatus) {
+        ::kill(this->child, SIGKILL);
+        int raw = 0;
+        ::waitpid(this->child, &raw, 0);
+        this->exitStatus = statusOf(raw);
+    }
+}
+
+int64_t ChildProcess::processorMs() const
+{
+    std::ifstream file("/proc/" + std::to_string(this->child) + "/stat");
+    std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+    const size_t nameEnd = text.rfind(')');
+    if (nameEnd == std::string::npos) {
+        return 0;
+    }
+    std::istringstream fields(text.substr(nameEnd + 2));
+    std::string skipped;
+    // utime and stime are fields 14 and 15 of the line, the 12th and 13th after the name.
+    for (int i = 0; i < 11; ++i) {
+        fields >> skipped;
+    }
+    int64_t user = 0;
+    int64_t system = 0;
+    fields >> user >> system;
+    return (user + system) * 1000 / ::sysconf(_SC_CLK_TCK);
+}
+
+int64_t ChildProcess::residentKiB() const
+{
+    std::ifstream file("/proc/" + std::to_string(this->child) + "/status");
+    std::string line;
+    while (std::getline(file, line)) {
+        if (line.starts_with("VmRSS:")) {
+            return std::atoll(line.c_str() + 6);
+        }
+    }
+    return 0;
+}
+
+CommandResult runCommand(const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile)
+{
+    std::string path = program;
+    std::vector<std::string> copies = arguments;
+    std::vector<char *> pointers = argumentPointers(path, copies);
+    std::array<int, 2> ends{};
+    if (::pipe2(ends.data(), O_CLOEXEC) != 0) {
+        std::perror("pipe2");
+        std::abort();
+    }
+    const int log = ::open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    const pid_t child = ::fork();
+    if (child == 0) {
+        execute(pointers, ends[1], log);
+    }
+    ::close(ends[1]);
+    ::close(log);
+    CommandResult result;
+    std::array<char, 4096> buffer{};
+    ssize_t size = 0;
+    while ((size = ::read(ends[0], buffer.data(), buffer.size())) > 0) {
+        result.output.append(buffer.data(), static_cast<size_t>(size));
+    }
+    ::close(ends[0]);
+    int raw = 0;
+    ::waitpid(child, &raw, 0);
+    result.status = statusOf(raw);
+    return result;
+}
+
+} // namespace Harness
--- /dev/null
+++ b/Tests/Harness/Site.cpp
@@ -0,0 +1,487 @@
+#include <Harness/Site.h>
+
+#include <AK/Hash.h>
+#include <AK/StatusMacros.h>
+#include <AK/Text.h>
+#include <LibHttp/HttpClient.h>
+#include <LibSettings/Revision.h>
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
+
+namespace Harness
+{
+
+namespace
+{
+
+constexpr uint16_t httpPort = 7100;
+constexpr uint16_t rpcPort = 7200;
+constexpr uint16_t objectApiPort = 7300;
+constexpr uint16_t weightStorePort = 7301;
+constexpr uint16_t objectApiProxyPort = 7302;
+constexpr uint16_t proxyAdminPort = 7303;
+constexpr uint16_t upstreamPort = 7400;
+constexpr AK::Milliseconds startLimitMs = 30'000;
+constexpr AK::Milliseconds pollMs = 10;
+constexpr AK::Milliseconds requestTimeoutMs = 5'000;
+constexpr int hostsPerNetwork = 250;
+
+const std::string siteName = "costilla-luz";
+const std::string platform = "platform";
+const std::string model = "glue-line";
+const std::string adapter = "base";
+const std::string sharedSecret = "test-secret-test-secret";
+
+} // namespace
+
+bool waitUntil(AK::Milliseconds limit, const std::function<bool()> &condition)
+{
+    const AK::SystemClock clock;
+    const AK::Milliseconds end = clock.now() + limit;
+    while (!condition()) {
+        if (clock.now() >= end) {
+            return false;
+        }
+        clock.sleep(pollMs);
+    }
+    return true;
+}
+
+namespace
+{
+
+absl::StatusOr<nlohmann::json> jsonCall(const AK::Endpoint &target, const LibHttp::HttpRequest &request)
+{
+    CATKINLINK_ASSIGN(const LibHttp::HttpResponse response, LibHttp::httpCall(target, request, requestTimeoutMs));
+    if (response.status >= 300) {
+        return absl::FailedPreconditionError(AK::concat(request.method, " ", request.path, " at ", target.text(), ": ", response.status, " ", response.body));
+    }
+    nlohmann::json parsed = nlohmann::json::parse(response.body, nullptr, false);
+    if (parsed.is_discarded()) {
+        return absl::DataLossError(AK::concat(request.path, " at ", target.text(), " gave no JSON"));
+    }
+    return parsed;
+}
+
+} // namespace
+
+absl::StatusOr<nlohmann::json> getJson(const AK::Endpoint &target, const std::string &path, const LibHttp::HttpHeaders &headers)
+{
+    return jsonCall(target, {.path = path, .headers = headers});
+}
+
+absl::StatusOr<nlohmann::json> postJson(const AK::Endpoint &target, const std::string &path, const nlohmann::json &body, const LibHttp::HttpHeaders &headers)
+{
+    return jsonCall(target, {.method = "POST", .path = path, .headers = headers, .body = body.dump()});
+}
+
+Site::Site(SitePlan plan)
+    : layout(std::move(plan))
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "catkinlink-site-XXXXXX").string();
+    this->temporaryFolder = ::mkdtemp(pattern.data());
+    // Sites of test programs that run at the same time get different networks.
+    static int siteOfProcess = 0;
+    const int number = ::getpid() * 4 + siteOfProcess++ % 4;
+    this->networkHigh = 20 + number / 50 % 200;
+    this->networkLow = number % 50 * 5;
+    this->planHosts();
+}
+
+Site::~Site()
+{
+    for (auto &[name, child] : this->processes) {
+        child->signal(SIGCONT);
+        child->signal(SIGKILL);
+    }
+    this->processes.clear();
+    if (std::getenv("CATKINLINK_KEEP_LOGS") == nullptr) {
+        std::error_code ignored;
+        std::filesystem::remove_all(this->temporaryFolder, ignored);
+    }
+}
+
+void Site::planHosts()
+{
+    int index = 1;
+    for (int i = 0; i < this->layout.entries; ++i) {
+        const DomainPlan &domain = this->layout.domains[static_cast<size_t>(i) % this->layout.domains.size()];
+        this->hosts[AK::concat("entry-", i + 1)] = {index++, true, "", domain.name, domain.region};
+    }
+    for (const ServicePlan &service : this->layout.services) {
+        for (int i = 0; i < service.upstreams; ++i) {
+            const DomainPlan &domain = this->layout.domains[static_cast<size_t>(i) % this->layout.domains.size()];
+            this->hosts[AK::concat(service.name, "-", i + 1)] = {index++, false, service.name, domain.name, domain.region};
+        }
+    }
+}
+
+std::string Site::hostAddress(int index) const
+{
+    return AK::concat("127.", this->networkHigh, ".", this->networkLow + index / hostsPerNetwork, ".", index % hostsPerNetwork + 1);
+}
+
+AK::Endpoint Site::objectApi() const
+{
+    return {this->hostAddress(0), objectApiPort};
+}
+
+AK::Endpoint Site::objectApiProxyAdmin() const
+{
+    return {this->hostAddress(0), proxyAdminPort};
+}
+
+AK::Endpoint Site::weightStore() const
+{
+    return {this->hostAddress(0), weightStorePort};
+}
+
+AK::Endpoint Site::entryAddress(int number) const
+{
+    return this->httpAddress(AK::concat("entry-", number));
+}
+
+AK::Endpoint Site::httpAddress(const std::string &process) const
+{
+    return {this->hostAddress(this->hosts.at(process).index), httpPort};
+}
+
+AK::Endpoint Site::rpcAddress(const std::string &process) const
+{
+    return {this->hostAddress(this->hosts.at(process).index), rpcPort};
+}
+
+AK::Endpoint Site::upstreamAddress(const std::string &agent) const
+{
+    return {this->hostAddress(this->hosts.at(agent).index), upstreamPort};
+}
+
+std::string Site::failureDomainOf(const std::string &agent) const
+{
+    return this->hosts.at(agent).domain;
+}
+
+std::vector<std::string> Site::agents(const std::string &service) const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, host] : this->hosts) {
+        if (host.service == service) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+std::vector<std::string> Site::daemonNames() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, host] : this->hosts) {
+        names.push_back(name);
+    }
+    return names;
+}
+
+std::string Site::accountKey(int account) const
+{
+    return AK::concat("account-key-", account);
+}
+
+std::string Site::operatorKey() const
+{
+    return "operator-key-of-the-test-site";
+}
+
+std::string Site::operatorKeyFile() const
+{
+    return this->temporaryFolder + "/operator.key";
+}
+
+std::string Site::weightsRoot(const std::string &, const std::string &version) const
+{
+    return this->roots.at(version);
+}
+
+const std::string &Site::folder() const
+{
+    return this->temporaryFolder;
+}
+
+const SitePlan &Site::plan() const
+{
+    return this->layout;
+}
+
+nlohmann::json Site::processSettings(const std::string &name, int index, bool entry) const
+{
+    const Host &host = this->hosts.at(name);
+    const std::string address = this->hostAddress(index);
+    nlohmann::json settings{
+        {"role", entry ? "entry" : "agent"},
+        {"name", name},
+        {"site", siteName},
+        {"region", host.region},
+        {"failure_domain", host.domain},
+        {"http_address", AK::concat(address, ":", httpPort)},
+        {"rpc_address", AK::concat(address, ":", rpcPort)},
+        {"object_api", AK::concat(this->hostAddress(0), ":", this->layout.proxyBeforeObjectApi ? objectApiProxyPort : objectApiPort)},
+        {"seeds", nlohmann::json::array()},
+        {"keys", {{{"id", "k1"}, {"secret", sharedSecret}}}},
+        {"operators", {{{"name", "rosa"}, {"key_sha256", AK::sha256Hex(this->operatorKey())}}}},
+        {"log_level", this->layout.logLevel},
+        {"timing", this->layout.timing},
+        {"entry", this->layout.entrySettings},
+    };
+    for (int i = 0; i < this->layout.entries; ++i) {
+        settings["seeds"].push_back(this->rpcAddress(AK::concat("entry-", i + 1)).text());
+    }
+    if (!entry) {
+        const auto service = std::ranges::find(this->layout.services, host.service, &ServicePlan::name);
+        nlohmann::json agent{
+            {"upstream_address", AK::concat(address, ":", upstreamPort)},
+            {"upstream_kind", service->engine ? "engine" : "plain"},
+            {"service", host.service},
+            {"weight_store", this->weightStore().text()},
+            {"origin_region", this->layout.domains.front().region},
+        };
+        agent.merge_patch(this->layout.agentSettings);
+        settings["agent"] = agent;
+    }
+    return settings;
+}
+
+void Site::writeSettings(const std::string &name, const nlohmann::json &settings) const
+{
+    std::ofstream(AK::concat(this->temporaryFolder, "/", name, ".json")) << settings.dump(2);
+}
+
+void Site::spawn(const std::string &name, const std::string &program, std::vector<std::string> arguments)
+{
+    const std::string log = AK::concat(this->temporaryFolder, "/", name, ".log");
+    this->processes[name].reset();
+    this->processes[name] = std::make_unique<ChildProcess>(AK::concat(this->layout.binFolder, "/", program), std::move(arguments), log);
+}
+
+void Site::startFakes()
+{
+    this->spawn("object-api", "fake_object_api", {"--address", this->objectApi().text()});
+    std::string versions;
+    for (int i = 1; i <= this->layout.versions; ++i) {
+        versions += AK::concat(i == 1 ? "" : ",", i);
+    }
+    this->spawn("weight-store", "fake_weight_store",
+                {"--address", this->weightStore().text(), "--model", model, "--adapter", adapter, "--versions", versions, "--size-bytes",
+                 std::to_string(this->layout.weightBytes), "--chunk-bytes", std::to_string(this->layout.chunkBytes), "--bytes-per-s",
+                 std::to_string(this->layout.originBytesPerSecond)});
+    if (this->layout.proxyBeforeObjectApi) {
+        this->spawn("object-api-proxy", "fault_proxy",
+                    {"--listen", AK::concat(this->hostAddress(0), ":", objectApiProxyPort), "--target", this->objectApi().text(), "--admin",
+                     this->objectApiProxyAdmin().text()});
+    }
+}
+
+void Site::startUpstreams()
+{
+    for (const ServicePlan &service : this->layout.services) {
+        for (const std::string &name : this->agents(service.name)) {
+            std::vector<std::string> arguments{"--address", this->upstreamAddress(name).text()};
+            const auto &flags = service.engine ? this->layout.engineFlags : this->layout.plainFlags;
+            arguments.insert(arguments.end(), flags.begin(), flags.end());
+            this->spawn("upstream-" + name, service.engine ? "fake_engine" : "fake_plain", std::move(arguments));
+        }
+    }
+}
+
+absl::Status Site::waitHttp(const std::string &name, const AK::Endpoint &address, const std::string &path, AK::Milliseconds limit)
+{
+    const bool answered = waitUntil(limit, [&] { return LibHttp::httpCall(address, {.path = path}, 1'000).ok(); });
+    if (!answered) {
+        return absl::DeadlineExceededError(
+            AK::concat("process ", name, " does not answer at ", address.text(), " within ", limit, " ms; see ", this->temporaryFolder));
+    }
+    return absl::OkStatus();
+}
+
+absl::Status Site::readRoots()
+{
+    for (int version = 1; version <= this->layout.versions; ++version) {
+        CATKINLINK_ASSIGN(const nlohmann::json manifest,
+                          getJson(this->weightStore(), AK::concat("/weights/", model, "/", adapter, "/", version, "/manifest.json")));
+        this->roots[std::to_string(version)] = manifest.at("root");
+    }
+    return absl::OkStatus();
+}
+
+absl::Status Site::start()
+{
+    std::ofstream(this->operatorKeyFile()) << this->operatorKey() << "\n";
+    this->startFakes();
+    CATKINLINK_TRY(this->waitHttp("object-api", this->objectApi(), "/fake/stats", startLimitMs));
+    CATKINLINK_TRY(this->waitHttp("weight-store", this->weightStore(), "/fake/stats", startLimitMs));
+    CATKINLINK_TRY(this->readRoots());
+    nlohmann::json hostList{{"hosts", nlohmann::json::array()}};
+    for (const auto &[name, host] : this->hosts) {
+        hostList["hosts"].push_back({{"name", name}, {"address", this->hostAddress(host.index)}, {"state", "live"}});
+    }
+    CATKINLINK_TRY(postJson(this->objectApi(), "/fake/hosts", hostList).status());
+    this->startUpstreams();
+    for (const auto &[name, host] : this->hosts) {
+        this->writeSettings(name, this->processSettings(name, host.index, host.entry));
+        this->startDaemon(name);
+    }
+    for (const auto &[name, host] : this->hosts) {
+        CATKINLINK_TRY(this->waitHttp(name, this->httpAddress(name), "/health/live", startLimitMs));
+    }
+    return absl::OkStatus();
+}
+
+void Site::startDaemon(const std::string &name)
+{
+    this->spawn(name, "catkinlinkd", {"--config", AK::concat(this->temporaryFolder, "/", name, ".json")});
+}
+
+ChildProcess &Site::process(const std::string &name)
+{
+    return *this->processes.at(name);
+}
+
+nlohmann::json Site::initialDocument() const
+{
+    nlohmann::json document{{"site", siteName},
+                            {"failure_domains", nlohmann::json::object()},
+                            {"accounts", nlohmann::json::object()},
+                            {"services", nlohmann::json::object()},
+                            {"upstreams", nlohmann::json::object()}};
+    for (const DomainPlan &domain : this->layout.domains) {
+        document["failure_domains"][domain.name] = {{"region", domain.region}};
+    }
+    for (int i = 1; i <= this->layout.accounts; ++i) {
+        document["accounts"][AK::concat("account-", i)] = {{"key_sha256", AK::sha256Hex(this->accountKey(i))}};
+    }
+    for (const ServicePlan &service : this->layout.services) {
+        nlohmann::json &entry = document["services"][service.name];
+        entry["kind"] = service.engine ? "engine" : "plain";
+        if (service.engine) {
+            entry["target"] = {{"model", model}, {"adapter", adapter}, {"version", "1"}, {"root", this->roots.at("1")}};
+        } else {
+            entry["routes"] = service.routes;
+        }
+    }
+    for (const auto &[name, host] : this->hosts) {
+        if (!host.entry) {
+            document["upstreams"][name] = {{"service", host.service}, {"failure_domain", host.domain}};
+        }
+    }
+    return document;
+}
+
+absl::StatusOr<uint64_t> Site::apply(const nlohmann::json &document, const std::string &reason)
+{
+    const LibHttp::HttpHeaders headers{{"authorization", "Bearer " + this->operatorKey()}};
+    absl::Status last = absl::UnavailableError("no entry");
+    for (int i = 1; i <= this->layout.entries; ++i) {
+        const absl::StatusOr<nlohmann::json> current = getJson(this->entryAddress(i), "/operator/v1/revision", headers);
+        const uint64_t expected = current.ok() ? current->value("revision", uint64_t{0}) : 0;
+        static int changes = 0;
+        const nlohmann::json body{
+            {"document", document}, {"expected_revision", expected}, {"change_id", AK::concat("harness-", ::getpid(), "-", ++changes)}, {"reason", reason}};
+        const absl::StatusOr<nlohmann::json> answer = postJson(this->entryAddress(i), "/operator/v1/apply", body, headers);
+        if (answer.ok()) {
+            return answer->at("revision").get<uint64_t>();
+        }
+        last = answer.status();
+    }
+    return last;
+}
+
+absl::StatusOr<uint64_t> Site::change(const std::function<void(nlohmann::json &)> &edit, const std::string &reason)
+{
+    const LibHttp::HttpHeaders headers{{"authorization", "Bearer " + this->operatorKey()}};
+    absl::Status last = absl::UnavailableError("no entry");
+    for (int i = 1; i <= this->layout.entries; ++i) {
+        const absl::StatusOr<nlohmann::json> current = getJson(this->entryAddress(i), "/operator/v1/revision", headers);
+        if (current.ok()) {
+            nlohmann::json document = current->at("document");
+            edit(document);
+            return this->apply(document, reason);
+        }
+        last = current.status();
+    }
+    return last;
+}
+
+absl::Status Site::applyInitial()
+{
+    CATKINLINK_ASSIGN(const uint64_t revision, this->apply(this->initialDocument(), "initial document"));
+    return this->waitForRevision(revision, startLimitMs);
+}
+
+absl::Status Site::waitForRevision(uint64_t revision, AK::Milliseconds limit)
+{
+    std::string behind;
+    const bool reached = waitUntil(limit, [&] {
+        for (const auto &[name, host] : this->hosts) {
+            if (!this->processes.at(name)->running()) {
+                continue;
+            }
+            const auto metrics = LibHttp::httpCall(this->httpAddress(name), {.path = "/metrics"}, 1'000);
+            const std::string marker = "\ncatkinlink_configuration_revision ";
+            const size_t position = metrics.ok() ? metrics->body.find(marker) : std::string::npos;
+            if (position == std::string::npos || std::strtoull(metrics->body.c_str() + position + marker.size(), nullptr, 10) < revision) {
+                behind = name;
+                return false;
+            }
+        }
+        return true;
+    });
+    return reached ? absl::OkStatus()
+                   : absl::DeadlineExceededError(AK::concat("revision ", revision, " is not in force on ", behind, " within ", limit, " ms"));
+}
+
+absl::StatusOr<nlohmann::json> Site::status(const AK::Endpoint &entry)
+{
+    return getJson(entry, "/operator/v1/status", {{"authorization", "Bearer " + this->operatorKey()}});
+}
+
+absl::Status Site::waitServing(const std::string &service, const std::string &version, AK::Milliseconds limit)
+{
+    const std::string root = this->roots.at(version);
+    std::string waiting;
+    const bool serving = waitUntil(limit, [&] {
+        const absl::StatusOr<nlohmann::json> view = this->status(this->entryAddress(1));
+        if (!view.ok()) {
+            waiting = "status of entry-1";
+            return false;
+        }
+        std::map<std::string, const nlohmann::json *> members;
+        for (const nlohmann::json &member : view->at("members")) {
+            members[member.at("name")] = &member;
+        }
+        for (const std::string &name : this->agents(service)) {
+            if (!this->processes.at(name)->running()) {
+                continue;
+            }
+            const auto found = members.find(name);
+            if (found == members.end() || (*found->second)["weights_root"] != root || (*found->second)["serving_state"] != "serving") {
+                waiting = name;
+                return false;
+            }
+        }
+        return true;
+    });
+    return serving ? absl::OkStatus()
+                   : absl::DeadlineExceededError(AK::concat(waiting, " does not serve version ", version, " of ", service, " within ", limit, " ms"));
+}
+
+absl::StatusOr<LibHttp::HttpResponse> Site::complete(const AK::Endpoint &entry, const std::string &service, const std::string &prompt, bool stream, int tokens,
+                                                     int account)
+{
+    const nlohmann::json body{{"model", service}, {"prompt", prompt}, {"max_tokens", tokens}, {"stream", stream}};
+    const LibHttp::HttpHeaders headers{{"authorization", "Bearer " + this->accountKey(account)}, {"content-type", "application/json"}};
+    return LibHttp::httpCall(entry, {.method = "POST", .path = "/v1/completions", .headers = headers, .body = body.dump()}, 30'000);
+}
+
+} // namespace Harness
--- /dev/null
+++ b/Tests/Measure/main.cpp
@@ -0,0 +1,53 @@
+#include "Measurement.h"
+
+#include <array>
+#include <iostream>
+#include <string_view>
+
+namespace
+{
+
+struct NamedMeasurement {
+    std::string_view name;
+    std::string_view help;
+    Measurement run;
+};
+
+constexpr std::array measurements{
+    NamedMeasurement{"control", "processor, memory and bytes of control work at several fleet sizes [--sizes 12,24,48,96 --seconds 20]", &measureControl},
+};
+
+int usage()
+{
+    std::cerr << "usage: measure --bin DIR NAME [--seed N] [--flag value ...]\n";
+    for (const NamedMeasurement &measurement : measurements) {
+        std::cout << measurement.name << "  " << measurement.help << "\n";
+    }
+    return 2;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    if (argc < 4 || std::string_view(argv[1]) != "--bin") {
+        return usage();
+    }
+    const std::string_view name = argv[3];
+    if (name == "list") {
+        usage();
+        return 0;
+    }
+    for (const NamedMeasurement &measurement : measurements) {
+        if (measurement.name == name) {
+            MeasureContext context{argv[2], MeasureFlags::parse(argc, argv, 4)};
+            context.seed = static_cast<uint64_t>(context.flags.number("seed", 1));
+            nlohmann::json result = measurement.run(context);
+            result["measurement"] = name;
+            result["seed"] = context.seed;
+            std::cout << result.dump() << std::endl;
+            return 0;
+        }
+    }
+    return usage();
+}
--- a/Userland/Libraries/LibWire/RpcConnection.cpp
+++ b/Userland/Libraries/LibWire/RpcConnection.cpp
@@ -7,14 +7,24 @@
 namespace LibWire
 {
 
-RpcConnection::RpcConnection(kj::Own<kj::AsyncIoStream> stream, kj::WaitScope &scope)
+RpcConnection::RpcConnection(kj::Own<kj::AsyncIoStream> stream, std::shared_ptr<TrafficCounter> traffic, kj::WaitScope &scope)
     : scope(scope)
+    , traffic(std::move(traffic))
     , stream(kj::mv(stream))
     , client(*this->stream)
     , remote(nullptr)
 {
 }
 
+RpcConnection::~RpcConnection()
+{
+    KJ_IF_MAYBE (socket, this->stream->getFd()) {
+        if (this->traffic) {
+            this->traffic->addSocket(*socket);
+        }
+    }
+}
+
 absl::StatusOr<std::unique_ptr<RpcConnection>> RpcConnection::open(const AK::Endpoint &target, const RpcIdentity &identity, AK::Milliseconds timeout,
                                                                    kj::WaitScope &scope)
 {
@@ -30,7 +40,7 @@
     }
     int on = 1;
     (*stream)->setsockopt(IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    std::unique_ptr<RpcConnection> connection(new RpcConnection(kj::mv(*stream), scope));
+    std::unique_ptr<RpcConnection> connection(new RpcConnection(kj::mv(*stream), identity.traffic, scope));
     const LoginProof proof = identity.keys->sign(identity.process, target);
     auto login = connection->client.bootstrap().castAs<Wire::Door>().loginRequest();
     auto credential = login.initCredential();
--- a/Userland/Libraries/LibWire/RpcConnection.h
+++ b/Userland/Libraries/LibWire/RpcConnection.h
@@ -3,6 +3,7 @@
 #include <AK/Endpoint.h>
 #include <LibWire/EventLoop.h>
 #include <LibWire/KeyRing.h>
+#include <LibWire/TrafficCounter.h>
 #include <LibWire/generated/wire.capnp.h>
 #include <capnp/rpc-twoparty.h>
 #include <memory>
@@ -14,6 +15,8 @@
 struct RpcIdentity {
     std::string process;
     std::shared_ptr<KeyRing> keys;
+    /// Counts the bytes of connections that this process opens; may be empty.
+    std::shared_ptr<TrafficCounter> traffic = nullptr;
 };
 
 /// A client connection to another process, bound to the thread that made it. Closing it cancels all its calls at the peer.
@@ -25,6 +28,10 @@
     static absl::StatusOr<std::unique_ptr<RpcConnection>> open(const AK::Endpoint &target, const RpcIdentity &identity, AK::Milliseconds timeout,
                                                                kj::WaitScope &scope = threadEventLoop().waitScope);
 
+    ~RpcConnection();
+    RpcConnection(const RpcConnection &) = delete;
+    RpcConnection &operator=(const RpcConnection &) = delete;
+
     Wire::Node::Client &node();
 
     /// Sends a prepared request and waits for its reply. Errors as waitFor().
@@ -38,9 +45,10 @@
     kj::WaitScope &waitScope();
 
 private:
-    RpcConnection(kj::Own<kj::AsyncIoStream> stream, kj::WaitScope &scope);
+    RpcConnection(kj::Own<kj::AsyncIoStream> stream, std::shared_ptr<TrafficCounter> traffic, kj::WaitScope &scope);
 
     kj::WaitScope &scope;
+    std::shared_ptr<TrafficCounter> traffic;
     kj::Own<kj::AsyncIoStream> stream;
     capnp::TwoPartyClient client;
     Wire::Node::Client remote;
--- a/Userland/Libraries/LibWire/RpcServer.cpp
+++ b/Userland/Libraries/LibWire/RpcServer.cpp
@@ -120,11 +120,13 @@
 
 } // namespace
 
-RpcServer::RpcServer(AK::Endpoint endpoint, std::shared_ptr<KeyRing> keys, NodeHandlers handlers, size_t maxConnections)
+RpcServer::RpcServer(AK::Endpoint endpoint, std::shared_ptr<KeyRing> keys, NodeHandlers handlers, size_t maxConnections,
+                     std::shared_ptr<TrafficCounter> traffic)
     : endpoint(std::move(endpoint))
     , keys(std::move(keys))
     , handlers(handlers)
     , maxConnections(maxConnections)
+    , traffic(std::move(traffic))
 {
 }
 
@@ -208,8 +210,7 @@
     const std::lock_guard lock(this->mutex);
     for (auto connection = this->connections.begin(); connection != this->connections.end();) {
         if (connection->finished) {
-            connection->thread.join();
-            ::close(connection->socket);
+            this->close(*connection);
             connection = this->connections.erase(connection);
         } else {
             ++connection;
@@ -217,6 +218,15 @@
     }
 }
 
+void RpcServer::close(Connection &connection)
+{
+    connection.thread.join();
+    if (this->traffic) {
+        this->traffic->addSocket(connection.socket);
+    }
+    ::close(connection.socket);
+}
+
 void RpcServer::stop()
 {
     if (this->listener < 0 || this->stopping.exchange(true)) {
@@ -230,8 +240,7 @@
         ::shutdown(connection.socket, SHUT_RDWR);
     }
     for (Connection &connection : this->connections) {
-        connection.thread.join();
-        ::close(connection.socket);
+        this->close(connection);
     }
     this->connections.clear();
 }
--- a/Userland/Libraries/LibWire/RpcServer.h
+++ b/Userland/Libraries/LibWire/RpcServer.h
@@ -4,6 +4,7 @@
 #include <Kernel/Service.h>
 #include <LibLog/Logger.h>
 #include <LibWire/KeyRing.h>
+#include <LibWire/TrafficCounter.h>
 #include <LibWire/generated/wire.capnp.h>
 #include <absl/status/status.h>
 #include <atomic>
@@ -61,7 +62,9 @@
 class RpcServer final : public Kernel::Service
 {
 public:
-    RpcServer(AK::Endpoint endpoint, std::shared_ptr<KeyRing> keys, NodeHandlers handlers, size_t maxConnections);
+    /// `traffic` counts the bytes of accepted connections; may be empty.
+    RpcServer(AK::Endpoint endpoint, std::shared_ptr<KeyRing> keys, NodeHandlers handlers, size_t maxConnections,
+              std::shared_ptr<TrafficCounter> traffic = nullptr);
     ~RpcServer() override;
 
     std::string_view name() const override;
@@ -83,11 +86,13 @@
     void acceptLoop();
     void serve(Connection &connection);
     void reapFinished();
+    void close(Connection &connection);
 
     AK::Endpoint endpoint;
     std::shared_ptr<KeyRing> keys;
     NodeHandlers handlers;
     size_t maxConnections;
+    std::shared_ptr<TrafficCounter> traffic;
     LibLog::Logger logger{"rpc"};
     int listener = -1;
     std::atomic<bool> stopping{false};
--- /dev/null
+++ b/Userland/Services/Http/HttpFrontService.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <AK/Clock.h>
+#include <Kernel/Service.h>
+#include <LibConfiguration/ConfigurationView.h>
+#include <LibHttp/RequestHandler.h>
+#include <LibLog/Logger.h>
+#include <LibMetrics/MetricRegistry.h>
+#include <LibSettings/ProcessSettings.h>
+#include <atomic>
+#include <functional>
+#include <vector>
+
+namespace Http
+{
+
+/// The HTTP listener of a daemon: passes requests to the handlers in order and serves /metrics, /health/live and /health/ready itself.
+class HttpFrontService final : public Kernel::Service
+{
+public:
+    /// `refreshMetrics` is called before each /metrics answer to set gauges that are read, not counted.
+    HttpFrontService(const LibSettings::ProcessSettings &settings, const AK::Clock &clock, const LibConfiguration::ConfigurationView &configuration,
+                     LibMetrics::MetricRegistry &metrics, std::vector<LibHttp::RequestHandler *> handlers, std::function<void()> refreshMetrics);
+
+    std::string_view name() const override;
+    absl::Status start() override;
+
+    /// An entry serves on for as long as callers may keep its address, then waits until no request is in flight.
+    void drain() override;
+    void stop() override;
+
+private:
+    void serve(LibHttp::HttpExchange &exchange);
+    bool serveHealth(LibHttp::HttpExchange &exchange);
+
+    const LibSettings::ProcessSettings &settings;
+    const AK::Clock &clock;
+    const LibConfiguration::ConfigurationView &configuration;
+    LibMetrics::MetricRegistry &metrics;
+    std::vector<LibHttp::RequestHandler *> handlers;
+    std::function<void()> refreshMetrics;
+    LibLog::Logger logger{"http"};
+    std::atomic<bool> draining{false};
+    LibHttp::HttpServer server;
+};
+
+} // namespace Http
