--- a/Tests/Harness/Caller.cpp
+++ b/Tests/Harness/Caller.cpp
@@ -115,7 +115,7 @@
 
 CallRecord Caller::run(const CallPlan &plan)
 {
-    CallRecord record{.kind = plan.kind, .startedAt = this->clock.now()};
+    CallRecord record{.kind = plan.kind, .label = plan.label, .startedAt = this->clock.now()};
     record.idempotencyKey = LibHttp::headerOr(plan.request.headers, "idempotency-key");
     while (true) {
         this->attempt(plan, record);
@@ -190,6 +190,7 @@
     const nlohmann::json body{{"model", service}, {"prompt", prompt}, {"max_tokens", tokens}, {"stream", stream}};
     CallPlan plan;
     plan.kind = "completion";
+    plan.label = prompt;
     plan.request.method = "POST";
     plan.request.path = "/v1/completions";
     plan.request.headers["content-type"] = "application/json";
--- a/Tests/Harness/Caller.h
+++ b/Tests/Harness/Caller.h
@@ -19,10 +19,13 @@
     /// Calls that may be repeated are sent again after a failure; others only after "not run".
     bool repeatable = true;
     AK::Milliseconds deadlineMs = 10'000;
+    /// Copied to the record, for example the prompt.
+    std::string label;
 };
 
 struct CallRecord {
     std::string kind;
+    std::string label;
     AK::Milliseconds startedAt = 0;
     AK::Milliseconds firstByteAt = 0;
     AK::Milliseconds endedAt = 0;
--- a/Tests/Measure/Measurement.h
+++ b/Tests/Measure/Measurement.h
@@ -33,6 +33,11 @@
 using Measurement = nlohmann::json (*)(const MeasureContext &context);
 
 nlohmann::json measureControl(const MeasureContext &context);
+nlohmann::json measureConfig(const MeasureContext &context);
+nlohmann::json measureOverload(const MeasureContext &context);
+nlohmann::json measureDomain(const MeasureContext &context);
+nlohmann::json measureOnce(const MeasureContext &context);
+nlohmann::json measureRollout(const MeasureContext &context);
 
 /// Ends the program with status 1 and the message when the status is not OK.
 void requireOk(const absl::Status &status, const std::string &what);
--- /dev/null
+++ b/Tests/Measure/Rollout.cpp
@@ -0,0 +1,258 @@
+#include "Measurement.h"
+
+#include <AK/Text.h>
+#include <Harness/Caller.h>
+#include <Harness/EventLog.h>
+#include <LibHttp/HttpClient.h>
+#include <algorithm>
+#include <iostream>
+
+namespace
+{
+
+constexpr AK::Milliseconds rolloutLimitMs = 300'000;
+constexpr AK::Milliseconds settleLimitMs = 180'000;
+constexpr double originCopiesPerWindow = 4;
+constexpr double hostCopiesPerWindow = 2;
+const std::string service = "assistant";
+
+struct RolloutSize {
+    int hosts = 12;
+    int64_t weightBytes = 4 << 20;
+    int64_t chunkBytes = 64 << 10;
+    double windowSeconds = 20;
+
+    double hostRate() const
+    {
+        return hostCopiesPerWindow * static_cast<double>(this->weightBytes) / this->windowSeconds;
+    }
+    double originRate() const
+    {
+        return originCopiesPerWindow * static_cast<double>(this->weightBytes) / this->windowSeconds;
+    }
+    /// The largest of one copy over a host's link and all copies over all links that can send.
+    double boundSeconds() const
+    {
+        const double copies = this->hosts;
+        const auto size = static_cast<double>(this->weightBytes);
+        return std::max(size / this->hostRate(), copies * size / (this->originRate() + copies * this->hostRate()));
+    }
+};
+
+Harness::SitePlan rolloutPlan(const MeasureContext &context, const RolloutSize &size)
+{
+    Harness::SitePlan plan;
+    plan.binFolder = context.binFolder;
+    plan.services = {{service, true, size.hosts}};
+    plan.weightBytes = size.weightBytes;
+    plan.chunkBytes = size.chunkBytes;
+    plan.originBytesPerSecond = static_cast<int64_t>(size.originRate());
+    plan.engineFlags = {"--slots", "8", "--cold-ms", "200", "--token-ms", "2", "--load-ms", "50"};
+    plan.agentSettings = {{"weights_bytes_per_s", static_cast<int64_t>(size.hostRate())}, {"ramp_step_ms", 200}, {"weights_percent_under_load", 95}};
+    plan.logLevel = "info";
+    return plan;
+}
+
+struct Traffic {
+    double origin = 0;
+    double crossRegion = 0;
+    double peer = 0;
+};
+
+double labelled(const std::string &metrics, const std::string &source)
+{
+    return metricSum(metrics, AK::concat("catkinlink_weights_bytes_total{source=\"", source, "\"}"));
+}
+
+Traffic trafficOf(Harness::Site &site)
+{
+    Traffic traffic;
+    for (const std::string &agent : site.agents(service)) {
+        const std::string metrics = "\n" + metricsOf(site, agent);
+        traffic.origin += labelled(metrics, "origin");
+        traffic.crossRegion += labelled(metrics, "cross_region");
+        traffic.peer += labelled(metrics, "peer");
+    }
+    return traffic;
+}
+
+double originBytes(Harness::Site &site)
+{
+    return Harness::getJson(site.weightStore(), "/fake/stats").value_or(nlohmann::json::object()).value("bytes_served", 0.0);
+}
+
+struct Replicas {
+    /// Wall times in ms at which each agent held every chunk, ascending.
+    std::vector<double> times;
+};
+
+Replicas replicaTimes(Harness::Site &site, const std::string &root)
+{
+    Replicas replicas;
+    for (const std::string &agent : site.agents(service)) {
+        for (const nlohmann::json &event : Harness::readEvents(AK::concat(site.folder(), "/", agent, ".log"), "weights_complete")) {
+            if (event.value("root", "") == root) {
+                replicas.times.push_back(event.value("time_ms", 0.0));
+                break;
+            }
+        }
+    }
+    std::ranges::sort(replicas.times);
+    return replicas;
+}
+
+std::vector<double> latencies(const std::vector<Harness::CallRecord> &records, AK::Milliseconds from, AK::Milliseconds until)
+{
+    std::vector<double> values;
+    for (const Harness::CallRecord &record : records) {
+        if (record.startedAt >= from && record.startedAt < until && record.complete) {
+            values.push_back(static_cast<double>(record.endedAt - record.startedAt));
+        }
+    }
+    return values;
+}
+
+// Answers that carry neither of the two versions' roots come from wrong or mixed weights.
+int corruptAnswers(const std::vector<Harness::CallRecord> &records, const std::vector<std::string> &roots)
+{
+    int corrupt = 0;
+    for (const Harness::CallRecord &record : records) {
+        if (!record.complete) {
+            continue;
+        }
+        int matching = 0;
+        for (const std::string &root : roots) {
+            matching += record.body.find(root.substr(0, 16)) != std::string::npos ? 1 : 0;
+        }
+        corrupt += matching == 1 ? 0 : 1;
+    }
+    return corrupt;
+}
+
+// All hosts read from the origin, run with real connections on a smaller file, because time grows with hosts x bytes / origin rate at any size.
+double originOnlyOverBound(Harness::Site &site, const RolloutSize &size)
+{
+    const AK::SystemClock clock;
+    const int64_t bytes = std::min<int64_t>(size.weightBytes, static_cast<int64_t>(size.originRate() * 8 / size.hosts));
+    const auto manifest = Harness::getJson(site.weightStore(), "/weights/glue-line/base/2/manifest.json");
+    requireOk(manifest.status(), "manifest");
+    const std::string path = AK::concat("/weights/glue-line/base/2/files/", manifest->at("files").at(0).at("name").get<std::string>());
+    const AK::Milliseconds start = clock.now();
+    std::vector<std::thread> hosts;
+    for (int host = 0; host < size.hosts; ++host) {
+        hosts.emplace_back([&] {
+            (void)LibHttp::httpCall(site.weightStore(), {.path = path, .headers = {{"range", AK::concat("bytes=0-", bytes - 1)}}}, rolloutLimitMs);
+        });
+    }
+    for (std::thread &host : hosts) {
+        host.join();
+    }
+    const double bound =
+        std::max(static_cast<double>(bytes) / size.hostRate(), static_cast<double>(bytes) * size.hosts / (size.originRate() + size.hosts * size.hostRate()));
+    return static_cast<double>(clock.now() - start) / 1000 / bound;
+}
+
+// A fixed binary tree that forwards chunk by chunk, calculated from the link rates: a parent sends each chunk to its two children in turn.
+double binaryTreeOverBound(const RolloutSize &size)
+{
+    const auto chunks = static_cast<int>((size.weightBytes + size.chunkBytes - 1) / size.chunkBytes);
+    const double hostChunkSeconds = static_cast<double>(size.chunkBytes) / size.hostRate();
+    std::vector<std::vector<double>> arrival(static_cast<size_t>(size.hosts), std::vector<double>(static_cast<size_t>(chunks)));
+    std::vector<double> linkFree(static_cast<size_t>(size.hosts), 0);
+    double last = 0;
+    for (int chunk = 0; chunk < chunks; ++chunk) {
+        for (int host = 0; host < size.hosts; ++host) {
+            const auto index = static_cast<size_t>(host);
+            const auto column = static_cast<size_t>(chunk);
+            if (host == 0) {
+                arrival[index][column] = (chunk + 1) * hostChunkSeconds;
+                continue;
+            }
+            const auto parent = static_cast<size_t>((host - 1) / 2);
+            linkFree[parent] = std::max(linkFree[parent], arrival[parent][column]) + hostChunkSeconds;
+            arrival[index][column] = linkFree[parent];
+            last = std::max(last, arrival[index][column]);
+        }
+    }
+    return last / size.boundSeconds();
+}
+
+nlohmann::json replicasOverTime(const Replicas &replicas, double start)
+{
+    nlohmann::json series = nlohmann::json::array();
+    for (const int percent : {1, 10, 25, 50, 75, 90, 100}) {
+        series.push_back({{"percent", percent}, {"seconds", (percentile(replicas.times, percent) - start) / 1000}});
+    }
+    return series;
+}
+
+} // namespace
+
+nlohmann::json measureRollout(const MeasureContext &context)
+{
+    RolloutSize size;
+    size.hosts = context.flags.number("hosts", 12);
+    size.weightBytes = int64_t{context.flags.number("kib", 4096)} << 10;
+    size.chunkBytes = int64_t{context.flags.number("chunk-kib", 32)} << 10;
+    size.windowSeconds = context.flags.number("window", 20);
+    Harness::Site site(rolloutPlan(context, size));
+    requireOk(site.start(), "start");
+    requireOk(site.applyInitial(), "apply");
+    requireOk(site.waitServing(service, "1", settleLimitMs), "first version");
+    const AK::SystemClock clock;
+    Harness::LoadPlan loadPlan;
+    loadPlan.callsPerSecond = context.flags.number("rate", 20);
+    loadPlan.threads = 32;
+    loadPlan.seed = context.seed;
+    loadPlan.makeCall = [](uint64_t sequence) {
+        return Harness::completionCall(service, AK::concat("cure note ", sequence), false, 10);
+    };
+    Harness::Load load(site, loadPlan);
+    clock.sleep(5'000);
+    const Traffic before = trafficOf(site);
+    const double originBefore = originBytes(site);
+    const AK::Milliseconds start = clock.now();
+    const auto startWall = static_cast<double>(clock.wallTime());
+    requireOk(site.change(
+                      [&](nlohmann::json &document) {
+                          nlohmann::json &entry = document["services"][service];
+                          entry["previous"] = entry["target"];
+                          entry["target"]["version"] = "2";
+                          entry["target"]["root"] = site.weightsRoot(service, "2");
+                      },
+                      "rollout")
+                  .status(),
+              "rollout");
+    requireOk(site.waitServing(service, "2", rolloutLimitMs), "rollout");
+    const AK::Milliseconds end = clock.now();
+    const std::vector<Harness::CallRecord> records = load.finish();
+    const Traffic after = trafficOf(site);
+    const double originAfter = originBytes(site);
+    const Replicas replicas = replicaTimes(site, site.weightsRoot(service, "2"));
+    const auto bytes = static_cast<double>(size.weightBytes);
+    const double seconds = replicas.times.empty() ? 0 : (replicas.times.back() - startWall) / 1000;
+    const double calm = percentile(latencies(records, 0, start), 95);
+    nlohmann::json result{
+        {"hosts", size.hosts},
+        {"processes", site.daemonNames().size()},
+        {"replicas", replicas.times.size()},
+        {"seconds_to_all_replicas", seconds},
+        {"seconds_to_all_serving", static_cast<double>(end - start) / 1000},
+        {"bound_seconds", size.boundSeconds()},
+        {"time_over_bound", seconds / size.boundSeconds()},
+        {"origin_copies", (originAfter - originBefore) / bytes},
+        {"origin_copies_counted_by_agents", (after.origin - before.origin) / bytes},
+        {"cross_region_copies", (after.crossRegion - before.crossRegion) / bytes},
+        {"peer_copies", (after.peer - before.peer) / bytes},
+        {"corrupt_served", corruptAnswers(records, {site.weightsRoot(service, "1"), site.weightsRoot(service, "2")})},
+        {"live_calls", records.size()},
+        {"live_calls_not_complete", std::ranges::count_if(records, [](const Harness::CallRecord &record) { return !record.complete; })},
+        {"live_p95_before_ms", calm},
+        {"live_p95_ratio", calm == 0 ? 0 : percentile(latencies(records, start, end), 95) / calm},
+        {"replicas_over_time", replicasOverTime(replicas, startWall)},
+    };
+    std::cerr << result.dump() << "\n";
+    result["baseline_time_over_bound"] = originOnlyOverBound(site, size);
+    result["baseline_tree_time_over_bound"] = binaryTreeOverBound(size);
+    return result;
+}
--- a/Tests/Measure/main.cpp
+++ b/Tests/Measure/main.cpp
@@ -15,6 +15,11 @@
 
 constexpr std::array measurements{
     NamedMeasurement{"control", "processor, memory and bytes of control work at several fleet sizes [--sizes 12,24,48,96 --seconds 20]", &measureControl},
+    NamedMeasurement{"config", "time until a change is in force everywhere, reversions and store calls [--sizes 12,24,48,96 --changes 10]", &measureConfig},
+    NamedMeasurement{"overload", "goodput at 1, 2 and 4 times the capacity [--seconds 8]", &measureOverload},
+    NamedMeasurement{"domain", "service while a failure domain leaves and returns [--seconds 12 --rate 40]", &measureDomain},
+    NamedMeasurement{"once", "calls that may not be repeated under faults [--seconds 20 --rate 20]", &measureOnce},
+    NamedMeasurement{"rollout", "time to N replicas, origin and cross-region copies [--hosts 12 --kib 4096]", &measureRollout},
 };
 
 int usage()
