LibMembership: Keep the member table by gossip

Merge rules, choice of partner and watchers, and dissemination are free functions over plain structs; MembershipService runs them. MembershipView gains exchangeWithAll() with a default, for restrictions whose command must report how many members have them in force. Not tested in this commit.

--- /dev/null
+++ b/Userland/Libraries/LibMembership/MemberTable.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <AK/Clock.h>
+#include <AK/Random.h>
+#include <LibMembership/MembershipView.h>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace LibMembership
+{
+
+/// A record with what this process remembers about it.
+struct TableEntry {
+    Member member;
+    /// Exchanges that have carried the newest state of the record.
+    uint32_t timesSent = 0;
+    /// Grows with each change of the table; greater is newer.
+    uint64_t changedAt = 0;
+    /// Time of Clock::now() at which this process learned of the present status.
+    AK::Milliseconds statusSince = 0;
+    /// This process itself got no answer from the member.
+    bool probeFailed = false;
+    /// A later probe of a suspect by this process failed too.
+    bool confirmed = false;
+};
+
+struct MemberTable {
+    std::string self;
+    std::map<std::string, TableEntry> entries;
+    uint64_t changeCount = 0;
+};
+
+enum class MergeResult {
+    Unchanged,
+    Changed,
+    /// Others hold this process for suspect, dead or leaving, or know a later state of its record: it must raise its sequence.
+    SelfContradicted,
+};
+
+/// Whether a record replaces another of the same name: greater instance, then greater sequence, then the worse status.
+bool supersedes(const Member &incoming, const Member &known);
+
+MergeResult mergeRecord(MemberTable &table, const Member &incoming, AK::Milliseconds now);
+
+/// Sets a status that is not the owner's word, under the sequence that the owner last published. False when nothing changed.
+bool setObservedStatus(MemberTable &table, const std::string &name, MemberStatus status, AK::Milliseconds now);
+
+/// Marks a record as changed, so that it is spread again.
+void touch(MemberTable &table, TableEntry &entry);
+
+/// 64-bit hash over name, instance, sequence and status of all records that are not dead. Dead ones are left out because each process forgets them at a time
+/// of its own.
+uint64_t tableHash(const MemberTable &table);
+
+/// At most `limit` changed records, the least often sent first, each sent at most 3 log2(n) times. Counts them as sent. The record of `peer` comes first when
+/// the peer must refute it.
+std::vector<Member> takeUpdates(MemberTable &table, const std::string &peer, size_t limit);
+
+/// A random member to exchange with: mostly one that is not dead, sometimes a dead one, so that partitioned regions find each other again.
+/// Nothing when this process knows no other.
+std::optional<Member> choosePartner(const MemberTable &table, AK::Random &random);
+
+/// At most `count` random members that are alive or leaving, this process excluded.
+std::vector<Member> chooseMembers(const std::vector<Member> &members, const std::string &self, size_t count, AK::Random &random);
+
+/// A suspect that this process must probe again now: halfway through the suspicion if it saw the failure itself, else after three times the limit.
+std::optional<Member> suspectToProbe(const MemberTable &table, AK::Milliseconds now, AK::Milliseconds suspectTimeout);
+
+/// Declares confirmed suspects dead whose time is over and forgets dead ones after `forgetAfter` ms. Returns the names of the newly dead.
+std::vector<std::string> expireSuspects(MemberTable &table, AK::Milliseconds now, AK::Milliseconds suspectTimeout, AK::Milliseconds forgetAfter);
+
+} // namespace LibMembership
--- a/Userland/Libraries/LibMembership/MembershipView.h
+++ b/Userland/Libraries/LibMembership/MembershipView.h
@@ -78,6 +78,14 @@
 
     /// Evidence that a member does not answer, for example a refused connection; it is probed at once.
     virtual void reportUnreachable(const std::string &name) = 0;
+
+    /// Exchanges at once with up to 64 members that are alive or leaving and waits up to `timeout` ms; returns how many answered. A restriction is in force at
+    /// each member that answered.
+    virtual size_t exchangeWithAll(AK::Milliseconds timeout)
+    {
+        (void)timeout;
+        return 0;
+    }
 };
 
 } // namespace LibMembership
--- /dev/null
+++ b/Userland/Libraries/LibMembership/WireRecords.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <LibMembership/ExchangeObserver.h>
+#include <LibMembership/MembershipView.h>
+#include <LibWire/generated/wire.capnp.h>
+#include <vector>
+
+namespace LibMembership
+{
+
+void writeMember(const Member &member, Wire::MemberRecord::Builder record);
+
+/// Reads a record; one with a malformed address gets an empty name, which the table refuses.
+Member readMember(Wire::MemberRecord::Reader record);
+
+void writeRestriction(const CarriedRestriction &restriction, Wire::Restriction::Builder record);
+CarriedRestriction readRestriction(Wire::Restriction::Reader record);
+
+} // namespace LibMembership
