--- a/Userland/Libraries/LibHttp/HttpServer.cpp
+++ b/Userland/Libraries/LibHttp/HttpServer.cpp
@@ -113,6 +113,11 @@
     mg_send_chunk(this->connection, "", 0);
 }
 
+void HttpExchange::abandon()
+{
+    this->headSent = true;
+}
+
 bool HttpExchange::started() const
 {
     return this->headSent;
--- a/Userland/Libraries/LibHttp/HttpServer.h
+++ b/Userland/Libraries/LibHttp/HttpServer.h
@@ -14,7 +14,7 @@
 {
 
 /// One request and the means to answer it. Lives on the thread that serves the connection.
-/// Exactly one of respond() or beginStream() must be called.
+/// Exactly one of respond(), beginStream() or abandon() must be called.
 class HttpExchange
 {
 public:
@@ -34,6 +34,10 @@
     /// Sends the final chunk. A stream that returns without this call is cut: the peer sees an incomplete response.
     void endStream();
 
+    /// Closes the connection without a response once the handler returns.
+    void abandon();
+
+    /// Whether a response was begun or abandoned.
     bool started() const;
 
 private:
