--- /dev/null
+++ b/Tests/Fakes/ObjectApi/main.cpp
@@ -0,0 +1,56 @@
+#include "ObjectApi.h"
+#include <Kernel/Daemon.h>
+#include <LibHttp/HttpServer.h>
+#include <csignal>
+#include <iostream>
+#include <tclap/CmdLine.h>
+
+namespace
+{
+
+// A waiting watch holds one thread.
+constexpr int serverThreads = 256;
+// The largest value and room for an answer that names the limit.
+constexpr size_t bodyLimitBytes = 2 << 20;
+
+int serve(const std::string &address)
+{
+    const absl::StatusOr<AK::Endpoint> endpoint = AK::parseEndpoint(address);
+    if (!endpoint.ok()) {
+        std::cerr << endpoint.status() << "\n";
+        return 2;
+    }
+    Kernel::blockShutdownSignals();
+    const AK::SystemClock clock;
+    Fakes::ObjectApi api(clock);
+    LibHttp::HttpServer server(*endpoint, {.threads = serverThreads, .bodyBytes = bodyLimitBytes},
+                               [&api](LibHttp::HttpExchange &exchange) { api.handle(exchange); });
+    if (const absl::Status started = server.start(); !started.ok()) {
+        std::cerr << started << "\n";
+        return 1;
+    }
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    int signal = 0;
+    sigwait(&signals, &signal);
+    api.close();
+    server.stop();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        TCLAP::CmdLine command("Stand-in for the object API and the host list");
+        TCLAP::ValueArg<std::string> address("", "address", "where to listen", true, "", "IP:PORT", command);
+        command.parse(argc, argv);
+        return serve(address.getValue());
+    } catch (const std::exception &problem) {
+        std::cerr << problem.what() << "\n";
+        return 1;
+    }
+}
