--- /dev/null
+++ b/Userland/Services/Operator/OperatorJson.cpp
@@ -0,0 +1,152 @@
+#include "OperatorJson.h"
+
+#include <AK/Hash.h>
+#include <AK/Text.h>
+#include <LibConfiguration/RevisionHolder.h>
+
+namespace Operator
+{
+
+namespace
+{
+
+absl::Status invalid(std::string_view message)
+{
+    return absl::InvalidArgumentError(std::string(message));
+}
+
+bool hasText(const nlohmann::json &json, const char *field)
+{
+    return json.contains(field) && json[field].is_string();
+}
+
+} // namespace
+
+std::optional<std::string> authenticate(const LibSettings::ProcessSettings &settings, const LibHttp::HttpHeaders &headers)
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const std::string_view header = LibHttp::headerOr(headers, "authorization");
+    if (!header.starts_with(scheme)) {
+        return std::nullopt;
+    }
+    const std::string digest = AK::sha256Hex(header.substr(scheme.size()));
+    std::optional<std::string> author;
+    for (const LibSettings::OperatorSetting &setting : settings.operators) {
+        if (AK::equalInConstantTime(digest, setting.keySha256)) {
+            author = setting.name;
+        }
+    }
+    return author;
+}
+
+absl::StatusOr<LibConfiguration::ApplyRequest> readApply(const std::string &body, const std::string &author)
+{
+    const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+    if (!json.is_object() || !json.contains("document") || !json["document"].is_object()) {
+        return invalid("/document is not an object");
+    }
+    if (!json.contains("expected_revision") || !json["expected_revision"].is_number_unsigned()) {
+        return invalid("/expected_revision is not an unsigned number");
+    }
+    if (!hasText(json, "change_id")) {
+        return invalid("/change_id is not a string");
+    }
+    if ((json.contains("reason") && !json["reason"].is_string()) || (json.contains("force") && !json["force"].is_boolean())) {
+        return invalid("/reason is not a string or /force is not a boolean");
+    }
+    return LibConfiguration::ApplyRequest{json["document"], json["expected_revision"], json["change_id"],
+                                          author,           json.value("reason", ""),  json.value("force", false)};
+}
+
+absl::StatusOr<LibConfiguration::Restriction> readRestriction(const std::string &body, const std::string &author, const LibSettings::SiteDocument &document,
+                                                              AK::Milliseconds wallTime)
+{
+    const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+    if (!json.is_object() || hasText(json, "failure_domain") == hasText(json, "upstream")) {
+        return invalid("exactly one of /failure_domain and /upstream must be a string");
+    }
+    if ((json.contains("reason") && !json["reason"].is_string()) || (json.contains("ttl_ms") && !json["ttl_ms"].is_number_unsigned())) {
+        return invalid("/reason is not a string or /ttl_ms is not an unsigned number");
+    }
+    const uint64_t longest = LibConfiguration::RevisionHolder::longestRestrictionMs;
+    const uint64_t lifetime = json.value("ttl_ms", longest);
+    if (lifetime == 0 || lifetime > longest) {
+        return invalid(AK::concat("/ttl_ms is ", lifetime, ", 1 to ", longest, " is allowed"));
+    }
+    LibConfiguration::Restriction restriction;
+    restriction.failureDomain = json.value("failure_domain", "");
+    restriction.upstream = json.value("upstream", "");
+    restriction.author = author;
+    restriction.reason = json.value("reason", "");
+    restriction.expiresAt = wallTime + static_cast<AK::Milliseconds>(lifetime);
+    if (!restriction.failureDomain.empty() && !document.failureDomains.contains(restriction.failureDomain)) {
+        return invalid(AK::concat("/failure_domain names unknown failure domain \"", restriction.failureDomain, "\""));
+    }
+    if (!restriction.upstream.empty() && !document.upstreams.contains(restriction.upstream)) {
+        return invalid(AK::concat("/upstream names unknown upstream \"", restriction.upstream, "\""));
+    }
+    return restriction;
+}
+
+LibHttp::HttpResponse errorResponse(int status, std::string_view message)
+{
+    return LibHttp::jsonResponse(status, nlohmann::json{{"error", message}}.dump());
+}
+
+LibHttp::HttpResponse applyResponse(const LibConfiguration::ApplyOutcome &outcome)
+{
+    using LibConfiguration::ApplyResult;
+    nlohmann::json body{{"error", outcome.message}};
+    switch (outcome.result) {
+    case ApplyResult::Accepted:
+        return LibHttp::jsonResponse(200, nlohmann::json{{"revision", outcome.revision}}.dump());
+    case ApplyResult::Conflict:
+        if (outcome.winner) {
+            body["revision"] = outcome.winner->revisionAfter;
+            body["author"] = outcome.winner->author;
+            body["reason"] = outcome.winner->reason;
+            body["changed_at_ms"] = outcome.winner->atMs;
+        } else {
+            body.update({{"revision", 0}, {"author", ""}, {"reason", ""}, {"changed_at_ms", 0}});
+        }
+        return LibHttp::jsonResponse(409, body.dump());
+    case ApplyResult::LastUpstream:
+        body["last_upstream"] = true;
+        return LibHttp::jsonResponse(422, body.dump());
+    case ApplyResult::Invalid:
+        return LibHttp::jsonResponse(422, body.dump());
+    case ApplyResult::StoreUnreachable:
+        return LibHttp::jsonResponse(503, body.dump());
+    case ApplyResult::Unknown:
+        return LibHttp::jsonResponse(504, body.dump());
+    }
+    return errorResponse(500, "unknown result");
+}
+
+nlohmann::json memberToJson(const LibMembership::Member &member)
+{
+    return {{"name", member.name},
+            {"role", AK::nameOf(LibSettings::processRoleNames, member.role)},
+            {"status", AK::nameOf(LibMembership::memberStatusNames, member.status)},
+            {"region", member.region},
+            {"failure_domain", member.failureDomain},
+            {"revision", member.revision},
+            {"service", member.service},
+            {"serving_state", AK::nameOf(LibMembership::servingStateNames, member.servingState)},
+            {"weights_root", member.weightsRoot},
+            {"target_root", member.targetRoot},
+            {"chunks_held", member.chunksHeld},
+            {"chunks_total", member.chunksTotal},
+            {"calls_since_switch", member.callsSinceSwitch},
+            {"errors_since_switch", member.errorsSinceSwitch},
+            {"warm", member.warm},
+            {"instance", member.instance}};
+}
+
+nlohmann::json restrictionToJson(const LibConfiguration::Restriction &restriction)
+{
+    return {{"id", restriction.id},         {"failure_domain", restriction.failureDomain}, {"upstream", restriction.upstream}, {"author", restriction.author},
+            {"reason", restriction.reason}, {"expires_at_ms", restriction.expiresAt}};
+}
+
+} // namespace Operator
--- /dev/null
+++ b/Userland/Services/Operator/OperatorService.cpp
@@ -0,0 +1,154 @@
+#include "OperatorService.h"
+
+#include "OperatorJson.h"
+#include <AK/Text.h>
+#include <LibAudit/AuditArchive.h>
+
+namespace Operator
+{
+
+namespace
+{
+
+constexpr std::string_view pathPrefix = "/operator/v1/";
+constexpr int idDigits = 16;
+
+} // namespace
+
+OperatorService::OperatorService(const LibSettings::ProcessSettings &settings, const AK::Clock &clock, LibConfiguration::ConfigurationService &configuration,
+                                 LibMembership::MembershipView &membership, LibObjectStore::ObjectStore &store, LibMetrics::MetricRegistry &metrics)
+    : settings(settings)
+    , clock(clock)
+    , configuration(configuration)
+    , membership(membership)
+    , store(store)
+    , metrics(metrics)
+    , random(AK::seededFromSystem())
+{
+}
+
+std::string_view OperatorService::name() const
+{
+    return "operator";
+}
+
+absl::Status OperatorService::start()
+{
+    return absl::OkStatus();
+}
+
+void OperatorService::stop()
+{
+}
+
+bool OperatorService::handle(LibHttp::HttpExchange &exchange)
+{
+    const LibHttp::HttpRequest &request = exchange.request();
+    if (!request.path.starts_with(pathPrefix)) {
+        return false;
+    }
+    const std::optional<std::string> author = authenticate(this->settings, request.headers);
+    const LibHttp::HttpResponse response = author ? this->dispatch(request, *author) : errorResponse(401, "the operator key is missing or unknown");
+    this->metrics.add("catkinlink_operator_requests_total", {{"status", std::to_string(response.status)}});
+    exchange.respond(response);
+    return true;
+}
+
+LibHttp::HttpResponse OperatorService::dispatch(const LibHttp::HttpRequest &request, const std::string &author)
+{
+    const std::string what = AK::concat(request.method, " ", request.path.substr(pathPrefix.size()));
+    if (what == "POST apply") {
+        return this->apply(request, author);
+    }
+    if (what == "GET revision") {
+        return this->revision();
+    }
+    if (what == "GET status") {
+        return this->status();
+    }
+    if (what == "POST restrictions") {
+        return this->restrict(request, author);
+    }
+    if (what == "GET audit") {
+        return this->audit();
+    }
+    return errorResponse(404, AK::concat("the operator API has no ", what));
+}
+
+LibHttp::HttpResponse OperatorService::apply(const LibHttp::HttpRequest &request, const std::string &author)
+{
+    const absl::StatusOr<LibConfiguration::ApplyRequest> change = readApply(request.body, author);
+    if (!change.ok()) {
+        return errorResponse(422, AK::concat(change.status().message()));
+    }
+    return applyResponse(this->configuration.apply(*change));
+}
+
+LibHttp::HttpResponse OperatorService::revision() const
+{
+    const auto current = this->configuration.current();
+    if (!current) {
+        return LibHttp::jsonResponse(200, nlohmann::json{{"revision", 0}, {"change_id", ""}, {"digest", ""}, {"document", nullptr}}.dump());
+    }
+    const LibSettings::Revision &inForce = current->revision;
+    return LibHttp::jsonResponse(
+        200, nlohmann::json{{"revision", inForce.number}, {"change_id", inForce.changeId}, {"digest", inForce.digest}, {"document", inForce.document}}.dump());
+}
+
+LibHttp::HttpResponse OperatorService::status() const
+{
+    const auto current = this->configuration.current();
+    nlohmann::json body{{"process", this->settings.name},
+                        {"revision", current ? current->revision.number : 0},
+                        {"members", nlohmann::json::array()},
+                        {"restrictions", nlohmann::json::array()}};
+    for (const LibMembership::Member &member : this->membership.members()) {
+        body["members"].push_back(memberToJson(member));
+    }
+    if (current) {
+        for (const auto &[id, restriction] : current->restrictions) {
+            body["restrictions"].push_back(restrictionToJson(restriction));
+        }
+    }
+    return LibHttp::jsonResponse(200, body.dump());
+}
+
+LibHttp::HttpResponse OperatorService::restrict(const LibHttp::HttpRequest &request, const std::string &author)
+{
+    const auto current = this->configuration.current();
+    if (!current) {
+        return errorResponse(503, "this process has no configuration yet");
+    }
+    auto restriction = readRestriction(request.body, author, current->site, this->clock.wallTime());
+    if (!restriction.ok()) {
+        return errorResponse(422, AK::concat(restriction.status().message()));
+    }
+    {
+        const std::lock_guard lock(this->mutex);
+        restriction->id = AK::randomHex(this->random, idDigits);
+    }
+    const auto spread = this->configuration.restrict(*restriction);
+    if (!spread.ok()) {
+        return errorResponse(422, AK::concat(spread.status().message()));
+    }
+    this->logger.warning("restriction", {{"restriction", restrictionToJson(*restriction)}, {"in_force_on", spread->inForceOn}, {"members", spread->members}});
+    return LibHttp::jsonResponse(202, nlohmann::json{{"id", spread->id}, {"in_force_on", spread->inForceOn}, {"members", spread->members}}.dump());
+}
+
+LibHttp::HttpResponse OperatorService::audit() const
+{
+    const auto current = this->configuration.current();
+    const nlohmann::json tail = current ? current->revision.audit : nlohmann::json::array();
+    // Before the first batch was archived the tail is the whole trail, and the store need not be asked.
+    const auto first = tail.empty() ? std::nullopt : std::optional(LibAudit::entryFromJson(tail.front()));
+    if (!first || (first->ok() && (*first)->sequence == 1)) {
+        return LibHttp::jsonResponse(200, nlohmann::json{{"entries", tail}}.dump());
+    }
+    auto archived = LibAudit::readArchive(this->store, this->settings.site, this->settings.timing.storeTimeoutMs);
+    if (!archived.ok()) {
+        return errorResponse(503, AK::concat("older entries cannot be read: ", archived.status().message()));
+    }
+    return LibHttp::jsonResponse(200, nlohmann::json{{"entries", LibAudit::joinTrails(*std::move(archived), tail)}}.dump());
+}
+
+} // namespace Operator
