--- /dev/null
+++ b/Userland/Services/Agent/HttpUpstream.cpp
@@ -0,0 +1,56 @@
+#include <Services/Agent/HttpUpstream.h>
+
+#include <AK/StatusMacros.h>
+
+namespace Agent
+{
+
+namespace
+{
+
+class HttpAnswer final : public UpstreamAnswer
+{
+public:
+    explicit HttpAnswer(std::unique_ptr<LibHttp::HttpStream> stream)
+        : stream(std::move(stream))
+    {
+    }
+
+    int status() const override
+    {
+        return this->stream->status();
+    }
+
+    const LibHttp::HttpHeaders &headers() const override
+    {
+        return this->stream->headers();
+    }
+
+    absl::StatusOr<std::optional<std::string>> readLine() override
+    {
+        return this->stream->readLine();
+    }
+
+    absl::StatusOr<std::string> readAll(size_t limit) override
+    {
+        return this->stream->readAll(limit);
+    }
+
+private:
+    std::unique_ptr<LibHttp::HttpStream> stream;
+};
+
+} // namespace
+
+HttpUpstream::HttpUpstream(AK::Endpoint address)
+    : address(std::move(address))
+{
+}
+
+absl::StatusOr<std::unique_ptr<UpstreamAnswer>> HttpUpstream::open(const LibHttp::HttpRequest &request, AK::Milliseconds headTimeout)
+{
+    CATKINLINK_ASSIGN(auto stream, LibHttp::HttpStream::open(this->address, request, headTimeout));
+    return std::unique_ptr<UpstreamAnswer>(new HttpAnswer(std::move(stream)));
+}
+
+} // namespace Agent
--- /dev/null
+++ b/Userland/Services/Agent/HttpUpstream.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <Services/Agent/Upstream.h>
+
+namespace Agent
+{
+
+/// An upstream that is reached over HTTP, with one connection per call.
+class HttpUpstream final : public Upstream
+{
+public:
+    explicit HttpUpstream(AK::Endpoint address);
+
+    absl::StatusOr<std::unique_ptr<UpstreamAnswer>> open(const LibHttp::HttpRequest &request, AK::Milliseconds headTimeout) override;
+
+private:
+    AK::Endpoint address;
+};
+
+} // namespace Agent
--- /dev/null
+++ b/Userland/Services/Agent/Upstream.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <LibHttp/HttpClient.h>
+#include <memory>
+
+namespace Agent
+{
+
+/// An answer that is being read from an upstream. Its destruction closes the connection.
+class UpstreamAnswer
+{
+public:
+    virtual ~UpstreamAnswer() = default;
+    virtual int status() const = 0;
+    virtual const LibHttp::HttpHeaders &headers() const = 0;
+    /// Errors and blocking as LibHttp::HttpStream::readLine().
+    virtual absl::StatusOr<std::optional<std::string>> readLine() = 0;
+    /// Errors and blocking as LibHttp::HttpStream::readAll().
+    virtual absl::StatusOr<std::string> readAll(size_t limit) = 0;
+};
+
+/// The engine or plain service on this host. Thread-safe.
+class Upstream
+{
+public:
+    virtual ~Upstream() = default;
+    /// Errors as LibHttp::HttpStream::open(), with SendState.
+    virtual absl::StatusOr<std::unique_ptr<UpstreamAnswer>> open(const LibHttp::HttpRequest &request, AK::Milliseconds headTimeout) = 0;
+};
+
+} // namespace Agent
