--- a/Userland/Libraries/LibRouting/Admission.cpp
+++ b/Userland/Libraries/LibRouting/Admission.cpp
@@ -122,7 +122,9 @@
     advanceRamp(admission.ramp, limits.capacity, limits.rampStepMs, now);
     forgetIdleAccounts(admission);
     AccountShare &share = shareOf(admission, applicant);
-    const auto refuse = [&](Refusal reason) { return AdmissionDecision{AdmissionResult::Refused, reason, retryAfter(admission), {}}; };
+    const auto refuse = [&](Refusal reason) {
+        return AdmissionDecision{AdmissionResult::Refused, reason, retryAfter(admission), {}};
+    };
     const bool slotFree = admission.inUse < admission.ramp.slots && admission.queue.empty();
     const double waitMs = slotFree ? 0 : expectedWaitMs(admission, share);
     if (cannotFinish(admission, applicant.deadline, waitMs, now)) {
--- a/Userland/Libraries/LibRouting/Candidates.cpp
+++ b/Userland/Libraries/LibRouting/Candidates.cpp
@@ -34,9 +34,9 @@
     }
     for (const auto &member : members) {
         const auto upstream = configuration.site.upstreams.find(member.name);
-        if (member.role != LibSettings::ProcessRole::Agent || member.status != LibMembership::MemberStatus::Alive ||
-            upstream == configuration.site.upstreams.end() || upstream->second.service != service ||
-            !LibConfiguration::upstreamAllowed(configuration, member.name, wallTime)) {
+        if (member.role != LibSettings::ProcessRole::Agent || member.status != LibMembership::MemberStatus::Alive
+            || upstream == configuration.site.upstreams.end() || upstream->second.service != service
+            || !LibConfiguration::upstreamAllowed(configuration, member.name, wallTime)) {
             continue;
         }
         Candidate candidate{member.name, member.rpcAddress, member.region, upstream->second.failureDomain, {}, {}, std::nullopt};
--- a/Userland/Services/Agent/AdmissionControl.cpp
+++ b/Userland/Services/Agent/AdmissionControl.cpp
@@ -49,8 +49,8 @@
         if (this->taken) {
             return;
         }
-        if (!LibRouting::withdrawCall(this->control.admission, this->applicant.id) && this->ticket->settled &&
-            this->ticket->reason == LibRouting::Refusal::None) {
+        if (!LibRouting::withdrawCall(this->control.admission, this->applicant.id) && this->ticket->settled
+            && this->ticket->reason == LibRouting::Refusal::None) {
             LibRouting::finishCall(this->control.admission, this->applicant.account, -1);
             this->control.grantLocked();
         }
--- a/Userland/Services/Agent/CallService.cpp
+++ b/Userland/Services/Agent/CallService.cpp
@@ -20,8 +20,7 @@
 
 bool isHopHeader(std::string_view name)
 {
-    return name == "host" || name == "connection" || name == "content-length" || name == "transfer-encoding" || name == "keep-alive" ||
-           name == "authorization";
+    return name == "host" || name == "connection" || name == "content-length" || name == "transfer-encoding" || name == "keep-alive" || name == "authorization";
 }
 
 } // namespace
@@ -123,7 +122,9 @@
 {
     this->control.close(Refusal::Draining);
     std::unique_lock lock(this->mutex);
-    const auto idle = [this] { return this->callsOpen == 0 && this->readers == 0; };
+    const auto idle = [this] {
+        return this->callsOpen == 0 && this->readers == 0;
+    };
     if (!this->changed.wait_for(lock, std::chrono::milliseconds(this->timing.drainMs), idle)) {
         this->logger.warning("drain_incomplete", {{"calls", this->callsOpen}, {"limit_ms", this->timing.drainMs}});
     }
--- a/Userland/Services/Agent/CallService.h
+++ b/Userland/Services/Agent/CallService.h
@@ -60,8 +60,8 @@
     Permission permit(const Call &call);
     void refuse(const Call &call, LibRouting::Refusal reason, AK::Milliseconds retryAfterMs, std::string_view message, Wire::CallReply::Builder reply);
     void fail(const Call &call, std::string_view message, Wire::CallReply::Builder reply);
-    void runAdmitted(const Call &call, const Permission &permission, std::shared_ptr<Slot> slot, Wire::AnswerSink::Client &sink,
-                     Wire::CallReply::Builder reply, kj::WaitScope &scope);
+    void runAdmitted(const Call &call, const Permission &permission, std::shared_ptr<Slot> slot, Wire::AnswerSink::Client &sink, Wire::CallReply::Builder reply,
+                     kj::WaitScope &scope);
     void passOn(const Call &call, UpstreamCall &upstreamCall, Wire::AnswerSink::Client &sink, Wire::CallReply::Builder reply, kj::WaitScope &scope);
     std::string forward(const Call &call, const AnswerPart &part, Wire::AnswerSink::Client &sink, kj::WaitScope &scope);
     std::shared_ptr<UpstreamCall> startReader(const Call &call, const Permission &permission, std::shared_ptr<Slot> slot);
--- a/Userland/Services/Agent/UpstreamCall.cpp
+++ b/Userland/Services/Agent/UpstreamCall.cpp
@@ -50,8 +50,8 @@
 // Without a length or chunks a cut body looks like a whole one.
 bool endIsVisible(const UpstreamAnswer &answer)
 {
-    return answer.status() == 204 || answer.status() == 304 || !LibHttp::headerOr(answer.headers(), "content-length").empty() ||
-           !LibHttp::headerOr(answer.headers(), "transfer-encoding").empty();
+    return answer.status() == 204 || answer.status() == 304 || !LibHttp::headerOr(answer.headers(), "content-length").empty()
+        || !LibHttp::headerOr(answer.headers(), "transfer-encoding").empty();
 }
 
 } // namespace
@@ -198,8 +198,7 @@
     AnswerPart part = std::move(this->parts.front());
     this->parts.pop_front();
     // Small parts that are already here travel together; a write to the caller costs a round trip.
-    while (part.kind == AnswerPart::Kind::Data && !this->parts.empty() && this->parts.front().kind == AnswerPart::Kind::Data &&
-           part.data.size() < partBytes) {
+    while (part.kind == AnswerPart::Kind::Data && !this->parts.empty() && this->parts.front().kind == AnswerPart::Kind::Data && part.data.size() < partBytes) {
         part.data += this->parts.front().data;
         this->parts.pop_front();
     }
--- /dev/null
+++ b/Userland/Services/Entry/CallAttempt.cpp
@@ -0,0 +1,131 @@
+#include <Services/Entry/CallAttempt.h>
+
+#include <AK/Text.h>
+#include <algorithm>
+
+namespace Entry
+{
+
+namespace
+{
+
+/// Takes the parts of one attempt. Once the attempt is over, late parts are refused instead of reaching the caller.
+class SinkImplementation final : public Wire::AnswerSink::Server
+{
+public:
+    explicit SinkImplementation(std::shared_ptr<CallerAnswer *> answer)
+        : answer(std::move(answer))
+    {
+    }
+
+    kj::Promise<void> start(StartContext context) override
+    {
+        KJ_REQUIRE(*this->answer != nullptr, "the attempt is over");
+        LibHttp::HttpHeaders headers;
+        for (const auto header : context.getParams().getHeaders()) {
+            headers[AK::toLower(header.getName().cStr())] = header.getValue().cStr();
+        }
+        (*this->answer)->begin(context.getParams().getStatus(), headers);
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> write(WriteContext context) override
+    {
+        KJ_REQUIRE(*this->answer != nullptr, "the attempt is over");
+        const auto data = context.getParams().getData().asChars();
+        KJ_REQUIRE((*this->answer)->append({data.begin(), data.size()}), "the caller is gone or the answer is too large");
+        return kj::READY_NOW;
+    }
+
+private:
+    std::shared_ptr<CallerAnswer *> answer;
+};
+
+void fillRequest(Wire::CallRequest::Builder request, const EntryCall &call, const LibRouting::Candidate &candidate, bool queueAllowed, AK::Milliseconds now)
+{
+    request.setRequestId(call.requestId);
+    request.setKind(call.engine ? Wire::CallKind::ENGINE : Wire::CallKind::PLAIN);
+    request.setService(call.service);
+    request.setAccount(call.account);
+    request.setAccountWeight(call.accountWeight);
+    request.setPriority(call.priority);
+    request.setDeadlineMs(static_cast<uint64_t>(std::max<AK::Milliseconds>(1, call.deadline - now)));
+    request.setWeightsRoot(candidate.weightsRoot);
+    request.setRevision(call.configuration->revision.number);
+    request.setMethod(call.request.method);
+    request.setPath(call.path);
+    request.setBody({reinterpret_cast<const kj::byte *>(call.request.body.data()), call.request.body.size()});
+    request.setStream(call.stream);
+    request.setClaimNonce(call.claimNonce);
+    request.setQueueAllowed(queueAllowed);
+    LibHttp::HttpHeaders headers{{"x-request-id", call.requestId}};
+    for (const std::string_view name : {"content-type", "accept"}) {
+        if (const auto value = LibHttp::headerOr(call.request.headers, name); !value.empty()) {
+            headers[std::string(name)] = value;
+        }
+    }
+    if (!call.idempotencyKey.empty()) {
+        headers["idempotency-key"] = call.idempotencyKey;
+    }
+    auto list = request.initHeaders(static_cast<unsigned>(headers.size()));
+    unsigned index = 0;
+    for (const auto &[name, value] : headers) {
+        list[index].setName(name);
+        list[index].setValue(value);
+        ++index;
+    }
+}
+
+AttemptResult readReply(Wire::CallReply::Reader reply, AK::Milliseconds now)
+{
+    AttemptResult result;
+    result.message = reply.getMessage().cStr();
+    result.retryAfterMs = reply.getRetryAfterMs();
+    result.reason = static_cast<LibRouting::Refusal>(reply.getReason());
+    const auto load = reply.getLoad();
+    result.load = LibRouting::LoadHint{load.getSlots(), load.getInUse(), load.getQueued(), load.getWarm(), now};
+    switch (reply.getResult()) {
+    case Wire::CallResult::COMPLETE:
+        result.kind = AttemptResult::Kind::Complete;
+        break;
+    case Wire::CallResult::REFUSED:
+        // A duplicate claim was refused because the same claim has run or is running.
+        result.kind = result.reason == LibRouting::Refusal::DuplicateClaim ? AttemptResult::Kind::Failed : AttemptResult::Kind::Refused;
+        break;
+    default:
+        result.kind = AttemptResult::Kind::Failed;
+    }
+    return result;
+}
+
+} // namespace
+
+AttemptResult attemptCall(const EntryCall &call, const LibRouting::Candidate &candidate, bool queueAllowed, const LibWire::RpcIdentity &identity,
+                          const AK::Clock &clock, AK::Milliseconds connectTimeout, CallerAnswer &answer)
+{
+    AttemptResult result;
+    const AK::Milliseconds left = std::max<AK::Milliseconds>(1, call.deadline - clock.now());
+    auto connection = LibWire::RpcConnection::open(candidate.rpcAddress, identity, std::min(left, connectTimeout));
+    const AK::Milliseconds now = clock.now();
+    if (!connection.ok() || now >= std::min(call.startBefore, call.deadline)) {
+        result.kind = AttemptResult::Kind::Refused;
+        result.unreachable = !connection.ok();
+        result.reason = result.unreachable ? LibRouting::Refusal::Unreachable : LibRouting::Refusal::Deadline;
+        result.message = result.unreachable ? std::string(connection.status().message()) : "time to start the call is over";
+        return result;
+    }
+    auto target = std::make_shared<CallerAnswer *>(&answer);
+    auto request = (*connection)->node().callRequest();
+    fillRequest(request.initRequest(), call, candidate, queueAllowed, now);
+    request.setSink(kj::heap<SinkImplementation>(target));
+    auto reply = (*connection)->call(kj::mv(request), std::max<AK::Milliseconds>(1, call.deadline - now));
+    *target = nullptr;
+    if (!reply.ok()) {
+        result.kind = AttemptResult::Kind::Failed;
+        result.message = std::string(reply.status().message());
+        return result;
+    }
+    return readReply(reply->getReply(), clock.now());
+}
+
+} // namespace Entry
