--- /dev/null
+++ b/Tests/Fakes/WeightStore/FakeWeightStore.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <AK/Clock.h>
+#include <AK/Endpoint.h>
+#include <AK/EnumNames.h>
+#include <AK/Random.h>
+#include <LibHttp/HttpServer.h>
+#include <LibWeights/Safetensors.h>
+#include <LibWeights/TokenBucket.h>
+#include <mutex>
+
+namespace Fakes
+{
+
+enum class StoreFault { None, Down, Slow, Corrupt };
+
+inline constexpr std::array storeFaultNames{
+    AK::EnumName{StoreFault::None, "none"},
+    AK::EnumName{StoreFault::Down, "down"},
+    AK::EnumName{StoreFault::Slow, "slow"},
+    AK::EnumName{StoreFault::Corrupt, "corrupt"},
+};
+
+/// A rate-limited weight store with faults.
+class FakeWeightStore
+{
+public:
+    FakeWeightStore(AK::Endpoint endpoint, const AK::Clock &clock, const LibWeights::GeneratedWeights &parameters, const std::vector<std::string> &versions,
+                    int64_t bytesPerSecond);
+
+    absl::Status start();
+    void stop();
+
+    /// `share` of the requests are affected.
+    void setFault(StoreFault fault, double share = 1);
+    std::string rootOf(const std::string &version) const;
+    uint64_t bytesServed() const;
+
+private:
+    struct Version {
+        std::map<std::string, std::string> files;
+        std::string manifest;
+        std::string root;
+    };
+
+    void handle(LibHttp::HttpExchange &exchange);
+    void handleControl(LibHttp::HttpExchange &exchange);
+    void serveBytes(LibHttp::HttpExchange &exchange, const std::string &bytes);
+    StoreFault drawFault();
+    void pace(uint64_t bytes, bool slow);
+
+    const AK::Clock &clock;
+    int64_t bytesPerSecond;
+    /// By the path below which the version is served.
+    std::map<std::string, Version> versions;
+    std::map<std::string, std::string> roots;
+    LibHttp::HttpServer server;
+    mutable std::mutex mutex;
+    StoreFault fault = StoreFault::None;
+    double faultShare = 1;
+    AK::Random random{1};
+    LibWeights::TokenBucket bucket;
+    uint64_t served = 0;
+    uint64_t requests = 0;
+};
+
+} // namespace Fakes
--- /dev/null
+++ b/Userland/Libraries/LibEngine/HttpEngine.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <AK/Endpoint.h>
+#include <LibEngine/Engine.h>
+
+namespace LibEngine
+{
+
+/// An engine reached over HTTP. A completion is read by a thread of its own into a queue, because a blocking body read lasts up to 30 s (CivetWeb's limit)
+/// whatever the deadline of the call is. A reader that is abandoned ends with its connection, at the latest after those 30 s.
+class HttpEngine final : public Engine
+{
+public:
+    explicit HttpEngine(AK::Endpoint endpoint);
+
+    absl::StatusOr<EngineStatus> status(AK::Milliseconds timeout) override;
+    absl::Status load(const LoadOrder &order, AK::Milliseconds timeout) override;
+    absl::StatusOr<std::unique_ptr<Completion>> complete(const LibHttp::HttpRequest &request, bool stream, AK::Milliseconds timeout) override;
+
+private:
+    AK::Endpoint endpoint;
+};
+
+} // namespace LibEngine
