--- /dev/null
+++ b/Userland/Libraries/LibWeights/PeerDirectory.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <LibConfiguration/ConfigurationView.h>
+#include <LibMembership/MembershipView.h>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace LibWeights
+{
+
+/// Live agents that want one root, by region. The wish is read from the configuration and not from the member records, because those arrive later.
+struct PeerDirectory {
+    std::map<std::string, std::vector<std::string>> namesByRegion;
+    std::map<std::string, AK::Endpoint> endpoints;
+};
+
+PeerDirectory findPeers(const std::string &self, const std::string &root, const LibConfiguration::Configuration &configuration,
+                        const std::vector<LibMembership::Member> &members);
+
+} // namespace LibWeights
--- /dev/null
+++ b/Userland/Libraries/LibWeights/TransferPacer.cpp
@@ -0,0 +1,40 @@
+#include <LibWeights/TransferPacer.h>
+
+#include <algorithm>
+
+namespace LibWeights
+{
+
+namespace
+{
+
+// Bounds how long a stop waits for a paced transfer.
+constexpr AK::Milliseconds sliceMs = 50;
+
+} // namespace
+
+TransferPacer::TransferPacer(const AK::Clock &clock, std::function<double()> rate)
+    : clock(clock)
+    , currentRate(std::move(rate))
+{
+}
+
+void TransferPacer::wait(uint64_t bytes, const std::function<bool()> &stopped)
+{
+    AK::Milliseconds left = 0;
+    {
+        const std::lock_guard lock(this->mutex);
+        left = takeTokens(this->bucket, this->clock.now(), bytes, this->currentRate());
+    }
+    while (left > 0 && !stopped()) {
+        this->clock.sleep(std::min(left, sliceMs));
+        left -= sliceMs;
+    }
+}
+
+double TransferPacer::rate() const
+{
+    return this->currentRate();
+}
+
+} // namespace LibWeights
--- /dev/null
+++ b/Userland/Libraries/LibWeights/TransferPacer.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <AK/Clock.h>
+#include <LibWeights/TokenBucket.h>
+#include <functional>
+#include <mutex>
+
+namespace LibWeights
+{
+
+/// Paces one direction of the transfer of weights. Thread-safe.
+class TransferPacer
+{
+public:
+    /// `rate` gives the bytes per second at the moment; it falls while live calls are in flight.
+    TransferPacer(const AK::Clock &clock, std::function<double()> rate);
+
+    /// Blocks until `bytes` may pass. Returns early when `stopped` becomes true.
+    void wait(uint64_t bytes, const std::function<bool()> &stopped);
+
+    double rate() const;
+
+private:
+    const AK::Clock &clock;
+    std::function<double()> currentRate;
+    std::mutex mutex;
+    TokenBucket bucket;
+};
+
+} // namespace LibWeights
