--- /dev/null
+++ b/Userland/Libraries/LibOnce/PendingOutcomes.cpp
@@ -0,0 +1,60 @@
+#include <LibOnce/PendingOutcomes.h>
+
+#include <algorithm>
+
+namespace LibOnce
+{
+
+PendingOutcomes::PendingOutcomes(PendingLimits limits)
+    : limits(limits)
+{
+}
+
+bool PendingOutcomes::add(HeldClaim claim, AK::Milliseconds now)
+{
+    if (this->queue.size() >= this->limits.outcomes) {
+        return false;
+    }
+    RecordedAnswer &answer = claim.record.answer;
+    if (this->bodyBytes + answer.response.body.size() > this->limits.bodyBytes) {
+        answer.bodyKept = false;
+        answer.response.body.clear();
+    }
+    this->bodyBytes += answer.response.body.size();
+    this->queue.push_back({std::move(claim), now, now + this->limits.firstDelay, 0});
+    return true;
+}
+
+std::optional<PendingOutcome> PendingOutcomes::take(AK::Milliseconds now, bool early)
+{
+    const auto found = std::find_if(this->queue.begin(), this->queue.end(), [&](const PendingOutcome &outcome) { return early || outcome.notBefore <= now; });
+    if (found == this->queue.end()) {
+        return std::nullopt;
+    }
+    PendingOutcome outcome = std::move(*found);
+    this->queue.erase(found);
+    this->bodyBytes -= outcome.claim.record.answer.response.body.size();
+    return outcome;
+}
+
+bool PendingOutcomes::retry(PendingOutcome outcome, AK::Milliseconds now, AK::Random &random)
+{
+    if (now - outcome.queuedAt >= this->limits.patience || this->queue.size() >= this->limits.outcomes) {
+        return false;
+    }
+    const int doublings = std::min(outcome.attempts, 16);
+    const AK::Milliseconds delay = std::min(this->limits.longestDelay, this->limits.firstDelay << doublings);
+    // Full jitter above one half keeps entries from retrying in step after an outage.
+    outcome.notBefore = now + delay / 2 + static_cast<AK::Milliseconds>(AK::uniformBelow(random, static_cast<uint64_t>(delay / 2 + 1)));
+    ++outcome.attempts;
+    this->bodyBytes += outcome.claim.record.answer.response.body.size();
+    this->queue.push_back(std::move(outcome));
+    return true;
+}
+
+size_t PendingOutcomes::size() const
+{
+    return this->queue.size();
+}
+
+} // namespace LibOnce
