Catkinlink: Add the operator's command

Cause: operators had no way to validate, apply and inspect settings. A change is sent to a second entry only when the first took no connection or answered 503; a lost answer is resolved from the revision and the audit trail.

--- /dev/null
+++ b/Userland/Utilities/catkinlink/ChangeSubmission.cpp
@@ -0,0 +1,193 @@
+#include "ChangeSubmission.h"
+
+#include <AK/StatusMacros.h>
+#include <AK/Text.h>
+#include <LibSettings/SiteDocument.h>
+
+namespace Catkinlink
+{
+
+namespace
+{
+
+constexpr int conflictAttempts = 5;
+// A lost change shows at the entry that took it at once and elsewhere after a gossip round of 1 s.
+constexpr int rereadAttempts = 5;
+constexpr AK::Milliseconds rereadIntervalMs = 500;
+constexpr AK::Milliseconds waitIntervalMs = 200;
+
+std::string describeWinner(uint64_t revision, const nlohmann::json &source, const char *timeKey)
+{
+    return AK::concat("revision ", revision, " by ", textIn(source, "author"), " at ", formatTime(static_cast<AK::Milliseconds>(numberIn(source, timeKey))),
+                      " UTC (", textIn(source, "reason"), ")");
+}
+
+// What one entry knows of the proposal; nothing when it shows neither this change nor one in its place.
+std::optional<SubmissionResult> lookUp(const EntryClient &entry, const Proposal &proposal)
+{
+    if (const auto revision = entry.read("/operator/v1/revision"); revision.ok() && textIn(*revision, "change_id") == proposal.changeId) {
+        return SubmissionResult{true, numberIn(*revision, "revision"), {}};
+    }
+    const auto audit = entry.read("/operator/v1/audit");
+    if (!audit.ok() || !audit->contains("entries")) {
+        return std::nullopt;
+    }
+    for (const nlohmann::json &item : (*audit)["entries"]) {
+        const uint64_t after = numberIn(item, "revision_after");
+        if (textIn(item, "change_id") == proposal.changeId) {
+            return SubmissionResult{true, after, {}};
+        }
+        // The conditional update of the proposal can no longer succeed.
+        if (item.is_object() && item.contains("revision_before") && numberIn(item, "revision_before") == proposal.expectedRevision) {
+            return SubmissionResult{false, after, describeWinner(after, item, "at_ms")};
+        }
+    }
+    return std::nullopt;
+}
+
+absl::StatusOr<SubmissionResult> resolveUnknown(const EntryClient &client, const Proposal &proposal, const std::string &cause,
+                                                const CommandEnvironment &environment)
+{
+    for (int attempt = 0; attempt < rereadAttempts; ++attempt) {
+        if (attempt > 0) {
+            environment.clock.sleep(rereadIntervalMs);
+        }
+        for (const EntryClient &entry : client.separate()) {
+            if (const auto found = lookUp(entry, proposal)) {
+                return *found;
+            }
+        }
+    }
+    return absl::UnknownError(AK::concat("the outcome of change ", proposal.changeId, " is not known: ", cause, "\nnext: look for ", proposal.changeId,
+                                         " in catkinlink audit before sending it again; with --expected-revision ", proposal.expectedRevision,
+                                         " a second attempt cannot take effect twice"));
+}
+
+absl::Status refusal(const LibHttp::HttpResponse &response)
+{
+    const std::string problem = textIn(objectIn(response.body), "error");
+    if (response.status == 422 && problem.find("site document") != std::string::npos) {
+        return absl::InvalidArgumentError(AK::concat(problem, "\nnext: correct the field and run catkinlink validate"));
+    }
+    if (response.status == 422) {
+        return absl::FailedPreconditionError(AK::concat("refused: ", problem, "\nnext: bring other upstreams of the service in, or give --force"));
+    }
+    if (response.status == 401 || response.status == 403) {
+        return absl::PermissionDeniedError(AK::concat("the key was refused: ", problem, "\nnext: check --key-file"));
+    }
+    return absl::InternalError(AK::concat("the entry answered ", response.status, ": ", problem));
+}
+
+// Whether a field that the change sets has another value than when the change was first made.
+const std::string *changedField(const DocumentChange &change, const nlohmann::json &first, const nlohmann::json &now)
+{
+    for (const std::string &field : change.fields) {
+        const nlohmann::json::json_pointer pointer(field);
+        const nlohmann::json before = first.contains(pointer) ? first[pointer] : nlohmann::json();
+        const nlohmann::json after = now.contains(pointer) ? now[pointer] : nlohmann::json();
+        if (before != after) {
+            return &field;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace
+
+absl::StatusOr<SubmissionResult> submitProposal(const EntryClient &client, const Proposal &proposal, const CommandEnvironment &environment)
+{
+    CATKINLINK_TRY(LibSettings::parseSiteDocument(proposal.document).status());
+    const nlohmann::json body{{"document", proposal.document},
+                              {"expected_revision", proposal.expectedRevision},
+                              {"change_id", proposal.changeId},
+                              {"reason", proposal.reason},
+                              {"force", proposal.force}};
+    const LibHttp::HttpRequest request{.method = "POST", .path = "/operator/v1/apply", .headers = {{"content-type", "application/json"}}, .body = body.dump()};
+    const auto response = client.send(request, RefusalSign::ServiceUnavailable);
+    if (absl::IsUnknown(response.status())) {
+        return resolveUnknown(client, proposal, AK::concat(response.status().message()), environment);
+    }
+    if (!response.ok()) {
+        return absl::UnavailableError(AK::concat("not accepted: ", response.status().message(),
+                                                 "\nnext: try again when the store answers, or give another --entry; ",
+                                                 "domain out and upstream out take --emergency"));
+    }
+    const nlohmann::json answer = objectIn(response->body);
+    if (response->status == 200 && numberIn(answer, "revision") > 0) {
+        return SubmissionResult{true, numberIn(answer, "revision"), {}};
+    }
+    if (response->status == 409) {
+        return SubmissionResult{false, numberIn(answer, "revision"), describeWinner(numberIn(answer, "revision"), answer, "changed_at_ms")};
+    }
+    if (response->status == 200 || response->status >= 500) {
+        return resolveUnknown(client, proposal, AK::concat("the entry answered ", response->status, " ", textIn(answer, "error")), environment);
+    }
+    return refusal(*response);
+}
+
+absl::StatusOr<SubmissionResult> submitChange(const EntryClient &client, const DocumentChange &change, const CommandOptions &options,
+                                              const CommandEnvironment &environment)
+{
+    nlohmann::json first;
+    SubmissionResult last;
+    for (int attempt = 0; attempt < conflictAttempts; ++attempt) {
+        CATKINLINK_ASSIGN(const nlohmann::json inForce, client.read("/operator/v1/revision"));
+        const nlohmann::json document = inForce.value("document", nlohmann::json::object());
+        CATKINLINK_ASSIGN(const nlohmann::json edited, change.edit(document));
+        if (edited == document) {
+            return SubmissionResult{true, numberIn(inForce, "revision"), {}};
+        }
+        if (attempt == 0) {
+            first = document;
+        } else if (const std::string *field = changedField(change, first, document)) {
+            return absl::FailedPreconditionError(
+                AK::concat("refused: ", last.winner, " changed ", *field, "\nnext: look at catkinlink audit and decide again"));
+        }
+        const Proposal proposal{edited, numberIn(inForce, "revision"), AK::randomHex(environment.random, 32), options.reason, options.force};
+        CATKINLINK_ASSIGN(last, submitProposal(client, proposal, environment));
+        if (last.accepted) {
+            return last;
+        }
+        environment.error << last.winner << " was accepted first; trying again on top of it\n";
+        environment.clock.sleep(static_cast<AK::Milliseconds>(50 + AK::uniformBelow(environment.random, 200)));
+    }
+    return absl::FailedPreconditionError(AK::concat("refused: another change won ", conflictAttempts, " times, last ", last.winner, "\nnext: try again"));
+}
+
+void reportAccepted(const EntryClient &client, const SubmissionResult &result, const std::string &description, const CommandOptions &options,
+                    const CommandEnvironment &environment)
+{
+    const AK::Milliseconds end = environment.clock.now() + options.waitMs;
+    size_t members = 0;
+    size_t inForce = 0;
+    while (options.waitMs > 0) {
+        const auto status = client.read("/operator/v1/status");
+        members = 0;
+        inForce = 0;
+        if (status.ok() && status->contains("members")) {
+            for (const nlohmann::json &member : (*status)["members"]) {
+                const bool live = textIn(member, "status") == "alive";
+                members += live ? 1 : 0;
+                inForce += live && numberIn(member, "revision") >= result.revision ? 1 : 0;
+            }
+        }
+        if ((members > 0 && inForce == members) || environment.clock.now() >= end) {
+            break;
+        }
+        environment.clock.sleep(waitIntervalMs);
+    }
+    if (options.json) {
+        environment.out << nlohmann::json{{"accepted", true}, {"revision", result.revision}, {"in_force_on", inForce}, {"members", members}} << "\n";
+    } else {
+        environment.out << description << ": accepted in revision " << result.revision << "\n";
+        if (options.waitMs > 0) {
+            environment.out << "in force on " << inForce << " of " << members << " live members\n";
+        }
+    }
+    if (options.waitMs > 0 && (members == 0 || inForce < members)) {
+        environment.error << "warning: revision " << result.revision << " is accepted, but was not seen in force on every live member within "
+                          << options.waitMs / 1'000 << " s\nnext: catkinlink status\n";
+    }
+}
+
+} // namespace Catkinlink
--- /dev/null
+++ b/Userland/Utilities/catkinlink/CommandLine.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <AK/Clock.h>
+#include <AK/Endpoint.h>
+#include <absl/status/statusor.h>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Catkinlink
+{
+
+/// A subcommand and the flags that it takes.
+struct CommandSpec {
+    /// For example "domain out".
+    const char *name;
+    const char *summary;
+    /// Name of the positional argument, or empty when there is none.
+    const char *operand;
+    /// Long names of its flags, separated by spaces; a leading '!' marks a required one.
+    const char *flags;
+};
+
+/// All subcommands.
+const std::vector<CommandSpec> &commandSpecs();
+
+/// What was given on the command line.
+struct CommandOptions {
+    std::string command;
+    std::string operand;
+    std::vector<AK::Endpoint> entries;
+    std::string keyFile;
+    bool json = false;
+    bool force = false;
+    bool emergency = false;
+    bool watch = false;
+    std::string reason;
+    std::string base;
+    std::string overlay;
+    std::string against;
+    std::optional<uint64_t> expectedRevision;
+    AK::Milliseconds waitMs = 8'000;
+    AK::Milliseconds lifetimeMs = 7'200'000;
+    std::string model;
+    std::string adapter;
+    std::string weightsVersion;
+    std::string root;
+    std::optional<AK::Endpoint> weightStore;
+    std::string method;
+    std::string path;
+    std::string body;
+    std::string prompt;
+    std::string idempotencyKey;
+    /// Help or version text to print instead of running the command.
+    std::string information;
+};
+
+/// Reads the arguments after the program name. Errors: kOutOfRange with the mistake and the usage to look up.
+absl::StatusOr<CommandOptions> parseCommandLine(const std::vector<std::string> &arguments);
+
+} // namespace Catkinlink
--- /dev/null
+++ b/Userland/Utilities/catkinlink/CommandOutput.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <AK/Clock.h>
+#include <AK/Random.h>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace Catkinlink
+{
+
+/// What a command uses of the outside world.
+struct CommandEnvironment {
+    const AK::Clock &clock;
+    AK::Random &random;
+    std::ostream &out;
+    std::ostream &error;
+    /// Whether `out` is a terminal; progress bars are drawn only there.
+    bool terminal = false;
+};
+
+/// Aligned columns; the first row is the heading.
+std::string formatTable(const std::vector<std::vector<std::string>> &rows);
+
+/// A bar of 20 cells, for example "[#####...............]  25%". Empty when `total` is 0.
+std::string progressBar(uint64_t held, uint64_t total);
+
+/// UTC time as "2026-01-31 12:00:00".
+std::string formatTime(AK::Milliseconds wallTime);
+
+} // namespace Catkinlink
--- /dev/null
+++ b/Userland/Utilities/catkinlink/Commands.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "CommandLine.h"
+#include "CommandOutput.h"
+#include "EntryClient.h"
+
+namespace Catkinlink
+{
+
+/// A field whose value differs.
+struct FieldDifference {
+    /// JSON Pointer.
+    std::string path;
+    /// Null when the field was added.
+    nlohmann::json before;
+    /// Null when the field was removed.
+    nlohmann::json after;
+};
+
+/// Fields that differ between two documents, in the order of their paths.
+std::vector<FieldDifference> compareDocuments(const nlohmann::json &before, const nlohmann::json &after);
+
+/// Prints "path: before -> after" per field.
+void printDifferences(const std::vector<FieldDifference> &differences, std::ostream &out);
+
+/// Reads the base and, when given, merges the overlay. Errors: kNotFound, kInvalidArgument with the path of the field.
+absl::StatusOr<nlohmann::json> readSettings(const CommandOptions &options);
+
+/// Checks the hash chain of audit entries, oldest first. Errors: kDataLoss naming the first sequence that does not fit.
+absl::Status verifyAudit(const nlohmann::json &entries);
+
+// The subcommands; each prints its result and returns a status for exitCodeOf().
+absl::Status runValidate(const CommandOptions &options, const CommandEnvironment &environment);
+absl::Status runDiff(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment);
+absl::Status runApply(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment);
+absl::Status runStatus(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment);
+absl::Status runRolloutStatus(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment);
+absl::Status runAudit(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment);
+absl::Status runAddress(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment);
+absl::Status runCall(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment);
+/// domain out|in and upstream out|in.
+absl::Status runService(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment);
+/// rollout start|pause|resume|rollback.
+absl::Status runRollout(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment);
+
+} // namespace Catkinlink
--- /dev/null
+++ b/Userland/Utilities/catkinlink/ReadCommands.cpp
@@ -0,0 +1,252 @@
+#include "Commands.h"
+
+#include <AK/Hash.h>
+#include <AK/StatusMacros.h>
+#include <AK/Text.h>
+#include <fstream>
+#include <sstream>
+
+namespace Catkinlink
+{
+
+namespace
+{
+
+constexpr AK::Milliseconds watchIntervalMs = 1'000;
+
+using Rows = std::vector<std::vector<std::string>>;
+
+nlohmann::json listIn(const nlohmann::json &json, const char *key)
+{
+    return json.contains(key) && json[key].is_array() ? json[key] : nlohmann::json::array();
+}
+
+std::string shortRoot(const nlohmann::json &json, const char *key)
+{
+    const std::string root = textIn(json, key).substr(0, 12);
+    return root.empty() ? "-" : root;
+}
+
+absl::StatusOr<std::string> readBody(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        return absl::NotFoundError(AK::concat("body file \"", path, "\" cannot be opened"));
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+bool servesTarget(const nlohmann::json &member)
+{
+    return textIn(member, "serving_state") == "serving" && !textIn(member, "target_root").empty()
+        && textIn(member, "weights_root") == textIn(member, "target_root");
+}
+
+nlohmann::json membersOf(const nlohmann::json &status, const std::string &service)
+{
+    nlohmann::json members = nlohmann::json::array();
+    for (const nlohmann::json &member : listIn(status, "members")) {
+        if (textIn(member, "service") == service && textIn(member, "status") != "dead") {
+            members.push_back(member);
+        }
+    }
+    return members;
+}
+
+void printRollout(const nlohmann::json &members, const std::string &service, size_t serving, const CommandEnvironment &environment)
+{
+    Rows rows{{"HOST", "FAILURE DOMAIN", "STATE", "WEIGHTS", "TARGET", "CHUNKS", "CALLS", "ERRORS"}};
+    for (const nlohmann::json &member : members) {
+        const uint64_t held = numberIn(member, "chunks_held");
+        const uint64_t total = numberIn(member, "chunks_total");
+        const std::string chunks =
+            AK::concat(held, "/", total, environment.terminal && total > 0 ? " " : "", environment.terminal ? progressBar(held, total) : "");
+        rows.push_back({textIn(member, "name"), textIn(member, "failure_domain"), textIn(member, "serving_state"), shortRoot(member, "weights_root"),
+                        shortRoot(member, "target_root"), chunks, AK::concat(numberIn(member, "calls_since_switch")),
+                        AK::concat(numberIn(member, "errors_since_switch"))});
+    }
+    environment.out << formatTable(rows) << serving << " of " << members.size() << " hosts of " << service << " serve the target";
+    environment.out << (environment.terminal ? " " + progressBar(serving, members.size()) : std::string()) << "\n" << std::flush;
+}
+
+absl::Status brokenAudit(const nlohmann::json &entry, const std::string &problem)
+{
+    return absl::DataLossError(AK::concat("audit entry ", numberIn(entry, "sequence"), ": ", problem,
+                                          "\nnext: compare the trail of another entry; keep both outputs and treat the trail as altered"));
+}
+
+// The outcome of a call as exitCodeOf() reads it.
+absl::Status callStatus(const LibHttp::HttpResponse &response)
+{
+    const std::string outcome(LibHttp::headerOr(response.headers, "x-catkinlink-outcome"));
+    if (outcome == "unknown") {
+        return absl::UnknownError("the outcome of the call is not known\nnext: look at the upstream's own records; a repeated request with the same "
+                                  "--idempotency-key is never run twice");
+    }
+    if (outcome == "not_run") {
+        return absl::UnavailableError(AK::concat("the call was not run, status ", response.status, "\nnext: send it again later"));
+    }
+    return response.status < 400 ? absl::OkStatus() : absl::InternalError(AK::concat("the call ended with status ", response.status));
+}
+
+} // namespace
+
+absl::Status runStatus(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment)
+{
+    CATKINLINK_ASSIGN(const nlohmann::json status, client.read("/operator/v1/status"));
+    if (options.json) {
+        environment.out << status << "\n";
+        return absl::OkStatus();
+    }
+    Rows rows{{"NAME", "ROLE", "STATUS", "REGION", "FAILURE DOMAIN", "REVISION", "SERVICE", "STATE", "WEIGHTS"}};
+    for (const nlohmann::json &member : listIn(status, "members")) {
+        rows.push_back({textIn(member, "name"), textIn(member, "role"), textIn(member, "status"), textIn(member, "region"), textIn(member, "failure_domain"),
+                        AK::concat(numberIn(member, "revision")), textIn(member, "service"), textIn(member, "serving_state"),
+                        shortRoot(member, "weights_root")});
+    }
+    environment.out << "revision " << numberIn(status, "revision") << " at " << textIn(status, "process") << "\n" << formatTable(rows);
+    for (const nlohmann::json &restriction : listIn(status, "restrictions")) {
+        environment.out << "provisional restriction " << textIn(restriction, "id") << ": out of service: " << textIn(restriction, "failure_domain")
+                        << textIn(restriction, "upstream") << " (" << textIn(restriction, "reason") << ")\n";
+    }
+    return absl::OkStatus();
+}
+
+absl::Status runRolloutStatus(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment)
+{
+    while (true) {
+        CATKINLINK_ASSIGN(const nlohmann::json status, client.read("/operator/v1/status"));
+        const nlohmann::json members = membersOf(status, options.operand);
+        if (members.empty()) {
+            return absl::InternalError(AK::concat("no member serves \"", options.operand, "\"\nnext: catkinlink status lists the services"));
+        }
+        size_t serving = 0;
+        for (const nlohmann::json &member : members) {
+            serving += servesTarget(member) ? 1 : 0;
+        }
+        if (options.json) {
+            environment.out << nlohmann::json{{"service", options.operand}, {"serving", serving}, {"hosts", members}} << "\n" << std::flush;
+        } else {
+            printRollout(members, options.operand, serving, environment);
+        }
+        if (!options.watch || serving == members.size()) {
+            return absl::OkStatus();
+        }
+        environment.clock.sleep(watchIntervalMs);
+    }
+}
+
+absl::Status verifyAudit(const nlohmann::json &entries)
+{
+    const nlohmann::json *previous = nullptr;
+    for (const nlohmann::json &entry : entries) {
+        nlohmann::json content = entry;
+        if (!content.is_object() || content.erase("hash") != 1) {
+            return brokenAudit(entry, "has no hash");
+        }
+        if (AK::sha256Hex(content.dump()) != textIn(entry, "hash")) {
+            return brokenAudit(entry, "its hash does not match its content");
+        }
+        if (previous != nullptr) {
+            if (textIn(entry, "previous_hash") != textIn(*previous, "hash")) {
+                return brokenAudit(entry, "previous_hash is not the hash of the entry before");
+            }
+            if (numberIn(entry, "sequence") != numberIn(*previous, "sequence") + 1) {
+                return brokenAudit(entry, AK::concat("follows sequence ", numberIn(*previous, "sequence")));
+            }
+            if (textIn(entry, "digest_before") != textIn(*previous, "digest_after")) {
+                return brokenAudit(entry, "digest_before is not digest_after of the entry before");
+            }
+        }
+        previous = &entry;
+    }
+    return absl::OkStatus();
+}
+
+absl::Status runAudit(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment)
+{
+    CATKINLINK_ASSIGN(const nlohmann::json audit, client.read("/operator/v1/audit"));
+    const nlohmann::json entries = listIn(audit, "entries");
+    if (options.command == "audit verify") {
+        CATKINLINK_TRY(verifyAudit(entries));
+        const uint64_t first = entries.empty() ? 0 : numberIn(entries.front(), "sequence");
+        const uint64_t last = entries.empty() ? 0 : numberIn(entries.back(), "sequence");
+        if (options.json) {
+            environment.out << nlohmann::json{{"verified", entries.size()}, {"first", first}, {"last", last}} << "\n";
+        } else {
+            environment.out << "verified " << entries.size() << " entries, sequence " << first << " to " << last << "\n";
+        }
+        return absl::OkStatus();
+    }
+    if (options.json) {
+        environment.out << audit << "\n";
+        return absl::OkStatus();
+    }
+    Rows rows{{"SEQUENCE", "TIME (UTC)", "REVISION", "AUTHOR", "CHANGE", "REASON"}};
+    for (const nlohmann::json &entry : entries) {
+        rows.push_back({AK::concat(numberIn(entry, "sequence")), formatTime(static_cast<AK::Milliseconds>(numberIn(entry, "at_ms"))),
+                        AK::concat(numberIn(entry, "revision_before"), " -> ", numberIn(entry, "revision_after")), textIn(entry, "author"),
+                        textIn(entry, "change_id"), textIn(entry, "reason")});
+    }
+    environment.out << formatTable(rows);
+    return absl::OkStatus();
+}
+
+absl::Status runAddress(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment)
+{
+    CATKINLINK_ASSIGN(const nlohmann::json answer, client.read("/v1/addresses"));
+    if (options.json) {
+        environment.out << answer << "\n";
+        return absl::OkStatus();
+    }
+    for (const char *key : {"entries", "addresses"}) {
+        for (const nlohmann::json &entry : listIn(answer, key)) {
+            environment.out << (entry.is_string() ? entry.get<std::string>() : textIn(entry, "address")) << "\n";
+        }
+    }
+    environment.out << "may be cached for " << numberIn(answer, "ttl_ms") << " ms\n";
+    return absl::OkStatus();
+}
+
+absl::Status runCall(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment)
+{
+    LibHttp::HttpRequest request;
+    if (!options.prompt.empty()) {
+        request.path = "/v1/completions";
+        request.body = nlohmann::json{{"model", options.operand}, {"prompt", options.prompt}}.dump();
+    } else {
+        const bool absolute = options.path.starts_with('/');
+        request.path = AK::concat("/services/", options.operand, absolute ? "" : "/", options.path);
+        if (!options.body.empty()) {
+            CATKINLINK_ASSIGN(request.body, readBody(options.body));
+        }
+    }
+    request.method = !options.method.empty() ? options.method : request.body.empty() ? "GET" : "POST";
+    if (!request.body.empty()) {
+        request.headers["content-type"] = "application/json";
+    }
+    if (!options.idempotencyKey.empty()) {
+        request.headers["idempotency-key"] = options.idempotencyKey;
+    }
+    const auto response = client.send(request, RefusalSign::OutcomeNotRun);
+    if (!response.ok()) {
+        const bool unknown = absl::IsUnknown(response.status());
+        return absl::Status(
+            response.status().code(),
+            AK::concat(response.status().message(), unknown ? "\nnext: the call may have run; repeat it only with the same --idempotency-key" : ""));
+    }
+    const std::string outcome(LibHttp::headerOr(response->headers, "x-catkinlink-outcome"));
+    if (options.json) {
+        environment.out << nlohmann::json{{"status", response->status}, {"outcome", outcome}, {"body", response->body}}.dump(
+            -1, ' ', false, nlohmann::json::error_handler_t::replace)
+                        << "\n";
+    } else {
+        environment.out << response->body << "\n";
+        environment.error << "status " << response->status << ", outcome " << (outcome.empty() ? "not given" : outcome) << "\n";
+    }
+    return callStatus(*response);
+}
+
+} // namespace Catkinlink
