--- a/Userland/Utilities/catkinlinkd/Composition.cpp
+++ b/Userland/Utilities/catkinlinkd/Composition.cpp
@@ -62,7 +62,7 @@
     auto &membership = this->require<LibMembership::MembershipService>("membership");
     CATKINLINK_TRY(this->registry.add(
         std::make_unique<LibConfiguration::ConfigurationService>(this->settings, this->clock, this->store, membership, this->identity, this->metrics)));
-    membership.setPeerObserver(this->require<LibConfiguration::ConfigurationService>("configuration"));
+    membership.setObserver(&this->require<LibConfiguration::ConfigurationService>("configuration"));
     return absl::OkStatus();
 }
 
