Tests: Cover membership, configuration and audit

Merge rules, refutation, replacement, lost answers, races, stale answers, restart without the store, refused revisions, restrictions and the audit archive.

--- /dev/null
+++ b/Tests/LibConfiguration/TestApply.cpp
@@ -0,0 +1,161 @@
+#include "Fixture.h"
+#include <LibAudit/AuditArchive.h>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace
+{
+
+using LibConfiguration::ApplyOutcome;
+using LibConfiguration::ApplyResult;
+using Tests::changeRequest;
+using Tests::siteDocument;
+
+struct FaultCase {
+    const char *name;
+    Tests::StoreDouble::Faults faults;
+    ApplyResult result;
+    /// Whether the change is in the store once the fault is over.
+    bool inEffect;
+};
+
+class ApplyFaultTest : public testing::TestWithParam<FaultCase>
+{
+};
+
+// Guards against a lost answer being reported as "not accepted" (or the reverse), and against a change that runs twice.
+TEST_P(ApplyFaultTest, ReportsWhatHappened)
+{
+    Tests::StoreDouble store;
+    const Tests::SettableClock clock;
+    Tests::ConfigurationNode node(1, store, clock);
+    ASSERT_EQ(node.service->apply(changeRequest("first", 0)).result, ApplyResult::Accepted);
+    store.set(GetParam().faults);
+    const ApplyOutcome outcome = node.service->apply(changeRequest("second", 1, siteDocument(false)));
+    EXPECT_EQ(outcome.result, GetParam().result) << outcome.message;
+    store.set({});
+    const auto stored = store.get("config", "taller", 0);
+    ASSERT_TRUE(stored.ok());
+    EXPECT_EQ(LibSettings::parseRevision(stored->value)->number, GetParam().inEffect ? 2U : 1U);
+    const ApplyOutcome repeated = node.service->apply(changeRequest("second", 1, siteDocument(false)));
+    EXPECT_EQ(repeated.result, ApplyResult::Accepted) << repeated.message;
+    EXPECT_EQ(repeated.revision, 2U);
+    EXPECT_EQ(node.service->current()->revision.number, 2U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, ApplyFaultTest,
+                         testing::Values(FaultCase{"none", {}, ApplyResult::Accepted, true}, //
+                                         FaultCase{"answer_lost", {.loseAnswers = 1}, ApplyResult::Accepted, true},
+                                         FaultCase{"answer_lost_then_down", {.loseAnswers = 1, .downAfterLoss = true}, ApplyResult::Unknown, true},
+                                         FaultCase{"request_lost_once", {.loseRequests = 1}, ApplyResult::Accepted, true},
+                                         FaultCase{"requests_lost", {.loseRequests = 100}, ApplyResult::Unknown, false},
+                                         FaultCase{"down", {.down = true}, ApplyResult::StoreUnreachable, false}),
+                         [](const auto &info) { return info.param.name; });
+
+// Guards against two operators both being told that their change was accepted on top of the same revision.
+TEST(Apply, OneOfRacingOperatorsWins)
+{
+    constexpr int operators = 8;
+    Tests::StoreDouble store;
+    const Tests::SettableClock clock;
+    std::vector<std::unique_ptr<Tests::ConfigurationNode>> nodes;
+    for (int i = 0; i < operators; ++i) {
+        nodes.push_back(std::make_unique<Tests::ConfigurationNode>(i + 1, store, clock));
+    }
+    ASSERT_EQ(nodes[0]->service->apply(changeRequest("first", 0)).result, ApplyResult::Accepted);
+    std::vector<ApplyOutcome> outcomes(operators);
+    std::vector<std::thread> threads;
+    for (int i = 0; i < operators; ++i) {
+        threads.emplace_back([&, i] {
+            auto request = changeRequest(AK::concat("race-", i), 1);
+            request.author = AK::concat("operator-", i);
+            outcomes[i] = nodes[i]->service->apply(request);
+        });
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    const auto winner = std::find_if(outcomes.begin(), outcomes.end(), [](const ApplyOutcome &outcome) { return outcome.result == ApplyResult::Accepted; });
+    ASSERT_NE(winner, outcomes.end());
+    for (const ApplyOutcome &outcome : outcomes) {
+        if (&outcome != &*winner) {
+            EXPECT_EQ(outcome.result, ApplyResult::Conflict) << outcome.message;
+            ASSERT_TRUE(outcome.winner);
+            EXPECT_EQ(outcome.winner->author, AK::concat("operator-", winner - outcomes.begin()));
+            EXPECT_EQ(outcome.winner->revisionAfter, 2U);
+        }
+    }
+}
+
+struct RefusalCase {
+    const char *name;
+    nlohmann::json document;
+    bool force;
+    /// Upstream under an emergency restriction before the change.
+    const char *restricted;
+    ApplyResult result;
+};
+
+class ApplyRefusalTest : public testing::TestWithParam<RefusalCase>
+{
+};
+
+nlohmann::json with(const char *pointer, const nlohmann::json &value)
+{
+    nlohmann::json document = siteDocument();
+    document[nlohmann::json::json_pointer(pointer)] = value;
+    return document;
+}
+
+// Guards against an invalid document coming into force, and against a slip that leaves a service without any upstream.
+TEST_P(ApplyRefusalTest, ChecksTheDocument)
+{
+    Tests::StoreDouble store;
+    const Tests::SettableClock clock;
+    Tests::ConfigurationNode node(1, store, clock);
+    ASSERT_EQ(node.service->apply(changeRequest("first", 0)).result, ApplyResult::Accepted);
+    if (GetParam().restricted != nullptr) {
+        ASSERT_TRUE(node.service->restrict({"r-1", "", GetParam().restricted, "rosa", "", clock.wallTime() + 1'000}).ok());
+    }
+    auto request = changeRequest("second", 1, GetParam().document);
+    request.force = GetParam().force;
+    const ApplyOutcome outcome = node.service->apply(request);
+    EXPECT_EQ(outcome.result, GetParam().result) << outcome.message;
+    EXPECT_EQ(node.service->current()->revision.number, GetParam().result == ApplyResult::Accepted ? 2U : 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, ApplyRefusalTest,
+                         testing::Values(RefusalCase{"one_out", siteDocument(false), false, nullptr, ApplyResult::Accepted},
+                                         RefusalCase{"last_out", siteDocument(false, false), false, nullptr, ApplyResult::LastUpstream},
+                                         RefusalCase{"last_out_forced", siteDocument(false, false), true, nullptr, ApplyResult::Accepted},
+                                         RefusalCase{"last_unrestricted_out", siteDocument(false), false, "a-2", ApplyResult::LastUpstream},
+                                         RefusalCase{"records_restriction", siteDocument(true, false), false, "a-2", ApplyResult::Accepted},
+                                         RefusalCase{"domain_of_last_out", with("/failure_domains/cusco/in_service", false), false, "a-1",
+                                                     ApplyResult::LastUpstream},
+                                         RefusalCase{"other_site", with("/site", "mechelen"), false, nullptr, ApplyResult::Invalid},
+                                         RefusalCase{"unknown_domain", with("/upstreams/a-1/failure_domain", "puno"), false, nullptr, ApplyResult::Invalid},
+                                         RefusalCase{"unknown_field", with("/replicas", 3), true, nullptr, ApplyResult::Invalid}),
+                         [](const auto &info) { return info.param.name; });
+
+// Guards against a gap in the audit trail when older entries leave the configuration object, also when an answer is lost then.
+TEST(Apply, KeepsTheWholeAuditTrail)
+{
+    constexpr uint64_t changes = 200;
+    Tests::StoreDouble store;
+    const Tests::SettableClock clock;
+    Tests::ConfigurationNode node(1, store, clock);
+    for (uint64_t i = 0; i < changes; ++i) {
+        store.set({.loseAnswers = i % 3 == 0 ? 1 : 0});
+        ASSERT_EQ(node.service->apply(changeRequest(AK::concat("change-", i), i)).result, ApplyResult::Accepted);
+    }
+    const nlohmann::json tail = node.service->current()->revision.audit;
+    EXPECT_GE(tail.size(), LibAudit::archiveBatch);
+    EXPECT_LT(tail.size(), 2 * LibAudit::archiveBatch);
+    auto archived = LibAudit::readArchive(store, "taller", 0);
+    ASSERT_TRUE(archived.ok()) << archived.status();
+    const nlohmann::json trail = LibAudit::joinTrails(*archived, tail);
+    EXPECT_EQ(trail.size(), changes);
+    EXPECT_TRUE(LibAudit::verifyTrail(trail, true).ok()) << LibAudit::verifyTrail(trail, true);
+}
+
+} // namespace
--- /dev/null
+++ b/Tests/LibConfiguration/TestPropagation.cpp
@@ -0,0 +1,149 @@
+#include "Fixture.h"
+#include <LibConfiguration/Backoff.h>
+#include <gtest/gtest.h>
+
+namespace
+{
+
+using LibConfiguration::ApplyResult;
+using Tests::changeRequest;
+using Tests::siteDocument;
+
+// Guards against a store that answers with an old value turning the configuration back, and against changes based on that value.
+TEST(Propagation, StaleStoreChangesNothing)
+{
+    Tests::StoreDouble store;
+    const Tests::SettableClock clock;
+    Tests::ConfigurationNode node(1, store, clock);
+    ASSERT_EQ(node.service->apply(changeRequest("first", 0)).result, ApplyResult::Accepted);
+    ASSERT_EQ(node.service->apply(changeRequest("second", 1, siteDocument(false))).result, ApplyResult::Accepted);
+    store.set({.stale = true});
+    const std::string old = store.get("config", "taller", 0)->value;
+    EXPECT_EQ(node.service->offerRevision(1, old), 2U);
+    EXPECT_EQ(node.service->offerRevision(99, old), 2U);
+    const auto outcome = node.service->apply(changeRequest("third", 1));
+    EXPECT_EQ(outcome.result, ApplyResult::StoreUnreachable) << outcome.message;
+    EXPECT_EQ(node.service->current()->revision.number, 2U);
+}
+
+// Guards against a process that starts while the store is down having no configuration although a peer has one.
+TEST(Propagation, RestartWithStoreDownTakesThePeersRevision)
+{
+    Tests::StoreDouble store;
+    const AK::SystemClock clock;
+    Tests::ConfigurationNode peer(1, store, clock);
+    ASSERT_EQ(peer.service->apply(changeRequest("first", 0)).result, ApplyResult::Accepted);
+    ASSERT_TRUE(peer.server->start().ok());
+    store.set({.down = true});
+    Tests::ConfigurationNode restarted(2, store, clock, {peer.settings.rpcAddress});
+    ASSERT_TRUE(restarted.service->start().ok());
+    EXPECT_EQ(restarted.waitForRevision(1), 1U);
+}
+
+// Guards against a designated watcher missing a change, and against a change that stays with the watcher.
+TEST(Propagation, WatcherTakesAndPushesAChange)
+{
+    Tests::StoreDouble store;
+    Tests::StoreDouble unreachable;
+    unreachable.set({.down = true});
+    const AK::SystemClock clock;
+    Tests::ConfigurationNode writer(1, store, clock);
+    Tests::ConfigurationNode watcher(2, store, clock);
+    Tests::ConfigurationNode other(3, unreachable, clock);
+    LibMembership::Member member;
+    member.name = other.settings.name;
+    member.rpcAddress = other.settings.rpcAddress;
+    watcher.membership.all.push_back(member);
+    ASSERT_TRUE(other.server->start().ok());
+    ASSERT_TRUE(watcher.service->start().ok());
+    ASSERT_EQ(writer.service->apply(changeRequest("first", 0)).result, ApplyResult::Accepted);
+    EXPECT_EQ(watcher.waitForRevision(1), 1U);
+    EXPECT_EQ(other.waitForRevision(1), 1U);
+}
+
+struct RefusedCase {
+    const char *name;
+    std::function<void(nlohmann::json &)> damage;
+};
+
+class RefusedRevisionTest : public testing::TestWithParam<RefusedCase>
+{
+};
+
+// Guards against a damaged or foreign revision coming into force.
+TEST_P(RefusedRevisionTest, LeavesTheRevisionInForce)
+{
+    Tests::StoreDouble store;
+    const Tests::SettableClock clock;
+    Tests::ConfigurationNode node(1, store, clock);
+    ASSERT_EQ(node.service->apply(changeRequest("first", 0)).result, ApplyResult::Accepted);
+    nlohmann::json next = nlohmann::json::parse(node.service->fetchRevision().second);
+    next["revision"] = 2;
+    const std::string intact = next.dump();
+    GetParam().damage(next);
+    EXPECT_EQ(node.service->offerRevision(2, next.dump()), 1U);
+    EXPECT_EQ(node.service->offerRevision(2, intact), 2U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, RefusedRevisionTest,
+                         testing::Values(RefusedCase{"other_document",
+                                                     [](nlohmann::json &json) {
+                                                         json["document"] = siteDocument(false);
+                                                     }},
+                                         RefusedCase{"other_digest",
+                                                     [](nlohmann::json &json) {
+                                                         json["digest"] = std::string(64, '0');
+                                                     }},
+                                         RefusedCase{"invalid_document",
+                                                     [](nlohmann::json &json) {
+                                                         json["document"].erase("services");
+                                                         json["digest"] = LibSettings::documentDigest(json["document"]);
+                                                     }},
+                                         RefusedCase{"other_site",
+                                                     [](nlohmann::json &json) {
+                                                         json["document"]["site"] = "mechelen";
+                                                         json["digest"] = LibSettings::documentDigest(json["document"]);
+                                                     }}),
+                         [](const auto &info) { return info.param.name; });
+
+// Guards against an emergency restriction that outlives the revision that settles it, that comes back from a peer, or that outlives its expiry.
+TEST(Propagation, RestrictionEndsWhenSettledOrExpired)
+{
+    Tests::StoreDouble store;
+    Tests::SettableClock clock;
+    Tests::ConfigurationNode node(1, store, clock);
+    ASSERT_EQ(node.service->apply(changeRequest("first", 0)).result, ApplyResult::Accepted);
+    const AK::Milliseconds end = clock.wallTime() + 60'000;
+    EXPECT_TRUE(node.service->restrictionsReceived({{"r-1", "", "a-1", "rosa", "", end}, {"r-2", "cusco", "", "rosa", "", end}}));
+    EXPECT_FALSE(node.service->restrictionsReceived({{"r-1", "", "a-1", "rosa", "", end}}));
+    EXPECT_FALSE(LibConfiguration::upstreamAllowed(*node.service->current(), "a-1", clock.wallTime()));
+    EXPECT_FALSE(LibConfiguration::upstreamAllowed(*node.service->current(), "a-2", clock.wallTime()));
+    nlohmann::json settling = siteDocument();
+    settling["settled_restrictions"] = {"r-1"};
+    ASSERT_EQ(node.service->apply(changeRequest("second", 1, settling)).result, ApplyResult::Accepted);
+    EXPECT_FALSE(node.service->restrictionsReceived({{"r-1", "", "a-1", "rosa", "", end}}));
+    EXPECT_TRUE(LibConfiguration::upstreamAllowed(*node.service->current(), "a-1", clock.wallTime()));
+    EXPECT_FALSE(LibConfiguration::upstreamAllowed(*node.service->current(), "a-2", clock.wallTime()));
+    clock.wall = end;
+    EXPECT_TRUE(LibConfiguration::upstreamAllowed(*node.service->current(), "a-2", clock.wallTime()));
+    EXPECT_FALSE(node.service->restrictionsReceived({{"r-3", "lima", "", "rosa", "", end}}));
+}
+
+// Guards against all processes asking the store at the same moment when it returns.
+TEST(Backoff, SpreadsWithinItsLimits)
+{
+    const uint64_t seed = std::random_device()();
+    AK::Random random(seed);
+    const LibConfiguration::BackoffLimits limits;
+    std::set<AK::Milliseconds> waits;
+    AK::Milliseconds wait = 0;
+    for (int i = 0; i < 200; ++i) {
+        wait = LibConfiguration::nextBackoff(limits, wait, random);
+        ASSERT_GE(wait, limits.first) << "seed " << seed;
+        ASSERT_LE(wait, limits.most) << "seed " << seed;
+        waits.insert(wait);
+    }
+    EXPECT_GT(waits.size(), 100U) << "seed " << seed;
+}
+
+} // namespace
--- /dev/null
+++ b/Tests/LibMembership/TestMembershipService.cpp
@@ -0,0 +1,200 @@
+#include <AK/Text.h>
+#include <LibMembership/MembershipService.h>
+#include <LibMembership/WireRecords.h>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+namespace
+{
+
+using LibMembership::Member;
+using LibMembership::MemberStatus;
+
+class HostListDouble final : public LibObjectStore::HostList
+{
+public:
+    absl::StatusOr<std::vector<LibObjectStore::HostEntry>> hosts(AK::Milliseconds) override
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->entries;
+    }
+    void set(std::vector<LibObjectStore::HostEntry> hosts)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->entries = std::move(hosts);
+    }
+
+private:
+    std::mutex mutex;
+    std::vector<LibObjectStore::HostEntry> entries;
+};
+
+AK::Endpoint rpcEndpoint(int host)
+{
+    return {AK::concat("127.", 1 + getpid() / 250 % 70, ".", getpid() % 250 + 1, ".", host), 7200};
+}
+
+struct Node {
+    Node(int host, HostListDouble &hosts, std::vector<AK::Endpoint> seeds)
+    {
+        this->settings.name = AK::concat("p-", host);
+        this->settings.failureDomain = AK::concat("domain-", host % 3);
+        this->settings.rpcAddress = rpcEndpoint(host);
+        this->settings.httpAddress = {rpcEndpoint(host).host, 7100};
+        this->settings.seeds = std::move(seeds);
+        this->settings.timing.gossipIntervalMs = 100;
+        this->settings.timing.suspectTimeoutMs = 1'000;
+        this->settings.timing.hostListIntervalMs = 100;
+        const LibWire::RpcIdentity identity{this->settings.name,
+                                            std::make_shared<LibWire::KeyRing>(std::vector<LibWire::SharedKey>{{"k", "0123456789abcdef"}}, this->clock)};
+        this->service = std::make_unique<LibMembership::MembershipService>(this->settings, this->clock, identity, hosts, this->metrics);
+        LibWire::NodeHandlers handlers;
+        handlers.membership = this->service.get();
+        this->server = std::make_unique<LibWire::RpcServer>(this->settings.rpcAddress, identity.keys, handlers, 200);
+        EXPECT_TRUE(this->server->start().ok());
+        EXPECT_TRUE(this->service->start().ok());
+    }
+    ~Node()
+    {
+        this->server->stop();
+        this->service->stop();
+    }
+
+    AK::SystemClock clock;
+    LibSettings::ProcessSettings settings;
+    LibMetrics::MetricRegistry metrics;
+    std::unique_ptr<LibMembership::MembershipService> service;
+    std::unique_ptr<LibWire::RpcServer> server;
+};
+
+class Site : public testing::Test
+{
+protected:
+    void startNodes(int count)
+    {
+        for (int host = 1; host <= count; ++host) {
+            this->startNode(host);
+        }
+    }
+    void startNode(int host)
+    {
+        this->nodes[host] = std::make_unique<Node>(host, this->hosts, std::vector{rpcEndpoint(1), rpcEndpoint(2)});
+    }
+    static bool within(const std::function<bool()> &condition)
+    {
+        const AK::SystemClock clock;
+        const AK::Milliseconds end = clock.now() + 30'000;
+        while (!condition()) {
+            if (clock.now() > end) {
+                return false;
+            }
+            clock.sleep(5);
+        }
+        return true;
+    }
+    /// Whether every node but the member itself knows the member and the check holds.
+    bool everywhere(int host, const std::function<bool(const Member &)> &check) const
+    {
+        return std::all_of(this->nodes.begin(), this->nodes.end(), [&](const auto &row) {
+            const auto member = row.second->service->find(AK::concat("p-", host));
+            return member && check(*member);
+        });
+    }
+    bool converged() const
+    {
+        return std::all_of(this->nodes.begin(), this->nodes.end(), [&](const auto &row) {
+            return this->everywhere(row.first, [](const Member &member) { return member.status == MemberStatus::Alive; });
+        });
+    }
+    /// Tells one node a record as another member would in an exchange.
+    void tell(int host, const Member &record) const
+    {
+        std::thread([&] {
+            const AK::SystemClock clock;
+            const auto keys = std::make_shared<LibWire::KeyRing>(std::vector<LibWire::SharedKey>{{"k", "0123456789abcdef"}}, clock);
+            auto connection = LibWire::RpcConnection::open(rpcEndpoint(host), {"tester", keys}, 5'000);
+            ASSERT_TRUE(connection.ok()) << connection.status();
+            auto call = (*connection)->node().exchangeRequest();
+            auto request = call.initRequest();
+            LibMembership::writeMember(record, request.initUpdates(1)[0]);
+            const auto reply = (*connection)->call(std::move(call), 5'000);
+            ASSERT_TRUE(reply.ok()) << reply.status();
+        }).join();
+    }
+
+    HostListDouble hosts;
+    std::map<int, std::unique_ptr<Node>> nodes;
+};
+
+// Guards against members that some never learn of, a dead member that stays, and a replacement that is taken for its dead predecessor.
+TEST_F(Site, TwentyConvergeOneDiesAndIsReplaced)
+{
+    this->startNodes(20);
+    ASSERT_TRUE(within([this] { return this->converged(); }));
+    const uint64_t firstInstance = this->nodes[7]->service->find("p-7")->instance;
+    this->nodes.erase(7);
+    EXPECT_TRUE(within([this] { return this->everywhere(7, [](const Member &member) { return member.status == MemberStatus::Dead; }); }));
+    EXPECT_TRUE(std::none_of(this->nodes.begin(), this->nodes.end(),
+                             [](const auto &row) { return row.second->service->find(row.second->settings.name)->status != MemberStatus::Alive; }));
+    this->startNode(7);
+    EXPECT_TRUE(within(
+        [&] { return this->everywhere(7, [&](const Member &member) { return member.status == MemberStatus::Alive && member.instance > firstInstance; }); }));
+    EXPECT_TRUE(within([this] { return this->converged(); }));
+}
+
+// Guards against a restart that is faster than the suspicion being missed, so that others act on the old instance's record.
+TEST_F(Site, FastRestartReplacesTheInstance)
+{
+    this->startNodes(5);
+    ASSERT_TRUE(within([this] { return this->converged(); }));
+    this->nodes[3]->service->updateSelf([](Member &own) { own.weightsRoot = "old"; });
+    ASSERT_TRUE(within([this] { return this->everywhere(3, [](const Member &member) { return member.weightsRoot == "old"; }); }));
+    this->nodes.erase(3);
+    this->startNode(3);
+    EXPECT_TRUE(within(
+        [this] { return this->everywhere(3, [](const Member &member) { return member.status == MemberStatus::Alive && member.weightsRoot.empty(); }); }));
+}
+
+// Guards against a living member being shut out by a false report.
+TEST_F(Site, FalseReportIsRefuted)
+{
+    this->startNodes(6);
+    ASSERT_TRUE(within([this] { return this->converged(); }));
+    for (const MemberStatus status : {MemberStatus::Suspect, MemberStatus::Dead}) {
+        Member report = *this->nodes[4]->service->find("p-4");
+        report.status = status;
+        this->tell(2, report);
+        EXPECT_TRUE(within([&] {
+            return this->everywhere(4, [&](const Member &member) { return member.status == MemberStatus::Alive && member.sequence > report.sequence; });
+        })) << "reported as "
+            << AK::nameOf(LibMembership::memberStatusNames, status);
+    }
+}
+
+// Guards against a process that finds no seed staying alone, and against hosts that the platform takes away still getting work.
+TEST_F(Site, HostListIsUsedToJoinAndMarksLeavingHosts)
+{
+    this->hosts.set({{"h-1", rpcEndpoint(1).host, LibObjectStore::HostState::Live}});
+    for (int host = 1; host <= 4; ++host) {
+        this->nodes[host] = std::make_unique<Node>(host, this->hosts, std::vector{rpcEndpoint(99)});
+    }
+    ASSERT_TRUE(within([this] { return this->converged(); }));
+    this->hosts.set({{"h-3", rpcEndpoint(3).host, LibObjectStore::HostState::Leaving}});
+    EXPECT_TRUE(within([this] { return this->everywhere(3, [](const Member &member) { return member.status == MemberStatus::Leaving; }); }));
+    this->hosts.set({{"h-3", rpcEndpoint(3).host, LibObjectStore::HostState::Live}});
+    EXPECT_TRUE(within([this] { return this->converged(); }));
+}
+
+// Guards against a leaving status that waits for gossip rounds. Gossip rounds are an hour apart here, so only the push can carry it.
+TEST_F(Site, LeavingIsPushedAtOnce)
+{
+    this->startNodes(20);
+    ASSERT_TRUE(within([this] { return this->converged(); }));
+    for (const auto &[host, node] : this->nodes) {
+        node->settings.timing.gossipIntervalMs = 3'600'000;
+    }
+    this->nodes[5]->service->updateSelf([](Member &own) { own.status = MemberStatus::Leaving; });
+    EXPECT_TRUE(within([this] { return this->everywhere(5, [](const Member &member) { return member.status == MemberStatus::Leaving; }); }));
+}
+
+} // namespace
