Tests: Drive the leaving push without gossip rounds

Exchanges are an hour apart, so that only the push can carry the status; the settings are no longer changed under a running thread.

--- a/Tests/LibMembership/TestMembershipService.cpp
+++ b/Tests/LibMembership/TestMembershipService.cpp
@@ -35,14 +35,14 @@
 }
 
 struct Node {
-    Node(int host, HostListDouble &hosts, std::vector<AK::Endpoint> seeds)
+    Node(int host, HostListDouble &hosts, std::vector<AK::Endpoint> seeds, AK::Milliseconds gossipIntervalMs = 100)
     {
         this->settings.name = AK::concat("p-", host);
         this->settings.failureDomain = AK::concat("domain-", host % 3);
         this->settings.rpcAddress = rpcEndpoint(host);
         this->settings.httpAddress = {rpcEndpoint(host).host, 7100};
         this->settings.seeds = std::move(seeds);
-        this->settings.timing.gossipIntervalMs = 100;
+        this->settings.timing.gossipIntervalMs = gossipIntervalMs;
         this->settings.timing.suspectTimeoutMs = 1'000;
         this->settings.timing.hostListIntervalMs = 100;
         const LibWire::RpcIdentity identity{this->settings.name,
@@ -106,8 +106,8 @@
             return this->everywhere(row.first, [](const Member &member) { return member.status == MemberStatus::Alive; });
         });
     }
-    /// Tells one node a record as another member would in an exchange.
-    void tell(int host, const Member &record) const
+    /// Tells one node records as another member would in an exchange.
+    void tell(int host, const std::vector<Member> &records) const
     {
         std::thread([&] {
             const AK::SystemClock clock;
@@ -116,7 +116,10 @@
             ASSERT_TRUE(connection.ok()) << connection.status();
             auto call = (*connection)->node().exchangeRequest();
             auto request = call.initRequest();
-            LibMembership::writeMember(record, request.initUpdates(1)[0]);
+            auto updates = request.initUpdates(static_cast<unsigned>(records.size()));
+            for (unsigned i = 0; i < records.size(); ++i) {
+                LibMembership::writeMember(records[i], updates[i]);
+            }
             const auto reply = (*connection)->call(std::move(call), 5'000);
             ASSERT_TRUE(reply.ok()) << reply.status();
         }).join();
@@ -163,7 +166,7 @@
     for (const MemberStatus status : {MemberStatus::Suspect, MemberStatus::Dead}) {
         Member report = *this->nodes[4]->service->find("p-4");
         report.status = status;
-        this->tell(2, report);
+        this->tell(2, {report});
         EXPECT_TRUE(within([&] {
             return this->everywhere(4, [&](const Member &member) { return member.status == MemberStatus::Alive && member.sequence > report.sequence; });
         })) << "reported as "
@@ -188,11 +191,15 @@
 // Guards against a leaving status that waits for gossip rounds. Gossip rounds are an hour apart here, so only the push can carry it.
 TEST_F(Site, LeavingIsPushedAtOnce)
 {
-    this->startNodes(20);
-    ASSERT_TRUE(within([this] { return this->converged(); }));
+    std::vector<Member> all;
+    for (int host = 1; host <= 20; ++host) {
+        this->nodes[host] = std::make_unique<Node>(host, this->hosts, std::vector<AK::Endpoint>{}, 3'600'000);
+        all.push_back(*this->nodes[host]->service->find(AK::concat("p-", host)));
+    }
     for (const auto &[host, node] : this->nodes) {
-        node->settings.timing.gossipIntervalMs = 3'600'000;
+        this->tell(host, all);
     }
+    ASSERT_TRUE(this->converged());
     this->nodes[5]->service->updateSelf([](Member &own) { own.status = MemberStatus::Leaving; });
     EXPECT_TRUE(within([this] { return this->everywhere(5, [](const Member &member) { return member.status == MemberStatus::Leaving; }); }));
 }
--- a/Userland/Services/Operator/OperatorJson.cpp
+++ b/Userland/Services/Operator/OperatorJson.cpp
@@ -62,8 +62,7 @@
                                                               AK::Milliseconds wallTime)
 {
     const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
-    if (!json.is_object() || json.contains("failure_domain") == json.contains("upstream")
-        || hasText(json, "failure_domain") == hasText(json, "upstream")) {
+    if (!json.is_object() || json.contains("failure_domain") == json.contains("upstream") || hasText(json, "failure_domain") == hasText(json, "upstream")) {
         return invalid("exactly one of /failure_domain and /upstream must be a string");
     }
     if ((json.contains("reason") && !json["reason"].is_string()) || (json.contains("ttl_ms") && !json["ttl_ms"].is_number_unsigned())) {
