LibRouting: Count the applicant's account in the shares of the queue

Cause: the share test gave a small account 0 of 1,600 slots beside a flood: its weight was missing from the total while it had no call in the queue, so the flood never counted as above its share and no place was freed.

--- a/Userland/Libraries/LibRouting/Admission.cpp
+++ b/Userland/Libraries/LibRouting/Admission.cpp
@@ -43,27 +43,28 @@
     }
 }
 
-// Places of the queue that belong to an account: its weight among the accounts that have calls here.
-double queueShare(const Admission &admission, const AdmissionLimits &limits, const AccountShare &share)
+// Weight of the accounts that have calls here, the applicant's included.
+double activeWeight(const Admission &admission, const AccountShare &own)
 {
     double total = 0;
     for (const auto &[name, other] : admission.accounts) {
-        total += other.queued > 0 || other.inUse > 0 || &other == &share ? other.weight : 0;
+        total += other.queued > 0 || other.inUse > 0 || &other == &own ? other.weight : 0;
     }
-    return limits.queueLimit * share.weight / total;
+    return total;
 }
 
-// The newest queued call of the account that is furthest above its share, when the applicant's account is below its own.
+// The newest queued call of the account that is furthest above its share of the queue, when the applicant's account is below its own.
 std::vector<Applicant>::iterator displaceable(Admission &admission, const AdmissionLimits &limits, const AccountShare &own)
 {
+    const double placesPerWeight = limits.queueLimit / activeWeight(admission, own);
     auto found = admission.queue.end();
-    if (own.queued + 1 > queueShare(admission, limits, own)) {
+    if (own.queued + 1 > placesPerWeight * own.weight) {
         return found;
     }
     double worst = 0;
     for (auto queued = admission.queue.begin(); queued != admission.queue.end(); ++queued) {
         const AccountShare &share = admission.accounts[queued->account];
-        const double excess = share.queued - queueShare(admission, limits, share);
+        const double excess = share.queued - placesPerWeight * share.weight;
         if (excess > 0 && excess >= worst) {
             worst = excess;
             found = queued;
