--- /dev/null
+++ b/Tests/Fakes/Engine/main.cpp
@@ -0,0 +1,39 @@
+#include "FakeEngine.h"
+
+#include <csignal>
+#include <iostream>
+#include <tclap/CmdLine.h>
+
+int main(int argc, char **argv)
+{
+    TCLAP::CmdLine command("A model engine for tests.");
+    TCLAP::ValueArg<std::string> address("", "address", "IP:PORT to listen on", false, "127.0.0.1:7400", "IP:PORT", command);
+    TCLAP::ValueArg<int> slots("", "slots", "concurrent calls when warm", false, 16, "N", command);
+    TCLAP::ValueArg<int> coldSlots("", "cold-slots", "concurrent calls when cold", false, 2, "N", command);
+    TCLAP::ValueArg<int64_t> coldMs("", "cold-ms", "time after a load during which the engine is cold", false, 0, "MS", command);
+    TCLAP::ValueArg<int64_t> tokenMs("", "token-ms", "time per token", false, 5, "MS", command);
+    TCLAP::ValueArg<int64_t> loadMs("", "load-ms", "time of a load after all files are read", false, 100, "MS", command);
+    TCLAP::SwitchArg ignoreFencing("", "ignore-fencing", "accept orders with an old fencing token", command);
+    command.parse(argc, argv);
+    const auto endpoint = AK::parseEndpoint(address.getValue());
+    if (!endpoint.ok()) {
+        std::cerr << endpoint.status() << '\n';
+        return 2;
+    }
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const AK::SystemClock clock;
+    Fakes::FakeEngine engine(
+        {*endpoint, slots.getValue(), coldSlots.getValue(), coldMs.getValue(), tokenMs.getValue(), loadMs.getValue(), ignoreFencing.getValue()}, clock);
+    if (const absl::Status status = engine.start(); !status.ok()) {
+        std::cerr << status << '\n';
+        return 1;
+    }
+    int received = 0;
+    sigwait(&signals, &received);
+    engine.stop();
+    return 0;
+}
