--- /dev/null
+++ b/Tests/Catkinlink/OperatorApiDouble.cpp
@@ -0,0 +1,195 @@
+#include "OperatorApiDouble.h"
+
+#include <AK/Hash.h>
+#include <AK/Text.h>
+#include <unistd.h>
+
+namespace CatkinlinkTest
+{
+
+namespace
+{
+
+std::string loopbackAddress()
+{
+    const int process = getpid();
+    return AK::concat("127.", 1 + process / 250 % 250, ".", process % 250, ".1");
+}
+
+} // namespace
+
+OperatorApiDouble::OperatorApiDouble(uint16_t port)
+    : address{loopbackAddress(), port}
+    , server(this->address, {}, [this](LibHttp::HttpExchange &exchange) { this->answer(exchange); })
+{
+}
+
+void OperatorApiDouble::reset(nlohmann::json document)
+{
+    const std::lock_guard lock(this->mutex);
+    this->state = {};
+    this->state.current = std::move(document);
+    this->state.members = {{{"name", "entry-1"}, {"role", "entry"}, {"status", "alive"}}, {{"name", "gone"}, {"role", "agent"}, {"status", "dead"}}};
+}
+
+AK::Endpoint OperatorApiDouble::endpoint() const
+{
+    return this->address;
+}
+
+absl::Status OperatorApiDouble::start()
+{
+    return this->server.start();
+}
+
+void OperatorApiDouble::plan(std::deque<ApplyMode> next)
+{
+    const std::lock_guard lock(this->mutex);
+    this->state.modes = std::move(next);
+}
+
+void OperatorApiDouble::setMembers(nlohmann::json next)
+{
+    const std::lock_guard lock(this->mutex);
+    this->state.members = std::move(next);
+}
+
+void OperatorApiDouble::setCallAnswer(int status, std::string outcome)
+{
+    const std::lock_guard lock(this->mutex);
+    this->state.callStatus = status;
+    this->state.callOutcome = std::move(outcome);
+}
+
+nlohmann::json OperatorApiDouble::document() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->state.current;
+}
+
+int OperatorApiDouble::applies() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->state.applyCount;
+}
+
+int OperatorApiDouble::calls() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->state.callCount;
+}
+
+int OperatorApiDouble::restrictions() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->state.restrictionCount;
+}
+
+void OperatorApiDouble::accept(const nlohmann::json &changed, const std::string &id, const std::string &author)
+{
+    nlohmann::json entry{{"sequence", this->state.audit.size() + 1},
+                         {"change_id", id},
+                         {"author", author},
+                         {"reason", "reason of " + author},
+                         {"at_ms", 1'700'000'000'000U},
+                         {"revision_before", this->state.revision},
+                         {"revision_after", this->state.revision + 1},
+                         {"digest_before", AK::sha256Hex(this->state.current.dump())},
+                         {"digest_after", AK::sha256Hex(changed.dump())},
+                         {"previous_hash", this->state.audit.empty() ? "" : this->state.audit.back()["hash"].get<std::string>()}};
+    entry["hash"] = AK::sha256Hex(entry.dump());
+    this->state.audit.push_back(entry);
+    this->state.current = changed;
+    this->state.changeId = id;
+    ++this->state.revision;
+}
+
+LibHttp::HttpResponse OperatorApiDouble::apply(const nlohmann::json &request)
+{
+    const auto error = [](int status, const char *text) {
+        return LibHttp::jsonResponse(status, nlohmann::json{{"error", text}}.dump());
+    };
+    ++this->state.applyCount;
+    const ApplyMode mode = this->state.modes.empty() ? ApplyMode::Accept : this->state.modes.front();
+    if (!this->state.modes.empty()) {
+        this->state.modes.pop_front();
+    }
+    nlohmann::json other = this->state.current;
+    if (mode == ApplyMode::Conflict || mode == ApplyMode::LoseAnswerAndConflict) {
+        other["accounts"]["workshop"]["weight"] = this->state.revision + 5;
+        this->accept(other, AK::concat("other-", this->state.revision), "rosa");
+    } else if (mode == ApplyMode::ConflictOnField) {
+        other["services"]["bench-assistant"]["target"]["version"] = "7";
+        other["services"]["bench-assistant"]["target"]["root"] = std::string(64, '7');
+        this->accept(other, "other-field", "rosa");
+    }
+    switch (mode) {
+    case ApplyMode::StoreDown:
+        return error(503, "the object API does not answer");
+    case ApplyMode::LastCapacity:
+        return error(422, "takes out the last upstream of service ledger-room");
+    case ApplyMode::Invalid:
+        return error(422, "site document: /accounts: too many");
+    case ApplyMode::LoseAnswerBefore:
+    case ApplyMode::LoseAnswerAndConflict:
+        return error(504, "the outcome is not known");
+    default:
+        break;
+    }
+    if (request.at("expected_revision") != this->state.revision) {
+        return LibHttp::jsonResponse(409,
+                                     nlohmann::json{{"error", "conflict"},
+                                                    {"revision", this->state.revision},
+                                                    {"author", "rosa"},
+                                                    {"reason", "reason of rosa"},
+                                                    {"changed_at_ms", 1'700'000'000'000U}}
+                                         .dump());
+    }
+    this->accept(request.at("document"), request.at("change_id"), "ana");
+    if (mode == ApplyMode::LoseAnswerAfter) {
+        return error(504, "the outcome is not known");
+    }
+    return LibHttp::jsonResponse(200, nlohmann::json{{"revision", this->state.revision}}.dump());
+}
+
+void OperatorApiDouble::answer(LibHttp::HttpExchange &exchange)
+{
+    const std::lock_guard lock(this->mutex);
+    const LibHttp::HttpRequest &request = exchange.request();
+    LibHttp::HttpResponse response = LibHttp::jsonResponse(404, "{}");
+    if (request.path.starts_with("/services/")) {
+        ++this->state.callCount;
+        response = LibHttp::jsonResponse(this->state.callStatus, "{}");
+        response.headers["X-Catkinlink-Outcome"] = this->state.callOutcome;
+    } else if (request.path.starts_with("/weights/")) {
+        response = LibHttp::jsonResponse(200, nlohmann::json{{"root", std::string(64, '9')}}.dump());
+    } else if (LibHttp::headerOr(request.headers, "authorization") != "Bearer secret") {
+        response = LibHttp::jsonResponse(401, "{}");
+    } else if (request.path == "/operator/v1/apply") {
+        response = this->apply(nlohmann::json::parse(request.body));
+    } else if (request.path == "/operator/v1/revision") {
+        response.status = 200;
+        response.body = nlohmann::json{{"revision", this->state.revision}, {"change_id", this->state.changeId}, {"document", this->state.current}}.dump();
+    } else if (request.path == "/operator/v1/audit") {
+        response.status = 200;
+        response.body = nlohmann::json{{"entries", this->state.audit}}.dump();
+    } else if (request.path == "/operator/v1/restrictions") {
+        ++this->state.restrictionCount;
+        response.status = 202;
+        response.body = R"({"id":"r1","in_force_on":3,"members":4})";
+    } else if (request.path == "/operator/v1/status") {
+        nlohmann::json list = this->state.members;
+        for (nlohmann::json &member : list) {
+            member["revision"] = member.value("status", "") == "alive" ? this->state.revision : 0;
+        }
+        nlohmann::json held = nlohmann::json::array();
+        if (this->state.restrictionCount > 0) {
+            held.push_back({{"id", "r1"}, {"failure_domain", "north"}, {"reason", "fire"}});
+        }
+        response.status = 200;
+        response.body = nlohmann::json{{"process", "entry-1"}, {"revision", this->state.revision}, {"members", list}, {"restrictions", held}}.dump();
+    }
+    exchange.respond(response);
+}
+
+} // namespace CatkinlinkTest
--- /dev/null
+++ b/Tests/Catkinlink/OperatorApiDouble.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <LibHttp/HttpServer.h>
+#include <deque>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+
+namespace CatkinlinkTest
+{
+
+/// What the double does with the next POST to apply.
+enum class ApplyMode {
+    Accept,
+    /// Another operator's change is accepted first.
+    Conflict,
+    /// Another operator sets the same field first.
+    ConflictOnField,
+    StoreDown,
+    /// The change takes effect and the answer is 504.
+    LoseAnswerAfter,
+    /// The change does not take effect and the answer is 504.
+    LoseAnswerBefore,
+    /// As LoseAnswerBefore, and another change takes its place.
+    LoseAnswerAndConflict,
+    LastCapacity,
+    Invalid,
+};
+
+/// An entry's operator API over a document in memory, on 127.x.y.1 with x and y from the process id.
+class OperatorApiDouble
+{
+public:
+    explicit OperatorApiDouble(uint16_t port);
+
+    /// Starts over at revision 1 with the given document and zero counters.
+    void reset(nlohmann::json document);
+
+    AK::Endpoint endpoint() const;
+    absl::Status start();
+
+    /// Modes of the next applies; afterwards they are accepted.
+    void plan(std::deque<ApplyMode> modes);
+    void setMembers(nlohmann::json members);
+    /// Answers to callers: status and outcome header.
+    void setCallAnswer(int status, std::string outcome);
+
+    nlohmann::json document() const;
+    int applies() const;
+    int calls() const;
+    int restrictions() const;
+
+private:
+    void answer(LibHttp::HttpExchange &exchange);
+    LibHttp::HttpResponse apply(const nlohmann::json &request);
+    void accept(const nlohmann::json &changed, const std::string &changeId, const std::string &author);
+
+    struct State {
+        nlohmann::json current;
+        uint64_t revision = 1;
+        std::string changeId = "first";
+        nlohmann::json audit = nlohmann::json::array();
+        nlohmann::json members;
+        std::deque<ApplyMode> modes;
+        int callStatus = 200;
+        std::string callOutcome = "done";
+        int applyCount = 0;
+        int callCount = 0;
+        int restrictionCount = 0;
+    };
+
+    AK::Endpoint address;
+    mutable std::mutex mutex;
+    State state;
+    LibHttp::HttpServer server;
+};
+
+} // namespace CatkinlinkTest
--- /dev/null
+++ b/Tests/Catkinlink/TestCommands.cpp
@@ -0,0 +1,312 @@
+#include "OperatorApiDouble.h"
+
+#include <AK/Hash.h>
+#include <AK/Text.h>
+#include <LibSettings/JsonFile.h>
+#include <Utilities/catkinlink/Commands.h>
+#include <Utilities/catkinlink/RunCommand.h>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+#include <sstream>
+#include <unistd.h>
+
+namespace
+{
+
+using Catkinlink::ExitCode;
+using CatkinlinkTest::ApplyMode;
+using CatkinlinkTest::OperatorApiDouble;
+
+const std::string exampleFolder = EXAMPLE_FOLDER;
+
+/// A clock that only sleep() advances, so that retries and waits take no time.
+class SteppedClock final : public AK::Clock
+{
+public:
+    AK::Milliseconds now() const override
+    {
+        return this->time;
+    }
+    AK::Milliseconds wallTime() const override
+    {
+        return this->time;
+    }
+    void sleep(AK::Milliseconds duration) const override
+    {
+        this->time += duration;
+    }
+
+private:
+    mutable AK::Milliseconds time = 0;
+};
+
+class CommandTest : public testing::Test
+{
+protected:
+    CommandTest()
+        : example(*LibSettings::readJsonFile(exampleFolder + "/base.json"))
+        , first(sharedDouble(7100))
+        , second(sharedDouble(7101))
+        , keyFile(this->write("key", "secret\n"))
+    {
+        this->first.reset(this->example);
+        this->second.reset(this->example);
+    }
+
+    // One server for all cases: stopping CivetWeb takes about a second.
+    static OperatorApiDouble &sharedDouble(uint16_t port)
+    {
+        static std::map<uint16_t, std::unique_ptr<OperatorApiDouble>> doubles;
+        std::unique_ptr<OperatorApiDouble> &entry = doubles[port];
+        if (!entry) {
+            entry = std::make_unique<OperatorApiDouble>(port);
+            const absl::Status started = entry->start();
+            EXPECT_TRUE(started.ok()) << started;
+        }
+        return *entry;
+    }
+
+    std::string write(const std::string &name, const std::string &text)
+    {
+        const std::string path = AK::concat(testing::TempDir(), "catkinlink-", getpid(), "-", name);
+        std::ofstream(path) << text;
+        return path;
+    }
+
+    /// Runs a command line given in words; `more` are arguments taken whole.
+    ExitCode run(const std::string &line, std::vector<std::string> more = {}, bool connected = true)
+    {
+        std::istringstream stream(line);
+        std::vector<std::string> arguments;
+        for (std::string word; stream >> word;) {
+            arguments.push_back(word);
+        }
+        arguments.insert(arguments.end(), more.begin(), more.end());
+        if (connected) {
+            arguments.insert(arguments.end(), {"--entry", this->first.endpoint().text(), "--key-file", this->keyFile});
+        }
+        this->out.str("");
+        this->error.str("");
+        return Catkinlink::runCommand(arguments, {this->clock, this->random, this->out, this->error, this->terminal});
+    }
+
+    std::string text() const
+    {
+        return this->out.str() + this->error.str();
+    }
+
+    nlohmann::json example;
+    OperatorApiDouble &first;
+    OperatorApiDouble &second;
+    std::string keyFile;
+    SteppedClock clock;
+    AK::Random random{1};
+    std::ostringstream out;
+    std::ostringstream error;
+    bool terminal = false;
+};
+
+struct ApplyCase {
+    const char *name;
+    std::string line;
+    std::deque<ApplyMode> modes;
+    ExitCode code;
+    /// A part of what is printed.
+    const char *printed;
+    int applies;
+};
+
+class ApplyTest : public CommandTest, public testing::WithParamInterface<ApplyCase>
+{
+};
+
+// Guards against an exit code that tells a script the wrong outcome, against a change that is sent again although it may have taken effect, and against a
+// change that overwrites another operator's.
+TEST_P(ApplyTest, EndsWithTheCodeOfItsOutcome)
+{
+    this->first.plan(GetParam().modes);
+    const std::string base = this->write("changed", [this] {
+        nlohmann::json changed = this->example;
+        changed["accounts"]["tests"]["weight"] = 2;
+        return changed.dump();
+    }());
+    const bool apply = GetParam().line.starts_with("apply");
+    const ExitCode code = this->run(GetParam().line + " --reason test" + (apply ? " --base " + base : ""));
+    EXPECT_EQ(code, GetParam().code) << this->text();
+    EXPECT_NE(this->text().find(GetParam().printed), std::string::npos) << this->text();
+    EXPECT_EQ(this->first.applies(), GetParam().applies);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, ApplyTest,
+    testing::Values(
+        ApplyCase{"accepted", "apply", {}, ExitCode::Done, "in force on 1 of 1 live members", 1},
+        ApplyCase{"conflict", "apply", {ApplyMode::Conflict}, ExitCode::Refused, "/accounts/workshop/weight: 4 -> 6", 1},
+        ApplyCase{"conflict_names_the_winner", "apply", {ApplyMode::Conflict}, ExitCode::Refused, "by rosa at 2023-11-14 22:13:20 UTC (reason of rosa)", 1},
+        ApplyCase{"wrong_expected_revision", "apply --expected-revision 9", {}, ExitCode::Refused, "revision 9 was expected", 1},
+        ApplyCase{"last_capacity", "apply", {ApplyMode::LastCapacity}, ExitCode::Refused, "--force", 1},
+        ApplyCase{"invalid", "apply", {ApplyMode::Invalid}, ExitCode::InvalidSettings, "/accounts", 1},
+        ApplyCase{"store_down", "apply", {ApplyMode::StoreDown}, ExitCode::NotAccepted, "not accepted", 1},
+        ApplyCase{"lost_answer_after", "apply", {ApplyMode::LoseAnswerAfter}, ExitCode::Done, "accepted in revision 2", 1},
+        ApplyCase{"lost_answer_before", "apply", {ApplyMode::LoseAnswerBefore}, ExitCode::OutcomeUnknown, "is not known", 1},
+        ApplyCase{"lost_answer_other_won", "apply", {ApplyMode::LoseAnswerAndConflict}, ExitCode::Refused, "by rosa", 1},
+        ApplyCase{"domain_out", "domain out north", {}, ExitCode::Done, "failure domain north out: accepted in revision 2", 1},
+        ApplyCase{"domain_already_in", "domain in north", {}, ExitCode::Done, "revision 1", 0},
+        ApplyCase{"unknown_domain", "domain out nroth", {}, ExitCode::InvalidSettings, "use one of east, north, south", 0},
+        ApplyCase{"upstream_out_after_conflicts", "upstream out bench-1", {ApplyMode::Conflict, ApplyMode::Conflict}, ExitCode::Done, "by rosa", 3},
+        ApplyCase{"emergency", "domain out north --emergency", {ApplyMode::StoreDown}, ExitCode::Done, "in force on 3 of 4, not recorded", 1},
+        ApplyCase{"no_emergency_asked", "domain out north", {ApplyMode::StoreDown}, ExitCode::NotAccepted, "--emergency", 1},
+        ApplyCase{"rollback_without_previous", "rollout rollback bench-assistant", {}, ExitCode::Refused, "no previous version", 0},
+        ApplyCase{"rollout_of_plain_service", "rollout pause order-desk", {}, ExitCode::InvalidSettings, "serves no weights", 0},
+        ApplyCase{"rollout_lost_a_race",
+                  "rollout start bench-assistant --weights-version 2 --root " + std::string(64, 'b'),
+                  {ApplyMode::ConflictOnField},
+                  ExitCode::Refused,
+                  "changed /services/bench-assistant/target",
+                  1}),
+    [](const auto &info) { return info.param.name; });
+
+// Guards against a change that runs at two entries, and against giving up while another entry could accept it.
+TEST_F(CommandTest, TriesTheNextEntryOnlyAfterARefusal)
+{
+    const std::vector<std::string> next{"--reason", "test", "--entry", this->first.endpoint().text(), "--entry", this->second.endpoint().text()};
+    this->first.plan({ApplyMode::LoseAnswerBefore});
+    EXPECT_EQ(this->run("domain out south", next), ExitCode::OutcomeUnknown) << this->text();
+    EXPECT_EQ(this->second.applies(), 0);
+    this->first.plan({ApplyMode::StoreDown});
+    EXPECT_EQ(this->run("domain out north", next), ExitCode::Done) << this->text();
+    EXPECT_EQ(this->second.applies(), 1);
+    const std::vector<std::string> closed{"--reason", "test", "--entry", this->first.endpoint().host + ":7109"};
+    EXPECT_EQ(this->run("domain out north", closed), ExitCode::Done) << this->text();
+}
+
+// Guards against a rollout that loses the version to go back to, or pins another root than the weight store's.
+TEST_F(CommandTest, RolloutMovesTargetAndPrevious)
+{
+    const nlohmann::json before = this->example["services"]["bench-assistant"]["target"];
+    EXPECT_EQ(this->run("rollout start bench-assistant --weights-version 2 --reason r --weight-store " + this->second.endpoint().text()), ExitCode::Done)
+        << this->text();
+    nlohmann::json service = this->first.document()["services"]["bench-assistant"];
+    EXPECT_EQ(service["previous"], before);
+    EXPECT_EQ(service["target"], (nlohmann::json{{"model", "glue-line"}, {"adapter", "base"}, {"version", "2"}, {"root", std::string(64, '9')}}));
+    EXPECT_EQ(this->run("rollout pause bench-assistant --reason r"), ExitCode::Done);
+    EXPECT_EQ(this->first.document()["services"]["bench-assistant"]["rollout"]["paused"], true);
+    EXPECT_EQ(this->run("rollout rollback bench-assistant --reason r"), ExitCode::Done);
+    EXPECT_NE(this->text().find("the rollout is paused"), std::string::npos);
+    EXPECT_EQ(this->first.document()["services"]["bench-assistant"]["target"], before);
+}
+
+// Guards against a restriction that stays after the failure domain is back.
+TEST_F(CommandTest, ReturningADomainSettlesItsRestriction)
+{
+    this->first.plan({ApplyMode::StoreDown});
+    ASSERT_EQ(this->run("domain out north --emergency --reason fire"), ExitCode::Done) << this->text();
+    ASSERT_EQ(this->first.restrictions(), 1);
+    EXPECT_EQ(this->run("domain in north --reason over"), ExitCode::Done) << this->text();
+    EXPECT_EQ(this->first.document()["settled_restrictions"], nlohmann::json::array({"r1"}));
+}
+
+struct FileCase {
+    const char *name;
+    const char *overlay;
+    const char *printed;
+};
+
+// Guards against a bad file that is accepted or whose error does not say where the mistake is.
+TEST_F(CommandTest, ValidateNamesThePathOfTheField)
+{
+    const std::vector<FileCase> cases{
+        {"unknown_field", R"({"accounts":{"tests":{"wieght":2}}})", "/accounts/tests"},
+        {"wrong_type", R"({"accounts":{"tests":{"weight":"two"}}})", "/accounts/tests/weight"},
+        {"unknown_host", R"({"upstreams":{"bench-99":{"in_service":false}}})", "/upstreams/bench-99"},
+        {"no_json", "{", "no_json"},
+    };
+    const std::string line = "validate --base " + exampleFolder + "/base.json --overlay ";
+    for (const FileCase &row : cases) {
+        EXPECT_EQ(this->run(line + this->write(row.name, row.overlay), {}, false), ExitCode::InvalidSettings) << row.name;
+        EXPECT_NE(this->text().find(row.printed), std::string::npos) << this->text();
+    }
+    EXPECT_EQ(this->run(line + "/nonexistent.json", {}, false), ExitCode::InvalidSettings);
+    EXPECT_NE(this->text().find("/nonexistent.json"), std::string::npos);
+    for (const char *site : {"costilla-luz", "mechelen"}) {
+        EXPECT_EQ(this->run(AK::concat(line, exampleFolder, "/", site, ".json"), {}, false), ExitCode::Done) << this->text();
+        EXPECT_NE(this->text().find(AK::concat("site ", site, ", 3 failure domains, 3 services")), std::string::npos) << this->text();
+    }
+}
+
+// Guards against an altered audit trail that passes for whole, and against diff missing a field.
+TEST_F(CommandTest, ReadsAuditAndDifferences)
+{
+    ASSERT_EQ(this->run("domain out north --reason one"), ExitCode::Done);
+    ASSERT_EQ(this->run("domain in north --reason two"), ExitCode::Done);
+    EXPECT_EQ(this->run("audit verify"), ExitCode::Done) << this->text();
+    EXPECT_NE(this->text().find("verified 2 entries, sequence 1 to 2"), std::string::npos) << this->text();
+    ASSERT_EQ(this->run("audit --json"), ExitCode::Done);
+    const nlohmann::json entries = nlohmann::json::parse(this->out.str())["entries"];
+    nlohmann::json altered = entries;
+    altered[0]["author"] = "nobody";
+    EXPECT_FALSE(Catkinlink::verifyAudit(altered).ok());
+    altered[0].erase("hash");
+    altered[0]["hash"] = AK::sha256Hex(altered[0].dump());
+    EXPECT_FALSE(Catkinlink::verifyAudit(altered).ok());
+    EXPECT_FALSE(Catkinlink::verifyAudit(nlohmann::json::array({entries[1], entries[0]})).ok());
+    ASSERT_EQ(this->run("upstream out ledger-1 --reason three"), ExitCode::Done);
+    EXPECT_EQ(this->run("diff --base " + exampleFolder + "/base.json"), ExitCode::Done);
+    EXPECT_NE(this->text().find("/upstreams/ledger-1/in_service: false -> (absent)"), std::string::npos) << this->text();
+}
+
+// Guards against a call that is repeated at another entry although it may have run, and against a false "not run".
+TEST_F(CommandTest, CallsAreRepeatedOnlyWhenNotRun)
+{
+    const std::vector<std::string> both{"--entry", this->second.endpoint().text()};
+    const std::string line = "call order-desk --path /shipments --method POST --idempotency-key k --entry " + this->first.endpoint().text();
+    this->first.setCallAnswer(503, "done");
+    EXPECT_EQ(this->run(line, both), ExitCode::Failed);
+    EXPECT_EQ(this->second.calls(), 0);
+    this->first.setCallAnswer(409, "unknown");
+    EXPECT_EQ(this->run(line, both), ExitCode::OutcomeUnknown);
+    EXPECT_EQ(this->second.calls(), 0);
+    this->first.setCallAnswer(503, "not_run");
+    EXPECT_EQ(this->run(line, both), ExitCode::Done);
+    EXPECT_EQ(this->second.calls(), 1);
+}
+
+// Guards against progress that counts a host with other weights, and against control characters in a log file.
+TEST_F(CommandTest, RolloutStatusCountsHostsThatServeTheTarget)
+{
+    const auto member = [](const char *name, const char *weights, int held) {
+        return nlohmann::json{{"name", name},
+                              {"status", "alive"},
+                              {"service", "bench-assistant"},
+                              {"serving_state", "serving"},
+                              {"weights_root", weights},
+                              {"target_root", "new"},
+                              {"chunks_held", held},
+                              {"chunks_total", 4}};
+    };
+    this->first.setMembers({member("bench-1", "new", 4), member("bench-2", "old", 1)});
+    EXPECT_EQ(this->run("rollout status bench-assistant"), ExitCode::Done) << this->text();
+    EXPECT_NE(this->text().find("1 of 2 hosts of bench-assistant serve the target\n"), std::string::npos) << this->text();
+    EXPECT_EQ(this->text().find('#'), std::string::npos);
+    this->terminal = true;
+    EXPECT_EQ(this->run("rollout status bench-assistant"), ExitCode::Done);
+    EXPECT_NE(this->text().find("1/4 [#####...............] 25%"), std::string::npos) << this->text();
+}
+
+// Guards against a mistyped command line that does something else than was meant.
+TEST_F(CommandTest, RefusesWrongUsage)
+{
+    for (const char *line : {"", "aply", "rollout", "apply --base x", "status --entry nowhere:1 --key-file k", "domain out north --reason r --wait soon",
+                             "status --unknown", "rollout start s --weights-version 2 --reason r", "domain out"}) {
+        const bool connected = std::string(line).starts_with("rollout start");
+        EXPECT_EQ(this->run(line, {}, connected), ExitCode::Usage) << line << this->text();
+        EXPECT_NE(this->text().find("--help"), std::string::npos) << line;
+    }
+    EXPECT_EQ(this->run("rollout start --help", {}, false), ExitCode::Done);
+    EXPECT_NE(this->text().find("--weight-store"), std::string::npos);
+    EXPECT_EQ(this->run("--version", {}, false), ExitCode::Done);
+}
+
+} // namespace
