--- a/Tests/Fakes/Plain/PlainService.cpp
+++ b/Tests/Fakes/Plain/PlainService.cpp
@@ -30,6 +30,8 @@
         this->handleFault(exchange);
     } else if (exchange.request().path == "/fake/stats") {
         this->handleStats(exchange);
+    } else if (exchange.request().path == "/fake/executions") {
+        this->handleExecutions(exchange);
     } else {
         this->execute(exchange);
     }
@@ -64,6 +66,18 @@
     exchange.respond(LibHttp::jsonResponse(200, stats.dump()));
 }
 
+void PlainService::handleExecutions(LibHttp::HttpExchange &exchange)
+{
+    nlohmann::json executionsByKey = nlohmann::json::object();
+    {
+        const std::lock_guard lock(this->mutex);
+        for (const auto &[key, count] : this->byKey) {
+            executionsByKey[key] = count;
+        }
+    }
+    exchange.respond(LibHttp::jsonResponse(200, executionsByKey.dump()));
+}
+
 uint64_t PlainService::countExecution(const std::string &key)
 {
     const std::lock_guard lock(this->mutex);
--- a/Tests/Fakes/Plain/PlainService.h
+++ b/Tests/Fakes/Plain/PlainService.h
@@ -42,6 +42,7 @@
 private:
     void handleFault(LibHttp::HttpExchange &exchange);
     void handleStats(LibHttp::HttpExchange &exchange);
+    void handleExecutions(LibHttp::HttpExchange &exchange);
     void execute(LibHttp::HttpExchange &exchange);
     uint64_t countExecution(const std::string &key);
     bool waitWhileStalled();
--- a/Tests/Harness/Site.cpp
+++ b/Tests/Harness/Site.cpp
@@ -5,6 +5,7 @@
 #include <AK/Text.h>
 #include <LibHttp/HttpClient.h>
 #include <LibSettings/Revision.h>
+#include <LibWeights/Manifest.h>
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
@@ -286,11 +287,15 @@
 void Site::startUpstreams()
 {
     for (const ServicePlan &service : this->layout.services) {
-        for (const std::string &name : this->agents(service.name)) {
-            std::vector<std::string> arguments{"--address", this->upstreamAddress(name).text()};
-            const auto &flags = service.engine ? this->layout.engineFlags : this->layout.plainFlags;
-            arguments.insert(arguments.end(), flags.begin(), flags.end());
-            this->spawn("upstream-" + name, service.engine ? "fake_engine" : "fake_plain", std::move(arguments));
+        const size_t share = service.engine ? this->layout.enginesPerProcess : 1;
+        const auto &flags = service.engine ? this->layout.engineFlags : this->layout.plainFlags;
+        const std::vector<std::string> names = this->agents(service.name);
+        for (size_t first = 0; first < names.size(); first += share) {
+            std::vector<std::string> arguments = flags;
+            for (size_t i = first; i < std::min(first + share, names.size()); ++i) {
+                arguments.insert(arguments.end(), {"--address", this->upstreamAddress(names[i]).text()});
+            }
+            this->spawn("upstream-" + names[first], service.engine ? "fake_engine" : "fake_plain", std::move(arguments));
         }
     }
 }
@@ -308,9 +313,10 @@
 absl::Status Site::readRoots()
 {
     for (int version = 1; version <= this->layout.versions; ++version) {
-        CATKINLINK_ASSIGN(const nlohmann::json manifest,
-                          getJson(this->weightStore(), AK::concat("/weights/", model, "/", adapter, "/", version, "/manifest.json")));
-        this->roots[std::to_string(version)] = manifest.at("root");
+        const std::string path = LibWeights::weightsPath(model, adapter, std::to_string(version)) + "/manifest.json";
+        CATKINLINK_ASSIGN(const LibHttp::HttpResponse response, LibHttp::httpCall(this->weightStore(), {.path = path}, requestTimeoutMs));
+        CATKINLINK_ASSIGN(const LibWeights::Manifest manifest, LibWeights::parseManifest(response.body));
+        this->roots[std::to_string(version)] = LibWeights::rootOf(manifest);
     }
     return absl::OkStatus();
 }
--- a/Tests/Harness/Site.h
+++ b/Tests/Harness/Site.h
@@ -40,6 +40,8 @@
     int64_t weightBytes = 1 << 20;
     int64_t chunkBytes = 64 << 10;
     int64_t originBytesPerSecond = 64 << 20;
+    /// Engines that share one process; more than one saves processes at large sizes.
+    size_t enginesPerProcess = 1;
     std::vector<std::string> engineFlags;
     std::vector<std::string> plainFlags;
     /// Merged into the settings of each process.
--- a/Tests/Tour/Steps.cpp
+++ b/Tests/Tour/Steps.cpp
@@ -135,7 +135,7 @@
 {
     const std::string problem = outputOf(site,
                                          operatorCommand(site,
-                                                         {"rollout", "start", assistant, "--model", "glue-line", "--adapter", "base", "--version", "2",
+                                                         {"rollout", "start", assistant, "--model", "glue-line", "--adapter", "base", "--weights-version", "2",
                                                           "--weight-store", site.weightStore().text()},
                                                          "new cure notes"),
                                          0);
--- a/Userland/Utilities/catkinlink/ChangeCommands.cpp
+++ b/Userland/Utilities/catkinlink/ChangeCommands.cpp
@@ -5,6 +5,7 @@
 #include <AK/Text.h>
 #include <LibHttp/HttpClient.h>
 #include <LibSettings/SiteDocument.h>
+#include <LibWeights/Manifest.h>
 #include <algorithm>
 
 namespace Catkinlink
@@ -106,18 +107,20 @@
 
 absl::StatusOr<std::string> rootFromWeightStore(const AK::Endpoint &store, const LibSettings::WeightsTarget &weights)
 {
-    const std::string path = AK::concat("/weights/", LibHttp::urlEncode(weights.model), "/", LibHttp::urlEncode(weights.adapter), "/",
-                                        LibHttp::urlEncode(weights.version), "/manifest.json");
+    const std::string path = LibWeights::weightsPath(weights.model, weights.adapter, weights.version) + "/manifest.json";
     const auto response = LibHttp::httpCall(store, {.path = path}, weightStoreTimeoutMs);
     if (!response.ok()) {
         return absl::InternalError(AK::concat("weight store: ", response.status().message(), "\nnext: give --root, or try again when it answers"));
     }
-    const std::string root = textIn(objectIn(response->body), "root");
-    if (response->status != 200 || root.empty()) {
+    if (response->status != 200) {
         return absl::InvalidArgumentError(AK::concat("weight store ", store.text(), " answered ", path, " with ", response->status,
-                                                     root.empty() ? " and no root" : "", "\nnext: check --model, --adapter and --weights-version"));
+                                                     "\nnext: check --model, --adapter and --weights-version"));
     }
-    return root;
+    const absl::StatusOr<LibWeights::Manifest> manifest = LibWeights::parseManifest(response->body);
+    if (!manifest.ok()) {
+        return absl::InvalidArgumentError(AK::concat("weight store ", store.text(), " ", path, ": ", manifest.status().message()));
+    }
+    return LibWeights::rootOf(*manifest);
 }
 
 nlohmann::json weightsJson(const LibSettings::WeightsTarget &weights)
