LibConfiguration: Test that a stale store makes no false conflict

An operator who names the revision in force must not be told that another change won because the store answers with an old value.

--- a/Tests/LibConfiguration/StoreDouble.h
+++ b/Tests/LibConfiguration/StoreDouble.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <AK/Text.h>
 #include <LibObjectStore/ObjectStore.h>
 #include <condition_variable>
 #include <functional>
@@ -52,8 +53,9 @@
     {
         const std::lock_guard lock(this->mutex);
         std::vector<LibObjectStore::StoredObject> found;
+        const std::string start = AK::concat(kind, "/", prefix);
         for (const auto &[key, versions] : this->objects) {
-            if (key.starts_with(kind + "/" + prefix)) {
+            if (key.starts_with(start)) {
                 found.push_back(versions.back());
             }
         }
--- a/Tests/LibConfiguration/TestApply.cpp
+++ b/Tests/LibConfiguration/TestApply.cpp
@@ -59,12 +59,14 @@
     Tests::StoreDouble store;
     const Tests::SettableClock clock;
     std::vector<std::unique_ptr<Tests::ConfigurationNode>> nodes;
+    nodes.reserve(operators);
     for (int i = 0; i < operators; ++i) {
         nodes.push_back(std::make_unique<Tests::ConfigurationNode>(i + 1, store, clock));
     }
     ASSERT_EQ(nodes[0]->service->apply(changeRequest("first", 0)).result, ApplyResult::Accepted);
     std::vector<ApplyOutcome> outcomes(operators);
     std::vector<std::thread> threads;
+    threads.reserve(operators);
     for (int i = 0; i < operators; ++i) {
         threads.emplace_back([&, i] {
             auto request = changeRequest(AK::concat("race-", i), 1);
--- a/Tests/LibConfiguration/TestPropagation.cpp
+++ b/Tests/LibConfiguration/TestPropagation.cpp
@@ -23,6 +23,9 @@
     EXPECT_EQ(node.service->offerRevision(99, old), 2U);
     const auto outcome = node.service->apply(changeRequest("third", 1));
     EXPECT_EQ(outcome.result, ApplyResult::StoreUnreachable) << outcome.message;
+    // The operator who names the revision in force has lost to nobody.
+    const auto current = node.service->apply(changeRequest("fourth", 2));
+    EXPECT_EQ(current.result, ApplyResult::StoreUnreachable) << current.message;
     EXPECT_EQ(node.service->current()->revision.number, 2U);
 }
 
--- a/Userland/Libraries/LibAudit/AuditArchive.cpp
+++ b/Userland/Libraries/LibAudit/AuditArchive.cpp
@@ -24,7 +24,7 @@
     const nlohmann::json batch(std::vector<nlohmann::json>(trail.begin(), end));
     CATKINLINK_ASSIGN(const AuditEntry first, entryFromJson(batch.front()));
     const std::string name = AK::concat(site, "-", first.sequence);
-    const absl::Status created = store.create(auditKind, name, batch.dump(), timeout).status();
+    absl::Status created = store.create(auditKind, name, batch.dump(), timeout).status();
     if (!created.ok()) {
         // It exists, or the answer was lost: what the store holds decides.
         const auto stored = store.get(auditKind, name, timeout);
--- a/Userland/Libraries/LibConfiguration/ConfigurationService.cpp
+++ b/Userland/Libraries/LibConfiguration/ConfigurationService.cpp
@@ -168,7 +168,7 @@
 
 ApplyOutcome ConfigurationService::apply(const ApplyRequest &request)
 {
-    const ApplyOutcome outcome = this->applier.apply(request);
+    ApplyOutcome outcome = this->applier.apply(request);
     this->announce("apply");
     this->logger.info("apply",
                       {{"change_id", request.changeId},
