--- a/Userland/Services/Agent/AdmissionControl.cpp
+++ b/Userland/Services/Agent/AdmissionControl.cpp
@@ -124,11 +124,17 @@
     (void)LibWire::waitFor<bool>(kj::mv(granted), left, scope);
     const LibRouting::Refusal reason = place.take();
     if (reason != LibRouting::Refusal::None) {
-        return {nullptr, reason, static_cast<AK::Milliseconds>(this->load().queued) + 100};
+        return {nullptr, reason, this->retryAfter()};
     }
     return {std::make_shared<Slot>(*this, applicant.account, this->clock.now()), LibRouting::Refusal::None, 0};
 }
 
+AK::Milliseconds AdmissionControl::retryAfter() const
+{
+    const std::lock_guard lock(this->mutex);
+    return LibRouting::retryAfter(this->admission);
+}
+
 void AdmissionControl::settleLocked(uint64_t id, LibRouting::Refusal reason)
 {
     const auto found = this->tickets.find(id);
--- a/Userland/Services/Agent/AdmissionControl.h
+++ b/Userland/Services/Agent/AdmissionControl.h
@@ -64,6 +64,8 @@
 
     LibRouting::LoadHint load();
     int inUse() const;
+    /// Time in ms after which a refused caller may find a slot.
+    AK::Milliseconds retryAfter() const;
 
 private:
     friend class Slot;
--- a/Userland/Services/Entry/CallerAnswer.cpp
+++ b/Userland/Services/Entry/CallerAnswer.cpp
@@ -10,9 +10,10 @@
 
 constexpr size_t answerLimitBytes = size_t{8} << 20;
 
+// Headers of one connection, and those that only an entry may set.
 bool isHopHeader(std::string_view name)
 {
-    return name == "connection" || name == "content-length" || name == "transfer-encoding" || name == "keep-alive";
+    return name == "connection" || name == "content-length" || name == "transfer-encoding" || name == "keep-alive" || name.starts_with("x-catkinlink-");
 }
 
 } // namespace
