Tests: Stop the agents of a test fleet at once

CivetWeb takes up to 2 s to stop and a fleet of 16 agents took 24 s. The generated files now have different headers, because two equal header chunks made the sum of file sizes greater than the bytes that have to move; three spread cases had failed for that reason (1069600 against 1081340 bytes).

--- a/Tests/Fakes/Engine/FakeEngine.cpp
+++ b/Tests/Fakes/Engine/FakeEngine.cpp
@@ -147,12 +147,13 @@
     const std::string &path = exchange.request().path;
     if (path == "/fake/stats") {
         const FakeEngineStats now = this->stats();
-        exchange.respond(LibHttp::jsonResponse(200, nlohmann::json{{"calls", now.calls},
-                                                                   {"peak_concurrent", now.peakConcurrent},
-                                                                   {"cold_overload", now.coldOverload},
-                                                                   {"loads", now.loads},
-                                                                   {"refused_loads", now.refusedLoads}}
-                                                        .dump()));
+        exchange.respond(LibHttp::jsonResponse(200,
+                                               nlohmann::json{{"calls", now.calls},
+                                                              {"peak_concurrent", now.peakConcurrent},
+                                                              {"cold_overload", now.coldOverload},
+                                                              {"loads", now.loads},
+                                                              {"refused_loads", now.refusedLoads}}
+                                                   .dump()));
         return;
     }
     if (path == "/fake/restart") {
@@ -175,9 +176,10 @@
     nlohmann::json json;
     {
         const std::lock_guard lock(this->mutex);
-        json = {{"instance", this->loaded.instance}, {"generation", this->loaded.generation}, {"state", this->loaded.state},
-                {"model", this->loaded.model},       {"adapter", this->loaded.adapter},       {"version", this->loaded.version},
-                {"weights_root", this->loaded.root}, {"load", this->concurrent},              {"slots", this->options.slots}};
+        json = {
+            {"instance", this->loaded.instance}, {"generation", this->loaded.generation}, {"state", this->loaded.state},       {"model", this->loaded.model},
+            {"adapter", this->loaded.adapter},   {"version", this->loaded.version},       {"weights_root", this->loaded.root}, {"load", this->concurrent},
+            {"slots", this->options.slots}};
     }
     exchange.respond(LibHttp::jsonResponse(200, json.dump()));
 }
--- a/Tests/Fakes/WeightStore/main.cpp
+++ b/Tests/Fakes/WeightStore/main.cpp
@@ -30,7 +30,8 @@
         std::cerr << endpoint.status() << '\n';
         return 2;
     }
-    const LibWeights::GeneratedWeights parameters{model.getValue(), adapter.getValue(), "", size.getValue(), chunk.getValue(), seed.getValue(), change.getValue()};
+    const LibWeights::GeneratedWeights parameters{model.getValue(), adapter.getValue(), "", size.getValue(), chunk.getValue(),
+                                                  seed.getValue(),  change.getValue()};
     const AK::SystemClock clock;
     Fakes::FakeWeightStore store(*endpoint, clock, parameters, names, rate.getValue());
     if (!printRoot.getValue().empty()) {
--- a/Tests/LibWeights/Fleet.cpp
+++ b/Tests/LibWeights/Fleet.cpp
@@ -171,16 +171,20 @@
             agent->chunks->fault = PeerFault::None;
         }
     }
+    // CivetWeb takes up to 2 s to stop, so all agents are stopped at once.
+    std::vector<std::thread> stops;
     for (auto &agent : this->agents) {
-        if (agent->service) {
-            agent->service->stop();
-        }
+        stops.emplace_back([&agent = *agent] {
+            if (agent.service) {
+                agent.service->stop();
+                agent.rpc->stop();
+            }
+            agent.http.reset();
+            agent.engine.reset();
+        });
     }
-    for (auto &agent : this->agents) {
-        if (agent->rpc) {
-            agent->rpc->stop();
-            agent->http->stop();
-        }
+    for (std::thread &stop : stops) {
+        stop.join();
     }
     this->store->stop();
 }
@@ -220,10 +224,12 @@
     handlers.chunk = agent.chunks.get();
     agent.rpc = std::make_unique<LibWire::RpcServer>(agent.settings.rpcAddress, this->keys, handlers, 200);
     require(agent.rpc->start());
-    agent.http = std::make_unique<LibHttp::HttpServer>(agent.settings.httpAddress, LibHttp::HttpServerLimits{4, 1 << 16},
-                                                       [&agent](LibHttp::HttpExchange &exchange) { agent.service->handle(exchange); });
-    require(agent.http->start());
     if (this->options.engines) {
+        agent.http = std::make_unique<LibHttp::HttpServer>(agent.settings.httpAddress, LibHttp::HttpServerLimits{4, 1 << 16},
+                                                           [&agent](LibHttp::HttpExchange &exchange) { agent.service->handle(exchange); });
+        require(agent.http->start());
+    }
+    if (this->options.engines && !agent.engine) {
         agent.engine = std::make_unique<Fakes::FakeEngine>(Fakes::FakeEngineOptions{agent.settings.agent.upstreamAddress}, this->clock);
         require(agent.engine->start());
     }
@@ -242,13 +248,9 @@
     TestAgent &agent = *this->agents[number];
     agent.service->stop();
     agent.rpc->stop();
-    agent.http->stop();
-    auto engine = std::move(agent.engine);
-    const bool engines = std::exchange(this->options.engines, false);
+    agent.http.reset();
     agent.state.markUnverified();
     this->start(number);
-    this->options.engines = engines;
-    agent.engine = std::move(engine);
 }
 
 bool Fleet::waitFor(const std::function<bool()> &event) const
--- a/Tests/LibWeights/TestOrders.cpp
+++ b/Tests/LibWeights/TestOrders.cpp
@@ -115,17 +115,16 @@
     EXPECT_EQ(LibWeights::chooseOrder(GetParam().input), GetParam().expected);
 }
 
-INSTANTIATE_TEST_SUITE_P(
-    Table, OrderTest,
-    testing::Values(OrderCase{"target", {true, false, "t", "t", "p", false, false}, OrderAction::ConfirmTarget},
-                    OrderCase{"target_not_ready", {false, true, "t", "t", "p", true, true}, OrderAction::MarkUnverified},
-                    OrderCase{"previous_not_due", {true, false, "p", "t", "p", true, false}, OrderAction::ConfirmPrevious},
-                    OrderCase{"previous_not_held", {true, false, "p", "t", "p", false, false}, OrderAction::ConfirmPrevious},
-                    OrderCase{"previous_due", {true, false, "p", "t", "p", true, true}, OrderAction::Switch},
-                    OrderCase{"foreign", {true, false, "x", "t", "p", true, false}, OrderAction::MarkUnverified},
-                    OrderCase{"no_previous", {true, false, "", "t", "", true, false}, OrderAction::MarkUnverified},
-                    OrderCase{"empty_due", {false, false, "", "t", "", true, true}, OrderAction::Switch},
-                    OrderCase{"loading", {false, true, "", "t", "", true, true}, OrderAction::MarkUnverified}),
-    [](const auto &info) { return info.param.name; });
+INSTANTIATE_TEST_SUITE_P(Table, OrderTest,
+                         testing::Values(OrderCase{"target", {true, false, "t", "t", "p", false, false}, OrderAction::ConfirmTarget},
+                                         OrderCase{"target_not_ready", {false, true, "t", "t", "p", true, true}, OrderAction::MarkUnverified},
+                                         OrderCase{"previous_not_due", {true, false, "p", "t", "p", true, false}, OrderAction::ConfirmPrevious},
+                                         OrderCase{"previous_not_held", {true, false, "p", "t", "p", false, false}, OrderAction::ConfirmPrevious},
+                                         OrderCase{"previous_due", {true, false, "p", "t", "p", true, true}, OrderAction::Switch},
+                                         OrderCase{"foreign", {true, false, "x", "t", "p", true, false}, OrderAction::MarkUnverified},
+                                         OrderCase{"no_previous", {true, false, "", "t", "", true, false}, OrderAction::MarkUnverified},
+                                         OrderCase{"empty_due", {false, false, "", "t", "", true, true}, OrderAction::Switch},
+                                         OrderCase{"loading", {false, true, "", "t", "", true, true}, OrderAction::MarkUnverified}),
+                         [](const auto &info) { return info.param.name; });
 
 } // namespace
--- a/Userland/Libraries/LibWeights/ChunkChoice.cpp
+++ b/Userland/Libraries/LibWeights/ChunkChoice.cpp
@@ -58,7 +58,8 @@
     return chosen;
 }
 
-std::optional<uint32_t> chooseRarest(const std::vector<bool> &wanted, const std::vector<bool> &offered, const std::vector<uint32_t> &holders, AK::Random &random)
+std::optional<uint32_t> chooseRarest(const std::vector<bool> &wanted, const std::vector<bool> &offered, const std::vector<uint32_t> &holders,
+                                     AK::Random &random)
 {
     std::optional<uint32_t> chosen;
     uint32_t fewest = UINT32_MAX;
--- a/Userland/Libraries/LibWeights/ChunkChoice.h
+++ b/Userland/Libraries/LibWeights/ChunkChoice.h
@@ -18,7 +18,8 @@
 
 /// The missing chunk that a source offers and the fewest known sources hold; ties are broken at random.
 /// `wanted[i]` is set when chunk i is missing and not on its way; `holders[i]` counts its known sources.
-std::optional<uint32_t> chooseRarest(const std::vector<bool> &wanted, const std::vector<bool> &offered, const std::vector<uint32_t> &holders, AK::Random &random);
+std::optional<uint32_t> chooseRarest(const std::vector<bool> &wanted, const std::vector<bool> &offered, const std::vector<uint32_t> &holders,
+                                     AK::Random &random);
 
 /// What is known of one earlier agent in the fetch order of a chunk.
 struct PredecessorView {
--- a/Userland/Libraries/LibWeights/ChunkStore.cpp
+++ b/Userland/Libraries/LibWeights/ChunkStore.cpp
@@ -41,8 +41,8 @@
         return absl::OkStatus();
     }
     if (!this->makeRoom(data.size())) {
-        return absl::ResourceExhaustedError(AK::concat("chunk of ", data.size(), " bytes does not fit the weight buffer of ", this->limitBytes, " bytes, ",
-                                                       this->heldBytes, " are held"));
+        return absl::ResourceExhaustedError(
+            AK::concat("chunk of ", data.size(), " bytes does not fit the weight buffer of ", this->limitBytes, " bytes, ", this->heldBytes, " are held"));
     }
     this->heldBytes += data.size();
     this->chunks.emplace(hash, std::make_shared<const std::string>(std::move(data)));
--- a/Userland/Libraries/LibWeights/DesignatedFetch.cpp
+++ b/Userland/Libraries/LibWeights/DesignatedFetch.cpp
@@ -122,8 +122,8 @@
         const std::vector<std::string> order = fetchOrder(this->wanted.root, std::to_string(index), names);
         for (size_t i = 0; i < order.size() && i < remoteCandidates; ++i) {
             const AK::Endpoint &endpoint = directory.endpoints.at(order[i]);
-            if (this->isExcluded(order[i]) ||
-                !bitOf(links.view(order[i], endpoint, this->wanted.root, this->context.settings.agent.chunkMapIntervalMs).bitmap, index)) {
+            if (this->isExcluded(order[i])
+                || !bitOf(links.view(order[i], endpoint, this->wanted.root, this->context.settings.agent.chunkMapIntervalMs).bitmap, index)) {
                 continue;
             }
             if (!this->current->take(index)) {
--- a/Userland/Libraries/LibWeights/Manifest.cpp
+++ b/Userland/Libraries/LibWeights/Manifest.cpp
@@ -58,8 +58,8 @@
 bool isHash(const nlohmann::json &value)
 {
     const auto *text = value.get_ptr<const std::string *>();
-    return text != nullptr && text->size() == 64 &&
-        std::all_of(text->begin(), text->end(), [](char digit) { return (digit >= '0' && digit <= '9') || (digit >= 'a' && digit <= 'f'); });
+    return text != nullptr && text->size() == 64
+        && std::all_of(text->begin(), text->end(), [](char digit) { return (digit >= '0' && digit <= '9') || (digit >= 'a' && digit <= 'f'); });
 }
 
 absl::StatusOr<ManifestFile> readFile(const nlohmann::json &json, uint64_t chunkBytes, const std::string &path)
--- a/Userland/Libraries/LibWeights/Safetensors.cpp
+++ b/Userland/Libraries/LibWeights/Safetensors.cpp
@@ -33,7 +33,7 @@
     std::string data;
     for (uint64_t tensor = 0; data.size() < size; ++tensor) {
         const uint64_t length = std::min<uint64_t>(parameters.chunkBytes, size - data.size());
-        const std::string name = AK::concat("layers.", tensor, ".weight");
+        const std::string name = AK::concat("blocks.", file, ".layers.", tensor, ".weight");
         const std::string key = AK::concat(parameters.model, "/", parameters.adapter, "/", parameters.seed, "/", file, "/", name);
         const bool changes = AK::stableHash(key + "/changes") % 100 < static_cast<uint64_t>(parameters.changePercent);
         header[name] = {{"dtype", "U8"}, {"shape", {length}}, {"data_offsets", {data.size(), data.size() + length}}};
--- a/Userland/Libraries/LibWeights/WeightFetch.cpp
+++ b/Userland/Libraries/LibWeights/WeightFetch.cpp
@@ -132,8 +132,8 @@
 {
     LibHttp::HttpRequest request;
     request.path = weightsPath(this->wanted.model, this->wanted.adapter, this->wanted.version) + "/manifest.json";
-    CATKINLINK_ASSIGN(LibHttp::HttpResponse response, LibHttp::httpCall(this->context.settings.agent.weightStore, request,
-                                                                        this->context.settings.timing.storeTimeoutMs, manifestLimitBytes));
+    CATKINLINK_ASSIGN(LibHttp::HttpResponse response,
+                      LibHttp::httpCall(this->context.settings.agent.weightStore, request, this->context.settings.timing.storeTimeoutMs, manifestLimitBytes));
     if (response.status != 200) {
         return absl::UnavailableError(AK::concat("the origin answered ", request.path, " with ", response.status));
     }
@@ -198,9 +198,10 @@
 {
     auto manifest = parseManifest(text);
     if (!manifest.ok() || rootOf(*manifest) != this->wanted.root) {
-        this->logger.warning("manifest_refused", {{"source", source},
-                                                  {"wanted_root", this->wanted.root},
-                                                  {"reason", manifest.ok() ? "its root is " + rootOf(*manifest) : std::string(manifest.status().message())}});
+        this->logger.warning("manifest_refused",
+                             {{"source", source},
+                              {"wanted_root", this->wanted.root},
+                              {"reason", manifest.ok() ? "its root is " + rootOf(*manifest) : std::string(manifest.status().message())}});
         this->context.metrics.add("catkinlink_weights_manifests_refused_total");
         if (source != "origin") {
             this->exclude(source);
--- a/Userland/Libraries/LibWeights/WeightsService.cpp
+++ b/Userland/Libraries/LibWeights/WeightsService.cpp
@@ -123,7 +123,9 @@
 
 void WeightsService::runOrders()
 {
-    const auto stopped = [this] { return this->stopping.load(); };
+    const auto stopped = [this] {
+        return this->stopping.load();
+    };
     while (!this->stopping) {
         this->orders.step(stopped);
         this->clock.sleep(this->settings.timing.statusPollMs);
