--- a/Tests/Fakes/Engine/FakeEngine.cpp
+++ b/Tests/Fakes/Engine/FakeEngine.cpp
@@ -59,6 +59,7 @@
 std::vector<std::string> expectedTokens(const std::string &prompt, const std::string &root, int count)
 {
     std::vector<std::string> tokens;
+    tokens.reserve(static_cast<size_t>(count));
     for (int i = 0; i < count; ++i) {
         tokens.push_back(AK::sha256Hex(AK::concat(root, "/", prompt, "/", i)).substr(0, 6) + " ");
     }
--- a/Tests/LibWeights/TestOrders.cpp
+++ b/Tests/LibWeights/TestOrders.cpp
@@ -59,7 +59,7 @@
 }
 
 // Guards against weights that came into the engine by an order other than that of the configuration in force.
-TEST(EngineOrders, ForeignLoadIsUndone)
+TEST(EngineOrders, ForeignLoadIsNeverConfirmed)
 {
     Fleet fleet({.regions = {"a"}, .engines = true});
     fleet.want("1");
--- a/Tests/LibWeights/TestPolicies.cpp
+++ b/Tests/LibWeights/TestPolicies.cpp
@@ -91,6 +91,7 @@
 TEST(ChunkChoice, SpreadsDesignationsAndConnectsAgents)
 {
     std::vector<std::string> names;
+    names.reserve(60);
     for (int i = 0; i < 60; ++i) {
         names.push_back("agent-" + std::to_string(i));
     }
@@ -173,6 +174,7 @@
 TEST_P(WaveTest, PermissionTable)
 {
     std::vector<std::string> names;
+    names.reserve(60);
     for (size_t i = 0; i < std::string_view(GetParam().states).size(); ++i) {
         names.push_back("agent-" + std::to_string(i));
     }
