--- a/Tests/LibOnce/Explorer.cpp
+++ b/Tests/LibOnce/Explorer.cpp
@@ -108,9 +108,9 @@
     return this->check(report);
 }
 
-void ExploredCase::enter(unsigned high, unsigned low)
+void ExploredCase::enter()
 {
-    auto *fiber = reinterpret_cast<Fiber *>(static_cast<uintptr_t>(high) << 32 | low);
+    Fiber *fiber = runningCase->fibers[runningCase->current].get();
     try {
         fiber->body();
     } catch (const Crashed &) {
@@ -129,8 +129,7 @@
     getcontext(&fiber->context);
     fiber->context.uc_stack.ss_sp = stack.data();
     fiber->context.uc_stack.ss_size = stack.size();
-    const auto address = reinterpret_cast<uintptr_t>(fiber.get());
-    makecontext(&fiber->context, reinterpret_cast<void (*)()>(&ExploredCase::enter), 2, static_cast<unsigned>(address >> 32), static_cast<unsigned>(address));
+    makecontext(&fiber->context, &ExploredCase::enter, 0);
     this->fibers.push_back(std::move(fiber));
 }
 
--- a/Tests/LibOnce/Explorer.h
+++ b/Tests/LibOnce/Explorer.h
@@ -84,7 +84,7 @@
         std::function<void()> body;
     };
 
-    static void enter(unsigned high, unsigned low);
+    static void enter();
     void addFiber(int process, std::function<void()> body);
     void resume(size_t next);
     void schedule();
