LibMetrics: Mend digits, few samples, order of series and line breaks

Cause: counters over a million were printed with 6 digits and stood still; percentiles of fewer than 7 samples were 0; two type lines were written for a name when another name sorted between its series; a line break in a label became a space, so that two series could collide.

Change: 15 digits, exact percentiles of the first 64 samples, a separator in the key that sorts first, and the escape of the format.

--- a/Userland/Libraries/LibMetrics/MetricRegistry.cpp
+++ b/Userland/Libraries/LibMetrics/MetricRegistry.cpp
@@ -4,6 +4,7 @@
 #include <sstream>
 
 #include <AK/Text.h>
+#include <algorithm>
 #include <array>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
@@ -11,6 +12,7 @@
 #include <boost/accumulators/statistics/max.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <cmath>
 #include <optional>
 
 namespace LibMetrics
@@ -23,6 +25,9 @@
 
 constexpr size_t seriesLimit = 10'000;
 constexpr std::array quantiles{0.5, 0.95, 0.99};
+constexpr size_t exactSamples = 64;
+// Enough for byte counters; the default of 6 digits lets large counters stand still.
+constexpr int printedDigits = 15;
 
 using Distribution = Accumulators::accumulator_set<
     double, Accumulators::stats<Accumulators::tag::count, Accumulators::tag::sum, Accumulators::tag::max, Accumulators::tag::extended_p_square_quantile>>;
@@ -31,10 +36,10 @@
 {
     std::string escaped;
     for (const char character : value) {
-        if (character == '\\' || character == '"') {
+        if (character == '\\' || character == '"' || character == '\n') {
             escaped += '\\';
         }
-        escaped += character == '\n' ? ' ' : character;
+        escaped += character == '\n' ? 'n' : character;
     }
     return escaped;
 }
@@ -56,6 +61,8 @@
     double value = 0;
     std::string type = "counter";
     std::optional<Distribution> distribution;
+    /// The first samples in order: the estimator reports zeros until it has a few.
+    std::vector<double> firstSamples;
 };
 
 MetricRegistry::MetricRegistry() = default;
@@ -68,7 +75,8 @@
 template <typename Series>
 Series *findSeries(std::map<std::string, std::unique_ptr<Series>> &all, const std::string &name, const Labels &labels, double &dropped)
 {
-    const std::string key = name + labelText(labels);
+    // The separator sorts below all characters of names, which keeps the series of a name together.
+    const std::string key = name + '\x01' + labelText(labels);
     if (const auto found = all.find(key); found != all.end()) {
         return found->second.get();
     }
@@ -114,12 +122,31 @@
         entry->distribution.emplace(Accumulators::extended_p_square_probabilities = quantiles);
     }
     (*entry->distribution)(value);
+    if (entry->firstSamples.size() < exactSamples) {
+        entry->firstSamples.insert(std::upper_bound(entry->firstSamples.begin(), entry->firstSamples.end(), value), value);
+    }
+}
+
+namespace
+{
+
+// Exact by nearest rank while all samples are kept, then estimated.
+double quantileOf(const Distribution &distribution, const std::vector<double> &firstSamples, double quantile)
+{
+    if (Accumulators::count(distribution) > firstSamples.size()) {
+        return Accumulators::quantile(distribution, Accumulators::quantile_probability = quantile);
+    }
+    const auto rank = static_cast<size_t>(std::ceil(quantile * static_cast<double>(firstSamples.size())));
+    return firstSamples[std::max<size_t>(rank, 1) - 1];
 }
 
+} // namespace
+
 std::string MetricRegistry::text() const
 {
     const std::lock_guard lock(this->mutex);
     std::ostringstream out;
+    out.precision(printedDigits);
     std::string lastName;
     for (const auto &[key, entry] : this->series) {
         if (entry->name != lastName) {
@@ -133,8 +160,7 @@
         for (const double quantile : quantiles) {
             std::ostringstream label;
             label << "quantile=\"" << quantile << "\"";
-            out << entry->name << labelText(entry->labels, label.str()) << " "
-                << Accumulators::quantile(*entry->distribution, Accumulators::quantile_probability = quantile) << "\n";
+            out << entry->name << labelText(entry->labels, label.str()) << " " << quantileOf(*entry->distribution, entry->firstSamples, quantile) << "\n";
         }
         out << entry->name << "_sum" << labelText(entry->labels) << " " << Accumulators::sum(*entry->distribution) << "\n";
         out << entry->name << "_count" << labelText(entry->labels) << " " << Accumulators::count(*entry->distribution) << "\n";
