LibOnce: Test the background thread of ClaimRunner

Cause: the exploration drives the passes without the thread. Change: a case in which the store refuses the record once and the thread writes it, awaited by an event.

--- a/Tests/LibOnce/TestClaimRunner.cpp
+++ b/Tests/LibOnce/TestClaimRunner.cpp
@@ -1,5 +1,6 @@
 #include "Explorer.h"
 #include <LibOnce/ClaimRunner.h>
+#include <future>
 #include <gtest/gtest.h>
 
 namespace
@@ -165,4 +166,30 @@
     EXPECT_EQ(this->state(), "");
 }
 
+// Guards against a background thread that never records what the store refused at first, or that does not end.
+TEST(ClaimRunnerThread, RecordsWhatTheStoreRefused)
+{
+    const AK::SystemClock clock;
+    MemoryStore store;
+    LibMetrics::MetricRegistry metrics;
+    LibOnce::ClaimRunner runner(LibSettings::ProcessSettings{}, clock, store, metrics);
+    std::promise<void> recorded;
+    store.before = [&](bool write) {
+        return write && store.writes == 2 ? StoreFault::Unavailable : StoreFault::None;
+    };
+    store.after = [&] {
+        if (store.writes == 3) {
+            recorded.set_value();
+        }
+    };
+    ASSERT_TRUE(runner.start().ok());
+    runner.run({"account", "orders", "POST", "/confirm", "key", "body"}, [](const std::string &, AK::Milliseconds) {
+        return DispatchResult{Outcome::Done, {200, {}, "shipped"}, ""};
+    });
+    EXPECT_EQ(recorded.get_future().wait_for(std::chrono::seconds(30)), std::future_status::ready);
+    runner.drain();
+    runner.stop();
+    EXPECT_EQ(LibOnce::parseClaim(store.objects.begin()->second.value)->state, LibOnce::ClaimState::Done);
+}
+
 } // namespace
