Catkinlink: Test cut answers, JSON output and refused keys

Cause: a connection that is closed within the answer took another path than a 504 answer and had no test. Change: cases for it, for the JSON of a result and of a refusal, for a missing key file and for a refused key. Conclusion: a cut answer is resolved as a 504 is.

--- a/Tests/Catkinlink/OperatorApiDouble.cpp
+++ b/Tests/Catkinlink/OperatorApiDouble.cpp
@@ -166,7 +166,13 @@
     } else if (LibHttp::headerOr(request.headers, "authorization") != "Bearer secret") {
         response = LibHttp::jsonResponse(401, "{}");
     } else if (request.path == "/operator/v1/apply") {
+        const bool cut = !this->state.modes.empty() && this->state.modes.front() == ApplyMode::CutAnswerAfter;
         response = this->apply(nlohmann::json::parse(request.body));
+        if (cut) {
+            exchange.beginStream(200, {});
+            exchange.writeChunk("{");
+            return;
+        }
     } else if (request.path == "/operator/v1/revision") {
         response.status = 200;
         response.body = nlohmann::json{{"revision", this->state.revision}, {"change_id", this->state.changeId}, {"document", this->state.current}}.dump();
--- a/Tests/Catkinlink/OperatorApiDouble.h
+++ b/Tests/Catkinlink/OperatorApiDouble.h
@@ -24,6 +24,8 @@
     LoseAnswerBefore,
     /// As LoseAnswerBefore, and another change takes its place.
     LoseAnswerAndConflict,
+    /// The change takes effect and the connection is closed within the answer.
+    CutAnswerAfter,
     LastCapacity,
     Invalid,
 };
--- a/Tests/Catkinlink/TestCommands.cpp
+++ b/Tests/Catkinlink/TestCommands.cpp
@@ -70,7 +70,7 @@
 
     std::string write(const std::string &name, const std::string &text)
     {
-        const std::string path = AK::concat(testing::TempDir(), "catkinlink-", getpid(), "-", name);
+        std::string path = AK::concat(testing::TempDir(), "catkinlink-", getpid(), "-", name);
         std::ofstream(path) << text;
         return path;
     }
@@ -150,6 +150,9 @@
         ApplyCase{"invalid", "apply", {ApplyMode::Invalid}, ExitCode::InvalidSettings, "/accounts", 1},
         ApplyCase{"store_down", "apply", {ApplyMode::StoreDown}, ExitCode::NotAccepted, "not accepted", 1},
         ApplyCase{"lost_answer_after", "apply", {ApplyMode::LoseAnswerAfter}, ExitCode::Done, "accepted in revision 2", 1},
+        ApplyCase{"cut_answer_after", "apply", {ApplyMode::CutAnswerAfter}, ExitCode::Done, "accepted in revision 2", 1},
+        ApplyCase{"json", "apply --json", {}, ExitCode::Done, R"({"accepted":true,"in_force_on":1,"members":1,"revision":2})", 1},
+        ApplyCase{"json_refusal", "apply --json", {ApplyMode::Conflict}, ExitCode::Refused, R"("exit_code":4)", 1},
         ApplyCase{"lost_answer_before", "apply", {ApplyMode::LoseAnswerBefore}, ExitCode::OutcomeUnknown, "is not known", 1},
         ApplyCase{"lost_answer_other_won", "apply", {ApplyMode::LoseAnswerAndConflict}, ExitCode::Refused, "by rosa", 1},
         ApplyCase{"domain_out", "domain out north", {}, ExitCode::Done, "failure domain north out: accepted in revision 2", 1},
@@ -304,6 +307,8 @@
         EXPECT_EQ(this->run(line, {}, connected), ExitCode::Usage) << line << this->text();
         EXPECT_NE(this->text().find("--help"), std::string::npos) << line;
     }
+    EXPECT_EQ(this->run("status --key-file /nonexistent --entry 127.0.0.1:1", {}, false), ExitCode::Usage);
+    EXPECT_EQ(this->run("status --key-file " + this->write("wrong", "wrong") + " --entry " + this->first.endpoint().text(), {}, false), ExitCode::Failed);
     EXPECT_EQ(this->run("rollout start --help", {}, false), ExitCode::Done);
     EXPECT_NE(this->text().find("--weight-store"), std::string::npos);
     EXPECT_EQ(this->run("--version", {}, false), ExitCode::Done);
