Catkinlink: Warn when applied files undo a command

Cause: files replace the whole document, so an apply can silently return a failure domain to service that an operator took out with a command. Conclusion: the change is shown; it is not refused, because the files are what operators declare.

--- a/Tests/Catkinlink/TestCommands.cpp
+++ b/Tests/Catkinlink/TestCommands.cpp
@@ -211,6 +211,14 @@
     EXPECT_EQ(this->first.document()["settled_restrictions"], nlohmann::json::array({"r1"}));
 }
 
+// Guards against files that silently return a failure domain to service which an operator took out.
+TEST_F(CommandTest, ApplyWarnsOfAReturnToService)
+{
+    ASSERT_EQ(this->run("domain out north --reason fire"), ExitCode::Done);
+    EXPECT_EQ(this->run("apply --reason files --base " + exampleFolder + "/base.json"), ExitCode::Done);
+    EXPECT_NE(this->error.str().find("return to service /failure_domains/north/in_service"), std::string::npos) << this->text();
+}
+
 struct FileCase {
     const char *name;
     const char *overlay;
--- a/Userland/Utilities/catkinlink/FileCommands.cpp
+++ b/Userland/Utilities/catkinlink/FileCommands.cpp
@@ -51,6 +51,18 @@
     return message;
 }
 
+// Files replace the whole document, so they can undo a domain, upstream or rollout command that was never copied into them.
+void warnOfUndoneCommands(const nlohmann::json &inForce, const nlohmann::json &document, std::ostream &error)
+{
+    for (const FieldDifference &difference : compareDocuments(inForce, document)) {
+        const bool returned = difference.path.ends_with("/in_service") && difference.before == false && difference.after != false;
+        const bool retargeted = difference.path.starts_with("/services/") && difference.path.ends_with("/target/root") && !difference.before.is_null();
+        if (returned || retargeted) {
+            error << "warning: the files " << (returned ? "return to service " : "replace the weights ") << difference.path << "\n";
+        }
+    }
+}
+
 } // namespace
 
 std::vector<FieldDifference> compareDocuments(const nlohmann::json &before, const nlohmann::json &after)
@@ -143,6 +155,7 @@
     } else {
         CATKINLINK_ASSIGN(inForce, client.read("/operator/v1/revision"));
         proposal.expectedRevision = numberIn(inForce, "revision");
+        warnOfUndoneCommands(inForce.value("document", nlohmann::json::object()), document, environment.error);
     }
     CATKINLINK_ASSIGN(const SubmissionResult result, submitProposal(client, proposal, environment));
     if (result.accepted) {
