Catkinlink: Wait for the winner's revision before trying again

Cause: an entry may learn of the winner's revision up to a gossip round after its 409, and every attempt on top of the older one loses. Conclusion: one lost race costs one more attempt.

--- a/Tests/Catkinlink/OperatorApiDouble.cpp
+++ b/Tests/Catkinlink/OperatorApiDouble.cpp
@@ -115,7 +115,11 @@
         this->state.modes.pop_front();
     }
     nlohmann::json other = this->state.current;
-    if (mode == ApplyMode::Conflict || mode == ApplyMode::LoseAnswerAndConflict) {
+    if (mode == ApplyMode::ConflictUnseen) {
+        this->state.oldAnswer = nlohmann::json{{"revision", this->state.revision}, {"document", other}}.dump();
+        this->state.oldAnswers = 4;
+    }
+    if (mode == ApplyMode::Conflict || mode == ApplyMode::ConflictUnseen || mode == ApplyMode::LoseAnswerAndConflict) {
         other["accounts"]["workshop"]["weight"] = this->state.revision + 5;
         this->accept(other, AK::concat("other-", this->state.revision), "rosa");
     } else if (mode == ApplyMode::ConflictOnField) {
@@ -176,6 +180,10 @@
     } else if (request.path == "/operator/v1/revision") {
         response.status = 200;
         response.body = nlohmann::json{{"revision", this->state.revision}, {"change_id", this->state.changeId}, {"document", this->state.current}}.dump();
+        if (this->state.oldAnswers > 0) {
+            --this->state.oldAnswers;
+            response.body = this->state.oldAnswer;
+        }
     } else if (request.path == "/operator/v1/audit") {
         response.status = 200;
         response.body = nlohmann::json{{"entries", this->state.audit}}.dump();
--- a/Tests/Catkinlink/OperatorApiDouble.h
+++ b/Tests/Catkinlink/OperatorApiDouble.h
@@ -15,6 +15,8 @@
     Accept,
     /// Another operator's change is accepted first.
     Conflict,
+    /// As Conflict, and the entry shows the old revision in its next 4 answers.
+    ConflictUnseen,
     /// Another operator sets the same field first.
     ConflictOnField,
     StoreDown,
@@ -65,6 +67,8 @@
         nlohmann::json audit = nlohmann::json::array();
         nlohmann::json members;
         std::deque<ApplyMode> modes;
+        std::string oldAnswer;
+        int oldAnswers = 0;
         int callStatus = 200;
         std::string callOutcome = "done";
         int applyCount = 0;
--- a/Tests/Catkinlink/TestCommands.cpp
+++ b/Tests/Catkinlink/TestCommands.cpp
@@ -159,6 +159,7 @@
         ApplyCase{"domain_already_in", "domain in north", {}, ExitCode::Done, "revision 1", 0},
         ApplyCase{"unknown_domain", "domain out nroth", {}, ExitCode::InvalidSettings, "use one of east, north, south", 0},
         ApplyCase{"upstream_out_after_conflicts", "upstream out bench-1", {ApplyMode::Conflict, ApplyMode::Conflict}, ExitCode::Done, "by rosa", 3},
+        ApplyCase{"upstream_out_at_a_late_entry", "upstream out bench-1", {ApplyMode::ConflictUnseen}, ExitCode::Done, "by rosa", 2},
         ApplyCase{"emergency", "domain out north --emergency", {ApplyMode::StoreDown}, ExitCode::Done, "in force on 3 of 4, not recorded", 1},
         ApplyCase{"no_emergency_asked", "domain out north", {ApplyMode::StoreDown}, ExitCode::NotAccepted, "--emergency", 1},
         ApplyCase{"rollback_without_previous", "rollout rollback bench-assistant", {}, ExitCode::Refused, "no previous version", 0},
--- a/Userland/Utilities/catkinlink/ChangeSubmission.cpp
+++ b/Userland/Utilities/catkinlink/ChangeSubmission.cpp
@@ -92,6 +92,18 @@
     return nullptr;
 }
 
+// The revision in force at an entry that has the given one or a later one. An entry learns of a winner's revision up to a gossip round after its 409; an
+// attempt on top of an older one would only lose again.
+absl::StatusOr<nlohmann::json> readRevision(const EntryClient &client, uint64_t atLeast, const CommandEnvironment &environment)
+{
+    absl::StatusOr<nlohmann::json> inForce = client.read("/operator/v1/revision");
+    for (int attempt = 1; attempt < rereadAttempts && inForce.ok() && numberIn(*inForce, "revision") < atLeast; ++attempt) {
+        environment.clock.sleep(rereadIntervalMs);
+        inForce = client.read("/operator/v1/revision");
+    }
+    return inForce;
+}
+
 } // namespace
 
 absl::StatusOr<SubmissionResult> submitProposal(const EntryClient &client, const Proposal &proposal, const CommandEnvironment &environment)
@@ -131,7 +143,7 @@
     nlohmann::json first;
     SubmissionResult last;
     for (int attempt = 0; attempt < conflictAttempts; ++attempt) {
-        CATKINLINK_ASSIGN(const nlohmann::json inForce, client.read("/operator/v1/revision"));
+        CATKINLINK_ASSIGN(const nlohmann::json inForce, readRevision(client, last.revision, environment));
         const nlohmann::json document = inForce.value("document", nlohmann::json::object());
         CATKINLINK_ASSIGN(const nlohmann::json edited, change.edit(document));
         if (edited == document) {
