--- a/Tests/Catkinlink/OperatorApiDouble.h
+++ b/Tests/Catkinlink/OperatorApiDouble.h
@@ -15,6 +15,8 @@
     Accept,
     /// Another operator's change is accepted first.
     Conflict,
+    /// As Conflict, and the entry shows the old revision in its next 4 answers.
+    ConflictUnseen,
     /// Another operator sets the same field first.
     ConflictOnField,
     StoreDown,
@@ -24,6 +26,8 @@
     LoseAnswerBefore,
     /// As LoseAnswerBefore, and another change takes its place.
     LoseAnswerAndConflict,
+    /// The change takes effect and the connection is closed within the answer.
+    CutAnswerAfter,
     LastCapacity,
     Invalid,
 };
@@ -63,6 +67,8 @@
         nlohmann::json audit = nlohmann::json::array();
         nlohmann::json members;
         std::deque<ApplyMode> modes;
+        std::string oldAnswer;
+        int oldAnswers = 0;
         int callStatus = 200;
         std::string callOutcome = "done";
         int applyCount = 0;
--- a/Tests/Catkinlink/TestCommands.cpp
+++ b/Tests/Catkinlink/TestCommands.cpp
@@ -70,7 +70,7 @@
 
     std::string write(const std::string &name, const std::string &text)
     {
-        const std::string path = AK::concat(testing::TempDir(), "catkinlink-", getpid(), "-", name);
+        std::string path = AK::concat(testing::TempDir(), "catkinlink-", getpid(), "-", name);
         std::ofstream(path) << text;
         return path;
     }
@@ -150,12 +150,16 @@
         ApplyCase{"invalid", "apply", {ApplyMode::Invalid}, ExitCode::InvalidSettings, "/accounts", 1},
         ApplyCase{"store_down", "apply", {ApplyMode::StoreDown}, ExitCode::NotAccepted, "not accepted", 1},
         ApplyCase{"lost_answer_after", "apply", {ApplyMode::LoseAnswerAfter}, ExitCode::Done, "accepted in revision 2", 1},
+        ApplyCase{"cut_answer_after", "apply", {ApplyMode::CutAnswerAfter}, ExitCode::Done, "accepted in revision 2", 1},
+        ApplyCase{"json", "apply --json", {}, ExitCode::Done, R"({"accepted":true,"in_force_on":1,"members":1,"revision":2})", 1},
+        ApplyCase{"json_refusal", "apply --json", {ApplyMode::Conflict}, ExitCode::Refused, R"("exit_code":4)", 1},
         ApplyCase{"lost_answer_before", "apply", {ApplyMode::LoseAnswerBefore}, ExitCode::OutcomeUnknown, "is not known", 1},
         ApplyCase{"lost_answer_other_won", "apply", {ApplyMode::LoseAnswerAndConflict}, ExitCode::Refused, "by rosa", 1},
         ApplyCase{"domain_out", "domain out north", {}, ExitCode::Done, "failure domain north out: accepted in revision 2", 1},
         ApplyCase{"domain_already_in", "domain in north", {}, ExitCode::Done, "revision 1", 0},
         ApplyCase{"unknown_domain", "domain out nroth", {}, ExitCode::InvalidSettings, "use one of east, north, south", 0},
         ApplyCase{"upstream_out_after_conflicts", "upstream out bench-1", {ApplyMode::Conflict, ApplyMode::Conflict}, ExitCode::Done, "by rosa", 3},
+        ApplyCase{"upstream_out_at_a_late_entry", "upstream out bench-1", {ApplyMode::ConflictUnseen}, ExitCode::Done, "by rosa", 2},
         ApplyCase{"emergency", "domain out north --emergency", {ApplyMode::StoreDown}, ExitCode::Done, "in force on 3 of 4, not recorded", 1},
         ApplyCase{"no_emergency_asked", "domain out north", {ApplyMode::StoreDown}, ExitCode::NotAccepted, "--emergency", 1},
         ApplyCase{"rollback_without_previous", "rollout rollback bench-assistant", {}, ExitCode::Refused, "no previous version", 0},
@@ -208,6 +212,14 @@
     EXPECT_EQ(this->first.document()["settled_restrictions"], nlohmann::json::array({"r1"}));
 }
 
+// Guards against files that silently return a failure domain to service which an operator took out.
+TEST_F(CommandTest, ApplyWarnsOfAReturnToService)
+{
+    ASSERT_EQ(this->run("domain out north --reason fire"), ExitCode::Done);
+    EXPECT_EQ(this->run("apply --reason files --base " + exampleFolder + "/base.json"), ExitCode::Done);
+    EXPECT_NE(this->error.str().find("return to service /failure_domains/north/in_service"), std::string::npos) << this->text();
+}
+
 struct FileCase {
     const char *name;
     const char *overlay;
@@ -304,6 +316,8 @@
         EXPECT_EQ(this->run(line, {}, connected), ExitCode::Usage) << line << this->text();
         EXPECT_NE(this->text().find("--help"), std::string::npos) << line;
     }
+    EXPECT_EQ(this->run("status --key-file /nonexistent --entry 127.0.0.1:1", {}, false), ExitCode::Usage);
+    EXPECT_EQ(this->run("status --key-file " + this->write("wrong", "wrong") + " --entry " + this->first.endpoint().text(), {}, false), ExitCode::Failed);
     EXPECT_EQ(this->run("rollout start --help", {}, false), ExitCode::Done);
     EXPECT_NE(this->text().find("--weight-store"), std::string::npos);
     EXPECT_EQ(this->run("--version", {}, false), ExitCode::Done);
