--- a/Tests/AK/TestHash.cpp
+++ b/Tests/AK/TestHash.cpp
@@ -55,7 +55,7 @@
 
 INSTANTIATE_TEST_SUITE_P(Table, EndpointTest,
                          testing::Values(EndpointCase{"127.0.0.1:80", true}, EndpointCase{"127.0.0.1:0", false}, EndpointCase{"127.0.0.1:65536", false},
-                                         EndpointCase{"127.0.0.1", false}, EndpointCase{"localhost:80", false}, EndpointCase{"127.0.0.1:8x", false},
-                                         EndpointCase{":80", false}, EndpointCase{"", false}));
+                                         EndpointCase{"127.0.0.1:0200", false}, EndpointCase{"127.0.0.1", false}, EndpointCase{"localhost:80", false},
+                                         EndpointCase{"127.0.0.1:8x", false}, EndpointCase{":80", false}, EndpointCase{"", false}));
 
 } // namespace
