LibMembership: Contact seeds and listed hosts that are no members

Cause: when no seed answered at the start, processes joined each other through the host list; afterwards every exchange went to known members only, so two groups never met. Change: one round in 16 (each round in the first 30 s) also tries a seed that is no live member; a watcher that reads the host list contacts up to 2 live hosts that are no members. Conclusion: groups that formed apart merge.

--- a/Tests/Harness/Site.cpp
+++ b/Tests/Harness/Site.cpp
@@ -1,6 +1,7 @@
 #include <Harness/Site.h>
 
 #include <AK/Hash.h>
+#include <AK/Random.h>
 #include <AK/StatusMacros.h>
 #include <AK/Text.h>
 #include <LibHttp/HttpClient.h>
@@ -391,9 +392,8 @@
     for (int i = 1; i <= this->layout.entries; ++i) {
         const absl::StatusOr<nlohmann::json> current = getJson(this->entryAddress(i), "/operator/v1/revision", headers);
         const uint64_t expected = current.ok() ? current->value("revision", uint64_t{0}) : 0;
-        static int changes = 0;
-        const nlohmann::json body{
-            {"document", document}, {"expected_revision", expected}, {"change_id", AK::concat("harness-", ::getpid(), "-", ++changes)}, {"reason", reason}};
+        static AK::Random random = AK::seededFromSystem();
+        const nlohmann::json body{{"document", document}, {"expected_revision", expected}, {"change_id", AK::randomHex(random, 24)}, {"reason", reason}};
         const absl::StatusOr<nlohmann::json> answer = postJson(this->entryAddress(i), "/operator/v1/apply", body, headers);
         if (answer.ok()) {
             return answer->at("revision").get<uint64_t>();
--- a/Tests/LibMembership/TestMembershipService.cpp
+++ b/Tests/LibMembership/TestMembershipService.cpp
@@ -129,6 +129,30 @@
     std::map<int, std::unique_ptr<Node>> nodes;
 };
 
+// Guards against two groups that formed while no seed answered and never learn of each other: one starts, the other's seeds come up later.
+TEST_F(Site, GroupsThatFormedWithoutASeedFindEachOther)
+{
+    this->hosts.set({{"p-3", rpcEndpoint(3).host, LibObjectStore::HostState::Live}, {"p-4", rpcEndpoint(4).host, LibObjectStore::HostState::Live}});
+    this->startNode(3);
+    this->startNode(4);
+    ASSERT_TRUE(within([this] { return this->converged(); }));
+    this->hosts.set({});
+    this->startNode(1);
+    this->startNode(2);
+    EXPECT_TRUE(within([this] { return this->converged(); }));
+}
+
+// Guards against a process that the host list names but no seed and no member ever contacts.
+TEST_F(Site, HostsOfTheListThatAreNoMembersAreContacted)
+{
+    this->startNode(1);
+    this->startNode(2);
+    ASSERT_TRUE(within([this] { return this->converged(); }));
+    this->nodes[5] = std::make_unique<Node>(5, this->hosts, std::vector<AK::Endpoint>());
+    this->hosts.set({{"p-5", rpcEndpoint(5).host, LibObjectStore::HostState::Live}});
+    EXPECT_TRUE(within([this] { return this->converged(); }));
+}
+
 // Guards against members that some never learn of, a dead member that stays, and a replacement that is taken for its dead predecessor.
 TEST_F(Site, TwentyConvergeOneDiesAndIsReplaced)
 {
--- a/Userland/Libraries/LibMembership/MembershipService.cpp
+++ b/Userland/Libraries/LibMembership/MembershipService.cpp
@@ -16,6 +16,13 @@
 // A leaving process tells every member directly up to this number; above it the forwarding of the receivers does the rest.
 constexpr size_t directPushLimit = 64;
 constexpr int unequalHashLimit = 5;
+// One exchange round in this many also tries a seed that is no live member, so that groups that formed apart find each other.
+// At 1,270 processes and two dead seeds this costs each seed's address about 40 connection attempts a second.
+constexpr uint64_t unknownSeedRounds = 16;
+// Until this much time after the start, every round does.
+constexpr AK::Milliseconds settlingMs = 30'000;
+// Hosts of the host list that are no members and are contacted after one reading of the list.
+constexpr size_t unknownHostsPerReading = 2;
 // Hosts of the host list that are tried in one attempt to join.
 constexpr size_t joinAttempts = 8;
 // A record takes about 200 bytes: one full table per 100 ms and member keeps full fetches under 2 KB/s.
@@ -40,6 +47,7 @@
     , hostList(hostList)
     , metrics(metrics)
     , random(AK::seededFromSystem())
+    , startedAt(clock.now())
 {
     Member own;
     own.name = settings.name;
@@ -407,9 +415,38 @@
     for (const Member &target : targets) {
         this->probe(target);
     }
+    std::optional<AK::Endpoint> seed;
+    {
+        const std::lock_guard lock(this->mutex);
+        seed = this->unknownSeedLocked();
+    }
+    if (seed) {
+        this->exchangeWith(*seed, "", true, this->settings.timing.rpcTimeoutMs);
+    }
     this->metrics.set("catkinlink_members", {}, static_cast<double>(this->members().size()));
 }
 
+bool MembershipService::knownLocked(const std::string &host) const
+{
+    return std::any_of(this->table.entries.begin(), this->table.entries.end(),
+                       [&](const auto &row) { return row.second.member.rpcAddress.host == host && row.second.member.status != MemberStatus::Dead; });
+}
+
+std::optional<AK::Endpoint> MembershipService::unknownSeedLocked()
+{
+    const bool settling = this->clock.now() - this->startedAt < settlingMs;
+    if (!settling && AK::uniformBelow(this->random, unknownSeedRounds) != 0) {
+        return std::nullopt;
+    }
+    std::vector<AK::Endpoint> unknown;
+    for (const AK::Endpoint &seed : this->settings.seeds) {
+        if (seed != this->settings.rpcAddress && !this->knownLocked(seed.host)) {
+            unknown.push_back(seed);
+        }
+    }
+    return unknown.empty() ? std::nullopt : std::optional(unknown[AK::uniformBelow(this->random, unknown.size())]);
+}
+
 void MembershipService::gossipLoop()
 {
     this->join();
@@ -479,14 +516,33 @@
     if (!hosts.ok()) {
         return;
     }
-    const std::lock_guard lock(this->mutex);
-    for (const LibObjectStore::HostEntry &host : *hosts) {
+    std::vector<AK::Endpoint> unknown;
+    {
+        const std::lock_guard lock(this->mutex);
+        unknown = this->applyHostListLocked(*hosts);
+    }
+    for (const AK::Endpoint &target : unknown) {
+        this->exchangeWith(target, "", true, this->settings.timing.rpcTimeoutMs);
+    }
+}
+
+// Returns a few live hosts of the list that are no members.
+std::vector<AK::Endpoint> MembershipService::applyHostListLocked(const std::vector<LibObjectStore::HostEntry> &hosts)
+{
+    std::vector<AK::Endpoint> unknown;
+    for (const LibObjectStore::HostEntry &host : hosts) {
         for (auto &[name, entry] : this->table.entries) {
             if (entry.member.rpcAddress.host == host.address) {
                 this->applyHostStateLocked(entry, host.state == LibObjectStore::HostState::Leaving);
             }
         }
+        if (host.state == LibObjectStore::HostState::Live && !this->knownLocked(host.address)) {
+            unknown.push_back({host.address, this->settings.rpcAddress.port});
+        }
     }
+    std::shuffle(unknown.begin(), unknown.end(), this->random);
+    unknown.resize(std::min(unknown.size(), unknownHostsPerReading));
+    return unknown;
 }
 
 void MembershipService::applyHostStateLocked(TableEntry &entry, bool leaving)
--- a/Userland/Libraries/LibMembership/MembershipService.h
+++ b/Userland/Libraries/LibMembership/MembershipService.h
@@ -67,6 +67,9 @@
     void hostListLoop();
     void join();
     void joinThroughHostList();
+    std::optional<AK::Endpoint> unknownSeedLocked();
+    bool knownLocked(const std::string &host) const;
+    std::vector<AK::Endpoint> applyHostListLocked(const std::vector<LibObjectStore::HostEntry> &hosts);
     void readHostList();
     void applyHostStateLocked(TableEntry &entry, bool leaving);
     /// One exchange; `expected` is the name of the member at the address, empty when it is not known.
@@ -92,6 +95,7 @@
     std::condition_variable changed;
     MemberTable table;
     AK::Random random;
+    AK::Milliseconds startedAt;
     std::set<std::string> unreachable;
     bool pushWanted = false;
     bool pushToAll = false;
