LibMembership: Keep the hash of the table up to date

Cause: each exchange hashed all records as one text, in the one that asks and in the one that answers, which grows with the fleet. Change: the hash is the sum of a hash per living record; touch() replaces the share of a changed record. Proof: TableHash.DependsOnTheLivingRecordsOnly checks that the order of changes and forgotten dead records make no difference.

--- a/Tests/LibMembership/TestMemberTable.cpp
+++ b/Tests/LibMembership/TestMemberTable.cpp
@@ -98,6 +98,33 @@
     }
 }
 
+// Guards against tables with the same living records having different hashes, which costs full tables, and against different ones having the same hash.
+TEST(TableHash, DependsOnTheLivingRecordsOnly)
+{
+    MemberTable left{.self = "left"};
+    MemberTable right{.self = "right"};
+    for (int i = 0; i < 20; ++i) {
+        mergeRecord(left, record(AK::concat("m-", i), 1, 1), 0);
+        mergeRecord(left, record(AK::concat("m-", i), 1, 2), 0);
+        mergeRecord(right, record(AK::concat("m-", 19 - i), 1, 2), 0);
+    }
+    EXPECT_EQ(tableHash(left), tableHash(right));
+    mergeRecord(left, record("m-3", 1, 3), 0);
+    EXPECT_NE(tableHash(left), tableHash(right));
+    mergeRecord(right, record("m-3", 1, 3), 0);
+    EXPECT_EQ(tableHash(left), tableHash(right));
+    for (const MemberStatus status : {MemberStatus::Suspect, MemberStatus::Dead}) {
+        setObservedStatus(left, "m-4", status, 0);
+        EXPECT_NE(tableHash(left), tableHash(right));
+    }
+    setObservedStatus(right, "m-4", MemberStatus::Dead, 1'000);
+    EXPECT_EQ(tableHash(left), tableHash(right));
+    // Only one of the two has forgotten the dead record.
+    expireSuspects(left, 1'000, 5'000, 1'000);
+    EXPECT_EQ(left.entries.size() + 1, right.entries.size());
+    EXPECT_EQ(tableHash(left), tableHash(right));
+}
+
 // Guards against the number of watches growing with the fleet, and against a failure domain without a watcher.
 TEST(Watchers, AreTwoLivingMembersPerDomain)
 {
--- a/Userland/Libraries/LibMembership/MemberTable.cpp
+++ b/Userland/Libraries/LibMembership/MemberTable.cpp
@@ -20,6 +20,14 @@
     return status == MemberStatus::Alive || status == MemberStatus::Leaving;
 }
 
+uint64_t hashShareOf(const Member &member)
+{
+    if (member.status == MemberStatus::Dead) {
+        return 0;
+    }
+    return AK::stableHash(AK::concat(member.name, " ", member.instance, " ", member.sequence, " ", static_cast<int>(member.status)));
+}
+
 uint32_t sendLimit(size_t members)
 {
     return 3 * std::max(1U, static_cast<uint32_t>(std::bit_width(members)));
@@ -35,6 +43,10 @@
 
 void touch(MemberTable &table, TableEntry &entry)
 {
+    const uint64_t share = hashShareOf(entry.member);
+    // Sums wrap around; addition lets a record's share be replaced whatever the order of changes.
+    table.hash += share - entry.hashShare;
+    entry.hashShare = share;
     entry.timesSent = 0;
     entry.changedAt = ++table.changeCount;
 }
@@ -83,13 +95,7 @@
 
 uint64_t tableHash(const MemberTable &table)
 {
-    std::string text;
-    for (const auto &[name, entry] : table.entries) {
-        if (entry.member.status != MemberStatus::Dead) {
-            text += AK::concat(name, " ", entry.member.instance, " ", entry.member.sequence, " ", static_cast<int>(entry.member.status), "\n");
-        }
-    }
-    return AK::stableHash(text);
+    return table.hash;
 }
 
 std::vector<Member> takeUpdates(MemberTable &table, const std::string &peer, size_t limit)
@@ -168,6 +174,7 @@
             setObservedStatus(table, entry->first, MemberStatus::Dead, now);
             died.push_back(entry->first);
         } else if (value.member.status == MemberStatus::Dead && age >= forgetAfter) {
+            table.hash -= value.hashShare;
             entry = table.entries.erase(entry);
             ++table.changeCount;
             continue;
--- a/Userland/Libraries/LibMembership/MemberTable.h
+++ b/Userland/Libraries/LibMembership/MemberTable.h
@@ -23,12 +23,16 @@
     bool probeFailed = false;
     /// A later probe of a suspect by this process failed too.
     bool confirmed = false;
+    /// What the record adds to MemberTable::hash; 0 when it is dead.
+    uint64_t hashShare = 0;
 };
 
 struct MemberTable {
     std::string self;
     std::map<std::string, TableEntry> entries;
     uint64_t changeCount = 0;
+    /// Sum of the hash shares of all entries, kept up to date by touch().
+    uint64_t hash = 0;
 };
 
 enum class MergeResult {
@@ -46,11 +50,11 @@
 /// Sets a status that is not the owner's word, under the sequence that the owner last published. False when nothing changed.
 bool setObservedStatus(MemberTable &table, const std::string &name, MemberStatus status, AK::Milliseconds now);
 
-/// Marks a record as changed, so that it is spread again.
+/// Marks a record as changed, so that it is spread again, and brings the table's hash up to date. Must follow each change of a record.
 void touch(MemberTable &table, TableEntry &entry);
 
 /// 64-bit hash over name, instance, sequence and status of all records that are not dead. Dead ones are left out because each process forgets them at a time
-/// of its own.
+/// of its own. Takes constant time, because each exchange carries it.
 uint64_t tableHash(const MemberTable &table);
 
 /// At most `limit` changed records, the least often sent first, each sent at most 3 log2(n) times. Counts them as sent. The record of `peer` comes first when
