LibConfiguration: Ask peers before the first revision and after a pause

Cause: a process that restarted took its first revision from the first source that answered. While the object API returned old values, processes went back: the logs showed revisions 1 2 3 4 | 3 4 | 3 4. A process that was stopped for longer than the suspicion (SIGSTOP, SIGCONT) answered its first request with the configuration from before the pause. Change: before its first revision a process only remembers what the store and pushes give, asks its seeds and four members at the same time, and takes the greatest. When no peer answers in three rounds it takes the store's. PauseDetector notices that the process did not run for longer than suspect_timeout_ms; readers of the configuration then wait until peers were asked, for 2 * rpc_timeout_ms at most. PeerRevisions holds push and fetch.

--- a/Userland/Libraries/LibConfiguration/ConfigurationService.cpp
+++ b/Userland/Libraries/LibConfiguration/ConfigurationService.cpp
@@ -2,7 +2,6 @@
 
 #include <AK/Text.h>
 #include <LibConfiguration/Backoff.h>
-#include <LibMembership/MemberTable.h>
 #include <LibMembership/Watchers.h>
 #include <algorithm>
 
@@ -12,15 +11,14 @@
 namespace
 {
 
-constexpr size_t pushFanOut = 4;
 constexpr size_t fetchQueueLimit = 8;
 // A watch cannot be interrupted, so its wait bounds the time that stop() takes. Twelve watchers cost the store 2.4 calls/s.
 constexpr AK::Milliseconds watchSliceMs = 5'000;
 constexpr AK::Milliseconds housekeepingMs = 500;
 // A process that is no watcher looks this often whether it has become one.
 constexpr AK::Milliseconds watcherCheckMs = 500;
-// A revision of 1 MB takes 0.4 s on an idle link between regions.
-constexpr AK::Milliseconds revisionTimeoutFactor = 3;
+// Rounds in which no peer answers before a process takes its first revision from the store alone, which may be stale.
+constexpr int lonelyRounds = 3;
 
 Restriction fromCarried(const LibMembership::CarriedRestriction &carried)
 {
@@ -35,10 +33,11 @@
     , clock(clock)
     , store(store)
     , membership(membership)
-    , identity(std::move(identity))
     , metrics(metrics)
     , holder(settings.site, clock)
     , applier(settings, clock, store, this->holder)
+    , peerRevisions(settings, clock, membership, std::move(identity), metrics)
+    , pauses(clock, settings.timing.suspectTimeoutMs, [this] { this->fetchFrom(this->peerRevisions.someKnown()); })
 {
 }
 
@@ -54,6 +53,8 @@
 
 absl::Status ConfigurationService::start()
 {
+    this->started = true;
+    this->pauses.start();
     this->watcher = std::thread([this] { this->watchLoop(); });
     this->peers = std::thread([this] { this->peerLoop(); });
     return absl::OkStatus();
@@ -75,6 +76,7 @@
     }
     this->wake.notify_all();
     this->holder.wake();
+    this->pauses.stop();
     for (std::thread *thread : {&this->watcher, &this->peers}) {
         if (thread->joinable()) {
             thread->join();
@@ -84,6 +86,8 @@
 
 std::shared_ptr<const Configuration> ConfigurationService::current() const
 {
+    // The peers are asked within milliseconds; when none answers this process continues with the revision that it has.
+    this->pauses.waitCurrent(2 * this->settings.timing.rpcTimeoutMs);
     return this->holder.current();
 }
 
@@ -95,7 +99,7 @@
 uint64_t ConfigurationService::offerRevision(uint64_t revision, std::string_view document)
 {
     if (revision > this->holder.revision()) {
-        this->take(std::string(document), "push");
+        this->receive(std::string(document), "push");
     }
     return this->holder.revision();
 }
@@ -153,6 +157,28 @@
     this->membership.updateSelf([revision](LibMembership::Member &own) { own.revision = std::max(own.revision, revision); });
 }
 
+void ConfigurationService::receive(const std::string &text, std::string_view source)
+{
+    if (!this->started || this->holder.revision() > 0) {
+        this->take(text, source);
+        return;
+    }
+    absl::StatusOr<LibSettings::Revision> revision = LibSettings::parseRevision(text);
+    if (!revision.ok()) {
+        // Counts and logs the refusal.
+        this->take(text, source);
+        return;
+    }
+    const std::lock_guard lock(this->mutex);
+    if (revision->number > this->candidate.number) {
+        this->candidate = *std::move(revision);
+        this->candidateText = text;
+        this->candidateSource = source;
+        this->candidateNew = true;
+        this->wake.notify_all();
+    }
+}
+
 void ConfigurationService::take(const std::string &text, std::string_view source)
 {
     const absl::StatusOr<bool> taken = this->holder.take(text);
@@ -168,6 +194,7 @@
 
 ApplyOutcome ConfigurationService::apply(const ApplyRequest &request)
 {
+    this->waitBootstrapped();
     ApplyOutcome outcome = this->applier.apply(request);
     this->announce("apply");
     this->logger.info("apply",
@@ -209,7 +236,7 @@
     }
     if (stored->version > version) {
         version = stored->version;
-        this->take(stored->value, "store");
+        this->receive(stored->value, "store");
         return true;
     }
     // A store that returns early without a newer version would otherwise be asked in a tight loop.
@@ -234,98 +261,96 @@
     }
 }
 
-void ConfigurationService::queueBootstrapPeers()
+void ConfigurationService::waitBootstrapped()
 {
-    AK::Random random = AK::seededFromSystem();
-    std::vector<AK::Endpoint> candidates = this->settings.seeds;
-    for (const LibMembership::Member &member : LibMembership::chooseMembers(this->membership.members(), this->settings.name, pushFanOut, random)) {
-        candidates.push_back(member.rpcAddress);
+    std::unique_lock lock(this->mutex);
+    this->wake.wait_for(lock, std::chrono::milliseconds(this->settings.timing.storeTimeoutMs),
+                        [this] { return !this->started || this->stopping || this->bootstrapRounds > 0; });
+}
+
+void ConfigurationService::bootstrapOnce()
+{
+    std::vector<AK::Endpoint> known = this->peerRevisions.someKnown();
+    {
+        const std::lock_guard lock(this->mutex);
+        known.insert(known.end(), this->fetchQueue.begin(), this->fetchQueue.end());
+        this->fetchQueue.clear();
+        this->candidateNew = false;
     }
-    const std::lock_guard lock(this->mutex);
-    for (const AK::Endpoint &candidate : candidates) {
-        if (candidate != this->settings.rpcAddress && this->fetchQueue.size() < fetchQueueLimit) {
-            this->fetchQueue.push_back(candidate);
+    const PeerRevisions::Fetched fetched = this->peerRevisions.fetch(known, 0);
+    for (const std::string &text : fetched.revisions) {
+        this->receive(text, "peer");
+    }
+    std::string text;
+    std::string source;
+    {
+        const std::lock_guard lock(this->mutex);
+        this->candidateNew = false;
+        const bool lonely = fetched.answered == 0 && !known.empty() && this->bootstrapRounds + 1 < lonelyRounds;
+        if (!lonely) {
+            text = this->candidateText;
+            source = this->candidateSource;
         }
     }
+    if (!text.empty()) {
+        this->take(text, source);
+    }
+    const std::lock_guard lock(this->mutex);
+    if (!text.empty() && this->holder.revision() == 0) {
+        // Refused, for example of another site; it must not hide a good one with a smaller number.
+        this->candidate = {};
+        this->candidateText.clear();
+    }
+    ++this->bootstrapRounds;
+    this->wake.notify_all();
+}
+
+void ConfigurationService::fetchFrom(const std::vector<AK::Endpoint> &peers)
+{
+    for (const std::string &text : this->peerRevisions.fetch(peers, this->holder.revision()).revisions) {
+        this->take(text, "peer");
+    }
 }
 
 void ConfigurationService::peerLoop()
 {
     while (true) {
-        if (this->holder.revision() == 0) {
-            this->queueBootstrapPeers();
+        const bool first = this->holder.revision() == 0;
+        if (first) {
+            this->bootstrapOnce();
         }
         std::deque<AK::Endpoint> fetches;
-        bool pushNow = false;
+        uint64_t pushed = 0;
         {
             std::unique_lock lock(this->mutex);
             const auto wanted = [this] {
-                return this->stopping || !this->fetchQueue.empty() || this->holder.revision() > this->pushedRevision;
+                const uint64_t revision = this->holder.revision();
+                return this->stopping || (revision == 0 ? this->candidateNew : !this->fetchQueue.empty() || revision > this->pushedRevision);
             };
-            this->wake.wait_for(lock, std::chrono::milliseconds(housekeepingMs), wanted);
+            const AK::Milliseconds wait = first ? std::min<AK::Milliseconds>(housekeepingMs, this->settings.timing.gossipIntervalMs / 4) : housekeepingMs;
+            this->wake.wait_for(lock, std::chrono::milliseconds(wait), wanted);
             if (this->stopping) {
                 return;
             }
+            if (this->holder.revision() == 0) {
+                continue;
+            }
             fetches.swap(this->fetchQueue);
-            const uint64_t revision = this->holder.revision();
-            pushNow = revision > this->pushedRevision;
-            this->pushedRevision = revision;
+            pushed = std::exchange(this->pushedRevision, std::max(this->pushedRevision, this->holder.revision()));
         }
-        if (pushNow) {
-            this->push();
+        if (this->holder.revision() > pushed) {
+            const auto [revision, document] = this->holder.serialized();
+            this->peerRevisions.push(revision, document);
         }
+        // One after the other: a second peer is asked only when the first one had nothing newer.
         const uint64_t before = this->holder.revision();
         for (const AK::Endpoint &peer : fetches) {
             if (this->holder.revision() > before) {
                 break;
             }
-            this->fetchFrom(peer);
+            this->fetchFrom({peer});
         }
         this->holder.removeExpired();
-        if (this->holder.revision() == 0) {
-            this->clock.sleep(std::min<AK::Milliseconds>(housekeepingMs, this->settings.timing.gossipIntervalMs / 4));
-        }
-    }
-}
-
-void ConfigurationService::push()
-{
-    using Response = capnp::Response<Wire::Node::OfferRevisionResults>;
-    AK::Random random = AK::seededFromSystem();
-    const auto [revision, document] = this->holder.serialized();
-    const AK::Milliseconds timeout = revisionTimeoutFactor * this->settings.timing.rpcTimeoutMs;
-    std::vector<std::pair<std::unique_ptr<LibWire::RpcConnection>, kj::Promise<Response>>> offers;
-    for (const LibMembership::Member &member : LibMembership::chooseMembers(this->membership.members(), this->settings.name, pushFanOut, random)) {
-        auto connection = LibWire::RpcConnection::open(member.rpcAddress, this->identity, this->settings.timing.rpcTimeoutMs);
-        if (!connection.ok()) {
-            this->membership.reportUnreachable(member.name);
-            continue;
-        }
-        auto request = (*connection)->node().offerRevisionRequest();
-        request.setRevision(revision);
-        request.setDocument({reinterpret_cast<const kj::byte *>(document.data()), document.size()});
-        kj::Promise<Response> reply = request.send();
-        offers.emplace_back(std::move(*connection), kj::mv(reply));
-    }
-    // All offers are under way before the first reply is awaited, so that a stalled member delays only its own.
-    const AK::Milliseconds end = this->clock.now() + timeout;
-    for (auto &[connection, reply] : offers) {
-        (void)LibWire::waitFor<Response>(kj::mv(reply), std::max<AK::Milliseconds>(1, end - this->clock.now()), connection->waitScope());
-    }
-    this->metrics.add("catkinlink_revision_pushes_total", {}, static_cast<double>(offers.size()));
-}
-
-void ConfigurationService::fetchFrom(const AK::Endpoint &peer)
-{
-    const AK::Milliseconds timeout = this->settings.timing.rpcTimeoutMs;
-    auto connection = LibWire::RpcConnection::open(peer, this->identity, timeout);
-    if (!connection.ok()) {
-        return;
-    }
-    auto reply = (*connection)->call((*connection)->node().fetchRevisionRequest(), revisionTimeoutFactor * timeout);
-    if (reply.ok() && reply->getRevision() > this->holder.revision()) {
-        const auto document = reply->getDocument().asChars();
-        this->take(std::string(document.begin(), document.size()), "peer");
     }
 }
 
--- a/Userland/Libraries/LibConfiguration/ConfigurationService.h
+++ b/Userland/Libraries/LibConfiguration/ConfigurationService.h
@@ -2,6 +2,8 @@
 
 #include <Kernel/Service.h>
 #include <LibConfiguration/Applier.h>
+#include <LibConfiguration/PauseDetector.h>
+#include <LibConfiguration/PeerRevisions.h>
 #include <LibLog/Logger.h>
 #include <LibMembership/ExchangeObserver.h>
 #include <LibMembership/MembershipView.h>
@@ -60,9 +62,12 @@
     /// One watch or read. Returns whether the store answered something useful.
     bool watchOnce(uint64_t &version);
     void peerLoop();
-    void push();
-    void fetchFrom(const AK::Endpoint &peer);
-    void queueBootstrapPeers();
+    /// Asks the store's candidate and the peers for the first revision of this process and takes the greatest.
+    void bootstrapOnce();
+    void waitBootstrapped();
+    void fetchFrom(const std::vector<AK::Endpoint> &peers);
+    /// Takes a revision from the store or a push; before the first one it is only remembered, because the store may be stale.
+    void receive(const std::string &text, std::string_view source);
     /// Takes a revision and, when it is new, publishes its number and has it pushed.
     void take(const std::string &text, std::string_view source);
     void announce(std::string_view source);
@@ -72,17 +77,25 @@
     const AK::Clock &clock;
     LibObjectStore::ObjectStore &store;
     LibMembership::MembershipView &membership;
-    LibWire::RpcIdentity identity;
     LibMetrics::MetricRegistry &metrics;
     LibLog::Logger logger{"configuration"};
     RevisionHolder holder;
     Applier applier;
+    PeerRevisions peerRevisions;
+    PauseDetector pauses;
 
     std::mutex mutex;
     std::condition_variable wake;
     std::deque<AK::Endpoint> fetchQueue;
     uint64_t pushedRevision = 0;
     uint64_t announcedRevision = 0;
+    /// The greatest revision received before the first one is taken, with its source.
+    LibSettings::Revision candidate;
+    std::string candidateText;
+    std::string candidateSource;
+    bool candidateNew = false;
+    int bootstrapRounds = 0;
+    bool started = false;
     bool draining = false;
     bool stopping = false;
     std::thread watcher;
