Tests: Mend the measurement of configuration spread

Its first run stopped at 24 processes (revision 3 missing in a log: the line is written a moment after the revision is in force), times were cut off at 0 because they counted from the answer, and the baseline's calls included our own.

--- a/Tests/Measure/ConfigSpread.cpp
+++ b/Tests/Measure/ConfigSpread.cpp
@@ -3,9 +3,11 @@
 #include <AK/Text.h>
 #include <Harness/EventLog.h>
 #include <LibHttp/HttpClient.h>
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <iostream>
+#include <set>
 #include <thread>
 
 namespace
@@ -22,6 +24,9 @@
     double storeCallsPerSecond = 0;
     double baselineCallsPerSecond = 0;
     std::vector<double> baselineInForceMs;
+    double suspectKnownMs = 0;
+    double deadKnownMs = 0;
+    double leavingKnownMs = 0;
 };
 
 Harness::SitePlan spreadPlan(const MeasureContext &context, int processes)
@@ -40,24 +45,30 @@
     return stats.ok() ? stats->value("calls", 0.0) : 0;
 }
 
-// Applies one change and adds the time at which each process had it in force, from the acceptance on.
-void measureChange(Harness::Site &site, int number, SpreadResult &result)
+// Applies one change and adds, for each process, the time from sending the change until the process had it in force. Returns the revision.
+uint64_t measureChange(Harness::Site &site, int number, SpreadResult &result)
 {
     const AK::SystemClock clock;
+    // The acceptance is known here only after the first processes have the revision, so times count from the sending.
+    const AK::Milliseconds sent = clock.wallTime();
     const auto revision =
         site.change([&](nlohmann::json &document) { document["accounts"]["account-1"]["weight"] = number % 100 + 1; }, AK::concat("change ", number));
     requireOk(revision.status(), "change");
-    const AK::Milliseconds accepted = clock.wallTime();
     requireOk(site.waitForRevision(*revision, inForceLimitMs), "spread");
     for (const std::string &name : site.daemonNames()) {
-        for (const nlohmann::json &event : Harness::readEvents(AK::concat(site.folder(), "/", name, ".log"), "revision_in_force")) {
-            if (event.value("revision", uint64_t{0}) >= *revision) {
-                // The acceptance is known here a little after the first processes have the revision.
-                result.inForceMs.push_back(std::max(0.0, event.value("time_ms", 0.0) - static_cast<double>(accepted)));
-                break;
-            }
-        }
+        const std::string log = AK::concat(site.folder(), "/", name, ".log");
+        double at = 0;
+        // The line is written a moment after the revision is in force.
+        const bool logged = Harness::waitUntil(inForceLimitMs, [&] {
+            const auto events = Harness::readEvents(log, "revision_in_force");
+            const auto reached = std::ranges::find_if(events, [&](const nlohmann::json &event) { return event.value("revision", uint64_t{0}) >= *revision; });
+            at = reached == events.end() ? 0 : reached->value("time_ms", 0.0);
+            return at > 0;
+        });
+        requireOk(logged ? absl::OkStatus() : absl::DataLossError(AK::concat("revision ", *revision, " is missing in ", log)), "spread");
+        result.inForceMs.push_back(at - static_cast<double>(sent));
     }
+    return *revision;
 }
 
 // A process that goes back shows a smaller revision after a greater one in its log, also across a restart.
@@ -94,12 +105,45 @@
     setStoreFault(site, "none");
 }
 
+// Time until every running entry shows one of the given statuses for a member, or has forgotten it.
+double waitForStatus(Harness::Site &site, const std::string &member, const std::set<std::string> &statuses, AK::Milliseconds since)
+{
+    const AK::SystemClock clock;
+    const auto shown = [&](int entry) {
+        const auto view = site.status(site.entryAddress(entry));
+        return view.ok() && std::ranges::all_of(view->at("members"), [&](const nlohmann::json &row) {
+                   return row.value("name", "") != member || statuses.contains(row.value("status", ""));
+               });
+    };
+    for (int entry = 1; entry <= site.plan().entries; ++entry) {
+        const bool reached = Harness::waitUntil(inForceLimitMs, [&] { return shown(entry); });
+        requireOk(reached ? absl::OkStatus() : absl::DeadlineExceededError(AK::concat("entry-", entry, " does not see the status of ", member)), "status");
+    }
+    return static_cast<double>(clock.now() - since);
+}
+
+// One member dies without notice, another one leaves.
+void measureMembers(Harness::Site &site, SpreadResult &result)
+{
+    const AK::SystemClock clock;
+    const std::string dying = "counter-portal-1";
+    const std::string leaving = "counter-portal-2";
+    AK::Milliseconds start = clock.now();
+    site.process(dying).kill();
+    result.suspectKnownMs = waitForStatus(site, dying, {"suspect", "dead"}, start);
+    result.deadKnownMs = waitForStatus(site, dying, {"dead"}, start);
+    start = clock.now();
+    site.process(leaving).signal(SIGTERM);
+    result.leavingKnownMs = waitForStatus(site, leaving, {"leaving", "suspect", "dead"}, start);
+}
+
 // Every process of a fleet asks the store each second.
 void measureBaseline(Harness::Site &site, int processes, int changes, SpreadResult &result)
 {
     const AK::SystemClock clock;
     std::atomic<bool> stopping{false};
     std::atomic<int64_t> changedAt{0};
+    std::atomic<int> polls{0};
     std::mutex mutex;
     std::vector<std::thread> pollers;
     for (int i = 0; i < processes; ++i) {
@@ -107,6 +151,7 @@
             clock.sleep(pollIntervalMs * i / processes);
             uint64_t seen = 0;
             while (!stopping) {
+                ++polls;
                 const auto object = Harness::getJson(site.objectApi(), "/objects/config/costilla-luz");
                 const uint64_t version = object.ok() ? object->value("version", uint64_t{0}) : seen;
                 if (seen != 0 && version > seen) {
@@ -119,14 +164,14 @@
         });
     }
     clock.sleep(2 * pollIntervalMs);
-    const double before = storeCalls(site);
+    const int before = polls;
     const AK::Milliseconds start = clock.now();
     for (int i = 0; i < changes; ++i) {
         changedAt = clock.now();
         requireOk(site.change([&](nlohmann::json &document) { document["accounts"]["account-2"]["weight"] = i % 100 + 2; }, "baseline").status(), "change");
         clock.sleep(2 * pollIntervalMs);
     }
-    result.baselineCallsPerSecond = (storeCalls(site) - before) * 1000 / static_cast<double>(clock.now() - start);
+    result.baselineCallsPerSecond = (polls - before) * 1000.0 / static_cast<double>(clock.now() - start);
     stopping = true;
     for (std::thread &poller : pollers) {
         poller.join();
@@ -145,10 +190,12 @@
     const double before = storeCalls(site);
     clock.sleep(quietSeconds * 1000);
     result.storeCallsPerSecond = (storeCalls(site) - before) / quietSeconds;
+    uint64_t revision = 1;
     for (int i = 1; i <= changes; ++i) {
-        measureChange(site, i, result);
+        revision = measureChange(site, i, result);
     }
-    disturb(site, static_cast<uint64_t>(changes) + 1);
+    disturb(site, revision);
+    measureMembers(site, result);
     result.reversions = countReversions(site);
     measureBaseline(site, processes, 3, result);
     return result;
@@ -173,6 +220,9 @@
                                     {"in_force_ms_max", percentile(point.inForceMs, 100)},
                                     {"store_calls_per_s", point.storeCallsPerSecond},
                                     {"reversions", point.reversions},
+                                    {"suspect_known_ms", point.suspectKnownMs},
+                                    {"dead_known_ms", point.deadKnownMs},
+                                    {"leaving_known_ms", point.leavingKnownMs},
                                     {"baseline_store_calls_per_s", point.baselineCallsPerSecond},
                                     {"baseline_in_force_ms_max", percentile(point.baselineInForceMs, 100)}});
         result["store_calls_per_s"][std::to_string(processes)] = point.storeCallsPerSecond;
