--- a/Tests/Measure/Measurement.h
+++ b/Tests/Measure/Measurement.h
@@ -33,6 +33,7 @@
 using Measurement = nlohmann::json (*)(const MeasureContext &context);
 
 nlohmann::json measureControl(const MeasureContext &context);
+nlohmann::json measureGossip(const MeasureContext &context);
 nlohmann::json measureConfig(const MeasureContext &context);
 nlohmann::json measureOverload(const MeasureContext &context);
 nlohmann::json measureDomain(const MeasureContext &context);
--- a/Tests/Measure/main.cpp
+++ b/Tests/Measure/main.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::array measurements{
     NamedMeasurement{"control", "processor, memory and bytes of control work at several fleet sizes [--sizes 12,24,48,96 --seconds 20]", &measureControl},
+    NamedMeasurement{"gossip", "cost of one exchange and of a whole table at full size [--members 1270 --exchanges 500]", &measureGossip},
     NamedMeasurement{"config", "time until a change is in force everywhere, reversions and store calls [--sizes 12,24,48,96 --changes 10]", &measureConfig},
     NamedMeasurement{"overload", "goodput at 1, 2 and 4 times the capacity [--seconds 8]", &measureOverload},
     NamedMeasurement{"domain", "service while a failure domain leaves and returns [--seconds 12 --rate 40]", &measureDomain},
