LibWeights: Log when an agent holds all chunks and measure rollouts under faults

Cause: the rollout measurement reads the event weights_complete, which nobody wrote, and had neither faults nor plots. Change: WeightFetch writes weights_complete once per fetch.

--- a/Tests/Measure/Measurement.h
+++ b/Tests/Measure/Measurement.h
@@ -38,6 +38,7 @@
 nlohmann::json measureDomain(const MeasureContext &context);
 nlohmann::json measureOnce(const MeasureContext &context);
 nlohmann::json measureRollout(const MeasureContext &context);
+nlohmann::json measureRolloutScaling(const MeasureContext &context);
 
 /// Ends the program with status 1 and the message when the status is not OK.
 void requireOk(const absl::Status &status, const std::string &what);
--- a/Tests/Measure/Rollout.cpp
+++ b/Tests/Measure/Rollout.cpp
@@ -1,10 +1,15 @@
 #include "Measurement.h"
+#include "Plot.h"
 
 #include <AK/Text.h>
 #include <Harness/Caller.h>
 #include <Harness/EventLog.h>
 #include <LibHttp/HttpClient.h>
 #include <algorithm>
+#include <array>
+#include <cmath>
+#include <csignal>
+#include <cstdlib>
 #include <iostream>
 
 namespace
@@ -50,6 +55,7 @@
     plan.engineFlags = {"--slots", "8", "--cold-ms", "200", "--token-ms", "2", "--load-ms", "50"};
     plan.agentSettings = {{"weights_bytes_per_s", static_cast<int64_t>(size.hostRate())}, {"ramp_step_ms", 200}, {"weights_percent_under_load", 95}};
     plan.logLevel = "info";
+    plan.enginesPerProcess = 30;
     return plan;
 }
 
@@ -90,12 +96,16 @@
 {
     Replicas replicas;
     for (const std::string &agent : site.agents(service)) {
+        double complete = 0;
         for (const nlohmann::json &event : Harness::readEvents(AK::concat(site.folder(), "/", agent, ".log"), "weights_complete")) {
             if (event.value("root", "") == root) {
-                replicas.times.push_back(event.value("time_ms", 0.0));
-                break;
+                // An agent that was restarted holds all chunks from its last event on.
+                complete = event.value("time_ms", 0.0);
             }
         }
+        if (complete > 0) {
+            replicas.times.push_back(complete);
+        }
     }
     std::ranges::sort(replicas.times);
     return replicas;
@@ -186,15 +196,86 @@
     return series;
 }
 
-} // namespace
+/// Faults during a rollout; the settings come from flags.
+struct RolloutFaults {
+    int killPercent = 0;
+    int corruptPercent = 0;
+    int stalled = 0;
+};
 
-nlohmann::json measureRollout(const MeasureContext &context)
+// `count` agents in an order drawn from the seed, without the first `skip`.
+std::vector<std::string> victims(Harness::Site &site, size_t skip, size_t count, uint64_t seed)
+{
+    std::vector<std::string> names = site.agents(service);
+    AK::Random random(seed);
+    std::shuffle(names.begin(), names.end(), random);
+    const size_t first = std::min(skip, names.size());
+    const size_t last = std::min(first + count, names.size());
+    return {names.begin() + static_cast<ptrdiff_t>(first), names.begin() + static_cast<ptrdiff_t>(last)};
+}
+
+// Stops agents, then kills others and starts them again empty while the transfer is about a third done.
+std::vector<std::string> injectFaults(Harness::Site &site, const RolloutSize &size, const RolloutFaults &faults, uint64_t seed)
+{
+    const AK::SystemClock clock;
+    const auto bound = static_cast<AK::Milliseconds>(size.boundSeconds() * 1000);
+    const auto stalledCount = static_cast<size_t>(faults.stalled);
+    std::vector<std::string> stalled = victims(site, 0, stalledCount, seed);
+    if (!stalled.empty()) {
+        clock.sleep(bound / 5);
+        for (const std::string &name : stalled) {
+            site.process(name).signal(SIGSTOP);
+        }
+    }
+    if (faults.killPercent > 0) {
+        clock.sleep(bound / 3);
+        const auto killed = static_cast<size_t>((size.hosts * faults.killPercent + 99) / 100);
+        for (const std::string &name : victims(site, stalledCount, killed, seed)) {
+            site.process(name).kill();
+            site.startDaemon(name);
+        }
+    }
+    return stalled;
+}
+
+size_t expectedReplicas(const RolloutSize &size, const std::vector<std::string> &stalled)
+{
+    return static_cast<size_t>(size.hosts) - stalled.size();
+}
+
+RolloutSize sizeFromFlags(const MeasureContext &context, int hosts)
 {
     RolloutSize size;
-    size.hosts = context.flags.number("hosts", 12);
+    size.hosts = hosts;
     size.weightBytes = int64_t{context.flags.number("kib", 4096)} << 10;
     size.chunkBytes = int64_t{context.flags.number("chunk-kib", 32)} << 10;
     size.windowSeconds = context.flags.number("window", 20);
+    return size;
+}
+
+struct RolloutResult {
+    nlohmann::json figures;
+    PlotSeries replicasOverTime;
+};
+
+PlotSeries replicaSeries(const RolloutSize &size, const Replicas &replicas, double start)
+{
+    PlotSeries series{AK::concat(size.hosts, " hosts"), {{0, 0}}};
+    for (size_t i = 0; i < replicas.times.size(); ++i) {
+        series.points.emplace_back((replicas.times[i] - start) / 1000, 100 * static_cast<double>(i + 1) / static_cast<double>(size.hosts));
+    }
+    return series;
+}
+
+std::string machineLoad()
+{
+    std::array<double, 1> average{};
+    return ::getloadavg(average.data(), 1) == 1 ? AK::concat(static_cast<int>(std::lround(average[0]))) : "unknown";
+}
+
+RolloutResult runRollout(const MeasureContext &context, const RolloutSize &size)
+{
+    const RolloutFaults faults{context.flags.number("kill-percent", 0), context.flags.number("corrupt-percent", 0), context.flags.number("stall", 0)};
     Harness::Site site(rolloutPlan(context, size));
     requireOk(site.start(), "start");
     requireOk(site.applyInitial(), "apply");
@@ -209,8 +290,13 @@
     };
     Harness::Load load(site, loadPlan);
     clock.sleep(5'000);
+    if (faults.corruptPercent > 0) {
+        const nlohmann::json fault{{"mode", "corrupt"}, {"share", faults.corruptPercent / 100.0}};
+        requireOk(Harness::postJson(site.weightStore(), "/fake/fault", fault).status(), "corrupt");
+    }
     const Traffic before = trafficOf(site);
     const double originBefore = originBytes(site);
+    const std::string root = site.weightsRoot(service, "2");
     const AK::Milliseconds start = clock.now();
     const auto startWall = static_cast<double>(clock.wallTime());
     requireOk(site.change(
@@ -218,24 +304,38 @@
                           nlohmann::json &entry = document["services"][service];
                           entry["previous"] = entry["target"];
                           entry["target"]["version"] = "2";
-                          entry["target"]["root"] = site.weightsRoot(service, "2");
+                          entry["target"]["root"] = root;
                       },
                       "rollout")
                   .status(),
               "rollout");
+    const std::vector<std::string> stalled = injectFaults(site, size, faults, context.seed);
+    // The agents that are not stopped must finish while the stopped ones still are.
+    const size_t wanted = expectedReplicas(size, stalled);
+    Replicas replicas;
+    while ((replicas = replicaTimes(site, root)).times.size() < wanted && clock.now() - start < rolloutLimitMs) {
+        clock.sleep(200);
+    }
+    const std::string load1 = machineLoad();
+    for (const std::string &name : stalled) {
+        site.process(name).signal(SIGCONT);
+    }
     requireOk(site.waitServing(service, "2", rolloutLimitMs), "rollout");
     const AK::Milliseconds end = clock.now();
     const std::vector<Harness::CallRecord> records = load.finish();
     const Traffic after = trafficOf(site);
     const double originAfter = originBytes(site);
-    const Replicas replicas = replicaTimes(site, site.weightsRoot(service, "2"));
     const auto bytes = static_cast<double>(size.weightBytes);
     const double seconds = replicas.times.empty() ? 0 : (replicas.times.back() - startWall) / 1000;
     const double calm = percentile(latencies(records, 0, start), 95);
     nlohmann::json result{
         {"hosts", size.hosts},
         {"processes", site.daemonNames().size()},
+        {"machine_load_average", load1},
         {"replicas", replicas.times.size()},
+        {"stalled", stalled.size()},
+        {"kill_percent", faults.killPercent},
+        {"corrupt_percent", faults.corruptPercent},
         {"seconds_to_all_replicas", seconds},
         {"seconds_to_all_serving", static_cast<double>(end - start) / 1000},
         {"bound_seconds", size.boundSeconds()},
@@ -252,7 +352,43 @@
         {"replicas_over_time", replicasOverTime(replicas, startWall)},
     };
     std::cerr << result.dump() << "\n";
-    result["baseline_time_over_bound"] = originOnlyOverBound(site, size);
     result["baseline_tree_time_over_bound"] = binaryTreeOverBound(size);
-    return result;
+    if (context.flags.number("baseline", 1) != 0) {
+        (void)Harness::postJson(site.weightStore(), "/fake/fault", {{"mode", "none"}});
+        result["baseline_time_over_bound"] = originOnlyOverBound(site, size);
+    }
+    return {result, replicaSeries(size, replicas, startWall)};
+}
+
+} // namespace
+
+nlohmann::json measureRollout(const MeasureContext &context)
+{
+    const RolloutResult result = runRollout(context, sizeFromFlags(context, context.flags.number("hosts", 12)));
+    if (const std::string file = context.flags.text("svg", ""); !file.empty()) {
+        writeSvg({"Replicas over time", "seconds since the change was accepted", "hosts with all chunks, percent", {result.replicasOverTime}}, file);
+    }
+    return result.figures;
+}
+
+nlohmann::json measureRolloutScaling(const MeasureContext &context)
+{
+    Plot times{"Time to N replicas", "hosts", "seconds", {{"catkinlink", {}}, {"lower bound", {}}}};
+    Plot replicas{"Replicas over time", "seconds since the change was accepted", "hosts with all chunks, percent", {}};
+    nlohmann::json runs = nlohmann::json::array();
+    for (const int hosts : context.flags.numbers("sizes", {12, 60, 120, 240})) {
+        const RolloutResult result = runRollout(context, sizeFromFlags(context, hosts));
+        times.series[0].points.emplace_back(hosts, result.figures["seconds_to_all_replicas"].get<double>());
+        times.series[1].points.emplace_back(hosts, result.figures["bound_seconds"].get<double>());
+        replicas.series.push_back(result.replicasOverTime);
+        runs.push_back(result.figures);
+    }
+    const std::string folder = context.flags.text("svg-folder", "");
+    if (!folder.empty()) {
+        writeSvg(times, folder + "/time-to-n-replicas.svg");
+        writeSvg(replicas, folder + "/replicas-over-time.svg");
+    }
+    const double first = times.series[0].points.front().second;
+    const double last = times.series[0].points.back().second;
+    return {{"runs", runs}, {"growth", first == 0 ? 0 : last / first}};
 }
--- a/Tests/Measure/main.cpp
+++ b/Tests/Measure/main.cpp
@@ -19,7 +19,12 @@
     NamedMeasurement{"overload", "goodput at 1, 2 and 4 times the capacity [--seconds 8]", &measureOverload},
     NamedMeasurement{"domain", "service while a failure domain leaves and returns [--seconds 12 --rate 40]", &measureDomain},
     NamedMeasurement{"once", "calls that may not be repeated under faults [--seconds 20 --rate 20]", &measureOnce},
-    NamedMeasurement{"rollout", "time to N replicas, origin and cross-region copies [--hosts 12 --kib 4096]", &measureRollout},
+    NamedMeasurement{"rollout",
+                     "time to N replicas, origin and cross-region copies [--hosts 12 --kib 4096 --chunk-kib 32 --window 20 --svg FILE "
+                     "--kill-percent P --corrupt-percent P --stall N]",
+                     &measureRollout},
+    NamedMeasurement{"rollout-scaling", "time to N replicas against N [--sizes 12,60,120,240 --svg-folder DIR and the flags of rollout]",
+                     &measureRolloutScaling},
 };
 
 int usage()
--- a/Userland/Libraries/LibWeights/FetchProgress.cpp
+++ b/Userland/Libraries/LibWeights/FetchProgress.cpp
@@ -17,6 +17,7 @@
 
 FetchProgress::FetchProgress(Manifest manifest, std::string manifestText, const ChunkStore &store)
     : description(std::move(manifest))
+    , rootHash(rootOf(this->description))
     , text(std::move(manifestText))
     , references(this->description.chunks())
     , wanted(this->references.size(), true)
@@ -37,6 +38,11 @@
     return this->description;
 }
 
+const std::string &FetchProgress::root() const
+{
+    return this->rootHash;
+}
+
 const std::string &FetchProgress::manifestText() const
 {
     return this->text;
--- a/Userland/Libraries/LibWeights/FetchProgress.h
+++ b/Userland/Libraries/LibWeights/FetchProgress.h
@@ -28,6 +28,8 @@
     FetchProgress(Manifest manifest, std::string manifestText, const ChunkStore &store);
 
     const Manifest &manifest() const;
+    /// Root of the manifest, calculated once.
+    const std::string &root() const;
     const std::string &manifestText() const;
     const std::vector<ChunkReference> &chunks() const;
 
@@ -56,6 +58,7 @@
 
 private:
     Manifest description;
+    std::string rootHash;
     std::string text;
     std::vector<ChunkReference> references;
     mutable std::mutex mutex;
--- a/Userland/Libraries/LibWeights/WeightFetch.cpp
+++ b/Userland/Libraries/LibWeights/WeightFetch.cpp
@@ -112,6 +112,7 @@
     if (this->stopping) {
         return;
     }
+    this->reportComplete();
     std::thread designated([this] { this->runDesignated(); });
     while (this->active()) {
         this->superviseNeighbours();
@@ -219,6 +220,16 @@
     return true;
 }
 
+// Written when the last chunk arrives, or at once when all chunks are shared with versions held before.
+void WeightFetch::reportComplete()
+{
+    if (!this->current->complete() || this->completeReported.exchange(true)) {
+        return;
+    }
+    this->logger.info("weights_complete",
+                      {{"root", this->wanted.root}, {"chunks", this->current->chunks().size()}, {"duration_ms", this->context.clock.now() - this->startedAt}});
+}
+
 void WeightFetch::superviseNeighbours()
 {
     const PeerDirectory directory = this->currentPeers();
@@ -319,6 +330,7 @@
     const absl::Status stored = this->context.store.put(this->current->chunks()[index].hash, std::move(*data));
     this->current->release(index, stored.ok());
     if (stored.ok()) {
+        this->reportComplete();
         result = FetchResult::Held;
         return true;
     }
--- a/Userland/Libraries/LibWeights/WeightFetch.h
+++ b/Userland/Libraries/LibWeights/WeightFetch.h
@@ -71,6 +71,7 @@
     std::vector<std::string> manifestSources(const PeerDirectory &directory, size_t rank, bool searchAll) const;
     bool acceptManifest(const std::string &text, const std::string &source);
     PeerDirectory currentPeers() const;
+    void reportComplete();
 
     void superviseNeighbours();
     void runPeer(PeerTask &task, const std::string &peer, const AK::Endpoint &endpoint);
@@ -98,6 +99,7 @@
     AK::Milliseconds slowestOriginFetch = 0;
     std::atomic<bool> stopping{false};
     std::atomic<bool> ended{false};
+    std::atomic<bool> completeReported{false};
     mutable std::mutex mutex;
     std::shared_ptr<FetchProgress> current;
     std::set<std::string> excluded;
--- a/Userland/Libraries/LibWeights/WeightsService.cpp
+++ b/Userland/Libraries/LibWeights/WeightsService.cpp
@@ -199,7 +199,7 @@
     if (this->fetch && this->fetch->target().root == root) {
         return this->fetch->progress();
     }
-    return this->lastVersion && rootOf(this->lastVersion->manifest()) == root ? this->lastVersion : nullptr;
+    return this->lastVersion && this->lastVersion->root() == root ? this->lastVersion : nullptr;
 }
 
 bool WeightsService::holdsAll(const std::string &root) const
