LibWeights: Pass the fencing tokens of an earlier agent on the host

Cause: the fencing counter starts at 0 with the agent, so an engine that honours fencing refuses the loads of an agent restarted in the same revision until the counter has caught up. Conclusion: a restarted agent recovers in at most 20 refusals.

--- a/Tests/LibWeights/TestOrders.cpp
+++ b/Tests/LibWeights/TestOrders.cpp
@@ -99,6 +99,22 @@
     EXPECT_GE(fewest, 2);
 }
 
+// Guards against an engine that refuses every load of a restarted agent, because the agent before it gave more orders in the same revision.
+TEST(EngineOrders, RestartedAgentPassesTheTokensOfTheOneBefore)
+{
+    Fleet fleet({.regions = {"a"}, .engines = true});
+    fleet.want("1");
+    fleet.startAll();
+    ASSERT_TRUE(fleet.waitFor([&] { return serves(fleet, 0, "1"); }));
+    LibEngine::HttpEngine engine(fleet.agents[0]->settings.agent.upstreamAddress);
+    const std::string url = AK::concat("http://", fleet.agents[0]->settings.agent.weightStore.text(), "/weights/glue/base/2/manifest.json");
+    const uint64_t revision = fleet.configuration.current()->revision.number;
+    ASSERT_TRUE(engine.load({(revision << 20) + 100, "glue", "base", "2", url}, 5000).ok());
+    fleet.restartService(0);
+    EXPECT_TRUE(fleet.waitFor([&] { return serves(fleet, 0, "1"); }));
+    EXPECT_LE(fleet.agents[0]->engine->stats().refusedLoads, 20);
+}
+
 struct OrderCase {
     const char *name;
     LibWeights::OrderInput input;
--- a/Userland/Libraries/LibWeights/EngineOrders.cpp
+++ b/Userland/Libraries/LibWeights/EngineOrders.cpp
@@ -18,6 +18,7 @@
 // Pause after an order that did not lead to the wanted root.
 constexpr AK::Milliseconds retryPauseMs = 1'000;
 constexpr int fencingCounterBits = 20;
+constexpr uint64_t fencingCounterLimit = (uint64_t{1} << fencingCounterBits) - 1;
 
 } // namespace
 
@@ -184,7 +185,12 @@
     this->publish(LibMembership::ServingState::Loading, "", target.root);
     const std::string url =
         AK::concat("http://", this->settings.httpAddress.text(), weightsPath(target.model, target.adapter, target.version), "/manifest.json");
-    const uint64_t token = (configuration.revision.number << fencingCounterBits) + ++this->orders;
+    if (this->orderRevision != configuration.revision.number) {
+        this->orderRevision = configuration.revision.number;
+        this->orders = 0;
+    }
+    this->orders = std::min(this->orders + 1, fencingCounterLimit);
+    const uint64_t token = (configuration.revision.number << fencingCounterBits) + this->orders;
     const absl::Status answer = this->engine.load({token, target.model, target.adapter, target.version, url}, loadTimeoutMs);
     this->metrics.add("catkinlink_engine_loads_total", {{"answer", answer.ok() ? "ok" : "failed"}});
     while (!stopped()) {
@@ -202,6 +208,11 @@
         this->clock.sleep(this->settings.timing.statusPollMs);
     }
     this->logger.warning("load_not_verified", {{"root", target.root}, {"answer", std::string(answer.message())}});
+    if (absl::IsFailedPrecondition(answer)) {
+        // An earlier agent on this host may have given orders in the same revision. The engine does not tell its greatest token; doubling passes it
+        // after at most 20 refusals and never reaches the tokens of the next revision.
+        this->orders = std::min(2 * this->orders, fencingCounterLimit);
+    }
     this->retryAt = this->clock.now() + retryPauseMs;
 }
 
--- a/Userland/Libraries/LibWeights/EngineOrders.h
+++ b/Userland/Libraries/LibWeights/EngineOrders.h
@@ -76,7 +76,9 @@
     std::function<bool(const std::string &)> holdsAll;
     LibLog::Logger logger{"engine-orders"};
     bool gateClosed = false;
+    /// Counter of the fencing token and the revision in which it counts.
     uint64_t orders = 0;
+    uint64_t orderRevision = 0;
     AK::Milliseconds retryAt = 0;
 };
 
