LibWeights: Let a group of 8 agents bring chunks into a region

Cause: with all agents designated for one or two chunks each, the fetches share the origin's link and end together, while no peer has anything to send. Change: the first 8 agents of a region by rendezvous hash of the root come first in the order of every chunk.

--- a/Userland/Libraries/LibWeights/ChunkChoice.cpp
+++ b/Userland/Libraries/LibWeights/ChunkChoice.cpp
@@ -30,9 +30,27 @@
 
 } // namespace
 
+std::vector<std::string> designatedGroup(const std::string &root, const std::vector<std::string> &names)
+{
+    std::vector<std::string> group = byWeight(AK::concat(root, "/group"), names);
+    group.resize(std::min(group.size(), designatedCount));
+    return group;
+}
+
 std::vector<std::string> fetchOrder(const std::string &root, std::string_view key, const std::vector<std::string> &names)
 {
-    return byWeight(AK::concat(root, "/", key), names);
+    const std::vector<std::string> group = designatedGroup(root, names);
+    std::vector<std::string> rest;
+    for (const std::string &name : names) {
+        if (std::find(group.begin(), group.end(), name) == group.end()) {
+            rest.push_back(name);
+        }
+    }
+    std::vector<std::string> order = byWeight(AK::concat(root, "/", key), group);
+    for (std::string &name : byWeight(AK::concat(root, "/", key), rest)) {
+        order.push_back(std::move(name));
+    }
+    return order;
 }
 
 std::vector<std::string> chooseNeighbours(const std::string &self, const std::string &root, const std::vector<std::string> &names, size_t count)
--- a/Userland/Libraries/LibWeights/DesignatedFetch.cpp
+++ b/Userland/Libraries/LibWeights/DesignatedFetch.cpp
@@ -28,12 +28,16 @@
     return index / 8 < bitmap.size() && ((static_cast<unsigned char>(bitmap[index / 8]) >> (index % 8)) & 1) != 0;
 }
 
-size_t rankOf(const std::string &self, const std::string &root, uint32_t index, const std::vector<std::string> &names)
+// Position of `self` in fetchOrder() without the cost of sorting.
+size_t rankOf(const std::string &self, const std::string &root, uint32_t index, const std::vector<std::string> &names, const std::set<std::string> &group)
 {
     const std::string key = AK::concat(root, "/", index);
+    const bool member = group.contains(self);
     const std::pair own(AK::rendezvousWeight(key, self), self);
-    return static_cast<size_t>(
-        std::count_if(names.begin(), names.end(), [&](const std::string &name) { return std::pair(AK::rendezvousWeight(key, name), name) > own; }));
+    const auto before = std::count_if(names.begin(), names.end(), [&](const std::string &name) {
+        return group.contains(name) == member && std::pair(AK::rendezvousWeight(key, name), name) > own;
+    });
+    return static_cast<size_t>(before) + (member ? 0 : group.size());
 }
 
 } // namespace
@@ -52,8 +56,10 @@
         if (found != names) {
             names = std::move(found);
             ranks.resize(total);
+            const std::vector<std::string> first = designatedGroup(this->wanted.root, names);
+            const std::set<std::string> group(first.begin(), first.end());
             for (uint32_t i = 0; i < total; ++i) {
-                ranks[i] = rankOf(this->context.settings.name, this->wanted.root, i, names);
+                ranks[i] = rankOf(this->context.settings.name, this->wanted.root, i, names, group);
             }
         }
         std::vector<uint32_t> designated;
