Tests: Tell the attempts of one key apart by their request id

Cause: executions were counted by Idempotency-Key only, so an attempt that was told "not run" and ran was hidden when another attempt with the same key was told something else. Change: the harness's caller gives each attempt an X-Request-Id of its own and keeps those that were told not_run; fake_plain keeps the ids that it executed (GET /fake/requests). Conclusion: the measurement once and the process tests can check "not run" per attempt.

--- a/Tests/Fakes/Plain/PlainService.cpp
+++ b/Tests/Fakes/Plain/PlainService.cpp
@@ -32,6 +32,8 @@
         this->handleStats(exchange);
     } else if (exchange.request().path == "/fake/executions") {
         this->handleExecutions(exchange);
+    } else if (exchange.request().path == "/fake/requests") {
+        this->handleRequests(exchange);
     } else {
         this->execute(exchange);
     }
@@ -78,10 +80,23 @@
     exchange.respond(LibHttp::jsonResponse(200, executionsByKey.dump()));
 }
 
-uint64_t PlainService::countExecution(const std::string &key)
+void PlainService::handleRequests(LibHttp::HttpExchange &exchange)
+{
+    nlohmann::json executed;
+    {
+        const std::lock_guard lock(this->mutex);
+        executed["executed"] = this->requestIds;
+    }
+    exchange.respond(LibHttp::jsonResponse(200, executed.dump()));
+}
+
+uint64_t PlainService::countExecution(const std::string &key, const std::string &requestId)
 {
     const std::lock_guard lock(this->mutex);
     ++this->executions;
+    if (!requestId.empty()) {
+        this->requestIds.push_back(requestId);
+    }
     return key.empty() ? 1 : ++this->byKey[key];
 }
 
@@ -107,7 +122,7 @@
         return;
     }
     const std::string key(LibHttp::headerOr(exchange.request().headers, "idempotency-key"));
-    const uint64_t times = this->countExecution(key);
+    const uint64_t times = this->countExecution(key, std::string(LibHttp::headerOr(exchange.request().headers, "x-request-id")));
     if (current == PlainFault::CutAfterRun || !this->waitWhileStalled()) {
         cut(exchange);
         return;
--- a/Tests/Fakes/Plain/PlainService.h
+++ b/Tests/Fakes/Plain/PlainService.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace Fakes
 {
@@ -43,8 +44,9 @@
     void handleFault(LibHttp::HttpExchange &exchange);
     void handleStats(LibHttp::HttpExchange &exchange);
     void handleExecutions(LibHttp::HttpExchange &exchange);
+    void handleRequests(LibHttp::HttpExchange &exchange);
     void execute(LibHttp::HttpExchange &exchange);
-    uint64_t countExecution(const std::string &key);
+    uint64_t countExecution(const std::string &key, const std::string &requestId);
     bool waitWhileStalled();
 
     const AK::Clock &clock;
@@ -55,6 +57,8 @@
     bool stopping = false;
     uint64_t executions = 0;
     std::map<std::string, uint64_t> byKey;
+    /// X-Request-Id of executed requests, in order.
+    std::vector<std::string> requestIds;
 };
 
 } // namespace Fakes
--- a/Tests/Harness/Caller.cpp
+++ b/Tests/Harness/Caller.cpp
@@ -13,6 +13,7 @@
 constexpr AK::Milliseconds retryPauseMs = 50;
 constexpr AK::Milliseconds lateStartMs = 20;
 constexpr size_t bodyLimit = 4 << 20;
+constexpr int requestIdDigits = 20;
 
 // Reads a stream to its end; the body is kept as it came.
 absl::Status readStream(LibHttp::HttpStream &stream, const AK::Clock &clock, CallRecord &record)
@@ -86,6 +87,8 @@
     ++record.attempts;
     LibHttp::HttpRequest request = plan.request;
     request.headers["authorization"] = "Bearer " + this->key;
+    const std::string requestId = AK::randomHex(this->random, requestIdDigits);
+    request.headers["x-request-id"] = requestId;
     const AK::Milliseconds left = record.startedAt + plan.deadlineMs - this->clock.now();
     request.headers["x-deadline-ms"] = std::to_string(std::max<AK::Milliseconds>(1, left));
     auto stream = LibHttp::HttpStream::open(this->nextEntry(), request, left + 1'000);
@@ -111,6 +114,9 @@
         record.cut = true;
         record.outcome = "unknown";
     }
+    if (!plan.repeatable && record.outcome == "not_run") {
+        record.refusedIds.push_back(requestId);
+    }
 }
 
 CallRecord Caller::run(const CallPlan &plan)
--- a/Tests/Harness/Caller.h
+++ b/Tests/Harness/Caller.h
@@ -39,6 +39,8 @@
     /// An attempt broke after its connection was accepted.
     bool cut = false;
     std::string idempotencyKey;
+    /// X-Request-Id of the attempts that were told "not run"; none of them may ever run. Calls that may not be repeated only.
+    std::vector<std::string> refusedIds;
 };
 
 /// A caller as the platform has them: asks any entry host for addresses, keeps the answer for its lifetime, connects itself, and goes to another entry when one
