--- a/Userland/Services/Operator/OperatorJson.cpp
+++ b/Userland/Services/Operator/OperatorJson.cpp
@@ -20,6 +20,47 @@
     return json.contains(field) && json[field].is_string();
 }
 
+int httpStatusOf(OperatorErrorCode code)
+{
+    switch (code) {
+    case OperatorErrorCode::Unauthorized:
+        return 401;
+    case OperatorErrorCode::NotFound:
+        return 404;
+    case OperatorErrorCode::Conflict:
+        return 409;
+    case OperatorErrorCode::InvalidRequest:
+    case OperatorErrorCode::InvalidDocument:
+    case OperatorErrorCode::LastUpstream:
+        return 422;
+    case OperatorErrorCode::StoreUnreachable:
+    case OperatorErrorCode::NoConfiguration:
+        return 503;
+    case OperatorErrorCode::OutcomeUnknown:
+        return 504;
+    }
+    return 500;
+}
+
+nlohmann::json errorBody(OperatorErrorCode code, std::string_view message)
+{
+    return {{"code", AK::nameOf(operatorErrorCodeNames, code)}, {"error", message}};
+}
+
+LibHttp::HttpResponse conflictResponse(const LibConfiguration::ApplyOutcome &outcome)
+{
+    nlohmann::json body = errorBody(OperatorErrorCode::Conflict, outcome.message);
+    if (outcome.winner) {
+        body.update({{"revision", outcome.winner->revisionAfter},
+                     {"author", outcome.winner->author},
+                     {"reason", outcome.winner->reason},
+                     {"changed_at_ms", outcome.winner->atMs}});
+    } else {
+        body.update({{"revision", 0}, {"author", ""}, {"reason", ""}, {"changed_at_ms", 0}});
+    }
+    return LibHttp::jsonResponse(httpStatusOf(OperatorErrorCode::Conflict), body.dump());
+}
+
 } // namespace
 
 std::optional<std::string> authenticate(const LibSettings::ProcessSettings &settings, const LibHttp::HttpHeaders &headers)
@@ -88,39 +129,29 @@
     return restriction;
 }
 
-LibHttp::HttpResponse errorResponse(int status, std::string_view message)
+LibHttp::HttpResponse errorResponse(OperatorErrorCode code, std::string_view message)
 {
-    return LibHttp::jsonResponse(status, nlohmann::json{{"error", message}}.dump());
+    return LibHttp::jsonResponse(httpStatusOf(code), errorBody(code, message).dump());
 }
 
 LibHttp::HttpResponse applyResponse(const LibConfiguration::ApplyOutcome &outcome)
 {
     using LibConfiguration::ApplyResult;
-    nlohmann::json body{{"error", outcome.message}};
     switch (outcome.result) {
     case ApplyResult::Accepted:
         return LibHttp::jsonResponse(200, nlohmann::json{{"revision", outcome.revision}}.dump());
     case ApplyResult::Conflict:
-        if (outcome.winner) {
-            body["revision"] = outcome.winner->revisionAfter;
-            body["author"] = outcome.winner->author;
-            body["reason"] = outcome.winner->reason;
-            body["changed_at_ms"] = outcome.winner->atMs;
-        } else {
-            body.update({{"revision", 0}, {"author", ""}, {"reason", ""}, {"changed_at_ms", 0}});
-        }
-        return LibHttp::jsonResponse(409, body.dump());
+        return conflictResponse(outcome);
     case ApplyResult::LastUpstream:
-        body["last_upstream"] = true;
-        return LibHttp::jsonResponse(422, body.dump());
+        return errorResponse(OperatorErrorCode::LastUpstream, outcome.message);
     case ApplyResult::Invalid:
-        return LibHttp::jsonResponse(422, body.dump());
+        return errorResponse(OperatorErrorCode::InvalidDocument, outcome.message);
     case ApplyResult::StoreUnreachable:
-        return LibHttp::jsonResponse(503, body.dump());
+        return errorResponse(OperatorErrorCode::StoreUnreachable, outcome.message);
     case ApplyResult::Unknown:
-        return LibHttp::jsonResponse(504, body.dump());
+        break;
     }
-    return errorResponse(500, "unknown result");
+    return errorResponse(OperatorErrorCode::OutcomeUnknown, outcome.message);
 }
 
 nlohmann::json memberToJson(const LibMembership::Member &member)
--- a/Userland/Services/Operator/OperatorJson.h
+++ b/Userland/Services/Operator/OperatorJson.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "OperatorErrorCode.h"
+
 #include <LibConfiguration/Applier.h>
 #include <LibHttp/HttpMessage.h>
 #include <LibMembership/MembershipView.h>
@@ -24,7 +26,8 @@
                                                               AK::Milliseconds wallTime);
 
 LibHttp::HttpResponse applyResponse(const LibConfiguration::ApplyOutcome &outcome);
-LibHttp::HttpResponse errorResponse(int status, std::string_view message);
+/// `{code, error}` with the HTTP status that belongs to the code.
+LibHttp::HttpResponse errorResponse(OperatorErrorCode code, std::string_view message);
 
 nlohmann::json memberToJson(const LibMembership::Member &member);
 nlohmann::json restrictionToJson(const LibConfiguration::Restriction &restriction);
--- a/Userland/Services/Operator/OperatorService.cpp
+++ b/Userland/Services/Operator/OperatorService.cpp
@@ -48,7 +48,8 @@
         return false;
     }
     const std::optional<std::string> author = authenticate(this->settings, request.headers);
-    const LibHttp::HttpResponse response = author ? this->dispatch(request, *author) : errorResponse(401, "the operator key is missing or unknown");
+    const LibHttp::HttpResponse response =
+        author ? this->dispatch(request, *author) : errorResponse(OperatorErrorCode::Unauthorized, "the operator key is missing or unknown");
     this->metrics.add("catkinlink_operator_requests_total", {{"status", std::to_string(response.status)}});
     exchange.respond(response);
     return true;
@@ -72,14 +73,14 @@
     if (what == "GET audit") {
         return this->audit();
     }
-    return errorResponse(404, AK::concat("the operator API has no ", what));
+    return errorResponse(OperatorErrorCode::NotFound, AK::concat("the operator API has no ", what));
 }
 
 LibHttp::HttpResponse OperatorService::apply(const LibHttp::HttpRequest &request, const std::string &author)
 {
     const absl::StatusOr<LibConfiguration::ApplyRequest> change = readApply(request.body, author);
     if (!change.ok()) {
-        return errorResponse(422, AK::concat(change.status().message()));
+        return errorResponse(OperatorErrorCode::InvalidRequest, AK::concat(change.status().message()));
     }
     return applyResponse(this->configuration.apply(*change));
 }
@@ -117,11 +118,11 @@
 {
     const auto current = this->configuration.current();
     if (!current) {
-        return errorResponse(503, "this process has no configuration yet");
+        return errorResponse(OperatorErrorCode::NoConfiguration, "this process has no configuration yet");
     }
     auto restriction = readRestriction(request.body, author, current->site, this->clock.wallTime());
     if (!restriction.ok()) {
-        return errorResponse(422, AK::concat(restriction.status().message()));
+        return errorResponse(OperatorErrorCode::InvalidRequest, AK::concat(restriction.status().message()));
     }
     {
         const std::lock_guard lock(this->mutex);
@@ -129,7 +130,7 @@
     }
     const auto spread = this->configuration.restrict(*restriction);
     if (!spread.ok()) {
-        return errorResponse(422, AK::concat(spread.status().message()));
+        return errorResponse(OperatorErrorCode::InvalidRequest, AK::concat(spread.status().message()));
     }
     this->logger.warning("restriction", {{"restriction", restrictionToJson(*restriction)}, {"in_force_on", spread->inForceOn}, {"members", spread->members}});
     return LibHttp::jsonResponse(202, nlohmann::json{{"id", spread->id}, {"in_force_on", spread->inForceOn}, {"members", spread->members}}.dump());
@@ -146,7 +147,7 @@
     }
     auto archived = LibAudit::readArchive(this->store, this->settings.site, this->settings.timing.storeTimeoutMs);
     if (!archived.ok()) {
-        return errorResponse(503, AK::concat("older entries cannot be read: ", archived.status().message()));
+        return errorResponse(OperatorErrorCode::StoreUnreachable, AK::concat("older entries cannot be read: ", archived.status().message()));
     }
     return LibHttp::jsonResponse(200, nlohmann::json{{"entries", LibAudit::joinTrails(*std::move(archived), tail)}}.dump());
 }
