Catkinlink: Let audit verify refuse a trail without its beginning

Cause: a trail whose archived batches were missing fitted in itself, so audit verify passed. The store double of the tests answered lists while it was down.

--- a/Tests/Catkinlink/TestCommands.cpp
+++ b/Tests/Catkinlink/TestCommands.cpp
@@ -264,6 +264,8 @@
     altered[0]["hash"] = AK::sha256Hex(altered[0].dump());
     EXPECT_FALSE(Catkinlink::verifyAudit(altered).ok());
     EXPECT_FALSE(Catkinlink::verifyAudit(nlohmann::json::array({entries[1], entries[0]})).ok());
+    // A batch of older entries that was not read leaves a trail that fits in itself.
+    EXPECT_FALSE(Catkinlink::verifyAudit(nlohmann::json::array({entries[1]})).ok());
     ASSERT_EQ(this->run("upstream out ledger-1 --reason three"), ExitCode::Done);
     EXPECT_EQ(this->run("diff --base " + exampleFolder + "/base.json"), ExitCode::Done);
     EXPECT_NE(this->text().find("/upstreams/ledger-1/in_service: false -> (absent)"), std::string::npos) << this->text();
--- a/Tests/LibConfiguration/StoreDouble.h
+++ b/Tests/LibConfiguration/StoreDouble.h
@@ -52,6 +52,9 @@
     absl::StatusOr<std::vector<LibObjectStore::StoredObject>> list(const std::string &kind, const std::string &prefix, AK::Milliseconds) override
     {
         const std::lock_guard lock(this->mutex);
+        if (this->faults.down) {
+            return absl::UnavailableError("the store is down");
+        }
         std::vector<LibObjectStore::StoredObject> found;
         const std::string start = AK::concat(kind, "/", prefix);
         for (const auto &[key, versions] : this->objects) {
--- a/Userland/Utilities/catkinlink/ReadCommands.cpp
+++ b/Userland/Utilities/catkinlink/ReadCommands.cpp
@@ -149,6 +149,9 @@
         if (AK::sha256Hex(content.dump()) != textIn(entry, "hash")) {
             return brokenAudit(entry, "its hash does not match its content");
         }
+        if (previous == nullptr && numberIn(entry, "sequence") != 1) {
+            return brokenAudit(entry, "the entries before it are missing");
+        }
         if (previous != nullptr) {
             if (textIn(entry, "previous_hash") != textIn(*previous, "hash")) {
                 return brokenAudit(entry, "previous_hash is not the hash of the entry before");
