--- a/Tests/Fakes/ObjectApi/CallCounters.cpp
+++ b/Tests/Fakes/ObjectApi/CallCounters.cpp
@@ -24,6 +24,13 @@
     this->sums.peakCallsPerSecond = std::max(this->sums.peakCallsPerSecond, this->callsThisSecond);
 }
 
+void CallCounters::reset()
+{
+    const std::lock_guard lock(this->mutex);
+    this->sums = {};
+    this->callsThisSecond = 0;
+}
+
 CallCounters::Totals CallCounters::totals() const
 {
     const std::lock_guard lock(this->mutex);
--- a/Tests/Fakes/ObjectApi/CallCounters.h
+++ b/Tests/Fakes/ObjectApi/CallCounters.h
@@ -22,6 +22,9 @@
     explicit CallCounters(const AK::Clock &clock);
 
     void count(bool write);
+    /// Starts all counters anew, the peak included.
+    void reset();
+
     Totals totals() const;
 
 private:
--- a/Tests/Fakes/ObjectApi/ObjectApi.cpp
+++ b/Tests/Fakes/ObjectApi/ObjectApi.cpp
@@ -87,6 +87,10 @@
     if (request.method == "GET" && request.path == "/fake/stats") {
         return this->stats();
     }
+    if (request.method == "POST" && request.path == "/fake/stats/reset") {
+        this->counters.reset();
+        return LibHttp::jsonResponse(200, "{}");
+    }
     return error(404, "no such control");
 }
 
