Tests: Give the processes of TestWithMembership an HTTP address

The test was wrong, not the services. Change: both addresses are set; a failure now prints what each process knows.

--- a/Tests/LibConfiguration/TestWithMembership.cpp
+++ b/Tests/LibConfiguration/TestWithMembership.cpp
@@ -17,7 +17,7 @@
 /// Membership and configuration of one process, as the daemon connects them.
 struct Process {
     Process(int host, Tests::StoreDouble &store, std::vector<AK::Endpoint> seeds)
-        : settings(Tests::ConfigurationNode::makeSettings(host, std::move(seeds)))
+        : settings(makeSettings(host, std::move(seeds)))
         , identity{settings.name, std::make_shared<LibWire::KeyRing>(std::vector<LibWire::SharedKey>{{"k", "0123456789abcdef"}}, clock)}
         , membership(settings, clock, identity, hosts, metrics)
         , configuration(settings, clock, store, membership, identity, metrics)
@@ -28,6 +28,13 @@
         EXPECT_TRUE(this->membership.start().ok());
         EXPECT_TRUE(this->configuration.start().ok());
     }
+    static LibSettings::ProcessSettings makeSettings(int host, std::vector<AK::Endpoint> seeds)
+    {
+        LibSettings::ProcessSettings settings = Tests::ConfigurationNode::makeSettings(host, std::move(seeds));
+        // Records without both addresses are refused.
+        settings.httpAddress = {settings.rpcAddress.host, 7100};
+        return settings;
+    }
     ~Process()
     {
         this->server.stop();
@@ -79,10 +86,22 @@
             });
         });
     };
+    const auto describe = [&] {
+        std::string text;
+        for (const auto &process : processes) {
+            const auto current = process->configuration.current();
+            text += AK::concat(process->settings.name, " has revision ", current ? current->revision.number : 0, " and knows");
+            for (const LibMembership::Member &member : process->membership.members()) {
+                text += AK::concat(" ", member.name, " ", AK::nameOf(LibMembership::memberStatusNames, member.status));
+            }
+            text += "\n";
+        }
+        return text;
+    };
     for (uint64_t revision = 1; revision <= 3; ++revision) {
         const auto outcome = processes[0]->configuration.apply(Tests::changeRequest(AK::concat("change-", revision), revision - 1));
         ASSERT_EQ(outcome.result, LibConfiguration::ApplyResult::Accepted) << outcome.message;
-        EXPECT_TRUE(everywhere([revision](const auto &current) { return current.revision.number == revision; }));
+        EXPECT_TRUE(everywhere([revision](const auto &current) { return current.revision.number == revision; })) << describe();
     }
     EXPECT_TRUE(within([&] {
         return std::ranges::all_of(processes, [&](const auto &process) {
