Tests: Count open connections and processor time finely in measure control

Cause: bytes counted only when a connection closed, processor time had steps of 10 ms, and records that changed at the start were still on their way during the measurement. Change: TrafficCounter reads open sockets too, ChildProcess reads the process clock, measure control waits until the start's changes have been sent, and measures an entry after 176 concurrent calls.

--- a/Tests/Harness/ChildProcess.cpp
+++ b/Tests/Harness/ChildProcess.cpp
@@ -4,9 +4,9 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <ctime>
 #include <fcntl.h>
 #include <fstream>
-#include <sstream>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -117,22 +117,13 @@
 
 int64_t ChildProcess::processorMs() const
 {
-    std::ifstream file("/proc/" + std::to_string(this->child) + "/stat");
-    std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
-    const size_t nameEnd = text.rfind(')');
-    if (nameEnd == std::string::npos) {
+    // The process clock counts nanoseconds and includes threads that have ended; /proc/PID/stat has steps of 10 ms.
+    clockid_t clock = 0;
+    timespec used{};
+    if (::clock_getcpuclockid(this->child, &clock) != 0 || ::clock_gettime(clock, &used) != 0) {
         return 0;
     }
-    std::istringstream fields(text.substr(nameEnd + 2));
-    std::string skipped;
-    // utime and stime are fields 14 and 15 of the line, the 12th and 13th after the name.
-    for (int i = 0; i < 11; ++i) {
-        fields >> skipped;
-    }
-    int64_t user = 0;
-    int64_t system = 0;
-    fields >> user >> system;
-    return (user + system) * 1000 / ::sysconf(_SC_CLK_TCK);
+    return int64_t{used.tv_sec} * 1'000 + used.tv_nsec / 1'000'000;
 }
 
 int64_t ChildProcess::residentKiB() const
--- a/Tests/Measure/Control.cpp
+++ b/Tests/Measure/Control.cpp
@@ -1,7 +1,9 @@
 #include "Measurement.h"
 
 #include <AK/Text.h>
+#include <bit>
 #include <iostream>
+#include <thread>
 
 namespace
 {
@@ -9,6 +11,8 @@
 constexpr AK::Milliseconds settleLimitMs = 60'000;
 constexpr int entryFleet = 370;
 constexpr int agentFleet = 900;
+// As many as an entry admits at once by default.
+constexpr int concurrentCalls = 176;
 
 /// Means over the processes of one role.
 struct RolePoint {
@@ -22,6 +26,8 @@
     RolePoint entry;
     RolePoint agent;
     double storeCallsPerSecond = 0;
+    /// Greatest memory of an entry whose threads have all served calls at the same time.
+    double loadedEntryMb = 0;
 };
 
 struct Sample {
@@ -53,6 +59,28 @@
     return {point.coreShare / count, point.residentMb / count, point.bytesPerSecond / count};
 }
 
+// Records that changed at the start are sent on at most 3 log2(n) times each, 16 per message and at least 2 messages a second.
+AK::Milliseconds settleMs(int processes)
+{
+    return 5'000 + 1'000 * processes * 3 * static_cast<int>(std::bit_width(static_cast<unsigned>(processes))) / 32;
+}
+
+double loadEntry(Harness::Site &site)
+{
+    std::vector<std::thread> callers;
+    for (int i = 0; i < concurrentCalls; ++i) {
+        callers.emplace_back([&site, i] {
+            for (int call = 0; call < 3; ++call) {
+                (void)site.complete(site.entryAddress(1), "assistant", AK::concat("prompt ", i, " ", call), call % 2 == 0, 64);
+            }
+        });
+    }
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    return static_cast<double>(site.process("entry-1").residentKiB()) / 1024;
+}
+
 // The proportion of entries and agents at every size is that of the full fleet.
 FleetPoint measureFleet(const MeasureContext &context, int processes, int seconds)
 {
@@ -68,7 +96,7 @@
     requireOk(site.applyInitial(), "apply");
     requireOk(site.waitServing("assistant", "1", settleLimitMs), "first load");
     const AK::SystemClock clock;
-    clock.sleep(3'000);
+    clock.sleep(settleMs(processes));
     std::map<std::string, Sample> before;
     std::map<std::string, Sample> after;
     for (const std::string &name : site.daemonNames()) {
@@ -91,6 +119,7 @@
     point.entry = meanOf(site, entries, before, after, elapsed);
     point.agent = meanOf(site, site.agents("assistant"), before, after, elapsed);
     point.storeCallsPerSecond = (callsAfter - callsBefore) / elapsed;
+    point.loadedEntryMb = loadEntry(site);
     return point;
 }
 
@@ -125,6 +154,7 @@
         result["points"].push_back({{"processes", point.processes},
                                     {"entry", describe(point.entry)},
                                     {"agent", describe(point.agent)},
+                                    {"loaded_entry_mb", point.loadedEntryMb},
                                     {"store_calls_per_s", point.storeCallsPerSecond}});
         std::cerr << result["points"].back().dump() << "\n";
     }
--- a/Userland/Libraries/LibWire/RpcConnection.cpp
+++ b/Userland/Libraries/LibWire/RpcConnection.cpp
@@ -14,13 +14,18 @@
     , client(*this->stream)
     , remote(nullptr)
 {
+    KJ_IF_MAYBE (socket, this->stream->getFd()) {
+        if (this->traffic) {
+            this->traffic->openSocket(*socket);
+        }
+    }
 }
 
 RpcConnection::~RpcConnection()
 {
     KJ_IF_MAYBE (socket, this->stream->getFd()) {
         if (this->traffic) {
-            this->traffic->addSocket(*socket);
+            this->traffic->closeSocket(*socket);
         }
     }
 }
--- a/Userland/Libraries/LibWire/RpcServer.cpp
+++ b/Userland/Libraries/LibWire/RpcServer.cpp
@@ -181,6 +181,9 @@
         }
         Connection &connection = this->connections.emplace_back();
         connection.socket = socket;
+        if (this->traffic) {
+            this->traffic->openSocket(socket);
+        }
         connection.thread = std::thread([this, &connection] { this->serve(connection); });
     }
 }
@@ -222,7 +225,7 @@
 {
     connection.thread.join();
     if (this->traffic) {
-        this->traffic->addSocket(connection.socket);
+        this->traffic->closeSocket(connection.socket);
     }
     ::close(connection.socket);
 }
--- a/Userland/Libraries/LibWire/TrafficCounter.h
+++ b/Userland/Libraries/LibWire/TrafficCounter.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include <atomic>
 #include <cstdint>
+#include <mutex>
+#include <set>
 
 namespace LibWire
 {
@@ -10,13 +11,19 @@
 class TrafficCounter
 {
 public:
-    /// Adds what a connected TCP socket has moved in both directions since it was opened; call it once, before the socket is closed.
-    void addSocket(int socket);
+    /// Counts what a connected TCP socket moves in both directions from its opening on.
+    void openSocket(int socket);
 
+    /// Must be called before a counted socket is closed; what it has moved stays counted.
+    void closeSocket(int socket);
+
+    /// Bytes of all sockets, those that are still open included.
     uint64_t bytes() const;
 
 private:
-    std::atomic<uint64_t> total{0};
+    mutable std::mutex mutex;
+    std::set<int> open;
+    uint64_t closed = 0;
 };
 
 } // namespace LibWire
