LibMembership: Raise the sequence only when the record changed

Cause: updateSelf() raised the sequence also when nothing had changed, against its documentation; the fleet then forwards the same record again. Change: compares the published fields before and after. Trial without the comparison (scratch copy): UnchangedRecordKeepsItsSequence fails (sequence 3 instead of 2).

--- a/Tests/LibMembership/TestMembershipService.cpp
+++ b/Tests/LibMembership/TestMembershipService.cpp
@@ -212,6 +212,19 @@
     EXPECT_TRUE(within([this] { return this->converged(); }));
 }
 
+// Guards against a process that publishes the same record again and again, which the whole fleet would forward.
+TEST_F(Site, UnchangedRecordKeepsItsSequence)
+{
+    this->startNode(1);
+    LibMembership::MembershipService &service = *this->nodes[1]->service;
+    service.updateSelf([](Member &own) { own.chunksHeld = 7; });
+    const Member before = *service.find("p-1");
+    service.updateSelf([](Member &own) { own.chunksHeld = 7; });
+    EXPECT_EQ(service.find("p-1")->sequence, before.sequence);
+    service.updateSelf([](Member &own) { own.chunksHeld = 8; });
+    EXPECT_EQ(service.find("p-1")->sequence, before.sequence + 1);
+}
+
 // Guards against a leaving status that waits for gossip rounds. Gossip rounds are an hour apart here, so only the push can carry it.
 TEST_F(Site, LeavingIsPushedAtOnce)
 {
--- a/Userland/Libraries/LibMembership/SharedTable.cpp
+++ b/Userland/Libraries/LibMembership/SharedTable.cpp
@@ -1,6 +1,7 @@
 #include <LibMembership/SharedTable.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace LibMembership
 {
@@ -28,6 +29,14 @@
     return before.status != after.status || before.servingState != after.servingState || before.revision != after.revision;
 }
 
+/// Everything that a process publishes of itself but for the sequence.
+auto contentOf(const Member &member)
+{
+    return std::tie(member.rpcAddress, member.httpAddress, member.role, member.region, member.failureDomain, member.status, member.revision, member.service,
+                    member.servingState, member.weightsRoot, member.targetRoot, member.chunksHeld, member.chunksTotal, member.callsSinceSwitch,
+                    member.errorsSinceSwitch, member.warm);
+}
+
 Member ownRecord(const LibSettings::ProcessSettings &settings, const AK::Clock &clock)
 {
     Member own;
@@ -94,6 +103,10 @@
     const Member before = entry.member;
     Member after = before;
     change(after);
+    if (contentOf(before) == contentOf(after)) {
+        // A new sequence would be sent through the whole fleet.
+        return;
+    }
     after.name = before.name;
     after.instance = before.instance;
     after.sequence = before.sequence + 1;
