--- a/Tests/Processes/TestConfigurationSpread.cpp
+++ b/Tests/Processes/TestConfigurationSpread.cpp
@@ -159,4 +159,17 @@
     expectNoReversion(site);
 }
 
+// Guards against a process that was paused staying dead for the others although it answers again. Nothing but a refutation changes its record here.
+TEST(PausedProcessTest, RefutesItsDeath)
+{
+    Harness::Site site(spreadPlan());
+    startSite(site);
+    ASSERT_FALSE(HasFatalFailure());
+    ASSERT_TRUE(waitStatus(site, {1, 2, 3}, site.daemonNames(), "alive"));
+    site.process("entry-2").signal(SIGSTOP);
+    EXPECT_TRUE(waitStatus(site, {1, 3}, {"entry-2"}, "dead"));
+    site.process("entry-2").signal(SIGCONT);
+    EXPECT_TRUE(waitStatus(site, {1, 2, 3}, site.daemonNames(), "alive"));
+}
+
 } // namespace
