LibWeights: Let 24 agents fetch across a region link at once

Cause: a fetch across the region link competes at its source with about seven peers, so 8 fetches at once bring a copy into the other region only after most of the bound; the trace of 60 hosts showed the origin's region complete at 22-24 s and the other at 29 s. Change: 24 agents are designated in regions without the origin, still 8 beside the origin.

--- a/Tests/LibWeights/TestPolicies.cpp
+++ b/Tests/LibWeights/TestPolicies.cpp
@@ -97,10 +97,20 @@
     }
     std::map<std::string, int> designated;
     for (int chunk = 0; chunk < 1200; ++chunk) {
-        ++designated[fetchOrder("root", std::to_string(chunk), names).front()];
+        ++designated[fetchOrder("root", std::to_string(chunk), names, names.size()).front()];
     }
     EXPECT_EQ(designated.size(), names.size());
     EXPECT_LE(std::max_element(designated.begin(), designated.end(), [](auto &left, auto &right) { return left.second < right.second; })->second, 50);
+    const std::vector<std::string> group = designatedGroup("root", names, 8);
+    std::map<std::string, int> inGroup;
+    for (int chunk = 0; chunk < 1200; ++chunk) {
+        const std::vector<std::string> order = fetchOrder("root", std::to_string(chunk), names, 8);
+        ++inGroup[order.front()];
+        EXPECT_EQ(std::set<std::string>(order.begin(), order.end()).size(), names.size());
+        EXPECT_TRUE(std::is_permutation(group.begin(), group.end(), order.begin(), order.begin() + 8));
+    }
+    EXPECT_EQ(inGroup.size(), group.size());
+    EXPECT_LE(std::max_element(inGroup.begin(), inGroup.end(), [](auto &left, auto &right) { return left.second < right.second; })->second, 200);
     std::set<std::string> reached{names.front()};
     for (size_t before = 0; before != reached.size();) {
         before = reached.size();
--- a/Userland/Libraries/LibWeights/ChunkChoice.cpp
+++ b/Userland/Libraries/LibWeights/ChunkChoice.cpp
@@ -30,16 +30,16 @@
 
 } // namespace
 
-std::vector<std::string> designatedGroup(const std::string &root, const std::vector<std::string> &names)
+std::vector<std::string> designatedGroup(const std::string &root, const std::vector<std::string> &names, size_t designated)
 {
     std::vector<std::string> group = byWeight(AK::concat(root, "/group"), names);
-    group.resize(std::min(group.size(), designatedCount));
+    group.resize(std::min(group.size(), designated));
     return group;
 }
 
-std::vector<std::string> fetchOrder(const std::string &root, std::string_view key, const std::vector<std::string> &names)
+std::vector<std::string> fetchOrder(const std::string &root, std::string_view key, const std::vector<std::string> &names, size_t designated)
 {
-    const std::vector<std::string> group = designatedGroup(root, names);
+    const std::vector<std::string> group = designatedGroup(root, names, designated);
     std::vector<std::string> rest;
     for (const std::string &name : names) {
         if (std::find(group.begin(), group.end(), name) == group.end()) {
--- a/Userland/Libraries/LibWeights/ChunkChoice.h
+++ b/Userland/Libraries/LibWeights/ChunkChoice.h
@@ -11,15 +11,18 @@
 {
 
 /// Agents of a region that bring chunks into it. With all agents designated, each for few chunks, the fetches share the origin's link and end together, and
-/// no peer has anything to send before that. The links of this many agents carry each chunk several times while the origin, whose link is twice that of a
-/// host, sends it once.
-inline constexpr size_t designatedCount = 8;
+/// no peer has anything to send before that. The links of 8 agents carry each chunk several times while the origin, whose link is twice that of a host,
+/// sends it once.
+inline constexpr size_t designatedNearOrigin = 8;
 
-/// The agents that come first in the order of every key of a root: `designatedCount` by rendezvous hash.
-std::vector<std::string> designatedGroup(const std::string &root, const std::vector<std::string> &names);
+/// The same in other regions. A fetch across the link competes at its source with about seven peers, so that it takes more of them at once.
+inline constexpr size_t designatedElsewhere = 24;
+
+/// The agents that come first in the order of every key of a root: `designated` by rendezvous hash.
+std::vector<std::string> designatedGroup(const std::string &root, const std::vector<std::string> &names, size_t designated);
 
 /// Names in the order in which they are responsible for a key: first the designated group, then the others. The first is the designated fetcher.
-std::vector<std::string> fetchOrder(const std::string &root, std::string_view key, const std::vector<std::string> &names);
+std::vector<std::string> fetchOrder(const std::string &root, std::string_view key, const std::vector<std::string> &names, size_t designated);
 
 /// Peers that an agent asks for chunks: `count` by rendezvous hash and the next one by name, which keeps the graph connected.
 std::vector<std::string> chooseNeighbours(const std::string &self, const std::string &root, const std::vector<std::string> &names, size_t count);
--- a/Userland/Libraries/LibWeights/DesignatedFetch.cpp
+++ b/Userland/Libraries/LibWeights/DesignatedFetch.cpp
@@ -42,6 +42,11 @@
 
 } // namespace
 
+size_t WeightFetch::designatedIn(const std::string &region) const
+{
+    return region == this->context.settings.agent.originRegion ? designatedNearOrigin : designatedElsewhere;
+}
+
 void WeightFetch::runDesignated()
 {
     PeerLinks links(this->context.clock, this->context.identity, this->context.settings.timing.rpcTimeoutMs);
@@ -56,7 +61,7 @@
         if (found != names) {
             names = std::move(found);
             ranks.resize(total);
-            const std::vector<std::string> first = designatedGroup(this->wanted.root, names);
+            const std::vector<std::string> first = designatedGroup(this->wanted.root, names, this->designatedIn(this->context.settings.region));
             const std::set<std::string> group(first.begin(), first.end());
             for (uint32_t i = 0; i < total; ++i) {
                 ranks[i] = rankOf(this->context.settings.name, this->wanted.root, i, names, group);
@@ -125,7 +130,7 @@
         if (region == this->context.settings.region) {
             continue;
         }
-        const std::vector<std::string> order = fetchOrder(this->wanted.root, std::to_string(index), names);
+        const std::vector<std::string> order = fetchOrder(this->wanted.root, std::to_string(index), names, this->designatedIn(region));
         for (size_t i = 0; i < order.size() && i < remoteCandidates; ++i) {
             const AK::Endpoint &endpoint = directory.endpoints.at(order[i]);
             if (this->isExcluded(order[i])
@@ -172,7 +177,7 @@
     if (own == directory.namesByRegion.end()) {
         return false;
     }
-    const std::vector<std::string> order = fetchOrder(this->wanted.root, std::to_string(index), own->second);
+    const std::vector<std::string> order = fetchOrder(this->wanted.root, std::to_string(index), own->second, this->designatedIn(own->first));
     std::vector<PredecessorView> predecessors;
     for (const std::string &name : order) {
         if (name == this->context.settings.name) {
--- a/Userland/Libraries/LibWeights/WeightFetch.cpp
+++ b/Userland/Libraries/LibWeights/WeightFetch.cpp
@@ -150,7 +150,7 @@
         if (region != this->context.settings.region && rank > 0 && !searchAll) {
             continue;
         }
-        const std::vector<std::string> order = fetchOrder(this->wanted.root, "manifest", names);
+        const std::vector<std::string> order = fetchOrder(this->wanted.root, "manifest", names, this->designatedIn(region));
         const size_t count = searchAll ? order.size() : std::min<size_t>(order.size(), 2);
         sources.insert(sources.end(), order.begin(), order.begin() + static_cast<ptrdiff_t>(count));
         if (region == this->context.settings.region) {
@@ -168,7 +168,7 @@
     const std::string &self = this->context.settings.name;
     const auto own = directory.namesByRegion.find(this->context.settings.region);
     const std::vector<std::string> order =
-        own == directory.namesByRegion.end() ? std::vector<std::string>{self} : fetchOrder(this->wanted.root, "manifest", own->second);
+        own == directory.namesByRegion.end() ? std::vector<std::string>{self} : fetchOrder(this->wanted.root, "manifest", own->second, this->designatedIn(own->first));
     const auto rank = static_cast<size_t>(std::find(order.begin(), order.end(), self) - order.begin());
     const AK::Milliseconds elapsed = this->context.clock.now() - this->startedAt;
     const AK::Milliseconds turn = this->context.settings.agent.designatedTimeoutMs;
--- a/Userland/Libraries/LibWeights/WeightFetch.h
+++ b/Userland/Libraries/LibWeights/WeightFetch.h
@@ -72,6 +72,7 @@
     bool acceptManifest(const std::string &text, const std::string &source);
     PeerDirectory currentPeers() const;
     void reportComplete();
+    size_t designatedIn(const std::string &region) const;
 
     void superviseNeighbours();
     void runPeer(PeerTask &task, const std::string &peer, const AK::Endpoint &endpoint);
