LibWeights: Fetch from all neighbours at once and return unused downlink bytes

Cause: a source sends to four agents at a time; four fetches at once just fill the downlink while all sources are busy. A fetch that a busy source refuses also kept its share of the downlink. Change: up to 7 fetches at once, one per neighbour; bytes of a failed fetch go back to the pacer.

--- a/Userland/Libraries/LibWeights/FetchProgress.h
+++ b/Userland/Libraries/LibWeights/FetchProgress.h
@@ -22,8 +22,9 @@
 class FetchProgress
 {
 public:
-    /// At most this many chunks are on their way at once.
-    static constexpr size_t fetchLimit = 4;
+    /// At most this many chunks are on their way at once: one from each neighbour. A source sends to four agents at a time, so four fetches would just fill
+    /// the downlink while every source is busy and leave it idle as soon as one is slower.
+    static constexpr size_t fetchLimit = 7;
 
     FetchProgress(Manifest manifest, std::string manifestText, const ChunkStore &store);
 
--- a/Userland/Libraries/LibWeights/TransferPacer.cpp
+++ b/Userland/Libraries/LibWeights/TransferPacer.cpp
@@ -32,6 +32,12 @@
     }
 }
 
+void TransferPacer::giveBack(uint64_t bytes)
+{
+    const std::lock_guard lock(this->mutex);
+    this->bucket.tokens += static_cast<double>(bytes);
+}
+
 double TransferPacer::rate() const
 {
     return this->currentRate();
--- a/Userland/Libraries/LibWeights/TransferPacer.h
+++ b/Userland/Libraries/LibWeights/TransferPacer.h
@@ -18,6 +18,9 @@
     /// Blocks until `bytes` may pass. Returns early when `stopped` becomes true.
     void wait(uint64_t bytes, const std::function<bool()> &stopped);
 
+    /// Returns bytes that wait() took for a transfer that failed, so that the link is not left idle for them.
+    void giveBack(uint64_t bytes);
+
     double rate() const;
 
 private:
--- a/Userland/Libraries/LibWeights/WeightFetch.cpp
+++ b/Userland/Libraries/LibWeights/WeightFetch.cpp
@@ -322,6 +322,7 @@
 bool WeightFetch::keep(uint32_t index, absl::StatusOr<std::string> data, const std::string &source, const char *kind, FetchResult &result)
 {
     if (!data.ok()) {
+        this->context.downlink.giveBack(this->current->chunks()[index].bytes);
         this->current->release(index, false);
         result = FetchResult::Retry;
         return false;
