LibWeights: Bound reads from the origin by a deadline

Cause: CivetWeb waits 30 s for a silent peer in the middle of a body, which holds the task of the designated chunks, and a stop, for that time. Change: a thread of its own reads; the task leaves it behind after the longest time a chunk may take at a tenth of the expected rate, at least three store timeouts, or when it is stopped. Conclusion: a silent origin costs one chunk's deadline.

--- a/Userland/Libraries/LibWeights/DesignatedFetch.cpp
+++ b/Userland/Libraries/LibWeights/DesignatedFetch.cpp
@@ -5,6 +5,7 @@
 #include <AK/Text.h>
 #include <LibHttp/HttpClient.h>
 #include <LibWeights/ChunkChoice.h>
+#include <LibWeights/OriginRead.h>
 #include <algorithm>
 
 // The part of WeightFetch that brings chunks into a region: from the origin or across a region link.
@@ -22,6 +23,8 @@
 // Without an origin fetch of its own, an agent does not know how busy the origin is and waits longer.
 constexpr int unknownOriginFactor = 4;
 constexpr int busyOriginFactor = 3;
+// A busy origin shares its link among all readers, so a whole chunk may take longer than the answer to one request.
+constexpr int originDeadlineFactor = 3;
 
 bool bitOf(std::string_view bitmap, uint32_t index)
 {
@@ -110,10 +113,11 @@
                               LibHttp::urlEncode(this->current->manifest().files[chunk.file].name));
     request.headers["range"] = AK::concat("bytes=", chunk.offset, "-", chunk.offset + chunk.bytes - 1);
     const AK::Milliseconds begin = this->context.clock.now();
-    auto response = LibHttp::httpCall(this->context.settings.agent.weightStore, request, this->context.settings.timing.storeTimeoutMs, chunk.bytes);
-    absl::StatusOr<std::string> data = absl::UnavailableError("the origin gave no such range");
-    if (response.ok() && response->status == 206) {
-        data = std::move(response->body);
+    const AK::Milliseconds deadline = fetchTimeout(chunk.bytes, this->expectedRate(), originDeadlineFactor * this->context.settings.timing.storeTimeoutMs);
+    absl::StatusOr<std::string> data =
+        readOriginRange(this->context.settings.agent.weightStore, request, chunk.bytes, deadline, [this] { return this->stopping.load(); });
+    if (!data.ok()) {
+        this->logger.info("origin_read_failed", {{"chunk", index}, {"reason", std::string(data.status().message())}});
     }
     FetchResult result = FetchResult::Retry;
     if (this->keep(index, std::move(data), "origin", "origin", result)) {
