--- a/Tests/Fakes/Engine/main.cpp
+++ b/Tests/Fakes/Engine/main.cpp
@@ -30,7 +30,7 @@
             std::cerr << endpoint.status() << '\n';
             return 2;
         }
-        const Fakes::FakeEngineOptions options{*endpoint,          slots.getValue(),  coldSlots.getValue(),    coldMs.getValue(),
+        const Fakes::FakeEngineOptions options{*endpoint,          slots.getValue(),  coldSlots.getValue(),     coldMs.getValue(),
                                                tokenMs.getValue(), loadMs.getValue(), ignoreFencing.getValue(), threads.getValue()};
         engines.push_back(std::make_unique<Fakes::FakeEngine>(options, clock));
         if (const absl::Status status = engines.back()->start(); !status.ok()) {
--- a/Tests/Measure/Plot.cpp
+++ b/Tests/Measure/Plot.cpp
@@ -61,8 +61,10 @@
         , endY(std::ceil(maximumY / this->stepY) * this->stepY)
     {
         this->out << R"(<svg xmlns="http://www.w3.org/2000/svg" width=")" << width << R"(" height=")" << height
-                  << R"(" font-family="sans-serif" font-size="12">)" << "\n"
-                  << R"(<rect width="100%" height="100%" fill="white"/>)" << "\n";
+                  << R"(" font-family="sans-serif" font-size="12">)"
+                  << "\n"
+                  << R"(<rect width="100%" height="100%" fill="white"/>)"
+                  << "\n";
     }
 
     double x(double value) const
--- a/Userland/Libraries/LibWeights/OriginRead.cpp
+++ b/Userland/Libraries/LibWeights/OriginRead.cpp
@@ -46,7 +46,8 @@
         pending->changed.wait_for(lock, std::chrono::milliseconds(std::min(left, sliceMs)), [&] { return pending->response.has_value(); });
     }
     if (!pending->response) {
-        return absl::DeadlineExceededError(AK::concat("origin ", origin.text(), " did not send ", bytes, " bytes of ", request.path, " within ", deadline, " ms"));
+        return absl::DeadlineExceededError(
+            AK::concat("origin ", origin.text(), " did not send ", bytes, " bytes of ", request.path, " within ", deadline, " ms"));
     }
     if (!pending->response->ok()) {
         return pending->response->status();
--- a/Userland/Libraries/LibWeights/WeightFetch.cpp
+++ b/Userland/Libraries/LibWeights/WeightFetch.cpp
@@ -167,8 +167,9 @@
     const PeerDirectory directory = this->currentPeers();
     const std::string &self = this->context.settings.name;
     const auto own = directory.namesByRegion.find(this->context.settings.region);
-    const std::vector<std::string> order =
-        own == directory.namesByRegion.end() ? std::vector<std::string>{self} : fetchOrder(this->wanted.root, "manifest", own->second, this->designatedIn(own->first));
+    const std::vector<std::string> order = own == directory.namesByRegion.end()
+        ? std::vector<std::string>{self}
+        : fetchOrder(this->wanted.root, "manifest", own->second, this->designatedIn(own->first));
     const auto rank = static_cast<size_t>(std::find(order.begin(), order.end(), self) - order.begin());
     const AK::Milliseconds elapsed = this->context.clock.now() - this->startedAt;
     const AK::Milliseconds turn = this->context.settings.agent.designatedTimeoutMs;
