Tests: Watch a paused rollout for longer and see the tests fail

Cause: with only the pause of the waves switched off the test of a paused rollout still passed, because EngineOrders::stillWanted() checks the pause too, and 20 calls may end before a switch. Change: 100 calls. The tests of waves, rollback, newer version and losses were not run with their mechanisms off.

--- a/Tests/Processes/TestRollouts.cpp
+++ b/Tests/Processes/TestRollouts.cpp
@@ -87,7 +87,7 @@
     roll(site, "2", {{"paused", true}, {"wave_share", 0.34}});
     ASSERT_TRUE(Harness::waitUntil(eventLimitMs, [&] { return allHold(site, "2"); }));
     // All chunks are held everywhere, so only the pause keeps the engines from switching.
-    for (int i = 0; i < 20; ++i) {
+    for (int i = 0; i < 100; ++i) {
         const auto answer = site.complete(site.entryAddress(1), service, AK::concat("cure note ", i), false, tokens);
         ASSERT_TRUE(answer.ok()) << answer.status();
         EXPECT_EQ(answer->status, 200);
