LibWeights: Give chunks that enter a region the downlink first

Cause: a designated agent's fetch from the origin or across the region link waits in one line with up to six fetches from peers, so the one copy that the region waits for arrives over the whole transfer; the other region then ended about 5 s after the origin's (12 hosts, bound 30 s). Change: TransferPacer::waitUrgent() waits only for other urgent transfers; its debt delays the rest. Not yet measured at 60 hosts and more.

--- a/Userland/Libraries/LibWeights/DesignatedFetch.cpp
+++ b/Userland/Libraries/LibWeights/DesignatedFetch.cpp
@@ -107,7 +107,7 @@
         return false;
     }
     const ChunkReference &chunk = this->current->chunks()[index];
-    this->context.downlink.wait(chunk.bytes, [this] { return this->stopping.load(); });
+    this->context.downlink.waitUrgent(chunk.bytes, [this] { return this->stopping.load(); });
     LibHttp::HttpRequest request;
     request.path = AK::concat(weightsPath(this->wanted.model, this->wanted.adapter, this->wanted.version), "/files/",
                               LibHttp::urlEncode(this->current->manifest().files[chunk.file].name));
--- a/Userland/Libraries/LibWeights/TransferPacer.cpp
+++ b/Userland/Libraries/LibWeights/TransferPacer.cpp
@@ -26,9 +26,25 @@
         const std::lock_guard lock(this->mutex);
         left = takeTokens(this->bucket, this->clock.now(), bytes, this->currentRate());
     }
-    while (left > 0 && !stopped()) {
+    this->sleep(left, stopped);
+}
+
+void TransferPacer::waitUrgent(uint64_t bytes, const std::function<bool()> &stopped)
+{
+    AK::Milliseconds left = 0;
+    {
+        const std::lock_guard lock(this->mutex);
+        left = takeTokens(this->urgent, this->clock.now(), bytes, this->currentRate());
+        // The debt makes the other transfers wait instead.
+        takeTokens(this->bucket, this->clock.now(), bytes, this->currentRate());
+    }
+    this->sleep(left, stopped);
+}
+
+void TransferPacer::sleep(AK::Milliseconds duration, const std::function<bool()> &stopped) const
+{
+    for (AK::Milliseconds left = duration; left > 0 && !stopped(); left -= sliceMs) {
         this->clock.sleep(std::min(left, sliceMs));
-        left -= sliceMs;
     }
 }
 
--- a/Userland/Libraries/LibWeights/TransferPacer.h
+++ b/Userland/Libraries/LibWeights/TransferPacer.h
@@ -18,16 +18,22 @@
     /// Blocks until `bytes` may pass. Returns early when `stopped` becomes true.
     void wait(uint64_t bytes, const std::function<bool()> &stopped);
 
+    /// As wait(), but before all transfers that use wait(): only other urgent transfers are waited for. Both together keep to the rate.
+    void waitUrgent(uint64_t bytes, const std::function<bool()> &stopped);
+
     /// Returns bytes that wait() took for a transfer that failed, so that the link is not left idle for them.
     void giveBack(uint64_t bytes);
 
     double rate() const;
 
 private:
+    void sleep(AK::Milliseconds duration, const std::function<bool()> &stopped) const;
+
     const AK::Clock &clock;
     std::function<double()> currentRate;
     std::mutex mutex;
     TokenBucket bucket;
+    TokenBucket urgent;
 };
 
 } // namespace LibWeights
--- a/Userland/Libraries/LibWeights/WeightFetch.cpp
+++ b/Userland/Libraries/LibWeights/WeightFetch.cpp
@@ -303,7 +303,15 @@
 WeightFetch::FetchResult WeightFetch::fetchFromPeer(PeerLinks &links, const std::string &peer, const AK::Endpoint &endpoint, uint32_t index, const char *kind)
 {
     const uint32_t bytes = this->current->chunks()[index].bytes;
-    this->context.downlink.wait(bytes, [this] { return this->stopping.load(); });
+    const auto stopped = [this] {
+        return this->stopping.load();
+    };
+    // A chunk that comes into the region is waited for by all its agents, one from a peer by this agent alone.
+    if (std::string_view(kind) == "peer") {
+        this->context.downlink.wait(bytes, stopped);
+    } else {
+        this->context.downlink.waitUrgent(bytes, stopped);
+    }
     const AK::Milliseconds begin = this->context.clock.now();
     const AK::Milliseconds timeout = fetchTimeout(bytes, this->expectedRate(), this->context.settings.timing.rpcTimeoutMs);
     auto data = links.chunk(peer, endpoint, this->wanted.root, index, timeout);
