--- a/Userland/Libraries/LibWeights/DesignatedFetch.cpp
+++ b/Userland/Libraries/LibWeights/DesignatedFetch.cpp
@@ -5,6 +5,7 @@
 #include <AK/Text.h>
 #include <LibHttp/HttpClient.h>
 #include <LibWeights/ChunkChoice.h>
+#include <LibWeights/OriginRead.h>
 #include <algorithm>
 
 // The part of WeightFetch that brings chunks into a region: from the origin or across a region link.
@@ -22,6 +23,8 @@
 // Without an origin fetch of its own, an agent does not know how busy the origin is and waits longer.
 constexpr int unknownOriginFactor = 4;
 constexpr int busyOriginFactor = 3;
+// A busy origin shares its link among all readers, so a whole chunk may take longer than the answer to one request.
+constexpr int originDeadlineFactor = 3;
 
 bool bitOf(std::string_view bitmap, uint32_t index)
 {
@@ -42,6 +45,11 @@
 
 } // namespace
 
+size_t WeightFetch::designatedIn(const std::string &region) const
+{
+    return region == this->context.settings.agent.originRegion ? designatedNearOrigin : designatedElsewhere;
+}
+
 void WeightFetch::runDesignated()
 {
     PeerLinks links(this->context.clock, this->context.identity, this->context.settings.timing.rpcTimeoutMs);
@@ -56,7 +64,7 @@
         if (found != names) {
             names = std::move(found);
             ranks.resize(total);
-            const std::vector<std::string> first = designatedGroup(this->wanted.root, names);
+            const std::vector<std::string> first = designatedGroup(this->wanted.root, names, this->designatedIn(this->context.settings.region));
             const std::set<std::string> group(first.begin(), first.end());
             for (uint32_t i = 0; i < total; ++i) {
                 ranks[i] = rankOf(this->context.settings.name, this->wanted.root, i, names, group);
@@ -99,16 +107,17 @@
         return false;
     }
     const ChunkReference &chunk = this->current->chunks()[index];
-    this->context.downlink.wait(chunk.bytes, [this] { return this->stopping.load(); });
+    this->context.downlink.waitUrgent(chunk.bytes, [this] { return this->stopping.load(); });
     LibHttp::HttpRequest request;
     request.path = AK::concat(weightsPath(this->wanted.model, this->wanted.adapter, this->wanted.version), "/files/",
                               LibHttp::urlEncode(this->current->manifest().files[chunk.file].name));
     request.headers["range"] = AK::concat("bytes=", chunk.offset, "-", chunk.offset + chunk.bytes - 1);
     const AK::Milliseconds begin = this->context.clock.now();
-    auto response = LibHttp::httpCall(this->context.settings.agent.weightStore, request, this->context.settings.timing.storeTimeoutMs, chunk.bytes);
-    absl::StatusOr<std::string> data = absl::UnavailableError("the origin gave no such range");
-    if (response.ok() && response->status == 206) {
-        data = std::move(response->body);
+    const AK::Milliseconds deadline = fetchTimeout(chunk.bytes, this->expectedRate(), originDeadlineFactor * this->context.settings.timing.storeTimeoutMs);
+    absl::StatusOr<std::string> data =
+        readOriginRange(this->context.settings.agent.weightStore, request, chunk.bytes, deadline, [this] { return this->stopping.load(); });
+    if (!data.ok()) {
+        this->logger.info("origin_read_failed", {{"chunk", index}, {"reason", std::string(data.status().message())}});
     }
     FetchResult result = FetchResult::Retry;
     if (this->keep(index, std::move(data), "origin", "origin", result)) {
@@ -125,7 +134,7 @@
         if (region == this->context.settings.region) {
             continue;
         }
-        const std::vector<std::string> order = fetchOrder(this->wanted.root, std::to_string(index), names);
+        const std::vector<std::string> order = fetchOrder(this->wanted.root, std::to_string(index), names, this->designatedIn(region));
         for (size_t i = 0; i < order.size() && i < remoteCandidates; ++i) {
             const AK::Endpoint &endpoint = directory.endpoints.at(order[i]);
             if (this->isExcluded(order[i])
@@ -172,7 +181,7 @@
     if (own == directory.namesByRegion.end()) {
         return false;
     }
-    const std::vector<std::string> order = fetchOrder(this->wanted.root, std::to_string(index), own->second);
+    const std::vector<std::string> order = fetchOrder(this->wanted.root, std::to_string(index), own->second, this->designatedIn(own->first));
     std::vector<PredecessorView> predecessors;
     for (const std::string &name : order) {
         if (name == this->context.settings.name) {
--- a/Userland/Libraries/LibWeights/WeightFetch.cpp
+++ b/Userland/Libraries/LibWeights/WeightFetch.cpp
@@ -150,7 +150,7 @@
         if (region != this->context.settings.region && rank > 0 && !searchAll) {
             continue;
         }
-        const std::vector<std::string> order = fetchOrder(this->wanted.root, "manifest", names);
+        const std::vector<std::string> order = fetchOrder(this->wanted.root, "manifest", names, this->designatedIn(region));
         const size_t count = searchAll ? order.size() : std::min<size_t>(order.size(), 2);
         sources.insert(sources.end(), order.begin(), order.begin() + static_cast<ptrdiff_t>(count));
         if (region == this->context.settings.region) {
@@ -167,8 +167,9 @@
     const PeerDirectory directory = this->currentPeers();
     const std::string &self = this->context.settings.name;
     const auto own = directory.namesByRegion.find(this->context.settings.region);
-    const std::vector<std::string> order =
-        own == directory.namesByRegion.end() ? std::vector<std::string>{self} : fetchOrder(this->wanted.root, "manifest", own->second);
+    const std::vector<std::string> order = own == directory.namesByRegion.end()
+        ? std::vector<std::string>{self}
+        : fetchOrder(this->wanted.root, "manifest", own->second, this->designatedIn(own->first));
     const auto rank = static_cast<size_t>(std::find(order.begin(), order.end(), self) - order.begin());
     const AK::Milliseconds elapsed = this->context.clock.now() - this->startedAt;
     const AK::Milliseconds turn = this->context.settings.agent.designatedTimeoutMs;
@@ -302,7 +303,15 @@
 WeightFetch::FetchResult WeightFetch::fetchFromPeer(PeerLinks &links, const std::string &peer, const AK::Endpoint &endpoint, uint32_t index, const char *kind)
 {
     const uint32_t bytes = this->current->chunks()[index].bytes;
-    this->context.downlink.wait(bytes, [this] { return this->stopping.load(); });
+    const auto stopped = [this] {
+        return this->stopping.load();
+    };
+    // A chunk that comes into the region is waited for by all its agents, one from a peer by this agent alone.
+    if (std::string_view(kind) == "peer") {
+        this->context.downlink.wait(bytes, stopped);
+    } else {
+        this->context.downlink.waitUrgent(bytes, stopped);
+    }
     const AK::Milliseconds begin = this->context.clock.now();
     const AK::Milliseconds timeout = fetchTimeout(bytes, this->expectedRate(), this->context.settings.timing.rpcTimeoutMs);
     auto data = links.chunk(peer, endpoint, this->wanted.root, index, timeout);
@@ -322,6 +331,7 @@
 bool WeightFetch::keep(uint32_t index, absl::StatusOr<std::string> data, const std::string &source, const char *kind, FetchResult &result)
 {
     if (!data.ok()) {
+        this->context.downlink.giveBack(this->current->chunks()[index].bytes);
         this->current->release(index, false);
         result = FetchResult::Retry;
         return false;
