Operator: Show calls whose outcome is unknown

Cause: a claim that stays claimed or unknown was visible in the object API only, under a hash. Claims keep their Idempotency-Key for it; claims without the field stay readable. Conclusion: operators find the key to look up in the upstream's records. With millions of finished claims the search ends incomplete and says so.

--- a/Tests/LibOnce/MemoryStore.cpp
+++ b/Tests/LibOnce/MemoryStore.cpp
@@ -2,6 +2,14 @@
 
 using LibObjectStore::StoredObject;
 
+namespace
+{
+
+// As ObjectStore::list() says.
+constexpr size_t listLimit = 1'000;
+
+} // namespace
+
 absl::StatusOr<StoredObject> MemoryStore::get(const std::string & /*kind*/, const std::string &name, AK::Milliseconds /*timeout*/)
 {
     const StoreFault fault = this->before ? this->before(false) : StoreFault::None;
@@ -35,7 +43,7 @@
     }
     std::vector<StoredObject> result;
     for (const auto &[name, object] : this->objects) {
-        if (name.starts_with(prefix)) {
+        if (name.starts_with(prefix) && result.size() < listLimit) {
             result.push_back(object);
         }
     }
--- a/Userland/Libraries/LibOnce/ClaimProtocol.cpp
+++ b/Userland/Libraries/LibOnce/ClaimProtocol.cpp
@@ -26,6 +26,7 @@
     claim.record.service = request.service;
     claim.record.method = request.method;
     claim.record.path = request.path;
+    claim.record.idempotencyKey = request.idempotencyKey;
     claim.record.claimedAt = clock.wallTime();
     claim.record.expiresAt = claim.record.claimedAt + rules.lifetime;
     // The window starts before the write is sent: a pause at any later point counts.
--- a/Userland/Libraries/LibOnce/ClaimRecord.cpp
+++ b/Userland/Libraries/LibOnce/ClaimRecord.cpp
@@ -201,6 +201,7 @@
                  {"service", record.service.substr(0, textLimit)},
                  {"method", record.method.substr(0, textLimit)},
                  {"path", record.path.substr(0, textLimit)},
+                 {"idempotency_key", record.idempotencyKey.substr(0, textLimit)},
                  {"claimed_at_ms", record.claimedAt},
                  {"expires_at_ms", record.expiresAt},
                  {"reason", record.reason.substr(0, textLimit)}};
@@ -237,7 +238,8 @@
     CATKINLINK_ASSIGN(record.bodyDigest, readText(json, "", "body_sha256", nonceLimit, true));
     // Invalid UTF-8 becomes three bytes when it is written.
     const std::array texts{std::pair{"owner", &record.owner},   std::pair{"account", &record.account}, std::pair{"service", &record.service},
-                           std::pair{"method", &record.method}, std::pair{"path", &record.path},       std::pair{"reason", &record.reason}};
+                           std::pair{"method", &record.method}, std::pair{"path", &record.path},       std::pair{"idempotency_key", &record.idempotencyKey},
+                           std::pair{"reason", &record.reason}};
     for (const auto &[key, target] : texts) {
         CATKINLINK_ASSIGN(*target, readText(json, "", key, 3 * textLimit, false));
     }
--- a/Userland/Libraries/LibOnce/ClaimRecord.h
+++ b/Userland/Libraries/LibOnce/ClaimRecord.h
@@ -46,6 +46,7 @@
     std::string service;
     std::string method;
     std::string path;
+    std::string idempotencyKey;
     /// Wall time in milliseconds.
     AK::Milliseconds claimedAt = 0;
     AK::Milliseconds expiresAt = 0;
--- a/Userland/Services/Operator/OperatorJson.cpp
+++ b/Userland/Services/Operator/OperatorJson.cpp
@@ -143,6 +143,21 @@
             {"instance", member.instance}};
 }
 
+nlohmann::json claimToJson(const std::string &name, const LibOnce::ClaimRecord &record)
+{
+    return {{"claim", name},
+            {"state", AK::nameOf(LibOnce::claimStateNames, record.state)},
+            {"account", record.account},
+            {"service", record.service},
+            {"method", record.method},
+            {"path", record.path},
+            {"idempotency_key", record.idempotencyKey},
+            {"owner", record.owner},
+            {"claimed_at_ms", record.claimedAt},
+            {"expires_at_ms", record.expiresAt},
+            {"reason", record.reason}};
+}
+
 nlohmann::json restrictionToJson(const LibConfiguration::Restriction &restriction)
 {
     return {{"id", restriction.id},         {"failure_domain", restriction.failureDomain}, {"upstream", restriction.upstream}, {"author", restriction.author},
--- a/Userland/Services/Operator/OperatorJson.h
+++ b/Userland/Services/Operator/OperatorJson.h
@@ -3,6 +3,7 @@
 #include <LibConfiguration/Applier.h>
 #include <LibHttp/HttpMessage.h>
 #include <LibMembership/MembershipView.h>
+#include <LibOnce/ClaimRecord.h>
 #include <LibSettings/ProcessSettings.h>
 #include <absl/status/statusor.h>
 #include <nlohmann/json.hpp>
@@ -27,6 +28,7 @@
 LibHttp::HttpResponse errorResponse(int status, std::string_view message);
 
 nlohmann::json memberToJson(const LibMembership::Member &member);
+nlohmann::json claimToJson(const std::string &name, const LibOnce::ClaimRecord &record);
 nlohmann::json restrictionToJson(const LibConfiguration::Restriction &restriction);
 
 } // namespace Operator
--- a/Userland/Services/Operator/OperatorService.cpp
+++ b/Userland/Services/Operator/OperatorService.cpp
@@ -3,6 +3,7 @@
 #include "OperatorJson.h"
 #include <AK/Text.h>
 #include <LibAudit/AuditArchive.h>
+#include <LibOnce/ClaimList.h>
 
 namespace Operator
 {
@@ -72,6 +73,9 @@
     if (what == "GET audit") {
         return this->audit();
     }
+    if (what == "GET claims") {
+        return this->claims(request);
+    }
     return errorResponse(404, AK::concat("the operator API has no ", what));
 }
 
@@ -151,4 +155,22 @@
     return LibHttp::jsonResponse(200, nlohmann::json{{"entries", LibAudit::joinTrails(*std::move(archived), tail)}}.dump());
 }
 
+LibHttp::HttpResponse OperatorService::claims(const LibHttp::HttpRequest &request) const
+{
+    const std::string wanted = LibHttp::queryParameter(request, "state");
+    const auto state = AK::valueOf(LibOnce::claimStateNames, wanted);
+    if (!state || (*state != LibOnce::ClaimState::Claimed && *state != LibOnce::ClaimState::Unknown)) {
+        return errorResponse(422, AK::concat("state is \"", wanted, "\", must be claimed or unknown"));
+    }
+    const auto list = LibOnce::listClaims(this->store, *state, {}, this->settings.timing.storeTimeoutMs);
+    if (!list.ok()) {
+        return errorResponse(503, AK::concat("the claims cannot be read: ", list.status().message()));
+    }
+    nlohmann::json body{{"claims", nlohmann::json::array()}, {"examined", list->examined}, {"malformed", list->malformed}, {"complete", list->complete}};
+    for (const auto &[name, record] : list->claims) {
+        body["claims"].push_back(claimToJson(name, record));
+    }
+    return LibHttp::jsonResponse(200, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
 } // namespace Operator
--- a/Userland/Services/Operator/OperatorService.h
+++ b/Userland/Services/Operator/OperatorService.h
@@ -30,6 +30,7 @@
     LibHttp::HttpResponse status() const;
     LibHttp::HttpResponse restrict(const LibHttp::HttpRequest &request, const std::string &author);
     LibHttp::HttpResponse audit() const;
+    LibHttp::HttpResponse claims(const LibHttp::HttpRequest &request) const;
 
     const LibSettings::ProcessSettings &settings;
     const AK::Clock &clock;
--- a/Userland/Utilities/catkinlink/CommandLine.cpp
+++ b/Userland/Utilities/catkinlink/CommandLine.cpp
@@ -53,6 +53,7 @@
         {"body", "FILE", "file that holds the request body"},
         {"prompt", "TEXT", "prompt of a completion"},
         {"idempotency-key", "KEY", "key of a call that may not be repeated"},
+        {"state", "STATE", "claimed or unknown (default: both)"},
     };
     return specs;
 }
@@ -221,6 +222,10 @@
     options.body = parser.last("body");
     options.prompt = parser.last("prompt");
     options.idempotencyKey = parser.last("idempotency-key");
+    options.claimState = parser.last("state");
+    if (!options.claimState.empty() && options.claimState != "claimed" && options.claimState != "unknown") {
+        return absl::OutOfRangeError(AK::concat("--state: \"", options.claimState, "\" is neither claimed nor unknown"));
+    }
     return absl::OkStatus();
 }
 
@@ -285,6 +290,7 @@
         {"rollout rollback", "return to the previous version", "SERVICE", "!entry !key-file !reason wait json"},
         {"audit", "show the audit trail", "", "!entry !key-file json"},
         {"audit verify", "check the hash chain of the audit trail", "", "!entry !key-file json"},
+        {"claims", "show calls whose outcome is not known", "", "!entry !key-file state json"},
         {"address", "show which entries callers may use", "", "!entry key-file json"},
         {"call", "send one call as a client account", "SERVICE", "!entry !key-file method path body prompt idempotency-key json"},
     };
--- a/Userland/Utilities/catkinlink/CommandLine.h
+++ b/Userland/Utilities/catkinlink/CommandLine.h
@@ -52,6 +52,8 @@
     std::string body;
     std::string prompt;
     std::string idempotencyKey;
+    /// State of the claims to show; empty for all whose outcome is not known.
+    std::string claimState;
     /// Help or version text to print instead of running the command.
     std::string information;
 };
--- a/Userland/Utilities/catkinlink/Commands.h
+++ b/Userland/Utilities/catkinlink/Commands.h
@@ -36,6 +36,7 @@
 absl::Status runStatus(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment);
 absl::Status runRolloutStatus(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment);
 absl::Status runAudit(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment);
+absl::Status runClaims(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment);
 absl::Status runAddress(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment);
 absl::Status runCall(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment);
 /// domain out|in and upstream out|in.
--- a/Userland/Utilities/catkinlink/ReadCommands.cpp
+++ b/Userland/Utilities/catkinlink/ReadCommands.cpp
@@ -194,6 +194,33 @@
     return absl::OkStatus();
 }
 
+absl::Status runClaims(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment)
+{
+    const std::vector<std::string> states = options.claimState.empty() ? std::vector<std::string>{"unknown", "claimed"} : std::vector{options.claimState};
+    nlohmann::json claims = nlohmann::json::array();
+    bool complete = true;
+    for (const std::string &state : states) {
+        CATKINLINK_ASSIGN(const nlohmann::json answer, client.read(AK::concat("/operator/v1/claims?state=", state)));
+        for (const nlohmann::json &claim : listIn(answer, "claims")) {
+            claims.push_back(claim);
+        }
+        complete = complete && answer.value("complete", false);
+    }
+    if (options.json) {
+        environment.out << nlohmann::json{{"claims", claims}, {"complete", complete}} << "\n";
+        return absl::OkStatus();
+    }
+    Rows rows{{"KEY", "STATE", "CLAIMED (UTC)", "ACCOUNT", "SERVICE", "CALL", "ENTRY", "REASON"}};
+    for (const nlohmann::json &claim : claims) {
+        const std::string reason = textIn(claim, "reason");
+        rows.push_back({textIn(claim, "idempotency_key"), textIn(claim, "state"), formatTime(static_cast<AK::Milliseconds>(numberIn(claim, "claimed_at_ms"))),
+                        textIn(claim, "account"), textIn(claim, "service"), AK::concat(textIn(claim, "method"), " ", textIn(claim, "path")),
+                        textIn(claim, "owner"), reason.empty() ? "-" : reason});
+    }
+    environment.out << formatTable(rows) << claims.size() << " calls with unknown outcome" << (complete ? "" : "; there may be more") << "\n";
+    return absl::OkStatus();
+}
+
 absl::Status runAddress(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment)
 {
     CATKINLINK_ASSIGN(const nlohmann::json answer, client.read("/v1/addresses"));
--- a/Userland/Utilities/catkinlink/RunCommand.cpp
+++ b/Userland/Utilities/catkinlink/RunCommand.cpp
@@ -22,12 +22,13 @@
     }
     const EntryClient client(options.entries, *key);
     using Run = absl::Status (*)(const EntryClient &, const CommandOptions &, const CommandEnvironment &);
-    static constexpr std::array<std::pair<std::string_view, Run>, 10> table{{
+    static constexpr std::array<std::pair<std::string_view, Run>, 11> table{{
         {"diff", runDiff},
         {"apply", runApply},
         {"status", runStatus},
         {"rollout status", runRolloutStatus},
         {"audit", runAudit},
+        {"claims", runClaims},
         {"address", runAddress},
         {"call", runCall},
         {"domain", runService},
--- a/Userland/Utilities/catkinlink/catkinlink.bash
+++ b/Userland/Utilities/catkinlink/catkinlink.bash
@@ -12,10 +12,10 @@
         mapfile -t COMPREPLY < <(compgen -f -- "$current")
         return
         ;;
-    --entry | --weight-store | --reason | --wait | --ttl | --expected-revision) return ;;
+    --entry | --weight-store | --reason | --wait | --ttl | --state | --expected-revision) return ;;
     esac
     if [ "$COMP_CWORD" -eq 1 ]; then
-        choices="validate diff apply status domain upstream rollout audit address call --help --version"
+        choices="validate diff apply status domain upstream rollout audit claims address call --help --version"
     elif [ "$COMP_CWORD" -eq 2 ] && [ "$first" = rollout ]; then
         choices="start status pause resume rollback"
     elif [ "$COMP_CWORD" -eq 2 ] && { [ "$first" = domain ] || [ "$first" = upstream ]; }; then
@@ -27,6 +27,7 @@
         apply) choices="--base --overlay --expected-revision --force $change" ;;
         status | address) choices=$_catkinlink_json_flags ;;
         audit) choices="verify $_catkinlink_json_flags" ;;
+        claims) choices="--state $_catkinlink_json_flags" ;;
         call) choices="--method --path --body --prompt --idempotency-key $_catkinlink_json_flags" ;;
         domain | upstream)
             choices=$change
