--- a/Userland/Libraries/LibEngine/Engine.cpp
+++ b/Userland/Libraries/LibEngine/Engine.cpp
@@ -1,7 +1,9 @@
 #include <LibEngine/Engine.h>
 
+#include <AK/StatusMacros.h>
 #include <AK/Text.h>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 namespace LibEngine
 {
@@ -24,6 +26,28 @@
     return json["system_fingerprint"].get<std::string>();
 }
 
+namespace
+{
+
+// Far above any engine's number of calls at a time.
+constexpr uint64_t countLimit = 1'000'000;
+
+absl::StatusOr<int> readCount(const nlohmann::json &json, const char *key, std::optional<int> fallback)
+{
+    const auto found = json.find(key);
+    if (found == json.end() && fallback) {
+        return *fallback;
+    }
+    if (found == json.end() || !found->is_number_unsigned() || found->get<uint64_t>() > countLimit) {
+        return absl::InvalidArgumentError(AK::concat("engine status: /", key, " is ",
+                                                     found == json.end() ? "missing" : found->dump(-1, ' ', true, nlohmann::json::error_handler_t::replace),
+                                                     ", must be 0 to ", countLimit));
+    }
+    return static_cast<int>(found->get<uint64_t>());
+}
+
+} // namespace
+
 absl::StatusOr<EngineStatus> parseEngineStatus(std::string_view text)
 {
     const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
@@ -33,6 +57,10 @@
     try {
         EngineStatus status;
         status.instance = json.at("instance").get<std::string>();
+        // A conversion of a negative or too large number would give another generation or number of slots than the engine reported.
+        if (!json.at("generation").is_number_unsigned()) {
+            return absl::InvalidArgumentError(AK::concat("engine status: /generation is ", json["generation"].dump(), ", must be an unsigned integer"));
+        }
         status.generation = json.at("generation").get<uint64_t>();
         status.ready = json.at("state").get<std::string>() == "ready";
         status.loading = json.at("state").get<std::string>() == "loading";
@@ -40,8 +68,8 @@
         status.adapter = json.value("adapter", "");
         status.version = json.value("version", "");
         status.root = json.at("weights_root").get<std::string>();
-        status.load = json.value("load", 0);
-        status.slots = json.at("slots").get<int>();
+        CATKINLINK_ASSIGN(status.load, readCount(json, "load", 0));
+        CATKINLINK_ASSIGN(status.slots, readCount(json, "slots", std::nullopt));
         return status;
     } catch (const nlohmann::json::exception &exception) {
         return absl::InvalidArgumentError(AK::concat("engine status: ", exception.what()));
