Measure: Read executions of once after the load has ended, and explain unknown outcomes

Cause: judge(load.finish(), executionsOf(site)) left the order of its arguments to the compiler; g++ read the executions first, so calls that ended meanwhile counted as done without a run and a late execution would have been missed. Change: the load is ended first and the executions are read 3 s later; each attempt that was told not_run is looked up by its request id; unknown outcomes are counted by cause and printed per second; the load average is part of the result.

--- a/Tests/Measure/Once.cpp
+++ b/Tests/Measure/Once.cpp
@@ -3,7 +3,9 @@
 
 #include <AK/Text.h>
 #include <algorithm>
+#include <array>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <set>
 
@@ -11,6 +13,7 @@
 {
 
 constexpr AK::Milliseconds settleMs = 3'000;
+constexpr AK::Milliseconds timelineMs = 1'000;
 constexpr AK::Milliseconds callDeadlineMs = 4'000;
 // Every fifth call is sent again with the same key, at whatever entry the second caller uses.
 constexpr uint64_t repeatEvery = 5;
@@ -82,19 +85,66 @@
     clock.sleep(step);
 }
 
-std::map<std::string, int> executionsByKey(Harness::Site &site)
+/// What the upstreams have run.
+struct Executions {
+    std::map<std::string, int> byKey;
+    std::set<std::string> requestIds;
+};
+
+Executions executionsOf(Harness::Site &site)
 {
-    std::map<std::string, int> executions;
+    // A call whose caller has given up may still be on its way to an upstream.
+    AK::SystemClock().sleep(settleMs);
+    Executions executions;
     for (const std::string &agent : site.agents(desk)) {
         const auto counts = Harness::getJson(site.upstreamAddress(agent), "/fake/executions");
         requireOk(counts.status(), "executions");
         for (const auto &[key, count] : counts->items()) {
-            executions[key] += count.get<int>();
+            executions.byKey[key] += count.get<int>();
+        }
+        const auto requests = Harness::getJson(site.upstreamAddress(agent), "/fake/requests");
+        requireOk(requests.status(), "requests");
+        for (const nlohmann::json &requestId : requests->at("executed")) {
+            executions.requestIds.insert(requestId.get<std::string>());
         }
     }
     return executions;
 }
 
+// Why a call ended without a known outcome, in the entry's words.
+std::string causeOf(const Harness::CallRecord &record)
+{
+    if (record.status == 0) {
+        return "no answer from the entry";
+    }
+    const nlohmann::json body = nlohmann::json::parse(record.body, nullptr, false);
+    if (!body.is_object() || !body.contains("error")) {
+        return AK::concat("status ", record.status);
+    }
+    const nlohmann::json &error = body["error"];
+    if (error.is_object()) {
+        // "upstream order-desk-2: what happened"; the upstream's name and its addresses would make one cause of each.
+        const std::string message = error.value("message", "");
+        const size_t name = message.find(": ");
+        const std::string what = name == std::string::npos ? message : message.substr(name + 2);
+        return AK::concat("dispatched: ", error.value("reason", ""), ": ", what.substr(0, what.find_first_of("0123456789")));
+    }
+    return error.is_string() ? error.get<std::string>() : "no reason";
+}
+
+// Outcomes by the time at which the calls started, to tell which fault made them.
+void printTimeline(const std::vector<Harness::CallRecord> &records)
+{
+    std::map<AK::Milliseconds, std::map<std::string, int>> buckets;
+    for (const Harness::CallRecord &record : records) {
+        const std::string outcome = record.complete ? "done" : record.outcome == "not_run" ? "not_run" : causeOf(record);
+        ++buckets[(record.startedAt - records.front().startedAt) / timelineMs][outcome];
+    }
+    for (const auto &[bucket, outcomes] : buckets) {
+        std::cerr << bucket * timelineMs << " ms " << nlohmann::json(outcomes).dump() << "\n";
+    }
+}
+
 struct OnceResult {
     size_t calls = 0;
     int attempts = 0;
@@ -104,9 +154,11 @@
     int executedTwice = 0;
     int falseNotRun = 0;
     int doneWithoutRun = 0;
+    /// Unknown outcomes by cause.
+    std::map<std::string, int> causes;
 };
 
-OnceResult judge(const std::vector<Harness::CallRecord> &records, const std::map<std::string, int> &executions, const std::string &run)
+OnceResult judge(const std::vector<Harness::CallRecord> &records, const Executions &executions, const std::string &run)
 {
     OnceResult result;
     result.calls = records.size();
@@ -116,17 +168,23 @@
         const std::string outcome = record.complete ? "done" : record.outcome;
         result.done += outcome == "done" ? 1 : 0;
         result.notRun += outcome == "not_run" ? 1 : 0;
-        result.unknown += outcome != "done" && outcome != "not_run" ? 1 : 0;
+        if (outcome != "done" && outcome != "not_run") {
+            ++result.unknown;
+            ++result.causes[causeOf(record)];
+        }
+        for (const std::string &requestId : record.refusedIds) {
+            result.falseNotRun += executions.requestIds.contains(requestId) ? 1 : 0;
+        }
         outcomes[record.idempotencyKey].insert(outcome);
     }
     for (const auto &[key, told] : outcomes) {
-        const auto found = executions.find(key);
-        const int times = found == executions.end() ? 0 : found->second;
-        // Calls with the same key share one execution, so only a key whose every call was told "not run" must not have run.
+        const auto found = executions.byKey.find(key);
+        const int times = found == executions.byKey.end() ? 0 : found->second;
+        // A key whose every call was told "not run" must not have run; attempts of other keys are told apart by their request id above.
         result.falseNotRun += told == std::set<std::string>{"not_run"} && times > 0 ? 1 : 0;
         result.doneWithoutRun += told.contains("done") && times == 0 ? 1 : 0;
     }
-    for (const auto &[key, times] : executions) {
+    for (const auto &[key, times] : executions.byKey) {
         result.executedTwice += key.starts_with(run) && times > 1 ? 1 : 0;
     }
     return result;
@@ -141,7 +199,8 @@
             {"outcome_unknown", result.unknown},
             {"executed_twice", result.executedTwice},
             {"false_not_run", result.falseNotRun},
-            {"done_without_run", result.doneWithoutRun}};
+            {"done_without_run", result.doneWithoutRun},
+            {"unknown_causes", result.causes}};
 }
 
 OnceResult measureOurs(Harness::Site &site, const MeasureContext &context, double rate, int rounds, AK::Milliseconds step)
@@ -158,7 +217,9 @@
         std::cerr << "round " << round + 1 << "\n";
         injectFaults(site, step);
     }
-    return judge(load.finish(), executionsByKey(site), "ours");
+    const std::vector<Harness::CallRecord> records = load.finish();
+    printTimeline(records);
+    return judge(records, executionsOf(site), "ours");
 }
 
 // A caller that sends again after any failure, straight to the upstreams, which count keys but do not check them.
@@ -183,7 +244,8 @@
     clock.sleep(step / 2);
     setUpstreamFault(site, "none");
     clock.sleep(step);
-    return judge(load.finish(), executionsByKey(site), "baseline");
+    const std::vector<Harness::CallRecord> records = load.finish();
+    return judge(records, executionsOf(site), "baseline");
 }
 
 } // namespace
@@ -202,6 +264,10 @@
     for (const auto &[name, value] : baseline.items()) {
         result["baseline_" + name] = value;
     }
+    std::array<double, 1> load{};
+    if (::getloadavg(load.data(), 1) == 1) {
+        result["load_average"] = load[0];
+    }
     result["processes"] = site.daemonNames().size();
     return result;
 }
