LibOnce: Print violations as they are found and run the deeper bound apart

Cause: a deep exploration printed nothing before its end, and TestLibOnce took 28 s (load average 220). Change: the first 20 violations are printed with their case number at once. Before: 28.1 s in one test.

--- a/Tests/LibOnce/Explorer.cpp
+++ b/Tests/LibOnce/Explorer.cpp
@@ -2,6 +2,7 @@
 
 #include <AK/Text.h>
 #include <LibOnce/ClaimRunner.h>
+#include <iostream>
 
 namespace
 {
@@ -277,6 +278,14 @@
     return "";
 }
 
+namespace
+{
+
+// A broken mechanism makes thousands of violations; the first ones are enough to replay.
+constexpr long printedViolations = 20;
+
+} // namespace
+
 ExplorerReport explore(ExplorerBounds bounds, StoreWeakness weakness, AK::Milliseconds window, bool stopAtViolation)
 {
     ExplorerReport report;
@@ -284,8 +293,15 @@
     do {
         const std::string violation = ExploredCase(choices, bounds, weakness, window).run(report);
         ++report.cases;
-        if (!violation.empty() && report.violations++ == 0) {
-            report.firstViolation = violation + " after choices " + choices.text();
+        if (!violation.empty()) {
+            const std::string found = AK::concat(violation, " after choices ", choices.text());
+            if (report.violations++ == 0) {
+                report.firstViolation = found;
+            }
+            // At once, because a deep exploration may be ended before its report.
+            if (!stopAtViolation && report.violations <= printedViolations) {
+                std::cout << "case " << report.cases + 1 << ": " << found << std::endl;
+            }
         }
         if (report.violations > 0 && stopAtViolation) {
             break;
--- a/Tests/LibOnce/TestInterleavings.cpp
+++ b/Tests/LibOnce/TestInterleavings.cpp
@@ -33,13 +33,13 @@
 
 std::vector<ExplorerBounds> exploredBounds()
 {
-    // CATKINLINK_EXPLORE="P F" explores deeper than the default.
+    // CATKINLINK_EXPLORE="P F" explores other bounds than the default; ctest runs "0 2" as a test of its own.
     if (const char *text = std::getenv("CATKINLINK_EXPLORE")) {
         char *end = nullptr;
         const auto preemptions = static_cast<int>(std::strtol(text, &end, 10));
         return {{preemptions, static_cast<int>(std::strtol(end, nullptr, 10))}};
     }
-    return {{2, 0}, {1, 1}, {0, 2}};
+    return {{2, 0}, {1, 1}};
 }
 
 INSTANTIATE_TEST_SUITE_P(Bounds, Interleavings, testing::ValuesIn(exploredBounds()));
