--- a/Tests/LibObjectStore/TestHttpObjectStore.cpp
+++ b/Tests/LibObjectStore/TestHttpObjectStore.cpp
@@ -28,6 +28,8 @@
     bool removalIsOk = false;
 };
 
+// Named by GoogleTest.
+// NOLINTNEXTLINE(readability-identifier-naming)
 void PrintTo(const StoreCase &store, std::ostream *out)
 {
     *out << store.name;
--- a/Tests/Processes/TestOnce.cpp
+++ b/Tests/Processes/TestOnce.cpp
@@ -217,6 +217,8 @@
     AK::Milliseconds storeTimeout = storeTimeoutMs;
 };
 
+// Named by GoogleTest.
+// NOLINTNEXTLINE(readability-identifier-naming)
 void PrintTo(const OnceCase &once, std::ostream *out)
 {
     *out << once.name;
