Catkinlink: Await suspects and tell a weight store outage from a missing version

Cause: on a loaded machine (load 90 to 120) a change ended with "in force on 8 of 8 live members" of 9: a member that is only slow was suspect and not counted, although it still takes work by the revision before. Change: suspects count as live and are awaited. Only 404 means a missing version (exit 3); another status ends with 1 and the advice to try again.

--- a/Tests/Catkinlink/TestOutput.cpp
+++ b/Tests/Catkinlink/TestOutput.cpp
@@ -30,6 +30,14 @@
     EXPECT_NE(this->text().find("provisional restriction r1: out of service: north (fire)\n"), std::string::npos) << this->text();
 }
 
+// Guards against "in force everywhere" while a slow process still acts by the revision before.
+TEST_F(CommandTest, SuspectsAreAwaited)
+{
+    this->first.setMembers({{{"name", "entry-1"}, {"status", "alive"}}, {{"name", "bench-1"}, {"status", "suspect"}}, {{"name", "gone"}, {"status", "dead"}}});
+    ASSERT_EQ(this->run("domain out north --reason fire"), ExitCode::Done) << this->text();
+    EXPECT_NE(this->text().find("in force on 1 of 2 live members\nwarning: "), std::string::npos) << this->text();
+}
+
 // Guards against addresses that a script cannot read, and against a cache time that is not shown.
 TEST_F(CommandTest, AddressShowsEntriesAndCacheTime)
 {
--- a/Userland/Utilities/catkinlink/ChangeCommands.cpp
+++ b/Userland/Utilities/catkinlink/ChangeCommands.cpp
@@ -113,9 +113,13 @@
     if (!response.ok()) {
         return absl::InternalError(AK::concat("weight store: ", response.status().message(), "\nnext: give --root, or try again when it answers"));
     }
+    if (response->status == 404) {
+        return absl::InvalidArgumentError(
+            AK::concat("weight store ", store.text(), " has no ", path, "\nnext: check --model, --adapter and --weights-version"));
+    }
     if (response->status != 200) {
-        return absl::InvalidArgumentError(AK::concat("weight store ", store.text(), " answered ", path, " with ", response->status,
-                                                     "\nnext: check --model, --adapter and --weights-version"));
+        return absl::InternalError(
+            AK::concat("weight store ", store.text(), " answered ", path, " with ", response->status, "\nnext: give --root, or try again when it answers"));
     }
     const absl::StatusOr<LibWeights::Manifest> manifest = LibWeights::parseManifest(response->body);
     if (!manifest.ok()) {
--- a/Userland/Utilities/catkinlink/ChangeSubmission.cpp
+++ b/Userland/Utilities/catkinlink/ChangeSubmission.cpp
@@ -185,7 +185,7 @@
         inForce = 0;
         if (status.ok() && status->contains("members")) {
             for (const nlohmann::json &member : (*status)["members"]) {
-                const bool live = textIn(member, "status") == "alive";
+                const bool live = isLive(member);
                 members += live ? 1 : 0;
                 inForce += live && numberIn(member, "revision") >= result.revision ? 1 : 0;
             }
--- a/Userland/Utilities/catkinlink/EntryClient.cpp
+++ b/Userland/Utilities/catkinlink/EntryClient.cpp
@@ -130,6 +130,12 @@
     return json.is_object() && json.contains(key) && json[key].is_number_unsigned() ? json[key].get<uint64_t>() : 0;
 }
 
+bool isLive(const nlohmann::json &member)
+{
+    const std::string status = textIn(member, "status");
+    return status == "alive" || status == "suspect";
+}
+
 nlohmann::json listIn(const nlohmann::json &json, const char *key)
 {
     return json.is_object() && json.contains(key) && json[key].is_array() ? json[key] : nlohmann::json::array();
--- a/Userland/Utilities/catkinlink/EntryClient.h
+++ b/Userland/Utilities/catkinlink/EntryClient.h
@@ -54,6 +54,9 @@
 /// An unsigned number field, or 0.
 uint64_t numberIn(const nlohmann::json &json, const char *key);
 
+/// Whether a member of the status counts as live. A suspect may be slow only, and then still takes work by the revision that it has.
+bool isLive(const nlohmann::json &member);
+
 /// A list field, or an empty list.
 nlohmann::json listIn(const nlohmann::json &json, const char *key);
 
--- a/Userland/Utilities/catkinlink/RolloutProgress.cpp
+++ b/Userland/Utilities/catkinlink/RolloutProgress.cpp
@@ -12,12 +12,6 @@
 namespace
 {
 
-bool isLive(const nlohmann::json &member)
-{
-    const std::string status = textIn(member, "status");
-    return status == "alive" || status == "suspect";
-}
-
 const RolloutHost *findHost(const RolloutProgress &progress, const std::string &name)
 {
     const auto found = std::ranges::find_if(progress.hosts, [&](const RolloutHost &host) { return textIn(host.member, "name") == name; });
