Tests: Run the commands of the operator pages

Change: blocks tagged `sh run` are run in order on a site per page, exit codes and the block `output` after them are compared; comments `<!-- site: ... -->` do what happens outside the shell (store down, stop an agent). The run command prints the variables that the pages use. Conclusion: what a page shows is what the command prints.

--- /dev/null
+++ b/Tests/OperatorPages/Page.cpp
@@ -0,0 +1,178 @@
+#include "Page.h"
+
+#include <AK/Text.h>
+#include <algorithm>
+#include <array>
+#include <sstream>
+
+namespace OperatorPages
+{
+
+namespace
+{
+
+constexpr std::string_view fence = "```";
+constexpr std::string_view actionStart = "<!-- site: ";
+constexpr std::string_view actionEnd = " -->";
+constexpr std::string_view anything = "...";
+// Shown, but not run: commands of the host's own system, files and pictures.
+constexpr std::array<std::string_view, 3> shownOnly{"sh", "json", "text"};
+
+absl::Status faultAt(int line, std::string_view problem)
+{
+    return absl::InvalidArgumentError(AK::concat("line ", line, ": ", problem));
+}
+
+std::string singleSpaced(std::string_view text)
+{
+    std::istringstream words{std::string(text)};
+    std::string result;
+    for (std::string word; words >> word;) {
+        result += (result.empty() ? "" : " ") + word;
+    }
+    return result;
+}
+
+bool lineMatches(const std::string &expected, const std::string &actual)
+{
+    const std::string pattern = singleSpaced(expected);
+    const std::string line = singleSpaced(actual);
+    if (pattern.find(anything) == std::string::npos) {
+        return line == pattern;
+    }
+    size_t at = 0;
+    size_t from = 0;
+    while (true) {
+        const size_t end = pattern.find(anything, from);
+        const std::string part = pattern.substr(from, end == std::string::npos ? end : end - from);
+        const size_t found = end == std::string::npos && !part.empty() ? line.rfind(part) : line.find(part, at);
+        if (found == std::string::npos || found < at || (from == 0 && found != 0)) {
+            return false;
+        }
+        at = found + part.size();
+        if (end == std::string::npos) {
+            return part.empty() || at == line.size();
+        }
+        from = end + anything.size();
+    }
+}
+
+// Where a group of adjacent lines begins, at or after `from`; the number of lines when it is not there.
+size_t findGroup(const std::vector<std::string> &group, const std::vector<std::string> &lines, size_t from, bool anchored)
+{
+    for (size_t start = from; start + group.size() <= lines.size(); ++start) {
+        const auto begin = lines.begin() + static_cast<std::ptrdiff_t>(start);
+        if (std::equal(group.begin(), group.end(), begin, lineMatches)) {
+            return start;
+        }
+        if (anchored) {
+            break;
+        }
+    }
+    return lines.size();
+}
+
+absl::StatusOr<Step> scriptStep(const std::string &tag, int line)
+{
+    Step step{StepKind::Run, line, "", 0, {}};
+    const std::string rest = tag.substr(std::string_view("sh run").size());
+    if (rest.empty()) {
+        return step;
+    }
+    const auto code = rest.starts_with(" exit=") ? AK::parseInteger(rest.substr(6)) : std::nullopt;
+    if (!code || *code < 0 || *code > 255) {
+        return faultAt(line, AK::concat("\"", tag, "\" is no tag of a script"));
+    }
+    step.exitCode = static_cast<int>(*code);
+    return step;
+}
+
+absl::Status addBlock(Page &page, const std::string &tag, const std::vector<std::string> &content, int line)
+{
+    if (tag == "output") {
+        if (page.steps.empty() || page.steps.back().kind != StepKind::Run || !page.steps.back().output.empty()) {
+            return faultAt(line, "an output needs a script before it");
+        }
+        page.steps.back().output = content;
+        return absl::OkStatus();
+    }
+    if (tag.starts_with("sh run")) {
+        absl::StatusOr<Step> step = scriptStep(tag, line);
+        if (!step.ok()) {
+            return step.status();
+        }
+        for (const std::string &text : content) {
+            step->text += text + "\n";
+        }
+        page.steps.push_back(*std::move(step));
+        return absl::OkStatus();
+    }
+    const bool known = std::find(shownOnly.begin(), shownOnly.end(), tag) != shownOnly.end();
+    return known ? absl::OkStatus() : faultAt(line, AK::concat("unknown tag \"", tag, "\" of a block"));
+}
+
+} // namespace
+
+std::vector<std::string> splitLines(std::string_view text)
+{
+    std::istringstream stream{std::string(text)};
+    std::vector<std::string> lines;
+    for (std::string line; std::getline(stream, line);) {
+        lines.push_back(line);
+    }
+    return lines;
+}
+
+absl::StatusOr<Page> readPage(const std::string &markdown)
+{
+    Page page;
+    const std::vector<std::string> lines = splitLines(markdown);
+    for (size_t i = 0; i < lines.size(); ++i) {
+        const int number = static_cast<int>(i) + 1;
+        if (lines[i].starts_with(actionStart) && lines[i].ends_with(actionEnd)) {
+            const size_t size = lines[i].size() - actionStart.size() - actionEnd.size();
+            page.steps.push_back({StepKind::Site, number, lines[i].substr(actionStart.size(), size), 0, {}});
+        }
+        if (!lines[i].starts_with(fence)) {
+            continue;
+        }
+        const std::string tag = lines[i].substr(fence.size());
+        std::vector<std::string> content;
+        for (++i; i < lines.size() && lines[i] != fence; ++i) {
+            content.push_back(lines[i]);
+        }
+        if (i == lines.size()) {
+            return faultAt(number, "the block does not end");
+        }
+        if (const absl::Status added = addBlock(page, tag, content, number); !added.ok()) {
+            return added;
+        }
+    }
+    return page;
+}
+
+std::string findOutput(const std::vector<std::string> &expected, const std::string &actual)
+{
+    const std::vector<std::string> lines = splitLines(actual);
+    size_t at = 0;
+    bool anchored = true;
+    std::vector<std::string> group;
+    for (size_t i = 0; i <= expected.size(); ++i) {
+        const bool gap = i < expected.size() && singleSpaced(expected[i]) == anything;
+        if (i < expected.size() && !gap) {
+            group.push_back(expected[i]);
+            continue;
+        }
+        const size_t found = findGroup(group, lines, at, anchored);
+        if (!group.empty() && found == lines.size()) {
+            return AK::concat("\"", group.front(), "\"", group.size() > 1 ? " and the lines after it" : "", " is not in the output");
+        }
+        at = group.empty() ? at : found + group.size();
+        anchored = !gap;
+        group.clear();
+    }
+    const bool openEnd = !expected.empty() && singleSpaced(expected.back()) == anything;
+    return openEnd || at == lines.size() ? "" : AK::concat("the output goes on with \"", lines[at], "\"");
+}
+
+} // namespace OperatorPages
--- a/Tests/Tour/tour.cpp
+++ b/Tests/Tour/tour.cpp
@@ -1,6 +1,8 @@
 #include "Steps.h"
 
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <string_view>
 
@@ -9,16 +11,24 @@
 
 void printCommands(Harness::Site &site)
 {
-    const std::string common = " --entry " + site.entryAddress(1).text() + " --key-file " + site.operatorKeyFile();
-    const std::string command = site.plan().binFolder + "/catkinlink ";
-    std::cout << "\nThe site runs until this program is interrupted. Logs and settings: " << site.folder() << "\nTry:\n"
-              << "  " << command << "status" << common << "\n"
-              << "  " << command << "rollout status bench-assistant" << common << "\n"
-              << "  " << command << "domain out cusco --reason maintenance" << common << "\n"
-              << "  " << command << "audit" << common << "\n"
-              << "  curl -sN http://" << site.entryAddress(1).text() << "/v1/completions -H 'Authorization: Bearer " << site.accountKey(1)
-              << "' -d '{\"model\":\"bench-assistant\",\"prompt\":\"hello\",\"stream\":true}'\n"
-              << "  curl -s http://" << site.entryAddress(1).text() << "/metrics" << std::endl;
+    const std::string accountKeyFile = site.folder() + "/account.key";
+    std::ofstream(accountKeyFile) << site.accountKey(1) << "\n";
+    std::cout << "\nThe site runs until this program is interrupted. Logs and settings: " << site.folder()
+              << "\nFor the commands of docs/operators in another shell:\n"
+              << "  export PATH=" << std::filesystem::absolute(site.plan().binFolder).string() << ":$PATH\n"
+              << "  export ENTRY=" << site.entryAddress(1).text() << " SECOND_ENTRY=" << site.entryAddress(2).text() << "\n"
+              << "  export KEY_FILE=" << site.operatorKeyFile() << " ACCOUNT_KEY_FILE=" << accountKeyFile << "\n"
+              << "  export WEIGHT_STORE=" << site.weightStore().text() << " OBJECT_API=" << site.objectApi().text() << "\nTry:\n"
+              << "  catkinlink status --entry $ENTRY --key-file $KEY_FILE\n"
+              << "  catkinlink rollout status bench-assistant --entry $ENTRY --key-file $KEY_FILE\n"
+              << "  catkinlink domain out cusco --reason maintenance --entry $ENTRY --key-file $KEY_FILE\n"
+              << "  catkinlink audit --entry $ENTRY --key-file $KEY_FILE\n"
+              << "  curl -sN http://$ENTRY/v1/completions -H \"Authorization: Bearer $(cat $ACCOUNT_KEY_FILE)\""
+              << " -d '{\"model\":\"bench-assistant\",\"prompt\":\"hello\",\"stream\":true}'\n"
+              << "  curl -s http://$ENTRY/metrics\n"
+              << "Faults: section 10 of docs/design.md, for example a store outage and its end:\n"
+              << "  curl -s http://$OBJECT_API/fake/fault -d '{\"mode\":\"down\"}'\n"
+              << "  curl -s http://$OBJECT_API/fake/fault -d '{\"mode\":\"none\"}'" << std::endl;
 }
 
 void waitForInterrupt()
