--- a/Userland/Utilities/catkinlink/FileCommands.cpp
+++ b/Userland/Utilities/catkinlink/FileCommands.cpp
@@ -140,7 +140,7 @@
         environment.out << nlohmann::json{{"against", source}, {"differences", list}} << "\n";
         return absl::OkStatus();
     }
-    environment.out << differences.size() << " fields differ from " << source << "\n";
+    environment.out << differences.size() << (differences.size() == 1 ? " field differs from " : " fields differ from ") << source << "\n";
     printDifferences(differences, environment.out);
     return absl::OkStatus();
 }
--- a/Userland/Utilities/catkinlink/ReadCommands.cpp
+++ b/Userland/Utilities/catkinlink/ReadCommands.cpp
@@ -162,10 +162,9 @@
     }
     const auto response = client.send(request, RefusalSign::OutcomeNotRun);
     if (!response.ok()) {
-        const bool unknown = absl::IsUnknown(response.status());
-        return absl::Status(
-            response.status().code(),
-            AK::concat(response.status().message(), unknown ? "\nnext: the call may have run; repeat it only with the same --idempotency-key" : ""));
+        const char *next = absl::IsUnknown(response.status()) ? "the call may have run; repeat it only with the same --idempotency-key"
+                                                              : "the call was not run; send it again later, or give another --entry";
+        return absl::Status(response.status().code(), AK::concat(response.status().message(), "\nnext: ", next));
     }
     const std::string outcome(LibHttp::headerOr(response->headers, "x-catkinlink-outcome"));
     if (options.json) {
--- a/Userland/Utilities/catkinlink/catkinlink.bash
+++ b/Userland/Utilities/catkinlink/catkinlink.bash
@@ -34,8 +34,8 @@
             ;;
         rollout)
             choices=$change
-            [ "$second" = status ] && choices="--watch $_catkinlink_json_flags"
-            [ "$second" = start ] && choices="--model --adapter --weights-version --root --weight-store $change"
+            [ "$second" = status ] && choices="--watch --wait $_catkinlink_json_flags"
+            [ "$second" = start ] && choices="--model --adapter --weights-version --root --weight-store --force $change"
             ;;
         esac
     fi
