--- a/Tests/OperatorPages/PageRunner.cpp
+++ b/Tests/OperatorPages/PageRunner.cpp
@@ -42,6 +42,8 @@
          2,
          {{{"method", "POST"}, {"path", "/shipments"}, {"repeatable", false}}, {{"method", "GET"}, {"path", "/stock"}, {"repeatable", true}}}},
     };
+    // On a loaded machine a process that is only slow would be shown as suspect.
+    plan.timing = {{"rpc_timeout_ms", 5'000}};
     plan.entrySettings = {{"address_ttl_ms", 1'000}, {"propagation_ms", 1'000}};
     plan.agentSettings = {{"ramp_step_ms", 200}};
     plan.engineFlags = {"--token-ms", "2", "--load-ms", "50", "--cold-ms", "500"};
