--- a/Userland/Services/Operator/OperatorService.cpp
+++ b/Userland/Services/Operator/OperatorService.cpp
@@ -161,11 +161,11 @@
     const std::string wanted = LibHttp::queryParameter(request, "state");
     const auto state = AK::valueOf(LibOnce::claimStateNames, wanted);
     if (!state || (*state != LibOnce::ClaimState::Claimed && *state != LibOnce::ClaimState::Unknown)) {
-        return errorResponse(422, AK::concat("state is \"", wanted, "\", must be claimed or unknown"));
+        return errorResponse(OperatorErrorCode::InvalidRequest, AK::concat("state is \"", wanted, "\", must be claimed or unknown"));
     }
     const auto list = LibOnce::listClaims(this->store, *state, {}, this->settings.timing.storeTimeoutMs);
     if (!list.ok()) {
-        return errorResponse(503, AK::concat("the claims cannot be read: ", list.status().message()));
+        return errorResponse(OperatorErrorCode::StoreUnreachable, AK::concat("the claims cannot be read: ", list.status().message()));
     }
     nlohmann::json body{{"claims", nlohmann::json::array()}, {"examined", list->examined}, {"malformed", list->malformed}, {"complete", list->complete}};
     for (const auto &[name, record] : list->claims) {
