--- a/Tests/Harness/Caller.cpp
+++ b/Tests/Harness/Caller.cpp
@@ -3,6 +3,7 @@
 #include <AK/Text.h>
 #include <LibHttp/HttpClient.h>
 #include <algorithm>
+#include <chrono>
 
 namespace Harness
 {
@@ -163,9 +164,18 @@
         if (!caller) {
             caller = std::make_unique<Caller>(this->site, account, this->plan.seed * 1000 + static_cast<uint64_t>(number));
         }
+        {
+            const std::lock_guard lock(this->mutex);
+            this->running.insert(sequence);
+        }
         CallRecord record = caller->run(this->plan.makeCall(sequence));
         const std::lock_guard lock(this->mutex);
+        this->running.erase(sequence);
+        if (record.complete) {
+            this->completed.push_back(sequence);
+        }
         this->records.push_back(std::move(record));
+        this->ended.notify_all();
     }
 }
 
@@ -180,6 +190,17 @@
     return this->records;
 }
 
+bool Load::waitForFreshCalls(int count, AK::Milliseconds limit)
+{
+    std::unique_lock lock(this->mutex);
+    const std::set<uint64_t> before = this->running;
+    const uint64_t first = this->next;
+    return this->ended.wait_for(lock, std::chrono::milliseconds(limit), [&] {
+        const bool over = std::ranges::none_of(before, [&](uint64_t sequence) { return this->running.contains(sequence); });
+        return over && std::ranges::count_if(this->completed, [&](uint64_t sequence) { return sequence >= first; }) >= count;
+    });
+}
+
 uint64_t Load::lateStarts() const
 {
     return this->late;
--- a/Tests/Harness/Caller.h
+++ b/Tests/Harness/Caller.h
@@ -3,7 +3,9 @@
 #include <AK/Random.h>
 #include <Harness/Site.h>
 #include <atomic>
+#include <condition_variable>
 #include <mutex>
+#include <set>
 #include <thread>
 
 namespace Harness
@@ -89,6 +91,9 @@
     /// Ends the load, waits for calls in flight and returns all records in order of their start.
     std::vector<CallRecord> finish();
 
+    /// Waits until every call that runs now has ended and `count` calls that started after now are complete. False when `limit` ms are over.
+    bool waitForFreshCalls(int count, AK::Milliseconds limit);
+
     uint64_t lateStarts() const;
 
 private:
@@ -102,6 +107,10 @@
     std::atomic<uint64_t> late{0};
     std::atomic<bool> stopping{false};
     std::mutex mutex;
+    std::condition_variable ended;
+    std::set<uint64_t> running;
+    /// Sequence numbers of complete calls, in order of their end.
+    std::vector<uint64_t> completed;
     std::vector<CallRecord> records;
     std::vector<std::thread> threads;
 };
--- a/Tests/Processes/ProcessTest.cpp
+++ b/Tests/Processes/ProcessTest.cpp
@@ -83,3 +83,89 @@
     }
     return text;
 }
+
+Harness::LoadPlan completionLoad(const std::string &service, double callsPerSecond, int tokens)
+{
+    Harness::LoadPlan plan;
+    plan.callsPerSecond = callsPerSecond;
+    plan.threads = 32;
+    plan.makeCall = [service, tokens](uint64_t sequence) {
+        return Harness::completionCall(service, AK::concat("batch ", sequence, " of resin"), sequence % 2 == 1, tokens);
+    };
+    plan.account = [](uint64_t sequence) {
+        return static_cast<int>(sequence % 10) + 1;
+    };
+    return plan;
+}
+
+int64_t sumOfStat(Harness::Site &site, const std::vector<std::string> &agents, const std::string &name)
+{
+    int64_t sum = 0;
+    for (const std::string &agent : agents) {
+        const int64_t value = upstreamStat(site, agent, name);
+        EXPECT_GE(value, 0) << "no counter " << name << " of " << agent;
+        sum += value;
+    }
+    return sum;
+}
+
+std::vector<std::string> agentsOfDomain(Harness::Site &site, const std::string &service, const std::string &domain)
+{
+    std::vector<std::string> names;
+    for (const std::string &agent : site.agents(service)) {
+        if (site.failureDomainOf(agent) == domain) {
+            names.push_back(agent);
+        }
+    }
+    return names;
+}
+
+void restartEngine(Harness::Site &site, const std::string &agent)
+{
+    const auto restarted = Harness::postJson(site.upstreamAddress(agent), "/fake/restart", nlohmann::json::object());
+    EXPECT_TRUE(restarted.ok()) << restarted.status();
+}
+
+uint64_t setDomainInService(Harness::Site &site, const std::string &domain, bool inService)
+{
+    const auto revision = site.change([&](nlohmann::json &document) { document["failure_domains"][domain]["in_service"] = inService; }, "domain change");
+    EXPECT_TRUE(revision.ok()) << revision.status();
+    return revision.value_or(0);
+}
+
+bool waitForStatusOfMember(Harness::Site &site, const std::string &member, const std::string &status)
+{
+    return Harness::waitUntil(eventLimitMs, [&] {
+        for (int i = 1; i <= site.plan().entries; ++i) {
+            if (!site.process(AK::concat("entry-", i)).running()) {
+                continue;
+            }
+            const auto view = site.status(site.entryAddress(i));
+            if (!view.ok()) {
+                return false;
+            }
+            for (const nlohmann::json &known : view->at("members")) {
+                if (known.at("name") == member && known.at("status") != status) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    });
+}
+
+void expectOwnAnswers(const std::vector<Harness::CallRecord> &records, const std::string &root, int tokens)
+{
+    for (const Harness::CallRecord &record : records) {
+        const bool stream = record.body.starts_with("data:");
+        const std::string expected = expectedAnswer(root, record.label, tokens);
+        if (record.complete) {
+            EXPECT_EQ(answerText(record.body, stream), expected) << record.body;
+            continue;
+        }
+        EXPECT_EQ(record.body.find("[DONE]"), std::string::npos) << record.body;
+        if (stream) {
+            EXPECT_TRUE(expected.starts_with(answerText(record.body, true))) << record.label << ": " << record.body;
+        }
+    }
+}
