LibWire: Count deadlines from now instead of the last turn of the loop

Cause: kj's timer keeps the time of the last turn of its event loop. A worker thread of an entry that had been idle for longer than a deadline gave up after 1 to 2 ms with 'no reply from the peer within 4999 ms': calls that may not be repeated ended as unknown, others used up retries, and connects that expired at once made live members suspect. Change: waitFor() sets the deadline from the monotonic clock. WaitFor.CountsFromNowAfterAnIdleSpan fails without it (waited 0 ms of 200 ms) and passes with it.

--- a/Userland/Libraries/LibWire/EventLoop.h
+++ b/Userland/Libraries/LibWire/EventLoop.h
@@ -4,6 +4,7 @@
 #include <AK/Text.h>
 #include <absl/status/statusor.h>
 #include <kj/async-io.h>
+#include <kj/time.h>
 
 namespace LibWire
 {
@@ -21,9 +22,11 @@
 absl::StatusOr<Type> waitFor(kj::Promise<Type> promise, AK::Milliseconds timeout, kj::WaitScope &scope)
 {
     try {
+        // The timer keeps the time of the last turn of the loop; after an idle span its afterDelay() would expire too early or at once.
+        const kj::TimePoint deadline = kj::systemPreciseMonotonicClock().now() + timeout * kj::MILLISECONDS;
         kj::Promise<kj::Maybe<Type>> guarded = promise.then([](Type &&value) -> kj::Maybe<Type> { return kj::mv(value); });
         kj::Promise<kj::Maybe<Type>> expiry =
-            threadEventLoop().provider->getTimer().afterDelay(timeout * kj::MILLISECONDS).then([]() -> kj::Maybe<Type> { return nullptr; });
+            threadEventLoop().provider->getTimer().atTime(deadline).then([]() -> kj::Maybe<Type> { return nullptr; });
         kj::Maybe<Type> result = guarded.exclusiveJoin(kj::mv(expiry)).wait(scope);
         KJ_IF_MAYBE (value, result) {
             return kj::mv(*value);
