Tests/Measure: Give ramps in the domain run steps longer than the cold time

Cause: engines stayed cold for 1,500 ms while a ramp step was 1,000 ms, so the ramp offered two slots to an engine that bears one; the run could not tell why calls failed. Conclusion: an operator's ramp_step_ms must exceed the time an engine stays cold.

--- a/Tests/Measure/Domain.cpp
+++ b/Tests/Measure/Domain.cpp
@@ -11,6 +11,7 @@
 constexpr AK::Milliseconds settleLimitMs = 60'000;
 constexpr AK::Milliseconds watchStepMs = 20;
 constexpr double paymentWeight = 5;
+constexpr size_t reasonBytes = 90;
 const std::string service = "assistant";
 const std::string desk = "dossier-service";
 const std::string domain = "brabant";
@@ -25,9 +26,10 @@
                       false,
                       3,
                       {{{"method", "POST"}, {"path", "/payments"}, {"repeatable", false}}, {{"method", "GET"}, {"path", "/dossiers"}, {"repeatable", true}}}}};
-    plan.logLevel = "warning";
+    plan.logLevel = context.flags.text("log-level", "warning");
     plan.engineFlags = {"--slots", "4", "--cold-slots", "1", "--cold-ms", "1500", "--token-ms", "5", "--load-ms", "100"};
-    plan.agentSettings = {{"capacity", 4}, {"cold_slots", 1}, {"ramp_step_ms", 1000}};
+    // A step of the ramp is longer than an engine stays cold, as operators set it.
+    plan.agentSettings = {{"capacity", 4}, {"cold_slots", 1}, {"ramp_step_ms", 1600}};
     plan.plainFlags = {"--delay-ms", "10"};
     return plan;
 }
@@ -135,6 +137,8 @@
     int cut = 0;
     int64_t coldOverloadCalls = 0;
     size_t calls = 0;
+    /// Calls that did not complete, by kind and what the caller saw last.
+    std::map<std::string, int> incomplete;
 };
 
 template <typename LoadType>
@@ -161,6 +165,11 @@
     result.undisturbed = weightedCompletion(records, start, out);
     result.completed = weightedCompletion(records, out, end);
     result.coldOverloadCalls = coldOverload(site) - overloadBefore;
+    for (const Harness::CallRecord &record : records) {
+        if (!record.complete) {
+            ++result.incomplete[AK::concat(record.kind, " ", record.status, " ", record.outcome, " ", record.body.substr(0, reasonBytes))];
+        }
+    }
     result.cut = static_cast<int>(std::ranges::count_if(records, [](const Harness::CallRecord &record) { return record.cut; }));
     return result;
 }
@@ -226,7 +235,8 @@
             {"new_work_after_ms", result.newWorkAfterMs},
             {"cut_requests", result.cut},
             {"cold_overload", result.coldOverloadCalls},
-            {"calls", result.calls}};
+            {"calls", result.calls},
+            {"incomplete", result.incomplete}};
 }
 
 } // namespace
