--- a/Tests/Processes/TestWholeAnswers.cpp
+++ b/Tests/Processes/TestWholeAnswers.cpp
@@ -64,9 +64,13 @@
 
 INSTANTIATE_TEST_SUITE_P(Table, WholeAnswersTest,
                          testing::Values(FaultCase{"streams_cut", [](Harness::Site &site) { setEngineFault(site, "cut_stream"); },
-                                                   [](Harness::Site &site) { setEngineFault(site, "none"); }},
+                                                   [](Harness::Site &site) {
+                                                       setEngineFault(site, "none");
+                                                   }},
                                          FaultCase{"engines_stall", [](Harness::Site &site) { setEngineFault(site, "stall"); },
-                                                   [](Harness::Site &site) { setEngineFault(site, "none"); }},
+                                                   [](Harness::Site &site) {
+                                                       setEngineFault(site, "none");
+                                                   }},
                                          FaultCase{"engines_restart",
                                                    [](Harness::Site &site) {
                                                        for (const std::string &agent : site.agents(service)) {
--- a/Userland/Libraries/LibWire/EventLoop.h
+++ b/Userland/Libraries/LibWire/EventLoop.h
@@ -25,8 +25,7 @@
         // The timer keeps the time of the last turn of the loop; after an idle span its afterDelay() would expire too early or at once.
         const kj::TimePoint deadline = kj::systemPreciseMonotonicClock().now() + timeout * kj::MILLISECONDS;
         kj::Promise<kj::Maybe<Type>> guarded = promise.then([](Type &&value) -> kj::Maybe<Type> { return kj::mv(value); });
-        kj::Promise<kj::Maybe<Type>> expiry =
-            threadEventLoop().provider->getTimer().atTime(deadline).then([]() -> kj::Maybe<Type> { return nullptr; });
+        kj::Promise<kj::Maybe<Type>> expiry = threadEventLoop().provider->getTimer().atTime(deadline).then([]() -> kj::Maybe<Type> { return nullptr; });
         kj::Maybe<Type> result = guarded.exclusiveJoin(kj::mv(expiry)).wait(scope);
         KJ_IF_MAYBE (value, result) {
             return kj::mv(*value);
