Tests/Measure: Count new work in a domain from the operator's command

Cause: new_work_after_ms started after the change had been accepted and a first read of the counters, so 0 could also mean that work before the first read was missed or that the domain had no work at all. Change: counters are read before the command and the time runs from the command; domain_calls_before shows that the domain had work.

--- a/Tests/Measure/Domain.cpp
+++ b/Tests/Measure/Domain.cpp
@@ -112,13 +112,14 @@
     requireOk(revision.status(), "domain change");
 }
 
-// Watches the calls into the domain for `span` ms; the time of the last increase after now.
+// Takes the domain out and watches the calls into it for `span` ms; the time from the command to the last increase.
 AK::Milliseconds lastNewWork(Harness::Site &site, AK::Milliseconds span)
 {
     const AK::SystemClock clock;
     const AK::Milliseconds start = clock.now();
     AK::Milliseconds last = 0;
     int64_t seen = callsInto(site);
+    setDomain(site, false);
     while (clock.now() - start < span) {
         clock.sleep(watchStepMs);
         const int64_t calls = callsInto(site);
@@ -136,6 +137,7 @@
     AK::Milliseconds newWorkAfterMs = 0;
     int cut = 0;
     int64_t coldOverloadCalls = 0;
+    int64_t callsIntoDomainBefore = 0;
     size_t calls = 0;
     /// Calls that did not complete, by kind and what the caller saw last.
     std::map<std::string, int> incomplete;
@@ -146,11 +148,12 @@
 {
     const AK::SystemClock clock;
     const int64_t overloadBefore = coldOverload(site);
+    const int64_t callsBefore = callsInto(site);
     const AK::Milliseconds start = clock.now();
     clock.sleep(phase);
     const AK::Milliseconds out = clock.now();
-    setDomain(site, false);
     DomainResult result;
+    result.callsIntoDomainBefore = callsInto(site) - callsBefore;
     result.newWorkAfterMs = lastNewWork(site, phase);
     // Hosts that were out come back with empty engines.
     for (const std::string &agent : agentsIn(site, true, true)) {
@@ -235,6 +238,7 @@
             {"new_work_after_ms", result.newWorkAfterMs},
             {"cut_requests", result.cut},
             {"cold_overload", result.coldOverloadCalls},
+            {"domain_calls_before", result.callsIntoDomainBefore},
             {"calls", result.calls},
             {"incomplete", result.incomplete}};
 }
