--- a/Userland/Libraries/LibConfiguration/PeerRevisions.cpp
+++ b/Userland/Libraries/LibConfiguration/PeerRevisions.cpp
@@ -97,8 +97,7 @@
     }
     std::erase(peers, this->settings.rpcAddress);
     std::ranges::sort(peers, {}, [](const AK::Endpoint &peer) { return peer.text(); });
-    const auto repeated = std::ranges::unique(peers);
-    peers.erase(repeated.begin(), repeated.end());
+    peers.erase(std::unique(peers.begin(), peers.end()), peers.end());
     return peers;
 }
 
