--- a/Tests/OperatorPages/TestReferences.cpp
+++ b/Tests/OperatorPages/TestReferences.cpp
@@ -26,7 +26,7 @@
 std::map<std::string, std::vector<std::string>> rowsOf(const std::string &page)
 {
     std::map<std::string, std::vector<std::string>> rows;
-    for (const std::string &line : OperatorPages::splitLines(textOf(sourceFolder + "/docs/operators/" + page))) {
+    for (const std::string &line : OperatorPages::splitLines(textOf(AK::concat(sourceFolder, "/docs/operators/", page)))) {
         if (!line.starts_with("| `")) {
             continue;
         }
--- a/Userland/Utilities/catkinlink/ChangeSubmission.cpp
+++ b/Userland/Utilities/catkinlink/ChangeSubmission.cpp
@@ -3,7 +3,7 @@
 #include <AK/StatusMacros.h>
 #include <AK/Text.h>
 #include <LibSettings/SiteDocument.h>
-#include <Operator/OperatorErrorCode.h>
+#include <Services/Operator/OperatorErrorCode.h>
 
 namespace Catkinlink
 {
