Tests: Mend what the linter reported and count engine calls by instance

Cause: the linter reported unreserved vectors, copies and const locals in the merged tests; the fake engine counted calls of an instance that had been restarted as load of the new one, which a real restart ends (suspected behind the red case of TestColdUpstream). Change: as reported; a restart of the fake starts its count of concurrent calls anew.

--- a/Tests/Fakes/Engine/FakeEngine.cpp
+++ b/Tests/Fakes/Engine/FakeEngine.cpp
@@ -105,6 +105,8 @@
     AK::Random random = AK::seededFromSystem();
     this->loaded = Loaded();
     this->loaded.instance = AK::randomHex(random, 12);
+    // The calls of the old instance are no load of the new one.
+    this->concurrent = 0;
     ++this->restarts;
 }
 
@@ -317,7 +319,9 @@
         exchange.respond(LibHttp::jsonResponse(400, R"({"error":"malformed request"})"));
     }
     const std::lock_guard lock(this->mutex);
-    --this->concurrent;
+    if (this->loaded.instance == weights.instance) {
+        --this->concurrent;
+    }
 }
 
 void FakeEngine::answerWhole(LibHttp::HttpExchange &exchange, bool chat, const std::vector<std::string> &tokens, const Loaded &weights)
--- a/Tests/Golden/Transcript.cpp
+++ b/Tests/Golden/Transcript.cpp
@@ -105,9 +105,9 @@
 {
     std::string text = replaceAll(this->raw, this->site.folder(), "<folder>");
     for (const std::string &name : this->site.daemonNames()) {
-        text = replaceAll(text, this->site.httpAddress(name).text(), "<" + name + "-http>");
-        text = replaceAll(text, this->site.rpcAddress(name).text(), "<" + name + "-rpc>");
-        text = replaceAll(text, this->site.upstreamAddress(name).text(), "<" + name + "-upstream>");
+        text = replaceAll(text, this->site.httpAddress(name).text(), AK::concat("<", name, "-http>"));
+        text = replaceAll(text, this->site.rpcAddress(name).text(), AK::concat("<", name, "-rpc>"));
+        text = replaceAll(text, this->site.upstreamAddress(name).text(), AK::concat("<", name, "-upstream>"));
     }
     text = replaceAll(text, this->site.objectApi().text(), "<object-api>");
     text = replaceAll(text, this->site.weightStore().text(), "<weight-store>");
--- a/Tests/Harness/ChildProcess.cpp
+++ b/Tests/Harness/ChildProcess.cpp
@@ -50,7 +50,7 @@
 
 } // namespace
 
-ChildProcess::ChildProcess(std::string program, std::vector<std::string> arguments, std::string logFile)
+ChildProcess::ChildProcess(std::string program, std::vector<std::string> arguments, const std::string &logFile)
 {
     std::vector<char *> pointers = argumentPointers(program, arguments);
     const int log = ::open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
--- a/Tests/Harness/ChildProcess.h
+++ b/Tests/Harness/ChildProcess.h
@@ -14,7 +14,7 @@
 {
 public:
     /// Starts the program with stderr and stdout appended to `logFile`. Aborts the test program when it cannot be started.
-    ChildProcess(std::string program, std::vector<std::string> arguments, std::string logFile);
+    ChildProcess(std::string program, std::vector<std::string> arguments, const std::string &logFile);
     ~ChildProcess();
     ChildProcess(const ChildProcess &) = delete;
     ChildProcess &operator=(const ChildProcess &) = delete;
--- a/Tests/Measure/ConfigSpread.cpp
+++ b/Tests/Measure/ConfigSpread.cpp
@@ -146,6 +146,7 @@
     std::atomic<int> polls{0};
     std::mutex mutex;
     std::vector<std::thread> pollers;
+    pollers.reserve(static_cast<size_t>(processes));
     for (int i = 0; i < processes; ++i) {
         pollers.emplace_back([&, i] {
             clock.sleep(pollIntervalMs * i / processes);
--- a/Tests/Measure/Control.cpp
+++ b/Tests/Measure/Control.cpp
@@ -68,6 +68,7 @@
 double loadEntry(Harness::Site &site)
 {
     std::vector<std::thread> callers;
+    callers.reserve(concurrentCalls);
     for (int i = 0; i < concurrentCalls; ++i) {
         callers.emplace_back([&site, i] {
             for (int call = 0; call < 3; ++call) {
@@ -132,6 +133,7 @@
 void addFit(nlohmann::json &result, const std::string &name, const std::vector<FleetPoint> &points, Get get)
 {
     std::vector<std::pair<double, double>> pairs;
+    pairs.reserve(points.size());
     for (const FleetPoint &point : points) {
         pairs.emplace_back(point.processes, get(point));
     }
--- a/Tests/Measure/Gossip.cpp
+++ b/Tests/Measure/Gossip.cpp
@@ -82,6 +82,7 @@
 std::vector<LibMembership::Member> syntheticMembers(int count, uint64_t sequence)
 {
     std::vector<LibMembership::Member> members;
+    members.reserve(static_cast<size_t>(count));
     for (int i = 0; i < count; ++i) {
         members.push_back(syntheticMember(i, sequence));
     }
--- a/Tests/Measure/Rollout.cpp
+++ b/Tests/Measure/Rollout.cpp
@@ -149,6 +149,7 @@
     const std::string path = AK::concat("/weights/glue-line/base/2/files/", manifest->at("files").at(0).at("name").get<std::string>());
     const AK::Milliseconds start = clock.now();
     std::vector<std::thread> hosts;
+    hosts.reserve(static_cast<size_t>(size.hosts));
     for (int host = 0; host < size.hosts; ++host) {
         hosts.emplace_back([&] {
             (void)LibHttp::httpCall(site.weightStore(), {.path = path, .headers = {{"range", AK::concat("bytes=0-", bytes - 1)}}}, rolloutLimitMs);
--- a/Tests/Processes/TestRacingOperators.cpp
+++ b/Tests/Processes/TestRacingOperators.cpp
@@ -40,6 +40,7 @@
     for (int round = 0; round < 10; ++round) {
         std::array<absl::StatusOr<LibHttp::HttpResponse>, 2> answers;
         std::vector<std::thread> operators;
+        operators.reserve(2);
         for (int side = 0; side < 2; ++side) {
             operators.emplace_back([&, side] {
                 nlohmann::json document = site.initialDocument();
--- a/Tests/Services/OperatorApi/TestOperatorApi.cpp
+++ b/Tests/Services/OperatorApi/TestOperatorApi.cpp
@@ -52,7 +52,7 @@
     }
 
     Tests::StoreDouble store;
-    const AK::SystemClock clock;
+    const AK::SystemClock clock{};
     Tests::ConfigurationNode node{1, store, clock};
     Operator::OperatorService operators{node.settings, clock, *node.service, node.membership, store, node.metrics};
     Addresses::AddressService addresses{node.settings, clock, *node.service, node.membership};
--- a/Tests/Tour/Steps.cpp
+++ b/Tests/Tour/Steps.cpp
@@ -23,10 +23,9 @@
 
 std::string outputOf(Harness::Site &site, const std::vector<std::string> &arguments, int expectedStatus, const std::string &expectedText = "")
 {
-    std::vector<std::string> all = arguments;
     const std::string log = site.folder() + "/command.log";
     std::ofstream(log).close();
-    const Harness::CommandResult result = Harness::runCommand(site.plan().binFolder + "/catkinlink", all, log);
+    const Harness::CommandResult result = Harness::runCommand(site.plan().binFolder + "/catkinlink", arguments, log);
     std::string errors((std::istreambuf_iterator<char>(*std::make_unique<std::ifstream>(log))), std::istreambuf_iterator<char>());
     const std::string text = result.output + errors;
     if (result.status != expectedStatus) {
@@ -49,7 +48,7 @@
 
 std::string writeFile(Harness::Site &site, const std::string &name, const std::string &text)
 {
-    const std::string path = site.folder() + "/" + name;
+    std::string path = site.folder() + "/" + name;
     std::ofstream(path) << text;
     return path;
 }
@@ -86,12 +85,12 @@
     const std::string base = site.folder() + "/base.json";
     for (const BadFile &bad : badFiles) {
         const std::string overlay = writeFile(site, bad.name, bad.overlay);
-        const std::string problem = outputOf(site, operatorCommand(site, {"apply", "--base", base, "--overlay", overlay}, "mistake"), 3, bad.expected);
+        std::string problem = outputOf(site, operatorCommand(site, {"apply", "--base", base, "--overlay", overlay}, "mistake"), 3, bad.expected);
         if (!problem.empty()) {
             return problem;
         }
     }
-    const std::string missing = outputOf(site, operatorCommand(site, {"apply", "--base", site.folder() + "/missing.json"}, "mistake"), 3, "missing.json");
+    std::string missing = outputOf(site, operatorCommand(site, {"apply", "--base", site.folder() + "/missing.json"}, "mistake"), 3, "missing.json");
     if (!missing.empty()) {
         return missing;
     }
@@ -166,7 +165,7 @@
 
 std::string bringDomainBack(Harness::Site &site)
 {
-    const std::string problem = outputOf(site, operatorCommand(site, {"domain", "in", "cusco"}, "maintenance done"), 0);
+    std::string problem = outputOf(site, operatorCommand(site, {"domain", "in", "cusco"}, "maintenance done"), 0);
     if (!problem.empty()) {
         return problem;
     }
