--- a/Meta/catkinlink.sh
+++ b/Meta/catkinlink.sh
@@ -49,12 +49,18 @@
     source_files | grep '\.cpp$' | xargs -r -P "$jobs" -n 1 Meta/lint-file.sh "$build" "$cache"
 }
 
+# A line "gtest: NAME" of KNOWN-RED.txt names one case; exactly these cases are passed over.
+known_red_cases() { sed -n 's/^gtest: *//p' KNOWN-RED.txt; }
+
 run_tests() {
+    local excluded
+    excluded=$(known_red_cases | paste -sd:)
+    [ -z "$excluded" ] || export GTEST_FILTER="-$excluded"
     (cd "$build" && ctest --output-on-failure -j "${CATKINLINK_TEST_JOBS:-4}" "$@")
 }
 
 print_known_red() {
-    [ -s KNOWN-RED.txt ] || return 0
+    [ -n "$(known_red_cases)" ] || return 0
     say "known failing cases, not run by the test command:"
     cat KNOWN-RED.txt
 }
