--- a/Tests/Harness/Site.cpp
+++ b/Tests/Harness/Site.cpp
@@ -28,6 +28,8 @@
 constexpr uint16_t proxyAdminPort = 7303;
 constexpr uint16_t upstreamPort = 7400;
 constexpr AK::Milliseconds startLimitMs = 30'000;
+// Processes that all start at once on one machine take longer to find each other, the more they are.
+constexpr AK::Milliseconds memberLimitMs = 500;
 constexpr AK::Milliseconds pollMs = 10;
 constexpr AK::Milliseconds requestTimeoutMs = 5'000;
 constexpr int hostsPerNetwork = 250;
@@ -423,7 +425,7 @@
 {
     CATKINLINK_ASSIGN(const uint64_t revision, this->apply(this->initialDocument(), "initial document"));
     CATKINLINK_TRY(this->waitForRevision(revision, startLimitMs));
-    return this->waitForMembers(startLimitMs);
+    return this->waitForMembers(startLimitMs + static_cast<AK::Milliseconds>(this->hosts.size()) * memberLimitMs);
 }
 
 absl::Status Site::waitForRevision(uint64_t revision, AK::Milliseconds limit)
