Meta: Install clang for the linter's dependency step

Cause: lint-file.sh finds the headers of a file with clang++, which clang-tidy's package only recommends; on a fresh machine the step would have ended without a message. Python is not used by any script. Change: the package list.

--- a/Meta/catkinlink.sh
+++ b/Meta/catkinlink.sh
@@ -9,7 +9,7 @@
 # Lets clones in different folders share the compiler cache.
 export CCACHE_BASEDIR=$root CCACHE_NOHASHDIR=1
 packages=(
-    build-essential cmake ninja-build pkg-config ccache clang-format clang-tidy python3-minimal
+    build-essential cmake ninja-build pkg-config ccache clang clang-format clang-tidy
     libcivetweb-dev libcapnp-dev libabsl-dev liblog4cxx-dev libtclap-dev nlohmann-json3-dev libvalijson-dev libboost-dev libssl-dev
     libgtest-dev
 )
