--- a/Meta/catkinlink.sh
+++ b/Meta/catkinlink.sh
@@ -11,7 +11,7 @@
 packages=(
     build-essential cmake ninja-build pkg-config ccache clang clang-format clang-tidy
     libcivetweb-dev libcapnp-dev libabsl-dev liblog4cxx-dev libtclap-dev nlohmann-json3-dev libvalijson-dev libboost-dev libssl-dev
-    libgtest-dev
+    libyaml-cpp-dev libgtest-dev
 )
 
 say() { printf '%s\n' "$*" >&2; }
--- /dev/null
+++ b/Userland/Libraries/LibFiber/ByteChannel.cpp
@@ -0,0 +1,165 @@
+#include <LibFiber/ByteChannel.h>
+
+#include <kj/debug.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace LibFiber
+{
+
+namespace
+{
+
+constexpr size_t readBytes = 8192;
+// Bytes that are read ahead while an answer is being made; more stay in the kernel.
+constexpr size_t readAheadLimit = 64UL * 1024;
+// Keepalive probes find a peer that went silent without a reset: first after a second of silence, then each second, three in all.
+constexpr int keepAliveIdleSeconds = 1;
+constexpr int keepAliveIntervalSeconds = 1;
+constexpr int keepAliveProbes = 3;
+// Unacknowledged bytes break the connection after this time.
+constexpr unsigned userTimeoutMs = 4000;
+
+void setOption(kj::AsyncIoStream &stream, int level, int option, unsigned value)
+{
+    // A stream that is no socket (a pipe in a test) has no options; it works without them.
+    kj::runCatchingExceptions([&] { stream.setsockopt(level, option, &value, sizeof value); });
+}
+
+void protectFromSilence(kj::AsyncIoStream &stream)
+{
+    setOption(stream, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(stream, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
+    setOption(stream, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
+    setOption(stream, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+    setOption(stream, IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeoutMs);
+    setOption(stream, IPPROTO_TCP, TCP_NODELAY, 1);
+}
+
+} // namespace
+
+ByteChannel::ByteChannel(Loop &loop, kj::Own<kj::AsyncIoStream> stream)
+    : loop(loop)
+    , stream(kj::mv(stream))
+    , scratch(kj::heapArray<kj::byte>(readBytes))
+{
+    protectFromSilence(*this->stream);
+}
+
+ByteChannel::~ByteChannel() = default;
+
+absl::StatusOr<kj::Own<ByteChannel>> ByteChannel::connect(Loop &loop, kj::WaitScope &scope, const AK::Endpoint &endpoint, AK::Milliseconds deadline)
+{
+    auto address = networkAddress(loop, endpoint);
+    if (!address.ok()) {
+        return address.status();
+    }
+    auto stream = loop.await(scope, (*address)->connect(), deadline);
+    if (!stream.ok()) {
+        return stream.status();
+    }
+    return kj::heap<ByteChannel>(loop, kj::mv(*stream));
+}
+
+std::string_view ByteChannel::buffered() const
+{
+    return std::string_view(this->buffer).substr(this->consumed);
+}
+
+void ByteChannel::consume(size_t bytes)
+{
+    this->consumed += bytes;
+    if (this->consumed >= this->buffer.size()) {
+        this->buffer.clear();
+        this->consumed = 0;
+    }
+}
+
+void ByteChannel::startRead()
+{
+    this->state = ReadState::Pending;
+    this->pending = this->stream->tryRead(this->scratch.begin(), 1, this->scratch.size())
+                        .then(
+                            [this](size_t bytes) {
+                                if (bytes == 0) {
+                                    this->state = ReadState::Ended;
+                                    return;
+                                }
+                                if (this->consumed > 0) {
+                                    this->buffer.erase(0, this->consumed);
+                                    this->consumed = 0;
+                                }
+                                this->buffer.append(reinterpret_cast<const char *>(this->scratch.begin()), bytes);
+                                this->state = ReadState::Idle;
+                            },
+                            [this](kj::Exception &&) { this->state = ReadState::Broken; })
+                        .fork();
+}
+
+kj::Promise<void> ByteChannel::readMore()
+{
+    if (this->state == ReadState::Ended || this->state == ReadState::Broken) {
+        return kj::READY_NOW;
+    }
+    if (this->state == ReadState::Idle) {
+        this->startRead();
+    }
+    return KJ_ASSERT_NONNULL(this->pending).addBranch();
+}
+
+absl::Status ByteChannel::fill(kj::WaitScope &scope, AK::Milliseconds deadline)
+{
+    const size_t before = this->buffered().size();
+    while (this->buffered().size() == before) {
+        if (this->state == ReadState::Ended) {
+            return absl::OutOfRangeError("the peer ended the connection");
+        }
+        if (this->state == ReadState::Broken) {
+            return absl::UnavailableError("the peer reset the connection");
+        }
+        if (const absl::Status status = this->loop.awaitDone(scope, this->readMore(), deadline); !status.ok()) {
+            return status;
+        }
+    }
+    return absl::OkStatus();
+}
+
+absl::Status ByteChannel::write(kj::WaitScope &scope, std::string_view data, AK::Milliseconds deadline)
+{
+    return this->loop.awaitDone(scope, this->stream->write(data.data(), data.size()), deadline);
+}
+
+kj::Promise<void> ByteChannel::whenClosed()
+{
+    if (this->ended()) {
+        return kj::READY_NOW;
+    }
+    if (this->buffered().size() >= readAheadLimit) {
+        return kj::NEVER_DONE;
+    }
+    return this->readMore().then([this] { return this->whenClosed(); });
+}
+
+kj::Promise<void> ByteChannel::whenDisturbed()
+{
+    return this->readMore();
+}
+
+bool ByteChannel::ended() const
+{
+    return this->state == ReadState::Ended || this->state == ReadState::Broken;
+}
+
+void ByteChannel::finishWriting()
+{
+    kj::runCatchingExceptions([&] { this->stream->shutdownWrite(); });
+}
+
+void ByteChannel::resetOnClose()
+{
+    const linger reset{1, 0};
+    kj::runCatchingExceptions([&] { this->stream->setsockopt(SOL_SOCKET, SO_LINGER, &reset, sizeof reset); });
+}
+
+} // namespace LibFiber
--- /dev/null
+++ b/Userland/Libraries/LibFiber/Loop.cpp
@@ -0,0 +1,111 @@
+#include <LibFiber/Loop.h>
+
+#include <arpa/inet.h>
+#include <kj/exception.h>
+#include <netinet/in.h>
+
+namespace LibFiber
+{
+
+namespace
+{
+
+// Deepest use seen is JSON decoding of a configuration; most of a stack is never touched and costs no memory.
+constexpr size_t fiberStackBytes = 256UL * 1024;
+// Stacks kept for reuse. An entry runs about one fiber per connection and call.
+constexpr size_t fiberStacksKept = 256;
+
+} // namespace
+
+absl::Status toStatus(const kj::Exception &exception)
+{
+    const std::string text(exception.getDescription().cStr());
+    switch (exception.getType()) {
+    case kj::Exception::Type::DISCONNECTED:
+        return absl::UnavailableError(text);
+    case kj::Exception::Type::OVERLOADED:
+        // kj reports the end of timeoutAfter() as OVERLOADED.
+        return absl::DeadlineExceededError(text);
+    default:
+        return absl::InternalError(text);
+    }
+}
+
+Loop::Loop()
+    : io(kj::setupAsyncIo())
+    , fibers(fiberStackBytes)
+    , tasks(*this)
+{
+    this->fibers.setMaxFreelist(fiberStacksKept);
+}
+
+Loop::~Loop() = default;
+
+kj::WaitScope &Loop::rootScope()
+{
+    return this->io.waitScope;
+}
+
+kj::Network &Loop::network()
+{
+    return this->io.provider->getNetwork();
+}
+
+kj::UnixEventPort &Loop::events()
+{
+    return this->io.unixEventPort;
+}
+
+const AK::Clock &Loop::clock() const
+{
+    return this->systemClock;
+}
+
+kj::Promise<void> Loop::after(AK::Milliseconds duration)
+{
+    return this->io.provider->getTimer().afterDelay((duration > 0 ? duration : 0) * kj::MILLISECONDS);
+}
+
+void Loop::sleep(kj::WaitScope &scope, AK::Milliseconds duration)
+{
+    this->after(duration).wait(scope);
+}
+
+absl::Status Loop::awaitDone(kj::WaitScope &scope, kj::Promise<void> promise, AK::Milliseconds deadline)
+{
+    return this->bounded(kj::mv(promise), deadline)
+        .then([]() -> absl::Status { return absl::OkStatus(); }, [](kj::Exception &&exception) -> absl::Status { return toStatus(exception); })
+        .wait(scope);
+}
+
+absl::StatusOr<kj::Own<kj::NetworkAddress>> networkAddress(Loop &loop, const AK::Endpoint &endpoint)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    if (inet_pton(AF_INET, endpoint.host.c_str(), &address.sin_addr) != 1) {
+        return absl::InvalidArgumentError("not an IPv4 address: " + endpoint.host);
+    }
+    return loop.network().getSockaddr(&address, sizeof address);
+}
+
+absl::StatusOr<kj::Own<kj::ConnectionReceiver>> listenOn(Loop &loop, const AK::Endpoint &endpoint)
+{
+    auto address = networkAddress(loop, endpoint);
+    if (!address.ok()) {
+        return address.status();
+    }
+    kj::Own<kj::ConnectionReceiver> receiver;
+    const auto failure = kj::runCatchingExceptions([&] { receiver = (*address)->listen(); });
+    KJ_IF_MAYBE (exception, failure) {
+        return absl::UnavailableError(endpoint.text() + ": " + exception->getDescription().cStr());
+    }
+    return receiver;
+}
+
+void Loop::taskFailed(kj::Exception &&exception)
+{
+    this->logger.warning("task_failed", {{"reason", exception.getDescription().cStr()}});
+}
+
+} // namespace LibFiber
--- /dev/null
+++ b/Userland/Libraries/LibFiber/Loop.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <AK/Clock.h>
+#include <AK/Endpoint.h>
+#include <LibLog/Logger.h>
+#include <absl/status/statusor.h>
+#include <kj/async-io.h>
+#include <kj/async-unix.h>
+#include <string>
+#include <utility>
+
+namespace LibFiber
+{
+
+/// Turns an I/O error into a status: kUnavailable for a broken connection, kDeadlineExceeded for a timeout, kInternal otherwise.
+absl::Status toStatus(const kj::Exception &exception);
+
+/// The event loop of a process and the fibers that run on it. One instance per process, used from one thread.
+class Loop final : private kj::TaskSet::ErrorHandler
+{
+public:
+    Loop();
+    ~Loop();
+    KJ_DISALLOW_COPY(Loop);
+
+    kj::WaitScope &rootScope();
+    kj::Network &network();
+    kj::UnixEventPort &events();
+    const AK::Clock &clock() const;
+
+    /// Resolves after `duration` ms.
+    kj::Promise<void> after(AK::Milliseconds duration);
+
+    /// Runs `function(kj::WaitScope &)` on a fiber. Dropping the promise cancels the fiber and runs its destructors.
+    template <typename Function>
+    auto fiber(Function &&function)
+    {
+        return this->fibers.startFiber(std::forward<Function>(function));
+    }
+
+    /// Runs `function(kj::WaitScope &)` on a fiber until it returns or the loop ends.
+    template <typename Function>
+    void spawn(Function &&function)
+    {
+        this->tasks.add(this->fiber(std::forward<Function>(function)));
+    }
+
+    void sleep(kj::WaitScope &scope, AK::Milliseconds duration);
+
+    /// Waits for a promise until the monotonic time `deadline` (ms).
+    /// Errors: kDeadlineExceeded; those of toStatus().
+    template <typename Type>
+    absl::StatusOr<Type> await(kj::WaitScope &scope, kj::Promise<Type> promise, AK::Milliseconds deadline)
+    {
+        return this->bounded(kj::mv(promise), deadline)
+            .then([](Type &&value) { return absl::StatusOr<Type>(kj::mv(value)); },
+                  [](kj::Exception &&exception) { return absl::StatusOr<Type>(toStatus(exception)); })
+            .wait(scope);
+    }
+
+    absl::Status awaitDone(kj::WaitScope &scope, kj::Promise<void> promise, AK::Milliseconds deadline);
+
+private:
+    void taskFailed(kj::Exception &&exception) override;
+
+    template <typename Type>
+    kj::Promise<Type> bounded(kj::Promise<Type> promise, AK::Milliseconds deadline)
+    {
+        const AK::Milliseconds left = deadline - this->systemClock.now();
+        return this->io.provider->getTimer().timeoutAfter((left > 0 ? left : 0) * kj::MILLISECONDS, kj::mv(promise));
+    }
+
+    AK::SystemClock systemClock;
+    kj::AsyncIoContext io;
+    kj::FiberPool fibers;
+    kj::TaskSet tasks;
+    LibLog::Logger logger{"loop"};
+};
+
+/// The address of an endpoint for the loop's network.
+/// Errors: kInvalidArgument when the host is no IPv4 address.
+absl::StatusOr<kj::Own<kj::NetworkAddress>> networkAddress(Loop &loop, const AK::Endpoint &endpoint);
+
+/// Binds and listens.
+/// Errors: kInvalidArgument, kUnavailable when the address can't be bound.
+absl::StatusOr<kj::Own<kj::ConnectionReceiver>> listenOn(Loop &loop, const AK::Endpoint &endpoint);
+
+} // namespace LibFiber
--- /dev/null
+++ b/Userland/Libraries/LibFleet/FleetState.cpp
@@ -0,0 +1,123 @@
+#include <LibFleet/FleetState.h>
+
+namespace LibFleet
+{
+
+FleetState::FleetState(const AK::Clock &clock)
+    : clock(clock)
+{
+}
+
+std::shared_ptr<const Configuration> FleetState::configuration() const
+{
+    return this->current;
+}
+
+const RouteTable *FleetState::routes() const
+{
+    return this->table.get();
+}
+
+const std::map<std::string, UpstreamRecord> &FleetState::upstreams() const
+{
+    return this->upstreamsById;
+}
+
+const std::map<std::string, EntryRecord> &FleetState::entries() const
+{
+    return this->entriesByName;
+}
+
+bool FleetState::isEvacuated(const std::string &failureDomain) const
+{
+    return this->evacuated.contains(failureDomain);
+}
+
+WeightsTarget FleetState::weightsTarget(const std::string &model) const
+{
+    const auto found = this->targets.find(model);
+    return found == this->targets.end() ? WeightsTarget{} : found->second;
+}
+
+void FleetState::setConfiguration(Configuration configuration)
+{
+    if (this->current && configuration.version <= this->current->version) {
+        return;
+    }
+    this->logger.info("configuration_in_force", {{"version", configuration.version},
+                                                 {"previous", this->current ? this->current->version : 0},
+                                                 {"routes", configuration.routes.size()},
+                                                 {"keys", configuration.accountsByKey.size()}});
+    this->current = std::make_shared<const Configuration>(std::move(configuration));
+    this->table = std::make_unique<RouteTable>(*this->current);
+    this->changed();
+}
+
+void FleetState::setUpstreams(std::map<std::string, UpstreamRecord> upstreams)
+{
+    for (const auto &[id, record] : upstreams) {
+        const auto known = this->upstreamsById.find(id);
+        if (known == this->upstreamsById.end()) {
+            this->logger.info("upstream_added", {{"upstream", id}, {"service", record.service}, {"address", record.address.text()}, {"version", record.weightsVersion}});
+        } else if (known->second.state != record.state || known->second.born != record.born || known->second.weightsVersion != record.weightsVersion) {
+            this->logger.info("upstream_changed", {{"upstream", id},
+                                                   {"draining", record.state == UpstreamState::Draining},
+                                                   {"born", record.born},
+                                                   {"version", record.weightsVersion}});
+        }
+    }
+    for (const auto &[id, record] : this->upstreamsById) {
+        if (!upstreams.contains(id)) {
+            this->logger.info("upstream_removed", {{"upstream", id}, {"service", record.service}});
+        }
+    }
+    this->upstreamsById = std::move(upstreams);
+    this->changed();
+}
+
+void FleetState::setEntries(std::map<std::string, EntryRecord> entries)
+{
+    this->entriesByName = std::move(entries);
+    this->logger.info("entries_known", {{"count", this->entriesByName.size()}});
+    this->changed();
+}
+
+void FleetState::setEvacuations(std::set<std::string> failureDomains)
+{
+    if (failureDomains == this->evacuated) {
+        return;
+    }
+    this->evacuated = std::move(failureDomains);
+    this->logger.info("evacuations", {{"failure_domains", this->evacuated}});
+    this->changed();
+}
+
+void FleetState::setWeightsTargets(const std::map<std::string, int64_t> &versions)
+{
+    bool grown = false;
+    for (const auto &[model, version] : versions) {
+        WeightsTarget &target = this->targets[model];
+        if (version > target.version) {
+            this->logger.info("weights_named", {{"model", model}, {"version", version}, {"previous", target.version}});
+            target = {version, this->clock.now()};
+            grown = true;
+        }
+    }
+    if (grown) {
+        this->changed();
+    }
+}
+
+void FleetState::observe(std::function<void()> observer)
+{
+    this->observers.push_back(std::move(observer));
+}
+
+void FleetState::changed()
+{
+    for (const auto &observer : this->observers) {
+        observer();
+    }
+}
+
+} // namespace LibFleet
--- /dev/null
+++ b/Userland/Libraries/LibFleet/ObjectFeed.cpp
@@ -0,0 +1,72 @@
+#include <LibFleet/ObjectFeed.h>
+
+namespace LibFleet
+{
+
+bool ObjectSnapshot::replace(const ObjectPage &page)
+{
+    if (page.revision <= this->revision) {
+        return false;
+    }
+    this->revision = page.revision;
+    std::map<std::string, std::string> replacement;
+    for (const StoredObject &object : page.objects) {
+        if (!object.deleted) {
+            replacement[object.name] = object.spec;
+        }
+    }
+    if (this->changedAt == 0 || replacement != this->specs) {
+        this->changedAt = page.revision;
+    }
+    this->specs = std::move(replacement);
+    return true;
+}
+
+bool ObjectSnapshot::apply(const ObjectPage &changes, int64_t since)
+{
+    if (this->revision != since) {
+        return false;
+    }
+    this->revision = std::max(this->revision, changes.revision);
+    this->changedAt = changes.objects.empty() ? this->changedAt : this->revision;
+    for (const StoredObject &object : changes.objects) {
+        if (object.deleted) {
+            this->specs.erase(object.name);
+        } else {
+            this->specs[object.name] = object.spec;
+        }
+    }
+    return true;
+}
+
+void LapsedEntries::storeLost(AK::Milliseconds)
+{
+    this->away = true;
+}
+
+void LapsedEntries::storeReturned(AK::Milliseconds now)
+{
+    if (this->away) {
+        this->away = false;
+        this->returnedAt = now;
+    }
+}
+
+std::map<std::string, std::string> LapsedEntries::merge(const std::map<std::string, std::string> &previous, const std::map<std::string, std::string> &current,
+                                                        AK::Milliseconds now, AK::Milliseconds &expiresAt) const
+{
+    std::map<std::string, std::string> merged = current;
+    expiresAt = 0;
+    const bool within = this->away || now < this->returnedAt + lapsedEntryGrace;
+    if (!within) {
+        return merged;
+    }
+    for (const auto &[name, spec] : previous) {
+        if (merged.emplace(name, spec).second) {
+            expiresAt = this->away ? 0 : this->returnedAt + lapsedEntryGrace;
+        }
+    }
+    return merged;
+}
+
+} // namespace LibFleet
--- /dev/null
+++ b/Userland/Libraries/LibHttpStream/HttpCaller.cpp
@@ -0,0 +1,72 @@
+#include <LibHttpStream/HttpCaller.h>
+
+#include <AK/StatusMacros.h>
+#include <LibHttpStream/MessageReader.h>
+#include <kj/debug.h>
+
+namespace LibHttpStream
+{
+
+namespace
+{
+
+constexpr size_t responseHeadBytes = 16384;
+// A list of objects is about 1 MB at most.
+constexpr uint64_t responseBodyBytes = 16UL << 20;
+
+} // namespace
+
+HttpCaller::HttpCaller(LibFiber::Loop &loop, AK::Endpoint address)
+    : loop(loop)
+    , target(std::move(address))
+{
+}
+
+const AK::Endpoint &HttpCaller::address() const
+{
+    return this->target;
+}
+
+absl::StatusOr<WholeResponse> HttpCaller::call(kj::WaitScope &scope, const std::string &method, const std::string &path, const std::string &body,
+                                               AK::Milliseconds connectBy, AK::Milliseconds deadline)
+{
+    KJ_IF_MAYBE (channel, this->kept) {
+        if ((*channel)->ended() || !(*channel)->buffered().empty()) {
+            this->kept = nullptr;
+        }
+    }
+    if (this->kept == nullptr) {
+        absl::StatusOr<kj::Own<LibFiber::ByteChannel>> opened = LibFiber::ByteChannel::connect(this->loop, scope, this->target, connectBy);
+        if (!opened.ok()) {
+            return opened.status();
+        }
+        this->kept = kj::mv(*opened);
+    }
+    RequestHead head{method, path, {{"Host", this->target.text()}}};
+    if (!body.empty() || method != "GET") {
+        head.headers.push_back({"Content-Type", "application/json"});
+        head.headers.push_back({"Content-Length", std::to_string(body.size())});
+    }
+    absl::StatusOr<WholeResponse> response = this->exchange(scope, head, body, deadline);
+    if (!response.ok()) {
+        this->kept = nullptr;
+    }
+    return response;
+}
+
+absl::StatusOr<WholeResponse> HttpCaller::exchange(kj::WaitScope &scope, const RequestHead &head, const std::string &body, AK::Milliseconds deadline)
+{
+    LibFiber::ByteChannel &channel = *KJ_ASSERT_NONNULL(this->kept);
+    CATKINLINK_TRY(channel.write(scope, serializeRequestHead(head) + body, deadline));
+    CATKINLINK_ASSIGN(const std::string text, readHeadText(channel, scope, responseHeadBytes, deadline));
+    CATKINLINK_ASSIGN(ResponseHead response, parseResponseHead(text));
+    CATKINLINK_ASSIGN(const BodyPlan plan, responseBodyPlan(head.method, response));
+    BodyReader reader(channel, plan);
+    CATKINLINK_ASSIGN(std::string content, readBody(reader, scope, responseBodyBytes, deadline));
+    if (!reader.reusable() || hasToken(response.headers, "Connection", "close")) {
+        this->kept = nullptr;
+    }
+    return WholeResponse{response.status, std::move(response.headers), std::move(content)};
+}
+
+} // namespace LibHttpStream
--- /dev/null
+++ b/Userland/Libraries/LibHttpStream/HttpCaller.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <AK/Endpoint.h>
+#include <LibFiber/ByteChannel.h>
+#include <LibHttpStream/MessageHead.h>
+
+namespace LibHttpStream
+{
+
+struct WholeResponse {
+    int status = 0;
+    Headers headers;
+    std::string body;
+};
+
+/// Makes one call at a time to one server over a kept connection.
+class HttpCaller
+{
+public:
+    HttpCaller(LibFiber::Loop &loop, AK::Endpoint address);
+
+    /// Sends a request and reads the whole response. `connectBy` bounds the opening of a connection, `deadline` everything.
+    /// Errors: kUnavailable, kDeadlineExceeded, kInvalidArgument, kDataLoss; the request may have been executed unless the connection failed.
+    absl::StatusOr<WholeResponse> call(kj::WaitScope &scope, const std::string &method, const std::string &target, const std::string &body,
+                                       AK::Milliseconds connectBy, AK::Milliseconds deadline);
+
+    const AK::Endpoint &address() const;
+
+private:
+    absl::StatusOr<WholeResponse> exchange(kj::WaitScope &scope, const RequestHead &head, const std::string &body, AK::Milliseconds deadline);
+
+    LibFiber::Loop &loop;
+    AK::Endpoint target;
+    kj::Maybe<kj::Own<LibFiber::ByteChannel>> kept;
+};
+
+} // namespace LibHttpStream
--- /dev/null
+++ b/Userland/Libraries/LibHttpStream/MessageHead.cpp
@@ -0,0 +1,228 @@
+#include <LibHttpStream/MessageHead.h>
+
+#include <AK/Text.h>
+#include <algorithm>
+#include <array>
+#include <kj/compat/http.h>
+
+namespace LibHttpStream
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 8> hopByHopNames{
+    "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length",
+};
+
+const kj::HttpHeaderTable &headerTable()
+{
+    static const kj::Own<kj::HttpHeaderTable> table = kj::HttpHeaderTable::Builder().build();
+    return *table;
+}
+
+char lower(char letter)
+{
+    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + ('a' - 'A')) : letter;
+}
+
+std::string_view trim(std::string_view text)
+{
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
+Headers copyHeaders(const kj::HttpHeaders &parsed)
+{
+    Headers headers;
+    parsed.forEach([&](kj::StringPtr name, kj::StringPtr value) { headers.push_back({std::string(name.cStr()), std::string(value.cStr())}); });
+    return headers;
+}
+
+absl::Status protocolError(const kj::HttpHeaders::ProtocolError &error)
+{
+    return absl::InvalidArgumentError(std::string(error.description.cStr()));
+}
+
+size_t countHeaders(const Headers &headers, std::string_view name)
+{
+    return static_cast<size_t>(std::count_if(headers.begin(), headers.end(), [&](const Header &header) { return equalsIgnoringCase(header.name, name); }));
+}
+
+absl::StatusOr<BodyPlan> declaredPlan(const Headers &headers)
+{
+    const std::string *encoding = findHeader(headers, "Transfer-Encoding");
+    const std::string *length = findHeader(headers, "Content-Length");
+    if (countHeaders(headers, "Transfer-Encoding") > 1 || countHeaders(headers, "Content-Length") > 1 || (encoding != nullptr && length != nullptr)) {
+        return absl::InvalidArgumentError("more than one framing of the body is declared");
+    }
+    if (encoding != nullptr) {
+        if (!equalsIgnoringCase(trim(*encoding), "chunked")) {
+            return absl::InvalidArgumentError("unsupported Transfer-Encoding " + *encoding);
+        }
+        return BodyPlan{Framing::Chunked, 0};
+    }
+    if (length != nullptr) {
+        const std::optional<int64_t> bytes = AK::parseInteger(*length);
+        if (!bytes || *bytes < 0 || (*length)[0] == '+') {
+            return absl::InvalidArgumentError("invalid Content-Length " + *length);
+        }
+        return BodyPlan{Framing::Length, static_cast<uint64_t>(*bytes)};
+    }
+    return BodyPlan{};
+}
+
+} // namespace
+
+bool equalsIgnoringCase(std::string_view left, std::string_view right)
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char a, char b) { return lower(a) == lower(b); });
+}
+
+const std::string *findHeader(const Headers &headers, std::string_view name)
+{
+    const auto found = std::find_if(headers.begin(), headers.end(), [&](const Header &header) { return equalsIgnoringCase(header.name, name); });
+    return found == headers.end() ? nullptr : &found->value;
+}
+
+bool hasToken(const Headers &headers, std::string_view name, std::string_view token)
+{
+    for (const Header &header : headers) {
+        if (!equalsIgnoringCase(header.name, name)) {
+            continue;
+        }
+        std::string_view rest = header.value;
+        while (!rest.empty()) {
+            const size_t comma = std::min(rest.find(','), rest.size());
+            if (equalsIgnoringCase(trim(rest.substr(0, comma)), token)) {
+                return true;
+            }
+            rest.remove_prefix(std::min(comma + 1, rest.size()));
+        }
+    }
+    return false;
+}
+
+bool isHopByHop(const Headers &headers, std::string_view name)
+{
+    return std::any_of(hopByHopNames.begin(), hopByHopNames.end(), [&](std::string_view hop) { return equalsIgnoringCase(hop, name); })
+        || hasToken(headers, "Connection", name);
+}
+
+absl::StatusOr<RequestHead> parseRequestHead(std::string_view text)
+{
+    kj::Array<char> content = kj::heapArray<char>(text.data(), text.size());
+    kj::HttpHeaders parsed(headerTable());
+    const auto result = parsed.tryParseRequest(content);
+    KJ_SWITCH_ONEOF(result)
+    {
+        KJ_CASE_ONEOF(request, kj::HttpHeaders::Request)
+        {
+            return RequestHead{std::string(kj::str(request.method).cStr()), std::string(request.url.cStr()), copyHeaders(parsed)};
+        }
+        KJ_CASE_ONEOF(error, kj::HttpHeaders::ProtocolError)
+        {
+            return protocolError(error);
+        }
+    }
+    return absl::InternalError("the parser returned neither a request nor an error");
+}
+
+absl::StatusOr<ResponseHead> parseResponseHead(std::string_view text)
+{
+    kj::Array<char> content = kj::heapArray<char>(text.data(), text.size());
+    kj::HttpHeaders parsed(headerTable());
+    const auto result = parsed.tryParseResponse(content);
+    KJ_SWITCH_ONEOF(result)
+    {
+        KJ_CASE_ONEOF(response, kj::HttpHeaders::Response)
+        {
+            return ResponseHead{static_cast<int>(response.statusCode), std::string(response.statusText.cStr()), copyHeaders(parsed)};
+        }
+        KJ_CASE_ONEOF(error, kj::HttpHeaders::ProtocolError)
+        {
+            return protocolError(error);
+        }
+    }
+    return absl::InternalError("the parser returned neither a response nor an error");
+}
+
+absl::StatusOr<BodyPlan> requestBodyPlan(const Headers &headers)
+{
+    return declaredPlan(headers);
+}
+
+absl::StatusOr<BodyPlan> responseBodyPlan(std::string_view method, const ResponseHead &head)
+{
+    if (method == "HEAD" || head.status / 100 == 1 || head.status == 204 || head.status == 304) {
+        return BodyPlan{};
+    }
+    absl::StatusOr<BodyPlan> plan = declaredPlan(head.headers);
+    if (plan.ok() && plan->framing == Framing::None) {
+        plan->framing = Framing::UntilClose;
+    }
+    return plan;
+}
+
+std::string serializeRequestHead(const RequestHead &head)
+{
+    std::string text = AK::concat(head.method, " ", head.target, " HTTP/1.1\r\n");
+    for (const Header &header : head.headers) {
+        text += AK::concat(header.name, ": ", header.value, "\r\n");
+    }
+    return text + "\r\n";
+}
+
+std::string serializeResponseHead(const ResponseHead &head)
+{
+    std::string text = AK::concat("HTTP/1.1 ", head.status, " ", head.reason, "\r\n");
+    for (const Header &header : head.headers) {
+        text += AK::concat(header.name, ": ", header.value, "\r\n");
+    }
+    return text + "\r\n";
+}
+
+std::string_view reasonPhrase(int status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case 400:
+        return "Bad Request";
+    case 401:
+        return "Unauthorized";
+    case 404:
+        return "Not Found";
+    case 408:
+        return "Request Timeout";
+    case 413:
+        return "Payload Too Large";
+    case 431:
+        return "Request Header Fields Too Large";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Unknown";
+    }
+}
+
+std::string encodeChunk(std::string_view data)
+{
+    static constexpr std::string_view digits = "0123456789abcdef";
+    std::string size;
+    for (size_t rest = data.size(); rest > 0; rest /= 16) {
+        size.insert(size.begin(), digits[rest % 16]);
+    }
+    return AK::concat(size, "\r\n", data, "\r\n");
+}
+
+} // namespace LibHttpStream
--- /dev/null
+++ b/Userland/Libraries/LibHttpStream/MessageReader.cpp
@@ -0,0 +1,199 @@
+#include <LibHttpStream/MessageReader.h>
+
+#include <AK/StatusMacros.h>
+#include <algorithm>
+
+namespace LibHttpStream
+{
+
+namespace
+{
+
+constexpr std::string_view lineEnd = "\r\n";
+constexpr std::string_view headEnd = "\r\n\r\n";
+// Longest line that frames a chunk, extensions included.
+constexpr size_t chunkLineLimit = 1024;
+
+std::optional<uint64_t> parseChunkSize(std::string_view line)
+{
+    line = line.substr(0, std::min(line.find(';'), line.size()));
+    while (!line.empty() && line.back() == ' ') {
+        line.remove_suffix(1);
+    }
+    // Fifteen digits hold every size that fits a body and can't overflow.
+    if (line.empty() || line.size() > 15) {
+        return std::nullopt;
+    }
+    uint64_t size = 0;
+    for (const char digit : line) {
+        const auto value = std::string_view("0123456789abcdef").find(static_cast<char>(digit >= 'A' && digit <= 'F' ? digit + 32 : digit));
+        if (value == std::string_view::npos) {
+            return std::nullopt;
+        }
+        size = size * 16 + value;
+    }
+    return size;
+}
+
+} // namespace
+
+absl::StatusOr<std::string> readHeadText(LibFiber::ByteChannel &channel, kj::WaitScope &scope, size_t headBytes, AK::Milliseconds deadline)
+{
+    while (true) {
+        // Empty lines before a message are allowed and ignored.
+        while (channel.buffered().substr(0, lineEnd.size()) == lineEnd) {
+            channel.consume(lineEnd.size());
+        }
+        const size_t end = channel.buffered().find(headEnd);
+        if (end != std::string_view::npos && end <= headBytes) {
+            std::string text(channel.buffered().substr(0, end + lineEnd.size()));
+            channel.consume(end + headEnd.size());
+            return text;
+        }
+        if (channel.buffered().size() > headBytes) {
+            return absl::ResourceExhaustedError(absl::StrCat("the head exceeds ", headBytes, " bytes"));
+        }
+        const bool begun = !channel.buffered().empty();
+        if (const absl::Status status = channel.fill(scope, deadline); !status.ok()) {
+            return begun && absl::IsOutOfRange(status) ? absl::InvalidArgumentError("the peer ended inside a head") : status;
+        }
+    }
+}
+
+BodyReader::BodyReader(LibFiber::ByteChannel &channel, BodyPlan plan)
+    : channel(channel)
+    , plan(plan)
+    , left(plan.length)
+    , done(plan.framing == Framing::None || (plan.framing == Framing::Length && plan.length == 0))
+{
+}
+
+absl::StatusOr<std::optional<std::string>> BodyReader::next(kj::WaitScope &scope, AK::Milliseconds deadline)
+{
+    if (this->done) {
+        return std::optional<std::string>();
+    }
+    switch (this->plan.framing) {
+    case Framing::Length:
+        return this->nextCounted(scope, deadline);
+    case Framing::Chunked:
+        return this->nextChunked(scope, deadline);
+    case Framing::UntilClose:
+        return this->nextUntilClose(scope, deadline);
+    case Framing::None:
+        break;
+    }
+    return std::optional<std::string>();
+}
+
+bool BodyReader::reusable() const
+{
+    return this->done && this->plan.framing != Framing::UntilClose;
+}
+
+absl::Status BodyReader::more(kj::WaitScope &scope, AK::Milliseconds deadline)
+{
+    const absl::Status status = this->channel.fill(scope, deadline);
+    return absl::IsOutOfRange(status) ? absl::DataLossError("the body ended early") : status;
+}
+
+absl::StatusOr<std::string> BodyReader::take(kj::WaitScope &scope, uint64_t atMost, AK::Milliseconds deadline)
+{
+    if (this->channel.buffered().empty()) {
+        CATKINLINK_TRY(this->more(scope, deadline));
+    }
+    const size_t size = std::min<uint64_t>(atMost, this->channel.buffered().size());
+    std::string data(this->channel.buffered().substr(0, size));
+    this->channel.consume(size);
+    return data;
+}
+
+absl::StatusOr<std::optional<std::string>> BodyReader::nextCounted(kj::WaitScope &scope, AK::Milliseconds deadline)
+{
+    CATKINLINK_ASSIGN(std::string data, this->take(scope, this->left, deadline));
+    this->left -= data.size();
+    this->done = this->left == 0;
+    return std::optional<std::string>(std::move(data));
+}
+
+absl::StatusOr<std::string> BodyReader::readLine(kj::WaitScope &scope, AK::Milliseconds deadline)
+{
+    while (true) {
+        const size_t end = this->channel.buffered().find(lineEnd);
+        if (end != std::string_view::npos) {
+            std::string line(this->channel.buffered().substr(0, end));
+            this->channel.consume(end + lineEnd.size());
+            return line;
+        }
+        if (this->channel.buffered().size() > chunkLineLimit) {
+            return absl::InvalidArgumentError("a line that frames a chunk is too long");
+        }
+        CATKINLINK_TRY(this->more(scope, deadline));
+    }
+}
+
+absl::StatusOr<std::optional<std::string>> BodyReader::nextChunked(kj::WaitScope &scope, AK::Milliseconds deadline)
+{
+    if (!this->insideChunk) {
+        CATKINLINK_ASSIGN(const std::string line, this->readLine(scope, deadline));
+        const std::optional<uint64_t> size = parseChunkSize(line);
+        if (!size) {
+            return absl::InvalidArgumentError("invalid chunk size");
+        }
+        if (*size == 0) {
+            // Trailers are read and dropped.
+            while (true) {
+                CATKINLINK_ASSIGN(const std::string trailer, this->readLine(scope, deadline));
+                if (trailer.empty()) {
+                    break;
+                }
+            }
+            this->done = true;
+            return std::optional<std::string>();
+        }
+        this->left = *size;
+        this->insideChunk = true;
+    }
+    CATKINLINK_ASSIGN(std::string data, this->take(scope, this->left, deadline));
+    this->left -= data.size();
+    if (this->left == 0) {
+        this->insideChunk = false;
+        CATKINLINK_ASSIGN(const std::string end, this->readLine(scope, deadline));
+        if (!end.empty()) {
+            return absl::InvalidArgumentError("a chunk is longer than its size");
+        }
+    }
+    return std::optional<std::string>(std::move(data));
+}
+
+absl::StatusOr<std::optional<std::string>> BodyReader::nextUntilClose(kj::WaitScope &scope, AK::Milliseconds deadline)
+{
+    if (this->channel.buffered().empty()) {
+        const absl::Status status = this->channel.fill(scope, deadline);
+        if (absl::IsOutOfRange(status)) {
+            this->done = true;
+            return std::optional<std::string>();
+        }
+        CATKINLINK_TRY(status);
+    }
+    std::string data(this->channel.buffered());
+    this->channel.consume(data.size());
+    return std::optional<std::string>(std::move(data));
+}
+
+absl::StatusOr<std::string> readBody(BodyReader &reader, kj::WaitScope &scope, uint64_t bodyBytes, AK::Milliseconds deadline)
+{
+    std::string body;
+    while (true) {
+        CATKINLINK_ASSIGN(std::optional<std::string> data, reader.next(scope, deadline));
+        if (!data) {
+            return body;
+        }
+        if (body.size() + data->size() > bodyBytes) {
+            return absl::ResourceExhaustedError(absl::StrCat("the body exceeds ", bodyBytes, " bytes"));
+        }
+        body += *data;
+    }
+}
+
+} // namespace LibHttpStream
--- a/Userland/Libraries/LibLog/Logger.cpp
+++ b/Userland/Libraries/LibLog/Logger.cpp
@@ -1,6 +1,7 @@
 #include <LibLog/Logger.h>
 
 #include <AK/EnumNames.h>
+#include <LibLog/NonBlockingAppender.h>
 #include <chrono>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
@@ -47,11 +48,16 @@
 
 } // namespace
 
-void initializeLogging(std::string_view process, std::string_view level)
+void initializeLogging(std::string_view process, std::string_view level, Output output)
 {
     processName() = process;
     const log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(LOG4CXX_STR("%m%n")));
-    const log4cxx::AppenderPtr appender(new log4cxx::ConsoleAppender(layout, log4cxx::ConsoleAppender::getSystemErr()));
+    log4cxx::AppenderPtr appender;
+    if (output == Output::Standard) {
+        appender.reset(new NonBlockingAppender());
+    } else {
+        appender.reset(new log4cxx::ConsoleAppender(layout, log4cxx::ConsoleAppender::getSystemErr()));
+    }
     const auto root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
     root->addAppender(appender);
--- a/Userland/Libraries/LibLog/Logger.h
+++ b/Userland/Libraries/LibLog/Logger.h
@@ -10,9 +10,12 @@
 
 enum class Level { Debug, Info, Warning, Error };
 
-/// Sends all log events of this process to stderr, one JSON object per line, from the given level up.
+enum class Output { Error, Standard };
+
+/// Sends all log events of this process to an output, one JSON object per line, from the given level up.
 /// `level` is "debug", "info", "warning" or "error"; anything else means "info". `process` is put in every event.
-void initializeLogging(std::string_view process, std::string_view level);
+/// Writing to Output::Standard never blocks: lines that the reader does not take in time are dropped and counted.
+void initializeLogging(std::string_view process, std::string_view level, Output output = Output::Error);
 
 /// Writes structured events of one component. Cheap to copy; safe to use from several threads.
 class Logger
--- /dev/null
+++ b/Userland/Libraries/LibPeers/PeerLink.cpp
@@ -0,0 +1,163 @@
+#include <LibPeers/PeerLink.h>
+
+#include <AK/StatusMacros.h>
+#include <LibPeers/WireCodec.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+namespace LibPeers
+{
+
+namespace
+{
+
+// A peer that does not acknowledge bytes for this long is taken as gone.
+constexpr unsigned userTimeoutMs = 1500;
+
+std::string toBytes(capnp::Data::Reader data)
+{
+    return {reinterpret_cast<const char *>(data.begin()), data.size()};
+}
+
+} // namespace
+
+PeerLink::Connection::Connection(kj::Own<kj::AsyncIoStream> stream)
+    : stream(kj::mv(stream))
+    , client(*this->stream)
+{
+}
+
+PeerLink::PeerLink(LibFiber::Loop &loop, AK::Endpoint address)
+    : loop(loop)
+    , target(std::move(address))
+{
+}
+
+const AK::Endpoint &PeerLink::address() const
+{
+    return this->target;
+}
+
+absl::StatusOr<kj::Own<PeerLink::Connection>> PeerLink::connection(kj::WaitScope &scope, AK::Milliseconds deadline)
+{
+    KJ_IF_MAYBE (open, this->current) {
+        return kj::addRef(**open);
+    }
+    auto address = LibFiber::networkAddress(this->loop, this->target);
+    if (!address.ok()) {
+        return address.status();
+    }
+    auto stream = this->loop.await(scope, (*address)->connect(), deadline);
+    if (!stream.ok()) {
+        return stream.status();
+    }
+    kj::runCatchingExceptions([&] {
+        const unsigned enabled = 1;
+        (*stream)->setsockopt(IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+        (*stream)->setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof userTimeoutMs);
+    });
+    kj::Own<Connection> opened = kj::refcounted<Connection>(kj::mv(*stream));
+    this->current = kj::addRef(*opened);
+    return opened;
+}
+
+void PeerLink::drop(Connection &failed)
+{
+    KJ_IF_MAYBE (open, this->current) {
+        if (open->get() == &failed) {
+            this->current = nullptr;
+        }
+    }
+}
+
+template <typename Prepare, typename Decode>
+auto PeerLink::call(kj::WaitScope &scope, AK::Milliseconds deadline, Prepare &&prepare, Decode &&decodeResponse)
+{
+    using Request = std::invoke_result_t<Prepare, PeerWire::FleetPeer::Client>;
+    using Response = decltype(std::declval<Request &>().send().wait(scope));
+    using Result = absl::StatusOr<std::invoke_result_t<Decode, Response &&>>;
+    auto open = this->connection(scope, deadline);
+    if (!open.ok()) {
+        return Result(open.status());
+    }
+    auto request = prepare((*open)->client.bootstrap().template castAs<PeerWire::FleetPeer>());
+    Result result = this->loop.await(scope, request.send().then(std::forward<Decode>(decodeResponse)), deadline);
+    if (!result.ok()) {
+        this->drop(**open);
+    }
+    return result;
+}
+
+absl::StatusOr<NodeState> PeerLink::exchange(kj::WaitScope &scope, const NodeState &state, AK::Milliseconds deadline)
+{
+    return this->call(
+        scope, deadline,
+        [&](PeerWire::FleetPeer::Client peer) {
+            auto request = peer.exchangeRequest();
+            encode(state, request.initState());
+            return request;
+        },
+        [](auto &&response) { return decode(response.getState()); });
+}
+
+absl::StatusOr<LibFleet::ObjectPage> PeerLink::objects(kj::WaitScope &scope, LibFleet::ObjectKind kind, int64_t newerThan, AK::Milliseconds deadline)
+{
+    return this->call(
+        scope, deadline,
+        [&](PeerWire::FleetPeer::Client peer) {
+            auto request = peer.objectsRequest();
+            request.setKind(static_cast<uint16_t>(kind));
+            request.setNewerThan(newerThan);
+            return request;
+        },
+        [](auto &&response) {
+            LibFleet::ObjectPage page;
+            page.revision = response.getRevision();
+            for (const auto object : response.getObjects()) {
+                page.objects.push_back({std::string(object.getName().cStr()), toBytes(object.getSpec()), false});
+            }
+            return page;
+        });
+}
+
+absl::StatusOr<std::string> PeerLink::manifest(kj::WaitScope &scope, const std::string &model, int64_t version, AK::Milliseconds deadline)
+{
+    return this->call(
+        scope, deadline,
+        [&](PeerWire::FleetPeer::Client peer) {
+            auto request = peer.manifestRequest();
+            request.setModel(model.c_str());
+            request.setVersion(version);
+            return request;
+        },
+        [](auto &&response) { return std::string(response.getText().cStr()); });
+}
+
+absl::StatusOr<std::string> PeerLink::heldChunks(kj::WaitScope &scope, const std::string &model, int64_t version, AK::Milliseconds deadline)
+{
+    return this->call(
+        scope, deadline,
+        [&](PeerWire::FleetPeer::Client peer) {
+            auto request = peer.heldChunksRequest();
+            request.setModel(model.c_str());
+            request.setVersion(version);
+            return request;
+        },
+        [](auto &&response) { return toBytes(response.getHeld()); });
+}
+
+absl::StatusOr<std::string> PeerLink::chunk(kj::WaitScope &scope, const std::string &model, int64_t version, uint32_t index, AK::Milliseconds deadline)
+{
+    return this->call(
+        scope, deadline,
+        [&](PeerWire::FleetPeer::Client peer) {
+            auto request = peer.chunkRequest();
+            request.setModel(model.c_str());
+            request.setVersion(version);
+            request.setIndex(index);
+            return request;
+        },
+        [](auto &&response) { return toBytes(response.getData()); });
+}
+
+} // namespace LibPeers
--- /dev/null
+++ b/Userland/Libraries/LibPeers/PeerLink.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <LibFiber/Loop.h>
+#include <LibPeers/PeerRecords.h>
+#include <LibPeers/generated/peers.capnp.h>
+#include <capnp/rpc-twoparty.h>
+
+namespace LibPeers
+{
+
+/// Calls to one other process over a kept connection that is opened again after an error. Errors of all calls: kUnavailable, kDeadlineExceeded; the
+/// connection is then dropped.
+class PeerLink
+{
+public:
+    PeerLink(LibFiber::Loop &loop, AK::Endpoint address);
+
+    absl::StatusOr<NodeState> exchange(kj::WaitScope &scope, const NodeState &state, AK::Milliseconds deadline);
+    /// Revision 0 when the peer knows nothing newer.
+    absl::StatusOr<LibFleet::ObjectPage> objects(kj::WaitScope &scope, LibFleet::ObjectKind kind, int64_t newerThan, AK::Milliseconds deadline);
+    absl::StatusOr<std::string> manifest(kj::WaitScope &scope, const std::string &model, int64_t version, AK::Milliseconds deadline);
+    absl::StatusOr<std::string> heldChunks(kj::WaitScope &scope, const std::string &model, int64_t version, AK::Milliseconds deadline);
+    absl::StatusOr<std::string> chunk(kj::WaitScope &scope, const std::string &model, int64_t version, uint32_t index, AK::Milliseconds deadline);
+
+    const AK::Endpoint &address() const;
+
+private:
+    /// A connection and its RPC state; kept by calls in flight, so that one that fails can be replaced meanwhile.
+    struct Connection : kj::Refcounted {
+        explicit Connection(kj::Own<kj::AsyncIoStream> stream);
+        kj::Own<kj::AsyncIoStream> stream;
+        capnp::TwoPartyClient client;
+    };
+
+    absl::StatusOr<kj::Own<Connection>> connection(kj::WaitScope &scope, AK::Milliseconds deadline);
+    void drop(Connection &failed);
+
+    template <typename Prepare, typename Decode>
+    auto call(kj::WaitScope &scope, AK::Milliseconds deadline, Prepare &&prepare, Decode &&decodeResponse);
+
+    LibFiber::Loop &loop;
+    AK::Endpoint target;
+    kj::Maybe<kj::Own<Connection>> current;
+};
+
+} // namespace LibPeers
--- /dev/null
+++ b/Userland/Libraries/LibPeers/PeerRecords.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <AK/Clock.h>
+#include <AK/Endpoint.h>
+#include <LibFleet/ObjectFeed.h>
+#include <array>
+#include <optional>
+#include <string>
+
+namespace LibPeers
+{
+
+/// What an agent read of its engine.
+struct EngineReport {
+    /// "IP:port" that takes calls.
+    std::string upstream;
+    /// Complete weights loaded, 0 when none.
+    int64_t weightsVersion = 0;
+    uint32_t running = 0;
+    uint32_t waiting = 0;
+    /// Tokens times layers.
+    uint64_t kvUsed = 0;
+    uint64_t kvTotal = 0;
+    /// Above 1 the engine is slower than its operator states.
+    double pace = 1;
+    /// A load command is in progress or about to be given; no new work.
+    bool switching = false;
+    /// Wall time of the engine's start in ms.
+    int64_t born = 0;
+};
+
+/// What a process tells another in each exchange.
+struct NodeState {
+    std::string name;
+    std::string rpcAddress;
+    /// Entries: "IP:port" where clients connect.
+    std::string clientAddress;
+    bool ready = false;
+    bool leaving = false;
+    /// Store revision at which the known objects last changed, by kind of object.
+    std::array<int64_t, LibFleet::objectKindCount> revisions{};
+    std::optional<EngineReport> engine;
+};
+
+/// Answers the calls of other processes. Each function returns at once.
+class PeerHandler
+{
+public:
+    virtual ~PeerHandler() = default;
+
+    /// Takes the state of the caller and returns that of this process.
+    virtual NodeState exchange(const NodeState &from) = 0;
+    /// Objects of a kind; revision 0 when nothing newer is known.
+    virtual LibFleet::ObjectPage objects(LibFleet::ObjectKind kind, int64_t newerThan) = 0;
+};
+
+/// Offers weights to other agents. Empty answers mean that nothing is there.
+class ChunkOffer
+{
+public:
+    virtual ~ChunkOffer() = default;
+
+    virtual std::string manifest(const std::string &model, int64_t version) = 0;
+    /// One bit a chunk, lowest bit first.
+    virtual std::string heldChunks(const std::string &model, int64_t version) = 0;
+    virtual std::string chunk(const std::string &model, int64_t version, uint32_t index) = 0;
+};
+
+} // namespace LibPeers
--- /dev/null
+++ b/Userland/Libraries/LibPeers/PeerServer.cpp
@@ -0,0 +1,99 @@
+#include <LibPeers/PeerServer.h>
+
+#include <LibPeers/WireCodec.h>
+#include <kj/debug.h>
+
+namespace LibPeers
+{
+
+namespace
+{
+
+capnp::Data::Reader asData(const std::string &bytes)
+{
+    return {reinterpret_cast<const capnp::byte *>(bytes.data()), bytes.size()};
+}
+
+class FleetPeerImplementation final : public PeerWire::FleetPeer::Server
+{
+public:
+    FleetPeerImplementation(PeerHandler &handler, ChunkOffer *chunks)
+        : handler(handler)
+        , chunks(chunks)
+    {
+    }
+
+    kj::Promise<void> exchange(ExchangeContext context) override
+    {
+        encode(this->handler.exchange(decode(context.getParams().getState())), context.getResults().initState());
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> objects(ObjectsContext context) override
+    {
+        const auto params = context.getParams();
+        if (params.getKind() >= LibFleet::objectKindCount) {
+            return KJ_EXCEPTION(FAILED, "unknown kind of object", params.getKind());
+        }
+        const LibFleet::ObjectPage page = this->handler.objects(static_cast<LibFleet::ObjectKind>(params.getKind()), params.getNewerThan());
+        auto results = context.getResults();
+        results.setRevision(page.revision);
+        auto objects = results.initObjects(static_cast<capnp::uint>(page.objects.size()));
+        for (capnp::uint i = 0; i < objects.size(); ++i) {
+            objects[i].setName(page.objects[i].name.c_str());
+            objects[i].setSpec(asData(page.objects[i].spec));
+        }
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> manifest(ManifestContext context) override
+    {
+        if (this->chunks != nullptr) {
+            const auto params = context.getParams();
+            context.getResults().setText(this->chunks->manifest(params.getModel().cStr(), params.getVersion()).c_str());
+        }
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> heldChunks(HeldChunksContext context) override
+    {
+        if (this->chunks != nullptr) {
+            const auto params = context.getParams();
+            context.getResults().setHeld(asData(this->chunks->heldChunks(params.getModel().cStr(), params.getVersion())));
+        }
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> chunk(ChunkContext context) override
+    {
+        if (this->chunks != nullptr) {
+            const auto params = context.getParams();
+            context.getResults().setData(asData(this->chunks->chunk(params.getModel().cStr(), params.getVersion(), params.getIndex())));
+        }
+        return kj::READY_NOW;
+    }
+
+private:
+    PeerHandler &handler;
+    ChunkOffer *chunks;
+};
+
+} // namespace
+
+PeerServer::PeerServer(LibFiber::Loop &loop, PeerHandler &handler, ChunkOffer *chunks)
+    : loop(loop)
+    , server(kj::heap<FleetPeerImplementation>(handler, chunks))
+{
+}
+
+absl::Status PeerServer::listen(const AK::Endpoint &address)
+{
+    auto receiver = LibFiber::listenOn(this->loop, address);
+    if (!receiver.ok()) {
+        return receiver.status();
+    }
+    this->loop.spawn([this, listener = kj::mv(*receiver)](kj::WaitScope &scope) mutable { this->server.listen(*listener).wait(scope); });
+    return absl::OkStatus();
+}
+
+} // namespace LibPeers
--- /dev/null
+++ b/Userland/Libraries/LibPeers/peers.capnp
@@ -0,0 +1,46 @@
+@0xd7a1f0c35b9e2846;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("PeerWire");
+
+# What an agent read of its engine. A fresh report replaces an older one.
+struct EngineReport {
+  upstream @0 :Text;          # IP:port that takes calls
+  weightsVersion @1 :Int64;   # complete weights loaded, 0 when none
+  running @2 :UInt32;
+  waiting @3 :UInt32;
+  kvUsed @4 :UInt64;          # tokens times layers
+  kvTotal @5 :UInt64;
+  pace @6 :Float64;           # above 1: slower than stated
+  switching @7 :Bool;         # a load command is in progress or about to be given
+  born @8 :Int64;             # wall time in ms of the engine's start
+}
+
+struct NodeState {
+  name @0 :Text;
+  rpcAddress @1 :Text;
+  clientAddress @2 :Text;     # entries: where clients connect
+  ready @3 :Bool;
+  leaving @4 :Bool;
+  revisions @5 :List(Int64);  # store revision of the last change, by kind of object
+  hasEngine @6 :Bool;
+  engine @7 :EngineReport;
+}
+
+struct StoredObject {
+  name @0 :Text;
+  spec @1 :Data;
+}
+
+# Spoken between processes of one deployment on their RPC addresses.
+interface FleetPeer {
+  exchange @0 (state :NodeState) -> (state :NodeState);
+  # All objects of a kind that the peer knows, when they changed after the revision `newerThan`.
+  objects @1 (kind :UInt16, newerThan :Int64) -> (revision :Int64, objects :List(StoredObject));
+  # Text of the manifest of a version; empty when the peer does not have it.
+  manifest @2 (model :Text, version :Int64) -> (text :Text);
+  # One bit a chunk, lowest bit first; empty when the peer holds nothing of the version.
+  heldChunks @3 (model :Text, version :Int64) -> (held :Data);
+  # Empty when the peer does not hold the chunk or sends too much already.
+  chunk @4 (model :Text, version :Int64, index :UInt32) -> (data :Data);
+}
--- /dev/null
+++ b/Userland/Services/Fleet/FeedKeeper.cpp
@@ -0,0 +1,173 @@
+#include <Fleet/FeedKeeper.h>
+
+#include <AK/StatusMacros.h>
+#include <algorithm>
+
+namespace Fleet
+{
+
+using LibFleet::ObjectKind;
+
+namespace
+{
+
+// Pause after a failed call to the store; doubles up to the limit. Short, because a change must be in force within two seconds of the store's return.
+constexpr AK::Milliseconds firstPause = 100;
+constexpr AK::Milliseconds pauseLimit = 800;
+
+std::string_view nameOf(ObjectKind kind)
+{
+    return AK::nameOf(LibFleet::objectKindNames, kind);
+}
+
+} // namespace
+
+FeedKeeper::FeedKeeper(LibFiber::Loop &loop, ObjectSource &source, ObjectDecoder &decoder, LibFleet::FleetState &state)
+    : loop(loop)
+    , source(source)
+    , decoder(decoder)
+    , state(state)
+{
+}
+
+FeedKeeper::Feed &FeedKeeper::feed(ObjectKind kind)
+{
+    return this->feeds[static_cast<size_t>(kind)];
+}
+
+const FeedKeeper::Feed &FeedKeeper::feed(ObjectKind kind) const
+{
+    return this->feeds[static_cast<size_t>(kind)];
+}
+
+void FeedKeeper::watchStore()
+{
+    for (const auto &row : LibFleet::objectKindNames) {
+        this->loop.spawn([this, kind = row.value](kj::WaitScope &scope) { this->keep(scope, kind); });
+    }
+}
+
+void FeedKeeper::refreshFromStore(kj::WaitScope &scope)
+{
+    for (const auto &row : LibFleet::objectKindNames) {
+        const absl::StatusOr<LibFleet::ObjectPage> page = this->source.list(scope, row.value);
+        this->storeAnswered(row.value, page.status());
+        if (page.ok() && this->feed(row.value).snapshot.replace(*page)) {
+            this->publish(row.value, true);
+        }
+    }
+}
+
+void FeedKeeper::keep(kj::WaitScope &scope, ObjectKind kind)
+{
+    AK::Milliseconds pause = firstPause;
+    while (true) {
+        const absl::Status status = this->readOnce(scope, kind);
+        this->storeAnswered(kind, status);
+        if (status.ok()) {
+            pause = firstPause;
+            continue;
+        }
+        this->loop.sleep(scope, pause);
+        pause = std::min(pauseLimit, pause * 2);
+    }
+}
+
+absl::Status FeedKeeper::readOnce(kj::WaitScope &scope, ObjectKind kind)
+{
+    Feed &feed = this->feed(kind);
+    const int64_t since = feed.snapshot.revision;
+    if (since > 0) {
+        const absl::StatusOr<LibFleet::ObjectPage> changes = this->source.watch(scope, kind, since);
+        if (changes.ok()) {
+            if (feed.snapshot.apply(*changes, since) && !changes->objects.empty()) {
+                this->publish(kind, true);
+            }
+            return absl::OkStatus();
+        }
+        if (!absl::IsOutOfRange(changes.status())) {
+            return changes.status();
+        }
+        this->logger.info("history_gone", {{"kind", nameOf(kind)}, {"since", since}});
+    }
+    CATKINLINK_ASSIGN(const LibFleet::ObjectPage page, this->source.list(scope, kind));
+    if (feed.snapshot.replace(page)) {
+        this->publish(kind, true);
+    }
+    return absl::OkStatus();
+}
+
+void FeedKeeper::storeAnswered(ObjectKind kind, const absl::Status &status)
+{
+    Feed &feed = this->feed(kind);
+    if (status.ok() == feed.storeReached) {
+        return;
+    }
+    feed.storeReached = status.ok();
+    if (status.ok()) {
+        this->logger.info("store_regained", {{"kind", nameOf(kind)}, {"revision", feed.snapshot.revision}});
+    } else {
+        this->logger.warning("store_lost", {{"kind", nameOf(kind)}, {"revision", feed.snapshot.revision}, {"reason", std::string(status.message())}});
+    }
+    if (kind != ObjectKind::Upstreams) {
+        return;
+    }
+    if (!status.ok()) {
+        this->lapsed.storeLost(this->loop.clock().now());
+        return;
+    }
+    this->lapsed.storeReturned(this->loop.clock().now());
+    this->loop.spawn([this](kj::WaitScope &scope) {
+        this->loop.sleep(scope, LibFleet::lapsedEntryGrace);
+        this->publish(ObjectKind::Upstreams, true);
+    });
+}
+
+void FeedKeeper::publish(ObjectKind kind, bool fromStore)
+{
+    Feed &feed = this->feed(kind);
+    if (kind == ObjectKind::Upstreams && fromStore) {
+        AK::Milliseconds expiresAt = 0;
+        feed.inForce = this->lapsed.merge(feed.inForce, feed.snapshot.specs, this->loop.clock().now(), expiresAt);
+    } else {
+        feed.inForce = feed.snapshot.specs;
+    }
+    this->decoder.decode(kind, feed.inForce, this->state);
+    if (kind == ObjectKind::Configuration) {
+        // What an upstream's words mean depends on the configuration.
+        this->decoder.decode(ObjectKind::Upstreams, this->feed(ObjectKind::Upstreams).inForce, this->state);
+    }
+}
+
+int64_t FeedKeeper::revision(ObjectKind kind) const
+{
+    return this->feed(kind).snapshot.revision;
+}
+
+int64_t FeedKeeper::changedAt(ObjectKind kind) const
+{
+    return this->feed(kind).snapshot.changedAt;
+}
+
+LibFleet::ObjectPage FeedKeeper::objects(ObjectKind kind, int64_t newerThan) const
+{
+    const Feed &feed = this->feed(kind);
+    if (feed.snapshot.changedAt <= newerThan) {
+        return {};
+    }
+    LibFleet::ObjectPage page{feed.snapshot.changedAt, {}};
+    for (const auto &[name, spec] : feed.inForce) {
+        page.objects.push_back({name, spec, false});
+    }
+    return page;
+}
+
+void FeedKeeper::accept(ObjectKind kind, const LibFleet::ObjectPage &page, std::string_view from)
+{
+    if (this->feed(kind).snapshot.replace(page)) {
+        this->logger.info("objects_from_peer", {{"kind", nameOf(kind)}, {"revision", page.revision}, {"peer", from}});
+        this->publish(kind, false);
+    }
+}
+
+} // namespace Fleet
--- /dev/null
+++ b/Userland/Services/Fleet/PeerExchange.cpp
@@ -0,0 +1,171 @@
+#include <Fleet/PeerExchange.h>
+
+#include <algorithm>
+
+namespace Fleet
+{
+
+namespace
+{
+
+constexpr AK::Milliseconds callTimeout = 600;
+constexpr AK::Milliseconds objectsTimeout = 2'000;
+constexpr AK::Milliseconds searchInterval = 500;
+// An entry that has not answered for this long is no longer talked to unless the store names it.
+constexpr AK::Milliseconds forgetAfter = 30'000;
+
+} // namespace
+
+PeerExchange::PeerExchange(LibFiber::Loop &loop, Settings settings, FeedKeeper &feeds, LibFleet::FleetState &state)
+    : loop(loop)
+    , settings(std::move(settings))
+    , feeds(feeds)
+    , state(state)
+    , woken(nullptr)
+{
+    auto paf = kj::newPromiseAndFulfiller<void>();
+    this->wakeUp = kj::mv(paf.fulfiller);
+    this->woken = paf.promise.fork();
+}
+
+PeerExchange::~PeerExchange() noexcept = default;
+
+void PeerExchange::start()
+{
+    this->loop.spawn([this](kj::WaitScope &scope) { this->findEntries(scope); });
+}
+
+void PeerExchange::describeWith(std::function<void(LibPeers::NodeState &)> describe)
+{
+    this->describe = std::move(describe);
+}
+
+void PeerExchange::onReport(std::function<void(const LibPeers::EngineReport &)> observer)
+{
+    this->reportObserver = std::move(observer);
+}
+
+std::map<std::string, EntryView> PeerExchange::liveEntries(AK::Milliseconds maxAge) const
+{
+    std::map<std::string, EntryView> live;
+    const AK::Milliseconds now = this->loop.clock().now();
+    for (const auto &[name, view] : this->heardEntries) {
+        if (now - view.heardAt <= maxAge) {
+            live.emplace(name, view);
+        }
+    }
+    return live;
+}
+
+void PeerExchange::pushNow()
+{
+    auto paf = kj::newPromiseAndFulfiller<void>();
+    this->wakeUp->fulfill();
+    this->wakeUp = kj::mv(paf.fulfiller);
+    this->woken = paf.promise.fork();
+}
+
+LibPeers::NodeState PeerExchange::ownState() const
+{
+    LibPeers::NodeState own;
+    own.name = this->settings.name;
+    own.rpcAddress = this->settings.rpcAddress.text();
+    own.clientAddress = this->settings.clientAddress ? this->settings.clientAddress->text() : "";
+    for (const auto &row : LibFleet::objectKindNames) {
+        own.revisions[static_cast<size_t>(row.value)] = this->feeds.changedAt(row.value);
+    }
+    if (this->describe) {
+        this->describe(own);
+    }
+    return own;
+}
+
+void PeerExchange::heard(const LibPeers::NodeState &peer)
+{
+    if (!peer.clientAddress.empty()) {
+        this->heardEntries[peer.name] = {peer, this->loop.clock().now()};
+    }
+    if (peer.engine && this->reportObserver) {
+        this->reportObserver(*peer.engine);
+    }
+}
+
+LibPeers::NodeState PeerExchange::exchange(const LibPeers::NodeState &from)
+{
+    this->heard(from);
+    return this->ownState();
+}
+
+LibFleet::ObjectPage PeerExchange::objects(LibFleet::ObjectKind kind, int64_t newerThan)
+{
+    return this->feeds.objects(kind, newerThan);
+}
+
+bool PeerExchange::wanted(const AK::Endpoint &address) const
+{
+    const auto &entries = this->state.entries();
+    if (std::any_of(entries.begin(), entries.end(), [&](const auto &entry) { return entry.second.rpcAddress == address; })) {
+        return true;
+    }
+    const AK::Milliseconds now = this->loop.clock().now();
+    return std::any_of(this->heardEntries.begin(), this->heardEntries.end(), [&](const auto &entry) {
+        return entry.second.state.rpcAddress == address.text() && now - entry.second.heardAt < forgetAfter;
+    });
+}
+
+void PeerExchange::findEntries(kj::WaitScope &scope)
+{
+    while (true) {
+        std::vector<AK::Endpoint> addresses = this->settings.seeds;
+        for (const auto &[name, entry] : this->state.entries()) {
+            addresses.push_back(entry.rpcAddress);
+        }
+        for (const AK::Endpoint &address : addresses) {
+            if (!(address == this->settings.rpcAddress) && this->conversations.insert(address.text()).second) {
+                this->loop.spawn([this, address](kj::WaitScope &inner) { this->converse(inner, address); });
+            }
+        }
+        this->loop.sleep(scope, searchInterval);
+    }
+}
+
+void PeerExchange::converse(kj::WaitScope &scope, const AK::Endpoint &address)
+{
+    LibPeers::PeerLink link(this->loop, address);
+    AK::Milliseconds answeredAt = this->loop.clock().now();
+    bool reached = false;
+    while (this->wanted(address) || this->loop.clock().now() - answeredAt < forgetAfter) {
+        const absl::StatusOr<LibPeers::NodeState> peer = link.exchange(scope, this->ownState(), this->loop.clock().now() + callTimeout);
+        if (peer.ok() != reached) {
+            reached = peer.ok();
+            this->logger.info(reached ? "peer_reached" : "peer_lost", {{"address", address.text()}, {"reason", std::string(peer.status().message())}});
+        }
+        if (peer.ok()) {
+            answeredAt = this->loop.clock().now();
+            this->heard(*peer);
+            this->pullNewer(scope, link, *peer);
+        }
+        this->loop.after(this->settings.interval).exclusiveJoin(this->woken.addBranch()).wait(scope);
+    }
+    this->conversations.erase(address.text());
+}
+
+void PeerExchange::pullNewer(kj::WaitScope &scope, LibPeers::PeerLink &link, const LibPeers::NodeState &peer)
+{
+    for (const auto &row : LibFleet::objectKindNames) {
+        const int64_t known = this->feeds.revision(row.value);
+        if (peer.revisions[static_cast<size_t>(row.value)] <= known) {
+            continue;
+        }
+        const absl::StatusOr<LibFleet::ObjectPage> page = link.objects(scope, row.value, known, this->loop.clock().now() + objectsTimeout);
+        if (!page.ok()) {
+            this->logger.info("objects_not_read", {{"peer", peer.name}, {"reason", std::string(page.status().message())}});
+            return;
+        }
+        if (page->revision > 0) {
+            this->feeds.accept(row.value, *page, peer.name);
+        }
+    }
+}
+
+} // namespace Fleet
--- /dev/null
+++ b/Userland/Services/Fleet/PeerExchange.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <Fleet/FeedKeeper.h>
+#include <LibPeers/PeerLink.h>
+#include <LibPeers/PeerServer.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace Fleet
+{
+
+/// What is known of another entry from its own words.
+struct EntryView {
+    LibPeers::NodeState state;
+    /// Monotonic time of its newest answer.
+    AK::Milliseconds heardAt = 0;
+};
+
+/// Exchanges state with the entries of the deployment: liveness, engine reports, and objects of which the other side knows a newer revision. Entries
+/// exchange with all other entries, agents with all entries.
+/// FIXME: Beyond some tens of entries each process must talk to a random few of them; docs/CAPACITY.md gives the slope.
+class PeerExchange final : public LibPeers::PeerHandler
+{
+public:
+    struct Settings {
+        std::string name;
+        AK::Endpoint rpcAddress;
+        /// Entries: where clients connect.
+        std::optional<AK::Endpoint> clientAddress;
+        /// RPC addresses at which entries may be found before any is known; may be stale.
+        std::vector<AK::Endpoint> seeds;
+        AK::Milliseconds interval = 250;
+    };
+
+    PeerExchange(LibFiber::Loop &loop, Settings settings, FeedKeeper &feeds, LibFleet::FleetState &state);
+    ~PeerExchange() noexcept override;
+    KJ_DISALLOW_COPY(PeerExchange);
+
+    void start();
+
+    /// Completes the state that other processes are told.
+    void describeWith(std::function<void(LibPeers::NodeState &)> describe);
+
+    /// Called for each engine report that arrives.
+    void onReport(std::function<void(const LibPeers::EngineReport &)> observer);
+
+    /// Entries that answered within `maxAge` ms, by name; this process is not among them.
+    std::map<std::string, EntryView> liveEntries(AK::Milliseconds maxAge) const;
+
+    /// Sends the state to all entries at once, in place of the next interval.
+    void pushNow();
+
+    LibPeers::NodeState exchange(const LibPeers::NodeState &from) override;
+    LibFleet::ObjectPage objects(LibFleet::ObjectKind kind, int64_t newerThan) override;
+
+private:
+    void converse(kj::WaitScope &scope, const AK::Endpoint &address);
+    void findEntries(kj::WaitScope &scope);
+    void pullNewer(kj::WaitScope &scope, LibPeers::PeerLink &link, const LibPeers::NodeState &peer);
+    LibPeers::NodeState ownState() const;
+    bool wanted(const AK::Endpoint &address) const;
+    void heard(const LibPeers::NodeState &peer);
+
+    LibFiber::Loop &loop;
+    Settings settings;
+    FeedKeeper &feeds;
+    LibFleet::FleetState &state;
+    std::function<void(LibPeers::NodeState &)> describe;
+    std::function<void(const LibPeers::EngineReport &)> reportObserver;
+    std::map<std::string, EntryView> heardEntries;
+    std::set<std::string> conversations;
+    kj::Own<kj::PromiseFulfiller<void>> wakeUp;
+    kj::ForkedPromise<void> woken;
+    LibLog::Logger logger{"peers"};
+};
+
+} // namespace Fleet
--- /dev/null
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -0,0 +1,342 @@
+#include "Dispatcher.h"
+
+#include <algorithm>
+#include <kj/debug.h>
+#include <cmath>
+
+namespace Gateway
+{
+
+namespace
+{
+
+// While calls wait, places that open without an event (a rate that refills, a suspension that ends) are looked for at this interval.
+constexpr AK::Milliseconds wakeInterval = 20;
+constexpr double intervalMemory = 0.9;
+// Range in which refused clients are told to come back, spread so that they do not return together.
+constexpr AK::Milliseconds shortestRetryAfter = 400;
+constexpr AK::Milliseconds retryAfterSpread = 1'200;
+
+bool contains(const std::vector<std::string> &names, const std::string &name)
+{
+    return names.empty() || std::find(names.begin(), names.end(), name) != names.end();
+}
+
+} // namespace
+
+Grant::Grant(Dispatcher &dispatcher, LibFleet::UpstreamRecord upstream, int64_t weightsVersion, double load)
+    : dispatcher(dispatcher)
+    , record(std::move(upstream))
+    , version(weightsVersion)
+    , load(load)
+{
+}
+
+Grant::~Grant()
+{
+    this->dispatcher.release(this->record);
+}
+
+const LibFleet::UpstreamRecord &Grant::upstream() const
+{
+    return this->record;
+}
+
+int64_t Grant::weightsVersion() const
+{
+    return this->version;
+}
+
+double Grant::loadAtChoice() const
+{
+    return this->load;
+}
+
+Dispatcher::Dispatcher(LibFiber::Loop &loop, const LibFleet::FleetState &fleet, DispatchSettings settings)
+    : loop(loop)
+    , fleet(fleet)
+    , settings(std::move(settings))
+    , random(AK::seededFromSystem())
+{
+}
+
+void Dispatcher::setRegions(std::map<std::string, std::string> regionsByDomain)
+{
+    this->regions = std::move(regionsByDomain);
+}
+
+Dispatcher::Line &Dispatcher::line(const std::string &service)
+{
+    std::unique_ptr<Line> &line = this->lines[service];
+    if (!line) {
+        line = std::make_unique<Line>(this->settings.retries);
+    }
+    return *line;
+}
+
+void Dispatcher::countCall(const std::string &service)
+{
+    this->line(service).budget.countCall(this->loop.clock().now());
+}
+
+size_t Dispatcher::entryCount() const
+{
+    return std::max<size_t>(1, this->fleet.entries().size());
+}
+
+bool Dispatcher::mayRepeat(const std::string &service)
+{
+    return this->line(service).budget.spend(this->loop.clock().now(), this->entryCount());
+}
+
+std::string Dispatcher::regionOf(const std::string &failureDomain) const
+{
+    const auto found = this->regions.find(failureDomain);
+    return found == this->regions.end() ? "" : found->second;
+}
+
+LibGateway::UpstreamLoad &Dispatcher::loadOf(const LibFleet::UpstreamRecord &record)
+{
+    return this->loads[record.address.text()];
+}
+
+int64_t Dispatcher::requiredWeights(const std::string &service) const
+{
+    const auto configuration = this->fleet.configuration();
+    if (!configuration) {
+        return 0;
+    }
+    const auto spec = configuration->services.find(service);
+    if (spec == configuration->services.end() || !spec->second.engine) {
+        return 0;
+    }
+    return LibGateway::requiredWeights(this->fleet.weightsTarget(spec->second.engine->model), this->loop.clock().now(), this->settings.switchBefore);
+}
+
+int64_t Dispatcher::heldWeights(const LibFleet::UpstreamRecord &record) const
+{
+    const auto load = this->loads.find(record.address.text());
+    if (load == this->loads.end() || !load->second.report || this->loop.clock().now() - load->second.reportAt > this->settings.placement.reportMaxAge) {
+        return record.weightsVersion;
+    }
+    return load->second.report->weightsVersion;
+}
+
+bool Dispatcher::mayUse(const LibFleet::UpstreamRecord &record, const Demand &demand, AK::Milliseconds now) const
+{
+    if (record.service != demand.service || record.state != LibFleet::UpstreamState::Ready || demand.excluded.contains(record.id)
+        || this->fleet.isEvacuated(record.failureDomain)) {
+        return false;
+    }
+    const std::string region = this->regionOf(record.failureDomain);
+    if (!contains(demand.regions, region) || !contains(demand.accountRegions, region)) {
+        return false;
+    }
+    if (record.isEngine) {
+        const int64_t held = this->heldWeights(record);
+        if (held == 0 || held < this->requiredWeights(record.service)) {
+            return false;
+        }
+    }
+    const auto load = this->loads.find(record.address.text());
+    if (load == this->loads.end()) {
+        return true;
+    }
+    const bool fresh = load->second.report && now - load->second.reportAt <= this->settings.placement.reportMaxAge;
+    return now >= load->second.suspendedUntil && !(fresh && load->second.report->switching);
+}
+
+Dispatcher::Availability Dispatcher::tryPlace(const Demand &demand, kj::Maybe<kj::Own<Grant>> &grant)
+{
+    const AK::Milliseconds now = this->loop.clock().now();
+    const auto configuration = this->fleet.configuration();
+    const auto spec = configuration ? configuration->services.find(demand.service) : decltype(configuration->services.end()){};
+    const double coldRate = configuration && spec != configuration->services.end() ? spec->second.coldCallsPerSecond : 0;
+    std::vector<LibGateway::PlacementCandidate> candidates;
+    std::vector<const LibFleet::UpstreamRecord *> records;
+    bool any = false;
+    for (const auto &[id, record] : this->fleet.upstreams()) {
+        if (!this->mayUse(record, demand, now)) {
+            continue;
+        }
+        any = true;
+        LibGateway::UpstreamLoad &load = this->loadOf(record);
+        if (!LibGateway::rateAllows(load, coldRate, this->entryCount(), now, this->settings.placement)) {
+            continue;
+        }
+        const std::string region = this->regionOf(record.failureDomain);
+        candidates.push_back({LibGateway::estimatedLoad(load, now, this->settings.placement),
+                              std::max(1, record.slots) + this->settings.placement.queuedAtUpstream, record.failureDomain == this->settings.failureDomain,
+                              region == this->settings.region, load.failureShare, load.report ? load.report->pace : 1.0});
+        records.push_back(&record);
+    }
+    const std::optional<size_t> chosen = LibGateway::chooseUpstream(candidates, this->settings.placement, this->random);
+    if (!chosen) {
+        return any ? Availability::Full : Availability::None;
+    }
+    const LibFleet::UpstreamRecord &record = *records[*chosen];
+    LibGateway::UpstreamLoad &load = this->loadOf(record);
+    ++load.ownInFlight;
+    load.rateTokens -= 1;
+    grant = kj::heap<Grant>(*this, record, record.isEngine ? this->requiredWeights(record.service) : 0, candidates[*chosen].load);
+    return Availability::Granted;
+}
+
+GrantOrRefusal Dispatcher::acquire(kj::WaitScope &scope, const Demand &demand)
+{
+    Line &line = this->line(demand.service);
+    const AK::Milliseconds now = this->loop.clock().now();
+    GrantOrRefusal result;
+    if (line.waiters.empty()) {
+        const Availability availability = this->tryPlace(demand, result.grant);
+        if (availability == Availability::Granted) {
+            return result;
+        }
+        if (availability == Availability::None) {
+            result.reason = RefusalReason::NoUpstream;
+            result.retryAfter = this->retryAfter(line);
+            return result;
+        }
+    }
+    const auto ahead = static_cast<double>(
+        std::count_if(line.waiters.begin(), line.waiters.end(), [&](const Waiter *other) { return other->demand->priority <= demand.priority; }));
+    if (static_cast<double>(now) + ahead * line.interval > static_cast<double>(demand.startBy)) {
+        result.reason = RefusalReason::QueueTooLong;
+        result.retryAfter = this->retryAfter(line);
+        return result;
+    }
+    auto paf = kj::newPromiseAndFulfiller<kj::Own<Grant>>();
+    Waiter waiter{&demand, kj::mv(paf.fulfiller)};
+    const auto position = std::find_if(line.waiters.begin(), line.waiters.end(), [&](const Waiter *other) { return other->demand->priority > demand.priority; });
+    const auto place = line.waiters.insert(position, &waiter);
+    bool queued = true;
+    KJ_DEFER({
+        if (queued) {
+            line.waiters.remove(&waiter);
+        }
+    });
+    static_cast<void>(place);
+    this->scheduleWake(demand.service);
+    absl::StatusOr<kj::Own<Grant>> granted = this->loop.await(scope, kj::mv(paf.promise), demand.startBy);
+    if (granted.ok()) {
+        queued = false;
+        result.grant = kj::mv(*granted);
+        return result;
+    }
+    result.reason = RefusalReason::WaitedTooLong;
+    result.retryAfter = this->retryAfter(line);
+    return result;
+}
+
+void Dispatcher::serveWaiters(const std::string &service)
+{
+    Line &line = this->line(service);
+    for (auto it = line.waiters.begin(); it != line.waiters.end();) {
+        Waiter &waiter = **it;
+        kj::Maybe<kj::Own<Grant>> grant;
+        if (this->tryPlace(*waiter.demand, grant) != Availability::Granted) {
+            if (waiter.demand->excluded.empty() && waiter.demand->regions.empty() && waiter.demand->accountRegions.empty()) {
+                // Nothing is free for a call without conditions, so nothing is free for those behind it.
+                break;
+            }
+            ++it;
+            continue;
+        }
+        it = line.waiters.erase(it);
+        waiter.fulfiller->fulfill(kj::mv(KJ_ASSERT_NONNULL(grant)));
+    }
+    if (!line.waiters.empty()) {
+        this->scheduleWake(service);
+    }
+}
+
+void Dispatcher::serveAllWaiters()
+{
+    for (const auto &[service, line] : this->lines) {
+        if (!line->waiters.empty()) {
+            this->serveWaiters(service);
+        }
+    }
+}
+
+void Dispatcher::scheduleWake(const std::string &service)
+{
+    Line &line = this->line(service);
+    if (line.wakeScheduled) {
+        return;
+    }
+    line.wakeScheduled = true;
+    this->loop.spawn([this, service](kj::WaitScope &scope) {
+        this->loop.sleep(scope, wakeInterval);
+        this->line(service).wakeScheduled = false;
+        this->serveWaiters(service);
+    });
+}
+
+void Dispatcher::release(const LibFleet::UpstreamRecord &record)
+{
+    LibGateway::UpstreamLoad &load = this->loadOf(record);
+    load.ownInFlight = std::max(0, load.ownInFlight - 1);
+    Line &line = this->line(record.service);
+    const AK::Milliseconds now = this->loop.clock().now();
+    if (line.lastFreedAt > 0) {
+        line.interval = intervalMemory * line.interval + (1 - intervalMemory) * static_cast<double>(now - line.lastFreedAt);
+    }
+    line.lastFreedAt = now;
+    if (!line.waiters.empty()) {
+        this->serveWaiters(record.service);
+    }
+}
+
+void Dispatcher::countOutcome(const LibFleet::UpstreamRecord &upstream, bool failed)
+{
+    LibGateway::UpstreamLoad &load = this->loadOf(upstream);
+    const AK::Milliseconds before = load.suspendedUntil;
+    LibGateway::countOutcome(load, failed, this->loop.clock().now(), this->settings.placement);
+    if (load.suspendedUntil != before) {
+        this->logger.info("upstream_suspended", {{"upstream", upstream.id}, {"failures_in_row", load.failuresInRow}, {"failure_share", load.failureShare}});
+    }
+}
+
+void Dispatcher::countAnswer(const LibFleet::UpstreamRecord &upstream, int running, int waiting)
+{
+    LibGateway::UpstreamLoad &load = this->loadOf(upstream);
+    load.answeredLoad = running + waiting;
+    load.answeredAt = this->loop.clock().now();
+    load.ownAtAnswer = load.ownInFlight;
+}
+
+void Dispatcher::takeReport(const LibPeers::EngineReport &report)
+{
+    LibGateway::UpstreamLoad &load = this->loads[report.upstream];
+    load.report = report;
+    load.reportAt = this->loop.clock().now();
+    load.ownAtReport = load.ownInFlight;
+    this->serveAllWaiters();
+}
+
+AK::Milliseconds Dispatcher::retryAfter(const Line &line)
+{
+    const auto backlog = static_cast<AK::Milliseconds>(static_cast<double>(line.waiters.size()) * line.interval);
+    return shortestRetryAfter + backlog + static_cast<AK::Milliseconds>(AK::uniformBelow(this->random, retryAfterSpread));
+}
+
+size_t Dispatcher::waitingCalls() const
+{
+    size_t count = 0;
+    for (const auto &[service, line] : this->lines) {
+        count += line->waiters.size();
+    }
+    return count;
+}
+
+int Dispatcher::callsInFlight() const
+{
+    int count = 0;
+    for (const auto &[address, load] : this->loads) {
+        count += load.ownInFlight;
+    }
+    return count;
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/Userland/Services/Gateway/Dispatcher.h
@@ -0,0 +1,155 @@
+#pragma once
+
+#include <AK/Random.h>
+#include <LibFiber/Loop.h>
+#include <LibGateway/Placement.h>
+#include <LibGateway/RetryBudget.h>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace Gateway
+{
+
+/// Bounds that all upstream choices of an entry keep; from the deployment's settings.
+struct DispatchSettings {
+    std::string region;
+    std::string failureDomain;
+    LibGateway::PlacementSettings placement;
+    LibGateway::RetryBudgetSettings retries;
+    /// ms after a new version became known at which the older one gets no more calls.
+    AK::Milliseconds switchBefore = 6'000;
+};
+
+/// What a call needs of an upstream.
+struct Demand {
+    std::string service;
+    /// 0 is the most urgent.
+    int priority = 0;
+    AK::Milliseconds arrivedAt = 0;
+    /// Time after which a start is of no use.
+    AK::Milliseconds startBy = 0;
+    /// Allowed regions; empty for any.
+    std::vector<std::string> regions;
+    std::vector<std::string> accountRegions;
+    /// Upstreams that have had this call.
+    std::set<std::string> excluded;
+};
+
+/// Why a call got no upstream.
+enum class RefusalReason { NoUpstream, QueueTooLong, WaitedTooLong };
+
+inline constexpr std::array refusalReasonNames{
+    AK::EnumName{RefusalReason::NoUpstream, "no_upstream"},
+    AK::EnumName{RefusalReason::QueueTooLong, "queue_too_long"},
+    AK::EnumName{RefusalReason::WaitedTooLong, "waited_too_long"},
+};
+
+class Dispatcher;
+
+/// A place at an upstream; given back when it is dropped.
+class Grant
+{
+public:
+    Grant(Dispatcher &dispatcher, LibFleet::UpstreamRecord upstream, int64_t weightsVersion, double load);
+    ~Grant();
+    KJ_DISALLOW_COPY(Grant);
+
+    const LibFleet::UpstreamRecord &upstream() const;
+    /// Weights that must answer, 0 for any.
+    int64_t weightsVersion() const;
+    /// Estimated calls at the upstream when it was chosen.
+    double loadAtChoice() const;
+
+private:
+    Dispatcher &dispatcher;
+    LibFleet::UpstreamRecord record;
+    int64_t version;
+    double load;
+};
+
+struct GrantOrRefusal {
+    kj::Maybe<kj::Own<Grant>> grant;
+    RefusalReason reason = RefusalReason::NoUpstream;
+    /// When a refused client should come back, in ms.
+    AK::Milliseconds retryAfter = 0;
+};
+
+/// Gives calls places at upstreams. Calls wait in order of urgency and arrival while every upstream is full, and are refused as soon as it is known that
+/// they can't start in time.
+class Dispatcher
+{
+public:
+    Dispatcher(LibFiber::Loop &loop, const LibFleet::FleetState &fleet, DispatchSettings settings);
+
+    /// Counts a call of a client; it earns retry budget.
+    void countCall(const std::string &service);
+
+    /// Waits for a place. The first send of a call needs no budget; later ones are paid with mayRepeat().
+    GrantOrRefusal acquire(kj::WaitScope &scope, const Demand &demand);
+
+    /// Spends retry budget for another send of a call.
+    bool mayRepeat(const std::string &service);
+
+    void countOutcome(const LibFleet::UpstreamRecord &upstream, bool failed);
+    void countAnswer(const LibFleet::UpstreamRecord &upstream, int running, int waiting);
+    void takeReport(const LibPeers::EngineReport &report);
+
+    /// Calls waiting and in flight, for metrics and logs.
+    size_t waitingCalls() const;
+    int callsInFlight() const;
+
+private:
+    friend class Grant;
+
+    struct Waiter {
+        const Demand *demand = nullptr;
+        kj::Own<kj::PromiseFulfiller<kj::Own<Grant>>> fulfiller;
+    };
+
+    struct Line {
+        explicit Line(const LibGateway::RetryBudgetSettings &settings)
+            : budget(settings)
+        {
+        }
+        std::list<Waiter *> waiters;
+        LibGateway::RetryBudget budget;
+        /// Moving mean of the time between places that become free, in ms.
+        double interval = 0;
+        AK::Milliseconds lastFreedAt = 0;
+        bool wakeScheduled = false;
+    };
+
+    enum class Availability { None, Full, Granted };
+
+    Line &line(const std::string &service);
+    Availability tryPlace(const Demand &demand, kj::Maybe<kj::Own<Grant>> &grant);
+    bool mayUse(const LibFleet::UpstreamRecord &record, const Demand &demand, AK::Milliseconds now) const;
+    LibGateway::UpstreamLoad &loadOf(const LibFleet::UpstreamRecord &record);
+    int64_t requiredWeights(const std::string &service) const;
+    int64_t heldWeights(const LibFleet::UpstreamRecord &record) const;
+    std::string regionOf(const std::string &failureDomain) const;
+    size_t entryCount() const;
+    void release(const LibFleet::UpstreamRecord &record);
+    void serveWaiters(const std::string &service);
+    void serveAllWaiters();
+    void scheduleWake(const std::string &service);
+    AK::Milliseconds retryAfter(const Line &line);
+
+    LibFiber::Loop &loop;
+    const LibFleet::FleetState &fleet;
+    DispatchSettings settings;
+    std::map<std::string, std::string> regions;
+    std::map<std::string, std::unique_ptr<Line>> lines;
+    /// By address, so that the report of an agent finds its upstream.
+    std::map<std::string, LibGateway::UpstreamLoad> loads;
+    AK::Random random;
+    LibLog::Logger logger{"dispatcher"};
+
+public:
+    /// Regions by failure domain.
+    void setRegions(std::map<std::string, std::string> regionsByDomain);
+};
+
+} // namespace Gateway
--- /dev/null
+++ b/Userland/Services/Gateway/GatewayService.cpp
@@ -0,0 +1,177 @@
+#include "GatewayService.h"
+
+#include <AK/StatusMacros.h>
+#include <LibHttpStream/MessageReader.h>
+
+namespace Gateway
+{
+
+namespace
+{
+
+// Accepting pauses after a failure, for example when descriptors ran out.
+constexpr AK::Milliseconds acceptPause = 50;
+// Time in which a client takes the answer to a request that could not be read.
+constexpr AK::Milliseconds lingerTime = 300;
+// Added to the idle limit of the configuration, which clients use up to four fifths.
+constexpr AK::Milliseconds idleMargin = 1'000;
+
+int statusFor(const absl::Status &status)
+{
+    constexpr int payloadTooLarge = 413;
+    constexpr int headTooLarge = 431;
+    constexpr int timedOut = 408;
+    constexpr int badRequest = 400;
+    if (absl::IsResourceExhausted(status)) {
+        return status.message().find("body") != absl::string_view::npos ? payloadTooLarge : headTooLarge;
+    }
+    return absl::IsDeadlineExceeded(status) ? timedOut : badRequest;
+}
+
+} // namespace
+
+GatewayService::GatewayService(const CallContext &context, AK::Endpoint address)
+    : context(context)
+    , address(std::move(address))
+{
+}
+
+absl::Status GatewayService::start()
+{
+    auto receiver = LibFiber::listenOn(this->context.loop, this->address);
+    if (!receiver.ok()) {
+        return receiver.status();
+    }
+    this->context.loop.spawn([this, listener = kj::mv(*receiver)](kj::WaitScope &scope) mutable { this->accept(scope, *listener); });
+    return absl::OkStatus();
+}
+
+void GatewayService::accept(kj::WaitScope &scope, kj::ConnectionReceiver &receiver)
+{
+    while (true) {
+        kj::Own<kj::AsyncIoStream> stream;
+        const auto failure = kj::runCatchingExceptions([&] { stream = receiver.accept().wait(scope); });
+        KJ_IF_MAYBE (exception, failure) {
+            this->logger.warning("accept_failed", {{"reason", exception->getDescription().cStr()}});
+            this->context.loop.sleep(scope, acceptPause);
+            continue;
+        }
+        this->context.loop.spawn([this, connection = kj::mv(stream)](kj::WaitScope &inner) mutable { this->serve(inner, kj::mv(connection)); });
+    }
+}
+
+LibFleet::ClientLimits GatewayService::limits() const
+{
+    const auto configuration = this->context.fleet.configuration();
+    return configuration ? configuration->limits : LibFleet::ClientLimits{};
+}
+
+void GatewayService::serve(kj::WaitScope &scope, kj::Own<kj::AsyncIoStream> stream)
+{
+    LibFiber::ByteChannel channel(this->context.loop, kj::mv(stream));
+    Connection connection;
+    this->connections.insert(&connection);
+    KJ_DEFER(this->connections.erase(&connection));
+    while (true) {
+        if (channel.buffered().empty()) {
+            auto paf = kj::newPromiseAndFulfiller<void>();
+            connection.closeWhenIdle = kj::mv(paf.fulfiller);
+            kj::Promise<void> idle = this->context.loop.after(this->limits().idleTimeout + idleMargin).exclusiveJoin(kj::mv(paf.promise));
+            channel.whenDisturbed().exclusiveJoin(kj::mv(idle)).wait(scope);
+            connection.closeWhenIdle = nullptr;
+            if (channel.buffered().empty()) {
+                return;
+            }
+        }
+        std::string body;
+        absl::StatusOr<LibHttpStream::RequestHead> head = this->readRequest(scope, channel, body);
+        if (!head.ok()) {
+            this->refuseUnreadable(scope, channel, head.status());
+            return;
+        }
+        if (!this->serveCall(scope, channel, std::move(*head), std::move(body))) {
+            return;
+        }
+    }
+}
+
+absl::StatusOr<LibHttpStream::RequestHead> GatewayService::readRequest(kj::WaitScope &scope, LibFiber::ByteChannel &channel, std::string &body)
+{
+    const LibFleet::ClientLimits limits = this->limits();
+    const AK::Milliseconds deadline = this->context.loop.clock().now() + limits.headTimeout;
+    CATKINLINK_ASSIGN(const std::string text, LibHttpStream::readHeadText(channel, scope, limits.headBytes, deadline));
+    CATKINLINK_ASSIGN(LibHttpStream::RequestHead head, LibHttpStream::parseRequestHead(text));
+    CATKINLINK_ASSIGN(const LibHttpStream::BodyPlan plan, LibHttpStream::requestBodyPlan(head.headers));
+    if (plan.framing == LibHttpStream::Framing::Length && plan.length > limits.bodyBytes) {
+        return absl::ResourceExhaustedError("the body is too long");
+    }
+    LibHttpStream::BodyReader reader(channel, plan);
+    CATKINLINK_ASSIGN(body, LibHttpStream::readBody(reader, scope, limits.bodyBytes, deadline + limits.idleTimeout));
+    return head;
+}
+
+void GatewayService::refuseUnreadable(kj::WaitScope &scope, LibFiber::ByteChannel &channel, const absl::Status &status)
+{
+    if (absl::IsOutOfRange(status) || absl::IsUnavailable(status) || absl::IsDataLoss(status)) {
+        return;
+    }
+    this->logger.info("request_unreadable", {{"reason", std::string(status.message())}});
+    ClientChannel client(this->context.loop, channel, true);
+    const int code = statusFor(status);
+    if (client.refuse(scope, code, LibHttpStream::reasonPhrase(code), 0).ok()) {
+        // A close with unread bytes would reset the connection before the client has read the answer.
+        channel.finishWriting();
+        this->context.loop.after(lingerTime).exclusiveJoin(channel.whenClosed()).wait(scope);
+    }
+}
+
+bool GatewayService::serveCall(kj::WaitScope &scope, LibFiber::ByteChannel &channel, LibHttpStream::RequestHead head, std::string body)
+{
+    ++this->calls;
+    KJ_DEFER(--this->calls);
+    const bool lastCall = this->draining || LibHttpStream::hasToken(head.headers, "Connection", "close");
+    ClientChannel client(this->context.loop, channel, lastCall);
+    bool clientGone = false;
+    kj::Promise<void> call = this->context.loop.fiber([&](kj::WaitScope &inner) {
+        CallTask task(this->context, std::move(head), std::move(body), client);
+        task.run(inner);
+    });
+    kj::Promise<void> gone = channel.whenClosed().then([&clientGone] { clientGone = true; });
+    call.exclusiveJoin(kj::mv(gone)).wait(scope);
+    if (clientGone || !client.complete()) {
+        channel.resetOnClose();
+        return false;
+    }
+    if (client.closeAfter()) {
+        channel.finishWriting();
+        this->context.loop.after(lingerTime).exclusiveJoin(channel.whenClosed()).wait(scope);
+        return false;
+    }
+    return true;
+}
+
+void GatewayService::beginDrain()
+{
+    this->draining = true;
+}
+
+void GatewayService::closeIdle()
+{
+    for (Connection *connection : this->connections) {
+        if (connection->closeWhenIdle.get() != nullptr) {
+            connection->closeWhenIdle->fulfill();
+        }
+    }
+}
+
+size_t GatewayService::openConnections() const
+{
+    return this->connections.size();
+}
+
+size_t GatewayService::callsInProgress() const
+{
+    return this->calls;
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/Userland/Services/Gateway/SmallServer.cpp
@@ -0,0 +1,76 @@
+#include "SmallServer.h"
+
+#include <LibHttpStream/MessageReader.h>
+
+namespace Gateway
+{
+
+namespace
+{
+
+constexpr AK::Milliseconds idleTimeout = 30'000;
+constexpr AK::Milliseconds writeTimeout = 2'000;
+constexpr size_t headBytes = 8192;
+constexpr uint64_t bodyBytes = 65536;
+
+} // namespace
+
+SmallServer::SmallServer(LibFiber::Loop &loop, AK::Endpoint address, Handler handler)
+    : loop(loop)
+    , address(std::move(address))
+    , handler(std::move(handler))
+{
+}
+
+absl::Status SmallServer::start()
+{
+    auto receiver = LibFiber::listenOn(this->loop, this->address);
+    if (!receiver.ok()) {
+        return receiver.status();
+    }
+    this->loop.spawn([this, listener = kj::mv(*receiver)](kj::WaitScope &scope) mutable {
+        while (true) {
+            kj::Own<kj::AsyncIoStream> stream = listener->accept().wait(scope);
+            this->loop.spawn([this, connection = kj::mv(stream)](kj::WaitScope &inner) mutable { this->serve(inner, kj::mv(connection)); });
+        }
+    });
+    return absl::OkStatus();
+}
+
+void SmallServer::serve(kj::WaitScope &scope, kj::Own<kj::AsyncIoStream> stream)
+{
+    LibFiber::ByteChannel channel(this->loop, kj::mv(stream));
+    while (true) {
+        const AK::Milliseconds deadline = this->loop.clock().now() + idleTimeout;
+        const absl::StatusOr<std::string> text = LibHttpStream::readHeadText(channel, scope, headBytes, deadline);
+        if (!text.ok()) {
+            return;
+        }
+        const absl::StatusOr<LibHttpStream::RequestHead> head = LibHttpStream::parseRequestHead(*text);
+        if (!head.ok()) {
+            return;
+        }
+        const absl::StatusOr<LibHttpStream::BodyPlan> plan = LibHttpStream::requestBodyPlan(head->headers);
+        if (!plan.ok()) {
+            return;
+        }
+        LibHttpStream::BodyReader reader(channel, *plan);
+        if (!LibHttpStream::readBody(reader, scope, bodyBytes, deadline).ok()) {
+            return;
+        }
+        const SmallAnswer answer = this->handler(*head);
+        const bool close = LibHttpStream::hasToken(head->headers, "Connection", "close");
+        LibHttpStream::ResponseHead response{answer.status, std::string(LibHttpStream::reasonPhrase(answer.status)), {}};
+        response.headers.push_back({"Content-Type", answer.contentType});
+        response.headers.push_back({"Content-Length", std::to_string(answer.body.size())});
+        if (close) {
+            response.headers.push_back({"Connection", "close"});
+        }
+        const std::string message = LibHttpStream::serializeResponseHead(response) + answer.body;
+        if (!channel.write(scope, message, this->loop.clock().now() + writeTimeout).ok() || close) {
+            return;
+        }
+    }
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/Userland/Services/Gateway/UpstreamCall.cpp
@@ -0,0 +1,134 @@
+#include "UpstreamCall.h"
+
+#include <AK/Text.h>
+#include <algorithm>
+#include <kj/debug.h>
+
+namespace Gateway
+{
+
+namespace
+{
+
+// A connection within a site opens in a few ms; an upstream that is dark never answers.
+constexpr AK::Milliseconds connectTimeout = 400;
+constexpr size_t answerHeadBytes = 16384;
+// Answers to earlier requests that are dropped before the connection is given up.
+constexpr int strayAnswerLimit = 3;
+constexpr uint64_t strayBodyBytes = 1UL << 20;
+constexpr int misdirectedStatus = 421;
+
+AK::Milliseconds keepAliveOf(const LibHttpStream::Headers &headers)
+{
+    static constexpr std::string_view field = "timeout=";
+    const std::string *value = LibHttpStream::findHeader(headers, "Keep-Alive");
+    if (value == nullptr) {
+        return 0;
+    }
+    const size_t start = value->find(field);
+    if (start == std::string::npos) {
+        return 0;
+    }
+    std::string_view digits = std::string_view(*value).substr(start + field.size());
+    digits = digits.substr(0, std::min(digits.find_first_not_of("0123456789"), digits.size()));
+    return AK::parseInteger(digits).value_or(0) * 1000;
+}
+
+} // namespace
+
+UpstreamCall::UpstreamCall(LibFiber::Loop &loop, UpstreamLinks &links, const LibGateway::CallCodec &codec)
+    : loop(loop)
+    , links(links)
+    , codec(codec)
+{
+}
+
+UpstreamCall::Result UpstreamCall::send(kj::WaitScope &scope, const LibFleet::UpstreamRecord &upstream, const LibHttpStream::RequestHead &requestHead,
+                                        const std::string &requestBody, const std::string &requestId, bool allowReuse, AK::Milliseconds deadline)
+{
+    this->address = upstream.address;
+    const AK::Milliseconds connectBy = std::min(deadline, this->loop.clock().now() + connectTimeout);
+    absl::StatusOr<UpstreamChannel> opened = this->links.open(scope, this->address, allowReuse, connectBy);
+    if (!opened.ok()) {
+        this->links.forget(this->address);
+        return {SendOutcome::NotRun, false, AK::concat("connect: ", opened.status().message())};
+    }
+    this->link = kj::mv(*opened);
+    LibHttpStream::RequestHead framed = requestHead;
+    if (!requestBody.empty() || (framed.method != "GET" && framed.method != "HEAD")) {
+        framed.headers.push_back({"Content-Length", std::to_string(requestBody.size())});
+    }
+    this->request = LibHttpStream::serializeRequestHead(framed) + requestBody;
+    // Written beside the read: an upstream may answer before it has read a long body.
+    this->writing = this->loop.fiber([this, deadline](kj::WaitScope &inner) {
+                                  this->written = this->link.channel->write(inner, this->request, deadline).ok();
+                              }).eagerlyEvaluate(nullptr);
+    return this->receiveHead(scope, requestId, framed.method, deadline);
+}
+
+UpstreamCall::Result UpstreamCall::receiveHead(kj::WaitScope &scope, const std::string &requestId, std::string_view method, AK::Milliseconds deadline)
+{
+    LibFiber::ByteChannel &channel = *this->link.channel;
+    for (int strays = 0; strays <= strayAnswerLimit; ++strays) {
+        const absl::StatusOr<std::string> text = LibHttpStream::readHeadText(channel, scope, answerHeadBytes, deadline);
+        if (!text.ok()) {
+            return {SendOutcome::Unknown, false, AK::concat("no answer: ", text.status().message())};
+        }
+        absl::StatusOr<LibHttpStream::ResponseHead> parsed = LibHttpStream::parseResponseHead(*text);
+        if (!parsed.ok()) {
+            return {SendOutcome::Unknown, false, AK::concat("no HTTP answer: ", parsed.status().message())};
+        }
+        const absl::StatusOr<LibHttpStream::BodyPlan> plan = LibHttpStream::responseBodyPlan(method, *parsed);
+        if (!plan.ok()) {
+            return {SendOutcome::Unknown, false, AK::concat("answer: ", plan.status().message())};
+        }
+        auto reader = kj::heap<LibHttpStream::BodyReader>(channel, *plan);
+        if (parsed->status / 100 == 1) {
+            continue;
+        }
+        const LibGateway::AnswerInfo found = this->codec.decodeAnswer(*parsed);
+        if (!found.requestId.empty() && found.requestId != requestId) {
+            if (!LibHttpStream::readBody(*reader, scope, strayBodyBytes, deadline).ok() || !reader->reusable()) {
+                return {SendOutcome::Unknown, false, "an answer to another request ended the connection"};
+            }
+            continue;
+        }
+        this->head = std::move(*parsed);
+        this->info = found;
+        this->body = kj::mv(reader);
+        if (found.notRun || this->head.status == misdirectedStatus) {
+            return {SendOutcome::NotRun, true, AK::concat("refused with ", this->head.status)};
+        }
+        return {SendOutcome::Answered, false, ""};
+    }
+    return {SendOutcome::Unknown, false, "too many answers to other requests"};
+}
+
+const LibHttpStream::ResponseHead &UpstreamCall::answerHead() const
+{
+    return this->head;
+}
+
+const LibGateway::AnswerInfo &UpstreamCall::answerInfo() const
+{
+    return this->info;
+}
+
+absl::StatusOr<std::optional<std::string>> UpstreamCall::read(kj::WaitScope &scope, AK::Milliseconds deadline)
+{
+    return KJ_ASSERT_NONNULL(this->body)->next(scope, deadline);
+}
+
+void UpstreamCall::finish()
+{
+    KJ_IF_MAYBE (reader, this->body) {
+        if (!this->written || !(*reader)->reusable() || LibHttpStream::hasToken(this->head.headers, "Connection", "close")) {
+            return;
+        }
+        this->body = nullptr;
+        this->writing = nullptr;
+        this->links.giveBack(this->address, kj::mv(this->link.channel), keepAliveOf(this->head.headers));
+    }
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/Userland/Services/WeightAgent/AgentService.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "SwarmFetch.h"
+#include <Fleet/PeerExchange.h>
+
+namespace WeightAgent
+{
+
+/// Keeps the engine of this host on the weights that the operator has named, and tells the entries how loaded the engine is.
+class AgentService
+{
+public:
+    struct Settings {
+        std::string service;
+        AK::Endpoint engineAddress;
+        std::string region;
+        std::map<std::string, std::string> regionsByDomain;
+        /// RPC port of every agent.
+        uint16_t rpcPort = 0;
+        /// Time after which an old version must not begin work, from the moment at which a newer one became known.
+        AK::Milliseconds switchWithin = 8'000;
+        AK::Milliseconds statusInterval = 100;
+    };
+
+    AgentService(LibFiber::Loop &loop, Settings settings, const LibFleet::FleetState &fleet, EngineControl &engine, WeightsOrigin &origin,
+                 Fleet::PeerExchange &exchange);
+
+    void start();
+
+    VersionStore &versions();
+
+private:
+    void watchEngine(kj::WaitScope &scope);
+    void keepWeights(kj::WaitScope &scope);
+    void bring(kj::WaitScope &scope, const LibFleet::EngineSpec &spec, int64_t version);
+    std::shared_ptr<HeldVersion> obtain(kj::WaitScope &scope, const LibFleet::EngineSpec &spec, int64_t version);
+    void takeStaged(kj::WaitScope &scope, const std::string &model, HeldVersion &held);
+    bool verifyStaged(kj::WaitScope &scope, const std::string &model, const HeldVersion &held);
+    void switchTo(kj::WaitScope &scope, const std::string &model, const HeldVersion &held);
+    bool waitForTurn(kj::WaitScope &scope, const std::string &model, int64_t version);
+    const LibFleet::EngineSpec *engineSpec() const;
+    int64_t wantedVersion(const std::string &model) const;
+    SwarmView view() const;
+
+    LibFiber::Loop &loop;
+    Settings settings;
+    const LibFleet::FleetState &fleet;
+    EngineControl &engine;
+    WeightsOrigin &origin;
+    Fleet::PeerExchange &exchange;
+    VersionStore store;
+    std::optional<EngineStatus> status;
+    AK::Milliseconds statusAt = 0;
+    bool aboutToSwitch = false;
+    std::shared_ptr<const LibFleet::Configuration> configuration;
+    LibLog::Logger logger{"agent"};
+};
+
+} // namespace WeightAgent
--- /dev/null
+++ b/Userland/Services/WeightAgent/FetchRules.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <AK/Clock.h>
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace WeightAgent
+{
+
+/// An agent as a source of chunks.
+struct SwarmMember {
+    /// "IP:port" of its engine; the same at every agent.
+    std::string name;
+    std::string region;
+};
+
+/// From where an agent may take a chunk now.
+enum class FetchScope { SameRegion, AnyRegion, Origin };
+
+struct FetchRuleSettings {
+    /// Each such time without a new chunk lets the agent act for one more of those before it in the order.
+    AK::Milliseconds patience = 700;
+    /// Times of patience after which an agent outside the origin's region reads from the origin itself.
+    int originPatience = 3;
+};
+
+/// What the rule for one chunk depends on.
+struct FetchPosition {
+    bool nearOrigin = false;
+    /// Rank in the order of the agents of its own region for this chunk; the first brings the chunk into the region.
+    size_t regionRank = 0;
+    /// Time since the agent got its last chunk.
+    AK::Milliseconds stalledFor = 0;
+};
+
+/// Each chunk crosses from the origin and into each region once: by the first agent in the order of the region, and by the next ones only when nothing has
+/// moved for a while. Load pattern: all agents of all regions want the same version at the same moment.
+FetchScope allowedScope(const FetchPosition &position, const FetchRuleSettings &settings);
+
+/// Rank of `self` in the order of a chunk among the members of its region.
+size_t regionRank(const std::string &self, const std::string &region, const std::vector<SwarmMember> &members, const std::string &chunkKey);
+
+/// When an engine may begin to load a version, as a delay after its chunks are complete: the loads of a service are spread over the time that is left, so
+/// that capacity leaves in small parts. `rank` of `count` agents; `timeLeft` until the old version must not begin any more work.
+AK::Milliseconds loadDelay(size_t rank, size_t count, AK::Milliseconds timeLeft, AK::Milliseconds loadTime);
+
+} // namespace WeightAgent
--- /dev/null
+++ b/Userland/Services/WeightAgent/SwarmFetch.cpp
@@ -0,0 +1,218 @@
+#include "SwarmFetch.h"
+
+#include <AK/Text.h>
+#include <LibWeights/ChunkChoice.h>
+#include <algorithm>
+
+namespace WeightAgent
+{
+
+namespace
+{
+
+// A chunk takes about 30 ms on a free link; many transfers share it.
+constexpr AK::Milliseconds chunkTimeout = 1'500;
+constexpr AK::Milliseconds mapTimeout = 600;
+constexpr AK::Milliseconds manifestTimeout = 800;
+// Pause before a peer that offers nothing new is asked again.
+constexpr AK::Milliseconds askAgain = 120;
+constexpr AK::Milliseconds afterError = 300;
+// Reads from the origin at a time; two keep its link busy between answers.
+constexpr int originReads = 2;
+// Peers asked at a time, in the region and outside.
+constexpr size_t neighboursInRegion = 7;
+constexpr size_t neighboursElsewhere = 6;
+
+std::vector<bool> bitsOf(const std::string &bytes, size_t count)
+{
+    std::vector<bool> bits(count, false);
+    for (size_t i = 0; i < count && i / 8 < bytes.size(); ++i) {
+        bits[i] = ((static_cast<unsigned char>(bytes[i / 8]) >> (i % 8)) & 1U) != 0;
+    }
+    return bits;
+}
+
+} // namespace
+
+SwarmFetch::SwarmFetch(LibFiber::Loop &loop, WeightsOrigin &origin, SwarmSelf self, std::string model, int64_t version, SwarmView view)
+    : loop(loop)
+    , origin(origin)
+    , self(std::move(self))
+    , model(std::move(model))
+    , version(version)
+    , view(std::move(view))
+    , random(AK::seededFromSystem())
+{
+    std::vector<std::string> near{this->self.name};
+    std::vector<std::string> far{this->self.name};
+    for (const SwarmPeer &peer : this->view.peers) {
+        this->members.push_back(peer.member);
+        (peer.member.region == this->self.region ? near : far).push_back(peer.member.name);
+    }
+    const std::string key = AK::concat(this->model, "/", this->version);
+    std::vector<std::string> chosen = LibWeights::chooseNeighbours(this->self.name, key, near, neighboursInRegion);
+    for (const std::string &name : LibWeights::chooseNeighbours(this->self.name, key, far, neighboursElsewhere)) {
+        chosen.push_back(name);
+    }
+    for (const SwarmPeer &peer : this->view.peers) {
+        if (std::find(chosen.begin(), chosen.end(), peer.member.name) != chosen.end()) {
+            this->peers.push_back({peer, {}, false});
+        }
+    }
+}
+
+absl::StatusOr<std::string> SwarmFetch::readManifest(kj::WaitScope &scope)
+{
+    const size_t rank = regionRank(this->self.name, this->self.region, this->members, AK::concat(this->model, "/", this->version, "/manifest"));
+    const bool first = this->self.region == this->view.originRegion && rank == 0;
+    for (int round = 0; round < 2; ++round) {
+        if (!first || round > 0) {
+            for (const PeerState &state : this->peers) {
+                LibPeers::PeerLink link(this->loop, state.peer.rpcAddress);
+                const absl::StatusOr<std::string> text = link.manifest(scope, this->model, this->version, this->loop.clock().now() + mapTimeout);
+                if (text.ok() && !text->empty()) {
+                    return text;
+                }
+            }
+        }
+        if (this->view.origin && (first || round > 0)) {
+            return this->origin.manifestText(scope, *this->view.origin, this->model, this->version);
+        }
+        this->loop.sleep(scope, askAgain * static_cast<AK::Milliseconds>(1 + rank));
+    }
+    return absl::UnavailableError("nobody has the manifest");
+}
+
+bool SwarmFetch::running() const
+{
+    return !this->held->complete() && this->wanted();
+}
+
+void SwarmFetch::fetchAll(kj::WaitScope &scope, HeldVersion &target, const std::function<bool()> &isWanted, const std::function<void(uint32_t)> &onChunk)
+{
+    this->held = &target;
+    this->wanted = isWanted;
+    this->arrived = onChunk;
+    this->progressAt = this->loop.clock().now();
+    for (uint32_t i = 0; i < target.chunkCount(); ++i) {
+        this->ranks.push_back(regionRank(this->self.name, this->self.region, this->members, AK::concat(this->model, "/", this->version, "/", i)));
+    }
+    auto fibers = kj::heapArrayBuilder<kj::Promise<void>>(this->peers.size() + originReads);
+    for (size_t i = 0; i < this->peers.size(); ++i) {
+        fibers.add(this->loop.fiber([this, i](kj::WaitScope &inner) { this->askPeer(inner, i); }));
+    }
+    for (int i = 0; i < originReads; ++i) {
+        fibers.add(this->loop.fiber([this](kj::WaitScope &inner) { this->askOrigin(inner); }));
+    }
+    kj::joinPromises(fibers.finish()).wait(scope);
+    this->logger.info("fetched", {{"model", this->model},
+                                  {"version", this->version},
+                                  {"chunks", target.heldCount()},
+                                  {"of", target.chunkCount()},
+                                  {"origin_bytes", this->originBytes},
+                                  {"peers", this->peers.size()}});
+}
+
+std::vector<bool> SwarmFetch::wantedIn(FetchScope scope) const
+{
+    std::vector<bool> result(this->held->chunkCount(), false);
+    const FetchRuleSettings rules;
+    const AK::Milliseconds stalled = this->loop.clock().now() - this->progressAt;
+    for (uint32_t i = 0; i < result.size(); ++i) {
+        if (this->held->has(i) || this->underWay.contains(i)) {
+            continue;
+        }
+        const FetchScope allowed = allowedScope({this->self.region == this->view.originRegion, this->ranks[i], stalled}, rules);
+        // The origin is for the chunks that this agent has to bring, and only for these.
+        result[i] = scope == FetchScope::Origin ? allowed == FetchScope::Origin : static_cast<int>(scope) <= static_cast<int>(allowed);
+    }
+    return result;
+}
+
+std::optional<uint32_t> SwarmFetch::choose(const std::vector<bool> &offered, FetchScope scope)
+{
+    std::vector<uint32_t> holders(this->held->chunkCount(), 0);
+    for (const PeerState &state : this->peers) {
+        for (size_t i = 0; i < state.offered.size(); ++i) {
+            holders[i] += state.offered[i] ? 1 : 0;
+        }
+    }
+    return LibWeights::chooseRarest(this->wantedIn(scope), offered, holders, this->random);
+}
+
+bool SwarmFetch::take(uint32_t index, std::string data)
+{
+    const bool had = this->held->has(index);
+    if (const absl::Status status = this->held->put(index, std::move(data)); !status.ok()) {
+        this->logger.warning("chunk_refused", {{"version", this->version}, {"chunk", index}, {"reason", std::string(status.message())}});
+        return false;
+    }
+    this->progressAt = this->loop.clock().now();
+    if (!had) {
+        this->arrived(index);
+    }
+    return true;
+}
+
+void SwarmFetch::pause(kj::WaitScope &scope, AK::Milliseconds duration)
+{
+    if (this->running()) {
+        this->loop.sleep(scope, duration);
+    }
+}
+
+void SwarmFetch::askPeer(kj::WaitScope &scope, size_t index)
+{
+    PeerState &state = this->peers[index];
+    LibPeers::PeerLink link(this->loop, state.peer.rpcAddress);
+    const FetchScope reach = state.peer.member.region == this->self.region ? FetchScope::SameRegion : FetchScope::AnyRegion;
+    while (this->running() && !state.excluded) {
+        std::optional<uint32_t> chunk = this->choose(state.offered, reach);
+        if (!chunk) {
+            const auto bits = link.heldChunks(scope, this->model, this->version, this->loop.clock().now() + mapTimeout);
+            if (!bits.ok()) {
+                state.offered.clear();
+                this->pause(scope, afterError);
+                continue;
+            }
+            state.offered = bitsOf(*bits, this->held->chunkCount());
+            chunk = this->choose(state.offered, reach);
+        }
+        if (!chunk) {
+            this->pause(scope, askAgain);
+            continue;
+        }
+        this->underWay.insert(*chunk);
+        auto data = link.chunk(scope, this->model, this->version, *chunk, this->loop.clock().now() + chunkTimeout);
+        this->underWay.erase(*chunk);
+        if (!data.ok() || data->empty()) {
+            state.offered.clear();
+            this->pause(scope, afterError);
+        } else if (!this->take(*chunk, std::move(*data))) {
+            state.excluded = true;
+        }
+    }
+}
+
+void SwarmFetch::askOrigin(kj::WaitScope &scope)
+{
+    const std::vector<bool> everything(this->held->chunkCount(), true);
+    while (this->running() && this->view.origin) {
+        const std::optional<uint32_t> chunk = this->choose(everything, FetchScope::Origin);
+        if (!chunk) {
+            this->pause(scope, askAgain);
+            continue;
+        }
+        this->underWay.insert(*chunk);
+        auto data = this->origin.chunk(scope, *this->view.origin, this->model, this->version, *chunk);
+        this->underWay.erase(*chunk);
+        if (data.ok()) {
+            this->originBytes += data->size();
+        }
+        if (!data.ok() || !this->take(*chunk, std::move(*data))) {
+            this->pause(scope, afterError);
+        }
+    }
+}
+
+} // namespace WeightAgent
--- /dev/null
+++ b/Userland/Services/WeightAgent/SwarmFetch.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "FetchRules.h"
+#include "VersionStore.h"
+#include <AK/Random.h>
+#include <LibPeers/PeerLink.h>
+#include <functional>
+#include <set>
+
+namespace WeightAgent
+{
+
+/// An agent that may have chunks.
+struct SwarmPeer {
+    SwarmMember member;
+    AK::Endpoint rpcAddress;
+};
+
+/// What a fetch needs to know of the deployment.
+struct SwarmView {
+    std::vector<SwarmPeer> peers;
+    std::optional<AK::Endpoint> origin;
+    std::string originRegion;
+};
+
+/// Who this agent is.
+struct SwarmSelf {
+    std::string name;
+    std::string region;
+};
+
+/// Brings all chunks of one version to this agent: from other agents, rarest first, and from the origin where the order of the chunk says so.
+class SwarmFetch
+{
+public:
+    SwarmFetch(LibFiber::Loop &loop, WeightsOrigin &origin, SwarmSelf self, std::string model, int64_t version, SwarmView view);
+
+    /// Reads the manifest from another agent or, in the order of the agents, from the origin.
+    /// Errors: kUnavailable when nobody has it.
+    absl::StatusOr<std::string> readManifest(kj::WaitScope &scope);
+
+    /// Returns when `held` is complete or `wanted` returns false. `arrived` is called for each new chunk.
+    void fetchAll(kj::WaitScope &scope, HeldVersion &held, const std::function<bool()> &wanted, const std::function<void(uint32_t)> &arrived);
+
+private:
+    struct PeerState {
+        SwarmPeer peer;
+        std::vector<bool> offered;
+        bool excluded = false;
+    };
+
+    void askPeer(kj::WaitScope &scope, size_t index);
+    void askOrigin(kj::WaitScope &scope);
+    bool running() const;
+    std::vector<bool> wantedIn(FetchScope scope) const;
+    std::optional<uint32_t> choose(const std::vector<bool> &offered, FetchScope scope);
+    bool take(uint32_t index, std::string data);
+    void pause(kj::WaitScope &scope, AK::Milliseconds duration);
+
+    LibFiber::Loop &loop;
+    WeightsOrigin &origin;
+    SwarmSelf self;
+    std::string model;
+    int64_t version;
+    SwarmView view;
+    std::vector<SwarmMember> members;
+    std::vector<size_t> ranks;
+    std::vector<PeerState> peers;
+    std::set<uint32_t> underWay;
+    HeldVersion *held = nullptr;
+    std::function<bool()> wanted;
+    std::function<void(uint32_t)> arrived;
+    AK::Milliseconds progressAt = 0;
+    uint64_t originBytes = 0;
+    AK::Random random;
+    LibLog::Logger logger{"swarm"};
+};
+
+} // namespace WeightAgent
--- /dev/null
+++ b/Userland/Services/WeightAgent/VersionStore.cpp
@@ -0,0 +1,114 @@
+#include "VersionStore.h"
+
+#include <AK/Hash.h>
+
+namespace WeightAgent
+{
+
+namespace
+{
+
+// The version in force and the one that replaces it; a third would not fit the memory of a small host.
+constexpr size_t versionsKept = 2;
+
+} // namespace
+
+HeldVersion::HeldVersion(std::string manifestText, WeightsManifest manifest)
+    : text(std::move(manifestText))
+    , pinned(std::move(manifest))
+    , chunks(this->pinned.digests.size())
+{
+}
+
+const WeightsManifest &HeldVersion::manifest() const
+{
+    return this->pinned;
+}
+
+const std::string &HeldVersion::manifestText() const
+{
+    return this->text;
+}
+
+size_t HeldVersion::chunkCount() const
+{
+    return this->chunks.size();
+}
+
+size_t HeldVersion::heldCount() const
+{
+    return this->held;
+}
+
+bool HeldVersion::complete() const
+{
+    return this->held == this->chunks.size();
+}
+
+bool HeldVersion::has(uint32_t index) const
+{
+    return index < this->chunks.size() && this->chunks[index].has_value();
+}
+
+const std::string &HeldVersion::chunk(uint32_t index) const
+{
+    return *this->chunks[index];
+}
+
+absl::Status HeldVersion::put(uint32_t index, std::string data)
+{
+    if (index >= this->chunks.size() || AK::sha256Hex(data) != this->pinned.digests[index]) {
+        return absl::DataLossError(absl::StrCat("chunk ", index, " has another hash than the manifest says"));
+    }
+    if (!this->chunks[index]) {
+        this->chunks[index] = std::move(data);
+        ++this->held;
+    }
+    return absl::OkStatus();
+}
+
+std::shared_ptr<HeldVersion> VersionStore::find(const std::string &model, int64_t version) const
+{
+    const auto found = this->versions.find({model, version});
+    return found == this->versions.end() ? nullptr : found->second;
+}
+
+std::shared_ptr<HeldVersion> VersionStore::add(const std::string &model, std::string manifestText, WeightsManifest manifest)
+{
+    const int64_t version = manifest.version;
+    auto held = std::make_shared<HeldVersion>(std::move(manifestText), std::move(manifest));
+    this->versions[{model, version}] = held;
+    while (this->versions.size() > versionsKept) {
+        this->versions.erase(this->versions.begin());
+    }
+    return held;
+}
+
+std::string VersionStore::manifest(const std::string &model, int64_t version)
+{
+    const auto held = this->find(model, version);
+    return held ? held->manifestText() : "";
+}
+
+std::string VersionStore::heldChunks(const std::string &model, int64_t version)
+{
+    const auto held = this->find(model, version);
+    if (!held) {
+        return "";
+    }
+    std::string bits((held->chunkCount() + 7) / 8, '\0');
+    for (uint32_t i = 0; i < held->chunkCount(); ++i) {
+        if (held->has(i)) {
+            bits[i / 8] = static_cast<char>(static_cast<unsigned char>(bits[i / 8]) | (1U << (i % 8)));
+        }
+    }
+    return bits;
+}
+
+std::string VersionStore::chunk(const std::string &model, int64_t version, uint32_t index)
+{
+    const auto held = this->find(model, version);
+    return held && held->has(index) ? held->chunk(index) : "";
+}
+
+} // namespace WeightAgent
--- /dev/null
+++ b/Userland/Services/WeightAgent/VersionStore.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "EngineControl.h"
+#include <LibPeers/PeerRecords.h>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace WeightAgent
+{
+
+/// Chunks of one version, all verified.
+class HeldVersion
+{
+public:
+    HeldVersion(std::string manifestText, WeightsManifest manifest);
+
+    const WeightsManifest &manifest() const;
+    const std::string &manifestText() const;
+    size_t chunkCount() const;
+    size_t heldCount() const;
+    bool complete() const;
+    bool has(uint32_t index) const;
+    const std::string &chunk(uint32_t index) const;
+
+    /// Keeps a chunk if its hash is right.
+    /// Errors: kDataLoss.
+    absl::Status put(uint32_t index, std::string data);
+
+private:
+    std::string text;
+    WeightsManifest pinned;
+    std::vector<std::optional<std::string>> chunks;
+    size_t held = 0;
+};
+
+/// The versions that an agent holds for its engine and offers to other agents: the newest two.
+class VersionStore final : public LibPeers::ChunkOffer
+{
+public:
+    std::shared_ptr<HeldVersion> find(const std::string &model, int64_t version) const;
+    std::shared_ptr<HeldVersion> add(const std::string &model, std::string manifestText, WeightsManifest manifest);
+
+    std::string manifest(const std::string &model, int64_t version) override;
+    std::string heldChunks(const std::string &model, int64_t version) override;
+    std::string chunk(const std::string &model, int64_t version, uint32_t index) override;
+
+private:
+    std::map<std::pair<std::string, int64_t>, std::shared_ptr<HeldVersion>> versions;
+};
+
+} // namespace WeightAgent
--- /dev/null
+++ b/Userland/Utilities/catkinlinkd/PlatformDaemon.cpp
@@ -0,0 +1,72 @@
+#include "PlatformDaemon.h"
+
+#include "PlatformEntry.h"
+#include <LibLog/Logger.h>
+#include <iostream>
+#include <platform/EngineClient.h>
+
+namespace
+{
+
+enum ExitCode { Success = 0, UsageError = 2, InvalidSettings = 3, StartFailed = 1 };
+
+// Agents hold nothing that others wait for; they end at once.
+int runAgent(LibFiber::Loop &loop, const Platform::NodeSettings &settings)
+{
+    const LibLog::Logger logger("daemon");
+    if (!settings.engineAddress || settings.innerPort == 0) {
+        logger.error("failed", {{"reason", "settings: app and innerPorts are needed by an agent"}});
+        return InvalidSettings;
+    }
+    PlatformNode node(loop, settings, {settings.ip, settings.innerPort}, std::nullopt);
+    const auto layers = [&node, service = settings.engineService] {
+        const auto configuration = node.fleet.configuration();
+        const auto found = configuration ? configuration->services.find(service) : decltype(configuration->services.end()){};
+        return configuration && found != configuration->services.end() && found->second.engine ? found->second.engine->layers : 0;
+    };
+    Platform::EngineClient engine(loop, *settings.engineAddress, layers);
+    Platform::OriginClient origin(loop);
+    WeightAgent::AgentService::Settings agentSettings;
+    agentSettings.service = settings.engineService;
+    agentSettings.engineAddress = *settings.engineAddress;
+    agentSettings.region = settings.region;
+    agentSettings.regionsByDomain = settings.regionsByDomain;
+    agentSettings.rpcPort = settings.innerPort;
+    agentSettings.switchWithin = settings.bounds.weightsWithin;
+    WeightAgent::AgentService agent(loop, agentSettings, node.fleet, engine, origin, node.exchange);
+    LibPeers::PeerServer server(loop, node.exchange, &agent.versions());
+    if (const absl::Status status = server.listen({settings.ip, settings.innerPort}); !status.ok()) {
+        logger.error("failed", {{"reason", std::string(status.message())}});
+        return StartFailed;
+    }
+    node.exchange.start();
+    node.readStoreWhenAlone();
+    agent.start();
+    waitForStop(loop);
+    logger.info("stopped");
+    return Success;
+}
+
+} // namespace
+
+int runOnPlatform(const std::string &role)
+{
+    const absl::StatusOr<Platform::NodeSettings> settings = Platform::readNodeSettings(Platform::settingsPath());
+    if (!settings.ok()) {
+        std::cerr << "catkinlinkd: " << std::string(settings.status().message()) << "\n";
+        return InvalidSettings;
+    }
+    LibLog::initializeLogging(settings->name, "info", LibLog::Output::Standard);
+    const LibLog::Logger logger("daemon");
+    logger.info("started", {{"role", role}, {"failure_domain", settings->failureDomain}, {"store", settings->store.text()}});
+    if (role != "entry" && role != "agent") {
+        std::cerr << "catkinlinkd: unknown role " << role << "\n";
+        return UsageError;
+    }
+    kj::UnixEventPort::captureSignal(SIGTERM);
+    kj::UnixEventPort::captureSignal(SIGINT);
+    kj::UnixEventPort::captureSignal(SIGHUP);
+    LibFiber::Loop loop;
+    watchReload(loop);
+    return role == "entry" ? runEntry(loop, *settings) : runAgent(loop, *settings);
+}
--- /dev/null
+++ b/Userland/Utilities/catkinlinkd/PlatformEntry.cpp
@@ -0,0 +1,234 @@
+#include "PlatformEntry.h"
+
+#include <Gateway/GatewayService.h>
+#include <Gateway/SmallServer.h>
+#include <LibPeers/PeerServer.h>
+#include <csignal>
+#include <platform/CallHeaders.h>
+#include <platform/Directory.h>
+
+namespace
+{
+
+constexpr int startFailed = 1;
+// Agents that hear no entry for this long read the store themselves.
+constexpr AK::Milliseconds aloneAfter = 2'500;
+constexpr AK::Milliseconds aloneInterval = 2'000;
+// An entry that has not answered for this long is not named to clients.
+constexpr AK::Milliseconds entryMaxAge = 1'000;
+// Clients keep the addresses this long, some of them three times as long.
+constexpr AK::Milliseconds addressLifetime = 1'000;
+constexpr AK::Milliseconds registerInterval = 500;
+// Time from SIGTERM until idle connections are ended: clients have asked for addresses again.
+constexpr AK::Milliseconds idleCloseAfter = 3'500;
+constexpr AK::Milliseconds drainPoll = 50;
+// Kept of the grace for ending the process.
+constexpr AK::Milliseconds stopReserve = 700;
+
+/// Everything that an entry runs.
+class EntryProcess
+{
+public:
+    EntryProcess(LibFiber::Loop &loop, const Platform::NodeSettings &settings)
+        : loop(loop)
+        , settings(settings)
+        , node(loop, settings, *settings.rpcAddress, *settings.clientAddress)
+        , dispatcher(loop, this->node.fleet, dispatchSettings(settings))
+        , links(loop)
+        , gateway({loop, this->node.fleet, this->codec, this->dispatcher, this->links, this->metrics}, *settings.clientAddress)
+        , peers(loop, this->node.exchange, nullptr)
+        , readiness(loop, *settings.readinessAddress, [this](const auto &head) { return this->answerReadiness(head); })
+        , directory(loop, *settings.directoryAddress, [this](const auto &head) { return this->answerDirectory(head); })
+    {
+        this->dispatcher.setRegions(settings.regionsByDomain);
+        this->node.exchange.describeWith([this](LibPeers::NodeState &state) {
+            state.ready = this->ready();
+            state.leaving = this->leaving;
+        });
+        this->node.exchange.onReport([this](const LibPeers::EngineReport &report) { this->dispatcher.takeReport(report); });
+    }
+
+    absl::Status start()
+    {
+        for (const absl::Status &status :
+             {this->peers.listen(*this->settings.rpcAddress), this->readiness.start(), this->directory.start(), this->gateway.start()}) {
+            if (!status.ok()) {
+                return status;
+            }
+        }
+        this->node.feeds.watchStore();
+        this->node.exchange.start();
+        this->loop.spawn([this](kj::WaitScope &scope) { this->registerSelf(scope); });
+        return absl::OkStatus();
+    }
+
+    void drain()
+    {
+        const AK::Milliseconds begun = this->loop.clock().now();
+        const AK::Milliseconds limit = begun + this->settings.bounds.stopGrace - stopReserve;
+        this->leaving = true;
+        this->gateway.beginDrain();
+        this->node.exchange.pushNow();
+        this->loop.spawn([this](kj::WaitScope &scope) { this->unregisterSelf(scope); });
+        kj::WaitScope &scope = this->loop.rootScope();
+        while (this->loop.clock().now() < limit) {
+            this->loop.sleep(scope, drainPoll);
+            if (this->loop.clock().now() - begun >= idleCloseAfter) {
+                this->gateway.closeIdle();
+                if (this->gateway.openConnections() == 0) {
+                    break;
+                }
+            }
+        }
+        this->logger.info("drained", {{"took_ms", this->loop.clock().now() - begun}, {"calls_left", this->gateway.callsInProgress()}});
+    }
+
+private:
+    static Gateway::DispatchSettings dispatchSettings(const Platform::NodeSettings &settings)
+    {
+        Gateway::DispatchSettings result;
+        result.region = settings.region;
+        result.failureDomain = settings.failureDomain;
+        result.retries = {settings.bounds.retryRatio, settings.bounds.retryExtra, settings.bounds.retryWindow};
+        // Calls that were sent before may still wait in the queue of an engine.
+        constexpr AK::Milliseconds queueTime = 1'500;
+        result.switchBefore = settings.bounds.weightsWithin - queueTime;
+        return result;
+    }
+
+    bool ready() const
+    {
+        return !this->leaving && this->node.fleet.configuration() != nullptr;
+    }
+
+    Gateway::SmallAnswer answerReadiness(const LibHttpStream::RequestHead &head) const
+    {
+        constexpr int unavailable = 503;
+        constexpr int notFound = 404;
+        if (head.method == "GET" && head.target == "/metrics") {
+            return {200, "text/plain; version=0.0.4", this->metrics.text()};
+        }
+        if (!Platform::asksForReadiness(head)) {
+            return {notFound, "application/json", "{}"};
+        }
+        return {this->ready() ? 200 : unavailable, "application/json", "{}"};
+    }
+
+    Gateway::SmallAnswer answerDirectory(const LibHttpStream::RequestHead &head) const
+    {
+        constexpr int notFound = 404;
+        if (!Platform::asksForAddresses(head)) {
+            return {notFound, "application/json", "{}"};
+        }
+        std::vector<AK::Endpoint> addresses;
+        if (this->ready()) {
+            addresses.push_back(*this->settings.clientAddress);
+        }
+        for (const auto &[name, view] : this->node.exchange.liveEntries(entryMaxAge)) {
+            const absl::StatusOr<AK::Endpoint> address = AK::parseEndpoint(view.state.clientAddress);
+            if (name != this->settings.name && view.state.ready && !view.state.leaving && address.ok()) {
+                addresses.push_back(*address);
+            }
+        }
+        if (addresses.empty()) {
+            addresses.push_back(*this->settings.clientAddress);
+        }
+        return {200, "application/json", Platform::encodeAddresses(addresses, std::min(addressLifetime, this->settings.bounds.addressLifetime))};
+    }
+
+    void registerSelf(kj::WaitScope &scope)
+    {
+        const LibFleet::EntryRecord self{this->settings.name, *this->settings.rpcAddress, *this->settings.clientAddress, this->settings.region,
+                                         this->settings.failureDomain};
+        while (!this->leaving) {
+            const absl::Status status = this->node.store.put(scope, LibFleet::ObjectKind::Entries, self.name, this->node.decoder.encodeEntry(self));
+            if (status.ok()) {
+                this->logger.info("registered");
+                return;
+            }
+            this->logger.info("not_registered", {{"reason", std::string(status.message())}});
+            this->loop.sleep(scope, registerInterval);
+        }
+    }
+
+    void unregisterSelf(kj::WaitScope &scope)
+    {
+        const absl::Status status = this->node.store.erase(scope, LibFleet::ObjectKind::Entries, this->settings.name);
+        this->logger.info("unregistered", {{"reason", std::string(status.message())}});
+    }
+
+    LibFiber::Loop &loop;
+    const Platform::NodeSettings &settings;
+    PlatformNode node;
+    LibMetrics::MetricRegistry metrics;
+    Platform::CallHeaders codec;
+    Gateway::Dispatcher dispatcher;
+    Gateway::UpstreamLinks links;
+    Gateway::GatewayService gateway;
+    LibPeers::PeerServer peers;
+    Gateway::SmallServer readiness;
+    Gateway::SmallServer directory;
+    bool leaving = false;
+    LibLog::Logger logger{"daemon"};
+};
+
+} // namespace
+
+PlatformNode::PlatformNode(LibFiber::Loop &loop, const Platform::NodeSettings &settings, const AK::Endpoint &rpcAddress,
+                           std::optional<AK::Endpoint> clientAddress)
+    : loop(loop)
+    , fleet(loop.clock())
+    , decoder(loop.clock())
+    , store(loop, settings.store)
+    , feeds(loop, this->store, this->decoder, this->fleet)
+    , exchange(loop, {settings.name, rpcAddress, std::move(clientAddress), settings.seeds}, this->feeds, this->fleet)
+{
+}
+
+void PlatformNode::readStoreWhenAlone()
+{
+    this->loop.spawn([this](kj::WaitScope &scope) {
+        while (true) {
+            this->loop.sleep(scope, aloneInterval);
+            if (this->exchange.liveEntries(aloneAfter).empty()) {
+                this->feeds.refreshFromStore(scope);
+            }
+        }
+    });
+}
+
+void waitForStop(LibFiber::Loop &loop)
+{
+    loop.events().onSignal(SIGTERM).ignoreResult().exclusiveJoin(loop.events().onSignal(SIGINT).ignoreResult()).wait(loop.rootScope());
+}
+
+void watchReload(LibFiber::Loop &loop)
+{
+    loop.spawn([&loop](kj::WaitScope &scope) {
+        const LibLog::Logger logger("daemon");
+        while (true) {
+            loop.events().onSignal(SIGHUP).wait(scope);
+            const auto settings = Platform::readNodeSettings(Platform::settingsPath());
+            logger.info("reloaded", {{"valid", settings.ok()}, {"reason", std::string(settings.status().message())}});
+        }
+    });
+}
+
+int runEntry(LibFiber::Loop &loop, const Platform::NodeSettings &settings)
+{
+    const LibLog::Logger logger("daemon");
+    if (!settings.clientAddress || !settings.readinessAddress || !settings.rpcAddress || !settings.directoryAddress) {
+        logger.error("failed", {{"reason", "settings: listen must hold front, ready, control and directory"}});
+        return startFailed;
+    }
+    EntryProcess entry(loop, settings);
+    if (const absl::Status status = entry.start(); !status.ok()) {
+        logger.error("failed", {{"reason", std::string(status.message())}});
+        return startFailed;
+    }
+    waitForStop(loop);
+    logger.info("stopping");
+    entry.drain();
+    logger.info("stopped");
+    return 0;
+}
--- /dev/null
+++ b/Userland/Utilities/catkinlinkd/PlatformEntry.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <Fleet/PeerExchange.h>
+#include <LibFiber/Loop.h>
+#include <WeightAgent/AgentService.h>
+#include <platform/NodeSettings.h>
+#include <platform/ObjectCodec.h>
+#include <platform/StoreClient.h>
+
+/// What every process on the platform has: beliefs, feeds of objects and talk with other processes.
+struct PlatformNode {
+    PlatformNode(LibFiber::Loop &loop, const Platform::NodeSettings &settings, const AK::Endpoint &rpcAddress, std::optional<AK::Endpoint> clientAddress);
+
+    /// Reads the store while no entry has been heard from for a while.
+    void readStoreWhenAlone();
+
+    LibFiber::Loop &loop;
+    LibFleet::FleetState fleet;
+    Platform::ObjectCodec decoder;
+    Platform::StoreClient store;
+    Fleet::FeedKeeper feeds;
+    Fleet::PeerExchange exchange;
+};
+
+/// Returns after SIGTERM or SIGINT.
+void waitForStop(LibFiber::Loop &loop);
+
+/// Logs each SIGHUP and checks the settings file that comes with it.
+void watchReload(LibFiber::Loop &loop);
+
+/// Runs an entry until SIGTERM and its graceful shutdown. Returns the exit code of the process.
+int runEntry(LibFiber::Loop &loop, const Platform::NodeSettings &settings);
--- a/Userland/Utilities/catkinlinkd/main.cpp
+++ b/Userland/Utilities/catkinlinkd/main.cpp
@@ -1,4 +1,5 @@
 #include "Composition.h"
+#include "PlatformDaemon.h"
 
 #include <AK/StatusMacros.h>
 #include <Kernel/Daemon.h>
@@ -62,9 +63,15 @@
     mallopt(M_ARENA_MAX, mallocArenas);
     try {
         TCLAP::CmdLine command("Daemon of catkinlink. Its role, entry or agent, comes from its settings. SIGTERM starts a graceful shutdown.", ' ', version);
-        const TCLAP::ValueArg<std::string> config("c", "config", "settings file of this process (JSON)", true, "", "FILE", command);
+        TCLAP::ValueArg<std::string> config("c", "config", "settings file of this process (JSON)", true, "", "FILE");
+        TCLAP::ValueArg<std::string> platform("", "platform", "run on the users' platform, with the settings file that it writes, as entry or agent", true, "",
+                                              "ROLE");
+        command.xorAdd(config, platform);
         const TCLAP::SwitchArg check("", "check", "check the settings file and exit", command);
         command.parse(argc, argv);
+        if (platform.isSet()) {
+            return runOnPlatform(platform.getValue());
+        }
         const absl::StatusOr<LibSettings::ProcessSettings> settings = readSettings(config.getValue());
         if (!settings.ok()) {
             std::cerr << "catkinlinkd: " << std::string(settings.status().message()) << "\n";
