--- a/Userland/Services/WeightAgent/AgentService.cpp
+++ b/Userland/Services/WeightAgent/AgentService.cpp
@@ -172,7 +172,6 @@
         this->takeStaged(scope, model, *held);
     }
     if (!held->complete()) {
-        std::vector<uint32_t> unstaged;
         fetch.fetchAll(
             scope, *held, [&] { return this->wantedVersion(model) == version; }, [](uint32_t) {});
     }
