LibPeers, LibFleet: Survive ended RPC connections and keep the time of each named version

Cause 2: a newer version replaced the time of the one before, so version 1 was used 8.06 s after version 2 was named. Cause 3: two fibers shared one HTTP connection to the engine (code 139). Ruled out: a late watch (the entries logged weights_named within 10 ms of each other).

--- a/Userland/Libraries/LibFleet/FleetState.cpp
+++ b/Userland/Libraries/LibFleet/FleetState.cpp
@@ -1,8 +1,18 @@
 #include <LibFleet/FleetState.h>
 
+#include <algorithm>
+
 namespace LibFleet
 {
 
+namespace
+{
+
+// Versions are named seconds apart and each counts for some seconds.
+constexpr size_t targetsKept = 16;
+
+} // namespace
+
 FleetState::FleetState(const AK::Clock &clock)
     : clock(clock)
 {
@@ -35,8 +45,15 @@
 
 WeightsTarget FleetState::weightsTarget(const std::string &model) const
 {
+    const std::vector<WeightsTarget> &all = this->weightsTargets(model);
+    return all.empty() ? WeightsTarget{} : all.back();
+}
+
+const std::vector<WeightsTarget> &FleetState::weightsTargets(const std::string &model) const
+{
+    static const std::vector<WeightsTarget> none;
     const auto found = this->targets.find(model);
-    return found == this->targets.end() ? WeightsTarget{} : found->second;
+    return found == this->targets.end() ? none : found->second;
 }
 
 void FleetState::setConfiguration(Configuration configuration)
@@ -92,14 +109,18 @@
     this->changed();
 }
 
-void FleetState::setWeightsTargets(const std::map<std::string, int64_t> &versions)
+void FleetState::setWeightsTargets(const std::map<std::string, int64_t> &versions, AK::Milliseconds firstAge)
 {
     bool grown = false;
+    const AK::Milliseconds learnedAt = this->clock.now() - (this->targetsKnown ? 0 : firstAge);
+    this->targetsKnown = true;
     for (const auto &[model, version] : versions) {
-        WeightsTarget &target = this->targets[model];
-        if (version > target.version) {
-            this->logger.info("weights_named", {{"model", model}, {"version", version}, {"previous", target.version}});
-            target = {version, this->clock.now()};
+        std::vector<WeightsTarget> &known = this->targets[model];
+        const int64_t previous = known.empty() ? 0 : known.back().version;
+        if (version > previous) {
+            this->logger.info("weights_named", {{"model", model}, {"version", version}, {"previous", previous}});
+            known.push_back({version, learnedAt});
+            known.erase(known.begin(), known.end() - static_cast<std::ptrdiff_t>(std::min(known.size(), targetsKept)));
             grown = true;
         }
     }
--- a/Userland/Libraries/LibFleet/FleetState.h
+++ b/Userland/Libraries/LibFleet/FleetState.h
@@ -54,15 +54,18 @@
     const std::map<std::string, UpstreamRecord> &upstreams() const;
     const std::map<std::string, EntryRecord> &entries() const;
     bool isEvacuated(const std::string &failureDomain) const;
-    /// The target of a model; version 0 when none is named.
+    /// The newest target of a model; version 0 when none is named.
     WeightsTarget weightsTarget(const std::string &model) const;
+    /// The newest targets of a model, oldest first. Each bounds how long older versions may be used, also when a newer one has been named meanwhile.
+    const std::vector<WeightsTarget> &weightsTargets(const std::string &model) const;
 
     /// Puts a configuration in force unless it is older than the one in force.
     void setConfiguration(Configuration configuration);
     void setUpstreams(std::map<std::string, UpstreamRecord> upstreams);
     void setEntries(std::map<std::string, EntryRecord> entries);
     void setEvacuations(std::set<std::string> failureDomains);
-    void setWeightsTargets(const std::map<std::string, int64_t> &versions);
+    /// `firstAge`: what is taken as the age of targets that were named before this process started.
+    void setWeightsTargets(const std::map<std::string, int64_t> &versions, AK::Milliseconds firstAge);
 
     /// Calls `observer` after each change.
     void observe(std::function<void()> observer);
@@ -76,7 +79,8 @@
     std::map<std::string, UpstreamRecord> upstreamsById;
     std::map<std::string, EntryRecord> entriesByName;
     std::set<std::string> evacuated;
-    std::map<std::string, WeightsTarget> targets;
+    std::map<std::string, std::vector<WeightsTarget>> targets;
+    bool targetsKnown = false;
     std::vector<std::function<void()>> observers;
     LibLog::Logger logger{"fleet"};
 };
--- a/Userland/Libraries/LibGateway/Placement.cpp
+++ b/Userland/Libraries/LibGateway/Placement.cpp
@@ -70,9 +70,15 @@
     return chosen;
 }
 
-int64_t requiredWeights(const LibFleet::WeightsTarget &target, AK::Milliseconds now, AK::Milliseconds switchBefore)
+int64_t requiredWeights(const std::vector<LibFleet::WeightsTarget> &targets, AK::Milliseconds now, AK::Milliseconds switchBefore)
 {
-    return target.version > 0 && now - target.learnedAt >= switchBefore ? target.version : 0;
+    int64_t required = 0;
+    for (const LibFleet::WeightsTarget &target : targets) {
+        if (now - target.learnedAt >= switchBefore) {
+            required = std::max(required, target.version);
+        }
+    }
+    return required;
 }
 
 } // namespace LibGateway
--- a/Userland/Libraries/LibGateway/Placement.h
+++ b/Userland/Libraries/LibGateway/Placement.h
@@ -73,7 +73,8 @@
 /// reports do not herd.
 std::optional<size_t> chooseUpstream(const std::vector<PlacementCandidate> &candidates, const PlacementSettings &settings, AK::Random &random);
 
-/// The version that upstreams must have now: 0 for any. Until `switchBefore` ms after the new version became known the old one may answer too.
-int64_t requiredWeights(const LibFleet::WeightsTarget &target, AK::Milliseconds now, AK::Milliseconds switchBefore);
+/// The oldest version that may answer now, 0 for any: the newest that became known `switchBefore` ms ago or earlier. Load pattern: a version is named before
+/// the one before it has arrived, and the time of the first still counts.
+int64_t requiredWeights(const std::vector<LibFleet::WeightsTarget> &targets, AK::Milliseconds now, AK::Milliseconds switchBefore);
 
 } // namespace LibGateway
--- a/Userland/Libraries/LibHttpStream/HttpCaller.cpp
+++ b/Userland/Libraries/LibHttpStream/HttpCaller.cpp
@@ -30,6 +30,11 @@
 absl::StatusOr<WholeResponse> HttpCaller::call(kj::WaitScope &scope, const std::string &method, const std::string &path, const std::string &body,
                                                AK::Milliseconds connectBy, AK::Milliseconds deadline)
 {
+    if (this->busy) {
+        return absl::FailedPreconditionError("another call is being made");
+    }
+    this->busy = true;
+    KJ_DEFER(this->busy = false);
     KJ_IF_MAYBE (channel, this->kept) {
         if ((*channel)->ended() || !(*channel)->buffered().empty()) {
             this->kept = nullptr;
--- a/Userland/Libraries/LibHttpStream/HttpCaller.h
+++ b/Userland/Libraries/LibHttpStream/HttpCaller.h
@@ -13,14 +13,14 @@
     std::string body;
 };
 
-/// Makes one call at a time to one server over a kept connection.
+/// Makes one call at a time to one server over a kept connection. Two fibers must not share one.
 class HttpCaller
 {
 public:
     HttpCaller(LibFiber::Loop &loop, AK::Endpoint address);
 
     /// Sends a request and reads the whole response. `connectBy` bounds the opening of a connection, `deadline` everything.
-    /// Errors: kUnavailable, kDeadlineExceeded, kInvalidArgument, kDataLoss; the request may have been executed unless the connection failed.
+    /// Errors: kFailedPrecondition while another call is made, kUnavailable, kDeadlineExceeded, kInvalidArgument, kDataLoss; the request may have been executed unless the connection failed.
     absl::StatusOr<WholeResponse> call(kj::WaitScope &scope, const std::string &method, const std::string &target, const std::string &body,
                                        AK::Milliseconds connectBy, AK::Milliseconds deadline);
 
@@ -32,6 +32,7 @@
     LibFiber::Loop &loop;
     AK::Endpoint target;
     kj::Maybe<kj::Own<LibFiber::ByteChannel>> kept;
+    bool busy = false;
 };
 
 } // namespace LibHttpStream
--- a/Userland/Libraries/LibPeers/PeerLink.cpp
+++ b/Userland/Libraries/LibPeers/PeerLink.cpp
@@ -2,6 +2,7 @@
 
 #include <AK/StatusMacros.h>
 #include <LibPeers/WireCodec.h>
+#include <kj/debug.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
@@ -24,6 +25,7 @@
 PeerLink::Connection::Connection(kj::Own<kj::AsyncIoStream> stream)
     : stream(kj::mv(stream))
     , client(*this->stream)
+    , watch(this->client.onDisconnect().then([this] { this->ended = true; }).eagerlyEvaluate(nullptr))
 {
 }
 
@@ -41,7 +43,10 @@
 absl::StatusOr<kj::Own<PeerLink::Connection>> PeerLink::connection(kj::WaitScope &scope, AK::Milliseconds deadline)
 {
     KJ_IF_MAYBE (open, this->current) {
-        return kj::addRef(**open);
+        if (!(*open)->ended) {
+            return kj::addRef(**open);
+        }
+        this->current = nullptr;
     }
     auto address = LibFiber::networkAddress(this->loop, this->target);
     if (!address.ok()) {
@@ -80,8 +85,17 @@
     if (!open.ok()) {
         return Result(open.status());
     }
-    auto request = prepare((*open)->client.bootstrap().template castAs<PeerWire::FleetPeer>());
-    Result result = this->loop.await(scope, request.send().then(std::forward<Decode>(decodeResponse)), deadline);
+    // A connection that has ended throws at once instead of failing the promise.
+    kj::Maybe<kj::Promise<std::invoke_result_t<Decode, Response &&>>> sent;
+    const auto failure = kj::runCatchingExceptions([&] {
+        auto request = prepare((*open)->client.bootstrap().template castAs<PeerWire::FleetPeer>());
+        sent = request.send().then(std::forward<Decode>(decodeResponse));
+    });
+    KJ_IF_MAYBE (exception, failure) {
+        this->drop(**open);
+        return Result(LibFiber::toStatus(*exception));
+    }
+    Result result = this->loop.await(scope, kj::mv(KJ_ASSERT_NONNULL(sent)), deadline);
     if (!result.ok()) {
         this->drop(**open);
     }
--- a/Userland/Libraries/LibPeers/PeerLink.h
+++ b/Userland/Libraries/LibPeers/PeerLink.h
@@ -30,6 +30,8 @@
         explicit Connection(kj::Own<kj::AsyncIoStream> stream);
         kj::Own<kj::AsyncIoStream> stream;
         capnp::TwoPartyClient client;
+        bool ended = false;
+        kj::Promise<void> watch;
     };
 
     absl::StatusOr<kj::Own<Connection>> connection(kj::WaitScope &scope, AK::Milliseconds deadline);
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -151,7 +151,7 @@
         UpstreamCall call(this->context.loop, this->context.links, this->context.codec);
         const bool repeatable = this->route->repeatable();
         AK::Milliseconds answerBy = this->deadline;
-        if (repeatable) {
+        if (repeatable && this->report.sends < this->route->maxAttempts) {
             const auto share = static_cast<AK::Milliseconds>(plainSilenceShare * static_cast<double>(this->deadline - this->arrivedAt));
             answerBy = std::min(answerBy, this->now() + (this->route->kind == RouteKind::Stream ? silenceLimit : share));
         }
@@ -245,8 +245,11 @@
         return absl::OkStatus();
     }
     if (this->client.begun()) {
+        this->report.longestGap = std::max(this->report.longestGap, this->now() - this->report.lastPartAt);
+        this->report.lastPartAt = this->now();
         return this->client.part(scope, text);
     }
+    this->report.lastPartAt = this->now();
     this->report.status = answerHead.status;
     this->report.firstByteAfter = this->now() - this->arrivedAt;
     return this->client.begin(scope, answerHead, text);
@@ -317,7 +320,9 @@
     const LibMetrics::Labels labels{{"route", this->route == nullptr ? "none" : this->route->name}, {"result", this->report.result}};
     this->context.metrics.add("catkinlink_calls_total", labels);
     this->context.metrics.observe("catkinlink_call_duration_ms", {{"result", this->report.result}}, static_cast<double>(took));
-    if (this->report.result == "answered" && this->report.status < 400 && AK::stableHash(this->request.id) % logSampling != 0) {
+    const bool late = this->route != nullptr
+        && (this->report.firstByteAfter > this->route->targetLatency || (this->route->gapTarget > 0 && this->report.longestGap > this->route->gapTarget));
+    if (this->report.result == "answered" && this->report.status < 400 && !late && AK::stableHash(this->request.id) % logSampling != 0) {
         return;
     }
     this->logger.info("call_ended", {{"request", this->request.id},
@@ -332,6 +337,9 @@
                                      {"load", this->report.loadAtChoice},
                                      {"waited_ms", this->report.waited},
                                      {"first_byte_ms", this->report.firstByteAfter},
+                                     {"longest_gap_ms", this->report.longestGap},
+                                     {"prompt_tokens", this->request.promptTokens},
+                                     {"late", late},
                                      {"took_ms", took}});
 }
 
--- a/Userland/Services/Gateway/CallTask.h
+++ b/Userland/Services/Gateway/CallTask.h
@@ -28,6 +28,9 @@
     int sends = 0;
     AK::Milliseconds waited = 0;
     AK::Milliseconds firstByteAfter = -1;
+    /// Longest pause between two parts of a stream.
+    AK::Milliseconds longestGap = 0;
+    AK::Milliseconds lastPartAt = 0;
     double loadAtChoice = 0;
 };
 
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -110,7 +110,7 @@
     if (spec == configuration->services.end() || !spec->second.engine) {
         return 0;
     }
-    return LibGateway::requiredWeights(this->fleet.weightsTarget(spec->second.engine->model), this->loop.clock().now(), this->settings.switchBefore);
+    return LibGateway::requiredWeights(this->fleet.weightsTargets(spec->second.engine->model), this->loop.clock().now(), this->settings.switchBefore);
 }
 
 int64_t Dispatcher::heldWeights(const LibFleet::UpstreamRecord &record) const
@@ -178,7 +178,7 @@
     LibGateway::UpstreamLoad &load = this->loadOf(record);
     ++load.ownInFlight;
     load.rateTokens -= 1;
-    grant = kj::heap<Grant>(*this, record, record.isEngine ? this->requiredWeights(record.service) : 0, candidates[*chosen].load);
+    grant = kj::heap<Grant>(*this, record, record.isEngine && this->requiredWeights(record.service) > 0 ? this->heldWeights(record) : 0, candidates[*chosen].load);
     return Availability::Granted;
 }
 
--- a/Userland/Services/WeightAgent/AgentService.cpp
+++ b/Userland/Services/WeightAgent/AgentService.cpp
@@ -16,7 +16,7 @@
 constexpr AK::Milliseconds retryPause = 200;
 // Drain and load of one engine; the last load of a rollout begins this long before its end.
 constexpr AK::Milliseconds loadTime = 2'500;
-constexpr AK::Milliseconds loadPoll = 50;
+constexpr AK::Milliseconds loadPoll = 20;
 // An order without effect for this long is looked at anew.
 constexpr AK::Milliseconds loadLimit = 8'000;
 // Engines hold this version at the start of a deployment, when none is named.
@@ -209,6 +209,29 @@
     return true;
 }
 
+absl::StatusOr<EngineStatus> AgentService::freshStatus(kj::WaitScope &scope) const
+{
+    const AK::Milliseconds asked = this->loop.clock().now();
+    while (this->statusAt <= asked) {
+        if (this->loop.clock().now() - asked > statusMaxAge) {
+            return absl::UnavailableError("the engine does not answer");
+        }
+        this->loop.sleep(scope, loadPoll);
+    }
+    return *this->status;
+}
+
+AK::Milliseconds AgentService::timeLeft(const std::string &model) const
+{
+    AK::Milliseconds knownFor = 0;
+    for (const LibFleet::WeightsTarget &target : this->fleet.weightsTargets(model)) {
+        if (target.version > this->status->report.weightsVersion) {
+            knownFor = std::max(knownFor, this->loop.clock().now() - target.learnedAt);
+        }
+    }
+    return this->settings.switchWithin - knownFor;
+}
+
 bool AgentService::waitForTurn(kj::WaitScope &scope, const std::string &model, int64_t version)
 {
     if (this->status->report.weightsVersion == 0) {
@@ -220,8 +243,7 @@
     const uint64_t own = AK::rendezvousWeight(key, self);
     const auto rank = static_cast<size_t>(std::count_if(peers.peers.begin(), peers.peers.end(),
                                                         [&](const SwarmPeer &peer) { return AK::rendezvousWeight(key, peer.member.name) > own; }));
-    const AK::Milliseconds knownFor = this->loop.clock().now() - this->fleet.weightsTarget(model).learnedAt;
-    const AK::Milliseconds delay = loadDelay(rank, peers.peers.size() + 1, this->settings.switchWithin - knownFor, loadTime);
+    const AK::Milliseconds delay = loadDelay(rank, peers.peers.size() + 1, this->timeLeft(model), loadTime);
     const AK::Milliseconds until = this->loop.clock().now() + delay;
     while (this->loop.clock().now() < until) {
         if (this->wantedVersion(model) != version || this->status->report.weightsVersion == 0) {
@@ -238,7 +260,7 @@
     this->aboutToSwitch = true;
     KJ_DEFER(this->aboutToSwitch = false);
     this->exchange.pushNow();
-    const absl::StatusOr<EngineStatus> before = this->engine.status(scope);
+    const absl::StatusOr<EngineStatus> before = this->freshStatus(scope);
     if (!before.ok() || before->busy || before->report.weightsVersion == version) {
         return;
     }
@@ -253,12 +275,8 @@
     }
     const AK::Milliseconds until = this->loop.clock().now() + loadLimit;
     while (this->loop.clock().now() < until) {
-        this->loop.sleep(scope, loadPoll);
-        const absl::StatusOr<EngineStatus> now = this->engine.status(scope);
+        const absl::StatusOr<EngineStatus> now = this->freshStatus(scope);
         if (now.ok() && (now->report.weightsVersion == version || !now->busy)) {
-            this->status = *now;
-            this->status->report.upstream = this->settings.engineAddress.text();
-            this->statusAt = this->loop.clock().now();
             this->logger.info("loaded", {{"version", now->report.weightsVersion}, {"wanted", version}});
             return;
         }
--- a/Userland/Services/WeightAgent/AgentService.h
+++ b/Userland/Services/WeightAgent/AgentService.h
@@ -37,6 +37,10 @@
     void takeStaged(kj::WaitScope &scope, const std::string &model, HeldVersion &held);
     bool verifyStaged(kj::WaitScope &scope, const std::string &model, const HeldVersion &held);
     void switchTo(kj::WaitScope &scope, const std::string &model, const HeldVersion &held);
+    /// Waits for a status that was read after this call. Errors: kUnavailable when the engine does not answer.
+    absl::StatusOr<EngineStatus> freshStatus(kj::WaitScope &scope) const;
+    /// Time until the weights that the engine holds must not begin work any more.
+    AK::Milliseconds timeLeft(const std::string &model) const;
     bool waitForTurn(kj::WaitScope &scope, const std::string &model, int64_t version);
     const LibFleet::EngineSpec *engineSpec() const;
     int64_t wantedVersion(const std::string &model) const;
--- a/Userland/Utilities/catkinlinkd/PlatformEntry.cpp
+++ b/Userland/Utilities/catkinlinkd/PlatformEntry.cpp
@@ -19,6 +19,10 @@
 // Clients keep the addresses this long, some of them three times as long.
 constexpr AK::Milliseconds addressLifetime = 1'000;
 constexpr AK::Milliseconds registerInterval = 500;
+// Calls that were sent to an engine may still wait in its queue for this long.
+constexpr AK::Milliseconds queueTime = 1'500;
+// A process that starts finds out within this time which engines have the named weights; it does not know when they were named.
+constexpr AK::Milliseconds restartTolerance = 2'000;
 // Time from SIGTERM until idle connections are ended: clients have asked for addresses again.
 constexpr AK::Milliseconds idleCloseAfter = 3'500;
 constexpr AK::Milliseconds drainPoll = 50;
@@ -90,8 +94,6 @@
         result.region = settings.region;
         result.failureDomain = settings.failureDomain;
         result.retries = {settings.bounds.retryRatio, settings.bounds.retryExtra, settings.bounds.retryWindow};
-        // Calls that were sent before may still wait in the queue of an engine.
-        constexpr AK::Milliseconds queueTime = 1'500;
         result.switchBefore = settings.bounds.weightsWithin - queueTime;
         return result;
     }
@@ -178,7 +180,7 @@
                            std::optional<AK::Endpoint> clientAddress)
     : loop(loop)
     , fleet(loop.clock())
-    , decoder(loop.clock())
+    , decoder(loop.clock(), std::max<AK::Milliseconds>(0, settings.bounds.weightsWithin - queueTime - restartTolerance))
     , store(loop, settings.store)
     , feeds(loop, this->store, this->decoder, this->fleet)
     , exchange(loop, {settings.name, rpcAddress, std::move(clientAddress), settings.seeds}, this->feeds, this->fleet)
