LibGateway: Place calls by the prompts that wait at an engine and give each upstream a preferred entry

Ruled out: full engines, long prompts alone, waiting in the entry. Change: score by unread prompt time, one preferred entry for each upstream, addresses of the client's own failure domain, waits of 0.15 of the target.

--- a/Userland/Libraries/LibGateway/Placement.cpp
+++ b/Userland/Libraries/LibGateway/Placement.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/Placement.h>
 
+#include <AK/Hash.h>
 #include <algorithm>
 
 namespace LibGateway
@@ -9,8 +10,8 @@
 {
 
 constexpr double failureMemory = 0.9;
-// Width of the random part of a score, in relative load.
-constexpr double jitter = 0.04;
+// Width of the random part of a score.
+constexpr double jitterMs = 5;
 constexpr int exponentLimit = 3;
 
 } // namespace
@@ -53,15 +54,16 @@
 {
     std::optional<size_t> chosen;
     double lowest = 0;
-    std::uniform_real_distribution<double> noise(0, jitter);
+    std::uniform_real_distribution<double> noise(0, jitterMs);
     for (size_t i = 0; i < candidates.size(); ++i) {
         const PlacementCandidate &candidate = candidates[i];
-        if (candidate.load >= candidate.limit) {
+        const double pace = std::max(1.0, candidate.pace);
+        if (candidate.load >= candidate.limit || pace * candidate.promptBacklogMs > settings.promptBacklogMs) {
             continue;
         }
-        const double distance = candidate.sameDomain ? 0 : candidate.sameRegion ? settings.domainPenalty : settings.regionPenalty;
-        const double score = (candidate.load + 1) * std::max(1.0, candidate.pace) / candidate.limit + distance
-            + settings.failurePenalty * candidate.failureShare + noise(random);
+        const double distance = (candidate.preferred ? 0 : settings.foreignPenaltyMs) + (candidate.sameRegion ? 0 : settings.regionPenaltyMs);
+        const double score = pace * (candidate.promptBacklogMs + settings.loadPenaltyMs * candidate.load) + distance
+            + settings.failurePenaltyMs * candidate.failureShare + noise(random);
         if (!chosen || score < lowest) {
             chosen = i;
             lowest = score;
@@ -70,6 +72,21 @@
     return chosen;
 }
 
+std::string preferredEntry(const std::string &upstream, const std::string &failureDomain, const std::vector<EntryPlace> &entries)
+{
+    const bool anyNear = std::any_of(entries.begin(), entries.end(), [&](const EntryPlace &entry) { return entry.failureDomain == failureDomain; });
+    const EntryPlace *preferred = nullptr;
+    uint64_t greatest = 0;
+    for (const EntryPlace &entry : entries) {
+        const uint64_t weight = AK::rendezvousWeight(upstream, entry.name);
+        if ((!anyNear || entry.failureDomain == failureDomain) && (preferred == nullptr || weight > greatest)) {
+            preferred = &entry;
+            greatest = weight;
+        }
+    }
+    return preferred == nullptr ? "" : preferred->name;
+}
+
 int64_t requiredWeights(const std::vector<LibFleet::WeightsTarget> &targets, AK::Milliseconds now, AK::Milliseconds switchBefore)
 {
     int64_t required = 0;
--- a/Userland/Libraries/LibGateway/Placement.h
+++ b/Userland/Libraries/LibGateway/Placement.h
@@ -13,6 +13,8 @@
 struct UpstreamLoad {
     /// Calls of this entry that the upstream works on.
     int ownInFlight = 0;
+    /// Prompt tokens of those that have not sent their first event.
+    int64_t pendingPromptTokens = 0;
     /// Newest report of its agent, and the calls of this entry at that time.
     std::optional<LibPeers::EngineReport> report;
     AK::Milliseconds reportAt = 0;
@@ -34,11 +36,15 @@
 struct PlacementSettings {
     /// Reports older than this say nothing any more.
     AK::Milliseconds reportMaxAge = 1'000;
-    /// Added to the relative load of an upstream in another failure domain of the region, and in another region.
-    double domainPenalty = 0.05;
-    double regionPenalty = 0.1;
-    /// Added to the relative load per share of failed calls.
-    double failurePenalty = 2.0;
+    /// What one more call at an upstream is taken to cost those that run there, in ms of waiting.
+    double loadPenaltyMs = 12;
+    /// For upstreams that another entry prefers, and for those in another region: what the entries do not know of each other's calls, and the way.
+    double foreignPenaltyMs = 15;
+    double regionPenaltyMs = 40;
+    /// For an upstream that fails all calls; less in proportion.
+    double failurePenaltyMs = 400;
+    /// An engine whose unread prompts take longer gets no more: its next pass would keep its streams waiting beyond their gap target.
+    double promptBacklogMs = 160;
     /// Failures in a row after which an upstream gets no calls for a while.
     int failuresToSuspend = 3;
     AK::Milliseconds suspension = 1'000;
@@ -62,17 +68,31 @@
 struct PlacementCandidate {
     double load = 0;
     int limit = 1;
-    bool sameDomain = false;
+    /// Time that the engine needs to read the prompts that wait there, in ms.
+    double promptBacklogMs = 0;
+    /// This entry is the one that prefers the upstream; see preferredEntry().
+    bool preferred = false;
     bool sameRegion = false;
     double failureShare = 0;
     /// Engine pace above the stated one; 1 is as stated.
     double pace = 1;
 };
 
-/// Index of the candidate that serves the call best, or nothing when all are full. Equal candidates are drawn at random, so that entries with the same
-/// reports do not herd.
+/// Index of the candidate with the least expected time to the first event, or nothing when all are full. Load pattern: prompts that meet in one pass of an
+/// engine delay its streams and each other, also at moderate load.
 std::optional<size_t> chooseUpstream(const std::vector<PlacementCandidate> &candidates, const PlacementSettings &settings, AK::Random &random);
 
+/// An entry that may prefer upstreams.
+struct EntryPlace {
+    std::string name;
+    std::string failureDomain;
+};
+
+/// The entry that prefers an upstream: one of its failure domain if there is one, else any, chosen by rendezvous hash. Entries do not know each other's
+/// calls of the last moments; with a preferred entry for each upstream most of its calls come from one that knows them all. Load pattern: several entries
+/// see the same least loaded upstream.
+std::string preferredEntry(const std::string &upstream, const std::string &failureDomain, const std::vector<EntryPlace> &entries);
+
 /// The oldest version that may answer now, 0 for any: the newest that became known `switchBefore` ms ago or earlier. Load pattern: a version is named before
 /// the one before it has arrived, and the time of the first still counts.
 int64_t requiredWeights(const std::vector<LibFleet::WeightsTarget> &targets, AK::Milliseconds now, AK::Milliseconds switchBefore);
--- a/Userland/Libraries/LibPeers/PeerRecords.h
+++ b/Userland/Libraries/LibPeers/PeerRecords.h
@@ -32,6 +32,7 @@
 /// What a process tells another in each exchange.
 struct NodeState {
     std::string name;
+    std::string failureDomain;
     std::string rpcAddress;
     /// Entries: "IP:port" where clients connect.
     std::string clientAddress;
--- a/Userland/Libraries/LibPeers/WireCodec.cpp
+++ b/Userland/Libraries/LibPeers/WireCodec.cpp
@@ -42,6 +42,7 @@
 void encode(const NodeState &state, PeerWire::NodeState::Builder builder)
 {
     builder.setName(state.name.c_str());
+    builder.setFailureDomain(state.failureDomain.c_str());
     builder.setRpcAddress(state.rpcAddress.c_str());
     builder.setClientAddress(state.clientAddress.c_str());
     builder.setReady(state.ready);
@@ -60,6 +61,7 @@
 {
     NodeState state;
     state.name = toText(reader.getName());
+    state.failureDomain = toText(reader.getFailureDomain());
     state.rpcAddress = toText(reader.getRpcAddress());
     state.clientAddress = toText(reader.getClientAddress());
     state.ready = reader.getReady();
--- a/Userland/Libraries/LibPeers/peers.capnp
+++ b/Userland/Libraries/LibPeers/peers.capnp
@@ -25,6 +25,7 @@
   revisions @5 :List(Int64);  # store revision of the last change, by kind of object
   hasEngine @6 :Bool;
   engine @7 :EngineReport;
+  failureDomain @8 :Text;
 }
 
 struct StoredObject {
--- a/Userland/Services/Fleet/PeerExchange.cpp
+++ b/Userland/Services/Fleet/PeerExchange.cpp
@@ -69,6 +69,7 @@
 {
     LibPeers::NodeState own;
     own.name = this->settings.name;
+    own.failureDomain = this->settings.failureDomain;
     own.rpcAddress = this->settings.rpcAddress.text();
     own.clientAddress = this->settings.clientAddress ? this->settings.clientAddress->text() : "";
     for (const auto &row : LibFleet::objectKindNames) {
--- a/Userland/Services/Fleet/PeerExchange.h
+++ b/Userland/Services/Fleet/PeerExchange.h
@@ -26,6 +26,7 @@
 public:
     struct Settings {
         std::string name;
+        std::string failureDomain;
         AK::Endpoint rpcAddress;
         /// Entries: where clients connect.
         std::optional<AK::Endpoint> clientAddress;
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -15,8 +15,13 @@
 constexpr AK::Milliseconds defaultPatience = 10'000;
 // Time a call keeps for its answer to reach the client before the client's own deadline.
 constexpr AK::Milliseconds answerMargin = 20;
-// An engine needs about this long from the arrival of a call to its first event.
-constexpr AK::Milliseconds firstEventTime = 200;
+// Longest wait for a place of a call that can still be answered in time: an engine needs most of the target latency itself, and what waits longer in a
+// lasting overload only makes all that wait late.
+constexpr double streamWaitShare = 0.15;
+// The same for a client that comes back. Its answer is late, so that it may wait; clients leave streams after 3.2 s without an event.
+constexpr AK::Milliseconds returningWait = 1'200;
+// A client with less than this share of the route's time left has been refused before.
+constexpr double returningShare = 0.97;
 // Share of the target latency after which a call that has not started is refused, for calls without a stream.
 constexpr double plainWaitShare = 2.0;
 // An upstream that sends no first event, or then no further one, for this long is left if the stream may be resumed. Clients leave after 3.2 s.
@@ -118,8 +123,11 @@
         this->demand.accountRegions = this->account->allowedRegions;
     }
     const AK::Milliseconds target = this->route->targetLatency;
-    const AK::Milliseconds wait = this->route->kind == RouteKind::Stream ? std::max(target / 4, target - firstEventTime)
-                                                                         : static_cast<AK::Milliseconds>(plainWaitShare * static_cast<double>(target));
+    const bool stream = this->route->kind == RouteKind::Stream;
+    this->demand.promptTokens = stream ? this->request.promptTokens : 0;
+    this->demand.returning = stream && static_cast<double>(patience) < returningShare * static_cast<double>(this->route->timeout);
+    const AK::Milliseconds wait = this->demand.returning ? returningWait
+                                                         : static_cast<AK::Milliseconds>((stream ? streamWaitShare : plainWaitShare) * static_cast<double>(target));
     this->demand.startBy = std::min(this->arrivedAt + wait, this->deadline);
     return true;
 }
@@ -165,7 +173,7 @@
             this->context.dispatcher.countAnswer(upstream, call.answerInfo().load->running, call.answerInfo().load->waiting);
         }
         if (this->route->kind == RouteKind::Stream && call.answerHead().status / 100 == 2) {
-            return this->passStream(scope, call, upstream);
+            return this->passStream(scope, call, **grant);
         }
         return this->passAnswer(scope, call, upstream);
     }
@@ -255,8 +263,9 @@
     return this->client.begin(scope, answerHead, text);
 }
 
-CallTask::Next CallTask::passStream(kj::WaitScope &scope, UpstreamCall &call, const LibFleet::UpstreamRecord &upstream)
+CallTask::Next CallTask::passStream(kj::WaitScope &scope, UpstreamCall &call, Grant &grant)
 {
+    const LibFleet::UpstreamRecord upstream = grant.upstream();
     this->mayHaveRun = true;
     LibGateway::EventSplitter splitter;
     while (true) {
@@ -271,6 +280,7 @@
             break;
         }
         splitter.feed(**data);
+        grant.promptRead();
         if (!this->passEvents(scope, call.answerHead(), splitter).ok()) {
             return Next::Done;
         }
--- a/Userland/Services/Gateway/CallTask.h
+++ b/Userland/Services/Gateway/CallTask.h
@@ -52,7 +52,7 @@
     void attempts(kj::WaitScope &scope);
     Next attempt(kj::WaitScope &scope);
     Next passAnswer(kj::WaitScope &scope, UpstreamCall &call, const LibFleet::UpstreamRecord &upstream);
-    Next passStream(kj::WaitScope &scope, UpstreamCall &call, const LibFleet::UpstreamRecord &upstream);
+    Next passStream(kj::WaitScope &scope, UpstreamCall &call, Grant &grant);
     Next afterFailure(kj::WaitScope &scope, const LibFleet::UpstreamRecord &upstream, bool mayHaveRun, const std::string &reason);
     absl::Status passEvents(kj::WaitScope &scope, const LibHttpStream::ResponseHead &head, LibGateway::EventSplitter &splitter);
     void refuse(kj::WaitScope &scope, int status, const std::string &reason, AK::Milliseconds retryAfter);
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -17,6 +17,12 @@
 constexpr AK::Milliseconds shortestRetryAfter = 400;
 constexpr AK::Milliseconds retryAfterSpread = 1'200;
 
+// Order of the waiting line: urgent calls first, and clients that can still be answered in time before those that come back.
+bool isBefore(const Demand &left, const Demand &right)
+{
+    return left.priority != right.priority ? left.priority < right.priority : !left.returning && right.returning;
+}
+
 bool contains(const std::vector<std::string> &names, const std::string &name)
 {
     return names.empty() || std::find(names.begin(), names.end(), name) != names.end();
@@ -24,16 +30,27 @@
 
 } // namespace
 
-Grant::Grant(Dispatcher &dispatcher, LibFleet::UpstreamRecord upstream, int64_t weightsVersion, double load)
+Grant::Grant(Dispatcher &dispatcher, LibFleet::UpstreamRecord upstream, int64_t weightsVersion, int64_t promptTokens, double load)
     : dispatcher(dispatcher)
     , record(std::move(upstream))
     , version(weightsVersion)
+    , pendingTokens(promptTokens)
     , load(load)
 {
 }
 
+void Grant::promptRead()
+{
+    if (this->pendingTokens > 0) {
+        this->dispatcher.loadOf(this->record).pendingPromptTokens -= this->pendingTokens;
+        this->pendingTokens = 0;
+        this->dispatcher.serveWaiters(this->record.service);
+    }
+}
+
 Grant::~Grant()
 {
+    this->promptRead();
     this->dispatcher.release(this->record);
 }
 
@@ -60,6 +77,11 @@
 {
 }
 
+void Dispatcher::setEntries(std::vector<LibGateway::EntryPlace> places)
+{
+    this->entries = std::move(places);
+}
+
 void Dispatcher::setRegions(std::map<std::string, std::string> regionsByDomain)
 {
     this->regions = std::move(regionsByDomain);
@@ -151,7 +173,9 @@
     const AK::Milliseconds now = this->loop.clock().now();
     const auto configuration = this->fleet.configuration();
     const auto spec = configuration ? configuration->services.find(demand.service) : decltype(configuration->services.end()){};
-    const double coldRate = configuration && spec != configuration->services.end() ? spec->second.coldCallsPerSecond : 0;
+    const bool known = configuration && spec != configuration->services.end();
+    const double prefillPerMs = known && spec->second.engine ? spec->second.engine->prefillPerSecond / 1000 : 0;
+    const double coldRate = known ? spec->second.coldCallsPerSecond : 0;
     std::vector<LibGateway::PlacementCandidate> candidates;
     std::vector<const LibFleet::UpstreamRecord *> records;
     bool any = false;
@@ -165,9 +189,15 @@
             continue;
         }
         const std::string region = this->regionOf(record.failureDomain);
-        candidates.push_back({LibGateway::estimatedLoad(load, now, this->settings.placement),
-                              std::max(1, record.slots) + this->settings.placement.queuedAtUpstream, record.failureDomain == this->settings.failureDomain,
-                              region == this->settings.region, load.failureShare, load.report ? load.report->pace : 1.0});
+        LibGateway::PlacementCandidate candidate;
+        candidate.load = LibGateway::estimatedLoad(load, now, this->settings.placement);
+        candidate.limit = std::max(1, record.slots) + this->settings.placement.queuedAtUpstream;
+        candidate.promptBacklogMs = prefillPerMs > 0 ? static_cast<double>(load.pendingPromptTokens) / prefillPerMs : 0;
+        candidate.preferred = LibGateway::preferredEntry(record.id, record.failureDomain, this->entries) == this->settings.name;
+        candidate.sameRegion = region == this->settings.region;
+        candidate.failureShare = load.failureShare;
+        candidate.pace = load.report ? load.report->pace : 1.0;
+        candidates.push_back(candidate);
         records.push_back(&record);
     }
     const std::optional<size_t> chosen = LibGateway::chooseUpstream(candidates, this->settings.placement, this->random);
@@ -177,8 +207,10 @@
     const LibFleet::UpstreamRecord &record = *records[*chosen];
     LibGateway::UpstreamLoad &load = this->loadOf(record);
     ++load.ownInFlight;
+    load.pendingPromptTokens += demand.promptTokens;
     load.rateTokens -= 1;
-    grant = kj::heap<Grant>(*this, record, record.isEngine && this->requiredWeights(record.service) > 0 ? this->heldWeights(record) : 0, candidates[*chosen].load);
+    const int64_t version = record.isEngine && this->requiredWeights(record.service) > 0 ? this->heldWeights(record) : 0;
+    grant = kj::heap<Grant>(*this, record, version, demand.promptTokens, candidates[*chosen].load);
     return Availability::Granted;
 }
 
@@ -199,7 +231,7 @@
         }
     }
     const auto ahead = static_cast<double>(
-        std::count_if(line.waiters.begin(), line.waiters.end(), [&](const Waiter *other) { return other->demand->priority <= demand.priority; }));
+        std::count_if(line.waiters.begin(), line.waiters.end(), [&](const Waiter *other) { return !isBefore(demand, *other->demand); }));
     if (static_cast<double>(now) + ahead * line.interval > static_cast<double>(demand.startBy)) {
         result.reason = RefusalReason::QueueTooLong;
         result.retryAfter = this->retryAfter(line);
@@ -207,15 +239,14 @@
     }
     auto paf = kj::newPromiseAndFulfiller<kj::Own<Grant>>();
     Waiter waiter{&demand, kj::mv(paf.fulfiller)};
-    const auto position = std::find_if(line.waiters.begin(), line.waiters.end(), [&](const Waiter *other) { return other->demand->priority > demand.priority; });
-    const auto place = line.waiters.insert(position, &waiter);
+    const auto position = std::find_if(line.waiters.begin(), line.waiters.end(), [&](const Waiter *other) { return isBefore(demand, *other->demand); });
+    line.waiters.insert(position, &waiter);
     bool queued = true;
     KJ_DEFER({
         if (queued) {
             line.waiters.remove(&waiter);
         }
     });
-    static_cast<void>(place);
     this->scheduleWake(demand.service);
     absl::StatusOr<kj::Own<Grant>> granted = this->loop.await(scope, kj::mv(paf.promise), demand.startBy);
     if (granted.ok()) {
--- a/Userland/Services/Gateway/Dispatcher.h
+++ b/Userland/Services/Gateway/Dispatcher.h
@@ -14,6 +14,8 @@
 
 /// Bounds that all upstream choices of an entry keep; from the deployment's settings.
 struct DispatchSettings {
+    /// Name of this entry.
+    std::string name;
     std::string region;
     std::string failureDomain;
     LibGateway::PlacementSettings placement;
@@ -27,7 +29,10 @@
     std::string service;
     /// 0 is the most urgent.
     int priority = 0;
+    /// The client was refused before and comes back; its answer is late already.
+    bool returning = false;
     AK::Milliseconds arrivedAt = 0;
+    int64_t promptTokens = 0;
     /// Time after which a start is of no use.
     AK::Milliseconds startBy = 0;
     /// Allowed regions; empty for any.
@@ -52,7 +57,7 @@
 class Grant
 {
 public:
-    Grant(Dispatcher &dispatcher, LibFleet::UpstreamRecord upstream, int64_t weightsVersion, double load);
+    Grant(Dispatcher &dispatcher, LibFleet::UpstreamRecord upstream, int64_t weightsVersion, int64_t promptTokens, double load);
     ~Grant();
     KJ_DISALLOW_COPY(Grant);
 
@@ -62,10 +67,14 @@
     /// Estimated calls at the upstream when it was chosen.
     double loadAtChoice() const;
 
+    /// The upstream has read the prompt: its first event has arrived.
+    void promptRead();
+
 private:
     Dispatcher &dispatcher;
     LibFleet::UpstreamRecord record;
     int64_t version;
+    int64_t pendingTokens;
     double load;
 };
 
@@ -96,6 +105,9 @@
     void countAnswer(const LibFleet::UpstreamRecord &upstream, int running, int waiting);
     void takeReport(const LibPeers::EngineReport &report);
 
+    /// The entries that share the upstreams now, this one among them.
+    void setEntries(std::vector<LibGateway::EntryPlace> entries);
+
     /// Calls waiting and in flight, for metrics and logs.
     size_t waitingCalls() const;
     int callsInFlight() const;
@@ -141,6 +153,7 @@
     const LibFleet::FleetState &fleet;
     DispatchSettings settings;
     std::map<std::string, std::string> regions;
+    std::vector<LibGateway::EntryPlace> entries;
     std::map<std::string, std::unique_ptr<Line>> lines;
     /// By address, so that the report of an agent finds its upstream.
     std::map<std::string, LibGateway::UpstreamLoad> loads;
--- a/Userland/Utilities/catkinlinkd/PlatformEntry.cpp
+++ b/Userland/Utilities/catkinlinkd/PlatformEntry.cpp
@@ -1,5 +1,6 @@
 #include "PlatformEntry.h"
 
+#include <Gateway/AddressChoice.h>
 #include <Gateway/GatewayService.h>
 #include <Gateway/SmallServer.h>
 #include <LibPeers/PeerServer.h>
@@ -19,6 +20,7 @@
 // Clients keep the addresses this long, some of them three times as long.
 constexpr AK::Milliseconds addressLifetime = 1'000;
 constexpr AK::Milliseconds registerInterval = 500;
+constexpr AK::Milliseconds shareInterval = 250;
 // Calls that were sent to an engine may still wait in its queue for this long.
 constexpr AK::Milliseconds queueTime = 1'500;
 // A process that starts finds out within this time which engines have the named weights; it does not know when they were named.
@@ -63,6 +65,7 @@
         this->node.feeds.watchStore();
         this->node.exchange.start();
         this->loop.spawn([this](kj::WaitScope &scope) { this->registerSelf(scope); });
+        this->loop.spawn([this](kj::WaitScope &scope) { this->shareUpstreams(scope); });
         return absl::OkStatus();
     }
 
@@ -91,6 +94,7 @@
     static Gateway::DispatchSettings dispatchSettings(const Platform::NodeSettings &settings)
     {
         Gateway::DispatchSettings result;
+        result.name = settings.name;
         result.region = settings.region;
         result.failureDomain = settings.failureDomain;
         result.retries = {settings.bounds.retryRatio, settings.bounds.retryExtra, settings.bounds.retryWindow};
@@ -116,28 +120,44 @@
         return {this->ready() ? 200 : unavailable, "application/json", "{}"};
     }
 
-    Gateway::SmallAnswer answerDirectory(const LibHttpStream::RequestHead &head) const
+    Gateway::SmallAnswer answerDirectory(const LibHttpStream::RequestHead &head)
     {
         constexpr int notFound = 404;
         if (!Platform::asksForAddresses(head)) {
             return {notFound, "application/json", "{}"};
         }
-        std::vector<AK::Endpoint> addresses;
+        std::vector<Gateway::DirectoryEntry> entries;
         if (this->ready()) {
-            addresses.push_back(*this->settings.clientAddress);
+            entries.push_back({*this->settings.clientAddress, this->settings.failureDomain});
         }
         for (const auto &[name, view] : this->node.exchange.liveEntries(entryMaxAge)) {
             const absl::StatusOr<AK::Endpoint> address = AK::parseEndpoint(view.state.clientAddress);
             if (name != this->settings.name && view.state.ready && !view.state.leaving && address.ok()) {
-                addresses.push_back(*address);
+                entries.push_back({*address, view.state.failureDomain});
             }
         }
-        if (addresses.empty()) {
-            addresses.push_back(*this->settings.clientAddress);
+        if (entries.empty()) {
+            entries.push_back({*this->settings.clientAddress, this->settings.failureDomain});
         }
+        const std::vector<AK::Endpoint> addresses = Gateway::chooseAddresses(entries, Platform::failureDomainOfClient(head), this->random);
         return {200, "application/json", Platform::encodeAddresses(addresses, std::min(addressLifetime, this->settings.bounds.addressLifetime))};
     }
 
+    // Tells the dispatcher which entries share the upstreams.
+    void shareUpstreams(kj::WaitScope &scope)
+    {
+        while (true) {
+            std::vector<LibGateway::EntryPlace> places{{this->settings.name, this->settings.failureDomain}};
+            for (const auto &[name, view] : this->node.exchange.liveEntries(entryMaxAge)) {
+                if (name != this->settings.name && view.state.ready) {
+                    places.push_back({name, view.state.failureDomain});
+                }
+            }
+            this->dispatcher.setEntries(std::move(places));
+            this->loop.sleep(scope, shareInterval);
+        }
+    }
+
     void registerSelf(kj::WaitScope &scope)
     {
         const LibFleet::EntryRecord self{this->settings.name, *this->settings.rpcAddress, *this->settings.clientAddress, this->settings.region,
@@ -171,6 +191,7 @@
     Gateway::SmallServer readiness;
     Gateway::SmallServer directory;
     bool leaving = false;
+    AK::Random random = AK::seededFromSystem();
     LibLog::Logger logger{"daemon"};
 };
 
@@ -183,7 +204,7 @@
     , decoder(loop.clock(), std::max<AK::Milliseconds>(0, settings.bounds.weightsWithin - queueTime - restartTolerance))
     , store(loop, settings.store)
     , feeds(loop, this->store, this->decoder, this->fleet)
-    , exchange(loop, {settings.name, rpcAddress, std::move(clientAddress), settings.seeds}, this->feeds, this->fleet)
+    , exchange(loop, {settings.name, settings.failureDomain, rpcAddress, std::move(clientAddress), settings.seeds}, this->feeds, this->fleet)
 {
 }
 
