--- a/Userland/Libraries/LibHttpStream/HttpCaller.cpp
+++ b/Userland/Libraries/LibHttpStream/HttpCaller.cpp
@@ -74,4 +74,27 @@
     return WholeResponse{response.status, std::move(response.headers), std::move(content)};
 }
 
+HttpCallerPool::HttpCallerPool(LibFiber::Loop &loop, AK::Endpoint address)
+    : loop(loop)
+    , address(std::move(address))
+{
+}
+
+absl::StatusOr<WholeResponse> HttpCallerPool::call(kj::WaitScope &scope, const std::string &method, const std::string &target, const std::string &body,
+                                                   AK::Milliseconds connectBy, AK::Milliseconds deadline)
+{
+    std::unique_ptr<HttpCaller> caller;
+    if (this->idle.empty()) {
+        caller = std::make_unique<HttpCaller>(this->loop, this->address);
+    } else {
+        caller = std::move(this->idle.back());
+        this->idle.pop_back();
+    }
+    absl::StatusOr<WholeResponse> response = caller->call(scope, method, target, body, connectBy, deadline);
+    if (response.ok()) {
+        this->idle.push_back(std::move(caller));
+    }
+    return response;
+}
+
 } // namespace LibHttpStream
--- a/Userland/Libraries/LibHttpStream/HttpCaller.h
+++ b/Userland/Libraries/LibHttpStream/HttpCaller.h
@@ -3,6 +3,7 @@
 #include <AK/Endpoint.h>
 #include <LibFiber/ByteChannel.h>
 #include <LibHttpStream/MessageHead.h>
+#include <memory>
 
 namespace LibHttpStream
 {
@@ -35,4 +36,20 @@
     bool busy = false;
 };
 
+/// Makes calls to one server at a time or side by side, each over a kept connection that no other call uses.
+class HttpCallerPool
+{
+public:
+    HttpCallerPool(LibFiber::Loop &loop, AK::Endpoint address);
+
+    /// As HttpCaller::call().
+    absl::StatusOr<WholeResponse> call(kj::WaitScope &scope, const std::string &method, const std::string &target, const std::string &body,
+                                       AK::Milliseconds connectBy, AK::Milliseconds deadline);
+
+private:
+    LibFiber::Loop &loop;
+    AK::Endpoint address;
+    std::vector<std::unique_ptr<HttpCaller>> idle;
+};
+
 } // namespace LibHttpStream
--- a/Userland/Services/WeightAgent/AgentService.cpp
+++ b/Userland/Services/WeightAgent/AgentService.cpp
@@ -12,10 +12,12 @@
 
 // Reports older than this are not passed on.
 constexpr AK::Milliseconds statusMaxAge = 600;
-constexpr AK::Milliseconds idlePause = 100;
+constexpr AK::Milliseconds fetchPoll = 50;
 constexpr AK::Milliseconds retryPause = 200;
-// Drain and load of one engine; the last load of a rollout begins this long before its end.
-constexpr AK::Milliseconds loadTime = 2'500;
+// Before a load the entries send nothing more for up to this time; calls that are left then are cut, and entries resume their streams elsewhere.
+constexpr AK::Milliseconds drainTime = 1'200;
+// With so few calls left the load begins at once: resuming them costs less than the engine's idle time.
+constexpr uint32_t callsCut = 4;
 constexpr AK::Milliseconds loadPoll = 20;
 // An order without effect for this long is looked at anew.
 constexpr AK::Milliseconds loadLimit = 8'000;
@@ -49,7 +51,8 @@
         }
     });
     this->loop.spawn([this](kj::WaitScope &scope) { this->watchEngine(scope); });
-    this->loop.spawn([this](kj::WaitScope &scope) { this->keepWeights(scope); });
+    this->loop.spawn([this](kj::WaitScope &scope) { this->keepFetching(scope); });
+    this->loop.spawn([this](kj::WaitScope &scope) { this->keepLoaded(scope); });
 }
 
 void AgentService::watchEngine(kj::WaitScope &scope)
@@ -78,19 +81,47 @@
     }
 }
 
-const LibFleet::EngineSpec *AgentService::engineSpec() const
+std::optional<LibFleet::EngineSpec> AgentService::engineSpec() const
 {
-    if (!this->configuration) {
-        return nullptr;
+    const auto configuration = this->fleet.configuration();
+    if (!configuration || !this->status) {
+        return std::nullopt;
     }
-    const auto found = this->configuration->services.find(this->settings.service);
-    return found == this->configuration->services.end() || !found->second.engine ? nullptr : &*found->second.engine;
+    const auto found = configuration->services.find(this->settings.service);
+    const bool usable = found != configuration->services.end() && found->second.engine && !found->second.engine->model.empty();
+    return usable ? found->second.engine : std::nullopt;
 }
 
-int64_t AgentService::wantedVersion(const std::string &model) const
+AK::Milliseconds AgentService::timeLeft(const std::string &model, int64_t version) const
 {
-    const int64_t named = this->fleet.weightsTarget(model).version;
-    return named > 0 ? named : firstVersion;
+    // Also the time of an older version that was named before, if the engine does not have that one either.
+    AK::Milliseconds left = this->settings.switchWithin;
+    for (const LibFleet::WeightsTarget &target : this->fleet.weightsTargets(model)) {
+        if (target.version > this->status->report.weightsVersion && target.version <= version) {
+            left = std::min(left, this->settings.switchWithin - (this->loop.clock().now() - target.learnedAt));
+        }
+    }
+    return left;
+}
+
+int64_t AgentService::versionToFetch(const LibFleet::EngineSpec &spec) const
+{
+    const auto heldShare = [&](int64_t version) {
+        const std::shared_ptr<HeldVersion> held = this->store.find(spec.model, version);
+        return held ? static_cast<double>(held->heldCount()) / static_cast<double>(held->chunkCount()) : 0.0;
+    };
+    const std::vector<LibFleet::WeightsTarget> &targets = this->fleet.weightsTargets(spec.model);
+    if (targets.empty()) {
+        return heldShare(firstVersion) < 1 ? firstVersion : 0;
+    }
+    std::vector<VersionProgress> named;
+    for (const LibFleet::WeightsTarget &target : targets) {
+        // The newest is kept for other agents also when the engine has it.
+        if (target.version > this->status->report.weightsVersion || target.version == targets.back().version) {
+            named.push_back({target.version, this->settings.switchWithin - (this->loop.clock().now() - target.learnedAt), heldShare(target.version)});
+        }
+    }
+    return versionToBring(named, BringTimes{});
 }
 
 SwarmView AgentService::view() const
@@ -104,7 +135,8 @@
         view.peers.push_back({{record.address.text(), region == this->settings.regionsByDomain.end() ? "" : region->second},
                               {record.address.host, this->settings.rpcPort}});
     }
-    for (const auto &[name, service] : this->configuration->services) {
+    const auto configuration = this->fleet.configuration();
+    for (const auto &[name, service] : configuration->services) {
         if (service.origin) {
             view.origin = service.origin;
             const auto region = this->settings.regionsByDomain.find(service.originFailureDomain);
@@ -114,68 +146,70 @@
     return view;
 }
 
-void AgentService::keepWeights(kj::WaitScope &scope)
+void AgentService::keepFetching(kj::WaitScope &scope)
 {
     while (true) {
-        this->configuration = this->fleet.configuration();
-        const LibFleet::EngineSpec *spec = this->engineSpec();
-        if (spec == nullptr || !this->status || spec->model.empty()) {
-            this->loop.sleep(scope, idlePause);
-            continue;
+        const std::optional<LibFleet::EngineSpec> spec = this->engineSpec();
+        if (const int64_t version = spec ? this->versionToFetch(*spec) : 0; version != 0) {
+            this->fetch(scope, *spec, version);
         }
-        const int64_t version = this->wantedVersion(spec->model);
-        const std::shared_ptr<HeldVersion> held = this->store.find(spec->model, version);
-        if (this->status->report.weightsVersion == version && held && held->complete()) {
-            this->loop.sleep(scope, idlePause);
-            continue;
-        }
-        this->bring(scope, *spec, version);
-        this->loop.sleep(scope, idlePause);
+        this->loop.sleep(scope, fetchPoll);
     }
 }
 
-void AgentService::bring(kj::WaitScope &scope, const LibFleet::EngineSpec &spec, int64_t version)
+void AgentService::fetch(kj::WaitScope &scope, const LibFleet::EngineSpec &spec, int64_t version)
 {
-    const std::string model = spec.model;
-    const std::shared_ptr<HeldVersion> held = this->obtain(scope, spec, version);
-    if (!held || !held->complete()) {
-        this->loop.sleep(scope, retryPause);
-        return;
-    }
-    if (this->status->report.weightsVersion == version) {
-        return;
-    }
-    if (!this->verifyStaged(scope, model, *held) || !this->waitForTurn(scope, model, version) || !this->verifyStaged(scope, model, *held)) {
-        this->loop.sleep(scope, retryPause);
-        return;
-    }
-    this->switchTo(scope, model, *held);
-}
-
-std::shared_ptr<HeldVersion> AgentService::obtain(kj::WaitScope &scope, const LibFleet::EngineSpec &spec, int64_t version)
-{
-    const std::string model = spec.model;
-    SwarmFetch fetch(this->loop, this->origin, {this->settings.engineAddress.text(), this->settings.region}, model, version, this->view());
-    std::shared_ptr<HeldVersion> held = this->store.find(model, version);
+    SwarmFetch fetch(this->loop, this->origin, {this->settings.engineAddress.text(), this->settings.region}, spec.model, version, this->view());
+    std::shared_ptr<HeldVersion> held = this->store.find(spec.model, version);
     if (!held) {
         const absl::StatusOr<std::string> text = fetch.readManifest(scope);
         if (!text.ok()) {
             this->logger.info("manifest_not_read", {{"version", version}, {"reason", std::string(text.status().message())}});
-            return nullptr;
+            this->loop.sleep(scope, retryPause);
+            return;
         }
         absl::StatusOr<WeightsManifest> manifest = this->origin.parseManifest(*text);
         if (!manifest.ok() || manifest->version != version || manifest->digests.size() != spec.chunks) {
             this->logger.warning("manifest_refused", {{"version", version}, {"reason", std::string(manifest.status().message())}});
-            return nullptr;
+            this->loop.sleep(scope, retryPause);
+            return;
+        }
+        held = this->store.add(spec.model, *text, std::move(*manifest));
+        this->takeStaged(scope, spec.model, *held);
+    }
+    fetch.fetchAll(scope, *held, [&] { return this->versionToFetch(spec) == version; });
+}
+
+std::shared_ptr<HeldVersion> AgentService::newestComplete(const std::string &model) const
+{
+    const std::vector<LibFleet::WeightsTarget> &targets = this->fleet.weightsTargets(model);
+    for (auto target = targets.rbegin(); target != targets.rend(); ++target) {
+        const std::shared_ptr<HeldVersion> held = this->store.find(model, target->version);
+        if (held && held->complete()) {
+            return held;
         }
-        held = this->store.add(model, *text, std::move(*manifest));
-        this->takeStaged(scope, model, *held);
     }
-    if (!held->complete()) {
-        fetch.fetchAll(
-            scope, *held, [&] { return this->wantedVersion(model) == version; }, [](uint32_t) {});
+    const std::shared_ptr<HeldVersion> first = targets.empty() ? this->store.find(model, firstVersion) : nullptr;
+    return first && first->complete() ? first : nullptr;
+}
+
+void AgentService::keepLoaded(kj::WaitScope &scope)
+{
+    while (true) {
+        this->loop.sleep(scope, fetchPoll);
+        const std::optional<LibFleet::EngineSpec> spec = this->engineSpec();
+        const std::shared_ptr<HeldVersion> held = spec ? this->newestComplete(spec->model) : nullptr;
+        if (!held || this->status->report.weightsVersion >= held->manifest().version) {
+            continue;
+        }
+        // Staged first and compared again right before the load: what is staged may turn bad meanwhile.
+        if (!this->verifyStaged(scope, spec->model, *held) || !this->waitForTurn(scope, spec->model, held->manifest().version)
+            || !this->verifyStaged(scope, spec->model, *held)) {
+            this->loop.sleep(scope, retryPause);
+            continue;
+        }
+        this->switchTo(scope, spec->model, *held);
     }
-    return held;
 }
 
 void AgentService::takeStaged(kj::WaitScope &scope, const std::string &model, HeldVersion &held)
@@ -221,17 +255,6 @@
     return *this->status;
 }
 
-AK::Milliseconds AgentService::timeLeft(const std::string &model) const
-{
-    AK::Milliseconds knownFor = 0;
-    for (const LibFleet::WeightsTarget &target : this->fleet.weightsTargets(model)) {
-        if (target.version > this->status->report.weightsVersion) {
-            knownFor = std::max(knownFor, this->loop.clock().now() - target.learnedAt);
-        }
-    }
-    return this->settings.switchWithin - knownFor;
-}
-
 bool AgentService::waitForTurn(kj::WaitScope &scope, const std::string &model, int64_t version)
 {
     if (this->status->report.weightsVersion == 0) {
@@ -243,28 +266,42 @@
     const uint64_t own = AK::rendezvousWeight(key, self);
     const auto rank = static_cast<size_t>(std::count_if(peers.peers.begin(), peers.peers.end(),
                                                         [&](const SwarmPeer &peer) { return AK::rendezvousWeight(key, peer.member.name) > own; }));
-    const AK::Milliseconds delay = loadDelay(rank, peers.peers.size() + 1, this->timeLeft(model), loadTime);
-    const AK::Milliseconds until = this->loop.clock().now() + delay;
+    const AK::Milliseconds until = this->loop.clock().now() + loadDelay(rank, peers.peers.size() + 1, this->timeLeft(model, version));
     while (this->loop.clock().now() < until) {
-        if (this->wantedVersion(model) != version || this->status->report.weightsVersion == 0) {
-            return this->wantedVersion(model) == version;
+        if (this->status->report.weightsVersion == 0) {
+            return true;
+        }
+        const std::shared_ptr<HeldVersion> newest = this->newestComplete(model);
+        if (!newest || newest->manifest().version != version) {
+            return false;
         }
-        this->loop.sleep(scope, std::min(idlePause, until - this->loop.clock().now()));
+        this->loop.sleep(scope, std::min(fetchPoll, until - this->loop.clock().now()));
     }
     return true;
 }
 
+void AgentService::letCallsEnd(kj::WaitScope &scope) const
+{
+    const AK::Milliseconds until = this->loop.clock().now() + drainTime;
+    while (this->loop.clock().now() < until && this->status->report.running + this->status->report.waiting > callsCut) {
+        this->loop.sleep(scope, loadPoll);
+    }
+}
+
 void AgentService::switchTo(kj::WaitScope &scope, const std::string &model, const HeldVersion &held)
 {
     const int64_t version = held.manifest().version;
     this->aboutToSwitch = true;
     KJ_DEFER(this->aboutToSwitch = false);
     this->exchange.pushNow();
+    if (this->status->report.weightsVersion != 0) {
+        this->letCallsEnd(scope);
+    }
     const absl::StatusOr<EngineStatus> before = this->freshStatus(scope);
     if (!before.ok() || before->busy || before->report.weightsVersion == version) {
         return;
     }
-    const absl::StatusOr<OrderAnswer> answer = this->engine.load(scope, model, version, LoadStrategy::WaitForCalls, before->orders);
+    const absl::StatusOr<OrderAnswer> answer = this->engine.load(scope, model, version, LoadStrategy::CutCalls, before->orders);
     this->logger.info("load_ordered", {{"version", version},
                                        {"previous", before->report.weightsVersion},
                                        {"running", before->report.running},
--- a/Userland/Services/WeightAgent/AgentService.h
+++ b/Userland/Services/WeightAgent/AgentService.h
@@ -31,19 +31,20 @@
 
 private:
     void watchEngine(kj::WaitScope &scope);
-    void keepWeights(kj::WaitScope &scope);
-    void bring(kj::WaitScope &scope, const LibFleet::EngineSpec &spec, int64_t version);
-    std::shared_ptr<HeldVersion> obtain(kj::WaitScope &scope, const LibFleet::EngineSpec &spec, int64_t version);
+    void keepFetching(kj::WaitScope &scope);
+    void keepLoaded(kj::WaitScope &scope);
+    void fetch(kj::WaitScope &scope, const LibFleet::EngineSpec &spec, int64_t version);
+    std::shared_ptr<HeldVersion> newestComplete(const std::string &model) const;
     void takeStaged(kj::WaitScope &scope, const std::string &model, HeldVersion &held);
     bool verifyStaged(kj::WaitScope &scope, const std::string &model, const HeldVersion &held);
     void switchTo(kj::WaitScope &scope, const std::string &model, const HeldVersion &held);
     /// Waits for a status that was read after this call. Errors: kUnavailable when the engine does not answer.
     absl::StatusOr<EngineStatus> freshStatus(kj::WaitScope &scope) const;
-    /// Time until the weights that the engine holds must not begin work any more.
-    AK::Milliseconds timeLeft(const std::string &model) const;
     bool waitForTurn(kj::WaitScope &scope, const std::string &model, int64_t version);
-    const LibFleet::EngineSpec *engineSpec() const;
-    int64_t wantedVersion(const std::string &model) const;
+    void letCallsEnd(kj::WaitScope &scope) const;
+    std::optional<LibFleet::EngineSpec> engineSpec() const;
+    int64_t versionToFetch(const LibFleet::EngineSpec &spec) const;
+    AK::Milliseconds timeLeft(const std::string &model, int64_t version) const;
     SwarmView view() const;
 
     LibFiber::Loop &loop;
@@ -56,7 +57,6 @@
     std::optional<EngineStatus> status;
     AK::Milliseconds statusAt = 0;
     bool aboutToSwitch = false;
-    std::shared_ptr<const LibFleet::Configuration> configuration;
     LibLog::Logger logger{"agent"};
 };
 
--- a/Userland/Services/WeightAgent/FetchRules.cpp
+++ b/Userland/Services/WeightAgent/FetchRules.cpp
@@ -21,18 +21,43 @@
     return position.regionRank <= turns ? FetchScope::AnyRegion : FetchScope::SameRegion;
 }
 
-size_t regionRank(const std::string &self, const std::string &region, const std::vector<SwarmMember> &members, const std::string &chunkKey)
+size_t regionRank(const std::string &self, const std::string &region, const std::vector<SwarmMember> &members, const std::string &key, size_t chunk)
 {
-    const uint64_t own = AK::rendezvousWeight(chunkKey, self);
-    return static_cast<size_t>(std::count_if(members.begin(), members.end(), [&](const SwarmMember &member) {
-        return member.name != self && member.region == region && AK::rendezvousWeight(chunkKey, member.name) > own;
-    }));
+    const uint64_t own = AK::rendezvousWeight(key, self);
+    size_t before = 0;
+    size_t count = 1;
+    for (const SwarmMember &member : members) {
+        if (member.name != self && member.region == region) {
+            ++count;
+            before += AK::rendezvousWeight(key, member.name) > own ? 1 : 0;
+        }
+    }
+    return (before + count - chunk % count) % count;
+}
+
+int64_t versionToBring(const std::vector<VersionProgress> &named, const BringTimes &times)
+{
+    if (named.empty()) {
+        return 0;
+    }
+    const VersionProgress &newest = named.back();
+    const auto fetchLeft = [&](const VersionProgress &version) { return static_cast<AK::Milliseconds>((1 - version.held) * static_cast<double>(times.fetch)); };
+    for (const VersionProgress &older : named) {
+        if (older.version == newest.version) {
+            break;
+        }
+        const bool newestTooLate = fetchLeft(newest) + times.load > older.timeLeft;
+        const bool olderInTime = fetchLeft(older) + times.load / 2 <= older.timeLeft;
+        if (newestTooLate && olderInTime && older.held < 1) {
+            return older.version;
+        }
+    }
+    return newest.held < 1 ? newest.version : 0;
 }
 
-AK::Milliseconds loadDelay(size_t rank, size_t count, AK::Milliseconds timeLeft, AK::Milliseconds loadTime)
+AK::Milliseconds loadDelay(size_t rank, size_t count, AK::Milliseconds timeLeft)
 {
-    const AK::Milliseconds window = std::max<AK::Milliseconds>(0, timeLeft - loadTime);
-    return count <= 1 ? 0 : window * static_cast<AK::Milliseconds>(rank) / static_cast<AK::Milliseconds>(count);
+    return count <= 1 ? 0 : std::max<AK::Milliseconds>(0, timeLeft) * static_cast<AK::Milliseconds>(rank) / static_cast<AK::Milliseconds>(count);
 }
 
 } // namespace WeightAgent
--- a/Userland/Services/WeightAgent/FetchRules.h
+++ b/Userland/Services/WeightAgent/FetchRules.h
@@ -38,11 +38,33 @@
 /// moved for a while. Load pattern: all agents of all regions want the same version at the same moment.
 FetchScope allowedScope(const FetchPosition &position, const FetchRuleSettings &settings);
 
-/// Rank of `self` in the order of a chunk among the members of its region.
-size_t regionRank(const std::string &self, const std::string &region, const std::vector<SwarmMember> &members, const std::string &chunkKey);
+/// Rank of `self` in the order of a chunk among the members of its region. The members take turns chunk by chunk, so that each brings as many as the others.
+/// `key` names the version; it decides who begins.
+size_t regionRank(const std::string &self, const std::string &region, const std::vector<SwarmMember> &members, const std::string &key, size_t chunk);
+
+/// A version that the operator has named, as far as this agent has it.
+struct VersionProgress {
+    int64_t version = 0;
+    /// Time until older versions must not begin any more work.
+    AK::Milliseconds timeLeft = 0;
+    /// Share of its chunks that are here.
+    double held = 0;
+};
+
+struct BringTimes {
+    /// All chunks of a version, from its naming to the last agent.
+    AK::Milliseconds fetch = 4'000;
+    /// Load of an engine, with the calls that it lets end.
+    AK::Milliseconds load = 1'500;
+};
+
+/// The version to bring next, 0 for none: the newest, unless it would come too late for the time of an older one that can still make it. Load pattern: a
+/// version is named seconds after another; dropping the first for the second leaves no engine that may work when the time of the first is over.
+/// `named` holds the versions newer than that of the engine, oldest first.
+int64_t versionToBring(const std::vector<VersionProgress> &named, const BringTimes &times);
 
 /// When an engine may begin to load a version, as a delay after its chunks are complete: the loads of a service are spread over the time that is left, so
 /// that capacity leaves in small parts. `rank` of `count` agents; `timeLeft` until the old version must not begin any more work.
-AK::Milliseconds loadDelay(size_t rank, size_t count, AK::Milliseconds timeLeft, AK::Milliseconds loadTime);
+AK::Milliseconds loadDelay(size_t rank, size_t count, AK::Milliseconds timeLeft);
 
 } // namespace WeightAgent
--- a/Userland/Services/WeightAgent/SwarmFetch.cpp
+++ b/Userland/Services/WeightAgent/SwarmFetch.cpp
@@ -15,13 +15,14 @@
 constexpr AK::Milliseconds mapTimeout = 600;
 constexpr AK::Milliseconds manifestTimeout = 800;
 // Pause before a peer that offers nothing new is asked again.
-constexpr AK::Milliseconds askAgain = 120;
+constexpr AK::Milliseconds askAgain = 60;
 constexpr AK::Milliseconds afterError = 300;
 // Reads from the origin at a time; two keep its link busy between answers.
 constexpr int originReads = 2;
 // Peers asked at a time, in the region and outside.
 constexpr size_t neighboursInRegion = 7;
-constexpr size_t neighboursElsewhere = 6;
+constexpr size_t neighboursNearOrigin = 16;
+constexpr size_t neighboursElsewhere = 2;
 
 std::vector<bool> bitsOf(const std::string &bytes, size_t count)
 {
@@ -45,14 +46,22 @@
 {
     std::vector<std::string> near{this->self.name};
     std::vector<std::string> far{this->self.name};
+    std::vector<std::string> nearOrigin{this->self.name};
     for (const SwarmPeer &peer : this->view.peers) {
         this->members.push_back(peer.member);
-        (peer.member.region == this->self.region ? near : far).push_back(peer.member.name);
+        if (peer.member.region == this->self.region) {
+            near.push_back(peer.member.name);
+        } else {
+            (peer.member.region == this->view.originRegion ? nearOrigin : far).push_back(peer.member.name);
+        }
     }
     const std::string key = AK::concat(this->model, "/", this->version);
     std::vector<std::string> chosen = LibWeights::chooseNeighbours(this->self.name, key, near, neighboursInRegion);
-    for (const std::string &name : LibWeights::chooseNeighbours(this->self.name, key, far, neighboursElsewhere)) {
-        chosen.push_back(name);
+    // A chunk that this agent brings into its region is first at one agent near the origin, and it may be any of them.
+    for (const auto &[names, count] : {std::pair(nearOrigin, neighboursNearOrigin), std::pair(far, neighboursElsewhere)}) {
+        for (const std::string &name : LibWeights::chooseNeighbours(this->self.name, key, names, count)) {
+            chosen.push_back(name);
+        }
     }
     for (const SwarmPeer &peer : this->view.peers) {
         if (std::find(chosen.begin(), chosen.end(), peer.member.name) != chosen.end()) {
@@ -63,7 +72,7 @@
 
 absl::StatusOr<std::string> SwarmFetch::readManifest(kj::WaitScope &scope)
 {
-    const size_t rank = regionRank(this->self.name, this->self.region, this->members, AK::concat(this->model, "/", this->version, "/manifest"));
+    const size_t rank = regionRank(this->self.name, this->self.region, this->members, AK::concat(this->model, "/", this->version), 0);
     const bool first = this->self.region == this->view.originRegion && rank == 0;
     for (int round = 0; round < 2; ++round) {
         if (!first || round > 0) {
@@ -88,14 +97,13 @@
     return !this->held->complete() && this->wanted();
 }
 
-void SwarmFetch::fetchAll(kj::WaitScope &scope, HeldVersion &target, const std::function<bool()> &isWanted, const std::function<void(uint32_t)> &onChunk)
+void SwarmFetch::fetchAll(kj::WaitScope &scope, HeldVersion &target, const std::function<bool()> &isWanted)
 {
     this->held = &target;
     this->wanted = isWanted;
-    this->arrived = onChunk;
     this->progressAt = this->loop.clock().now();
     for (uint32_t i = 0; i < target.chunkCount(); ++i) {
-        this->ranks.push_back(regionRank(this->self.name, this->self.region, this->members, AK::concat(this->model, "/", this->version, "/", i)));
+        this->ranks.push_back(regionRank(this->self.name, this->self.region, this->members, AK::concat(this->model, "/", this->version), i));
     }
     auto fibers = kj::heapArrayBuilder<kj::Promise<void>>(this->peers.size() + originReads);
     for (size_t i = 0; i < this->peers.size(); ++i) {
@@ -142,15 +150,11 @@
 
 bool SwarmFetch::take(uint32_t index, std::string data)
 {
-    const bool had = this->held->has(index);
     if (const absl::Status status = this->held->put(index, std::move(data)); !status.ok()) {
         this->logger.warning("chunk_refused", {{"version", this->version}, {"chunk", index}, {"reason", std::string(status.message())}});
         return false;
     }
     this->progressAt = this->loop.clock().now();
-    if (!had) {
-        this->arrived(index);
-    }
     return true;
 }
 
--- a/Userland/Services/WeightAgent/SwarmFetch.h
+++ b/Userland/Services/WeightAgent/SwarmFetch.h
@@ -39,8 +39,8 @@
     /// Errors: kUnavailable when nobody has it.
     absl::StatusOr<std::string> readManifest(kj::WaitScope &scope);
 
-    /// Returns when `held` is complete or `wanted` returns false. `arrived` is called for each new chunk.
-    void fetchAll(kj::WaitScope &scope, HeldVersion &held, const std::function<bool()> &wanted, const std::function<void(uint32_t)> &arrived);
+    /// Returns when `held` is complete or `wanted` returns false.
+    void fetchAll(kj::WaitScope &scope, HeldVersion &held, const std::function<bool()> &wanted);
 
 private:
     struct PeerState {
@@ -69,7 +69,6 @@
     std::set<uint32_t> underWay;
     HeldVersion *held = nullptr;
     std::function<bool()> wanted;
-    std::function<void(uint32_t)> arrived;
     AK::Milliseconds progressAt = 0;
     uint64_t originBytes = 0;
     AK::Random random;
--- a/Userland/Utilities/catkinlinkd/PlatformDaemon.cpp
+++ b/Userland/Utilities/catkinlinkd/PlatformDaemon.cpp
@@ -32,7 +32,7 @@
     agentSettings.region = settings.region;
     agentSettings.regionsByDomain = settings.regionsByDomain;
     agentSettings.rpcPort = settings.innerPort;
-    agentSettings.switchWithin = settings.bounds.weightsWithin;
+    agentSettings.switchWithin = switchBefore(settings);
     WeightAgent::AgentService agent(loop, agentSettings, node.fleet, engine, origin, node.exchange);
     LibPeers::PeerServer server(loop, node.exchange, &agent.versions());
     if (const absl::Status status = server.listen({settings.ip, settings.innerPort}); !status.ok()) {
--- a/Userland/Utilities/catkinlinkd/PlatformEntry.cpp
+++ b/Userland/Utilities/catkinlinkd/PlatformEntry.cpp
@@ -21,8 +21,6 @@
 constexpr AK::Milliseconds addressLifetime = 1'000;
 constexpr AK::Milliseconds registerInterval = 500;
 constexpr AK::Milliseconds shareInterval = 250;
-// Calls that were sent to an engine may still wait in its queue for this long.
-constexpr AK::Milliseconds queueTime = 1'500;
 // A process that starts finds out within this time which engines have the named weights; it does not know when they were named.
 constexpr AK::Milliseconds restartTolerance = 2'000;
 // Time from SIGTERM until idle connections are ended: clients have asked for addresses again.
@@ -98,7 +96,7 @@
         result.region = settings.region;
         result.failureDomain = settings.failureDomain;
         result.retries = {settings.bounds.retryRatio, settings.bounds.retryExtra, settings.bounds.retryWindow};
-        result.switchBefore = settings.bounds.weightsWithin - queueTime;
+        result.switchBefore = switchBefore(settings);
         return result;
     }
 
@@ -201,7 +199,7 @@
                            std::optional<AK::Endpoint> clientAddress)
     : loop(loop)
     , fleet(loop.clock())
-    , decoder(loop.clock(), std::max<AK::Milliseconds>(0, settings.bounds.weightsWithin - queueTime - restartTolerance))
+    , decoder(loop.clock(), std::max<AK::Milliseconds>(0, switchBefore(settings) - restartTolerance))
     , store(loop, settings.store)
     , feeds(loop, this->store, this->decoder, this->fleet)
     , exchange(loop, {settings.name, settings.failureDomain, rpcAddress, std::move(clientAddress), settings.seeds}, this->feeds, this->fleet)
@@ -220,6 +218,13 @@
     });
 }
 
+AK::Milliseconds switchBefore(const Platform::NodeSettings &settings)
+{
+    // Calls that were sent to an engine may still wait in its queue for this long.
+    constexpr AK::Milliseconds queueTime = 1'300;
+    return std::max<AK::Milliseconds>(0, settings.bounds.weightsWithin - queueTime);
+}
+
 void waitForStop(LibFiber::Loop &loop)
 {
     loop.events().onSignal(SIGTERM).ignoreResult().exclusiveJoin(loop.events().onSignal(SIGINT).ignoreResult()).wait(loop.rootScope());
--- a/Userland/Utilities/catkinlinkd/PlatformEntry.h
+++ b/Userland/Utilities/catkinlinkd/PlatformEntry.h
@@ -22,6 +22,9 @@
     Fleet::PeerExchange exchange;
 };
 
+/// Time from the naming of weights after which no call is sent to an engine with older ones, in ms.
+AK::Milliseconds switchBefore(const Platform::NodeSettings &settings);
+
 /// Returns after SIGTERM or SIGINT.
 void waitForStop(LibFiber::Loop &loop);
 
