--- a/Userland/Libraries/LibPeers/PeerRecords.h
+++ b/Userland/Libraries/LibPeers/PeerRecords.h
@@ -65,6 +65,8 @@
     /// One bit a chunk, lowest bit first.
     virtual std::string heldChunks(const std::string &model, int64_t version) = 0;
     virtual std::string chunk(const std::string &model, int64_t version, uint32_t index) = 0;
+    /// Time to wait before `bytes` may be sent, in ms; nothing when too much waits already. Keeps the link free for live answers.
+    virtual std::optional<AK::Milliseconds> reserveUpload(size_t bytes) = 0;
 };
 
 } // namespace LibPeers
--- a/Userland/Libraries/LibPeers/PeerServer.cpp
+++ b/Userland/Libraries/LibPeers/PeerServer.cpp
@@ -17,8 +17,9 @@
 class FleetPeerImplementation final : public PeerWire::FleetPeer::Server
 {
 public:
-    FleetPeerImplementation(PeerHandler &handler, ChunkOffer *chunks)
-        : handler(handler)
+    FleetPeerImplementation(LibFiber::Loop &loop, PeerHandler &handler, ChunkOffer *chunks)
+        : loop(loop)
+        , handler(handler)
         , chunks(chunks)
     {
     }
@@ -66,14 +67,20 @@
 
     kj::Promise<void> chunk(ChunkContext context) override
     {
-        if (this->chunks != nullptr) {
-            const auto params = context.getParams();
-            context.getResults().setData(asData(this->chunks->chunk(params.getModel().cStr(), params.getVersion(), params.getIndex())));
+        if (this->chunks == nullptr) {
+            return kj::READY_NOW;
         }
-        return kj::READY_NOW;
+        const auto params = context.getParams();
+        std::string data = this->chunks->chunk(params.getModel().cStr(), params.getVersion(), params.getIndex());
+        const std::optional<AK::Milliseconds> wait = data.empty() ? std::nullopt : this->chunks->reserveUpload(data.size());
+        if (!wait) {
+            return kj::READY_NOW;
+        }
+        return this->loop.after(*wait).then([context, held = std::move(data)]() mutable { context.getResults().setData(asData(held)); });
     }
 
 private:
+    LibFiber::Loop &loop;
     PeerHandler &handler;
     ChunkOffer *chunks;
 };
@@ -82,7 +89,7 @@
 
 PeerServer::PeerServer(LibFiber::Loop &loop, PeerHandler &handler, ChunkOffer *chunks)
     : loop(loop)
-    , server(kj::heap<FleetPeerImplementation>(handler, chunks))
+    , server(kj::heap<FleetPeerImplementation>(loop, handler, chunks))
 {
 }
 
--- a/Userland/Services/WeightAgent/AgentService.cpp
+++ b/Userland/Services/WeightAgent/AgentService.cpp
@@ -34,6 +34,7 @@
     , engine(engine)
     , origin(origin)
     , exchange(exchange)
+    , store(loop.clock(), this->settings.uploadBytesPerSecond)
 {
 }
 
--- a/Userland/Services/WeightAgent/AgentService.h
+++ b/Userland/Services/WeightAgent/AgentService.h
@@ -20,6 +20,8 @@
         /// Time after which an old version must not begin work, from the moment at which a newer one became known.
         AK::Milliseconds switchWithin = 8'000;
         AK::Milliseconds statusInterval = 100;
+        /// What chunks that are sent may take of the link of this host, in bytes a second.
+        double uploadBytesPerSecond = 0;
     };
 
     AgentService(LibFiber::Loop &loop, Settings settings, const LibFleet::FleetState &fleet, EngineControl &engine, WeightsOrigin &origin,
--- a/Userland/Services/WeightAgent/SwarmFetch.cpp
+++ b/Userland/Services/WeightAgent/SwarmFetch.cpp
@@ -17,6 +17,10 @@
 // Pause before a peer that offers nothing new is asked again.
 constexpr AK::Milliseconds askAgain = 60;
 constexpr AK::Milliseconds afterError = 300;
+constexpr AK::Milliseconds afterBusy = 80;
+// Chunks on their way from other agents at a time: enough to fill the link, and few that wait on it before live requests.
+constexpr int peerReadLimit = 4;
+constexpr AK::Milliseconds waitForRead = 15;
 // Reads from the origin at a time; two keep its link busy between answers.
 constexpr int originReads = 2;
 // Peers asked at a time, in the region and outside.
@@ -171,6 +175,10 @@
     LibPeers::PeerLink link(this->loop, state.peer.rpcAddress);
     const FetchScope reach = state.peer.member.region == this->self.region ? FetchScope::SameRegion : FetchScope::AnyRegion;
     while (this->running() && !state.excluded) {
+        if (this->peerReads >= peerReadLimit) {
+            this->pause(scope, waitForRead);
+            continue;
+        }
         std::optional<uint32_t> chunk = this->choose(state.offered, reach);
         if (!chunk) {
             const auto bits = link.heldChunks(scope, this->model, this->version, this->loop.clock().now() + mapTimeout);
@@ -187,9 +195,14 @@
             continue;
         }
         this->underWay.insert(*chunk);
+        ++this->peerReads;
         auto data = link.chunk(scope, this->model, this->version, *chunk, this->loop.clock().now() + chunkTimeout);
+        --this->peerReads;
         this->underWay.erase(*chunk);
-        if (!data.ok() || data->empty()) {
+        if (data.ok() && data->empty()) {
+            // The peer sends to others; what it offers stays true.
+            this->pause(scope, afterBusy);
+        } else if (!data.ok()) {
             state.offered.clear();
             this->pause(scope, afterError);
         } else if (!this->take(*chunk, std::move(*data))) {
--- a/Userland/Services/WeightAgent/SwarmFetch.h
+++ b/Userland/Services/WeightAgent/SwarmFetch.h
@@ -67,6 +67,7 @@
     std::vector<size_t> ranks;
     std::vector<PeerState> peers;
     std::set<uint32_t> underWay;
+    int peerReads = 0;
     HeldVersion *held = nullptr;
     std::function<bool()> wanted;
     AK::Milliseconds progressAt = 0;
--- a/Userland/Services/WeightAgent/VersionStore.cpp
+++ b/Userland/Services/WeightAgent/VersionStore.cpp
@@ -10,6 +10,8 @@
 
 // The version in force and the one that replaces it; a third would not fit the memory of a small host.
 constexpr size_t versionsKept = 2;
+// Longest wait of a chunk for its turn on the link; beyond it another agent is asked.
+constexpr AK::Milliseconds uploadBacklog = 250;
 
 } // namespace
 
@@ -67,6 +69,23 @@
     return absl::OkStatus();
 }
 
+VersionStore::VersionStore(const AK::Clock &clock, double uploadBytesPerSecond)
+    : clock(clock)
+    , uploadBytesPerSecond(uploadBytesPerSecond)
+{
+}
+
+std::optional<AK::Milliseconds> VersionStore::reserveUpload(size_t bytes)
+{
+    const AK::Milliseconds now = this->clock.now();
+    if (this->uploadsUntil - now > uploadBacklog) {
+        return std::nullopt;
+    }
+    const AK::Milliseconds wait = LibWeights::takeTokens(this->uploads, now, bytes, this->uploadBytesPerSecond);
+    this->uploadsUntil = now + wait;
+    return wait;
+}
+
 std::shared_ptr<HeldVersion> VersionStore::find(const std::string &model, int64_t version) const
 {
     const auto found = this->versions.find({model, version});
--- a/Userland/Services/WeightAgent/VersionStore.h
+++ b/Userland/Services/WeightAgent/VersionStore.h
@@ -2,6 +2,7 @@
 
 #include "EngineControl.h"
 #include <LibPeers/PeerRecords.h>
+#include <LibWeights/TokenBucket.h>
 #include <map>
 #include <memory>
 #include <optional>
@@ -38,14 +39,22 @@
 class VersionStore final : public LibPeers::ChunkOffer
 {
 public:
+    /// `uploadBytesPerSecond`: what chunks may take of the link.
+    VersionStore(const AK::Clock &clock, double uploadBytesPerSecond);
+
     std::shared_ptr<HeldVersion> find(const std::string &model, int64_t version) const;
     std::shared_ptr<HeldVersion> add(const std::string &model, std::string manifestText, WeightsManifest manifest);
 
     std::string manifest(const std::string &model, int64_t version) override;
     std::string heldChunks(const std::string &model, int64_t version) override;
     std::string chunk(const std::string &model, int64_t version, uint32_t index) override;
+    std::optional<AK::Milliseconds> reserveUpload(size_t bytes) override;
 
 private:
+    const AK::Clock &clock;
+    double uploadBytesPerSecond;
+    LibWeights::TokenBucket uploads;
+    AK::Milliseconds uploadsUntil = 0;
     std::map<std::pair<std::string, int64_t>, std::shared_ptr<HeldVersion>> versions;
 };
 
--- a/Userland/Utilities/catkinlinkd/PlatformDaemon.cpp
+++ b/Userland/Utilities/catkinlinkd/PlatformDaemon.cpp
@@ -10,6 +10,10 @@
 
 enum ExitCode { Success = 0, UsageError = 2, InvalidSettings = 3, StartFailed = 1 };
 
+// Share of a host's link that chunks may take; the engine's answers go over the same link.
+constexpr double uploadShare = 0.8;
+constexpr double bytesPerMegabit = 125'000;
+
 // Agents hold nothing that others wait for; they end at once.
 int runAgent(LibFiber::Loop &loop, const Platform::NodeSettings &settings)
 {
@@ -31,6 +35,7 @@
     agentSettings.engineAddress = *settings.engineAddress;
     agentSettings.region = settings.region;
     agentSettings.regionsByDomain = settings.regionsByDomain;
+    agentSettings.uploadBytesPerSecond = uploadShare * settings.linkMbps * bytesPerMegabit;
     agentSettings.rpcPort = settings.innerPort;
     agentSettings.switchWithin = switchBefore(settings);
     WeightAgent::AgentService agent(loop, agentSettings, node.fleet, engine, origin, node.exchange);
