--- a/Userland/Libraries/LibGateway/Placement.cpp
+++ b/Userland/Libraries/LibGateway/Placement.cpp
@@ -50,7 +50,22 @@
     }
 }
 
-std::optional<size_t> chooseUpstream(const std::vector<PlacementCandidate> &candidates, const PlacementSettings &settings, AK::Random &random)
+namespace
+{
+
+bool backlogAllows(const PlacementCandidate &candidate, double promptMs, const PlacementSettings &settings)
+{
+    const double pace = std::max(1.0, candidate.pace);
+    if (candidate.preferred && candidate.promptBacklogMs == 0) {
+        return true;
+    }
+    return pace * (candidate.promptBacklogMs + promptMs) <= (candidate.preferred ? settings.promptBacklogMs : settings.foreignBacklogMs);
+}
+
+} // namespace
+
+std::optional<size_t> chooseUpstream(const std::vector<PlacementCandidate> &candidates, double promptMs, bool anyBacklog, const PlacementSettings &settings,
+                                     AK::Random &random)
 {
     std::optional<size_t> chosen;
     double lowest = 0;
@@ -58,7 +73,7 @@
     for (size_t i = 0; i < candidates.size(); ++i) {
         const PlacementCandidate &candidate = candidates[i];
         const double pace = std::max(1.0, candidate.pace);
-        if (candidate.load >= candidate.limit || pace * candidate.promptBacklogMs > settings.promptBacklogMs) {
+        if (candidate.load >= candidate.limit || (!anyBacklog && !backlogAllows(candidate, promptMs, settings))) {
             continue;
         }
         const double distance = (candidate.preferred ? 0 : settings.foreignPenaltyMs) + (candidate.sameRegion ? 0 : settings.regionPenaltyMs);
--- a/Userland/Libraries/LibGateway/Placement.h
+++ b/Userland/Libraries/LibGateway/Placement.h
@@ -43,15 +43,17 @@
     double regionPenaltyMs = 40;
     /// For an upstream that fails all calls; less in proportion.
     double failurePenaltyMs = 400;
-    /// An engine whose unread prompts take longer gets no more: its next pass would keep its streams waiting beyond their gap target.
-    double promptBacklogMs = 160;
+    /// Unread prompts that an engine may have, the new one included; a longer one goes alone. More would keep the streams of its next pass waiting beyond
+    /// their gap target.
+    double promptBacklogMs = 130;
+    /// The same at an upstream that another entry prefers, whose prompts this entry does not see. Load pattern: an engine comes back empty and every entry
+    /// fills it at once.
+    double foreignBacklogMs = 60;
     /// Failures in a row after which an upstream gets no calls for a while.
     int failuresToSuspend = 3;
     AK::Milliseconds suspension = 1'000;
     /// Share of the stated cold rate that is used.
     double coldRateShare = 0.9;
-    /// Calls beyond its slots that an engine queues, so that a slot that becomes free is taken at once.
-    int queuedAtUpstream = 1;
 };
 
 /// Calls at the upstream, of this entry and of others as far as they are known.
@@ -80,7 +82,9 @@
 
 /// Index of the candidate with the least expected time to the first event, or nothing when all are full. Load pattern: prompts that meet in one pass of an
 /// engine delay its streams and each other, also at moderate load.
-std::optional<size_t> chooseUpstream(const std::vector<PlacementCandidate> &candidates, const PlacementSettings &settings, AK::Random &random);
+/// `promptMs` is the time that reading the prompt of the call takes; with `anyBacklog` a call that has waited takes a place where it must wait further.
+std::optional<size_t> chooseUpstream(const std::vector<PlacementCandidate> &candidates, double promptMs, bool anyBacklog, const PlacementSettings &settings,
+                                     AK::Random &random);
 
 /// An entry that may prefer upstreams.
 struct EntryPlace {
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -191,7 +191,7 @@
         const std::string region = this->regionOf(record.failureDomain);
         LibGateway::PlacementCandidate candidate;
         candidate.load = LibGateway::estimatedLoad(load, now, this->settings.placement);
-        candidate.limit = std::max(1, record.slots) + this->settings.placement.queuedAtUpstream;
+        candidate.limit = std::max(1, record.slots);
         candidate.promptBacklogMs = prefillPerMs > 0 ? static_cast<double>(load.pendingPromptTokens) / prefillPerMs : 0;
         candidate.preferred = LibGateway::preferredEntry(record.id, record.failureDomain, this->entries) == this->settings.name;
         candidate.sameRegion = region == this->settings.region;
@@ -200,7 +200,9 @@
         candidates.push_back(candidate);
         records.push_back(&record);
     }
-    const std::optional<size_t> chosen = LibGateway::chooseUpstream(candidates, this->settings.placement, this->random);
+    const std::optional<size_t> chosen = LibGateway::chooseUpstream(
+        candidates, prefillPerMs > 0 ? static_cast<double>(demand.promptTokens) / prefillPerMs : 0, now >= (demand.arrivedAt + demand.startBy) / 2,
+        this->settings.placement, this->random);
     if (!chosen) {
         return any ? Availability::Full : Availability::None;
     }
--- a/Userland/Services/WeightAgent/AgentService.cpp
+++ b/Userland/Services/WeightAgent/AgentService.cpp
@@ -17,7 +17,7 @@
 // Before a load the entries send nothing more for up to this time; calls that are left then are cut, and entries resume their streams elsewhere.
 constexpr AK::Milliseconds drainTime = 1'200;
 // With so few calls left the load begins at once: resuming them costs less than the engine's idle time.
-constexpr uint32_t callsCut = 4;
+constexpr uint32_t callsCut = 2;
 constexpr AK::Milliseconds loadPoll = 20;
 // An order without effect for this long is looked at anew.
 constexpr AK::Milliseconds loadLimit = 8'000;
