--- /dev/null
+++ b/Tests/LibGateway/TestPlacement.cpp
@@ -0,0 +1,239 @@
+#include <LibGateway/EventSplitter.h>
+#include <LibGateway/Placement.h>
+#include <LibGateway/RetryBudget.h>
+#include <gtest/gtest.h>
+
+namespace
+{
+
+using namespace LibGateway;
+
+PlacementCandidate candidate(double load, double backlogMs, bool preferred)
+{
+    PlacementCandidate result;
+    result.load = load;
+    result.limit = 16;
+    result.promptBacklogMs = backlogMs;
+    result.preferred = preferred;
+    result.sameRegion = true;
+    return result;
+}
+
+struct ChoiceCase {
+    const char *name;
+    std::vector<PlacementCandidate> candidates;
+    double promptMs;
+    bool anyBacklog;
+    std::optional<size_t> chosen;
+};
+
+class ChooseUpstreamTest : public testing::TestWithParam<ChoiceCase>
+{
+};
+
+// Guards against prompts that meet in one pass of an engine (gaps of 440 to 650 ms at 5 of 16 calls on costilla-luz quiet-1) and against overfilled engines.
+TEST_P(ChooseUpstreamTest, Chooses)
+{
+    for (uint64_t seed = 0; seed < 20; ++seed) {
+        AK::Random random(seed);
+        EXPECT_EQ(chooseUpstream(GetParam().candidates, GetParam().promptMs, GetParam().anyBacklog, PlacementSettings{}, random), GetParam().chosen)
+            << "seed " << seed;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, ChooseUpstreamTest,
+                         testing::Values(ChoiceCase{"none", {}, 10, false, std::nullopt}, ChoiceCase{"full", {candidate(16, 0, true)}, 10, false, std::nullopt},
+                                         ChoiceCase{"less_backlog", {candidate(4, 100, true), candidate(6, 0, true)}, 20, false, 1},
+                                         ChoiceCase{"backlog_with_own_prompt", {candidate(4, 100, true)}, 50, false, std::nullopt},
+                                         ChoiceCase{"long_prompt_alone", {candidate(4, 0, true)}, 500, false, 0},
+                                         ChoiceCase{"foreign_takes_no_long_prompt", {candidate(0, 0, false)}, 100, false, std::nullopt},
+                                         ChoiceCase{"foreign_takes_short_prompt", {candidate(0, 0, false)}, 40, false, 0},
+                                         ChoiceCase{"has_waited", {candidate(0, 0, false)}, 100, true, 0},
+                                         ChoiceCase{"preferred_before_foreign", {candidate(4, 0, false), candidate(4, 0, true)}, 20, false, 1},
+                                         ChoiceCase{"much_emptier_foreign", {candidate(0, 0, false), candidate(14, 0, true)}, 20, false, 0}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+// Guards against a failing upstream that keeps its share of the calls.
+TEST(ChooseUpstream, AvoidsFailingUpstreams)
+{
+    PlacementCandidate failing = candidate(0, 0, true);
+    failing.failureShare = 0.5;
+    AK::Random random(1);
+    EXPECT_EQ(chooseUpstream({failing, candidate(10, 0, true)}, 10, false, PlacementSettings{}, random), 1U);
+}
+
+// Guards against upstreams that no entry or several entries prefer.
+TEST(PreferredEntry, IsOneNearEntry)
+{
+    const std::vector<EntryPlace> entries{{"e1", "lima"}, {"e2", "lima"}, {"e3", "cusco"}};
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 200; ++i) {
+        ++counts[preferredEntry("u" + std::to_string(i), "lima", entries)];
+    }
+    EXPECT_EQ(counts.size(), 2U);
+    EXPECT_GT(counts["e1"], 60);
+    EXPECT_GT(counts["e2"], 60);
+    EXPECT_EQ(preferredEntry("u1", "cusco", entries), "e3");
+    EXPECT_NE(preferredEntry("u1", "arequipa", entries), "");
+    EXPECT_EQ(preferredEntry("u1", "lima", {}), "");
+}
+
+struct LoadCase {
+    const char *name;
+    int own;
+    std::optional<uint32_t> reported;
+    AK::Milliseconds reportAge;
+    int ownAtReport;
+    double load;
+};
+
+class EstimatedLoadTest : public testing::TestWithParam<LoadCase>
+{
+};
+
+// Guards against counting own calls twice, and against reports of an agent that has died.
+TEST_P(EstimatedLoadTest, AddsWhatOthersHave)
+{
+    const LoadCase &row = GetParam();
+    UpstreamLoad load;
+    load.ownInFlight = row.own;
+    load.ownAtReport = row.ownAtReport;
+    load.reportAt = 10'000 - row.reportAge;
+    load.answeredAt = -10'000;
+    if (row.reported) {
+        load.report = LibPeers::EngineReport{};
+        load.report->running = *row.reported;
+    }
+    EXPECT_EQ(estimatedLoad(load, 10'000, PlacementSettings{}), row.load);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, EstimatedLoadTest,
+                         testing::Values(LoadCase{"own_only", 3, std::nullopt, 0, 0, 3}, LoadCase{"others", 3, 10, 100, 2, 11},
+                                         LoadCase{"own_newer_than_report", 5, 2, 100, 3, 5}, LoadCase{"stale_report", 3, 10, 1'500, 2, 3}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+// Guards against more calls in a second than a cold upstream bears, summed over the entries (FAILBACK).
+TEST(RateAllows, StaysBelowTheColdRateInEverySecond)
+{
+    constexpr double coldRate = 36;
+    constexpr size_t entries = 4;
+    const PlacementSettings settings;
+    UpstreamLoad load;
+    std::vector<AK::Milliseconds> sent;
+    for (AK::Milliseconds now = 5'000; now < 15'000; ++now) {
+        if (rateAllows(load, coldRate, entries, now, settings)) {
+            load.rateTokens -= 1;
+            sent.push_back(now);
+        }
+    }
+    size_t most = 0;
+    for (size_t i = 0; i < sent.size(); ++i) {
+        size_t count = 0;
+        for (size_t k = i; k < sent.size() && sent[k] < sent[i] + 1'000; ++k) {
+            ++count;
+        }
+        most = std::max(most, count);
+    }
+    EXPECT_LE(static_cast<double>(most * entries), coldRate * 1.5 + 5);
+    EXPECT_GT(sent.size(), 60U);
+}
+
+// Guards against a dead upstream that gets every third call, and one that never returns.
+TEST(CountOutcome, SuspendsAfterFailuresInARow)
+{
+    const PlacementSettings settings;
+    UpstreamLoad load;
+    for (int i = 0; i < settings.failuresToSuspend - 1; ++i) {
+        countOutcome(load, true, 1'000, settings);
+    }
+    EXPECT_EQ(load.suspendedUntil, 0);
+    countOutcome(load, true, 1'000, settings);
+    EXPECT_EQ(load.suspendedUntil, 1'000 + settings.suspension);
+    countOutcome(load, true, 3'000, settings);
+    EXPECT_EQ(load.suspendedUntil, 3'000 + 2 * settings.suspension);
+    countOutcome(load, false, 5'000, settings);
+    EXPECT_EQ(load.failuresInRow, 0);
+}
+
+struct RequiredCase {
+    const char *name;
+    std::vector<LibFleet::WeightsTarget> targets;
+    AK::Milliseconds now;
+    int64_t required;
+};
+
+class RequiredWeightsTest : public testing::TestWithParam<RequiredCase>
+{
+};
+
+// Guards against work that begins on old weights after their time (VERSION), also when a newer version was named in between.
+TEST_P(RequiredWeightsTest, IsTheNewestWhoseTimeIsOver)
+{
+    EXPECT_EQ(requiredWeights(GetParam().targets, GetParam().now, 6'500), GetParam().required);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, RequiredWeightsTest,
+                         testing::Values(RequiredCase{"none_named", {}, 1'000, 0}, RequiredCase{"within_time", {{2, 1'000}}, 7'499, 0},
+                                         RequiredCase{"time_over", {{2, 1'000}}, 7'500, 2},
+                                         RequiredCase{"first_of_two_over", {{2, 1'000}, {3, 3'000}}, 8'000, 2},
+                                         RequiredCase{"both_over", {{2, 1'000}, {3, 3'000}}, 9'500, 3}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+// Guards against more repeats than all entries together may send in any window (BUDGET).
+TEST(RetryBudget, BoundsRepeatsOfAllEntries)
+{
+    constexpr size_t entries = 4;
+    const RetryBudgetSettings settings;
+    RetryBudget budget(settings);
+    int64_t repeats = 0;
+    for (AK::Milliseconds now = 0; now < settings.window; now += 20) {
+        budget.countCall(now);
+        repeats += budget.spend(now, entries) ? 1 : 0;
+    }
+    const double calls = static_cast<double>(settings.window) / 20;
+    EXPECT_LE(static_cast<double>(repeats * entries), settings.ratio * calls * entries + settings.extra);
+    EXPECT_GT(repeats, 50);
+}
+
+struct SplitCase {
+    const char *name;
+    std::vector<std::string> parts;
+    std::vector<std::string> ids;
+    bool partial;
+};
+
+class EventSplitterTest : public testing::TestWithParam<SplitCase>
+{
+};
+
+// Guards against half an event at the client when a stream breaks off, and against resuming behind the wrong event (ORDER).
+TEST_P(EventSplitterTest, PassesWholeEvents)
+{
+    EventSplitter splitter;
+    std::vector<std::string> ids;
+    std::string whole;
+    for (const std::string &part : GetParam().parts) {
+        splitter.feed(part);
+        while (const auto event = splitter.next()) {
+            ids.push_back(event->id.value_or("-"));
+            whole += event->text;
+        }
+    }
+    EXPECT_EQ(ids, GetParam().ids);
+    EXPECT_EQ(splitter.hasPartial(), GetParam().partial);
+    std::string sent;
+    for (const std::string &part : GetParam().parts) {
+        sent += part;
+    }
+    EXPECT_EQ(sent.substr(0, whole.size()), whole) << "bytes must not change";
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, EventSplitterTest,
+                         testing::Values(SplitCase{"whole", {"id: 1\ndata: a\n\nid:2\ndata: b\n\n"}, {"1", "2"}, false},
+                                         SplitCase{"cut_anywhere", {"i", "d: 1\nda", "ta: a\n", "\nid: 2\nda"}, {"1"}, true},
+                                         SplitCase{"carriage_returns", {"id: 1\r\ndata: a\r\n\r\n"}, {"1"}, false},
+                                         SplitCase{"version_line_first", {"x-versions: 2\nid: 7\ndata: a\n\n"}, {"7"}, false},
+                                         SplitCase{"no_id", {"data: id: 5\n\n"}, {"-"}, false}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+} // namespace
--- /dev/null
+++ b/Tests/LibHttpStream/TestMessages.cpp
@@ -0,0 +1,157 @@
+#include <LibHttpStream/MessageReader.h>
+#include <gtest/gtest.h>
+
+namespace
+{
+
+using namespace LibHttpStream;
+
+struct PlanCase {
+    const char *name;
+    Headers headers;
+    bool valid;
+    Framing framing;
+    uint64_t length;
+};
+
+class RequestPlanTest : public testing::TestWithParam<PlanCase>
+{
+};
+
+// Guards against requests that two readers frame differently, which would smuggle one request inside another.
+TEST_P(RequestPlanTest, FramesOrRefuses)
+{
+    const PlanCase &row = GetParam();
+    const absl::StatusOr<BodyPlan> plan = requestBodyPlan(row.headers);
+    ASSERT_EQ(plan.ok(), row.valid) << plan.status();
+    if (row.valid) {
+        EXPECT_EQ(plan->framing, row.framing);
+        EXPECT_EQ(plan->length, row.length);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, RequestPlanTest,
+                         testing::Values(PlanCase{"none", {}, true, Framing::None, 0},
+                                         PlanCase{"length", {{"content-length", "12"}}, true, Framing::Length, 12},
+                                         PlanCase{"chunked", {{"Transfer-Encoding", "Chunked"}}, true, Framing::Chunked, 0},
+                                         PlanCase{"both", {{"Transfer-Encoding", "chunked"}, {"Content-Length", "3"}}, false, Framing::None, 0},
+                                         PlanCase{"twice", {{"Content-Length", "3"}, {"Content-Length", "3"}}, false, Framing::None, 0},
+                                         PlanCase{"list", {{"Content-Length", "3, 3"}}, false, Framing::None, 0},
+                                         PlanCase{"negative", {{"Content-Length", "-3"}}, false, Framing::None, 0},
+                                         PlanCase{"plus", {{"Content-Length", "+3"}}, false, Framing::None, 0},
+                                         PlanCase{"gzip", {{"Transfer-Encoding", "gzip, chunked"}}, false, Framing::None, 0}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+// Both ends of a connection on a loop.
+struct Connection {
+    Connection()
+        : pipe(kj::newTwoWayPipe())
+        , channel(loop, kj::mv(pipe.ends[0]))
+    {
+    }
+
+    void send(std::string_view data, bool end)
+    {
+        this->loop.spawn([this, text = std::string(data), end](kj::WaitScope &scope) {
+            this->pipe.ends[1]->write(text.data(), text.size()).wait(scope);
+            if (end) {
+                this->pipe.ends[1]->shutdownWrite();
+            }
+        });
+    }
+
+    AK::Milliseconds deadline() const
+    {
+        return this->loop.clock().now() + 2'000;
+    }
+
+    LibFiber::Loop loop;
+    kj::TwoWayPipe pipe;
+    LibFiber::ByteChannel channel;
+};
+
+struct BodyCase {
+    const char *name;
+    BodyPlan plan;
+    std::string bytes;
+    absl::StatusCode code;
+    std::string body;
+    bool reusable;
+};
+
+class BodyTest : public testing::TestWithParam<BodyCase>
+{
+};
+
+// Guards against a body that is cut short and passed on as if it were whole.
+TEST_P(BodyTest, EndsOnlyAtItsTrueEnd)
+{
+    const BodyCase &row = GetParam();
+    Connection connection;
+    connection.send(row.bytes, true);
+    BodyReader reader(connection.channel, row.plan);
+    const absl::StatusOr<std::string> body = readBody(reader, connection.loop.rootScope(), 1000, connection.deadline());
+    EXPECT_EQ(body.status().code(), row.code) << body.status();
+    if (body.ok()) {
+        EXPECT_EQ(*body, row.body);
+        EXPECT_EQ(reader.reusable(), row.reusable);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, BodyTest,
+    testing::Values(BodyCase{"counted", {Framing::Length, 5}, "hello", absl::StatusCode::kOk, "hello", true},
+                    BodyCase{"counted_cut", {Framing::Length, 6}, "hello", absl::StatusCode::kDataLoss, "", false},
+                    BodyCase{"chunked", {Framing::Chunked, 0}, "3\r\nhel\r\n2;x=y\r\nlo\r\n0\r\nT: v\r\n\r\n", absl::StatusCode::kOk, "hello", true},
+                    BodyCase{"chunked_without_end", {Framing::Chunked, 0}, "3\r\nhel\r\n", absl::StatusCode::kDataLoss, "", false},
+                    BodyCase{"chunk_cut", {Framing::Chunked, 0}, "5\r\nhel", absl::StatusCode::kDataLoss, "", false},
+                    BodyCase{"chunk_too_long", {Framing::Chunked, 0}, "3\r\nhello\r\n0\r\n\r\n", absl::StatusCode::kInvalidArgument, "", false},
+                    BodyCase{"chunk_size_invalid", {Framing::Chunked, 0}, "3x\r\nhel\r\n0\r\n\r\n", absl::StatusCode::kInvalidArgument, "", false},
+                    BodyCase{"until_close", {Framing::UntilClose, 0}, "hello", absl::StatusCode::kOk, "hello", false},
+                    BodyCase{"too_long", {Framing::UntilClose, 0}, std::string(1001, 'x'), absl::StatusCode::kResourceExhausted, "", false}),
+    [](const auto &info) { return std::string(info.param.name); });
+
+struct HeadCase {
+    const char *name;
+    std::string bytes;
+    bool end;
+    absl::StatusCode code;
+};
+
+class HeadTest : public testing::TestWithParam<HeadCase>
+{
+};
+
+// Guards against heads without bound, and against a head cut short that is taken as a request.
+TEST_P(HeadTest, IsWholeAndBounded)
+{
+    const HeadCase &row = GetParam();
+    Connection connection;
+    connection.send(row.bytes, row.end);
+    const absl::StatusOr<std::string> text = readHeadText(connection.channel, connection.loop.rootScope(), 64, connection.deadline());
+    EXPECT_EQ(text.status().code(), row.code) << text.status();
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, HeadTest,
+                         testing::Values(HeadCase{"whole", "GET / HTTP/1.1\r\nHost: a\r\n\r\nrest", false, absl::StatusCode::kOk},
+                                         HeadCase{"empty_lines_first", "\r\n\r\nGET / HTTP/1.1\r\n\r\n", false, absl::StatusCode::kOk},
+                                         HeadCase{"ended_before", "", true, absl::StatusCode::kOutOfRange},
+                                         HeadCase{"ended_inside", "GET / HT", true, absl::StatusCode::kInvalidArgument},
+                                         HeadCase{"too_long", "GET / HTTP/1.1\r\nX: " + std::string(80, 'x'), false, absl::StatusCode::kResourceExhausted}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+// Guards against bytes that are lost when a read is abandoned for another event.
+TEST(ByteChannel, KeepsBytesOfAbandonedReads)
+{
+    Connection connection;
+    kj::WaitScope &scope = connection.loop.rootScope();
+    {
+        kj::Promise<void> abandoned = connection.channel.whenClosed();
+        connection.loop.after(1).exclusiveJoin(kj::mv(abandoned)).wait(scope);
+    }
+    connection.send("hello", false);
+    ASSERT_TRUE(connection.channel.fill(scope, connection.deadline()).ok());
+    EXPECT_EQ(connection.channel.buffered(), "hello");
+}
+
+} // namespace
--- /dev/null
+++ b/Tests/Platform/TestCodec.cpp
@@ -0,0 +1,269 @@
+#include <gtest/gtest.h>
+#include <platform/CallHeaders.h>
+#include <platform/Directory.h>
+#include <platform/JsonFields.h>
+#include <platform/NodeSettings.h>
+#include <platform/ObjectCodec.h>
+
+namespace
+{
+
+using namespace Platform;
+
+constexpr const char *goodSettings = R"(
+nodeName: "front-1"
+ip: "10.1.0.40"
+zone: "lima-1"
+region: "lima"
+zones:
+  lima-1: "lima"
+listen:
+  front: "10.1.0.40:8005"
+  control: "10.1.0.40:8000"
+innerPorts:
+  - 7700
+  - 7715
+seeds:
+  - "10.2.0.37:8000"
+bounds:
+  graceS: 8
+  retryBudgetRatio: 0.25
+  version_ms: 9000
+platform:
+  addr: "10.200.1.7:8007"
+unknownField: 7
+)";
+
+TEST(NodeSettings, ReadsWhatIsKnownAndIgnoresTheRest)
+{
+    const auto settings = parseNodeSettings(goodSettings);
+    ASSERT_TRUE(settings.ok()) << settings.status();
+    EXPECT_EQ(settings->name, "front-1");
+    EXPECT_EQ(settings->clientAddress->text(), "10.1.0.40:8005");
+    EXPECT_FALSE(settings->readinessAddress.has_value());
+    EXPECT_EQ(settings->store.text(), "10.200.1.7:8007");
+    EXPECT_EQ(settings->innerPort, 7700);
+    EXPECT_EQ(settings->seeds.size(), 1U);
+    EXPECT_EQ(settings->bounds.stopGrace, 8'000);
+    EXPECT_EQ(settings->bounds.weightsWithin, 9'000);
+    EXPECT_EQ(settings->bounds.retryRatio, 0.25);
+}
+
+struct BadSettingsCase {
+    const char *name;
+    std::string from;
+    std::string to;
+    std::string path;
+};
+
+class BadSettingsTest : public testing::TestWithParam<BadSettingsCase>
+{
+};
+
+// Guards against a process that starts with settings that it can't keep, and against errors that don't say where.
+TEST_P(BadSettingsTest, NamesTheField)
+{
+    std::string text = goodSettings;
+    const size_t at = text.find(GetParam().from);
+    ASSERT_NE(at, std::string::npos);
+    text.replace(at, GetParam().from.size(), GetParam().to);
+    const auto settings = parseNodeSettings(text);
+    ASSERT_FALSE(settings.ok());
+    EXPECT_NE(settings.status().message().find(GetParam().path), absl::string_view::npos) << settings.status();
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, BadSettingsTest,
+                         testing::Values(BadSettingsCase{"no_name", "nodeName: \"front-1\"", "", "nodeName"},
+                                         BadSettingsCase{"bad_listen", "10.1.0.40:8005", "front:8005", "listen.front"},
+                                         BadSettingsCase{"bad_seed", "10.2.0.37:8000", "10.2.0.37", "seeds.0"},
+                                         BadSettingsCase{"bad_bound", "graceS: 8", "graceS: soon", "bounds.graceS"},
+                                         BadSettingsCase{"no_store", "addr: \"10.200.1.7:8007\"", "addr: \"\"", "addr"},
+                                         BadSettingsCase{"no_table", "platform:\n  addr: \"10.200.1.7:8007\"", "platform: 5", "platform"}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+LibHttpStream::RequestHead clientRequest()
+{
+    return {"POST",
+            "/lepu/2f?q=1",
+            {{"Host", "jepu9.example"},
+             {"X-Attempt-Id", "9c41"},
+             {"X-Deadline-Ms", "6000"},
+             {"X-Api-Key", "secret"},
+             {"X-Tenant", "forged"},
+             {"X-Token-Count", "1460,80"},
+             {"X-Length-Hint", "70"},
+             {"Last-Event-Id", "12"},
+             {"Connection", "keep-alive, X-Hop"},
+             {"X-Hop", "1"},
+             {"X-Other", "kept"}}};
+}
+
+TEST(CallHeaders, DecodesACall)
+{
+    const auto call = CallHeaders().decodeRequest(clientRequest());
+    ASSERT_TRUE(call.ok()) << call.status();
+    EXPECT_EQ(call->id, "9c41");
+    EXPECT_EQ(call->host, "jepu9.example");
+    EXPECT_EQ(call->path, "/lepu/2f");
+    EXPECT_EQ(call->patience, 6'000);
+    EXPECT_EQ(call->key, "secret");
+    EXPECT_EQ(call->promptTokens, 1460);
+    EXPECT_EQ(call->answerTokenLimit, 80);
+    EXPECT_EQ(call->answerTokenHint, 70);
+    EXPECT_EQ(call->lastEventId, "12");
+}
+
+// Guards against keys, forged account names and hop-by-hop headers at an upstream (UNASKED), and against a changed target or deadline.
+TEST(CallHeaders, EncodesForOneUpstream)
+{
+    const CallHeaders codec;
+    const auto head = clientRequest();
+    const auto call = codec.decodeRequest(head);
+    ASSERT_TRUE(call.ok());
+    const auto sent = codec.encodeRequest(head, *call, {"i-1", "bozi", 4321, 2, 3, std::string("15")});
+    EXPECT_EQ(sent.target, "/lepu/2f?q=1");
+    const std::map<std::string, std::string> expected{{"Host", "jepu9.example"},   {"X-Attempt-Id", "9c41"},     {"X-Deadline-Ms", "4321"},
+                                                      {"X-Tenant", "bozi"},        {"X-Token-Count", "1460,80"}, {"X-Length-Hint", "70"},
+                                                      {"Last-Event-Id", "15"},     {"X-Other", "kept"},          {"X-Expect-Instance", "i-1"},
+                                                      {"X-Request-Priority", "2"}, {"X-Expect-Version", "3"}};
+    std::map<std::string, std::string> found;
+    for (const auto &header : sent.headers) {
+        EXPECT_TRUE(found.emplace(header.name, header.value).second) << header.name << " twice";
+    }
+    EXPECT_EQ(found, expected);
+}
+
+struct BadCallCase {
+    const char *name;
+    std::string header;
+    std::string value;
+};
+
+class BadCallTest : public testing::TestWithParam<BadCallCase>
+{
+};
+
+TEST_P(BadCallTest, IsRefused)
+{
+    LibHttpStream::RequestHead head = clientRequest();
+    for (auto &header : head.headers) {
+        header.value = header.name == GetParam().header ? GetParam().value : header.value;
+    }
+    EXPECT_FALSE(CallHeaders().decodeRequest(head).ok());
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, BadCallTest,
+                         testing::Values(BadCallCase{"no_host", "Host", ""}, BadCallCase{"deadline_no_number", "X-Deadline-Ms", "soon"},
+                                         BadCallCase{"deadline_negative", "X-Deadline-Ms", "-5"}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+struct AnswerCase {
+    const char *name;
+    LibHttpStream::Headers headers;
+    bool notRun;
+    bool authentic;
+    int running;
+};
+
+class AnswerTest : public testing::TestWithParam<AnswerCase>
+{
+};
+
+TEST_P(AnswerTest, IsDecoded)
+{
+    const auto info = CallHeaders().decodeAnswer({503, "", GetParam().headers});
+    EXPECT_EQ(info.notRun, GetParam().notRun);
+    EXPECT_EQ(info.authentic, GetParam().authentic);
+    EXPECT_EQ(info.load ? info.load->running : -1, GetParam().running);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, AnswerTest,
+                         testing::Values(AnswerCase{"refused", {{"X-Not-Executed", "1"}}, true, false, -1},
+                                         AnswerCase{"ran", {{"X-Server-Seal", "3e1b"}, {"X-Worker-Load", "3,0,8"}}, false, true, 3},
+                                         AnswerCase{"broken_load", {{"X-Worker-Load", "3,x"}}, false, false, -1},
+                                         AnswerCase{"negative_load", {{"X-Worker-Load", "3,-1,8"}}, false, false, -1}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+struct UpstreamCase {
+    const char *name;
+    std::string spec;
+    bool valid;
+    int64_t weights;
+};
+
+class UpstreamTest : public testing::TestWithParam<UpstreamCase>
+{
+};
+
+// Guards against entries of another writer that name no upstream, and against an engine taken as loaded with a part of its layers.
+TEST_P(UpstreamTest, IsDecodedOrLeftOut)
+{
+    const auto record = decodeUpstream("i-1", GetParam().spec, 16, 1'000);
+    ASSERT_EQ(record.ok(), GetParam().valid) << record.status();
+    if (record.ok()) {
+        EXPECT_EQ(record->weightsVersion, GetParam().weights);
+    }
+}
+
+const std::string upstreamStart = R"({"service":"s","addr":"10.1.0.2:80","zone":"z","slots":16,"state":"ready")";
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, UpstreamTest,
+    testing::Values(UpstreamCase{"plain", upstreamStart + "}", true, 0},
+                    UpstreamCase{"whole", upstreamStart + R"(,"models":[{"version":2}],"layers":{"from":0,"to":16,"version":2}})", true, 2},
+                    UpstreamCase{"part", upstreamStart + R"(,"models":[{"version":2}],"layers":{"from":0,"to":8,"version":2}})", true, 0},
+                    UpstreamCase{"other_version", upstreamStart + R"(,"models":[{"version":2}],"layers":{"from":0,"to":16,"version":1}})", true, 0},
+                    UpstreamCase{"empty", upstreamStart + R"(,"models":[],"layers":null})", true, 0}, UpstreamCase{"no_object", "7", false, 0},
+                    UpstreamCase{"no_json", "{", false, 0},
+                    UpstreamCase{"unknown_state", R"({"service":"s","addr":"1.2.3.4:5","zone":"z","slots":1,"state":"odd"})", false, 0},
+                    UpstreamCase{"address_no_ip", R"({"service":"s","addr":"host:5","zone":"z","slots":1,"state":"ready"})", false, 0},
+                    UpstreamCase{"slots_text", R"({"service":"s","addr":"1.2.3.4:5","zone":"z","slots":"16","state":"ready"})", false, 0}),
+    [](const auto &info) { return std::string(info.param.name); });
+
+// Guards against one unreadable entry that takes the others with it.
+TEST(ObjectCodec, LeavesOutOnlyWhatItCannotRead)
+{
+    const AK::SystemClock clock;
+    ObjectCodec codec(clock, 0);
+    LibFleet::FleetState state(clock);
+    codec.decode(LibFleet::ObjectKind::Upstreams, {{"a", upstreamStart + "}"}, {"b", "rubbish"}}, state);
+    EXPECT_EQ(state.upstreams().size(), 1U);
+    codec.decode(LibFleet::ObjectKind::Configuration, {{"main", R"({"version":3,"routes":[],"services":[{"name":"s"}]})"}}, state);
+    codec.decode(LibFleet::ObjectKind::Configuration, {{"main", R"({"version":4,"routes":[{"host":"h"}]})"}}, state);
+    EXPECT_EQ(state.configuration()->version, 3) << "an unreadable configuration changes nothing";
+    codec.decode(LibFleet::ObjectKind::Upstreams,
+                 {{"a", upstreamStart + "}"}, {"c", R"({"service":"t","addr":"1.2.3.4:5","zone":"z","slots":1,"state":"ready"})"}}, state);
+    EXPECT_EQ(state.upstreams().size(), 1U) << "an unknown service names no upstream to use";
+}
+
+TEST(ObjectCodec, DecodesAConfiguration)
+{
+    const auto configuration = decodeConfiguration(
+        R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/","kind":"streaming","timeoutMs":6000,"targetLatencyMs":500,"priority":1,)"
+        R"("trafficSplit":[{"service":"a","weight":90},{"service":"b","weight":10}],"maxAttempts":2,"resumable":true,"allowedRegions":["x"]}],)"
+        R"("services":[{"name":"a","coldStartS":3.0,"coldPerS":36.0,"engine":{"slots":16,"layers":16,"chunks":96,"models":[{"name":"m"}]}},)"
+        R"({"name":"o","origin":"172.20.0.3:8006","zone":"z"}],)"
+        R"("limits":{"idleTimeoutMs":9000},"tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":0}]})");
+    ASSERT_TRUE(configuration.ok()) << configuration.status();
+    ASSERT_EQ(configuration->routes.size(), 1U);
+    EXPECT_EQ(configuration->routes[0].kind, LibFleet::RouteKind::Stream);
+    EXPECT_TRUE(configuration->routes[0].repeatable());
+    EXPECT_EQ(configuration->routes[0].services.size(), 2U);
+    EXPECT_EQ(configuration->services.at("a").engine->model, "m");
+    EXPECT_EQ(configuration->services.at("a").coldCallsPerSecond, 36);
+    EXPECT_EQ(configuration->services.at("o").origin->text(), "172.20.0.3:8006");
+    EXPECT_EQ(configuration->limits.idleTimeout, 9'000);
+    EXPECT_EQ(configuration->accountsByKey.at("k2")->priority, 0);
+}
+
+TEST(Directory, ReadsTheFailureDomainAndWritesAddresses)
+{
+    EXPECT_EQ(failureDomainOfClient({"GET", "/v1/resolve?name=a&region=lima&zone=lima-1", {}}), "lima-1");
+    EXPECT_EQ(failureDomainOfClient({"GET", "/v1/resolve", {}}), "");
+    EXPECT_TRUE(asksForAddresses({"GET", "/v1/resolve?name=a", {}}));
+    EXPECT_FALSE(asksForAddresses({"POST", "/v1/resolve", {}}));
+    EXPECT_EQ(encodeAddresses({{"10.1.0.40", 8005}}, 2'000), R"({"addresses":["10.1.0.40:8005"],"ttlS":2})");
+    EXPECT_EQ(encodeAddresses({}, 1'500), R"({"addresses":[],"ttlS":1.5})");
+}
+
+} // namespace
--- /dev/null
+++ b/Tests/Services/Gateway/GatewaySite.cpp
@@ -0,0 +1,170 @@
+#include "GatewaySite.h"
+
+#include <AK/Text.h>
+#include <kj/debug.h>
+
+namespace
+{
+
+uint16_t nextPort()
+{
+    static uint16_t port = 17'000;
+    return ++port;
+}
+
+constexpr AK::Milliseconds longTime = 5'000;
+
+Gateway::DispatchSettings dispatchSettings()
+{
+    Gateway::DispatchSettings settings;
+    settings.name = "e1";
+    settings.region = "lima";
+    settings.failureDomain = "lima-1";
+    return settings;
+}
+
+} // namespace
+
+StandInUpstream::StandInUpstream(LibFiber::Loop &loop, uint16_t port, UpstreamScript script)
+    : loop(loop)
+    , script(std::move(script))
+{
+    auto receiver = LibFiber::listenOn(loop, {"127.0.0.1", port});
+    KJ_ASSERT(receiver.ok(), std::string(receiver.status().message()).c_str());
+    loop.spawn([this, listener = kj::mv(*receiver)](kj::WaitScope &scope) mutable {
+        while (true) {
+            auto stream = listener->accept().wait(scope);
+            ++this->connections;
+            this->loop.spawn([this, connection = kj::mv(stream)](kj::WaitScope &inner) mutable { this->serve(inner, kj::mv(connection)); });
+        }
+    });
+}
+
+void StandInUpstream::serve(kj::WaitScope &scope, kj::Own<kj::AsyncIoStream> stream)
+{
+    LibFiber::ByteChannel channel(this->loop, kj::mv(stream));
+    while (true) {
+        const auto text = LibHttpStream::readHeadText(channel, scope, 65536, this->loop.clock().now() + longTime);
+        if (!text.ok()) {
+            return;
+        }
+        const auto head = LibHttpStream::parseRequestHead(*text);
+        KJ_ASSERT(head.ok());
+        LibHttpStream::BodyReader reader(channel, *LibHttpStream::requestBodyPlan(head->headers));
+        const auto body = LibHttpStream::readBody(reader, scope, 1 << 20, this->loop.clock().now() + longTime);
+        if (!body.ok()) {
+            return;
+        }
+        this->requests.push_back(*head);
+        this->bodies.push_back(*body);
+        if (!this->script(scope, channel, *head, *body)) {
+            this->left += channel.ended() ? 1 : 0;
+            return;
+        }
+    }
+}
+
+GatewaySite::GatewaySite(const std::vector<UpstreamScript> &scripts)
+    : fleet(loop.clock())
+    , dispatcher(loop, fleet, dispatchSettings())
+    , links(loop)
+    , address{"127.0.0.1", nextPort()}
+    , gateway({loop, fleet, codec, dispatcher, links, metrics}, address)
+{
+    this->dispatcher.setRegions({{"lima-1", "lima"}});
+    this->dispatcher.setEntries({{"e1", "lima-1"}});
+    std::map<std::string, LibFleet::UpstreamRecord> records;
+    for (const UpstreamScript &script : scripts) {
+        const uint16_t port = nextPort();
+        this->upstreams.push_back(std::make_unique<StandInUpstream>(this->loop, port, script));
+        const std::string id = AK::concat("i-", this->upstreams.size());
+        LibFleet::UpstreamRecord record;
+        record.id = id;
+        record.service = "s";
+        record.address = {"127.0.0.1", port};
+        record.failureDomain = "lima-1";
+        record.slots = 4;
+        records[id] = record;
+    }
+    this->fleet.setUpstreams(records);
+    KJ_ASSERT(this->gateway.start().ok());
+}
+
+GatewaySite::~GatewaySite()
+{
+    this->loop.cancelSpawned();
+}
+
+void GatewaySite::configure(LibFleet::RouteKind kind, bool resumable, int maxAttempts, AK::Milliseconds timeout)
+{
+    LibFleet::Configuration configuration;
+    configuration.version = 1;
+    LibFleet::Route route;
+    route.name = "r";
+    route.host = "h";
+    route.pathPrefix = "/r/";
+    route.kind = kind;
+    route.resumable = resumable;
+    route.maxAttempts = maxAttempts;
+    route.timeout = timeout;
+    route.targetLatency = 400;
+    route.services = {{"s", 1}};
+    configuration.routes.push_back(route);
+    LibFleet::ServiceSpec service;
+    service.name = "s";
+    configuration.services["s"] = service;
+    configuration.hasAccounts = true;
+    auto account = std::make_shared<LibFleet::ClientAccount>();
+    account->name = "acc";
+    configuration.accountsByKey["k"] = account;
+    this->fleet.setConfiguration(configuration);
+}
+
+ClientView GatewaySite::call(const LibHttpStream::Headers &headers, const std::string &path, const std::string &body)
+{
+    kj::WaitScope &scope = this->loop.rootScope();
+    const AK::Milliseconds deadline = this->loop.clock().now() + longTime;
+    auto channel = LibFiber::ByteChannel::connect(this->loop, scope, this->address, deadline);
+    KJ_ASSERT(channel.ok());
+    LibHttpStream::RequestHead head{"POST", path, {{"Host", "h"}, {"X-Attempt-Id", "a1"}, {"X-Deadline-Ms", "2000"}}};
+    for (const auto &header : headers) {
+        head.headers.push_back(header);
+    }
+    if (LibHttpStream::findHeader(headers, "X-Api-Key") == nullptr) {
+        head.headers.push_back({"X-Api-Key", "k"});
+    }
+    head.headers.push_back({"Content-Length", std::to_string(body.size())});
+    KJ_ASSERT((*channel)->write(scope, LibHttpStream::serializeRequestHead(head) + body, deadline).ok());
+    ClientView view;
+    const auto text = LibHttpStream::readHeadText(**channel, scope, 65536, deadline);
+    if (!text.ok()) {
+        return view;
+    }
+    const auto response = LibHttpStream::parseResponseHead(*text);
+    KJ_ASSERT(response.ok());
+    view.status = response->status;
+    view.headers = response->headers;
+    LibHttpStream::BodyReader reader(**channel, *LibHttpStream::responseBodyPlan("POST", *response));
+    while (true) {
+        const auto data = reader.next(scope, deadline);
+        if (!data.ok()) {
+            return view;
+        }
+        if (!*data) {
+            view.whole = true;
+            return view;
+        }
+        view.body += **data;
+    }
+}
+
+void writeCounted(kj::WaitScope &scope, LibFiber::ByteChannel &channel, LibFiber::Loop &loop, const std::string &id, int status, const std::string &body,
+                  size_t declared, const LibHttpStream::Headers &more)
+{
+    LibHttpStream::ResponseHead head{status, "OK", {{"X-Attempt-Id", id}, {"X-Server-Seal", "seal"}, {"Content-Length", std::to_string(declared)}}};
+    for (const auto &header : more) {
+        head.headers.push_back(header);
+    }
+    const absl::Status written = channel.write(scope, LibHttpStream::serializeResponseHead(head) + body, loop.clock().now() + longTime);
+    KJ_ASSERT(written.ok());
+}
--- /dev/null
+++ b/Tests/Services/Gateway/TestGateway.cpp
@@ -0,0 +1,357 @@
+#include "GatewaySite.h"
+#include <AK/Text.h>
+#include <Gateway/AddressChoice.h>
+#include <gtest/gtest.h>
+
+namespace
+{
+
+using LibFleet::RouteKind;
+
+constexpr AK::Milliseconds longTime = 5'000;
+
+/// What an upstream does with each request.
+enum class Behaviour { Whole, Fails, Cut, Refuses, Resets, StrayFirst, Unframed, Misdirected, Mute };
+
+UpstreamScript scriptOf(Behaviour behaviour, LibFiber::Loop *const &loop)
+{
+    return [behaviour, &loop](kj::WaitScope &scope, LibFiber::ByteChannel &channel, const LibHttpStream::RequestHead &head, const std::string &) {
+        const std::string id = *LibHttpStream::findHeader(head.headers, "X-Attempt-Id");
+        switch (behaviour) {
+        case Behaviour::Whole:
+            writeCounted(scope, channel, *loop, id, 200, "hello", 5);
+            return true;
+        case Behaviour::Fails:
+            writeCounted(scope, channel, *loop, id, 500, "failed", 6);
+            return true;
+        case Behaviour::Cut:
+            writeCounted(scope, channel, *loop, id, 200, "hel", 5);
+            return false;
+        case Behaviour::Refuses:
+            writeCounted(scope, channel, *loop, id, 503, "", 0, {{"X-Not-Executed", "1"}});
+            return true;
+        case Behaviour::Resets:
+            channel.resetOnClose();
+            return false;
+        case Behaviour::StrayFirst:
+            writeCounted(scope, channel, *loop, "another", 200, "wrong", 5);
+            writeCounted(scope, channel, *loop, id, 200, "hello", 5);
+            return true;
+        case Behaviour::Unframed: {
+            const std::string text = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\n\r\nhello";
+            EXPECT_TRUE(channel.write(scope, text, loop->clock().now() + longTime).ok());
+            return false;
+        }
+        case Behaviour::Misdirected:
+            writeCounted(scope, channel, *loop, id, 421, "", 0);
+            return true;
+        case Behaviour::Mute:
+            loop->awaitDone(scope, channel.whenClosed(), loop->clock().now() + longTime).IgnoreError();
+            return false;
+        }
+        return false;
+    };
+}
+
+struct CallCase {
+    const char *name;
+    RouteKind kind;
+    int maxAttempts;
+    Behaviour behaviour;
+    int status;
+    std::string body;
+    /// Requests that reached upstreams, of which there are two.
+    size_t sent;
+    bool retryAfter;
+};
+
+class CallTest : public testing::TestWithParam<CallCase>
+{
+};
+
+// Guards against calls that run twice, refusals that say "not run" though the call may have run, and answers that are cut or belong to another call
+// (TWICE, REFUSED, MIXED).
+TEST_P(CallTest, IsAnsweredTruthfully)
+{
+    const CallCase &row = GetParam();
+    LibFiber::Loop *loop = nullptr;
+    GatewaySite site({scriptOf(row.behaviour, loop), scriptOf(row.behaviour, loop)});
+    loop = &site.loop;
+    site.configure(row.kind, false, row.maxAttempts, 600);
+    const ClientView view = site.call();
+    EXPECT_EQ(view.status, row.status);
+    EXPECT_TRUE(view.whole);
+    if (!row.body.empty()) {
+        EXPECT_EQ(view.body, row.body);
+    }
+    EXPECT_EQ(site.upstreams[0]->requests.size() + site.upstreams[1]->requests.size(), row.sent);
+    EXPECT_EQ(LibHttpStream::findHeader(view.headers, "Retry-After") != nullptr, row.retryAfter);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, CallTest,
+                         testing::Values(CallCase{"whole", RouteKind::AtMostOnce, 1, Behaviour::Whole, 200, "hello", 1, false},
+                                         CallCase{"failure_is_passed_on", RouteKind::AtMostOnce, 1, Behaviour::Fails, 500, "failed", 1, false},
+                                         CallCase{"failure_is_repeated", RouteKind::Idempotent, 2, Behaviour::Fails, 500, "failed", 2, false},
+                                         CallCase{"cut_once", RouteKind::AtMostOnce, 2, Behaviour::Cut, 502, "", 1, false},
+                                         CallCase{"cut_repeated", RouteKind::Idempotent, 2, Behaviour::Cut, 502, "", 2, false},
+                                         CallCase{"reset_may_have_run", RouteKind::AtMostOnce, 2, Behaviour::Resets, 502, "", 1, false},
+                                         CallCase{"refused_elsewhere", RouteKind::AtMostOnce, 2, Behaviour::Refuses, 503, "", 2, true},
+                                         CallCase{"refused_once", RouteKind::AtMostOnce, 1, Behaviour::Refuses, 503, "", 1, true},
+                                         CallCase{"misdirected", RouteKind::AtMostOnce, 1, Behaviour::Misdirected, 503, "", 1, true},
+                                         CallCase{"stray_answer_first", RouteKind::AtMostOnce, 1, Behaviour::StrayFirst, 200, "hello", 1, false},
+                                         CallCase{"unframed", RouteKind::AtMostOnce, 1, Behaviour::Unframed, 200, "hello", 1, false},
+                                         CallCase{"mute", RouteKind::AtMostOnce, 1, Behaviour::Mute, 504, "", 1, false}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+// Guards against a wasted second upstream: a call that fails at one is answered by the other.
+TEST(Gateway, RepeatsAnIdempotentCallElsewhere)
+{
+    LibFiber::Loop *loop = nullptr;
+    GatewaySite site({scriptOf(Behaviour::Cut, loop), scriptOf(Behaviour::Whole, loop)});
+    loop = &site.loop;
+    site.configure(RouteKind::Idempotent, false, 2, 1'000);
+    for (int i = 0; i < 3; ++i) {
+        const ClientView view = site.call();
+        EXPECT_EQ(view.status, 200);
+        EXPECT_EQ(view.body, "hello");
+    }
+}
+
+struct GateCase {
+    const char *name;
+    bool configured;
+    LibHttpStream::Headers headers;
+    std::string path;
+    int status;
+};
+
+class GateTest : public testing::TestWithParam<GateCase>
+{
+};
+
+// Guards against calls without a route or a key at an upstream, and against "not found" from a process that knows no configuration (DENIED).
+TEST_P(GateTest, KeepsCallsFromUpstreams)
+{
+    LibFiber::Loop *loop = nullptr;
+    GatewaySite site({scriptOf(Behaviour::Whole, loop)});
+    loop = &site.loop;
+    if (GetParam().configured) {
+        site.configure(RouteKind::AtMostOnce, false, 1, 600);
+    }
+    EXPECT_EQ(site.call(GetParam().headers, GetParam().path).status, GetParam().status);
+    EXPECT_TRUE(site.upstreams[0]->requests.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, GateTest,
+                         testing::Values(GateCase{"no_configuration", false, {}, "/r/1", 503}, GateCase{"no_route", true, {}, "/x/1", 404},
+                                         GateCase{"unknown_key", true, {{"X-Api-Key", "other"}}, "/r/1", 401}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+struct RawCase {
+    const char *name;
+    std::string bytes;
+    int status;
+};
+
+class RawRequestTest : public testing::TestWithParam<RawCase>
+{
+};
+
+// Guards against a second request that is smuggled inside another, and against input without bound.
+TEST_P(RawRequestTest, IsRefusedAndTheConnectionEnds)
+{
+    LibFiber::Loop *loop = nullptr;
+    GatewaySite site({scriptOf(Behaviour::Whole, loop)});
+    loop = &site.loop;
+    site.configure(RouteKind::AtMostOnce, false, 1, 600);
+    kj::WaitScope &scope = site.loop.rootScope();
+    const AK::Milliseconds deadline = site.loop.clock().now() + longTime;
+    auto channel = LibFiber::ByteChannel::connect(site.loop, scope, site.address, deadline);
+    ASSERT_TRUE(channel.ok());
+    ASSERT_TRUE((*channel)->write(scope, GetParam().bytes, deadline).ok());
+    const auto text = LibHttpStream::readHeadText(**channel, scope, 65536, deadline);
+    ASSERT_TRUE(text.ok()) << text.status();
+    EXPECT_EQ(LibHttpStream::parseResponseHead(*text)->status, GetParam().status);
+    EXPECT_TRUE(site.loop.awaitDone(scope, (*channel)->whenClosed(), deadline).ok());
+    EXPECT_TRUE(site.upstreams[0]->requests.empty());
+}
+
+const std::string requestStart = "POST /r/1 HTTP/1.1\r\nHost: h\r\nX-Api-Key: k\r\nX-Attempt-Id: a\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, RawRequestTest,
+    testing::Values(RawCase{"two_framings", requestStart + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /r/2 HTTP/1.1\r\n\r\n", 400},
+                    RawCase{"two_lengths", requestStart + "Content-Length: 3\r\nContent-Length: 5\r\n\r\nabc", 400},
+                    RawCase{"length_no_number", requestStart + "Content-Length: x\r\n\r\n", 400}, RawCase{"no_http", "rubbish\r\n\r\n", 400},
+                    RawCase{"long_head", requestStart + "X-Long: " + std::string(20'000, 'x') + "\r\n\r\n", 431},
+                    RawCase{"long_body", requestStart + "Content-Length: 99999999\r\n\r\n", 413},
+                    RawCase{"bad_chunk", requestStart + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400}),
+    [](const auto &info) { return std::string(info.param.name); });
+
+std::string event(int id)
+{
+    return AK::concat("id: ", id, "\ndata: t", id, "\n\n");
+}
+
+/// Streams events 1 to 6, or from behind Last-Event-Id; ends inside event `cutAt`.
+UpstreamScript streamOf(int cutAt, LibFiber::Loop *const &loop)
+{
+    return [cutAt, &loop](kj::WaitScope &scope, LibFiber::ByteChannel &channel, const LibHttpStream::RequestHead &head, const std::string &) {
+        const std::string *last = LibHttpStream::findHeader(head.headers, "Last-Event-Id");
+        const int first = last == nullptr ? 1 : std::stoi(*last) + 1;
+        std::string text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nX-Attempt-Id: "
+            + *LibHttpStream::findHeader(head.headers, "X-Attempt-Id") + "\r\nX-Server-Seal: " + AK::concat("from", first) + "\r\n\r\n";
+        for (int id = first; id <= 6; ++id) {
+            if (id == cutAt) {
+                text += LibHttpStream::encodeChunk(event(id).substr(0, 9));
+                EXPECT_TRUE(channel.write(scope, text, loop->clock().now() + longTime).ok());
+                return false;
+            }
+            text += LibHttpStream::encodeChunk(event(id));
+        }
+        EXPECT_TRUE(channel.write(scope, text + std::string(LibHttpStream::lastChunk), loop->clock().now() + longTime).ok());
+        return true;
+    };
+}
+
+struct StreamCase {
+    const char *name;
+    bool resumable;
+    int cutAt;
+    bool whole;
+    int events;
+};
+
+class StreamTest : public testing::TestWithParam<StreamCase>
+{
+};
+
+// Guards against events that are missing, doubled or cut, and against a broken stream that looks complete (ORDER).
+TEST_P(StreamTest, PassesEachEventOnce)
+{
+    LibFiber::Loop *loop = nullptr;
+    // The upstream that is tried first depends on chance; each cuts a first send and completes a resumed one.
+    GatewaySite site({streamOf(GetParam().cutAt, loop), streamOf(GetParam().cutAt, loop)});
+    loop = &site.loop;
+    site.configure(RouteKind::Stream, GetParam().resumable, 2, 2'000);
+    const ClientView view = site.call();
+    EXPECT_EQ(view.status, 200);
+    EXPECT_EQ(view.whole, GetParam().whole);
+    std::string expected;
+    for (int id = 1; id <= GetParam().events; ++id) {
+        expected += event(id);
+    }
+    EXPECT_EQ(view.body, expected);
+    EXPECT_EQ(*LibHttpStream::findHeader(view.headers, "X-Server-Seal"), "from1");
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, StreamTest, testing::Values(StreamCase{"whole", true, 0, true, 6}, StreamCase{"cut_and_not_resumable", false, 4, false, 3}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+TEST(Gateway, ResumesAStreamBehindItsLastEvent)
+{
+    LibFiber::Loop *loop = nullptr;
+    UpstreamScript cutOnlyFresh = [&](kj::WaitScope &scope, LibFiber::ByteChannel &channel, const LibHttpStream::RequestHead &head, const std::string &body) {
+        const bool resumed = LibHttpStream::findHeader(head.headers, "Last-Event-Id") != nullptr;
+        return streamOf(resumed ? 0 : 4, loop)(scope, channel, head, body);
+    };
+    GatewaySite site({cutOnlyFresh, cutOnlyFresh});
+    loop = &site.loop;
+    site.configure(RouteKind::Stream, true, 2, 2'000);
+    const ClientView view = site.call();
+    EXPECT_TRUE(view.whole);
+    EXPECT_EQ(view.body, event(1) + event(2) + event(3) + event(4) + event(5) + event(6));
+    EXPECT_EQ(*LibHttpStream::findHeader(view.headers, "X-Server-Seal"), "from1") << "one response keeps the headers of its first upstream";
+}
+
+// Guards against work that goes on at an upstream after its client has left (GONE).
+TEST(Gateway, StopsTheWorkOfAClientThatLeaves)
+{
+    LibFiber::Loop *loop = nullptr;
+    GatewaySite site({scriptOf(Behaviour::Mute, loop)});
+    loop = &site.loop;
+    site.configure(RouteKind::AtMostOnce, false, 1, 4'000);
+    kj::WaitScope &scope = site.loop.rootScope();
+    const AK::Milliseconds deadline = site.loop.clock().now() + longTime;
+    {
+        auto channel = LibFiber::ByteChannel::connect(site.loop, scope, site.address, deadline);
+        ASSERT_TRUE(channel.ok());
+        ASSERT_TRUE((*channel)->write(scope, requestStart + "X-Deadline-Ms: 4000\r\nContent-Length: 0\r\n\r\n", deadline).ok());
+        while (site.upstreams[0]->requests.empty() && site.loop.clock().now() < deadline) {
+            site.loop.sleep(scope, 1);
+        }
+    }
+    while (site.upstreams[0]->left == 0 && site.loop.clock().now() < deadline) {
+        site.loop.sleep(scope, 1);
+    }
+    EXPECT_EQ(site.upstreams[0]->left, 1);
+    EXPECT_EQ(site.dispatcher.callsInFlight(), 0);
+}
+
+// Guards against a connection with a late second answer on it that is used for the next call (MIXED).
+TEST(Gateway, DropsConnectionsThatSayMoreThanTheAnswer)
+{
+    LibFiber::Loop *loop = nullptr;
+    GatewaySite site({[&](kj::WaitScope &scope, LibFiber::ByteChannel &channel, const LibHttpStream::RequestHead &head, const std::string &) {
+        const std::string id = *LibHttpStream::findHeader(head.headers, "X-Attempt-Id");
+        writeCounted(scope, channel, *loop, id, 200, "hello", 5);
+        writeCounted(scope, channel, *loop, id, 200, "again", 5);
+        return true;
+    }});
+    loop = &site.loop;
+    site.configure(RouteKind::Idempotent, false, 1, 1'000);
+    for (int i = 0; i < 3; ++i) {
+        EXPECT_EQ(site.call().body, "hello");
+        site.loop.sleep(site.loop.rootScope(), 5);
+    }
+    EXPECT_EQ(site.upstreams[0]->connections, 3);
+}
+
+// Guards against a call that waits for a place until its deadline when it is known that there is none.
+TEST(Gateway, RefusesAtOnceWithoutAnUpstream)
+{
+    GatewaySite site({});
+    site.configure(RouteKind::Stream, true, 2, 2'000);
+    const AK::Milliseconds begun = site.loop.clock().now();
+    const ClientView view = site.call();
+    EXPECT_EQ(view.status, 503);
+    EXPECT_NE(LibHttpStream::findHeader(view.headers, "Retry-After"), nullptr);
+    EXPECT_LT(site.loop.clock().now() - begun, 2'000) << "the deadline of the call";
+}
+
+// Guards against cut calls at a planned stop: those in progress end, and each answer ends its connection (LOST).
+TEST(Gateway, FinishesCallsWhileItDrains)
+{
+    LibFiber::Loop *loop = nullptr;
+    GatewaySite site({[&](kj::WaitScope &scope, LibFiber::ByteChannel &channel, const LibHttpStream::RequestHead &head, const std::string &) {
+        site.gateway.beginDrain();
+        site.gateway.closeIdle();
+        writeCounted(scope, channel, *loop, *LibHttpStream::findHeader(head.headers, "X-Attempt-Id"), 200, "hello", 5);
+        return true;
+    }});
+    loop = &site.loop;
+    site.configure(RouteKind::AtMostOnce, false, 1, 1'000);
+    EXPECT_EQ(site.call().body, "hello");
+    const ClientView second = site.call();
+    EXPECT_EQ(second.status, 200);
+    EXPECT_TRUE(LibHttpStream::hasToken(second.headers, "Connection", "close"));
+}
+
+// Guards against clients that all go to entries of other regions, and against entries that no client ever hears of.
+TEST(AddressChoice, NamesMostlyTheClientsOwnDomain)
+{
+    const std::vector<Gateway::DirectoryEntry> entries{{{"10.0.0.1", 1}, "a"}, {{"10.0.0.2", 1}, "a"}, {{"10.0.0.3", 1}, "b"}};
+    AK::Random random(7);
+    int near = 0;
+    constexpr int rounds = 600;
+    for (int i = 0; i < rounds; ++i) {
+        const auto addresses = Gateway::chooseAddresses(entries, "a", random);
+        EXPECT_TRUE(addresses.size() == 2 || addresses.size() == 3);
+        near += addresses.size() == 2 ? 1 : 0;
+    }
+    EXPECT_GT(near, rounds / 2);
+    EXPECT_LT(near, rounds);
+    EXPECT_EQ(Gateway::chooseAddresses(entries, "c", random).size(), 3U) << "no entry is near";
+}
+
+} // namespace
--- a/Userland/Libraries/LibFiber/ByteChannel.cpp
+++ b/Userland/Libraries/LibFiber/ByteChannel.cpp
@@ -55,7 +55,7 @@
     if (!address.ok()) {
         return address.status();
     }
-    auto stream = loop.await(scope, (*address)->connect(), deadline);
+    auto stream = loop.await(scope, kj::evalNow([&] { return (*address)->connect(); }), deadline);
     if (!stream.ok()) {
         return stream.status();
     }
@@ -79,7 +79,8 @@
 void ByteChannel::startRead()
 {
     this->state = ReadState::Pending;
-    this->pending = this->stream->tryRead(this->scratch.begin(), 1, this->scratch.size())
+    // kj throws at once when the connection is known to be broken; evalNow() makes that a failed promise.
+    this->pending = kj::evalNow([this] { return this->stream->tryRead(this->scratch.begin(), 1, this->scratch.size()); })
                         .then(
                             [this](size_t bytes) {
                                 if (bytes == 0) {
@@ -127,7 +128,7 @@
 
 absl::Status ByteChannel::write(kj::WaitScope &scope, std::string_view data, AK::Milliseconds deadline)
 {
-    return this->loop.awaitDone(scope, this->stream->write(data.data(), data.size()), deadline);
+    return this->loop.awaitDone(scope, kj::evalNow([&] { return this->stream->write(data.data(), data.size()); }), deadline);
 }
 
 kj::Promise<void> ByteChannel::whenClosed()
--- a/Userland/Libraries/LibFiber/Loop.cpp
+++ b/Userland/Libraries/LibFiber/Loop.cpp
@@ -34,7 +34,7 @@
 Loop::Loop()
     : io(kj::setupAsyncIo())
     , fibers(fiberStackBytes)
-    , tasks(*this)
+    , tasks(kj::heap<kj::TaskSet>(static_cast<kj::TaskSet::ErrorHandler &>(*this)))
 {
     this->fibers.setMaxFreelist(fiberStacksKept);
 }
@@ -66,6 +66,15 @@
     return this->io.provider->getTimer().afterDelay((duration > 0 ? duration : 0) * kj::MILLISECONDS);
 }
 
+void Loop::cancelSpawned()
+{
+    // Destructors of the fibers may spawn; they find a set that is not being destroyed.
+    kj::Own<kj::TaskSet> cancelled = kj::mv(this->tasks);
+    this->tasks = kj::heap<kj::TaskSet>(static_cast<kj::TaskSet::ErrorHandler &>(*this));
+    cancelled = nullptr;
+    this->tasks = kj::heap<kj::TaskSet>(static_cast<kj::TaskSet::ErrorHandler &>(*this));
+}
+
 void Loop::sleep(kj::WaitScope &scope, AK::Milliseconds duration)
 {
     this->after(duration).wait(scope);
--- a/Userland/Libraries/LibFiber/Loop.h
+++ b/Userland/Libraries/LibFiber/Loop.h
@@ -16,7 +16,7 @@
 absl::Status toStatus(const kj::Exception &exception);
 
 /// The event loop of a process and the fibers that run on it. One instance per process, used from one thread.
-class Loop final : private kj::TaskSet::ErrorHandler
+class Loop final : public kj::TaskSet::ErrorHandler
 {
 public:
     Loop();
@@ -42,9 +42,12 @@
     template <typename Function>
     void spawn(Function &&function)
     {
-        this->tasks.add(this->fiber(std::forward<Function>(function)));
+        this->tasks->add(this->fiber(std::forward<Function>(function)));
     }
 
+    /// Ends all fibers started with spawn(), running their destructors. Called before what they refer to is destroyed.
+    void cancelSpawned();
+
     void sleep(kj::WaitScope &scope, AK::Milliseconds duration);
 
     /// Waits for a promise until the monotonic time `deadline` (ms).
@@ -73,7 +76,7 @@
     AK::SystemClock systemClock;
     kj::AsyncIoContext io;
     kj::FiberPool fibers;
-    kj::TaskSet tasks;
+    kj::Own<kj::TaskSet> tasks;
     LibLog::Logger logger{"loop"};
 };
 
--- a/Userland/Libraries/LibFleet/Configuration.cpp
+++ b/Userland/Libraries/LibFleet/Configuration.cpp
@@ -23,7 +23,8 @@
         return nullptr;
     }
     const auto &routes = found->second;
-    const auto match = std::find_if(routes.begin(), routes.end(), [&](const Route *route) { return path.substr(0, route->pathPrefix.size()) == route->pathPrefix; });
+    const auto match =
+        std::find_if(routes.begin(), routes.end(), [&](const Route *route) { return path.substr(0, route->pathPrefix.size()) == route->pathPrefix; });
     return match == routes.end() ? nullptr : *match;
 }
 
--- a/Userland/Libraries/LibFleet/FleetState.cpp
+++ b/Userland/Libraries/LibFleet/FleetState.cpp
@@ -61,10 +61,11 @@
     if (this->current && configuration.version <= this->current->version) {
         return;
     }
-    this->logger.info("configuration_in_force", {{"version", configuration.version},
-                                                 {"previous", this->current ? this->current->version : 0},
-                                                 {"routes", configuration.routes.size()},
-                                                 {"keys", configuration.accountsByKey.size()}});
+    this->logger.info("configuration_in_force",
+                      {{"version", configuration.version},
+                       {"previous", this->current ? this->current->version : 0},
+                       {"routes", configuration.routes.size()},
+                       {"keys", configuration.accountsByKey.size()}});
     this->current = std::make_shared<const Configuration>(std::move(configuration));
     this->table = std::make_unique<RouteTable>(*this->current);
     this->changed();
@@ -75,12 +76,12 @@
     for (const auto &[id, record] : upstreams) {
         const auto known = this->upstreamsById.find(id);
         if (known == this->upstreamsById.end()) {
-            this->logger.info("upstream_added", {{"upstream", id}, {"service", record.service}, {"address", record.address.text()}, {"version", record.weightsVersion}});
+            this->logger.info("upstream_added",
+                              {{"upstream", id}, {"service", record.service}, {"address", record.address.text()}, {"version", record.weightsVersion}});
         } else if (known->second.state != record.state || known->second.born != record.born || known->second.weightsVersion != record.weightsVersion) {
-            this->logger.info("upstream_changed", {{"upstream", id},
-                                                   {"draining", record.state == UpstreamState::Draining},
-                                                   {"born", record.born},
-                                                   {"version", record.weightsVersion}});
+            this->logger.info(
+                "upstream_changed",
+                {{"upstream", id}, {"draining", record.state == UpstreamState::Draining}, {"born", record.born}, {"version", record.weightsVersion}});
         }
     }
     for (const auto &[id, record] : this->upstreamsById) {
--- a/Userland/Libraries/LibFleet/ObjectFeed.h
+++ b/Userland/Libraries/LibFleet/ObjectFeed.h
@@ -16,8 +16,10 @@
 enum class ObjectKind { Configuration, Evacuations, WeightsTargets, Upstreams, Entries };
 
 inline constexpr std::array objectKindNames{
-    AK::EnumName{ObjectKind::Configuration, "configuration"}, AK::EnumName{ObjectKind::Evacuations, "evacuations"},
-    AK::EnumName{ObjectKind::WeightsTargets, "weights_targets"}, AK::EnumName{ObjectKind::Upstreams, "upstreams"},
+    AK::EnumName{ObjectKind::Configuration, "configuration"},
+    AK::EnumName{ObjectKind::Evacuations, "evacuations"},
+    AK::EnumName{ObjectKind::WeightsTargets, "weights_targets"},
+    AK::EnumName{ObjectKind::Upstreams, "upstreams"},
     AK::EnumName{ObjectKind::Entries, "entries"},
 };
 
--- a/Userland/Libraries/LibHttpStream/HttpCaller.h
+++ b/Userland/Libraries/LibHttpStream/HttpCaller.h
@@ -21,7 +21,8 @@
     HttpCaller(LibFiber::Loop &loop, AK::Endpoint address);
 
     /// Sends a request and reads the whole response. `connectBy` bounds the opening of a connection, `deadline` everything.
-    /// Errors: kFailedPrecondition while another call is made, kUnavailable, kDeadlineExceeded, kInvalidArgument, kDataLoss; the request may have been executed unless the connection failed.
+    /// Errors: kFailedPrecondition while another call is made, kUnavailable, kDeadlineExceeded, kInvalidArgument, kDataLoss; the request may have been executed
+    /// unless the connection failed.
     absl::StatusOr<WholeResponse> call(kj::WaitScope &scope, const std::string &method, const std::string &target, const std::string &body,
                                        AK::Milliseconds connectBy, AK::Milliseconds deadline);
 
--- a/Userland/Libraries/LibPeers/PeerLink.cpp
+++ b/Userland/Libraries/LibPeers/PeerLink.cpp
@@ -52,7 +52,7 @@
     if (!address.ok()) {
         return address.status();
     }
-    auto stream = this->loop.await(scope, (*address)->connect(), deadline);
+    auto stream = this->loop.await(scope, kj::evalNow([&] { return (*address)->connect(); }), deadline);
     if (!stream.ok()) {
         return stream.status();
     }
--- a/Userland/Libraries/LibPeers/WireCodec.cpp
+++ b/Userland/Libraries/LibPeers/WireCodec.cpp
@@ -26,15 +26,8 @@
 
 EngineReport decodeEngine(PeerWire::EngineReport::Reader reader)
 {
-    return {toText(reader.getUpstream()),
-            reader.getWeightsVersion(),
-            reader.getRunning(),
-            reader.getWaiting(),
-            reader.getKvUsed(),
-            reader.getKvTotal(),
-            reader.getPace(),
-            reader.getSwitching(),
-            reader.getBorn()};
+    return {toText(reader.getUpstream()), reader.getWeightsVersion(), reader.getRunning(),   reader.getWaiting(), reader.getKvUsed(),
+            reader.getKvTotal(),          reader.getPace(),           reader.getSwitching(), reader.getBorn()};
 }
 
 } // namespace
--- a/Userland/Services/Fleet/PeerExchange.cpp
+++ b/Userland/Services/Fleet/PeerExchange.cpp
@@ -109,9 +109,8 @@
         return true;
     }
     const AK::Milliseconds now = this->loop.clock().now();
-    return std::any_of(this->heardEntries.begin(), this->heardEntries.end(), [&](const auto &entry) {
-        return entry.second.state.rpcAddress == address.text() && now - entry.second.heardAt < forgetAfter;
-    });
+    return std::any_of(this->heardEntries.begin(), this->heardEntries.end(),
+                       [&](const auto &entry) { return entry.second.state.rpcAddress == address.text() && now - entry.second.heardAt < forgetAfter; });
 }
 
 void PeerExchange::findEntries(kj::WaitScope &scope)
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -126,16 +126,15 @@
     const bool stream = this->route->kind == RouteKind::Stream;
     this->demand.promptTokens = stream ? this->request.promptTokens : 0;
     this->demand.returning = stream && static_cast<double>(patience) < returningShare * static_cast<double>(this->route->timeout);
-    const AK::Milliseconds wait = this->demand.returning ? returningWait
-                                                         : static_cast<AK::Milliseconds>((stream ? streamWaitShare : plainWaitShare) * static_cast<double>(target));
+    const AK::Milliseconds wait =
+        this->demand.returning ? returningWait : static_cast<AK::Milliseconds>((stream ? streamWaitShare : plainWaitShare) * static_cast<double>(target));
     this->demand.startBy = std::min(this->arrivedAt + wait, this->deadline);
     return true;
 }
 
 void CallTask::attempts(kj::WaitScope &scope)
 {
-    while (this->attempt(scope) == Next::TryAnother) {
-    }
+    while (this->attempt(scope) == Next::TryAnother) {}
 }
 
 CallTask::Next CallTask::attempt(kj::WaitScope &scope)
@@ -273,8 +272,7 @@
         absl::StatusOr<std::optional<std::string>> data = call.read(scope, until);
         if (!data.ok() || (!*data && splitter.hasPartial())) {
             this->context.dispatcher.countOutcome(upstream, true);
-            return this->afterFailure(scope, upstream, true,
-                                      data.ok() ? "stream ended inside an event" : AK::concat("stream cut: ", data.status().message()));
+            return this->afterFailure(scope, upstream, true, data.ok() ? "stream ended inside an event" : AK::concat("stream cut: ", data.status().message()));
         }
         if (!*data) {
             break;
@@ -335,22 +333,23 @@
     if (this->report.result == "answered" && this->report.status < 400 && !late && AK::stableHash(this->request.id) % logSampling != 0) {
         return;
     }
-    this->logger.info("call_ended", {{"request", this->request.id},
-                                     {"route", this->route == nullptr ? "" : this->route->name},
-                                     {"account", this->account ? this->account->name : ""},
-                                     {"configuration", this->configuration ? this->configuration->version : 0},
-                                     {"result", this->report.result},
-                                     {"status", this->report.status},
-                                     {"reason", this->report.reason},
-                                     {"upstream", this->report.upstream},
-                                     {"sends", this->report.sends},
-                                     {"load", this->report.loadAtChoice},
-                                     {"waited_ms", this->report.waited},
-                                     {"first_byte_ms", this->report.firstByteAfter},
-                                     {"longest_gap_ms", this->report.longestGap},
-                                     {"prompt_tokens", this->request.promptTokens},
-                                     {"late", late},
-                                     {"took_ms", took}});
+    this->logger.info("call_ended",
+                      {{"request", this->request.id},
+                       {"route", this->route == nullptr ? "" : this->route->name},
+                       {"account", this->account ? this->account->name : ""},
+                       {"configuration", this->configuration ? this->configuration->version : 0},
+                       {"result", this->report.result},
+                       {"status", this->report.status},
+                       {"reason", this->report.reason},
+                       {"upstream", this->report.upstream},
+                       {"sends", this->report.sends},
+                       {"load", this->report.loadAtChoice},
+                       {"waited_ms", this->report.waited},
+                       {"first_byte_ms", this->report.firstByteAfter},
+                       {"longest_gap_ms", this->report.longestGap},
+                       {"prompt_tokens", this->request.promptTokens},
+                       {"late", late},
+                       {"took_ms", took}});
 }
 
 } // namespace Gateway
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -1,8 +1,8 @@
 #include "Dispatcher.h"
 
 #include <algorithm>
-#include <kj/debug.h>
 #include <cmath>
+#include <kj/debug.h>
 
 namespace Gateway
 {
@@ -200,9 +200,8 @@
         candidates.push_back(candidate);
         records.push_back(&record);
     }
-    const std::optional<size_t> chosen = LibGateway::chooseUpstream(
-        candidates, prefillPerMs > 0 ? static_cast<double>(demand.promptTokens) / prefillPerMs : 0, now >= (demand.arrivedAt + demand.startBy) / 2,
-        this->settings.placement, this->random);
+    const std::optional<size_t> chosen = LibGateway::chooseUpstream(candidates, prefillPerMs > 0 ? static_cast<double>(demand.promptTokens) / prefillPerMs : 0,
+                                                                    now >= (demand.arrivedAt + demand.startBy) / 2, this->settings.placement, this->random);
     if (!chosen) {
         return any ? Availability::Full : Availability::None;
     }
@@ -232,8 +231,8 @@
             return result;
         }
     }
-    const auto ahead = static_cast<double>(
-        std::count_if(line.waiters.begin(), line.waiters.end(), [&](const Waiter *other) { return !isBefore(demand, *other->demand); }));
+    const auto ahead =
+        static_cast<double>(std::count_if(line.waiters.begin(), line.waiters.end(), [&](const Waiter *other) { return !isBefore(demand, *other->demand); }));
     if (static_cast<double>(now) + ahead * line.interval > static_cast<double>(demand.startBy)) {
         result.reason = RefusalReason::QueueTooLong;
         result.retryAfter = this->retryAfter(line);
--- a/Userland/Services/Gateway/UpstreamCall.cpp
+++ b/Userland/Services/Gateway/UpstreamCall.cpp
@@ -60,9 +60,8 @@
     }
     this->request = LibHttpStream::serializeRequestHead(framed) + requestBody;
     // Written beside the read: an upstream may answer before it has read a long body.
-    this->writing = this->loop.fiber([this, deadline](kj::WaitScope &inner) {
-                                  this->written = this->link.channel->write(inner, this->request, deadline).ok();
-                              }).eagerlyEvaluate(nullptr);
+    this->writing = this->loop.fiber([this, deadline](kj::WaitScope &inner) { this->written = this->link.channel->write(inner, this->request, deadline).ok(); })
+                        .eagerlyEvaluate(nullptr);
     return this->receiveHead(scope, requestId, framed.method, deadline);
 }
 
--- a/Userland/Services/WeightAgent/AgentService.cpp
+++ b/Userland/Services/WeightAgent/AgentService.cpp
@@ -69,7 +69,8 @@
             const bool news = !this->status || this->status->report.weightsVersion != read->report.weightsVersion || this->status->busy != read->busy
                 || this->status->report.born != read->report.born;
             if (news) {
-                this->logger.info("engine_state", {{"version", read->report.weightsVersion}, {"busy", read->busy}, {"orders", read->orders}, {"born", read->report.born}});
+                this->logger.info("engine_state",
+                                  {{"version", read->report.weightsVersion}, {"busy", read->busy}, {"orders", read->orders}, {"born", read->report.born}});
             }
             this->status = *read;
             this->status->report.upstream = this->settings.engineAddress.text();
@@ -133,8 +134,8 @@
             continue;
         }
         const auto region = this->settings.regionsByDomain.find(record.failureDomain);
-        view.peers.push_back({{record.address.text(), region == this->settings.regionsByDomain.end() ? "" : region->second},
-                              {record.address.host, this->settings.rpcPort}});
+        view.peers.push_back(
+            {{record.address.text(), region == this->settings.regionsByDomain.end() ? "" : region->second}, {record.address.host, this->settings.rpcPort}});
     }
     const auto configuration = this->fleet.configuration();
     for (const auto &[name, service] : configuration->services) {
@@ -265,8 +266,8 @@
     const std::string self = this->settings.engineAddress.text();
     const std::string key = AK::concat(model, "/", version, "/load");
     const uint64_t own = AK::rendezvousWeight(key, self);
-    const auto rank = static_cast<size_t>(std::count_if(peers.peers.begin(), peers.peers.end(),
-                                                        [&](const SwarmPeer &peer) { return AK::rendezvousWeight(key, peer.member.name) > own; }));
+    const auto rank = static_cast<size_t>(
+        std::count_if(peers.peers.begin(), peers.peers.end(), [&](const SwarmPeer &peer) { return AK::rendezvousWeight(key, peer.member.name) > own; }));
     const AK::Milliseconds until = this->loop.clock().now() + loadDelay(rank, peers.peers.size() + 1, this->timeLeft(model, version));
     while (this->loop.clock().now() < until) {
         if (this->status->report.weightsVersion == 0) {
@@ -303,11 +304,12 @@
         return;
     }
     const absl::StatusOr<OrderAnswer> answer = this->engine.load(scope, model, version, LoadStrategy::CutCalls, before->orders);
-    this->logger.info("load_ordered", {{"version", version},
-                                       {"previous", before->report.weightsVersion},
-                                       {"running", before->report.running},
-                                       {"orders", before->orders},
-                                       {"answer", answer.ok() ? std::string(AK::nameOf(orderAnswerNames, *answer)) : std::string(answer.status().message())}});
+    this->logger.info("load_ordered",
+                      {{"version", version},
+                       {"previous", before->report.weightsVersion},
+                       {"running", before->report.running},
+                       {"orders", before->orders},
+                       {"answer", answer.ok() ? std::string(AK::nameOf(orderAnswerNames, *answer)) : std::string(answer.status().message())}});
     if (answer.ok() && *answer != OrderAnswer::Accepted) {
         return;
     }
--- a/Userland/Services/WeightAgent/EngineControl.h
+++ b/Userland/Services/WeightAgent/EngineControl.h
@@ -50,7 +50,8 @@
     virtual absl::StatusOr<std::string> stagedChunk(kj::WaitScope &scope, const std::string &model, uint32_t index) = 0;
     /// Orders the load of what is staged. `expectedOrders` is EngineStatus::orders of the status that led to it. After an error the order may have been
     /// accepted.
-    virtual absl::StatusOr<OrderAnswer> load(kj::WaitScope &scope, const std::string &model, int64_t version, LoadStrategy strategy, int64_t expectedOrders) = 0;
+    virtual absl::StatusOr<OrderAnswer> load(kj::WaitScope &scope, const std::string &model, int64_t version, LoadStrategy strategy,
+                                             int64_t expectedOrders) = 0;
 };
 
 /// Hashes that pin every byte of a version.
--- a/Userland/Services/WeightAgent/FetchRules.cpp
+++ b/Userland/Services/WeightAgent/FetchRules.cpp
@@ -41,7 +41,9 @@
         return 0;
     }
     const VersionProgress &newest = named.back();
-    const auto fetchLeft = [&](const VersionProgress &version) { return static_cast<AK::Milliseconds>((1 - version.held) * static_cast<double>(times.fetch)); };
+    const auto fetchLeft = [&](const VersionProgress &version) {
+        return static_cast<AK::Milliseconds>((1 - version.held) * static_cast<double>(times.fetch));
+    };
     for (const VersionProgress &older : named) {
         if (older.version == newest.version) {
             break;
--- a/Userland/Services/WeightAgent/SwarmFetch.cpp
+++ b/Userland/Services/WeightAgent/SwarmFetch.cpp
@@ -117,12 +117,13 @@
         fibers.add(this->loop.fiber([this](kj::WaitScope &inner) { this->askOrigin(inner); }));
     }
     kj::joinPromises(fibers.finish()).wait(scope);
-    this->logger.info("fetched", {{"model", this->model},
-                                  {"version", this->version},
-                                  {"chunks", target.heldCount()},
-                                  {"of", target.chunkCount()},
-                                  {"origin_bytes", this->originBytes},
-                                  {"peers", this->peers.size()}});
+    this->logger.info("fetched",
+                      {{"model", this->model},
+                       {"version", this->version},
+                       {"chunks", target.heldCount()},
+                       {"of", target.chunkCount()},
+                       {"origin_bytes", this->originBytes},
+                       {"peers", this->peers.size()}});
 }
 
 std::vector<bool> SwarmFetch::wantedIn(FetchScope scope) const
--- a/Userland/Utilities/catkinlinkd/PlatformDaemon.cpp
+++ b/Userland/Utilities/catkinlinkd/PlatformDaemon.cpp
@@ -48,6 +48,7 @@
     node.readStoreWhenAlone();
     agent.start();
     waitForStop(loop);
+    loop.cancelSpawned();
     logger.info("stopped");
     return Success;
 }
--- a/Userland/Utilities/catkinlinkd/PlatformEntry.cpp
+++ b/Userland/Utilities/catkinlinkd/PlatformEntry.cpp
@@ -52,6 +52,12 @@
         this->node.exchange.onReport([this](const LibPeers::EngineReport &report) { this->dispatcher.takeReport(report); });
     }
 
+    ~EntryProcess()
+    {
+        this->loop.cancelSpawned();
+    }
+    KJ_DISALLOW_COPY(EntryProcess);
+
     absl::Status start()
     {
         for (const absl::Status &status :
