WeightAgent: Let a fetch follow the members of the service

Ruled out: the origin (it answered) and the store (known after 0.9 s). Change: members are taken by address and anew when they change; a fetch that is late lets the next agents act; versions are not guessed before the targets are known.

--- a/Tests/Services/WeightAgent/TestRules.cpp
+++ b/Tests/Services/WeightAgent/TestRules.cpp
@@ -33,7 +33,9 @@
                                          ScopeCase{"first_elsewhere", {false, 0, 0}, FetchScope::AnyRegion},
                                          ScopeCase{"second_elsewhere", {false, 1, 0}, FetchScope::SameRegion},
                                          ScopeCase{"second_elsewhere_after_a_stall", {false, 1, 700}, FetchScope::AnyRegion},
-                                         ScopeCase{"first_elsewhere_cut_off", {false, 0, 2'100}, FetchScope::Origin}),
+                                         ScopeCase{"first_elsewhere_cut_off", {false, 0, 2'100}, FetchScope::Origin},
+                                         ScopeCase{"late_with_a_trickle", {true, 3, 100, 5'500}, FetchScope::Origin},
+                                         ScopeCase{"in_time_with_a_trickle", {true, 3, 100, 4'000}, FetchScope::SameRegion}),
                          [](const auto &info) { return std::string(info.param.name); });
 
 // Guards against agents that bring many chunks while others bring none: each chunk has one first agent and the work is even.
--- a/Userland/Libraries/LibFleet/FleetState.cpp
+++ b/Userland/Libraries/LibFleet/FleetState.cpp
@@ -43,6 +43,11 @@
     return this->evacuated.contains(failureDomain);
 }
 
+bool FleetState::weightsTargetsKnown() const
+{
+    return this->targetsKnown;
+}
+
 WeightsTarget FleetState::weightsTarget(const std::string &model) const
 {
     const std::vector<WeightsTarget> &all = this->weightsTargets(model);
--- a/Userland/Libraries/LibFleet/FleetState.h
+++ b/Userland/Libraries/LibFleet/FleetState.h
@@ -54,6 +54,8 @@
     const std::map<std::string, UpstreamRecord> &upstreams() const;
     const std::map<std::string, EntryRecord> &entries() const;
     bool isEvacuated(const std::string &failureDomain) const;
+    /// Whether it is known which weights are named; before, no named version means nothing.
+    bool weightsTargetsKnown() const;
     /// The newest target of a model; version 0 when none is named.
     WeightsTarget weightsTarget(const std::string &model) const;
     /// The newest targets of a model, oldest first. Each bounds how long older versions may be used, also when a newer one has been named meanwhile.
--- a/Userland/Services/WeightAgent/AgentService.cpp
+++ b/Userland/Services/WeightAgent/AgentService.cpp
@@ -14,6 +14,8 @@
 constexpr AK::Milliseconds statusMaxAge = 600;
 constexpr AK::Milliseconds fetchPoll = 50;
 constexpr AK::Milliseconds retryPause = 200;
+// A fetch goes on with the members that it began with for at least this long.
+constexpr AK::Milliseconds membersSettle = 600;
 // Before a load the entries send nothing more for up to this time; calls that are left then are cut, and entries resume their streams elsewhere.
 constexpr AK::Milliseconds drainTime = 1'200;
 // With so few calls left the load begins at once: resuming them costs less than the engine's idle time.
@@ -113,6 +115,9 @@
         return held ? static_cast<double>(held->heldCount()) / static_cast<double>(held->chunkCount()) : 0.0;
     };
     const std::vector<LibFleet::WeightsTarget> &targets = this->fleet.weightsTargets(spec.model);
+    if (!this->fleet.weightsTargetsKnown()) {
+        return 0;
+    }
     if (targets.empty()) {
         return heldShare(firstVersion) < 1 ? firstVersion : 0;
     }
@@ -129,8 +134,10 @@
 SwarmView AgentService::view() const
 {
     SwarmView view;
+    std::set<std::string> addresses;
     for (const auto &[id, record] : this->fleet.upstreams()) {
-        if (record.service != this->settings.service || record.address == this->settings.engineAddress) {
+        // Two entries have the address of an engine that has just started anew.
+        if (record.service != this->settings.service || record.address == this->settings.engineAddress || !addresses.insert(record.address.text()).second) {
             continue;
         }
         const auto region = this->settings.regionsByDomain.find(record.failureDomain);
@@ -161,7 +168,10 @@
 
 void AgentService::fetch(kj::WaitScope &scope, const LibFleet::EngineSpec &spec, int64_t version)
 {
-    SwarmFetch fetch(this->loop, this->origin, {this->settings.engineAddress.text(), this->settings.region}, spec.model, version, this->view());
+    const AK::Milliseconds now = this->loop.clock().now();
+    const AK::Milliseconds began = this->fetchBegan.try_emplace(version, now).first->second;
+    const SwarmView view = this->view();
+    SwarmFetch fetch(this->loop, this->origin, {this->settings.engineAddress.text(), this->settings.region}, spec.model, version, view, began);
     std::shared_ptr<HeldVersion> held = this->store.find(spec.model, version);
     if (!held) {
         const absl::StatusOr<std::string> text = fetch.readManifest(scope);
@@ -179,7 +189,8 @@
         held = this->store.add(spec.model, *text, std::move(*manifest));
         this->takeStaged(scope, spec.model, *held);
     }
-    fetch.fetchAll(scope, *held, [&] { return this->versionToFetch(spec) == version; });
+    const auto sameMembers = [&] { return this->loop.clock().now() - now < membersSettle || this->view().peers == view.peers; };
+    fetch.fetchAll(scope, *held, [&] { return this->versionToFetch(spec) == version && sameMembers(); });
 }
 
 std::shared_ptr<HeldVersion> AgentService::newestComplete(const std::string &model) const
--- a/Userland/Services/WeightAgent/AgentService.h
+++ b/Userland/Services/WeightAgent/AgentService.h
@@ -59,6 +59,8 @@
     std::optional<EngineStatus> status;
     AK::Milliseconds statusAt = 0;
     bool aboutToSwitch = false;
+    /// When the fetch of a version began.
+    std::map<int64_t, AK::Milliseconds> fetchBegan;
     LibLog::Logger logger{"agent"};
 };
 
--- a/Userland/Services/WeightAgent/FetchRules.cpp
+++ b/Userland/Services/WeightAgent/FetchRules.cpp
@@ -8,7 +8,8 @@
 
 FetchScope allowedScope(const FetchPosition &position, const FetchRuleSettings &settings)
 {
-    const auto turns = static_cast<size_t>(std::max<AK::Milliseconds>(0, position.stalledFor) / settings.patience);
+    const AK::Milliseconds late = std::max<AK::Milliseconds>(0, position.fetchingFor - settings.usualFetch);
+    const auto turns = static_cast<size_t>(std::max<AK::Milliseconds>(0, position.stalledFor) / settings.patience + late / settings.latePatience);
     if (position.nearOrigin) {
         if (position.regionRank <= turns) {
             return FetchScope::Origin;
--- a/Userland/Services/WeightAgent/FetchRules.h
+++ b/Userland/Services/WeightAgent/FetchRules.h
@@ -13,6 +13,8 @@
     /// "IP:port" of its engine; the same at every agent.
     std::string name;
     std::string region;
+
+    bool operator==(const SwarmMember &) const = default;
 };
 
 /// From where an agent may take a chunk now.
@@ -23,6 +25,9 @@
     AK::Milliseconds patience = 700;
     /// Times of patience after which an agent outside the origin's region reads from the origin itself.
     int originPatience = 3;
+    /// A fetch that lasts longer lets the agent act for others also while single chunks arrive: agents may disagree about who brings which.
+    AK::Milliseconds usualFetch = 4'500;
+    AK::Milliseconds latePatience = 300;
 };
 
 /// What the rule for one chunk depends on.
@@ -32,6 +37,8 @@
     size_t regionRank = 0;
     /// Time since the agent got its last chunk.
     AK::Milliseconds stalledFor = 0;
+    /// Time since the agent began to fetch the version.
+    AK::Milliseconds fetchingFor = 0;
 };
 
 /// Each chunk crosses from the origin and into each region once: by the first agent in the order of the region, and by the next ones only when nothing has
--- a/Userland/Services/WeightAgent/SwarmFetch.cpp
+++ b/Userland/Services/WeightAgent/SwarmFetch.cpp
@@ -39,13 +39,15 @@
 
 } // namespace
 
-SwarmFetch::SwarmFetch(LibFiber::Loop &loop, WeightsOrigin &origin, SwarmSelf self, std::string model, int64_t version, SwarmView view)
+SwarmFetch::SwarmFetch(LibFiber::Loop &loop, WeightsOrigin &origin, SwarmSelf self, std::string model, int64_t version, SwarmView view,
+                       AK::Milliseconds beganAt)
     : loop(loop)
     , origin(origin)
     , self(std::move(self))
     , model(std::move(model))
     , version(version)
     , view(std::move(view))
+    , beganAt(beganAt)
     , random(AK::seededFromSystem())
 {
     std::vector<std::string> near{this->self.name};
@@ -130,12 +132,13 @@
 {
     std::vector<bool> result(this->held->chunkCount(), false);
     const FetchRuleSettings rules;
-    const AK::Milliseconds stalled = this->loop.clock().now() - this->progressAt;
+    const AK::Milliseconds now = this->loop.clock().now();
+    const AK::Milliseconds stalled = now - this->progressAt;
     for (uint32_t i = 0; i < result.size(); ++i) {
         if (this->held->has(i) || this->underWay.contains(i)) {
             continue;
         }
-        const FetchScope allowed = allowedScope({this->self.region == this->view.originRegion, this->ranks[i], stalled}, rules);
+        const FetchScope allowed = allowedScope({this->self.region == this->view.originRegion, this->ranks[i], stalled, now - this->beganAt}, rules);
         // The origin is for the chunks that this agent has to bring, and only for these.
         result[i] = scope == FetchScope::Origin ? allowed == FetchScope::Origin : static_cast<int>(scope) <= static_cast<int>(allowed);
     }
--- a/Userland/Services/WeightAgent/SwarmFetch.h
+++ b/Userland/Services/WeightAgent/SwarmFetch.h
@@ -14,6 +14,8 @@
 struct SwarmPeer {
     SwarmMember member;
     AK::Endpoint rpcAddress;
+
+    bool operator==(const SwarmPeer &) const = default;
 };
 
 /// What a fetch needs to know of the deployment.
@@ -33,7 +35,9 @@
 class SwarmFetch
 {
 public:
-    SwarmFetch(LibFiber::Loop &loop, WeightsOrigin &origin, SwarmSelf self, std::string model, int64_t version, SwarmView view);
+    /// `beganAt`: when this agent first looked for the version; a fetch is begun anew when the agents that take part change.
+    SwarmFetch(LibFiber::Loop &loop, WeightsOrigin &origin, SwarmSelf self, std::string model, int64_t version, SwarmView view,
+               AK::Milliseconds beganAt);
 
     /// Reads the manifest from another agent or, in the order of the agents, from the origin.
     /// Errors: kUnavailable when nobody has it.
@@ -63,6 +67,7 @@
     std::string model;
     int64_t version;
     SwarmView view;
+    AK::Milliseconds beganAt;
     std::vector<SwarmMember> members;
     std::vector<size_t> ranks;
     std::vector<PeerState> peers;
