Gateway: Tell clients that come back from others, and serve those that can be on time first

Ruled out: processor time (the same without it) and engines (first event 300 ms after a place was given). Change: the mark is 0.84 of the route's time; Retry-After is at least a second; a returning client is refused at once while fresh calls take every place; fresh calls wait up to 0.3 of their target.

--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -17,11 +17,12 @@
 constexpr AK::Milliseconds answerMargin = 20;
 // Longest wait for a place of a call that can still be answered in time: an engine needs most of the target latency itself, and what waits longer in a
 // lasting overload only makes all that wait late.
-constexpr double streamWaitShare = 0.15;
+constexpr double streamWaitShare = 0.3;
 // The same for a client that comes back. Its answer is late, so that it may wait; clients leave streams after 3.2 s without an event.
 constexpr AK::Milliseconds returningWait = 1'200;
-// A client with less than this share of the route's time left has been refused before.
-constexpr double returningShare = 0.97;
+// A client with less than this share of the route's time left has been refused before; patience differs by up to 15 in 100 between clients, and whoever is
+// refused comes back a second later or more.
+constexpr double returningShare = 0.84;
 // Share of the target latency after which a call that has not started is refused, for calls without a stream.
 constexpr double plainWaitShare = 2.0;
 // An upstream that sends no first event, or then no further one, for this long is left if the stream may be resumed. Clients leave after 3.2 s.
@@ -349,6 +350,8 @@
                        {"longest_gap_ms", this->report.longestGap},
                        {"prompt_tokens", this->request.promptTokens},
                        {"late", late},
+                       {"returning", this->demand.returning},
+                       {"patience_ms", this->request.patience.value_or(-1)},
                        {"took_ms", took}});
 }
 
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -13,9 +13,11 @@
 // While calls wait, places that open without an event (a rate that refills, a suspension that ends) are looked for at this interval.
 constexpr AK::Milliseconds wakeInterval = 20;
 constexpr double intervalMemory = 0.9;
+// A longer pause between calls or free places counts as this long.
+constexpr AK::Milliseconds intervalLimit = 1'000;
 // Range in which refused clients are told to come back, spread so that they do not return together.
-constexpr AK::Milliseconds shortestRetryAfter = 400;
-constexpr AK::Milliseconds retryAfterSpread = 1'200;
+constexpr AK::Milliseconds shortestRetryAfter = 1'000;
+constexpr AK::Milliseconds retryAfterSpread = 900;
 
 // Order of the waiting line: urgent calls first, and clients that can still be answered in time before those that come back.
 bool isBefore(const Demand &left, const Demand &right)
@@ -220,6 +222,10 @@
     Line &line = this->line(demand.service);
     const AK::Milliseconds now = this->loop.clock().now();
     GrantOrRefusal result;
+    if (!demand.returning) {
+        line.freshInterval = intervalMemory * line.freshInterval + (1 - intervalMemory) * static_cast<double>(std::min(intervalLimit, now - line.lastFreshAt));
+        line.lastFreshAt = now;
+    }
     if (line.waiters.empty()) {
         const Availability availability = this->tryPlace(demand, result.grant);
         if (availability == Availability::Granted) {
@@ -231,6 +237,12 @@
             return result;
         }
     }
+    if (demand.returning && line.freshInterval < line.interval) {
+        // Those that can be answered in time take every place that becomes free.
+        result.reason = RefusalReason::QueueTooLong;
+        result.retryAfter = this->retryAfter(line);
+        return result;
+    }
     const auto ahead =
         static_cast<double>(std::count_if(line.waiters.begin(), line.waiters.end(), [&](const Waiter *other) { return !isBefore(demand, *other->demand); }));
     if (static_cast<double>(now) + ahead * line.interval > static_cast<double>(demand.startBy)) {
@@ -312,7 +324,7 @@
     Line &line = this->line(record.service);
     const AK::Milliseconds now = this->loop.clock().now();
     if (line.lastFreedAt > 0) {
-        line.interval = intervalMemory * line.interval + (1 - intervalMemory) * static_cast<double>(now - line.lastFreedAt);
+        line.interval = intervalMemory * line.interval + (1 - intervalMemory) * static_cast<double>(std::min(intervalLimit, now - line.lastFreedAt));
     }
     line.lastFreedAt = now;
     if (!line.waiters.empty()) {
--- a/Userland/Services/Gateway/Dispatcher.h
+++ b/Userland/Services/Gateway/Dispatcher.h
@@ -130,6 +130,9 @@
         /// Moving mean of the time between places that become free, in ms.
         double interval = 0;
         AK::Milliseconds lastFreedAt = 0;
+        /// Moving mean of the time between calls that can still be answered in time, in ms.
+        double freshInterval = 0;
+        AK::Milliseconds lastFreshAt = 0;
         bool wakeScheduled = false;
     };
 
--- a/Userland/Services/WeightAgent/AgentService.cpp
+++ b/Userland/Services/WeightAgent/AgentService.cpp
@@ -189,7 +189,9 @@
         held = this->store.add(spec.model, *text, std::move(*manifest));
         this->takeStaged(scope, spec.model, *held);
     }
-    const auto sameMembers = [&] { return this->loop.clock().now() - now < membersSettle || this->view().peers == view.peers; };
+    const auto sameMembers = [&] {
+        return this->loop.clock().now() - now < membersSettle || this->view().peers == view.peers;
+    };
     fetch.fetchAll(scope, *held, [&] { return this->versionToFetch(spec) == version && sameMembers(); });
 }
 
--- a/Userland/Services/WeightAgent/SwarmFetch.h
+++ b/Userland/Services/WeightAgent/SwarmFetch.h
@@ -36,8 +36,7 @@
 {
 public:
     /// `beganAt`: when this agent first looked for the version; a fetch is begun anew when the agents that take part change.
-    SwarmFetch(LibFiber::Loop &loop, WeightsOrigin &origin, SwarmSelf self, std::string model, int64_t version, SwarmView view,
-               AK::Milliseconds beganAt);
+    SwarmFetch(LibFiber::Loop &loop, WeightsOrigin &origin, SwarmSelf self, std::string model, int64_t version, SwarmView view, AK::Milliseconds beganAt);
 
     /// Reads the manifest from another agent or, in the order of the agents, from the origin.
     /// Errors: kUnavailable when nobody has it.
