--- a/Userland/Libraries/LibFiber/ByteChannel.cpp
+++ b/Userland/Libraries/LibFiber/ByteChannel.cpp
@@ -119,7 +119,7 @@
         if (this->state == ReadState::Broken) {
             return absl::UnavailableError("the peer reset the connection");
         }
-        if (const absl::Status status = this->loop.awaitDone(scope, this->readMore(), deadline); !status.ok()) {
+        if (absl::Status status = this->loop.awaitDone(scope, this->readMore(), deadline); !status.ok()) {
             return status;
         }
     }
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -15,16 +15,6 @@
 constexpr AK::Milliseconds defaultPatience = 10'000;
 // Time a call keeps for its answer to reach the client before the client's own deadline.
 constexpr AK::Milliseconds answerMargin = 20;
-// Longest wait for a place of a call that can still be answered in time: an engine needs most of the target latency itself, and what waits longer in a
-// lasting overload only makes all that wait late.
-constexpr double streamWaitShare = 0.3;
-// The same for a client that comes back. Its answer is late, so that it may wait; clients leave streams after 3.2 s without an event.
-constexpr AK::Milliseconds returningWait = 1'200;
-// A client with less than this share of the route's time left has been refused before; patience differs by up to 15 in 100 between clients, and whoever is
-// refused comes back a second later or more.
-constexpr double returningShare = 0.84;
-// Share of the target latency after which a call that has not started is refused, for calls without a stream.
-constexpr double plainWaitShare = 2.0;
 // An upstream that sends no first event, or then no further one, for this long is left if the stream may be resumed. Clients leave after 3.2 s.
 constexpr AK::Milliseconds silenceLimit = 1'800;
 // A repeatable call without an answer is sent elsewhere after this share of its time.
@@ -117,19 +107,15 @@
     const AK::Milliseconds patience = this->request.patience.value_or(defaultPatience);
     this->deadline = this->arrivedAt + std::min(patience, this->route->timeout > 0 ? this->route->timeout : patience) - answerMargin;
     this->demand.service = pickService(*this->route, this->request.id);
-    this->demand.priority = this->account && this->account->priority ? *this->account->priority : this->route->priority;
+    this->demand.place.priority = this->account && this->account->priority ? *this->account->priority : this->route->priority;
     this->demand.arrivedAt = this->arrivedAt;
     this->demand.regions = this->route->allowedRegions;
     if (this->account) {
         this->demand.accountRegions = this->account->allowedRegions;
     }
-    const AK::Milliseconds target = this->route->targetLatency;
-    const bool stream = this->route->kind == RouteKind::Stream;
-    this->demand.promptTokens = stream ? this->request.promptTokens : 0;
-    this->demand.returning = stream && static_cast<double>(patience) < returningShare * static_cast<double>(this->route->timeout);
-    const AK::Milliseconds wait =
-        this->demand.returning ? returningWait : static_cast<AK::Milliseconds>((stream ? streamWaitShare : plainWaitShare) * static_cast<double>(target));
-    this->demand.startBy = std::min(this->arrivedAt + wait, this->deadline);
+    this->demand.promptTokens = this->route->kind == RouteKind::Stream ? this->request.promptTokens : 0;
+    this->context.dispatcher.arrangeWaiting(this->demand, *this->route, patience);
+    this->demand.startBy = std::min(this->demand.startBy, this->deadline);
     return true;
 }
 
@@ -187,7 +173,7 @@
     target.instance = grant.upstream().id;
     target.account = this->account ? this->account->name : "";
     target.timeLeft = std::max<AK::Milliseconds>(1, this->deadline - this->now());
-    target.priority = this->demand.priority;
+    target.priority = this->demand.place.priority;
     target.weightsVersion = grant.weightsVersion();
     target.lastEventId = this->lastEventId;
     return target;
@@ -350,7 +336,7 @@
                        {"longest_gap_ms", this->report.longestGap},
                        {"prompt_tokens", this->request.promptTokens},
                        {"late", late},
-                       {"returning", this->demand.returning},
+                       {"returning", this->demand.place.returning},
                        {"patience_ms", this->request.patience.value_or(-1)},
                        {"took_ms", took}});
 }
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -12,19 +12,6 @@
 
 // While calls wait, places that open without an event (a rate that refills, a suspension that ends) are looked for at this interval.
 constexpr AK::Milliseconds wakeInterval = 20;
-constexpr double intervalMemory = 0.9;
-// A longer pause between calls or free places counts as this long.
-constexpr AK::Milliseconds intervalLimit = 1'000;
-// Range in which refused clients are told to come back, spread so that they do not return together.
-constexpr AK::Milliseconds shortestRetryAfter = 1'000;
-constexpr AK::Milliseconds retryAfterSpread = 900;
-
-// Order of the waiting line: urgent calls first, and clients that can still be answered in time before those that come back.
-bool isBefore(const Demand &left, const Demand &right)
-{
-    return left.priority != right.priority ? left.priority < right.priority : !left.returning && right.returning;
-}
-
 bool contains(const std::vector<std::string> &names, const std::string &name)
 {
     return names.empty() || std::find(names.begin(), names.end(), name) != names.end();
@@ -103,6 +90,14 @@
     this->line(service).budget.countCall(this->loop.clock().now());
 }
 
+void Dispatcher::arrangeWaiting(Demand &demand, const LibFleet::Route &route, AK::Milliseconds callPatience)
+{
+    LibGateway::PatienceRecord &record = this->patience[route.name];
+    LibGateway::observePatience(record, callPatience);
+    demand.place.returning = LibGateway::isReturning(route.kind, callPatience, record, this->settings.waiting);
+    demand.startBy = demand.arrivedAt + LibGateway::longestWait(route.kind, demand.place.returning, route.targetLatency, this->settings.waiting);
+}
+
 size_t Dispatcher::entryCount() const
 {
     return std::max<size_t>(1, this->fleet.entries().size());
@@ -222,9 +217,8 @@
     Line &line = this->line(demand.service);
     const AK::Milliseconds now = this->loop.clock().now();
     GrantOrRefusal result;
-    if (!demand.returning) {
-        line.freshInterval = intervalMemory * line.freshInterval + (1 - intervalMemory) * static_cast<double>(std::min(intervalLimit, now - line.lastFreshAt));
-        line.lastFreshAt = now;
+    if (!demand.place.returning) {
+        LibGateway::countFresh(line.pace, now);
     }
     if (line.waiters.empty()) {
         const Availability availability = this->tryPlace(demand, result.grant);
@@ -237,22 +231,17 @@
             return result;
         }
     }
-    if (demand.returning && line.freshInterval < line.interval) {
-        // Those that can be answered in time take every place that becomes free.
-        result.reason = RefusalReason::QueueTooLong;
-        result.retryAfter = this->retryAfter(line);
-        return result;
-    }
-    const auto ahead =
-        static_cast<double>(std::count_if(line.waiters.begin(), line.waiters.end(), [&](const Waiter *other) { return !isBefore(demand, *other->demand); }));
-    if (static_cast<double>(now) + ahead * line.interval > static_cast<double>(demand.startBy)) {
+    const auto ahead = static_cast<size_t>(std::count_if(line.waiters.begin(), line.waiters.end(),
+                                                         [&](const Waiter *other) { return !LibGateway::isBefore(demand.place, other->demand->place); }));
+    if (LibGateway::startsTooLate(line.pace, demand.place, ahead, now, demand.startBy)) {
         result.reason = RefusalReason::QueueTooLong;
         result.retryAfter = this->retryAfter(line);
         return result;
     }
     auto paf = kj::newPromiseAndFulfiller<kj::Own<Grant>>();
     Waiter waiter{&demand, kj::mv(paf.fulfiller)};
-    const auto position = std::find_if(line.waiters.begin(), line.waiters.end(), [&](const Waiter *other) { return isBefore(demand, *other->demand); });
+    const auto position =
+        std::find_if(line.waiters.begin(), line.waiters.end(), [&](const Waiter *other) { return LibGateway::isBefore(demand.place, other->demand->place); });
     line.waiters.insert(position, &waiter);
     bool queued = true;
     KJ_DEFER({
@@ -322,11 +311,7 @@
     LibGateway::UpstreamLoad &load = this->loadOf(record);
     load.ownInFlight = std::max(0, load.ownInFlight - 1);
     Line &line = this->line(record.service);
-    const AK::Milliseconds now = this->loop.clock().now();
-    if (line.lastFreedAt > 0) {
-        line.interval = intervalMemory * line.interval + (1 - intervalMemory) * static_cast<double>(std::min(intervalLimit, now - line.lastFreedAt));
-    }
-    line.lastFreedAt = now;
+    LibGateway::countFreed(line.pace, this->loop.clock().now());
     if (!line.waiters.empty()) {
         this->serveWaiters(record.service);
     }
@@ -361,8 +346,7 @@
 
 AK::Milliseconds Dispatcher::retryAfter(const Line &line)
 {
-    const auto backlog = static_cast<AK::Milliseconds>(static_cast<double>(line.waiters.size()) * line.interval);
-    return shortestRetryAfter + backlog + static_cast<AK::Milliseconds>(AK::uniformBelow(this->random, retryAfterSpread));
+    return LibGateway::retryAfter(line.pace, line.waiters.size(), std::uniform_real_distribution<double>(0, 1)(this->random), this->settings.waiting);
 }
 
 size_t Dispatcher::waitingCalls() const
--- a/Userland/Services/Gateway/Dispatcher.h
+++ b/Userland/Services/Gateway/Dispatcher.h
@@ -4,6 +4,7 @@
 #include <LibFiber/Loop.h>
 #include <LibGateway/Placement.h>
 #include <LibGateway/RetryBudget.h>
+#include <LibGateway/Waiting.h>
 #include <list>
 #include <map>
 #include <memory>
@@ -20,6 +21,7 @@
     std::string failureDomain;
     LibGateway::PlacementSettings placement;
     LibGateway::RetryBudgetSettings retries;
+    LibGateway::WaitingSettings waiting;
     /// ms after a new version became known at which the older one gets no more calls.
     AK::Milliseconds switchBefore = 6'000;
 };
@@ -27,10 +29,7 @@
 /// What a call needs of an upstream.
 struct Demand {
     std::string service;
-    /// 0 is the most urgent.
-    int priority = 0;
-    /// The client was refused before and comes back; its answer is late already.
-    bool returning = false;
+    LibGateway::WaitingPlace place;
     AK::Milliseconds arrivedAt = 0;
     int64_t promptTokens = 0;
     /// Time after which a start is of no use.
@@ -95,6 +94,9 @@
     /// Counts a call of a client; it earns retry budget.
     void countCall(const std::string &service);
 
+    /// Fills in how long a call may wait and in which order. `patience` is what its client waits in all, in ms.
+    void arrangeWaiting(Demand &demand, const LibFleet::Route &route, AK::Milliseconds patience);
+
     /// Waits for a place. The first send of a call needs no budget; later ones are paid with mayRepeat().
     GrantOrRefusal acquire(kj::WaitScope &scope, const Demand &demand);
 
@@ -127,12 +129,7 @@
         }
         std::list<Waiter *> waiters;
         LibGateway::RetryBudget budget;
-        /// Moving mean of the time between places that become free, in ms.
-        double interval = 0;
-        AK::Milliseconds lastFreedAt = 0;
-        /// Moving mean of the time between calls that can still be answered in time, in ms.
-        double freshInterval = 0;
-        AK::Milliseconds lastFreshAt = 0;
+        LibGateway::LinePace pace;
         bool wakeScheduled = false;
     };
 
@@ -158,6 +155,8 @@
     std::map<std::string, std::string> regions;
     std::vector<LibGateway::EntryPlace> entries;
     std::map<std::string, std::unique_ptr<Line>> lines;
+    /// By name of the route.
+    std::map<std::string, LibGateway::PatienceRecord> patience;
     /// By address, so that the report of an agent finds its upstream.
     std::map<std::string, LibGateway::UpstreamLoad> loads;
     AK::Random random;
