OperatorPages: List the events and metrics of the new services, and wait for a process to leave

The reference tests now read platform/ too and calls whose first argument stands on the next line; both make them stricter. A step that stops a process waits until an entry no longer lists it (replacing_a_host failed beside load, as did first_site, where chunk counts were older than the serving state: the agent now publishes both in order). Every process on the platform serves its metrics on port 9464.

--- a/Tests/OperatorPages/PageRunner.cpp
+++ b/Tests/OperatorPages/PageRunner.cpp
@@ -150,7 +150,18 @@
 {
     this->site.process(process).signal(SIGTERM);
     const std::optional<int> status = this->site.process(process).wait(eventLimitMs);
-    return status == 0 ? absl::OkStatus() : absl::InternalError(AK::concat("it ended with ", status.value_or(-1)));
+    if (status != 0) {
+        return absl::InternalError(AK::concat("it ended with ", status.value_or(-1)));
+    }
+    const bool left = Harness::waitUntil(eventLimitMs, [&] {
+        const auto members = this->site.status(this->site.entryAddress(1));
+        const nlohmann::json list = members.ok() ? (*members)["members"] : nlohmann::json::array();
+        return members.ok() && std::ranges::none_of(list, [&](const nlohmann::json &member) {
+                   const std::string state = member.value("status", "");
+                   return member.value("name", "") == process && (state == "alive" || state == "suspect");
+               });
+    });
+    return left ? absl::OkStatus() : absl::DeadlineExceededError("an entry still lists the process");
 }
 
 std::string PageRunner::networkPrefix() const
--- a/Tests/OperatorPages/TestReferences.cpp
+++ b/Tests/OperatorPages/TestReferences.cpp
@@ -184,15 +184,17 @@
 std::set<std::string> namesInSources(const std::regex &expression)
 {
     std::set<std::string> names;
-    for (const auto &item : std::filesystem::recursive_directory_iterator(sourceFolder + "/Userland")) {
-        if (item.path().extension() != ".cpp") {
-            continue;
-        }
-        const std::string text = textOf(item.path().string());
-        for (std::sregex_iterator match(text.begin(), text.end(), expression), end; match != end; ++match) {
-            for (size_t group = 1; group < match->size(); ++group) {
-                if ((*match)[group].matched) {
-                    names.insert((*match)[group]);
+    for (const char *folder : {"/Userland", "/platform"}) {
+        for (const auto &item : std::filesystem::recursive_directory_iterator(sourceFolder + folder)) {
+            if (item.path().extension() != ".cpp") {
+                continue;
+            }
+            const std::string text = textOf(item.path().string());
+            for (std::sregex_iterator match(text.begin(), text.end(), expression), end; match != end; ++match) {
+                for (size_t group = 1; group < match->size(); ++group) {
+                    if ((*match)[group].matched) {
+                        names.insert((*match)[group]);
+                    }
                 }
             }
         }
@@ -257,7 +259,7 @@
 TEST(OperatorReferences, LogsPageHasEveryEvent)
 {
     const auto rows = rowsOf("logs.md");
-    const std::set<std::string> known = namesInSources(std::regex(R"re(logger\.(?:debug|info|warning|error)\((?:[a-z]+ \? "([a-z_]+)" : )?"([a-z_]+)")re"));
+    const std::set<std::string> known = namesInSources(std::regex(R"re(logger\.(?:debug|info|warning|error)\(\s*(?:[a-z]+ \? "([a-z_]+)" : )?"([a-z_]+)")re"));
     EXPECT_GT(known.size(), 20U);
     for (const std::string &event : known) {
         EXPECT_TRUE(rows.contains(event)) << "logs.md lacks " << event;
--- a/Userland/Libraries/LibWeights/WeightsService.cpp
+++ b/Userland/Libraries/LibWeights/WeightsService.cpp
@@ -78,7 +78,14 @@
     , uplink(clock, [this] { return this->transferRate(); })
     , context{settings, clock, configuration, membership, std::move(identity), metrics, this->store, this->downlink}
     , engine(settings.agent.upstreamAddress)
-    , orders(settings, clock, configuration, membership, state, gate, this->engine, metrics, [this](const std::string &root) { return this->holdsAll(root); })
+    , orders(settings, clock, configuration, membership, state, gate, this->engine, metrics, [this](const std::string &root) {
+        const bool held = this->holdsAll(root);
+        if (held) {
+            // Whoever reads that the engine serves the weights also reads that all chunks are here.
+            this->publishProgress();
+        }
+        return held;
+    })
 {
 }
 
--- a/Userland/Services/WeightAgent/AgentService.cpp
+++ b/Userland/Services/WeightAgent/AgentService.cpp
@@ -45,6 +45,11 @@
     return this->store;
 }
 
+int64_t AgentService::heldVersion() const
+{
+    return this->status ? this->status->report.weightsVersion : 0;
+}
+
 void AgentService::start()
 {
     this->exchange.describeWith([this](LibPeers::NodeState &state) {
@@ -199,7 +204,7 @@
 {
     const std::vector<LibFleet::WeightsTarget> &targets = this->fleet.weightsTargets(model);
     for (auto target = targets.rbegin(); target != targets.rend(); ++target) {
-        const std::shared_ptr<HeldVersion> held = this->store.find(model, target->version);
+        std::shared_ptr<HeldVersion> held = this->store.find(model, target->version);
         if (held && held->complete()) {
             return held;
         }
--- a/Userland/Services/WeightAgent/AgentService.h
+++ b/Userland/Services/WeightAgent/AgentService.h
@@ -31,6 +31,9 @@
 
     VersionStore &versions();
 
+    /// Complete weights that the engine holds, 0 for none or unknown.
+    int64_t heldVersion() const;
+
 private:
     void watchEngine(kj::WaitScope &scope);
     void keepFetching(kj::WaitScope &scope);
--- a/Userland/Services/WeightAgent/SwarmFetch.cpp
+++ b/Userland/Services/WeightAgent/SwarmFetch.cpp
@@ -84,7 +84,7 @@
         if (!first || round > 0) {
             for (const PeerState &state : this->peers) {
                 LibPeers::PeerLink link(this->loop, state.peer.rpcAddress);
-                const absl::StatusOr<std::string> text = link.manifest(scope, this->model, this->version, this->loop.clock().now() + mapTimeout);
+                absl::StatusOr<std::string> text = link.manifest(scope, this->model, this->version, this->loop.clock().now() + mapTimeout);
                 if (text.ok() && !text->empty()) {
                     return text;
                 }
--- a/Userland/Utilities/catkinlinkd/PlatformDaemon.cpp
+++ b/Userland/Utilities/catkinlinkd/PlatformDaemon.cpp
@@ -1,7 +1,9 @@
 #include "PlatformDaemon.h"
 
 #include "PlatformEntry.h"
+#include <Gateway/SmallServer.h>
 #include <LibLog/Logger.h>
+#include <LibMetrics/MetricRegistry.h>
 #include <iostream>
 #include <platform/EngineClient.h>
 
@@ -39,6 +41,15 @@
     agentSettings.rpcPort = settings.innerPort;
     agentSettings.switchWithin = switchBefore(settings);
     WeightAgent::AgentService agent(loop, agentSettings, node.fleet, engine, origin, node.exchange);
+    LibMetrics::MetricRegistry metrics;
+    Gateway::SmallServer metricsServer(loop, {settings.ip, metricsPort}, [&](const auto &) {
+        metrics.set("catkinlink_engine_weights_version", {}, static_cast<double>(agent.heldVersion()));
+        return Gateway::SmallAnswer{200, "text/plain; version=0.0.4", metrics.text()};
+    });
+    if (const absl::Status status = metricsServer.start(); !status.ok()) {
+        logger.error("failed", {{"reason", std::string(status.message())}});
+        return StartFailed;
+    }
     LibPeers::PeerServer server(loop, node.exchange, &agent.versions());
     if (const absl::Status status = server.listen({settings.ip, settings.innerPort}); !status.ok()) {
         logger.error("failed", {{"reason", std::string(status.message())}});
--- a/Userland/Utilities/catkinlinkd/PlatformEntry.cpp
+++ b/Userland/Utilities/catkinlinkd/PlatformEntry.cpp
@@ -45,6 +45,7 @@
         , peers(loop, this->node.exchange, nullptr)
         , readiness(loop, *settings.readinessAddress, [this](const auto &head) { return this->answerReadiness(head); })
         , directory(loop, *settings.directoryAddress, [this](const auto &head) { return this->answerDirectory(head); })
+        , metricsServer(loop, {settings.ip, metricsPort}, [this](const auto &) { return this->answerMetrics(); })
     {
         this->dispatcher.setRegions(settings.regionsByDomain);
         this->node.exchange.describeWith([this](LibPeers::NodeState &state) {
@@ -62,8 +63,8 @@
 
     absl::Status start()
     {
-        for (const absl::Status &status :
-             {this->peers.listen(*this->settings.rpcAddress), this->readiness.start(), this->directory.start(), this->gateway.start()}) {
+        for (const absl::Status &status : {this->peers.listen(*this->settings.rpcAddress), this->readiness.start(), this->directory.start(),
+                                           this->metricsServer.start(), this->gateway.start()}) {
             if (!status.ok()) {
                 return status;
             }
@@ -113,13 +114,17 @@
         return !this->leaving && this->node.fleet.configuration() != nullptr;
     }
 
+    Gateway::SmallAnswer answerMetrics()
+    {
+        this->metrics.set("catkinlink_calls_waiting", {}, static_cast<double>(this->dispatcher.waitingCalls()));
+        this->metrics.set("catkinlink_calls_in_flight", {}, this->dispatcher.callsInFlight());
+        return {200, "text/plain; version=0.0.4", this->metrics.text()};
+    }
+
     Gateway::SmallAnswer answerReadiness(const LibHttpStream::RequestHead &head) const
     {
         constexpr int unavailable = 503;
         constexpr int notFound = 404;
-        if (head.method == "GET" && head.target == "/metrics") {
-            return {200, "text/plain; version=0.0.4", this->metrics.text()};
-        }
         if (!Platform::asksForReadiness(head)) {
             return {notFound, "application/json", "{}"};
         }
@@ -196,6 +201,7 @@
     LibPeers::PeerServer peers;
     Gateway::SmallServer readiness;
     Gateway::SmallServer directory;
+    Gateway::SmallServer metricsServer;
     bool leaving = false;
     AK::Random random = AK::seededFromSystem();
     LibLog::Logger logger{"daemon"};
--- a/Userland/Utilities/catkinlinkd/PlatformEntry.h
+++ b/Userland/Utilities/catkinlinkd/PlatformEntry.h
@@ -22,6 +22,9 @@
     Fleet::PeerExchange exchange;
 };
 
+/// Where every process on the platform serves its metrics; named in deploy/system.toml.
+inline constexpr uint16_t metricsPort = 9'464;
+
 /// Time from the naming of weights after which no call is sent to an engine with older ones, in ms.
 AK::Milliseconds switchBefore(const Platform::NodeSettings &settings);
 
