--- a/Tests/LibGateway/TestPlacement.cpp
+++ b/Tests/LibGateway/TestPlacement.cpp
@@ -166,6 +166,18 @@
 {
 };
 
+// Guards against an upstream that is shut out for 8 s because eleven calls failed with one crash (inc-3a78 of regenton-mechelen).
+TEST(CountOutcome, CountsACrashOnce)
+{
+    const PlacementSettings settings;
+    UpstreamLoad load;
+    for (int i = 0; i < 11; ++i) {
+        countOutcome(load, true, 1'000, settings);
+    }
+    EXPECT_EQ(load.suspendedUntil, 1'000 + settings.suspension);
+    EXPECT_EQ(load.failuresInRow, settings.failuresToSuspend);
+}
+
 // Guards against work that begins on old weights after their time (VERSION), also when a newer version was named in between.
 TEST_P(RequiredWeightsTest, IsTheNewestWhoseTimeIsOver)
 {
--- a/Userland/Libraries/LibGateway/Placement.cpp
+++ b/Userland/Libraries/LibGateway/Placement.cpp
@@ -42,6 +42,10 @@
 
 void countOutcome(UpstreamLoad &load, bool failed, AK::Milliseconds now, const PlacementSettings &settings)
 {
+    if (failed && now < load.suspendedUntil) {
+        // Calls that were in flight when the upstream failed say nothing new.
+        return;
+    }
     load.failureShare = failureMemory * load.failureShare + (1 - failureMemory) * (failed ? 1 : 0);
     load.failuresInRow = failed ? load.failuresInRow + 1 : 0;
     if (load.failuresInRow >= settings.failuresToSuspend) {
--- a/Userland/Libraries/LibGateway/Placement.h
+++ b/Userland/Libraries/LibGateway/Placement.h
@@ -11,6 +11,8 @@
 
 /// What this entry knows of one upstream beyond its record.
 struct UpstreamLoad {
+    /// Instance that all this was learned of; another at the same address begins anew.
+    std::string instance;
     /// Calls of this entry that the upstream works on.
     int ownInFlight = 0;
     /// Prompt tokens of those that have not sent their first event.
@@ -63,7 +65,7 @@
 /// saying so; it is above what a warm engine completes. Load pattern: a failure domain returns cold under full load.
 bool rateAllows(UpstreamLoad &load, double callsPerSecond, size_t entries, AK::Milliseconds now, const PlacementSettings &settings);
 
-/// Counts the end of a call at an upstream.
+/// Counts the end of a call at an upstream. Load pattern: an upstream ends with many calls in flight, which all fail at once.
 void countOutcome(UpstreamLoad &load, bool failed, AK::Milliseconds now, const PlacementSettings &settings);
 
 /// One upstream that could take a call.
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -116,7 +116,14 @@
 
 LibGateway::UpstreamLoad &Dispatcher::loadOf(const LibFleet::UpstreamRecord &record)
 {
-    return this->loads[record.address.text()];
+    LibGateway::UpstreamLoad &load = this->loads[record.address.text()];
+    if (load.instance != record.id) {
+        load.instance = record.id;
+        load.failureShare = 0;
+        load.failuresInRow = 0;
+        load.suspendedUntil = 0;
+    }
+    return load;
 }
 
 int64_t Dispatcher::requiredWeights(const std::string &service) const
@@ -158,7 +165,7 @@
         }
     }
     const auto load = this->loads.find(record.address.text());
-    if (load == this->loads.end()) {
+    if (load == this->loads.end() || load->second.instance != record.id) {
         return true;
     }
     const bool fresh = load->second.report && now - load->second.reportAt <= this->settings.placement.reportMaxAge;
