--- a/Userland/Services/Fleet/PeerExchange.cpp
+++ b/Userland/Services/Fleet/PeerExchange.cpp
@@ -9,6 +9,9 @@
 {
 
 constexpr AK::Milliseconds callTimeout = 600;
+// A process that does not answer yet may be starting, as all do after a loss of power; a host without power never answers a connection.
+constexpr AK::Milliseconds firstTimeout = 250;
+constexpr AK::Milliseconds firstInterval = 100;
 constexpr AK::Milliseconds objectsTimeout = 2'000;
 constexpr AK::Milliseconds searchInterval = 500;
 // An entry that has not answered for this long is no longer talked to unless the store names it.
@@ -135,7 +138,8 @@
     AK::Milliseconds answeredAt = this->loop.clock().now();
     bool reached = false;
     while (this->wanted(address) || this->loop.clock().now() - answeredAt < forgetAfter) {
-        const absl::StatusOr<LibPeers::NodeState> peer = link.exchange(scope, this->ownState(), this->loop.clock().now() + callTimeout);
+        const absl::StatusOr<LibPeers::NodeState> peer =
+            link.exchange(scope, this->ownState(), this->loop.clock().now() + (reached ? callTimeout : firstTimeout));
         if (peer.ok() != reached) {
             reached = peer.ok();
             this->logger.info(reached ? "peer_reached" : "peer_lost", {{"address", address.text()}, {"reason", std::string(peer.status().message())}});
@@ -145,7 +149,7 @@
             this->heard(*peer);
             this->pullNewer(scope, link, *peer);
         }
-        this->loop.after(this->settings.interval).exclusiveJoin(this->woken.addBranch()).wait(scope);
+        this->loop.after(reached ? this->settings.interval : firstInterval).exclusiveJoin(this->woken.addBranch()).wait(scope);
     }
     this->conversations.erase(address.text());
 }
