--- a/Userland/Services/Fleet/PeerExchange.cpp
+++ b/Userland/Services/Fleet/PeerExchange.cpp
@@ -105,6 +105,14 @@
     return this->feeds.objects(kind, newerThan);
 }
 
+AK::Milliseconds PeerExchange::intervalTo(const AK::Endpoint &address) const
+{
+    const auto &entries = this->state.entries();
+    const auto found = std::find_if(entries.begin(), entries.end(), [&](const auto &entry) { return entry.second.rpcAddress == address; });
+    const bool far = found != entries.end() && found->second.region != this->settings.region;
+    return far ? this->settings.farInterval : this->settings.interval;
+}
+
 bool PeerExchange::wanted(const AK::Endpoint &address) const
 {
     const auto &entries = this->state.entries();
@@ -149,7 +157,7 @@
             this->heard(*peer);
             this->pullNewer(scope, link, *peer);
         }
-        this->loop.after(reached ? this->settings.interval : firstInterval).exclusiveJoin(this->woken.addBranch()).wait(scope);
+        this->loop.after(reached ? this->intervalTo(address) : firstInterval).exclusiveJoin(this->woken.addBranch()).wait(scope);
     }
     this->conversations.erase(address.text());
 }
--- a/Userland/Services/Fleet/PeerExchange.h
+++ b/Userland/Services/Fleet/PeerExchange.h
@@ -27,12 +27,15 @@
     struct Settings {
         std::string name;
         std::string failureDomain;
+        std::string region;
         AK::Endpoint rpcAddress;
         /// Entries: where clients connect.
         std::optional<AK::Endpoint> clientAddress;
         /// RPC addresses at which entries may be found before any is known; may be stale.
         std::vector<AK::Endpoint> seeds;
         AK::Milliseconds interval = 250;
+        /// With entries of other regions, whose links carry all other traffic too; changes are told at once anyway.
+        AK::Milliseconds farInterval = 500;
     };
 
     PeerExchange(LibFiber::Loop &loop, Settings settings, FeedKeeper &feeds, LibFleet::FleetState &state);
@@ -61,6 +64,7 @@
     void findEntries(kj::WaitScope &scope);
     void pullNewer(kj::WaitScope &scope, LibPeers::PeerLink &link, const LibPeers::NodeState &peer);
     LibPeers::NodeState ownState() const;
+    AK::Milliseconds intervalTo(const AK::Endpoint &address) const;
     bool wanted(const AK::Endpoint &address) const;
     void heard(const LibPeers::NodeState &peer);
 
