Entries: Keep the registration true, remove entries that are silent for a minute, name all entries in one answer of 20

The number of registered entries divides the cold rate and the retry budget, so that entries that are gone must not count for ever; one that was removed by mistake, or has moved, registers again.

--- a/Userland/Services/Gateway/AddressChoice.cpp
+++ b/Userland/Services/Gateway/AddressChoice.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-// One answer of so many names all entries.
-constexpr uint64_t answersUntilAll = 6;
+// One answer of so many names all entries. Calls bound to regions may go astray in at most one of 20.
+constexpr uint64_t answersUntilAll = 20;
 
 } // namespace
 
--- a/Userland/Utilities/catkinlinkd/PlatformEntry.cpp
+++ b/Userland/Utilities/catkinlinkd/PlatformEntry.cpp
@@ -21,6 +21,9 @@
 constexpr AK::Milliseconds addressLifetime = 1'000;
 constexpr AK::Milliseconds registerInterval = 500;
 constexpr AK::Milliseconds shareInterval = 250;
+// An entry that was silent for this long is removed from the store; a restart takes seconds.
+constexpr AK::Milliseconds removeAfter = 60'000;
+constexpr AK::Milliseconds removeInterval = 5'000;
 // A process that starts finds out within this time which engines have the named weights; it does not know when they were named.
 constexpr AK::Milliseconds restartTolerance = 2'000;
 // Time from SIGTERM until idle connections are ended: clients have asked for addresses again.
@@ -73,6 +76,7 @@
         this->node.exchange.start();
         this->loop.spawn([this](kj::WaitScope &scope) { this->registerSelf(scope); });
         this->loop.spawn([this](kj::WaitScope &scope) { this->shareUpstreams(scope); });
+        this->loop.spawn([this](kj::WaitScope &scope) { this->removeLost(scope); });
         return absl::OkStatus();
     }
 
@@ -174,16 +178,45 @@
         const LibFleet::EntryRecord self{this->settings.name, *this->settings.rpcAddress, *this->settings.clientAddress, this->settings.region,
                                          this->settings.failureDomain};
         while (!this->leaving) {
-            const absl::Status status = this->node.store.put(scope, LibFleet::ObjectKind::Entries, self.name, this->node.decoder.encodeEntry(self));
-            if (status.ok()) {
-                this->logger.info("registered");
-                return;
+            const auto known = this->node.fleet.entries().find(self.name);
+            const bool current =
+                known != this->node.fleet.entries().end() && known->second.rpcAddress == self.rpcAddress && known->second.clientAddress == self.clientAddress;
+            if (!current) {
+                const absl::Status status = this->node.store.put(scope, LibFleet::ObjectKind::Entries, self.name, this->node.decoder.encodeEntry(self));
+                if (status.ok()) {
+                    this->logger.info("registered");
+                } else {
+                    this->logger.info("not_registered", {{"reason", std::string(status.message())}});
+                }
             }
-            this->logger.info("not_registered", {{"reason", std::string(status.message())}});
             this->loop.sleep(scope, registerInterval);
         }
     }
 
+    // Removes entries that have been silent for so long that their machines are gone; one that comes back registers again. Their number bounds what each
+    // entry may send.
+    void removeLost(kj::WaitScope &scope)
+    {
+        std::map<std::string, AK::Milliseconds> heardAt;
+        while (!this->leaving) {
+            this->loop.sleep(scope, removeInterval);
+            const AK::Milliseconds now = this->loop.clock().now();
+            const auto live = this->node.exchange.liveEntries(removeInterval);
+            // Copied: an erase waits, and the entries change meanwhile.
+            const std::map<std::string, LibFleet::EntryRecord> entries = this->node.fleet.entries();
+            for (const auto &[name, entry] : entries) {
+                const bool heard = name == this->settings.name || live.contains(name);
+                const AK::Milliseconds since = heard ? now : heardAt.try_emplace(name, now).first->second;
+                heardAt[name] = since;
+                if (now - since < removeAfter || live.empty()) {
+                    continue;
+                }
+                const absl::Status status = this->node.store.erase(scope, LibFleet::ObjectKind::Entries, name);
+                this->logger.info("entry_removed", {{"entry", name}, {"silent_ms", now - since}, {"reason", std::string(status.message())}});
+            }
+        }
+    }
+
     void unregisterSelf(kj::WaitScope &scope)
     {
         const absl::Status status = this->node.store.erase(scope, LibFleet::ObjectKind::Entries, this->settings.name);
