--- a/Tests/LibGateway/TestPlacement.cpp
+++ b/Tests/LibGateway/TestPlacement.cpp
@@ -43,6 +43,8 @@
 
 INSTANTIATE_TEST_SUITE_P(Table, ChooseUpstreamTest,
                          testing::Values(ChoiceCase{"none", {}, 10, false, std::nullopt}, ChoiceCase{"full", {candidate(16, 0, true)}, 10, false, std::nullopt},
+                                         ChoiceCase{"foreign_keeps_slots_free", {candidate(13, 0, false)}, 10, false, std::nullopt},
+                                         ChoiceCase{"preferred_fills_all_slots", {candidate(15, 0, true)}, 10, false, 0},
                                          ChoiceCase{"less_backlog", {candidate(4, 100, true), candidate(6, 0, true)}, 20, false, 1},
                                          ChoiceCase{"backlog_with_own_prompt", {candidate(4, 100, true)}, 50, false, std::nullopt},
                                          ChoiceCase{"long_prompt_alone", {candidate(4, 0, true)}, 500, false, 0},
--- a/Userland/Libraries/LibGateway/Placement.cpp
+++ b/Userland/Libraries/LibGateway/Placement.cpp
@@ -77,7 +77,8 @@
     for (size_t i = 0; i < candidates.size(); ++i) {
         const PlacementCandidate &candidate = candidates[i];
         const double pace = std::max(1.0, candidate.pace);
-        if (candidate.load >= candidate.limit || (!anyBacklog && !backlogAllows(candidate, promptMs, settings))) {
+        const int limit = candidate.preferred ? candidate.limit : std::max(1, candidate.limit - settings.foreignReserve);
+        if (candidate.load >= limit || (!anyBacklog && !backlogAllows(candidate, promptMs, settings))) {
             continue;
         }
         const double distance = (candidate.preferred ? 0 : settings.foreignPenaltyMs) + (candidate.sameRegion ? 0 : settings.regionPenaltyMs);
--- a/Userland/Libraries/LibGateway/Placement.h
+++ b/Userland/Libraries/LibGateway/Placement.h
@@ -51,6 +51,8 @@
     /// The same at an upstream that another entry prefers, whose prompts this entry does not see. Load pattern: an engine comes back empty and every entry
     /// fills it at once.
     double foreignBacklogMs = 60;
+    /// Slots that an entry leaves free at an engine that another entry prefers, for calls of the others that it does not know of yet.
+    int foreignReserve = 3;
     /// Failures in a row after which an upstream gets no calls for a while.
     int failuresToSuspend = 3;
     AK::Milliseconds suspension = 1'000;
