LibWeights: Act for a chunk that an earlier agent holds and does not send

Cause of the case in KNOWN-RED.txt (OthersGetAllChunks/stalled): a stalled agent had fetched its chunks from the origin and advertised them; the next in the order waited for neighbours to offer them, which nobody could, and a source dropped for its rate is no excluded one. Ruled out: the origin and excluded sources (the corrupt and dead cases pass). Change: patience with a chunk that is held and does not come is bounded by twice that of its rank.

--- a/Userland/Libraries/LibWeights/DesignatedFetch.cpp
+++ b/Userland/Libraries/LibWeights/DesignatedFetch.cpp
@@ -23,6 +23,8 @@
 // Without an origin fetch of its own, an agent does not know how busy the origin is and waits longer.
 constexpr int unknownOriginFactor = 4;
 constexpr int busyOriginFactor = 3;
+// Patience with an agent that holds a chunk which does not come, in turns: a chunk takes a few hops.
+constexpr int undeliveredFactor = 2;
 // A busy origin shares its link among all readers, so a whole chunk may take longer than the answer to one request.
 constexpr int originDeadlineFactor = 3;
 
@@ -182,6 +184,7 @@
         return false;
     }
     const std::vector<std::string> order = fetchOrder(this->wanted.root, std::to_string(index), own->second, this->designatedIn(own->first));
+    const AK::Milliseconds now = this->context.clock.now();
     std::vector<PredecessorView> predecessors;
     for (const std::string &name : order) {
         if (name == this->context.settings.name) {
@@ -190,13 +193,19 @@
         const AK::Endpoint &endpoint = directory.endpoints.at(name);
         const PeerLinks::View &view = links.view(name, endpoint, this->wanted.root, this->context.settings.agent.chunkMapIntervalMs);
         if (view.reachable && !this->isExcluded(name) && bitOf(view.bitmap, index)) {
-            // It has the chunk; the neighbours will offer it after a while. Taking it here would load one agent with all fetches.
-            return false;
+            // It has the chunk; the neighbours will offer it after a while. Taking it here would load one agent with all fetches. But an agent may hold
+            // chunks and never send them (it is paused, or its link stalls); then the chunk counts as one that nobody brings.
+            const AK::Milliseconds offeredAt = this->offeredSince.try_emplace(index, now).first->second;
+            if (now - offeredAt < static_cast<AK::Milliseconds>(predecessors.size() + 1) * undeliveredFactor * this->patience()) {
+                return false;
+            }
+            predecessors.push_back({false, 0});
+            continue;
         }
         predecessors.push_back({view.reachable && !this->isExcluded(name), view.lastProgressAt});
     }
     const auto rank = static_cast<AK::Milliseconds>(predecessors.size());
-    if (!mayReplace(predecessors, this->context.clock.now(), rank * this->patience())) {
+    if (!mayReplace(predecessors, now, rank * this->patience())) {
         return false;
     }
     this->context.metrics.add("catkinlink_weights_designations_replaced_total");
--- a/Userland/Libraries/LibWeights/WeightFetch.h
+++ b/Userland/Libraries/LibWeights/WeightFetch.h
@@ -98,6 +98,8 @@
     AK::Random random;
     AK::Milliseconds startedAt = 0;
     AK::Milliseconds slowestOriginFetch = 0;
+    /// When an earlier agent in the order was first seen to hold a chunk that has not come; by chunk.
+    std::map<uint32_t, AK::Milliseconds> offeredSince;
     std::atomic<bool> stopping{false};
     std::atomic<bool> ended{false};
     std::atomic<bool> completeReported{false};
