--- a/Tests/Platform/TestCodec.cpp
+++ b/Tests/Platform/TestCodec.cpp
@@ -118,9 +118,7 @@
 {
     const CallHeaders codec;
     const auto head = clientRequest();
-    const auto call = codec.decodeRequest(head);
-    ASSERT_TRUE(call.ok());
-    const auto sent = codec.encodeRequest(head, *call, {"i-1", "bozi", 4321, 2, 3, std::string("15")});
+    const auto sent = codec.encodeRequest(head, {"i-1", "bozi", 4321, 2, 3, std::string("15")});
     EXPECT_EQ(sent.target, "/lepu/2f?q=1");
     const std::map<std::string, std::string> expected{{"Host", "jepu9.example"},   {"X-Attempt-Id", "9c41"},     {"X-Deadline-Ms", "4321"},
                                                       {"X-Tenant", "bozi"},        {"X-Token-Count", "1460,80"}, {"X-Length-Hint", "70"},
--- a/Userland/Libraries/LibGateway/Codec.h
+++ b/Userland/Libraries/LibGateway/Codec.h
@@ -67,7 +67,7 @@
     /// Errors: kInvalidArgument with the header and what is wrong.
     virtual absl::StatusOr<CallRequest> decodeRequest(const LibHttpStream::RequestHead &head) const = 0;
     /// The request as the upstream gets it, without headers that frame the body.
-    virtual LibHttpStream::RequestHead encodeRequest(const LibHttpStream::RequestHead &head, const CallRequest &call, const UpstreamTarget &target) const = 0;
+    virtual LibHttpStream::RequestHead encodeRequest(const LibHttpStream::RequestHead &head, const UpstreamTarget &target) const = 0;
     virtual AnswerInfo decodeAnswer(const LibHttpStream::ResponseHead &head) const = 0;
 };
 
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -149,7 +149,7 @@
             const auto share = static_cast<AK::Milliseconds>(plainSilenceShare * static_cast<double>(this->deadline - this->arrivedAt));
             answerBy = std::min(answerBy, this->now() + (this->route->kind == RouteKind::Stream ? silenceLimit : share));
         }
-        const LibHttpStream::RequestHead outgoing = this->context.codec.encodeRequest(this->head, this->request, this->targetAt(**grant));
+        const LibHttpStream::RequestHead outgoing = this->context.codec.encodeRequest(this->head, this->targetAt(**grant));
         const UpstreamCall::Result sent = call.send(scope, upstream, outgoing, this->body, this->request.id, repeatable, answerBy);
         if (sent.outcome != SendOutcome::Answered) {
             this->context.dispatcher.countOutcome(upstream, !sent.refusedByUpstream);
--- a/Userland/Services/Gateway/Dispatcher.h
+++ b/Userland/Services/Gateway/Dispatcher.h
@@ -91,6 +91,9 @@
 public:
     Dispatcher(LibFiber::Loop &loop, const LibFleet::FleetState &fleet, DispatchSettings settings);
 
+    /// Regions by failure domain.
+    void setRegions(std::map<std::string, std::string> regionsByDomain);
+
     /// Counts a call of a client; it earns retry budget.
     void countCall(const std::string &service);
 
@@ -161,10 +164,6 @@
     std::map<std::string, LibGateway::UpstreamLoad> loads;
     AK::Random random;
     LibLog::Logger logger{"dispatcher"};
-
-public:
-    /// Regions by failure domain.
-    void setRegions(std::map<std::string, std::string> regionsByDomain);
 };
 
 } // namespace Gateway
--- a/Userland/Utilities/catkinlinkd/PlatformDaemon.cpp
+++ b/Userland/Utilities/catkinlinkd/PlatformDaemon.cpp
@@ -1,9 +1,11 @@
 #include "PlatformDaemon.h"
 
-#include "PlatformEntry.h"
+#include "EntryProcess.h"
 #include <Gateway/SmallServer.h>
 #include <LibLog/Logger.h>
 #include <LibMetrics/MetricRegistry.h>
+#include <WeightAgent/AgentService.h>
+#include <csignal>
 #include <iostream>
 #include <platform/EngineClient.h>
 
@@ -64,6 +66,25 @@
     return Success;
 }
 
+int runEntry(LibFiber::Loop &loop, const Platform::NodeSettings &settings)
+{
+    const LibLog::Logger logger("daemon");
+    if (!settings.clientAddress || !settings.readinessAddress || !settings.rpcAddress || !settings.directoryAddress) {
+        logger.error("failed", {{"reason", "settings: listen must hold front, ready, control and directory"}});
+        return StartFailed;
+    }
+    EntryProcess entry(loop, settings);
+    if (const absl::Status status = entry.start(); !status.ok()) {
+        logger.error("failed", {{"reason", std::string(status.message())}});
+        return StartFailed;
+    }
+    waitForStop(loop);
+    logger.info("stopping");
+    entry.drain();
+    logger.info("stopped");
+    return Success;
+}
+
 } // namespace
 
 int runOnPlatform(const std::string &role)
--- a/Userland/Utilities/catkinlinkd/PlatformEntry.h
+++ b/Userland/Utilities/catkinlinkd/PlatformNode.h
@@ -2,7 +2,6 @@
 
 #include <Fleet/PeerExchange.h>
 #include <LibFiber/Loop.h>
-#include <WeightAgent/AgentService.h>
 #include <platform/NodeSettings.h>
 #include <platform/ObjectCodec.h>
 #include <platform/StoreClient.h>
@@ -33,6 +32,3 @@
 
 /// Logs each SIGHUP and checks the settings file that comes with it.
 void watchReload(LibFiber::Loop &loop);
-
-/// Runs an entry until SIGTERM and its graceful shutdown. Returns the exit code of the process.
-int runEntry(LibFiber::Loop &loop, const Platform::NodeSettings &settings);
