Tests: Let each call of the failover test meet the dead upstream first

Ruled out: a fault of the router (all calls were answered 200). The expectation is unchanged; the live upstream stands in another region, so that the dead one is always tried first. Ports of two new tests differ between programs.

--- a/Tests/Services/Calls/TestSwitchRecord.cpp
+++ b/Tests/Services/Calls/TestSwitchRecord.cpp
@@ -103,6 +103,12 @@
         },
         2);
     LibMembership::Member dead = site.members.list[0];
+    // The live upstream is in another region, so that each call tries the dead one first. With both near, a hint that says "idle" after the first call sent all
+    // others to the live one (30 of 30 on a busy machine).
+    site.document.site.failureDomains["madrid"] = {"spain", true};
+    site.document.site.upstreams["w1"].failureDomain = "madrid";
+    site.members.list[0].failureDomain = "madrid";
+    site.members.list[0].region = "spain";
     dead.name = "w2";
     dead.rpcAddress = TestSite::endpoint(2, 7200);
     site.members.list.push_back(dead);
@@ -113,7 +119,6 @@
         ASSERT_TRUE(response.ok()) << response.status();
         EXPECT_EQ(response->status, 200) << response->body;
     }
-    // Each call picks one of the two at random while their loads look alike.
     EXPECT_GT(site.members.unreachable, 0);
 }
 
--- a/Tests/Services/Gateway/GatewaySite.cpp
+++ b/Tests/Services/Gateway/GatewaySite.cpp
@@ -2,13 +2,15 @@
 
 #include <AK/Text.h>
 #include <kj/debug.h>
+#include <unistd.h>
 
 namespace
 {
 
 uint16_t nextPort()
 {
-    static uint16_t port = 17'000;
+    // Programs that run at the same time take different ports.
+    static auto port = static_cast<uint16_t>(17'000 + getpid() % 700 * 60);
     return ++port;
 }
 
--- a/Tests/Services/WeightAgent/TestRules.cpp
+++ b/Tests/Services/WeightAgent/TestRules.cpp
@@ -4,6 +4,7 @@
 #include <WeightAgent/FetchRules.h>
 #include <WeightAgent/VersionStore.h>
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 namespace
 {
@@ -165,7 +166,9 @@
     VersionStore store(loop.clock(), 10'000'000);
     const auto held = store.add("m", "text", manifestOf(1, {"aaaa"}));
     ASSERT_TRUE(held->put(0, "aaaa").ok());
-    const AK::Endpoint address{"127.0.0.1", 17'917};
+    // Programs that run at the same time take different ports.
+    const auto port = static_cast<uint16_t>(17'000 + getpid() % 700 * 60);
+    const AK::Endpoint address{"127.0.0.1", port};
     auto server = std::make_unique<LibPeers::PeerServer>(loop, handler, &store);
     ASSERT_TRUE(server->listen(address).ok());
     LibPeers::PeerLink link(loop, address);
@@ -186,7 +189,7 @@
     EXPECT_EQ(*link.chunk(scope, "m", 1, 0, deadline()), "aaaa");
     EXPECT_EQ(*link.chunk(scope, "m", 2, 0, deadline()), "");
     // Nobody listens there: each call fails and none throws.
-    LibPeers::PeerLink nobody(loop, {"127.0.0.1", 17'918});
+    LibPeers::PeerLink nobody(loop, {"127.0.0.1", static_cast<uint16_t>(port + 1)});
     for (int i = 0; i < 3; ++i) {
         EXPECT_FALSE(nobody.exchange(scope, own, deadline()).ok());
     }
