--- a/Tests/Services/Gateway/GatewaySite.cpp
+++ b/Tests/Services/Gateway/GatewaySite.cpp
@@ -2,15 +2,13 @@
 
 #include <AK/Text.h>
 #include <kj/debug.h>
-#include <unistd.h>
 
 namespace
 {
 
 uint16_t nextPort()
 {
-    // Programs that run at the same time take different ports.
-    static auto port = static_cast<uint16_t>(17'000 + getpid() % 700 * 60);
+    static uint16_t port = 17'000;
     return ++port;
 }
 
--- a/Tests/Services/WeightAgent/TestRules.cpp
+++ b/Tests/Services/WeightAgent/TestRules.cpp
@@ -4,7 +4,6 @@
 #include <WeightAgent/FetchRules.h>
 #include <WeightAgent/VersionStore.h>
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 namespace
 {
@@ -166,8 +165,7 @@
     VersionStore store(loop.clock(), 10'000'000);
     const auto held = store.add("m", "text", manifestOf(1, {"aaaa"}));
     ASSERT_TRUE(held->put(0, "aaaa").ok());
-    // Programs that run at the same time take different ports.
-    const auto port = static_cast<uint16_t>(17'000 + getpid() % 700 * 60);
+    const uint16_t port = 17'917;
     const AK::Endpoint address{"127.0.0.1", port};
     auto server = std::make_unique<LibPeers::PeerServer>(loop, handler, &store);
     ASSERT_TRUE(server->listen(address).ok());
