LibConfiguration: Compare the store's answer with what was in force when it was asked

Ruled out: a stale store (the stand-in has no such fault set). Test Apply.LoserIsToldOfAWinnerThatArrivesDuringItsRead fails without the change; Apply.StaleAnswersAreRefused keeps the refusal of old answers.

--- a/Tests/LibConfiguration/StoreDouble.h
+++ b/Tests/LibConfiguration/StoreDouble.h
@@ -33,10 +33,26 @@
         this->changed.notify_all();
     }
 
-    absl::StatusOr<LibObjectStore::StoredObject> get(const std::string &kind, const std::string &name, AK::Milliseconds) override
+    /// Runs `action` once, after the next read has been answered and before its reader sees the answer.
+    void afterNextRead(std::function<void()> action)
     {
         const std::lock_guard lock(this->mutex);
-        return this->readLocked(kind + "/" + name);
+        this->readAction = std::move(action);
+    }
+
+    absl::StatusOr<LibObjectStore::StoredObject> get(const std::string &kind, const std::string &name, AK::Milliseconds) override
+    {
+        std::function<void()> action;
+        absl::StatusOr<LibObjectStore::StoredObject> answer = absl::UnknownError("not read");
+        {
+            const std::lock_guard lock(this->mutex);
+            answer = this->readLocked(kind + "/" + name);
+            action.swap(this->readAction);
+        }
+        if (action) {
+            action();
+        }
+        return answer;
     }
 
     absl::StatusOr<LibObjectStore::StoredObject> watch(const std::string &kind, const std::string &name, uint64_t version, AK::Milliseconds wait) override
@@ -119,6 +135,7 @@
     }
 
     mutable std::mutex mutex;
+    std::function<void()> readAction;
     std::condition_variable changed;
     std::map<std::string, std::vector<LibObjectStore::StoredObject>> objects;
     Faults faults;
--- a/Tests/LibConfiguration/TestApply.cpp
+++ b/Tests/LibConfiguration/TestApply.cpp
@@ -89,6 +89,38 @@
     }
 }
 
+// Guards against a loser that is told "store unreachable" because the winner's revision came into force while the store's answer was on its way (seen once in
+// TestRacingOperators on a busy machine).
+TEST(Apply, LoserIsToldOfAWinnerThatArrivesDuringItsRead)
+{
+    Tests::StoreDouble store;
+    const Tests::SettableClock clock;
+    Tests::ConfigurationNode node(1, store, clock);
+    ASSERT_EQ(node.service->apply(changeRequest("first", 0)).result, ApplyResult::Accepted);
+    store.afterNextRead([&] {
+        auto winner = changeRequest("winner", 1);
+        winner.author = "ana";
+        EXPECT_EQ(node.service->apply(winner).result, ApplyResult::Accepted);
+    });
+    const ApplyOutcome outcome = node.service->apply(changeRequest("loser", 1, siteDocument(false)));
+    EXPECT_EQ(outcome.result, ApplyResult::Conflict) << outcome.message;
+    ASSERT_TRUE(outcome.winner);
+    EXPECT_EQ(outcome.winner->author, "ana");
+    EXPECT_EQ(node.service->current()->revision.number, 2U);
+}
+
+// Guards against a change on top of an old answer of the store, which would bring back what a newer revision has replaced.
+TEST(Apply, StaleAnswersAreRefused)
+{
+    Tests::StoreDouble store;
+    const Tests::SettableClock clock;
+    Tests::ConfigurationNode node(1, store, clock);
+    ASSERT_EQ(node.service->apply(changeRequest("first", 0)).result, ApplyResult::Accepted);
+    ASSERT_EQ(node.service->apply(changeRequest("second", 1)).result, ApplyResult::Accepted);
+    store.set({.stale = true});
+    EXPECT_EQ(node.service->apply(changeRequest("third", 1, siteDocument(false))).result, ApplyResult::StoreUnreachable);
+}
+
 struct RefusalCase {
     const char *name;
     nlohmann::json document;
--- a/Userland/Libraries/LibConfiguration/Applier.cpp
+++ b/Userland/Libraries/LibConfiguration/Applier.cpp
@@ -47,6 +47,9 @@
 
 absl::StatusOr<Applier::Base> Applier::readBase()
 {
+    // Taken before the read: an answer is stale when it lacks what was in force as it was asked for. What came into force since is no fault of the store; the
+    // conditional write finds it.
+    const uint64_t inForce = this->holder.revision();
     const auto stored = this->store.get(configurationKind, this->settings.site, this->settings.timing.storeTimeoutMs);
     Base base;
     if (stored.ok()) {
@@ -55,7 +58,7 @@
     } else if (!absl::IsNotFound(stored.status())) {
         return stored.status();
     }
-    if (const uint64_t inForce = this->holder.revision(); base.revision.number < inForce) {
+    if (base.revision.number < inForce) {
         return absl::UnavailableError(AK::concat("the store answered with revision ", base.revision.number, ", but ", inForce, " is in force"));
     }
     if (stored.ok()) {
