LibFiber: Let a fiber that is dropped before its first turn run nothing, and end fibers before what they use

The accepting fiber also took its own end for a failed accept. Change: a hold marks a fiber as dropped before it is destroyed; nothing is spawned once the fibers are ended; owners end them as their last member, also when a constructor throws; both servers accept through one function that catches nothing.

--- a/Tests/Services/Fleet/TestFeedKeeper.cpp
+++ b/Tests/Services/Fleet/TestFeedKeeper.cpp
@@ -93,10 +93,7 @@
         this->source.all = {10, {{"a", "1", false}, {"b", "1", false}}};
     }
 
-    ~FeedKeeperTest() noexcept override
-    {
-        this->loop.cancelSpawned();
-    }
+    ~FeedKeeperTest() noexcept override = default;
 
     bool waitFor(const std::function<bool()> &condition)
     {
@@ -117,6 +114,7 @@
     NameDecoder decoder;
     LibFleet::FleetState fleet;
     Fleet::FeedKeeper keeper;
+    LibFiber::SpawnedFibersEnd fibersEnd{this->loop};
 };
 
 // Guards against an upstream that leaves long after an outage and is kept as if its lease had lapsed in it (DRAIN broken 11 times on hunt-9a89-3): the keeper
--- a/Tests/Services/Gateway/GatewaySite.cpp
+++ b/Tests/Services/Gateway/GatewaySite.cpp
@@ -1,6 +1,7 @@
 #include "GatewaySite.h"
 
 #include <AK/Text.h>
+#include <LibFiber/Acceptor.h>
 #include <kj/debug.h>
 
 namespace
@@ -31,12 +32,9 @@
 {
     auto receiver = LibFiber::listenOn(loop, {"127.0.0.1", port});
     KJ_ASSERT(receiver.ok(), std::string(receiver.status().message()).c_str());
-    loop.spawn([this, listener = kj::mv(*receiver)](kj::WaitScope &scope) mutable {
-        while (true) {
-            auto stream = listener->accept().wait(scope);
-            ++this->connections;
-            this->loop.spawn([this, connection = kj::mv(stream)](kj::WaitScope &inner) mutable { this->serve(inner, kj::mv(connection)); });
-        }
+    LibFiber::acceptEach(loop, kj::mv(*receiver), [this](kj::WaitScope &scope, kj::Own<kj::AsyncIoStream> stream) {
+        ++this->connections;
+        this->serve(scope, kj::mv(stream));
     });
 }
 
@@ -90,11 +88,6 @@
     KJ_ASSERT(this->gateway.start().ok());
 }
 
-GatewaySite::~GatewaySite()
-{
-    this->loop.cancelSpawned();
-}
-
 void GatewaySite::configure(LibFleet::RouteKind kind, bool resumable, int maxAttempts, AK::Milliseconds timeout)
 {
     LibFleet::Configuration configuration;
--- a/Tests/Services/Gateway/GatewaySite.h
+++ b/Tests/Services/Gateway/GatewaySite.h
@@ -42,8 +42,6 @@
 public:
     /// Adds `scripts.size()` upstreams of one service; each site takes ports of its own.
     explicit GatewaySite(const std::vector<UpstreamScript> &scripts);
-    ~GatewaySite();
-    KJ_DISALLOW_COPY(GatewaySite);
 
     /// A configuration with one route of the kind under host "h" and prefix "/r/", and the key "k" of account "acc".
     void configure(LibFleet::RouteKind kind, bool resumable, int maxAttempts, AK::Milliseconds timeout);
@@ -59,6 +57,7 @@
     AK::Endpoint address;
     Gateway::GatewayService gateway;
     std::vector<std::unique_ptr<StandInUpstream>> upstreams;
+    LibFiber::SpawnedFibersEnd fibersEnd{this->loop};
 };
 
 /// Answers with a body of a declared length, which may differ from what is sent.
--- a/Userland/Libraries/LibFiber/Loop.cpp
+++ b/Userland/Libraries/LibFiber/Loop.cpp
@@ -68,13 +68,24 @@
 
 void Loop::cancelSpawned()
 {
-    // Destructors of the fibers may spawn; they find a set that is not being destroyed.
-    kj::Own<kj::TaskSet> cancelled = kj::mv(this->tasks);
-    this->tasks = kj::heap<kj::TaskSet>(static_cast<kj::TaskSet::ErrorHandler &>(*this));
-    cancelled = nullptr;
+    // What a destructor of a fiber starts would outlive what it refers to.
+    this->ended = true;
+    const kj::Own<kj::TaskSet> ending = kj::mv(this->tasks);
     this->tasks = kj::heap<kj::TaskSet>(static_cast<kj::TaskSet::ErrorHandler &>(*this));
 }
 
+Loop::FiberHold::FiberHold(kj::PromiseFulfiller<void> &fulfiller, kj::Promise<void> fiber, std::shared_ptr<bool> dropped)
+    : dropped(std::move(dropped))
+    , fiber(fiber.then([&fulfiller] { fulfiller.fulfill(); }, [&fulfiller](kj::Exception &&exception) { fulfiller.reject(kj::mv(exception)); })
+                .eagerlyEvaluate(nullptr))
+{
+}
+
+Loop::FiberHold::~FiberHold()
+{
+    *this->dropped = true;
+}
+
 void Loop::sleep(kj::WaitScope &scope, AK::Milliseconds duration)
 {
     this->after(duration).wait(scope);
@@ -87,6 +98,16 @@
         .wait(scope);
 }
 
+SpawnedFibersEnd::SpawnedFibersEnd(Loop &loop)
+    : loop(loop)
+{
+}
+
+SpawnedFibersEnd::~SpawnedFibersEnd()
+{
+    this->loop.cancelSpawned();
+}
+
 absl::StatusOr<kj::Own<kj::NetworkAddress>> networkAddress(Loop &loop, const AK::Endpoint &endpoint)
 {
     sockaddr_in address{};
--- a/Userland/Libraries/LibFiber/Loop.h
+++ b/Userland/Libraries/LibFiber/Loop.h
@@ -6,6 +6,7 @@
 #include <absl/status/statusor.h>
 #include <kj/async-io.h>
 #include <kj/async-unix.h>
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -31,17 +32,26 @@
     /// Resolves after `duration` ms.
     kj::Promise<void> after(AK::Milliseconds duration);
 
-    /// Runs `function(kj::WaitScope &)` on a fiber. Dropping the promise cancels the fiber and runs its destructors.
+    /// Runs `function(kj::WaitScope &)` on a fiber. Dropping the promise cancels the fiber and runs its destructors; before its first turn nothing runs.
     template <typename Function>
-    auto fiber(Function &&function)
+    kj::Promise<void> fiber(Function &&function)
     {
-        return this->fibers.startFiber(std::forward<Function>(function));
+        auto dropped = std::make_shared<bool>(false);
+        auto started = this->fibers.startFiber([dropped, body = std::forward<Function>(function)](kj::WaitScope &scope) mutable {
+            if (!*dropped) {
+                body(scope);
+            }
+        });
+        return kj::newAdaptedPromise<void, FiberHold>(kj::mv(started), kj::mv(dropped));
     }
 
-    /// Runs `function(kj::WaitScope &)` on a fiber until it returns or the loop ends.
+    /// Runs `function(kj::WaitScope &)` on a fiber until it returns or cancelSpawned() is called; after that nothing starts any more.
     template <typename Function>
     void spawn(Function &&function)
     {
+        if (this->ended) {
+            return;
+        }
         this->tasks->add(this->fiber(std::forward<Function>(function)));
     }
 
@@ -64,6 +74,19 @@
     absl::Status awaitDone(kj::WaitScope &scope, kj::Promise<void> promise, AK::Milliseconds deadline);
 
 private:
+    /// Holds a fiber and marks it as dropped before it is destroyed: the library runs a fiber that is destroyed before its first turn up to its first wait.
+    class FiberHold
+    {
+    public:
+        FiberHold(kj::PromiseFulfiller<void> &fulfiller, kj::Promise<void> fiber, std::shared_ptr<bool> dropped);
+        ~FiberHold();
+        KJ_DISALLOW_COPY(FiberHold);
+
+    private:
+        std::shared_ptr<bool> dropped;
+        kj::Promise<void> fiber;
+    };
+
     void taskFailed(kj::Exception &&exception) override;
 
     template <typename Type>
@@ -77,9 +100,23 @@
     kj::AsyncIoContext io;
     kj::FiberPool fibers;
     kj::Own<kj::TaskSet> tasks;
+    bool ended = false;
     LibLog::Logger logger{"loop"};
 };
 
+/// Ends the spawned fibers of a loop. Declared as the last member of a class whose fibers refer to the others, so that it goes first, also when the constructor
+/// throws.
+class SpawnedFibersEnd
+{
+public:
+    explicit SpawnedFibersEnd(Loop &loop);
+    ~SpawnedFibersEnd();
+    KJ_DISALLOW_COPY(SpawnedFibersEnd);
+
+private:
+    Loop &loop;
+};
+
 /// The address of an endpoint for the loop's network.
 /// Errors: kInvalidArgument when the host is no IPv4 address.
 absl::StatusOr<kj::Own<kj::NetworkAddress>> networkAddress(Loop &loop, const AK::Endpoint &endpoint);
--- a/Userland/Services/Gateway/GatewayService.cpp
+++ b/Userland/Services/Gateway/GatewayService.cpp
@@ -1,6 +1,7 @@
 #include "GatewayService.h"
 
 #include <AK/StatusMacros.h>
+#include <LibFiber/Acceptor.h>
 #include <LibHttpStream/MessageReader.h>
 
 namespace Gateway
@@ -9,8 +10,6 @@
 namespace
 {
 
-// Accepting pauses after a failure, for example when descriptors ran out.
-constexpr AK::Milliseconds acceptPause = 50;
 // Time in which a client takes the answer to a request that could not be read.
 constexpr AK::Milliseconds lingerTime = 300;
 // Another entry takes the call at once.
@@ -44,24 +43,11 @@
     if (!receiver.ok()) {
         return receiver.status();
     }
-    this->context.loop.spawn([this, listener = kj::mv(*receiver)](kj::WaitScope &scope) mutable { this->accept(scope, *listener); });
+    LibFiber::acceptEach(this->context.loop, kj::mv(*receiver),
+                         [this](kj::WaitScope &scope, kj::Own<kj::AsyncIoStream> stream) { this->serve(scope, kj::mv(stream)); });
     return absl::OkStatus();
 }
 
-void GatewayService::accept(kj::WaitScope &scope, kj::ConnectionReceiver &receiver)
-{
-    while (true) {
-        kj::Own<kj::AsyncIoStream> stream;
-        const auto failure = kj::runCatchingExceptions([&] { stream = receiver.accept().wait(scope); });
-        KJ_IF_MAYBE (exception, failure) {
-            this->logger.warning("accept_failed", {{"reason", exception->getDescription().cStr()}});
-            this->context.loop.sleep(scope, acceptPause);
-            continue;
-        }
-        this->context.loop.spawn([this, connection = kj::mv(stream)](kj::WaitScope &inner) mutable { this->serve(inner, kj::mv(connection)); });
-    }
-}
-
 LibFleet::ClientLimits GatewayService::limits() const
 {
     const auto configuration = this->context.fleet.configuration();
--- a/Userland/Services/Gateway/GatewayService.h
+++ b/Userland/Services/Gateway/GatewayService.h
@@ -31,7 +31,6 @@
         kj::Own<kj::PromiseFulfiller<void>> closeWhenIdle;
     };
 
-    void accept(kj::WaitScope &scope, kj::ConnectionReceiver &receiver);
     void serve(kj::WaitScope &scope, kj::Own<kj::AsyncIoStream> stream);
     absl::StatusOr<LibHttpStream::RequestHead> readRequest(kj::WaitScope &scope, LibFiber::ByteChannel &channel, std::string &body);
     void endAfterAnswer(kj::WaitScope &scope, LibFiber::ByteChannel &channel);
--- a/Userland/Services/Gateway/SmallServer.cpp
+++ b/Userland/Services/Gateway/SmallServer.cpp
@@ -1,5 +1,6 @@
 #include "SmallServer.h"
 
+#include <LibFiber/Acceptor.h>
 #include <LibHttpStream/MessageReader.h>
 
 namespace Gateway
@@ -28,12 +29,8 @@
     if (!receiver.ok()) {
         return receiver.status();
     }
-    this->loop.spawn([this, listener = kj::mv(*receiver)](kj::WaitScope &scope) mutable {
-        while (true) {
-            kj::Own<kj::AsyncIoStream> stream = listener->accept().wait(scope);
-            this->loop.spawn([this, connection = kj::mv(stream)](kj::WaitScope &inner) mutable { this->serve(inner, kj::mv(connection)); });
-        }
-    });
+    LibFiber::acceptEach(this->loop, kj::mv(*receiver),
+                         [this](kj::WaitScope &scope, kj::Own<kj::AsyncIoStream> stream) { this->serve(scope, kj::mv(stream)); });
     return absl::OkStatus();
 }
 
--- a/Userland/Utilities/catkinlinkd/EntryProcess.cpp
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.cpp
@@ -45,11 +45,6 @@
     this->node.exchange.onReport([this](const LibPeers::EngineReport &report) { this->dispatcher.takeReport(report); });
 }
 
-EntryProcess::~EntryProcess()
-{
-    this->loop.cancelSpawned();
-}
-
 absl::Status EntryProcess::start()
 {
     for (const absl::Status &status : {this->peers.listen(*this->settings.rpcAddress), this->readiness.start(), this->directory.start(),
--- a/Userland/Utilities/catkinlinkd/EntryProcess.h
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.h
@@ -11,8 +11,6 @@
 {
 public:
     EntryProcess(LibFiber::Loop &loop, const Platform::NodeSettings &settings);
-    ~EntryProcess();
-    KJ_DISALLOW_COPY(EntryProcess);
 
     /// Listens on all addresses and starts to watch the store.
     /// Errors: those of LibFiber::listenOn().
@@ -58,4 +56,5 @@
     bool leaving = false;
     AK::Random random = AK::seededFromSystem();
     LibLog::Logger logger{"daemon"};
+    LibFiber::SpawnedFibersEnd fibersEnd{this->loop};
 };
