platform: Take over changed settings while running

Cause: the settings file was read and checked on SIGHUP and then dropped; a change without a signal was not seen at all. Ruled out: restarting the process on each change, which would cut its calls. Now the file is looked at each second and on SIGHUP. Bounds, seeds, the domains' regions and the link's rate are taken over, the retry budget keeps what was spent; identity and addresses are named in the log as waiting for a restart; a missing or wrong file changes nothing. A window or link rate of 0 is refused. Before: nothing applied.

--- a/Tests/LibGateway/TestPlacement.cpp
+++ b/Tests/LibGateway/TestPlacement.cpp
@@ -209,6 +209,43 @@
     EXPECT_GT(repeats, 50);
 }
 
+struct BudgetChangeCase {
+    const char *name;
+    RetryBudgetSettings before;
+    RetryBudgetSettings after;
+    /// Repeats that the new settings allow in all, those made before the change among them.
+    int64_t allowed;
+};
+
+class RetryBudgetChangeTest : public testing::TestWithParam<BudgetChangeCase>
+{
+};
+
+// Guards against a change of the settings that forgets what was spent: each change would grant a new budget (BUDGET).
+TEST_P(RetryBudgetChangeTest, KeepsWhatWasSpent)
+{
+    RetryBudget budget(GetParam().before);
+    const AK::Milliseconds now = GetParam().before.window;
+    constexpr int attempts = 1'000;
+    int64_t repeats = 0;
+    for (int i = 0; i < attempts; ++i) {
+        repeats += budget.spend(now, 1) ? 1 : 0;
+    }
+    budget.reconfigure(GetParam().after, now);
+    for (int i = 0; i < attempts; ++i) {
+        repeats += budget.spend(now + 1, 1) ? 1 : 0;
+    }
+    EXPECT_EQ(repeats, GetParam().allowed);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, RetryBudgetChangeTest,
+                         testing::Values(BudgetChangeCase{"same", {0.2, 100, 10'000}, {0.2, 100, 10'000}, 70},
+                                         BudgetChangeCase{"more", {0.2, 100, 10'000}, {0.2, 200, 10'000}, 140},
+                                         BudgetChangeCase{"less", {0.2, 100, 10'000}, {0.2, 20, 10'000}, 70},
+                                         BudgetChangeCase{"longer_window", {0.2, 100, 10'000}, {0.2, 100, 30'000}, 70},
+                                         BudgetChangeCase{"shorter_window", {0.2, 100, 10'000}, {0.2, 200, 2'000}, 140}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 struct SplitCase {
     const char *name;
     std::vector<std::string> parts;
--- a/Tests/Platform/TestCodec.cpp
+++ b/Tests/Platform/TestCodec.cpp
@@ -77,6 +77,8 @@
                                          BadSettingsCase{"bad_listen", "10.1.0.40:8005", "front:8005", "listen.front"},
                                          BadSettingsCase{"bad_seed", "10.2.0.37:8000", "10.2.0.37", "seeds.0"},
                                          BadSettingsCase{"bad_bound", "graceS: 8", "graceS: soon", "bounds.graceS"},
+                                         BadSettingsCase{"no_window", "graceS: 8", "budgetWindowS: 0", "bounds.budgetWindowS"},
+                                         BadSettingsCase{"no_link", "bounds:", "limits:\n  linkMbps: 0\nbounds:", "limits.linkMbps"},
                                          BadSettingsCase{"no_store", "addr: \"10.200.1.7:8007\"", "addr: \"\"", "addr"},
                                          BadSettingsCase{"no_table", "platform:\n  addr: \"10.200.1.7:8007\"", "platform: 5", "platform"}),
                          [](const auto &info) { return std::string(info.param.name); });
--- a/Userland/Libraries/LibGateway/RetryBudget.cpp
+++ b/Userland/Libraries/LibGateway/RetryBudget.cpp
@@ -47,6 +47,16 @@
     return sum;
 }
 
+void WindowCount::changeWindow(AK::Milliseconds now, AK::Milliseconds newWindow, int64_t kept)
+{
+    this->window = newWindow;
+    this->stamps.fill(-1);
+    const int64_t step = this->stepAt(now);
+    const size_t slot = static_cast<size_t>(step) % steps;
+    this->stamps[slot] = step;
+    this->counts[slot] = kept;
+}
+
 RetryBudget::RetryBudget(const RetryBudgetSettings &settings)
     : settings(settings)
     , calls(settings.window)
@@ -54,6 +64,17 @@
 {
 }
 
+void RetryBudget::reconfigure(const RetryBudgetSettings &newSettings, AK::Milliseconds now)
+{
+    if (newSettings.window != this->settings.window) {
+        // Repeats are carried over whole, calls only for a window that does not exceed the new one: the budget is never larger than either window allows.
+        const double part = std::min(1.0, static_cast<double>(newSettings.window) / static_cast<double>(this->settings.window));
+        this->calls.changeWindow(now, newSettings.window, static_cast<int64_t>(part * static_cast<double>(this->calls.total(now))));
+        this->repeats.changeWindow(now, newSettings.window, this->repeats.total(now));
+    }
+    this->settings = newSettings;
+}
+
 void RetryBudget::countCall(AK::Milliseconds now)
 {
     this->calls.add(now);
--- a/Userland/Libraries/LibGateway/RetryBudget.h
+++ b/Userland/Libraries/LibGateway/RetryBudget.h
@@ -15,6 +15,8 @@
     /// Repeats allowed besides, in a window, by all entries together.
     double extra = 100;
     AK::Milliseconds window = 10'000;
+
+    bool operator==(const RetryBudgetSettings &) const = default;
 };
 
 /// Sliding count of events in a window, in sixteen steps.
@@ -26,6 +28,9 @@
     void add(AK::Milliseconds now);
     int64_t total(AK::Milliseconds now) const;
 
+    /// Counts over another window. Takes over `kept` of the events so far, as if they had happened now.
+    void changeWindow(AK::Milliseconds now, AK::Milliseconds newWindow, int64_t kept);
+
 private:
     static constexpr size_t steps = 16;
     int64_t stepAt(AK::Milliseconds now) const;
@@ -42,6 +47,9 @@
 public:
     explicit RetryBudget(const RetryBudgetSettings &settings);
 
+    /// Changes the bounds without forgetting what was spent.
+    void reconfigure(const RetryBudgetSettings &newSettings, AK::Milliseconds now);
+
     void countCall(AK::Milliseconds now);
 
     /// Spends one repeat if the budget allows it.
--- a/Userland/Services/Fleet/PeerExchange.cpp
+++ b/Userland/Services/Fleet/PeerExchange.cpp
@@ -38,6 +38,11 @@
     this->loop.spawn([this](kj::WaitScope &scope) { this->findEntries(scope); });
 }
 
+void PeerExchange::setSeeds(std::vector<AK::Endpoint> seeds)
+{
+    this->settings.seeds = std::move(seeds);
+}
+
 void PeerExchange::describeWith(std::function<void(LibPeers::NodeState &)> describe)
 {
     this->describe = std::move(describe);
--- a/Userland/Services/Fleet/PeerExchange.h
+++ b/Userland/Services/Fleet/PeerExchange.h
@@ -44,6 +44,9 @@
 
     void start();
 
+    /// Replaces the addresses at which entries are sought.
+    void setSeeds(std::vector<AK::Endpoint> seeds);
+
     /// Completes the state that other processes are told.
     void describeWith(std::function<void(LibPeers::NodeState &)> describe);
 
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -71,6 +71,15 @@
     this->entries = std::move(places);
 }
 
+void Dispatcher::setBounds(const LibGateway::RetryBudgetSettings &retries, AK::Milliseconds switchBefore)
+{
+    this->settings.retries = retries;
+    this->settings.switchBefore = switchBefore;
+    for (const auto &[service, line] : this->lines) {
+        line->budget.reconfigure(retries, this->loop.clock().now());
+    }
+}
+
 void Dispatcher::setRegions(std::map<std::string, std::string> regionsByDomain)
 {
     this->regions = std::move(regionsByDomain);
--- a/Userland/Services/Gateway/Dispatcher.h
+++ b/Userland/Services/Gateway/Dispatcher.h
@@ -91,6 +91,9 @@
 public:
     Dispatcher(LibFiber::Loop &loop, const LibFleet::FleetState &fleet, DispatchSettings settings);
 
+    /// Takes over changed bounds; what was counted so far still counts.
+    void setBounds(const LibGateway::RetryBudgetSettings &retries, AK::Milliseconds switchBefore);
+
     /// Regions by failure domain.
     void setRegions(std::map<std::string, std::string> regionsByDomain);
 
--- a/Userland/Services/WeightAgent/AgentService.cpp
+++ b/Userland/Services/WeightAgent/AgentService.cpp
@@ -40,6 +40,14 @@
 {
 }
 
+void AgentService::reconfigure(const Settings &changed)
+{
+    this->settings.regionsByDomain = changed.regionsByDomain;
+    this->settings.switchWithin = changed.switchWithin;
+    this->settings.uploadBytesPerSecond = changed.uploadBytesPerSecond;
+    this->store.setUploadRate(changed.uploadBytesPerSecond);
+}
+
 VersionStore &AgentService::versions()
 {
     return this->store;
--- a/Userland/Services/WeightAgent/AgentService.h
+++ b/Userland/Services/WeightAgent/AgentService.h
@@ -29,6 +29,9 @@
 
     void start();
 
+    /// Takes over changed settings; the addresses and the service stay as they were at start.
+    void reconfigure(const Settings &changed);
+
     VersionStore &versions();
 
     /// Complete weights that the engine holds, 0 for none or unknown.
--- a/Userland/Services/WeightAgent/VersionStore.cpp
+++ b/Userland/Services/WeightAgent/VersionStore.cpp
@@ -86,6 +86,11 @@
     return wait;
 }
 
+void VersionStore::setUploadRate(double bytesPerSecond)
+{
+    this->uploadBytesPerSecond = bytesPerSecond;
+}
+
 std::shared_ptr<HeldVersion> VersionStore::find(const std::string &model, int64_t version) const
 {
     const auto found = this->versions.find({model, version});
--- a/Userland/Services/WeightAgent/VersionStore.h
+++ b/Userland/Services/WeightAgent/VersionStore.h
@@ -42,6 +42,9 @@
     /// `uploadBytesPerSecond`: what chunks may take of the link.
     VersionStore(const AK::Clock &clock, double uploadBytesPerSecond);
 
+    /// Takes effect with the next chunk.
+    void setUploadRate(double bytesPerSecond);
+
     std::shared_ptr<HeldVersion> find(const std::string &model, int64_t version) const;
     std::shared_ptr<HeldVersion> add(const std::string &model, std::string manifestText, WeightsManifest manifest);
 
--- a/Userland/Utilities/catkinlinkd/EntryProcess.cpp
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.cpp
@@ -61,6 +61,15 @@
     return absl::OkStatus();
 }
 
+void EntryProcess::reconfigure(const Platform::NodeSettings &changed)
+{
+    this->settings = changed;
+    const Gateway::DispatchSettings dispatch = dispatchSettings(changed);
+    this->dispatcher.setBounds(dispatch.retries, dispatch.switchBefore);
+    this->dispatcher.setRegions(changed.regionsByDomain);
+    this->node.exchange.setSeeds(changed.seeds);
+}
+
 void EntryProcess::drain()
 {
     const AK::Milliseconds begun = this->loop.clock().now();
--- a/Userland/Utilities/catkinlinkd/EntryProcess.h
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.h
@@ -16,6 +16,9 @@
     /// Errors: those of LibFiber::listenOn().
     absl::Status start();
 
+    /// Takes over the settings that a running process may change.
+    void reconfigure(const Platform::NodeSettings &changed);
+
     /// Graceful shutdown: leaves the directory, finishes calls and returns before the grace of the settings ends.
     void drain();
 
@@ -42,7 +45,7 @@
     void unregisterSelf(kj::WaitScope &scope);
 
     LibFiber::Loop &loop;
-    const Platform::NodeSettings &settings;
+    Platform::NodeSettings settings;
     PlatformNode node;
     LibMetrics::MetricRegistry metrics;
     Platform::CallHeaders codec;
--- a/Userland/Utilities/catkinlinkd/PlatformDaemon.cpp
+++ b/Userland/Utilities/catkinlinkd/PlatformDaemon.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <iostream>
 #include <platform/EngineClient.h>
+#include <platform/SettingsWatch.h>
 
 namespace
 {
@@ -18,8 +19,21 @@
 constexpr double uploadShare = 0.8;
 constexpr double bytesPerMegabit = 125'000;
 
+WeightAgent::AgentService::Settings agentSettings(const Platform::NodeSettings &settings)
+{
+    WeightAgent::AgentService::Settings result;
+    result.service = settings.engineService;
+    result.engineAddress = *settings.engineAddress;
+    result.region = settings.region;
+    result.regionsByDomain = settings.regionsByDomain;
+    result.uploadBytesPerSecond = uploadShare * settings.linkMbps * bytesPerMegabit;
+    result.rpcPort = settings.innerPort;
+    result.switchWithin = switchBefore(settings);
+    return result;
+}
+
 // Agents hold nothing that others wait for; they end at once.
-int runAgent(LibFiber::Loop &loop, const Platform::NodeSettings &settings)
+int runAgent(LibFiber::Loop &loop, const Platform::NodeSettings &settings, Platform::SettingsWatch &settingsWatch)
 {
     const LibLog::Logger logger("daemon");
     if (!settings.engineAddress || settings.innerPort == 0) {
@@ -34,15 +48,7 @@
     };
     Platform::EngineClient engine(loop, *settings.engineAddress, layers);
     Platform::OriginClient origin(loop);
-    WeightAgent::AgentService::Settings agentSettings;
-    agentSettings.service = settings.engineService;
-    agentSettings.engineAddress = *settings.engineAddress;
-    agentSettings.region = settings.region;
-    agentSettings.regionsByDomain = settings.regionsByDomain;
-    agentSettings.uploadBytesPerSecond = uploadShare * settings.linkMbps * bytesPerMegabit;
-    agentSettings.rpcPort = settings.innerPort;
-    agentSettings.switchWithin = switchBefore(settings);
-    WeightAgent::AgentService agent(loop, agentSettings, node.fleet, engine, origin, node.exchange);
+    WeightAgent::AgentService agent(loop, agentSettings(settings), node.fleet, engine, origin, node.exchange);
     LibMetrics::MetricRegistry metrics;
     Gateway::SmallServer metricsServer(loop, {settings.ip, metricsPort}, [&](const auto &) {
         metrics.set("catkinlink_engine_weights_version", {}, static_cast<double>(agent.heldVersion()));
@@ -60,13 +66,18 @@
     node.exchange.start();
     node.readStoreWhenAlone();
     agent.start();
+    settingsWatch.onChange([&](const Platform::NodeSettings &changed) {
+        agent.reconfigure(agentSettings(changed));
+        node.exchange.setSeeds(changed.seeds);
+    });
+    settingsWatch.start();
     waitForStop(loop);
     loop.cancelSpawned();
     logger.info("stopped");
     return Success;
 }
 
-int runEntry(LibFiber::Loop &loop, const Platform::NodeSettings &settings)
+int runEntry(LibFiber::Loop &loop, const Platform::NodeSettings &settings, Platform::SettingsWatch &settingsWatch)
 {
     const LibLog::Logger logger("daemon");
     if (!settings.clientAddress || !settings.readinessAddress || !settings.rpcAddress || !settings.directoryAddress) {
@@ -78,6 +89,8 @@
         logger.error("failed", {{"reason", std::string(status.message())}});
         return StartFailed;
     }
+    settingsWatch.onChange([&entry](const Platform::NodeSettings &changed) { entry.reconfigure(changed); });
+    settingsWatch.start();
     waitForStop(loop);
     logger.info("stopping");
     entry.drain();
@@ -105,6 +118,6 @@
     kj::UnixEventPort::captureSignal(SIGINT);
     kj::UnixEventPort::captureSignal(SIGHUP);
     LibFiber::Loop loop;
-    watchReload(loop);
-    return role == "entry" ? runEntry(loop, *settings) : runAgent(loop, *settings);
+    Platform::SettingsWatch settingsWatch(loop, Platform::settingsPath(), *settings);
+    return role == "entry" ? runEntry(loop, *settings, settingsWatch) : runAgent(loop, *settings, settingsWatch);
 }
--- a/Userland/Utilities/catkinlinkd/PlatformNode.cpp
+++ b/Userland/Utilities/catkinlinkd/PlatformNode.cpp
@@ -48,15 +48,3 @@
 {
     loop.events().onSignal(SIGTERM).ignoreResult().exclusiveJoin(loop.events().onSignal(SIGINT).ignoreResult()).wait(loop.rootScope());
 }
-
-void watchReload(LibFiber::Loop &loop)
-{
-    loop.spawn([&loop](kj::WaitScope &scope) {
-        const LibLog::Logger logger("daemon");
-        while (true) {
-            loop.events().onSignal(SIGHUP).wait(scope);
-            const auto settings = Platform::readNodeSettings(Platform::settingsPath());
-            logger.info("reloaded", {{"valid", settings.ok()}, {"reason", std::string(settings.status().message())}});
-        }
-    });
-}
--- a/Userland/Utilities/catkinlinkd/PlatformNode.h
+++ b/Userland/Utilities/catkinlinkd/PlatformNode.h
@@ -29,6 +29,3 @@
 
 /// Returns after SIGTERM or SIGINT.
 void waitForStop(LibFiber::Loop &loop);
-
-/// Logs each SIGHUP and checks the settings file that comes with it.
-void watchReload(LibFiber::Loop &loop);
