Fleet, LibPeers: Read objects from other processes once, near by, and agents without routes

Cause: each conversation read newer objects by itself, so that an agent took a configuration of 1,373 routes from up to twelve entries at a time, half of them behind the links between regions. Now one read of a kind is under way at a time; a read from another region waits 400 ms for a process of the own region to have the objects; and agents are sent the configuration without routes and accounts.

--- a/Tests/Services/Fleet/TestFeedKeeper.cpp
+++ b/Tests/Services/Fleet/TestFeedKeeper.cpp
@@ -75,6 +75,10 @@
             }
         }
     }
+    std::string agentPart(ObjectKind, const std::string &spec) const override
+    {
+        return "part of " + spec;
+    }
     std::string encodeEntry(const LibFleet::EntryRecord &) const override
     {
         return "{}";
@@ -166,8 +170,9 @@
     EXPECT_EQ(this->decoder.names, (std::vector<std::string>{"x"}));
     this->keeper.accept(ObjectKind::Upstreams, {49, {{"y", "1", false}}}, "peer");
     EXPECT_EQ(this->decoder.names, (std::vector<std::string>{"x"}));
-    EXPECT_EQ(this->keeper.objects(ObjectKind::Upstreams, 49).objects.size(), 1U);
-    EXPECT_EQ(this->keeper.objects(ObjectKind::Upstreams, 50).revision, 0);
+    EXPECT_EQ(this->keeper.objects(ObjectKind::Upstreams, 49, false).objects.size(), 1U);
+    EXPECT_EQ(this->keeper.objects(ObjectKind::Upstreams, 50, false).revision, 0);
+    EXPECT_EQ(this->keeper.objects(ObjectKind::Upstreams, 49, true).objects.front().spec, "part of 1");
 }
 
 } // namespace
--- a/Tests/Services/WeightAgent/TestRules.cpp
+++ b/Tests/Services/WeightAgent/TestRules.cpp
@@ -149,7 +149,7 @@
         own.revisions[2] = 77;
         return own;
     }
-    LibFleet::ObjectPage objects(LibFleet::ObjectKind, int64_t newerThan) override
+    LibFleet::ObjectPage objects(LibFleet::ObjectKind, int64_t newerThan, bool) override
     {
         return newerThan < 77 ? LibFleet::ObjectPage{77, {{"a", "{}", false}}} : LibFleet::ObjectPage{};
     }
@@ -181,8 +181,8 @@
     EXPECT_EQ(answer->revisions[2], 77);
     EXPECT_EQ(handler.heard.engine->weightsVersion, 6);
     EXPECT_TRUE(handler.heard.engine->switching);
-    EXPECT_EQ(link.objects(scope, LibFleet::ObjectKind::Upstreams, 10, deadline())->objects.size(), 1U);
-    EXPECT_EQ(link.objects(scope, LibFleet::ObjectKind::Upstreams, 77, deadline())->revision, 0);
+    EXPECT_EQ(link.objects(scope, LibFleet::ObjectKind::Upstreams, 10, false, deadline())->objects.size(), 1U);
+    EXPECT_EQ(link.objects(scope, LibFleet::ObjectKind::Upstreams, 77, false, deadline())->revision, 0);
     EXPECT_EQ(*link.manifest(scope, "m", 1, deadline()), "text");
     EXPECT_EQ(*link.chunk(scope, "m", 1, 0, deadline()), "aaaa");
     EXPECT_EQ(*link.chunk(scope, "m", 2, 0, deadline()), "");
--- a/Userland/Libraries/LibPeers/PeerLink.cpp
+++ b/Userland/Libraries/LibPeers/PeerLink.cpp
@@ -152,7 +152,8 @@
         [](auto &&response) { return decode(response.getState()); });
 }
 
-absl::StatusOr<LibFleet::ObjectPage> PeerLink::objects(kj::WaitScope &scope, LibFleet::ObjectKind kind, int64_t newerThan, AK::Milliseconds deadline)
+absl::StatusOr<LibFleet::ObjectPage> PeerLink::objects(kj::WaitScope &scope, LibFleet::ObjectKind kind, int64_t newerThan, bool agentPart,
+                                                       AK::Milliseconds deadline)
 {
     return this->call(
         scope, deadline,
@@ -160,6 +161,7 @@
             auto request = peer.objectsRequest();
             request.setKind(static_cast<uint16_t>(kind));
             request.setNewerThan(newerThan);
+            request.setAgentPart(agentPart);
             return request;
         },
         [](auto &&response) {
--- a/Userland/Libraries/LibPeers/PeerLink.h
+++ b/Userland/Libraries/LibPeers/PeerLink.h
@@ -16,8 +16,8 @@
     PeerLink(LibFiber::Loop &loop, AK::Endpoint address);
 
     absl::StatusOr<NodeState> exchange(kj::WaitScope &scope, const NodeState &state, AK::Milliseconds deadline);
-    /// Revision 0 when the peer knows nothing newer.
-    absl::StatusOr<LibFleet::ObjectPage> objects(kj::WaitScope &scope, LibFleet::ObjectKind kind, int64_t newerThan, AK::Milliseconds deadline);
+    /// Revision 0 when the peer knows nothing newer. `agentPart`: without what only entries use.
+    absl::StatusOr<LibFleet::ObjectPage> objects(kj::WaitScope &scope, LibFleet::ObjectKind kind, int64_t newerThan, bool agentPart, AK::Milliseconds deadline);
     absl::StatusOr<std::string> manifest(kj::WaitScope &scope, const std::string &model, int64_t version, AK::Milliseconds deadline);
     absl::StatusOr<std::string> heldChunks(kj::WaitScope &scope, const std::string &model, int64_t version, AK::Milliseconds deadline);
     absl::StatusOr<std::string> chunk(kj::WaitScope &scope, const std::string &model, int64_t version, uint32_t index, AK::Milliseconds deadline);
--- a/Userland/Libraries/LibPeers/PeerRecords.h
+++ b/Userland/Libraries/LibPeers/PeerRecords.h
@@ -94,8 +94,8 @@
 
     /// Takes the state of the caller and returns that of this process.
     virtual NodeState exchange(const NodeState &from) = 0;
-    /// Objects of a kind; revision 0 when nothing newer is known.
-    virtual LibFleet::ObjectPage objects(LibFleet::ObjectKind kind, int64_t newerThan) = 0;
+    /// Objects of a kind; revision 0 when nothing newer is known. `agentPart`: without what only entries use.
+    virtual LibFleet::ObjectPage objects(LibFleet::ObjectKind kind, int64_t newerThan, bool agentPart) = 0;
 };
 
 /// Offers weights to other agents. Empty answers mean that nothing is there.
--- a/Userland/Libraries/LibPeers/PeerServer.cpp
+++ b/Userland/Libraries/LibPeers/PeerServer.cpp
@@ -64,7 +64,8 @@
         if (params.getKind() >= LibFleet::objectKindCount) {
             return KJ_EXCEPTION(FAILED, "unknown kind of object", params.getKind());
         }
-        const LibFleet::ObjectPage page = this->handler.objects(static_cast<LibFleet::ObjectKind>(params.getKind()), params.getNewerThan());
+        const LibFleet::ObjectPage page =
+            this->handler.objects(static_cast<LibFleet::ObjectKind>(params.getKind()), params.getNewerThan(), params.getAgentPart());
         auto results = context.getResults();
         results.setRevision(page.revision);
         auto objects = results.initObjects(static_cast<capnp::uint>(page.objects.size()));
--- a/Userland/Libraries/LibPeers/peers.capnp
+++ b/Userland/Libraries/LibPeers/peers.capnp
@@ -52,7 +52,8 @@
 interface FleetPeer {
   exchange @0 (state :NodeState) -> (state :NodeState);
   # All objects of a kind that the peer knows, when they changed after the revision `newerThan`.
-  objects @1 (kind :UInt16, newerThan :Int64) -> (revision :Int64, objects :List(StoredObject));
+  # `agentPart`: without what only entries use.
+  objects @1 (kind :UInt16, newerThan :Int64, agentPart :Bool) -> (revision :Int64, objects :List(StoredObject));
   # Text of the manifest of a version; empty when the peer does not have it.
   manifest @2 (model :Text, version :Int64) -> (text :Text);
   # One bit a chunk, lowest bit first; empty when the peer holds nothing of the version.
--- a/Userland/Services/Fleet/FeedKeeper.cpp
+++ b/Userland/Services/Fleet/FeedKeeper.cpp
@@ -134,6 +134,10 @@
     } else {
         feed.inForce = feed.snapshot.specs;
     }
+    feed.agentParts.clear();
+    for (const auto &[name, spec] : feed.inForce) {
+        feed.agentParts[name] = this->decoder.agentPart(kind, spec);
+    }
     this->decoder.decode(kind, feed.inForce, this->state);
     if (kind == ObjectKind::Configuration) {
         // What an upstream's words mean depends on the configuration.
@@ -151,14 +155,14 @@
     return this->feed(kind).snapshot.changedAt;
 }
 
-LibFleet::ObjectPage FeedKeeper::objects(ObjectKind kind, int64_t newerThan) const
+LibFleet::ObjectPage FeedKeeper::objects(ObjectKind kind, int64_t newerThan, bool agentPart) const
 {
     const Feed &feed = this->feed(kind);
     if (feed.snapshot.changedAt <= newerThan) {
         return {};
     }
     LibFleet::ObjectPage page{feed.snapshot.changedAt, {}};
-    for (const auto &[name, spec] : feed.inForce) {
+    for (const auto &[name, spec] : agentPart ? feed.agentParts : feed.inForce) {
         page.objects.push_back({name, spec, false});
     }
     return page;
--- a/Userland/Services/Fleet/FeedKeeper.h
+++ b/Userland/Services/Fleet/FeedKeeper.h
@@ -24,8 +24,8 @@
     /// Revision at which the objects of a kind last changed.
     int64_t changedAt(LibFleet::ObjectKind kind) const;
 
-    /// The objects in force, if they changed after a revision; revision 0 otherwise.
-    LibFleet::ObjectPage objects(LibFleet::ObjectKind kind, int64_t newerThan) const;
+    /// The objects in force, if they changed after a revision; revision 0 otherwise. `agentPart`: without what only entries use.
+    LibFleet::ObjectPage objects(LibFleet::ObjectKind kind, int64_t newerThan, bool agentPart) const;
 
     /// Takes the objects that another process has in force.
     void accept(LibFleet::ObjectKind kind, const LibFleet::ObjectPage &page, std::string_view from);
@@ -36,6 +36,8 @@
         LibFleet::ObjectSnapshot snapshot;
         /// As it is used, with upstreams whose leases lapsed in an outage.
         std::map<std::string, std::string> inForce;
+        /// What agents get of `inForce`.
+        std::map<std::string, std::string> agentParts;
         bool storeReached = true;
     };
 
--- a/Userland/Services/Fleet/ObjectSource.h
+++ b/Userland/Services/Fleet/ObjectSource.h
@@ -33,6 +33,8 @@
     virtual ~ObjectDecoder() = default;
 
     virtual void decode(LibFleet::ObjectKind kind, const std::map<std::string, std::string> &specs, LibFleet::FleetState &state) = 0;
+    /// What agents need of an object: the same, or a smaller one that decode() takes as well.
+    virtual std::string agentPart(LibFleet::ObjectKind kind, const std::string &spec) const = 0;
     virtual std::string encodeEntry(const LibFleet::EntryRecord &entry) const = 0;
 };
 
--- a/Userland/Services/Fleet/PeerExchange.cpp
+++ b/Userland/Services/Fleet/PeerExchange.cpp
@@ -13,6 +13,11 @@
 constexpr AK::Milliseconds firstTimeout = 250;
 constexpr AK::Milliseconds firstInterval = 100;
 constexpr AK::Milliseconds objectsTimeout = 2'000;
+// A read of objects that takes longer no longer keeps others from being asked.
+constexpr AK::Milliseconds usualRead = 400;
+// Newer objects are read over the links between regions when no process of the own region has them this long after they were heard of.
+constexpr AK::Milliseconds nearPatience = 400;
+constexpr AK::Milliseconds nearMaxAge = 1'000;
 constexpr AK::Milliseconds searchInterval = 500;
 // An entry that has not answered for this long is no longer talked to unless the store names it.
 constexpr AK::Milliseconds forgetAfter = 30'000;
@@ -105,17 +110,30 @@
     return this->ownState();
 }
 
-LibFleet::ObjectPage PeerExchange::objects(LibFleet::ObjectKind kind, int64_t newerThan)
+LibFleet::ObjectPage PeerExchange::objects(LibFleet::ObjectKind kind, int64_t newerThan, bool agentPart)
 {
-    return this->feeds.objects(kind, newerThan);
+    return this->feeds.objects(kind, newerThan, agentPart);
 }
 
-AK::Milliseconds PeerExchange::intervalTo(const AK::Endpoint &address) const
+bool PeerExchange::isFar(const AK::Endpoint &address) const
 {
     const auto &entries = this->state.entries();
     const auto found = std::find_if(entries.begin(), entries.end(), [&](const auto &entry) { return entry.second.rpcAddress == address; });
-    const bool far = found != entries.end() && found->second.region != this->settings.region;
-    return far ? this->settings.farInterval : this->settings.interval;
+    return found != entries.end() && found->second.region != this->settings.region;
+}
+
+bool PeerExchange::hearsNear() const
+{
+    const auto live = this->liveEntries(nearMaxAge);
+    return std::any_of(live.begin(), live.end(), [&](const auto &view) {
+        const auto record = this->state.entries().find(view.first);
+        return record != this->state.entries().end() && record->second.region == this->settings.region;
+    });
+}
+
+AK::Milliseconds PeerExchange::intervalTo(const AK::Endpoint &address) const
+{
+    return this->isFar(address) ? this->settings.farInterval : this->settings.interval;
 }
 
 bool PeerExchange::wanted(const AK::Endpoint &address) const
@@ -171,15 +189,27 @@
 {
     for (const auto &row : LibFleet::objectKindNames) {
         const int64_t known = this->feeds.revision(row.value);
+        Lag &lag = this->lags[static_cast<size_t>(row.value)];
         if (peer.revisions[static_cast<size_t>(row.value)] <= known) {
             continue;
         }
-        const absl::StatusOr<LibFleet::ObjectPage> page = link.objects(scope, row.value, known, this->loop.clock().now() + objectsTimeout);
+        const AK::Milliseconds now = this->loop.clock().now();
+        lag.since = lag.since == 0 ? now : lag.since;
+        // Objects cross between regions once and reach the other processes of a region from there.
+        const bool leaveToNear = this->isFar(link.address()) && this->hearsNear() && now - lag.since < nearPatience;
+        if (leaveToNear || now < lag.readingUntil) {
+            continue;
+        }
+        lag.readingUntil = now + usualRead;
+        const absl::StatusOr<LibFleet::ObjectPage> page =
+            link.objects(scope, row.value, known, !this->settings.clientAddress.has_value(), this->loop.clock().now() + objectsTimeout);
+        lag.readingUntil = 0;
         if (!page.ok()) {
             this->logger.info("objects_not_read", {{"peer", peer.name}, {"reason", std::string(page.status().message())}});
             return;
         }
         if (page->revision > 0) {
+            lag.since = 0;
             this->feeds.accept(row.value, *page, peer.name);
         }
     }
--- a/Userland/Services/Fleet/PeerExchange.h
+++ b/Userland/Services/Fleet/PeerExchange.h
@@ -60,13 +60,16 @@
     void pushNow();
 
     LibPeers::NodeState exchange(const LibPeers::NodeState &from) override;
-    LibFleet::ObjectPage objects(LibFleet::ObjectKind kind, int64_t newerThan) override;
+    LibFleet::ObjectPage objects(LibFleet::ObjectKind kind, int64_t newerThan, bool agentPart) override;
 
 private:
     void converse(kj::WaitScope &scope, const AK::Endpoint &address);
     void findEntries(kj::WaitScope &scope);
     void pullNewer(kj::WaitScope &scope, LibPeers::PeerLink &link, const LibPeers::NodeState &peer);
     LibPeers::NodeState ownState() const;
+    bool isFar(const AK::Endpoint &address) const;
+    /// Whether an entry of the own region has been heard from lately.
+    bool hearsNear() const;
     AK::Milliseconds intervalTo(const AK::Endpoint &address) const;
     bool wanted(const AK::Endpoint &address) const;
     void heard(const LibPeers::NodeState &peer);
@@ -79,6 +82,14 @@
     std::function<void(const LibPeers::EngineReport &)> reportObserver;
     std::map<std::string, EntryView> heardEntries;
     std::set<std::string> conversations;
+    /// What is known of the newest objects of a kind before they are here.
+    struct Lag {
+        /// A read from another process is under way, and no other one begins before this time.
+        AK::Milliseconds readingUntil = 0;
+        /// When newer objects were first heard of; 0 when there are none.
+        AK::Milliseconds since = 0;
+    };
+    std::array<Lag, LibFleet::objectKindCount> lags;
     kj::Own<kj::PromiseFulfiller<void>> wakeUp;
     kj::ForkedPromise<void> woken;
     LibLog::Logger logger{"peers"};
