Fleet: Read bursts of upstream changes in few calls, and leave changes to the store's own watch

Cause: each of five watches of each entry returned with every single change of an upstream, and entries read all upstreams from each other when one of them heard of a change some milliseconds earlier. Ruled out: the length of the watches, which is 10 s. Now a watch of upstreams begins 300 ms after one that brought changes (the bound for an upstream that leaves is 2 s), and an entry whose watch works reads from others only when it is behind for 500 ms. Tests: ReadsABurstOfChangesInFewCalls and the row store_brings_it fail without the change.

--- a/Tests/Services/Fleet/TestFeedKeeper.cpp
+++ b/Tests/Services/Fleet/TestFeedKeeper.cpp
@@ -39,6 +39,7 @@
                 return absl::OutOfRangeError("gone");
             }
             if (kind == ObjectKind::Upstreams && this->change.revision > since) {
+                ++this->changesTold;
                 return this->change;
             }
         }
@@ -59,6 +60,7 @@
     bool down = false;
     bool historyGone = false;
     int lists = 0;
+    int changesTold = 0;
     ObjectPage all;
     ObjectPage change;
 };
@@ -154,6 +156,21 @@
     EXPECT_TRUE(this->waitForNames({"c"}));
 }
 
+// Guards against a call to the store for each of many upstreams that come or go one after another: 1,927 calls in 30 s on quiet-1 of the grown Costilla Luz.
+TEST_F(FeedKeeperTest, ReadsABurstOfChangesInFewCalls)
+{
+    constexpr int changes = 50;
+    constexpr AK::Milliseconds between = 20;
+    this->keeper.watchStore();
+    ASSERT_TRUE(this->waitForNames({"a", "b"}));
+    for (int i = 1; i <= changes; ++i) {
+        this->source.change = {10 + i, {{"c", std::to_string(i), false}}};
+        this->loop.sleep(this->loop.rootScope(), between);
+    }
+    ASSERT_TRUE(this->waitFor([&] { return this->keeper.revision(ObjectKind::Upstreams) == 10 + changes; }));
+    EXPECT_LE(this->source.changesTold, 5) << "one in 250 ms";
+}
+
 TEST_F(FeedKeeperTest, ListsAnewWhenHistoryIsGone)
 {
     this->keeper.watchStore();
--- a/Tests/Services/Fleet/TestPeerExchange.cpp
+++ b/Tests/Services/Fleet/TestPeerExchange.cpp
@@ -9,16 +9,29 @@
 
 constexpr int64_t newest = 5;
 
-class NoSource final : public Fleet::ObjectSource
+// Time that the store needs to tell of a change.
+constexpr AK::Milliseconds storeDelay = 300;
+
+/// A store that is away, or one that tells of the newest configuration a moment later than the other entries.
+class SlowSource final : public Fleet::ObjectSource
 {
 public:
-    absl::StatusOr<LibFleet::ObjectPage> list(kj::WaitScope &, ObjectKind) override
+    SlowSource(LibFiber::Loop &loop, bool reachable)
+        : loop(loop)
+        , reachable(reachable)
     {
-        return absl::UnavailableError("away");
     }
-    absl::StatusOr<LibFleet::ObjectPage> watch(kj::WaitScope &, ObjectKind, int64_t) override
+
+    absl::StatusOr<LibFleet::ObjectPage> list(kj::WaitScope &scope, ObjectKind) override
     {
-        return absl::UnavailableError("away");
+        this->loop.sleep(scope, 1);
+        return this->reachable ? absl::StatusOr<LibFleet::ObjectPage>(LibFleet::ObjectPage{1, {}}) : absl::UnavailableError("away");
+    }
+    absl::StatusOr<LibFleet::ObjectPage> watch(kj::WaitScope &scope, ObjectKind kind, int64_t since) override
+    {
+        this->loop.sleep(scope, storeDelay);
+        const bool change = kind == ObjectKind::Configuration && since < newest;
+        return change ? LibFleet::ObjectPage{newest, {{"main", "{}", false}}} : LibFleet::ObjectPage{since, {}};
     }
     absl::Status put(kj::WaitScope &, ObjectKind, const std::string &, const std::string &) override
     {
@@ -28,6 +41,10 @@
     {
         return absl::UnavailableError("away");
     }
+
+private:
+    LibFiber::Loop &loop;
+    bool reachable;
 };
 
 class KeepingDecoder final : public Fleet::ObjectDecoder
@@ -94,6 +111,7 @@
 struct ReadCase {
     const char *name;
     bool agent;
+    bool watchesStore;
     /// Whether the entries near, near and far have the newest configuration.
     std::vector<bool> newer;
     int nearReads;
@@ -113,7 +131,7 @@
     LibFiber::Loop loop;
     LibFleet::FleetState fleet(loop.clock());
     KeepingDecoder decoder;
-    NoSource source;
+    SlowSource source(loop, GetParam().watchesStore);
     Fleet::FeedKeeper feeds(loop, source, decoder, fleet);
     std::vector<std::unique_ptr<OtherEntry>> others;
     std::map<std::string, LibFleet::EntryRecord> records;
@@ -129,6 +147,10 @@
         settings.clientAddress = AK::Endpoint{"127.0.0.1", 2};
     }
     Fleet::PeerExchange exchange(loop, settings, feeds, fleet);
+    if (GetParam().watchesStore) {
+        feeds.watchStore();
+        loop.sleep(loop.rootScope(), storeDelay / 10);
+    }
     exchange.start();
     constexpr AK::Milliseconds longEnough = 1'500;
     loop.sleep(loop.rootScope(), longEnough);
@@ -140,8 +162,11 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Table, ObjectReadTest,
-                         testing::Values(ReadCase{"all_have_it", true, {true, true, true}, 1, 0}, ReadCase{"entry_reads_all", false, {true, true, true}, 1, 0},
-                                         ReadCase{"one_near", true, {false, true, true}, 1, 0}, ReadCase{"only_far", true, {false, false, true}, 0, 1}),
+                         testing::Values(ReadCase{"all_have_it", true, false, {true, true, true}, 1, 0},
+                                         ReadCase{"entry_without_store", false, false, {true, true, true}, 1, 0},
+                                         ReadCase{"one_near", true, false, {false, true, true}, 1, 0},
+                                         ReadCase{"only_far", true, false, {false, false, true}, 0, 1},
+                                         ReadCase{"store_brings_it", false, true, {true, true, true}, 0, 0}),
                          [](const auto &info) { return std::string(info.param.name); });
 
 } // namespace
--- a/Userland/Services/Fleet/FeedKeeper.cpp
+++ b/Userland/Services/Fleet/FeedKeeper.cpp
@@ -15,6 +15,10 @@
 constexpr AK::Milliseconds firstPause = 100;
 constexpr AK::Milliseconds pauseLimit = 800;
 
+// Changes of upstreams come in bursts, when a service grows or is replaced; a watch that begins this much later brings several of them. The bound for the
+// least patient of them, an upstream that leaves, is 2 s.
+constexpr AK::Milliseconds upstreamsPause = 300;
+
 std::string_view nameOf(ObjectKind kind)
 {
     return AK::nameOf(LibFleet::objectKindNames, kind);
@@ -42,6 +46,7 @@
 
 void FeedKeeper::watchStore()
 {
+    this->watching = true;
     for (const auto &row : LibFleet::objectKindNames) {
         this->loop.spawn([this, kind = row.value](kj::WaitScope &scope) { this->keep(scope, kind); });
     }
@@ -85,6 +90,9 @@
             if (feed.snapshot.apply(*changes, since) && !changes->objects.empty()) {
                 this->publish(kind, true);
             }
+            if (kind == ObjectKind::Upstreams && !changes->objects.empty()) {
+                this->loop.sleep(scope, upstreamsPause);
+            }
             return absl::OkStatus();
         }
         if (!absl::IsOutOfRange(changes.status())) {
@@ -145,6 +153,11 @@
     }
 }
 
+bool FeedKeeper::watchesStore(ObjectKind kind) const
+{
+    return this->watching && this->feed(kind).storeReached && this->revision(kind) > 0;
+}
+
 int64_t FeedKeeper::revision(ObjectKind kind) const
 {
     return this->feed(kind).snapshot.revision;
--- a/Userland/Services/Fleet/FeedKeeper.h
+++ b/Userland/Services/Fleet/FeedKeeper.h
@@ -19,6 +19,9 @@
     /// Lists every kind once; for a process that reaches no other process.
     void refreshFromStore(kj::WaitScope &scope);
 
+    /// Whether changes of a kind arrive from the store itself.
+    bool watchesStore(LibFleet::ObjectKind kind) const;
+
     /// Everything up to this revision of the store is known.
     int64_t revision(LibFleet::ObjectKind kind) const;
     /// Revision at which the objects of a kind last changed.
@@ -54,6 +57,7 @@
     LibFleet::FleetState &state;
     std::array<Feed, LibFleet::objectKindCount> feeds;
     LibFleet::LapsedEntries lapsed;
+    bool watching = false;
     LibLog::Logger logger{"feeds"};
 };
 
--- a/Userland/Services/Fleet/PeerExchange.cpp
+++ b/Userland/Services/Fleet/PeerExchange.cpp
@@ -18,6 +18,8 @@
 // Newer objects are read over the links between regions when no process of the own region has them this long after they were heard of.
 constexpr AK::Milliseconds nearPatience = 400;
 constexpr AK::Milliseconds nearMaxAge = 1'000;
+// The same for a process that watches the store itself: the watch brings the change alone, another process all objects.
+constexpr AK::Milliseconds storePatience = 500;
 constexpr AK::Milliseconds searchInterval = 500;
 // An entry that has not answered for this long is no longer talked to unless the store names it.
 constexpr AK::Milliseconds forgetAfter = 30'000;
@@ -194,10 +196,14 @@
             continue;
         }
         const AK::Milliseconds now = this->loop.clock().now();
-        lag.since = lag.since == 0 ? now : lag.since;
+        if (lag.since == 0 || lag.known != known) {
+            lag.known = known;
+            lag.since = now;
+        }
         // Objects cross between regions once and reach the other processes of a region from there.
         const bool leaveToNear = this->isFar(link.address()) && this->hearsNear() && now - lag.since < nearPatience;
-        if (leaveToNear || now < lag.readingUntil) {
+        const bool leaveToStore = this->feeds.watchesStore(row.value) && now - lag.since < storePatience;
+        if (leaveToNear || leaveToStore || now < lag.readingUntil) {
             continue;
         }
         lag.readingUntil = now + usualRead;
--- a/Userland/Services/Fleet/PeerExchange.h
+++ b/Userland/Services/Fleet/PeerExchange.h
@@ -86,8 +86,9 @@
     struct Lag {
         /// A read from another process is under way, and no other one begins before this time.
         AK::Milliseconds readingUntil = 0;
-        /// When newer objects were first heard of; 0 when there are none.
+        /// When objects newer than those of the revision `known` were first heard of; 0 for never.
         AK::Milliseconds since = 0;
+        int64_t known = 0;
     };
     std::array<Lag, LibFleet::objectKindCount> lags;
     kj::Own<kj::PromiseFulfiller<void>> wakeUp;
