--- a/Userland/Utilities/catkinlink/CommandLine.cpp
+++ b/Userland/Utilities/catkinlink/CommandLine.cpp
@@ -135,6 +135,9 @@
         if (*spec.operand != '\0') {
             this->operand = std::make_unique<TCLAP::UnlabeledValueArg<std::string>>("operand", "name", true, "", spec.operand, this->line);
         }
+        if (std::string_view(spec.operand).ends_with("...")) {
+            this->files = std::make_unique<TCLAP::UnlabeledMultiArg<std::string>>("files", "files", true, "FILE", this->line);
+        }
     }
 
     void parse(std::vector<std::string> arguments)
@@ -166,11 +169,17 @@
         return this->operand ? this->operand->getValue() : std::string();
     }
 
+    std::vector<std::string> fileNames() const
+    {
+        return this->files ? this->files->getValue() : std::vector<std::string>();
+    }
+
 private:
     TCLAP::CmdLine line;
     std::map<std::string, std::unique_ptr<TCLAP::SwitchArg>> switches;
     std::map<std::string, std::unique_ptr<TCLAP::MultiArg<std::string>>> values;
     std::unique_ptr<TCLAP::UnlabeledValueArg<std::string>> operand;
+    std::unique_ptr<TCLAP::UnlabeledMultiArg<std::string>> files;
 };
 
 absl::Status usageError(const std::string &command, const std::string &problem)
@@ -233,6 +242,7 @@
 {
     CATKINLINK_TRY(readTexts(parser, options));
     options.operand = parser.operandText();
+    options.files = parser.fileNames();
     options.json = parser.has("json");
     options.force = parser.has("force");
     options.emergency = parser.has("emergency");
@@ -295,6 +305,7 @@
         {"audit verify", "check the hash chain of the audit trail", "", "!entry !key-file json"},
         {"claims", "show calls whose outcome is not known", "", "!entry !key-file state json"},
         {"address", "show which entries callers may use", "", "!entry key-file json"},
+        {"explain", "name the cause of a request's end from the logs of the processes", "REQUEST-ID LOG...", "json"},
         {"call", "send one call as a client account", "SERVICE", "!entry !key-file method path body prompt idempotency-key json"},
     };
     return specs;
--- a/Userland/Utilities/catkinlink/CommandLine.h
+++ b/Userland/Utilities/catkinlink/CommandLine.h
@@ -16,7 +16,7 @@
     /// For example "domain out".
     const char *name;
     const char *summary;
-    /// Name of the positional argument, or empty when there is none.
+    /// Name of the positional argument, or empty when there is none; files may follow it when it ends with "...".
     const char *operand;
     /// Long names of its flags, separated by spaces; a leading '!' marks a required one.
     const char *flags;
@@ -29,6 +29,7 @@
 struct CommandOptions {
     std::string command;
     std::string operand;
+    std::vector<std::string> files;
     std::vector<AK::Endpoint> entries;
     std::string keyFile;
     bool json = false;
--- a/Userland/Utilities/catkinlink/RunCommand.cpp
+++ b/Userland/Utilities/catkinlink/RunCommand.cpp
@@ -16,6 +16,9 @@
     if (options.command == "validate") {
         return runValidate(options, environment);
     }
+    if (options.command == "explain") {
+        return runExplain(options, environment);
+    }
     const absl::StatusOr<std::string> key = readKeyFile(options.keyFile);
     if (!key.ok()) {
         return absl::OutOfRangeError(AK::concat("--key-file: ", key.status().message()));
--- a/Userland/Utilities/catkinlink/catkinlink.bash
+++ b/Userland/Utilities/catkinlink/catkinlink.bash
@@ -15,7 +15,7 @@
     --entry | --weight-store | --reason | --wait | --ttl | --state | --expected-revision) return ;;
     esac
     if [ "$COMP_CWORD" -eq 1 ]; then
-        choices="validate diff apply status domain upstream rollout audit claims address call --help --version"
+        choices="validate diff apply status domain upstream rollout audit claims address call explain --help --version"
     elif [ "$COMP_CWORD" -eq 2 ] && [ "$first" = rollout ]; then
         choices="start status pause resume rollback"
     elif [ "$COMP_CWORD" -eq 2 ] && { [ "$first" = domain ] || [ "$first" = upstream ]; }; then
@@ -28,6 +28,10 @@
         status | address) choices=$_catkinlink_json_flags ;;
         audit) choices="verify $_catkinlink_json_flags" ;;
         claims) choices="--state $_catkinlink_json_flags" ;;
+        explain)
+            mapfile -t COMPREPLY < <(compgen -f -- "$current")
+            return
+            ;;
         call) choices="--method --path --body --prompt --idempotency-key $_catkinlink_json_flags" ;;
         domain | upstream)
             choices=$change
