--- a/Tests/Services/Gateway/TestPlaces.cpp
+++ b/Tests/Services/Gateway/TestPlaces.cpp
@@ -143,6 +143,7 @@
 {
     PlaceSite site;
     std::vector<kj::Own<Grant>> held;
+    held.reserve(static_cast<size_t>(GetParam().heldByFirst + GetParam().heldBySecond));
     for (int i = 0; i < GetParam().heldByFirst; ++i) {
         held.push_back(site.fill(site.first));
     }
@@ -188,8 +189,10 @@
     atOther = nullptr;
     site.loop.sleep(site.loop.rootScope(), shortWait);
     // All four slots are free again.
+    constexpr size_t slots = 4;
     std::vector<kj::Own<Grant>> held;
-    for (int i = 0; i < 4; ++i) {
+    held.reserve(slots);
+    for (size_t i = 0; i < slots; ++i) {
         kj::Maybe<kj::Own<Grant>> grant = site.acquire(site.second, site.demand(0));
         held.push_back(kj::mv(KJ_ASSERT_NONNULL(grant)));
         EXPECT_EQ(held.back()->upstream().id, "i-2");
