--- a/Tests/Services/Gateway/TestPlaces.cpp
+++ b/Tests/Services/Gateway/TestPlaces.cpp
@@ -143,7 +143,7 @@
 {
     PlaceSite site;
     std::vector<kj::Own<Grant>> held;
-    held.reserve(static_cast<size_t>(GetParam().heldByFirst + GetParam().heldBySecond));
+    held.reserve(static_cast<size_t>(GetParam().heldByFirst) + static_cast<size_t>(GetParam().heldBySecond));
     for (int i = 0; i < GetParam().heldByFirst; ++i) {
         held.push_back(site.fill(site.first));
     }
