--- a/Tests/Harness/Site.cpp
+++ b/Tests/Harness/Site.cpp
@@ -20,19 +20,10 @@
 namespace
 {
 
-constexpr uint16_t httpPort = 7100;
-constexpr uint16_t rpcPort = 7200;
-constexpr uint16_t objectApiPort = 7300;
-constexpr uint16_t weightStorePort = 7301;
-constexpr uint16_t objectApiProxyPort = 7302;
-constexpr uint16_t proxyAdminPort = 7303;
-constexpr uint16_t upstreamPort = 7400;
 constexpr AK::Milliseconds startLimitMs = 30'000;
 // Processes that all start at once on one machine take longer to find each other, the more they are.
 constexpr AK::Milliseconds memberLimitMs = 500;
-constexpr AK::Milliseconds pollMs = 10;
 constexpr AK::Milliseconds requestTimeoutMs = 5'000;
-constexpr int hostsPerNetwork = 250;
 
 const std::string siteName = "costilla-luz";
 const std::string platform = "platform";
@@ -42,58 +33,11 @@
 
 } // namespace
 
-bool waitUntil(AK::Milliseconds limit, const std::function<bool()> &condition)
-{
-    const AK::SystemClock clock;
-    const AK::Milliseconds end = clock.now() + limit;
-    while (!condition()) {
-        if (clock.now() >= end) {
-            return false;
-        }
-        clock.sleep(pollMs);
-    }
-    return true;
-}
-
-namespace
-{
-
-absl::StatusOr<nlohmann::json> jsonCall(const AK::Endpoint &target, const LibHttp::HttpRequest &request)
-{
-    CATKINLINK_ASSIGN(const LibHttp::HttpResponse response, LibHttp::httpCall(target, request, requestTimeoutMs));
-    if (response.status >= 300) {
-        return absl::FailedPreconditionError(AK::concat(request.method, " ", request.path, " at ", target.text(), ": ", response.status, " ", response.body));
-    }
-    nlohmann::json parsed = nlohmann::json::parse(response.body, nullptr, false);
-    if (parsed.is_discarded()) {
-        return absl::DataLossError(AK::concat(request.path, " at ", target.text(), " gave no JSON"));
-    }
-    return parsed;
-}
-
-} // namespace
-
-absl::StatusOr<nlohmann::json> getJson(const AK::Endpoint &target, const std::string &path, const LibHttp::HttpHeaders &headers)
-{
-    return jsonCall(target, {.path = path, .headers = headers});
-}
-
-absl::StatusOr<nlohmann::json> postJson(const AK::Endpoint &target, const std::string &path, const nlohmann::json &body, const LibHttp::HttpHeaders &headers)
-{
-    return jsonCall(target, {.method = "POST", .path = path, .headers = headers, .body = body.dump()});
-}
-
 Site::Site(SitePlan plan)
-    : layout(std::move(plan))
+    : SiteHosts(std::move(plan))
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "catkinlink-site-XXXXXX").string();
     this->temporaryFolder = ::mkdtemp(pattern.data());
-    // Sites of test programs that run at the same time get different networks.
-    static int siteOfProcess = 0;
-    const int number = ::getpid() * 4 + siteOfProcess++ % 4;
-    this->networkHigh = 20 + number / 50 % 200;
-    this->networkLow = number % 50 * 5;
-    this->planHosts();
 }
 
 Site::~Site()
@@ -109,86 +53,6 @@
     }
 }
 
-void Site::planHosts()
-{
-    int index = 1;
-    for (int i = 0; i < this->layout.entries; ++i) {
-        const DomainPlan &domain = this->layout.domains[static_cast<size_t>(i) % this->layout.domains.size()];
-        this->hosts[AK::concat("entry-", i + 1)] = {index++, true, "", domain.name, domain.region};
-    }
-    for (const ServicePlan &service : this->layout.services) {
-        for (int i = 0; i < service.upstreams; ++i) {
-            const DomainPlan &domain = this->layout.domains[static_cast<size_t>(i) % this->layout.domains.size()];
-            this->hosts[AK::concat(service.name, "-", i + 1)] = {index++, false, service.name, domain.name, domain.region};
-        }
-    }
-}
-
-std::string Site::hostAddress(int index) const
-{
-    return AK::concat("127.", this->networkHigh, ".", this->networkLow + index / hostsPerNetwork, ".", index % hostsPerNetwork + 1);
-}
-
-AK::Endpoint Site::objectApi() const
-{
-    return {this->hostAddress(0), objectApiPort};
-}
-
-AK::Endpoint Site::objectApiProxyAdmin() const
-{
-    return {this->hostAddress(0), proxyAdminPort};
-}
-
-AK::Endpoint Site::weightStore() const
-{
-    return {this->hostAddress(0), weightStorePort};
-}
-
-AK::Endpoint Site::entryAddress(int number) const
-{
-    return this->httpAddress(AK::concat("entry-", number));
-}
-
-AK::Endpoint Site::httpAddress(const std::string &process) const
-{
-    return {this->hostAddress(this->hosts.at(process).index), httpPort};
-}
-
-AK::Endpoint Site::rpcAddress(const std::string &process) const
-{
-    return {this->hostAddress(this->hosts.at(process).index), rpcPort};
-}
-
-AK::Endpoint Site::upstreamAddress(const std::string &agent) const
-{
-    return {this->hostAddress(this->hosts.at(agent).index), upstreamPort};
-}
-
-std::string Site::failureDomainOf(const std::string &agent) const
-{
-    return this->hosts.at(agent).domain;
-}
-
-std::vector<std::string> Site::agents(const std::string &service) const
-{
-    std::vector<std::string> names;
-    for (const auto &[name, host] : this->hosts) {
-        if (host.service == service) {
-            names.push_back(name);
-        }
-    }
-    return names;
-}
-
-std::vector<std::string> Site::daemonNames() const
-{
-    std::vector<std::string> names;
-    for (const auto &[name, host] : this->hosts) {
-        names.push_back(name);
-    }
-    return names;
-}
-
 std::string Site::accountKey(int account) const
 {
     return AK::concat("account-key-", account);
@@ -214,24 +78,18 @@
     return this->temporaryFolder;
 }
 
-const SitePlan &Site::plan() const
-{
-    return this->layout;
-}
-
-nlohmann::json Site::processSettings(const std::string &name, int index, bool entry) const
+nlohmann::json Site::processSettings(const std::string &name) const
 {
     const Host &host = this->hosts.at(name);
-    const std::string address = this->hostAddress(index);
     nlohmann::json settings{
-        {"role", entry ? "entry" : "agent"},
+        {"role", host.entry ? "entry" : "agent"},
         {"name", name},
         {"site", siteName},
         {"region", host.region},
         {"failure_domain", host.domain},
-        {"http_address", AK::concat(address, ":", httpPort)},
-        {"rpc_address", AK::concat(address, ":", rpcPort)},
-        {"object_api", AK::concat(this->hostAddress(0), ":", this->layout.proxyBeforeObjectApi ? objectApiProxyPort : objectApiPort)},
+        {"http_address", this->httpAddress(name).text()},
+        {"rpc_address", this->rpcAddress(name).text()},
+        {"object_api", (this->layout.proxyBeforeObjectApi ? this->objectApiProxy() : this->objectApi()).text()},
         {"seeds", nlohmann::json::array()},
         {"keys", {{{"id", "k1"}, {"secret", sharedSecret}}}},
         {"operators", {{{"name", "rosa"}, {"key_sha256", AK::sha256Hex(this->operatorKey())}}}},
@@ -242,10 +100,10 @@
     for (int i = 0; i < this->layout.entries; ++i) {
         settings["seeds"].push_back(this->rpcAddress(AK::concat("entry-", i + 1)).text());
     }
-    if (!entry) {
+    if (!host.entry) {
         const auto service = std::ranges::find(this->layout.services, host.service, &ServicePlan::name);
         nlohmann::json agent{
-            {"upstream_address", AK::concat(address, ":", upstreamPort)},
+            {"upstream_address", this->upstreamAddress(name).text()},
             {"upstream_kind", service->engine ? "engine" : "plain"},
             {"service", host.service},
             {"weight_store", this->weightStore().text()},
@@ -282,8 +140,7 @@
                  std::to_string(this->layout.originBytesPerSecond)});
     if (this->layout.proxyBeforeObjectApi) {
         this->spawn("object-api-proxy", "fault_proxy",
-                    {"--listen", AK::concat(this->hostAddress(0), ":", objectApiProxyPort), "--target", this->objectApi().text(), "--admin",
-                     this->objectApiProxyAdmin().text()});
+                    {"--listen", this->objectApiProxy().text(), "--target", this->objectApi().text(), "--admin", this->objectApiProxyAdmin().text()});
     }
 }
 
@@ -338,7 +195,7 @@
     CATKINLINK_TRY(postJson(this->objectApi(), "/fake/hosts", hostList).status());
     this->startUpstreams();
     for (const auto &[name, host] : this->hosts) {
-        this->writeSettings(name, this->processSettings(name, host.index, host.entry));
+        this->writeSettings(name, this->processSettings(name));
         this->startDaemon(name);
     }
     for (const auto &[name, host] : this->hosts) {
--- /dev/null
+++ b/Tests/Harness/SiteHosts.cpp
@@ -0,0 +1,130 @@
+#include <Harness/SiteHosts.h>
+
+#include <AK/Text.h>
+#include <unistd.h>
+
+namespace Harness
+{
+
+namespace
+{
+
+constexpr uint16_t httpPort = 7100;
+constexpr uint16_t rpcPort = 7200;
+constexpr uint16_t objectApiPort = 7300;
+constexpr uint16_t weightStorePort = 7301;
+constexpr uint16_t objectApiProxyPort = 7302;
+constexpr uint16_t proxyAdminPort = 7303;
+constexpr uint16_t upstreamPort = 7400;
+constexpr int hostsPerNetwork = 250;
+// Sites that one process may have at a time, and the loopback networks 127.HIGH.LOW.0 that they choose from; each takes some neighbouring ones.
+constexpr int sitesPerProcess = 4;
+constexpr int firstHigh = 20;
+constexpr int highCount = 200;
+constexpr int sitesPerHigh = 50;
+constexpr int networksPerSite = 5;
+
+} // namespace
+
+SiteHosts::SiteHosts(SitePlan plan)
+    : layout(std::move(plan))
+{
+    // Sites of test programs that run at the same time get different networks.
+    static int siteOfProcess = 0;
+    const int number = ::getpid() * sitesPerProcess + siteOfProcess++ % sitesPerProcess;
+    this->networkHigh = firstHigh + number / sitesPerHigh % highCount;
+    this->networkLow = number % sitesPerHigh * networksPerSite;
+    this->planHosts();
+}
+
+void SiteHosts::planHosts()
+{
+    int index = 1;
+    for (int i = 0; i < this->layout.entries; ++i) {
+        const DomainPlan &domain = this->layout.domains[static_cast<size_t>(i) % this->layout.domains.size()];
+        this->hosts[AK::concat("entry-", i + 1)] = {index++, true, "", domain.name, domain.region};
+    }
+    for (const ServicePlan &service : this->layout.services) {
+        for (int i = 0; i < service.upstreams; ++i) {
+            const DomainPlan &domain = this->layout.domains[static_cast<size_t>(i) % this->layout.domains.size()];
+            this->hosts[AK::concat(service.name, "-", i + 1)] = {index++, false, service.name, domain.name, domain.region};
+        }
+    }
+}
+
+std::string SiteHosts::hostAddress(int index) const
+{
+    return AK::concat("127.", this->networkHigh, ".", this->networkLow + index / hostsPerNetwork, ".", index % hostsPerNetwork + 1);
+}
+
+AK::Endpoint SiteHosts::objectApi() const
+{
+    return {this->hostAddress(0), objectApiPort};
+}
+
+AK::Endpoint SiteHosts::objectApiProxy() const
+{
+    return {this->hostAddress(0), objectApiProxyPort};
+}
+
+AK::Endpoint SiteHosts::objectApiProxyAdmin() const
+{
+    return {this->hostAddress(0), proxyAdminPort};
+}
+
+AK::Endpoint SiteHosts::weightStore() const
+{
+    return {this->hostAddress(0), weightStorePort};
+}
+
+AK::Endpoint SiteHosts::entryAddress(int number) const
+{
+    return this->httpAddress(AK::concat("entry-", number));
+}
+
+AK::Endpoint SiteHosts::httpAddress(const std::string &process) const
+{
+    return {this->hostAddress(this->hosts.at(process).index), httpPort};
+}
+
+AK::Endpoint SiteHosts::rpcAddress(const std::string &process) const
+{
+    return {this->hostAddress(this->hosts.at(process).index), rpcPort};
+}
+
+AK::Endpoint SiteHosts::upstreamAddress(const std::string &agent) const
+{
+    return {this->hostAddress(this->hosts.at(agent).index), upstreamPort};
+}
+
+std::string SiteHosts::failureDomainOf(const std::string &agent) const
+{
+    return this->hosts.at(agent).domain;
+}
+
+std::vector<std::string> SiteHosts::agents(const std::string &service) const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, host] : this->hosts) {
+        if (host.service == service) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+std::vector<std::string> SiteHosts::daemonNames() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, host] : this->hosts) {
+        names.push_back(name);
+    }
+    return names;
+}
+
+const SitePlan &SiteHosts::plan() const
+{
+    return this->layout;
+}
+
+} // namespace Harness
--- a/Tests/Measure/Rollout.cpp
+++ b/Tests/Measure/Rollout.cpp
@@ -1,5 +1,6 @@
 #include "Measurement.h"
 #include "Plot.h"
+#include "RolloutSize.h"
 
 #include <AK/Text.h>
 #include <Harness/Caller.h>
@@ -17,33 +18,8 @@
 
 constexpr AK::Milliseconds rolloutLimitMs = 120'000;
 constexpr AK::Milliseconds settleLimitMs = 180'000;
-constexpr double originCopiesPerWindow = 4;
-constexpr double hostCopiesPerWindow = 2;
 const std::string service = "assistant";
 
-struct RolloutSize {
-    int hosts = 12;
-    int64_t weightBytes = 4 << 20;
-    int64_t chunkBytes = 64 << 10;
-    double windowSeconds = 20;
-
-    double hostRate() const
-    {
-        return hostCopiesPerWindow * static_cast<double>(this->weightBytes) / this->windowSeconds;
-    }
-    double originRate() const
-    {
-        return originCopiesPerWindow * static_cast<double>(this->weightBytes) / this->windowSeconds;
-    }
-    /// The largest of one copy over a host's link and all copies over all links that can send.
-    double boundSeconds() const
-    {
-        const double copies = this->hosts;
-        const auto size = static_cast<double>(this->weightBytes);
-        return std::max(size / this->hostRate(), copies * size / (this->originRate() + copies * this->hostRate()));
-    }
-};
-
 Harness::SitePlan rolloutPlan(const MeasureContext &context, const RolloutSize &size)
 {
     Harness::SitePlan plan;
@@ -163,31 +139,6 @@
     return static_cast<double>(clock.now() - start) / 1000 / bound;
 }
 
-// A fixed binary tree that forwards chunk by chunk, calculated from the link rates: a parent sends each chunk to its two children in turn.
-double binaryTreeOverBound(const RolloutSize &size)
-{
-    const auto chunks = static_cast<int>((size.weightBytes + size.chunkBytes - 1) / size.chunkBytes);
-    const double hostChunkSeconds = static_cast<double>(size.chunkBytes) / size.hostRate();
-    std::vector<std::vector<double>> arrival(static_cast<size_t>(size.hosts), std::vector<double>(static_cast<size_t>(chunks)));
-    std::vector<double> linkFree(static_cast<size_t>(size.hosts), 0);
-    double last = 0;
-    for (int chunk = 0; chunk < chunks; ++chunk) {
-        for (int host = 0; host < size.hosts; ++host) {
-            const auto index = static_cast<size_t>(host);
-            const auto column = static_cast<size_t>(chunk);
-            if (host == 0) {
-                arrival[index][column] = (chunk + 1) * hostChunkSeconds;
-                continue;
-            }
-            const auto parent = static_cast<size_t>((host - 1) / 2);
-            linkFree[parent] = std::max(linkFree[parent], arrival[parent][column]) + hostChunkSeconds;
-            arrival[index][column] = linkFree[parent];
-            last = std::max(last, arrival[index][column]);
-        }
-    }
-    return last / size.boundSeconds();
-}
-
 nlohmann::json replicasOverTime(const Replicas &replicas, double start)
 {
     nlohmann::json series = nlohmann::json::array();
@@ -244,16 +195,6 @@
     return static_cast<size_t>(size.hosts) - stalled.size();
 }
 
-RolloutSize sizeFromFlags(const MeasureContext &context, int hosts)
-{
-    RolloutSize size;
-    size.hosts = hosts;
-    size.weightBytes = int64_t{context.flags.number("kib", 4096)} << 10;
-    size.chunkBytes = int64_t{context.flags.number("chunk-kib", 32)} << 10;
-    size.windowSeconds = context.flags.number("window", 20);
-    return size;
-}
-
 struct RolloutResult {
     nlohmann::json figures;
     PlotSeries replicasOverTime;
--- a/Tests/Platform/TestCodec.cpp
+++ b/Tests/Platform/TestCodec.cpp
@@ -1,3 +1,5 @@
+#include "SettingsText.h"
+
 #include <gtest/gtest.h>
 #include <platform/CallHeaders.h>
 #include <platform/Directory.h>
@@ -10,30 +12,6 @@
 
 using namespace Platform;
 
-constexpr const char *goodSettings = R"(
-nodeName: "front-1"
-ip: "10.1.0.40"
-zone: "lima-1"
-region: "lima"
-zones:
-  lima-1: "lima"
-listen:
-  front: "10.1.0.40:8005"
-  control: "10.1.0.40:8000"
-innerPorts:
-  - 7700
-  - 7715
-seeds:
-  - "10.2.0.37:8000"
-bounds:
-  graceS: 8
-  retryBudgetRatio: 0.25
-  version_ms: 9000
-platform:
-  addr: "10.200.1.7:8007"
-unknownField: 7
-)";
-
 TEST(NodeSettings, ReadsWhatIsKnownAndIgnoresTheRest)
 {
     const auto settings = parseNodeSettings(goodSettings);
@@ -78,7 +56,7 @@
                                          BadSettingsCase{"bad_seed", "10.2.0.37:8000", "10.2.0.37", "seeds.0"},
                                          BadSettingsCase{"bad_bound", "graceS: 8", "graceS: soon", "bounds.graceS"},
                                          BadSettingsCase{"no_window", "graceS: 8", "budgetWindowS: 0", "bounds.budgetWindowS"},
-                                         BadSettingsCase{"no_link", "bounds:", "limits:\n  linkMbps: 0\nbounds:", "limits.linkMbps"},
+                                         BadSettingsCase{"no_link", "linkMbps: 100", "linkMbps: 0", "limits.linkMbps"},
                                          BadSettingsCase{"no_store", "addr: \"10.200.1.7:8007\"", "addr: \"\"", "addr"},
                                          BadSettingsCase{"no_table", "platform:\n  addr: \"10.200.1.7:8007\"", "platform: 5", "platform"}),
                          [](const auto &info) { return std::string(info.param.name); });
--- a/Tests/Services/Fleet/TestFeedKeeper.cpp
+++ b/Tests/Services/Fleet/TestFeedKeeper.cpp
@@ -119,6 +119,14 @@
         return this->waitFor([&] { return this->decoder.names == names; });
     }
 
+    /// Takes the store away and waits until the keeper has noticed.
+    bool loseStore()
+    {
+        this->source.down = true;
+        const int before = this->source.lists;
+        return this->waitFor([&] { return this->source.lists > before; });
+    }
+
     LibFiber::Loop loop;
     ScriptedSource source;
     NameDecoder decoder;
@@ -133,9 +141,7 @@
 {
     this->keeper.watchStore();
     ASSERT_TRUE(this->waitForNames({"a", "b"}));
-    this->source.down = true;
-    const int before = this->source.lists;
-    ASSERT_TRUE(this->waitFor([&] { return this->source.lists > before; }));
+    ASSERT_TRUE(this->loseStore());
     this->source.down = false;
     const int after = this->source.lists;
     ASSERT_TRUE(this->waitFor([&] { return this->source.lists >= after + static_cast<int>(LibFleet::objectKindCount); }));
@@ -151,9 +157,7 @@
 {
     this->keeper.watchStore();
     ASSERT_TRUE(this->waitForNames({"a", "b"}));
-    this->source.down = true;
-    const int before = this->source.lists;
-    ASSERT_TRUE(this->waitFor([&] { return this->source.lists > before; }));
+    ASSERT_TRUE(this->loseStore());
     this->source.all = {30, {{"c", "1", false}}};
     this->source.down = false;
     ASSERT_TRUE(this->waitForNames({"a", "b", "c"}));
@@ -166,9 +170,7 @@
 {
     this->keeper.watchStore();
     ASSERT_TRUE(this->waitForNames({"a", "b"}));
-    this->source.down = true;
-    const int before = this->source.lists;
-    ASSERT_TRUE(this->waitFor([&] { return this->source.lists > before; }));
+    ASSERT_TRUE(this->loseStore());
     this->source.all = {30, {{"c", "1", false}}};
     this->source.work = 40;
     this->source.down = false;
--- a/Tests/Services/Gateway/GatewaySite.cpp
+++ b/Tests/Services/Gateway/GatewaySite.cpp
@@ -18,9 +18,8 @@
 Gateway::DispatchSettings dispatchSettings()
 {
     Gateway::DispatchSettings settings;
-    settings.name = "e1";
-    settings.region = "lima";
-    settings.failureDomain = "lima-1";
+    settings.upstreams.name = "e1";
+    settings.upstreams.region = "lima";
     return settings;
 }
 
--- a/Tests/Services/Gateway/TestPlaces.cpp
+++ b/Tests/Services/Gateway/TestPlaces.cpp
@@ -39,12 +39,11 @@
     return record;
 }
 
-DispatchSettings settingsOf(const std::string &name, const std::string &failureDomain, const std::string &region)
+DispatchSettings settingsOf(const std::string &name, const std::string &region)
 {
     DispatchSettings settings;
-    settings.name = name;
-    settings.failureDomain = failureDomain;
-    settings.region = region;
+    settings.upstreams.name = name;
+    settings.upstreams.region = region;
     return settings;
 }
 
@@ -56,8 +55,8 @@
         : fleet(loop.clock())
         , links(loop, fleet)
         , backLinks(loop, fleet)
-        , first(loop, fleet, settingsOf("e1", "lima-1", "lima"), &links)
-        , second(loop, fleet, settingsOf("e2", "cusco-1", "cusco"), &backLinks)
+        , first(loop, fleet, settingsOf("e1", "lima"), &links)
+        , second(loop, fleet, settingsOf("e2", "cusco"), &backLinks)
         , server(loop, handler, nullptr, &second)
     {
         static uint16_t port = 17'400;
--- a/Userland/Libraries/LibGateway/Placement.h
+++ b/Userland/Libraries/LibGateway/Placement.h
@@ -48,10 +48,10 @@
     /// Unread prompts that an engine may have, the new one included; a longer one goes alone. More would keep the streams of its next pass waiting beyond
     /// their gap target.
     double promptBacklogMs = 130;
-    /// The same at an upstream that another entry prefers, whose prompts this entry does not see. Load pattern: an engine comes back empty and every entry
-    /// fills it at once.
+    /// The same at an upstream without an owner that another entry prefers, whose prompts this entry does not see. Load pattern: an engine comes back empty and
+    /// every entry fills it at once.
     double foreignBacklogMs = 60;
-    /// Slots that an entry leaves free at an engine that another entry prefers, for calls of the others that it does not know of yet.
+    /// Slots that an entry leaves free at an upstream without an owner that another entry prefers, for calls of the others that it does not know of yet.
     int foreignReserve = 3;
     /// Failures in a row after which an upstream gets no calls for a while.
     int failuresToSuspend = 3;
--- a/Userland/Libraries/LibPeers/PeerLink.cpp
+++ b/Userland/Libraries/LibPeers/PeerLink.cpp
@@ -41,8 +41,11 @@
 
     void promptRead() override
     {
-        // When the connection is lost, the other entry has given the place free already.
-        this->client.promptReadRequest().send().ignoreResult().detach([](kj::Exception &&) {});
+        // Nothing to repeat: when the connection is lost, the other entry has given the place free already.
+        this->client.promptReadRequest().send().ignoreResult().detach([](kj::Exception &&exception) {
+            const LibLog::Logger logger("places");
+            logger.info("place_lost", {{"reason", std::string(LibFiber::toStatus(exception).message())}});
+        });
     }
 
 private:
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -1,7 +1,6 @@
 #include "Dispatcher.h"
 
 #include <algorithm>
-#include <cmath>
 #include <kj/debug.h>
 
 namespace Gateway
@@ -19,102 +18,39 @@
 // Entries see the same reports; this many calls of random difference keep them from asking the same owner all at once.
 constexpr double loadNoise = 2;
 
-bool allows(const std::vector<std::string> &names, const std::string &name)
-{
-    return names.empty() || std::find(names.begin(), names.end(), name) != names.end();
-}
-
 bool isExcluded(const LibPeers::PlaceRequest &request, const std::string &upstream)
 {
     return std::find(request.excluded.begin(), request.excluded.end(), upstream) != request.excluded.end();
 }
 
-} // namespace
-
-Grant::Grant(Dispatcher &dispatcher, GrantKind kind, LibFleet::UpstreamRecord upstream, int64_t weightsVersion, int64_t promptTokens, double load,
-             kj::Maybe<kj::Own<LibPeers::HeldPlace>> heldByOwner)
-    : dispatcher(dispatcher)
-    , kind(kind)
-    , record(std::move(upstream))
-    , version(weightsVersion)
-    , pendingTokens(promptTokens)
-    , load(load)
-    , heldByOwner(kj::mv(heldByOwner))
-{
-}
-
-void Grant::promptRead()
-{
-    if (this->pendingTokens > 0) {
-        KJ_IF_MAYBE (held, this->heldByOwner) {
-            (*held)->promptRead();
-        }
-        this->prompted();
-    }
-}
-
-void Grant::prompted()
+LibPeers::PlaceRequest placeRequest(const Demand &demand)
 {
-    if (this->pendingTokens > 0) {
-        this->dispatcher.loadOf(this->record).pendingPromptTokens -= this->pendingTokens;
-        this->pendingTokens = 0;
-        if (this->kind != GrantKind::AtOther) {
-            this->dispatcher.serveWaiters(this->record.service);
-        }
+    LibPeers::PlaceRequest request{demand.service, demand.promptTokens, demand.place.priority, demand.place.returning, demand.regions, {}};
+    if (request.regions.empty()) {
+        request.regions = demand.accountRegions;
+    } else {
+        std::erase_if(request.regions, [&](const std::string &region) { return !allowsRegion(demand.accountRegions, region); });
     }
+    request.excluded.assign(demand.excluded.begin(), demand.excluded.end());
+    return request;
 }
 
-Grant::~Grant() noexcept(false)
-{
-    this->prompted();
-    this->dispatcher.release(this->record, this->kind);
-}
-
-const LibFleet::UpstreamRecord &Grant::upstream() const
-{
-    return this->record;
-}
-
-int64_t Grant::weightsVersion() const
-{
-    return this->version;
-}
-
-double Grant::loadAtChoice() const
-{
-    return this->load;
-}
+} // namespace
 
 Dispatcher::Dispatcher(LibFiber::Loop &loop, const LibFleet::FleetState &fleet, DispatchSettings settings, PlaceSource *places)
     : loop(loop)
     , fleet(fleet)
     , settings(std::move(settings))
     , places(places)
+    , table(loop.clock(), fleet, this->settings.upstreams)
     , random(AK::seededFromSystem())
 {
 }
 
-void Dispatcher::setEntries(std::vector<LibGateway::EntryPlace> entriesNow)
-{
-    if (this->entries != entriesNow) {
-        this->owners.clear();
-        this->entries = std::move(entriesNow);
-    }
-}
-
-const std::string &Dispatcher::ownerOf(const LibFleet::UpstreamRecord &record)
-{
-    const auto [owner, added] = this->owners.try_emplace(record.id);
-    if (added) {
-        owner->second = LibGateway::preferredEntry(record.id, record.failureDomain, this->entries);
-    }
-    return owner->second;
-}
-
 void Dispatcher::setBounds(const LibGateway::RetryBudgetSettings &retries, AK::Milliseconds switchBefore)
 {
     this->settings.retries = retries;
-    this->settings.switchBefore = switchBefore;
+    this->table.setSwitchBefore(switchBefore);
     for (const auto &[service, line] : this->lines) {
         line->budget.reconfigure(retries, this->loop.clock().now());
     }
@@ -122,7 +58,12 @@
 
 void Dispatcher::setRegions(std::map<std::string, std::string> regionsByDomain)
 {
-    this->regions = std::move(regionsByDomain);
+    this->table.setRegions(std::move(regionsByDomain));
+}
+
+void Dispatcher::setEntries(std::vector<LibGateway::EntryPlace> entries)
+{
+    this->table.setEntries(std::move(entries));
 }
 
 Dispatcher::Line &Dispatcher::line(const std::string &service)
@@ -147,181 +88,56 @@
     demand.startBy = demand.arrivedAt + LibGateway::longestWait(route.kind, demand.place.returning, route.targetLatency, this->settings.waiting);
 }
 
-size_t Dispatcher::entryCount() const
-{
-    return std::max<size_t>(1, this->fleet.entries().size());
-}
-
 bool Dispatcher::mayRepeat(const std::string &service)
 {
-    return this->line(service).budget.spend(this->loop.clock().now(), this->entryCount());
-}
-
-std::string Dispatcher::regionOf(const std::string &failureDomain) const
-{
-    const auto found = this->regions.find(failureDomain);
-    return found == this->regions.end() ? "" : found->second;
-}
-
-LibGateway::UpstreamLoad &Dispatcher::loadOf(const LibFleet::UpstreamRecord &record)
-{
-    LibGateway::UpstreamLoad &load = this->loads[record.address.text()];
-    if (load.instance != record.id) {
-        load.instance = record.id;
-        load.failureShare = 0;
-        load.failuresInRow = 0;
-        load.suspendedUntil = 0;
-    }
-    return load;
-}
-
-int64_t Dispatcher::requiredWeights(const std::string &service) const
-{
-    const auto configuration = this->fleet.configuration();
-    if (!configuration) {
-        return 0;
-    }
-    const auto spec = configuration->services.find(service);
-    if (spec == configuration->services.end() || !spec->second.engine) {
-        return 0;
-    }
-    return LibGateway::requiredWeights(this->fleet.weightsTargets(spec->second.engine->model), this->loop.clock().now(), this->settings.switchBefore);
-}
-
-int64_t Dispatcher::heldWeights(const LibFleet::UpstreamRecord &record) const
-{
-    const auto load = this->loads.find(record.address.text());
-    if (load == this->loads.end() || !load->second.report || this->loop.clock().now() - load->second.reportAt > this->settings.placement.reportMaxAge) {
-        return record.weightsVersion;
-    }
-    return load->second.report->weightsVersion;
-}
-
-bool Dispatcher::mayUse(const LibFleet::UpstreamRecord &record, const Demand &demand, AK::Milliseconds now) const
-{
-    if (record.service != demand.service || record.state != LibFleet::UpstreamState::Ready || demand.excluded.contains(record.id)
-        || this->fleet.isEvacuated(record.failureDomain)) {
-        return false;
-    }
-    const std::string region = this->regionOf(record.failureDomain);
-    if (!allows(demand.regions, region) || !allows(demand.accountRegions, region)) {
-        return false;
-    }
-    if (record.isEngine) {
-        const int64_t held = this->heldWeights(record);
-        if (held == 0 || held < this->requiredWeights(record.service)) {
-            return false;
-        }
-    }
-    const auto load = this->loads.find(record.address.text());
-    if (load == this->loads.end() || load->second.instance != record.id) {
-        return true;
-    }
-    const bool fresh = load->second.report && now - load->second.reportAt <= this->settings.placement.reportMaxAge;
-    return now >= load->second.suspendedUntil && !(fresh && load->second.report->switching);
-}
-
-double Dispatcher::prefillPerMs(const std::string &service) const
-{
-    const auto configuration = this->fleet.configuration();
-    const auto spec = configuration ? configuration->services.find(service) : decltype(configuration->services.end()){};
-    const bool known = configuration && spec != configuration->services.end() && spec->second.engine;
-    return known ? spec->second.engine->prefillPerSecond / 1000 : 0;
-}
-
-double Dispatcher::coldRate(const std::string &service) const
-{
-    const auto configuration = this->fleet.configuration();
-    const auto spec = configuration ? configuration->services.find(service) : decltype(configuration->services.end()){};
-    return configuration && spec != configuration->services.end() ? spec->second.coldCallsPerSecond : 0;
-}
-
-LibGateway::PlacementCandidate Dispatcher::candidateOf(const LibFleet::UpstreamRecord &record, AK::Milliseconds now)
-{
-    const LibGateway::UpstreamLoad &load = this->loadOf(record);
-    const double prefill = this->prefillPerMs(record.service);
-    LibGateway::PlacementCandidate candidate;
-    candidate.load = LibGateway::estimatedLoad(load, now, this->settings.placement);
-    candidate.limit = std::max(1, record.slots);
-    candidate.promptBacklogMs = prefill > 0 ? static_cast<double>(load.pendingPromptTokens) / prefill : 0;
-    candidate.preferred = this->ownerOf(record) == this->settings.name;
-    candidate.sameRegion = this->regionOf(record.failureDomain) == this->settings.region;
-    candidate.failureShare = load.failureShare;
-    candidate.pace = load.report ? load.report->pace : 1.0;
-    return candidate;
+    return this->line(service).budget.spend(this->loop.clock().now(), this->table.registeredEntries());
 }
 
 Dispatcher::Availability Dispatcher::tryPlace(const Demand &demand, bool anyBacklog, GrantKind kind, kj::Maybe<kj::Own<Grant>> &grant)
 {
-    const AK::Milliseconds now = this->loop.clock().now();
-    const double prefill = this->prefillPerMs(demand.service);
-    const double rate = this->coldRate(demand.service);
-    const double owned = LibGateway::ownerShare(this->entries.size(), this->entryCount());
-    const double shared = 1.0 / static_cast<double>(this->entryCount());
     Choice choice;
     bool any = false;
     for (const auto &[id, record] : this->fleet.upstreams()) {
-        if (!this->mayUse(record, demand, now)) {
+        if (!this->table.mayUse(record, demand)) {
             continue;
         }
         any = true;
         const bool hasOwner = record.isEngine && this->places != nullptr;
-        if (hasOwner && this->ownerOf(record) != this->settings.name) {
-            continue;
-        }
-        if (LibGateway::rateAllows(this->loadOf(record), rate, hasOwner ? owned : shared, now, this->settings.placement)) {
-            choice.candidates.push_back(this->candidateOf(record, now));
+        if ((!hasOwner || this->table.isOwn(record)) && this->table.rateAllows(record, hasOwner)) {
+            choice.candidates.push_back(this->table.candidateOf(record));
             choice.records.push_back(&record);
         }
     }
-    const std::optional<size_t> chosen = LibGateway::chooseUpstream(choice.candidates, prefill > 0 ? static_cast<double>(demand.promptTokens) / prefill : 0,
-                                                                    anyBacklog, this->settings.placement, this->random);
+    const std::optional<size_t> chosen = LibGateway::chooseUpstream(choice.candidates, this->table.promptMs(demand.service, demand.promptTokens), anyBacklog,
+                                                                    this->settings.upstreams.placement, this->random);
     if (!chosen) {
         return any ? Availability::Full : Availability::None;
     }
     const LibFleet::UpstreamRecord &record = *choice.records[*chosen];
-    LibGateway::UpstreamLoad &load = this->loadOf(record);
+    LibGateway::UpstreamLoad &load = this->table.loadOf(record);
     ++load.ownInFlight;
     load.pendingPromptTokens += demand.promptTokens;
     load.rateTokens -= 1;
     this->callsOfOthers += kind == GrantKind::ForOther ? 1 : 0;
-    grant = kj::heap<Grant>(*this, kind, record, this->versionToAsk(record), demand.promptTokens, choice.candidates[*chosen].load);
+    grant = kj::heap<Grant>(*this, kind, record, this->table.versionToAsk(record), demand.promptTokens, choice.candidates[*chosen].load);
     return Availability::Granted;
 }
 
-int64_t Dispatcher::versionToAsk(const LibFleet::UpstreamRecord &record) const
-{
-    return record.isEngine && this->requiredWeights(record.service) > 0 ? this->heldWeights(record) : 0;
-}
-
-LibPeers::PlaceRequest Dispatcher::placeRequest(const Demand &demand) const
-{
-    LibPeers::PlaceRequest request{demand.service, demand.promptTokens, demand.place.priority, demand.place.returning, demand.regions, {}};
-    if (request.regions.empty()) {
-        request.regions = demand.accountRegions;
-    } else {
-        std::erase_if(request.regions, [&](const std::string &region) { return !allows(demand.accountRegions, region); });
-    }
-    request.excluded.assign(demand.excluded.begin(), demand.excluded.end());
-    return request;
-}
-
 kj::Maybe<kj::Own<Grant>> Dispatcher::askOthers(kj::WaitScope &scope, const Demand &demand)
 {
     if (this->places == nullptr) {
         return nullptr;
     }
-    LibPeers::PlaceRequest request = this->placeRequest(demand);
+    LibPeers::PlaceRequest request = placeRequest(demand);
     std::set<std::string> asked;
-    for (int i = 0; i < ownersToAsk; ++i) {
-        const AK::Milliseconds now = this->loop.clock().now();
+    for (int i = 0; i < ownersToAsk && this->loop.clock().now() < demand.startBy; ++i) {
         Choice choice;
         for (const auto &[id, record] : this->fleet.upstreams()) {
-            const std::string &owner = record.isEngine ? this->ownerOf(record) : this->settings.name;
-            if (owner == this->settings.name || asked.contains(owner) || isExcluded(request, id) || !this->mayUse(record, demand, now)) {
+            if (!record.isEngine || this->table.isOwn(record) || asked.contains(this->table.ownerOf(record)) || isExcluded(request, id)
+                || !this->table.mayUse(record, demand)) {
                 continue;
             }
-            LibGateway::PlacementCandidate candidate = this->candidateOf(record, now);
+            LibGateway::PlacementCandidate candidate = this->table.candidateOf(record);
             // The owner knows better what waits there.
             candidate.promptBacklogMs = 0;
             candidate.preferred = true;
@@ -329,11 +145,11 @@
             choice.candidates.push_back(candidate);
             choice.records.push_back(&record);
         }
-        const std::optional<size_t> chosen = LibGateway::chooseUpstream(choice.candidates, 0, true, this->settings.placement, this->random);
+        const std::optional<size_t> chosen = LibGateway::chooseUpstream(choice.candidates, 0, true, this->settings.upstreams.placement, this->random);
         if (!chosen) {
             return nullptr;
         }
-        const std::string owner = this->ownerOf(*choice.records[*chosen]);
+        const std::string owner = this->table.ownerOf(*choice.records[*chosen]);
         auto offered = this->places->askPlace(scope, owner, request);
         if (!offered.ok()) {
             asked.insert(owner);
@@ -341,15 +157,15 @@
         }
         KJ_IF_MAYBE (offer, *offered) {
             const auto record = this->fleet.upstreams().find(offer->upstream);
-            if (record == this->fleet.upstreams().end() || !this->mayUse(record->second, demand, this->loop.clock().now())) {
+            if (record == this->fleet.upstreams().end() || !this->table.mayUse(record->second, demand)) {
                 request.excluded.push_back(offer->upstream);
                 continue;
             }
-            LibGateway::UpstreamLoad &load = this->loadOf(record->second);
-            const double estimated = LibGateway::estimatedLoad(load, now, this->settings.placement);
+            LibGateway::UpstreamLoad &load = this->table.loadOf(record->second);
+            const double estimated = LibGateway::estimatedLoad(load, this->loop.clock().now(), this->settings.upstreams.placement);
             ++load.ownInFlight;
             load.pendingPromptTokens += demand.promptTokens;
-            return kj::heap<Grant>(*this, GrantKind::AtOther, record->second, this->versionToAsk(record->second), demand.promptTokens, estimated,
+            return kj::heap<Grant>(*this, GrantKind::AtOther, record->second, this->table.versionToAsk(record->second), demand.promptTokens, estimated,
                                    kj::mv(offer->place));
         }
         asked.insert(owner);
@@ -494,7 +310,7 @@
 
 void Dispatcher::release(const LibFleet::UpstreamRecord &record, GrantKind kind)
 {
-    LibGateway::UpstreamLoad &load = this->loadOf(record);
+    LibGateway::UpstreamLoad &load = this->table.loadOf(record);
     load.ownInFlight = std::max(0, load.ownInFlight - 1);
     Line &line = this->line(record.service);
     if (kind == GrantKind::ForOther) {
@@ -510,28 +326,17 @@
 
 void Dispatcher::countOutcome(const LibFleet::UpstreamRecord &upstream, bool failed)
 {
-    LibGateway::UpstreamLoad &load = this->loadOf(upstream);
-    const AK::Milliseconds before = load.suspendedUntil;
-    LibGateway::countOutcome(load, failed, this->loop.clock().now(), this->settings.placement);
-    if (load.suspendedUntil != before) {
-        this->logger.info("upstream_suspended", {{"upstream", upstream.id}, {"failures_in_row", load.failuresInRow}, {"failure_share", load.failureShare}});
-    }
+    this->table.countOutcome(upstream, failed);
 }
 
 void Dispatcher::countAnswer(const LibFleet::UpstreamRecord &upstream, int running, int waiting)
 {
-    LibGateway::UpstreamLoad &load = this->loadOf(upstream);
-    load.answeredLoad = running + waiting;
-    load.answeredAt = this->loop.clock().now();
-    load.ownAtAnswer = load.ownInFlight;
+    this->table.countAnswer(upstream, running, waiting);
 }
 
 void Dispatcher::takeReport(const LibPeers::EngineReport &report)
 {
-    LibGateway::UpstreamLoad &load = this->loads[report.upstream];
-    load.report = report;
-    load.reportAt = this->loop.clock().now();
-    load.ownAtReport = load.ownInFlight;
+    this->table.takeReport(report);
     this->serveAllWaiters();
 }
 
@@ -551,11 +356,7 @@
 
 int Dispatcher::callsInFlight() const
 {
-    int count = 0;
-    for (const auto &[address, load] : this->loads) {
-        count += load.ownInFlight;
-    }
-    return count - this->callsOfOthers;
+    return this->table.callsInFlight() - this->callsOfOthers;
 }
 
 } // namespace Gateway
--- a/Userland/Services/Gateway/Dispatcher.h
+++ b/Userland/Services/Gateway/Dispatcher.h
@@ -1,46 +1,24 @@
 #pragma once
 
+#include "Grant.h"
 #include "PlaceLinks.h"
+#include "UpstreamTable.h"
 
 #include <AK/Random.h>
 #include <LibFiber/Loop.h>
-#include <LibGateway/Placement.h>
 #include <LibGateway/RetryBudget.h>
-#include <LibGateway/Waiting.h>
 #include <list>
 #include <map>
 #include <memory>
-#include <set>
 
 namespace Gateway
 {
 
 /// Bounds that all upstream choices of an entry keep; from the deployment's settings.
 struct DispatchSettings {
-    /// Name of this entry.
-    std::string name;
-    std::string region;
-    std::string failureDomain;
-    LibGateway::PlacementSettings placement;
+    TableSettings upstreams;
     LibGateway::RetryBudgetSettings retries;
     LibGateway::WaitingSettings waiting;
-    /// ms after a new version became known at which the older one gets no more calls.
-    AK::Milliseconds switchBefore = 6'000;
-};
-
-/// What a call needs of an upstream.
-struct Demand {
-    std::string service;
-    LibGateway::WaitingPlace place;
-    AK::Milliseconds arrivedAt = 0;
-    int64_t promptTokens = 0;
-    /// Time after which a start is of no use.
-    AK::Milliseconds startBy = 0;
-    /// Allowed regions; empty for any.
-    std::vector<std::string> regions;
-    std::vector<std::string> accountRegions;
-    /// Upstreams that have had this call.
-    std::set<std::string> excluded;
 };
 
 /// Why a call got no upstream.
@@ -52,48 +30,6 @@
     AK::EnumName{RefusalReason::WaitedTooLong, "waited_too_long"},
 };
 
-class Dispatcher;
-
-/// Whose call holds a place, and who owns the upstream.
-enum class GrantKind {
-    /// A call of this entry, at an upstream that it owns or that has no owner.
-    Own,
-    /// A call of this entry; another entry owns the upstream and holds the place.
-    AtOther,
-    /// A call of another entry, at an upstream of this one.
-    ForOther,
-};
-
-/// A place at an upstream; given back when it is dropped.
-class Grant final : public LibPeers::HeldPlace
-{
-public:
-    /// `heldByOwner`: the place that the owner of the upstream holds, for GrantKind::AtOther.
-    Grant(Dispatcher &dispatcher, GrantKind kind, LibFleet::UpstreamRecord upstream, int64_t weightsVersion, int64_t promptTokens, double load,
-          kj::Maybe<kj::Own<LibPeers::HeldPlace>> heldByOwner = nullptr);
-    ~Grant() noexcept(false) override;
-    KJ_DISALLOW_COPY(Grant);
-
-    const LibFleet::UpstreamRecord &upstream() const;
-    /// Weights that must answer, 0 for any.
-    int64_t weightsVersion() const;
-    /// Estimated calls at the upstream when it was chosen.
-    double loadAtChoice() const;
-
-    void promptRead() override;
-
-private:
-    void prompted();
-
-    Dispatcher &dispatcher;
-    GrantKind kind;
-    LibFleet::UpstreamRecord record;
-    int64_t version;
-    int64_t pendingTokens;
-    double load;
-    kj::Maybe<kj::Own<LibPeers::HeldPlace>> heldByOwner;
-};
-
 struct GrantOrRefusal {
     kj::Maybe<kj::Own<Grant>> grant;
     RefusalReason reason = RefusalReason::NoUpstream;
@@ -174,19 +110,6 @@
     /// Asks the owners of other engines. Waits for their answers.
     kj::Maybe<kj::Own<Grant>> askOthers(kj::WaitScope &scope, const Demand &demand);
     bool waitInLine(kj::WaitScope &scope, Line &line, Waiter &waiter, kj::ForkedPromise<void> &granted);
-    LibGateway::PlacementCandidate candidateOf(const LibFleet::UpstreamRecord &record, AK::Milliseconds now);
-    /// The entry that owns an engine; empty when the upstream has no owner.
-    const std::string &ownerOf(const LibFleet::UpstreamRecord &record);
-    LibPeers::PlaceRequest placeRequest(const Demand &demand) const;
-    int64_t versionToAsk(const LibFleet::UpstreamRecord &record) const;
-    double prefillPerMs(const std::string &service) const;
-    double coldRate(const std::string &service) const;
-    bool mayUse(const LibFleet::UpstreamRecord &record, const Demand &demand, AK::Milliseconds now) const;
-    LibGateway::UpstreamLoad &loadOf(const LibFleet::UpstreamRecord &record);
-    int64_t requiredWeights(const std::string &service) const;
-    int64_t heldWeights(const LibFleet::UpstreamRecord &record) const;
-    std::string regionOf(const std::string &failureDomain) const;
-    size_t entryCount() const;
     void release(const LibFleet::UpstreamRecord &record, GrantKind kind);
     void serveWaiters(const std::string &service);
     void serveAllWaiters();
@@ -196,19 +119,13 @@
     LibFiber::Loop &loop;
     const LibFleet::FleetState &fleet;
     DispatchSettings settings;
-    std::map<std::string, std::string> regions;
     PlaceSource *places;
-    std::vector<LibGateway::EntryPlace> entries;
-    /// Owners by id of the engine, for the present entries.
-    std::map<std::string, std::string> owners;
+    UpstreamTable table;
     int callsOfOthers = 0;
     std::map<std::string, std::unique_ptr<Line>> lines;
     /// By name of the route.
     std::map<std::string, LibGateway::PatienceRecord> patience;
-    /// By address, so that the report of an agent finds its upstream.
-    std::map<std::string, LibGateway::UpstreamLoad> loads;
     AK::Random random;
-    LibLog::Logger logger{"dispatcher"};
 };
 
 } // namespace Gateway
--- /dev/null
+++ b/Userland/Services/Gateway/Grant.cpp
@@ -0,0 +1,62 @@
+#include "Grant.h"
+
+#include "Dispatcher.h"
+
+namespace Gateway
+{
+
+Grant::Grant(Dispatcher &dispatcher, GrantKind kind, LibFleet::UpstreamRecord upstream, int64_t weightsVersion, int64_t promptTokens, double load,
+             kj::Maybe<kj::Own<LibPeers::HeldPlace>> heldByOwner)
+    : dispatcher(dispatcher)
+    , kind(kind)
+    , record(std::move(upstream))
+    , version(weightsVersion)
+    , pendingTokens(promptTokens)
+    , load(load)
+    , heldByOwner(kj::mv(heldByOwner))
+{
+}
+
+void Grant::promptRead()
+{
+    if (this->pendingTokens > 0) {
+        KJ_IF_MAYBE (held, this->heldByOwner) {
+            (*held)->promptRead();
+        }
+        this->prompted();
+    }
+}
+
+void Grant::prompted()
+{
+    if (this->pendingTokens > 0) {
+        this->dispatcher.table.loadOf(this->record).pendingPromptTokens -= this->pendingTokens;
+        this->pendingTokens = 0;
+        if (this->kind != GrantKind::AtOther) {
+            this->dispatcher.serveWaiters(this->record.service);
+        }
+    }
+}
+
+Grant::~Grant() noexcept(false)
+{
+    this->prompted();
+    this->dispatcher.release(this->record, this->kind);
+}
+
+const LibFleet::UpstreamRecord &Grant::upstream() const
+{
+    return this->record;
+}
+
+int64_t Grant::weightsVersion() const
+{
+    return this->version;
+}
+
+double Grant::loadAtChoice() const
+{
+    return this->load;
+}
+
+} // namespace Gateway
--- a/Userland/Utilities/catkinlinkd/EntryProcess.cpp
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.cpp
@@ -66,7 +66,7 @@
 {
     this->settings = changed;
     const Gateway::DispatchSettings dispatch = dispatchSettings(changed);
-    this->dispatcher.setBounds(dispatch.retries, dispatch.switchBefore);
+    this->dispatcher.setBounds(dispatch.retries, dispatch.upstreams.switchBefore);
     this->dispatcher.setRegions(changed.regionsByDomain);
     this->node.exchange.setSeeds(changed.seeds);
 }
@@ -95,11 +95,10 @@
 Gateway::DispatchSettings EntryProcess::dispatchSettings(const Platform::NodeSettings &settings)
 {
     Gateway::DispatchSettings result;
-    result.name = settings.name;
-    result.region = settings.region;
-    result.failureDomain = settings.failureDomain;
+    result.upstreams.name = settings.name;
+    result.upstreams.region = settings.region;
     result.retries = {settings.bounds.retryRatio, settings.bounds.retryExtra, settings.bounds.retryWindow};
-    result.switchBefore = switchBefore(settings);
+    result.upstreams.switchBefore = switchBefore(settings);
     return result;
 }
 
--- a/Userland/Utilities/catkinlinkd/PlatformDaemon.cpp
+++ b/Userland/Utilities/catkinlinkd/PlatformDaemon.cpp
@@ -1,6 +1,7 @@
 #include "PlatformDaemon.h"
 
 #include "EntryProcess.h"
+#include "SettingsWatch.h"
 #include <Gateway/SmallServer.h>
 #include <LibLog/Logger.h>
 #include <LibMetrics/MetricRegistry.h>
@@ -8,7 +9,6 @@
 #include <csignal>
 #include <iostream>
 #include <platform/EngineClient.h>
-#include <platform/SettingsWatch.h>
 
 namespace
 {
@@ -33,7 +33,7 @@
 }
 
 // Agents hold nothing that others wait for; they end at once.
-int runAgent(LibFiber::Loop &loop, const Platform::NodeSettings &settings, Platform::SettingsWatch &settingsWatch)
+int runAgent(LibFiber::Loop &loop, const Platform::NodeSettings &settings, SettingsWatch &settingsWatch)
 {
     const LibLog::Logger logger("daemon");
     if (!settings.engineAddress || settings.innerPort == 0) {
@@ -77,7 +77,7 @@
     return Success;
 }
 
-int runEntry(LibFiber::Loop &loop, const Platform::NodeSettings &settings, Platform::SettingsWatch &settingsWatch)
+int runEntry(LibFiber::Loop &loop, const Platform::NodeSettings &settings, SettingsWatch &settingsWatch)
 {
     const LibLog::Logger logger("daemon");
     if (!settings.clientAddress || !settings.readinessAddress || !settings.rpcAddress || !settings.directoryAddress) {
@@ -118,6 +118,6 @@
     kj::UnixEventPort::captureSignal(SIGINT);
     kj::UnixEventPort::captureSignal(SIGHUP);
     LibFiber::Loop loop;
-    Platform::SettingsWatch settingsWatch(loop, Platform::settingsPath(), *settings);
+    SettingsWatch settingsWatch(loop, Platform::settingsPath(), *settings);
     return role == "entry" ? runEntry(loop, *settings, settingsWatch) : runAgent(loop, *settings, settingsWatch);
 }
--- a/platform/SettingsWatch.cpp
+++ b/Userland/Utilities/catkinlinkd/SettingsWatch.cpp
@@ -1,11 +1,8 @@
-#include <platform/SettingsWatch.h>
+#include "SettingsWatch.h"
 
 #include <absl/strings/str_join.h>
 #include <csignal>
 
-namespace Platform
-{
-
 namespace
 {
 
@@ -14,7 +11,7 @@
 
 } // namespace
 
-SettingsChanges compareSettings(const NodeSettings &before, const NodeSettings &after)
+SettingsChanges compareSettings(const Platform::NodeSettings &before, const Platform::NodeSettings &after)
 {
     SettingsChanges changes;
     const auto note = [](std::vector<std::string> &names, bool differs, const char *name) {
@@ -41,9 +38,9 @@
     return changes;
 }
 
-NodeSettings mergeSettings(const NodeSettings &current, const NodeSettings &read)
+Platform::NodeSettings mergeSettings(const Platform::NodeSettings &current, const Platform::NodeSettings &read)
 {
-    NodeSettings merged = current;
+    Platform::NodeSettings merged = current;
     merged.bounds = read.bounds;
     merged.regionsByDomain = read.regionsByDomain;
     merged.seeds = read.seeds;
@@ -51,7 +48,7 @@
     return merged;
 }
 
-SettingsWatch::SettingsWatch(LibFiber::Loop &loop, std::string path, NodeSettings current, AK::Milliseconds interval)
+SettingsWatch::SettingsWatch(LibFiber::Loop &loop, std::string path, Platform::NodeSettings current, AK::Milliseconds interval)
     : loop(loop)
     , path(std::move(path))
     , current(std::move(current))
@@ -59,7 +56,7 @@
 {
 }
 
-void SettingsWatch::onChange(std::function<void(const NodeSettings &)> changeObserver)
+void SettingsWatch::onChange(std::function<void(const Platform::NodeSettings &)> changeObserver)
 {
     this->observer = std::move(changeObserver);
 }
@@ -88,13 +85,13 @@
 
 void SettingsWatch::look(bool signalled)
 {
-    const absl::StatusOr<std::string> text = readSettingsText(this->path);
+    const absl::StatusOr<std::string> text = Platform::readSettingsText(this->path);
     const bool changed = text.ok() ? *text != this->content : this->readable;
     this->readable = text.ok();
     if (!changed && !signalled) {
         return;
     }
-    const absl::StatusOr<NodeSettings> read = text.ok() ? parseNodeSettings(*text) : text.status();
+    const absl::StatusOr<Platform::NodeSettings> read = text.ok() ? Platform::parseNodeSettings(*text) : text.status();
     if (text.ok()) {
         this->content = *text;
     }
@@ -115,5 +112,3 @@
         this->observer(this->current);
     }
 }
-
-} // namespace Platform
--- a/platform/SettingsWatch.h
+++ b/Userland/Utilities/catkinlinkd/SettingsWatch.h
@@ -6,10 +6,7 @@
 #include <string>
 #include <vector>
 
-namespace Platform
-{
-
-/// Names of the settings that differ, as they stand in NodeSettings.
+/// Names of the settings that differ, as they stand in Platform::NodeSettings.
 struct SettingsChanges {
     /// Taken over by a running process.
     std::vector<std::string> applied;
@@ -17,10 +14,10 @@
     std::vector<std::string> needRestart;
 };
 
-SettingsChanges compareSettings(const NodeSettings &before, const NodeSettings &after);
+SettingsChanges compareSettings(const Platform::NodeSettings &before, const Platform::NodeSettings &after);
 
 /// `current` with all settings of `read` that a running process takes over.
-NodeSettings mergeSettings(const NodeSettings &current, const NodeSettings &read);
+Platform::NodeSettings mergeSettings(const Platform::NodeSettings &current, const Platform::NodeSettings &read);
 
 /// Reads the settings file again on SIGHUP and whenever its content changes, and tells the process what it may take over. A file that is missing or wrong
 /// changes nothing. SIGHUP must have been captured with kj::UnixEventPort::captureSignal().
@@ -30,10 +27,10 @@
     /// Time between two looks at a file that no signal has announced, in ms.
     static constexpr AK::Milliseconds defaultInterval = 1'000;
 
-    SettingsWatch(LibFiber::Loop &loop, std::string path, NodeSettings current, AK::Milliseconds interval = defaultInterval);
+    SettingsWatch(LibFiber::Loop &loop, std::string path, Platform::NodeSettings current, AK::Milliseconds interval = defaultInterval);
 
     /// Called with the settings to use from now on.
-    void onChange(std::function<void(const NodeSettings &)> observer);
+    void onChange(std::function<void(const Platform::NodeSettings &)> observer);
 
     void start();
 
@@ -43,13 +40,11 @@
 
     LibFiber::Loop &loop;
     std::string path;
-    NodeSettings current;
+    Platform::NodeSettings current;
     AK::Milliseconds interval;
     /// Content of the file at the last look.
     std::string content;
     bool readable = true;
-    std::function<void(const NodeSettings &)> observer;
+    std::function<void(const Platform::NodeSettings &)> observer;
     LibLog::Logger logger{"daemon"};
 };
-
-} // namespace Platform
