LibWeights agents: Keep the connections to the origin within its limit

After the loss of power 76 agents read the manifest of version 3 at once and again, each over a connection that it kept; the origin serves 48 and reset 1,735, among them that of the agent whose turn it was. No agent had the manifest 15 s later (1,584 lines manifest_not_read, "the peer reset the connection"). Ruled out: the store and the entries (named and known everywhere at second 36), the calls (plain services were served all the while).

--- /dev/null
+++ b/Tests/LibHttpStream/TestHttpCaller.cpp
@@ -0,0 +1,59 @@
+#include <LibFiber/Acceptor.h>
+#include <LibHttpStream/HttpCaller.h>
+#include <LibHttpStream/MessageReader.h>
+#include <gtest/gtest.h>
+
+namespace
+{
+
+constexpr AK::Milliseconds longTime = 5'000;
+constexpr uint16_t port = 17'801;
+
+struct IdleCase {
+    const char *name;
+    AK::Milliseconds idleLimit;
+    int openAfterRest;
+};
+
+class IdleTest : public testing::TestWithParam<IdleCase>
+{
+};
+
+// Guards against connections that rest at a server with a limit: with one from each of 76 agents the origin of weights reset every new one.
+TEST_P(IdleTest, ClosesConnectionsThatRest)
+{
+    LibFiber::Loop loop;
+    int open = 0;
+    int requests = 0;
+    auto receiver = LibFiber::listenOn(loop, {"127.0.0.1", port});
+    ASSERT_TRUE(receiver.ok()) << receiver.status();
+    LibFiber::acceptEach(loop, kj::mv(*receiver), [&](kj::WaitScope &scope, kj::Own<kj::AsyncIoStream> stream) {
+        ++open;
+        LibFiber::ByteChannel channel(loop, kj::mv(stream));
+        while (LibHttpStream::readHeadText(channel, scope, 65'536, loop.clock().now() + longTime).ok()) {
+            ++requests;
+            if (!channel.write(scope, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", loop.clock().now() + longTime).ok()) {
+                break;
+            }
+        }
+        --open;
+    });
+    LibHttpStream::HttpCallerPool pool(loop, {"127.0.0.1", port}, GetParam().idleLimit);
+    kj::WaitScope &scope = loop.rootScope();
+    for (int i = 0; i < 3; ++i) {
+        const AK::Milliseconds deadline = loop.clock().now() + longTime;
+        ASSERT_TRUE(pool.call(scope, "GET", "/", "", deadline, deadline).ok());
+        EXPECT_EQ(open, 1) << "calls in a row share a connection";
+    }
+    loop.sleep(scope, 400);
+    EXPECT_EQ(open, GetParam().openAfterRest);
+    const AK::Milliseconds deadline = loop.clock().now() + longTime;
+    EXPECT_TRUE(pool.call(scope, "GET", "/", "", deadline, deadline).ok());
+    EXPECT_EQ(requests, 4);
+    loop.cancelSpawned();
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, IdleTest, testing::Values(IdleCase{"kept", 0, 1}, IdleCase{"closed", 100, 0}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+} // namespace
--- a/Userland/Libraries/LibHttpStream/HttpCaller.cpp
+++ b/Userland/Libraries/LibHttpStream/HttpCaller.cpp
@@ -74,9 +74,10 @@
     return WholeResponse{response.status, std::move(response.headers), std::move(content)};
 }
 
-HttpCallerPool::HttpCallerPool(LibFiber::Loop &loop, AK::Endpoint address)
+HttpCallerPool::HttpCallerPool(LibFiber::Loop &loop, AK::Endpoint address, AK::Milliseconds idleLimit)
     : loop(loop)
     , address(std::move(address))
+    , idleLimit(idleLimit)
 {
 }
 
@@ -87,14 +88,29 @@
     if (this->idle.empty()) {
         caller = std::make_unique<HttpCaller>(this->loop, this->address);
     } else {
-        caller = std::move(this->idle.back());
+        caller = std::move(this->idle.back().caller);
         this->idle.pop_back();
     }
     absl::StatusOr<WholeResponse> response = caller->call(scope, method, target, body, connectBy, deadline);
     if (response.ok()) {
-        this->idle.push_back(std::move(caller));
+        this->idle.push_back({std::move(caller), this->loop.clock().now()});
+        this->closeWhenIdle();
     }
     return response;
 }
 
+void HttpCallerPool::closeWhenIdle()
+{
+    if (this->idleLimit == 0) {
+        return;
+    }
+    this->loop.spawn([this](kj::WaitScope &scope) {
+        this->loop.sleep(scope, this->idleLimit);
+        const AK::Milliseconds now = this->loop.clock().now();
+        // Others that came to rest meanwhile have fibers of their own; the tolerance covers the loop's timers, which may fire some ms early.
+        constexpr AK::Milliseconds tolerance = 20;
+        std::erase_if(this->idle, [&](const Resting &resting) { return now - resting.since + tolerance >= this->idleLimit; });
+    });
+}
+
 } // namespace LibHttpStream
--- a/Userland/Libraries/LibHttpStream/HttpCaller.h
+++ b/Userland/Libraries/LibHttpStream/HttpCaller.h
@@ -41,16 +41,24 @@
 class HttpCallerPool
 {
 public:
-    HttpCallerPool(LibFiber::Loop &loop, AK::Endpoint address);
+    /// Connections that rest for `idleLimit` ms are closed; 0 keeps them. With a limit the pool must live until the spawned fibers of the loop have ended.
+    HttpCallerPool(LibFiber::Loop &loop, AK::Endpoint address, AK::Milliseconds idleLimit = 0);
 
     /// As HttpCaller::call().
     absl::StatusOr<WholeResponse> call(kj::WaitScope &scope, const std::string &method, const std::string &target, const std::string &body,
                                        AK::Milliseconds connectBy, AK::Milliseconds deadline);
 
 private:
+    void closeWhenIdle();
+
     LibFiber::Loop &loop;
     AK::Endpoint address;
-    std::vector<std::unique_ptr<HttpCaller>> idle;
+    AK::Milliseconds idleLimit;
+    struct Resting {
+        std::unique_ptr<HttpCaller> caller;
+        AK::Milliseconds since = 0;
+    };
+    std::vector<Resting> idle;
 };
 
 } // namespace LibHttpStream
--- a/Userland/Services/WeightAgent/AgentService.cpp
+++ b/Userland/Services/WeightAgent/AgentService.cpp
@@ -161,6 +161,7 @@
     for (const auto &[name, service] : configuration->services) {
         if (service.origin) {
             view.origin = service.origin;
+            view.originConnections = service.maxConnections;
             const auto region = this->settings.regionsByDomain.find(service.originFailureDomain);
             view.originRegion = region == this->settings.regionsByDomain.end() ? "" : region->second;
         }
--- a/Userland/Services/WeightAgent/FetchRules.cpp
+++ b/Userland/Services/WeightAgent/FetchRules.cpp
@@ -22,7 +22,31 @@
     return position.regionRank <= turns ? FetchScope::AnyRegion : FetchScope::SameRegion;
 }
 
-size_t regionRank(const std::string &self, const std::string &region, const std::vector<SwarmMember> &members, const std::string &key, size_t chunk)
+OriginUse originUse(size_t agentsNearOrigin, int maxConnections)
+{
+    constexpr size_t usualReads = 2;
+    // Two generations of connections, those of agents that have lost power and those of the restarted ones, and some room.
+    constexpr double limitShare = 0.45;
+    if (maxConnections <= 0) {
+        return {agentsNearOrigin, usualReads};
+    }
+    const auto budget = std::max<size_t>(1, static_cast<size_t>(limitShare * maxConnections));
+    if (agentsNearOrigin * usualReads <= budget) {
+        return {agentsNearOrigin, usualReads};
+    }
+    return {std::min(agentsNearOrigin, budget), 1};
+}
+
+bool readsManifest(bool nearOrigin, size_t rank, AK::Milliseconds waited)
+{
+    // A manifest is read within 50 ms, also beside chunks.
+    FetchRuleSettings rules;
+    rules.patience = 200;
+    return allowedScope({nearOrigin, rank, waited, 0}, rules) == FetchScope::Origin;
+}
+
+size_t regionRank(const std::string &self, const std::string &region, const std::vector<SwarmMember> &members, const std::string &key, size_t chunk,
+                  size_t readers)
 {
     const uint64_t own = AK::rendezvousWeight(key, self);
     size_t before = 0;
@@ -33,7 +57,8 @@
             before += AK::rendezvousWeight(key, member.name) > own ? 1 : 0;
         }
     }
-    return (before + count - chunk % count) % count;
+    const size_t turns = std::clamp<size_t>(readers, 1, count);
+    return before < turns ? (before + turns - chunk % turns) % turns : before;
 }
 
 int64_t versionToBring(const std::vector<VersionProgress> &named, const BringTimes &times)
--- a/Userland/Services/WeightAgent/FetchRules.h
+++ b/Userland/Services/WeightAgent/FetchRules.h
@@ -2,6 +2,7 @@
 
 #include <AK/Clock.h>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -45,9 +46,26 @@
 /// moved for a while. Load pattern: all agents of all regions want the same version at the same moment.
 FetchScope allowedScope(const FetchPosition &position, const FetchRuleSettings &settings);
 
-/// Rank of `self` in the order of a chunk among the members of its region. The members take turns chunk by chunk, so that each brings as many as the others.
-/// `key` names the version; it decides who begins.
-size_t regionRank(const std::string &self, const std::string &region, const std::vector<SwarmMember> &members, const std::string &key, size_t chunk);
+/// Who reads from the origin at a time.
+struct OriginUse {
+    /// Agents of the origin's region that take turns in bringing chunks.
+    size_t readers = 0;
+    /// Reads that each of them has under way; two keep the origin's link busy between answers.
+    size_t readsEach = 2;
+};
+
+/// Keeps the connections to the origin within its limit (0 for none), also while those of agents that have lost power still count there. Load pattern: all
+/// hosts of a large site lose power while they fetch; with a connection from every agent the origin resets each new one, and no agent gets the manifest.
+OriginUse originUse(size_t agentsNearOrigin, int maxConnections);
+
+/// Whether an agent reads the manifest from the origin `waited` ms after it began to look for the version: one agent after another, as others get it from
+/// these.
+bool readsManifest(bool nearOrigin, size_t rank, AK::Milliseconds waited);
+
+/// Rank of `self` in the order of a chunk among the members of its region. The first `readers` members take turns chunk by chunk, so that each brings as many
+/// as the others; the rest follow. `key` names the version; it decides who begins.
+size_t regionRank(const std::string &self, const std::string &region, const std::vector<SwarmMember> &members, const std::string &key, size_t chunk,
+                  size_t readers = SIZE_MAX);
 
 /// A version that the operator has named, as far as this agent has it.
 struct VersionProgress {
--- a/Userland/Services/WeightAgent/SwarmFetch.cpp
+++ b/Userland/Services/WeightAgent/SwarmFetch.cpp
@@ -21,8 +21,6 @@
 // Chunks on their way from other agents at a time: enough to fill the link, and few that wait on it before live requests.
 constexpr int peerReadLimit = 4;
 constexpr AK::Milliseconds waitForRead = 15;
-// Reads from the origin at a time; two keep its link busy between answers.
-constexpr int originReads = 2;
 // Peers asked at a time, in the region and outside.
 constexpr size_t neighboursInRegion = 7;
 constexpr size_t neighboursNearOrigin = 16;
@@ -76,24 +74,39 @@
     }
 }
 
+bool SwarmFetch::nearOrigin() const
+{
+    return this->self.region == this->view.originRegion;
+}
+
+size_t SwarmFetch::regionSize() const
+{
+    const auto others =
+        std::count_if(this->members.begin(), this->members.end(), [&](const SwarmMember &member) { return member.region == this->self.region; });
+    return static_cast<size_t>(others) + 1;
+}
+
 absl::StatusOr<std::string> SwarmFetch::readManifest(kj::WaitScope &scope)
 {
     const size_t rank = regionRank(this->self.name, this->self.region, this->members, AK::concat(this->model, "/", this->version), 0);
-    const bool first = this->self.region == this->view.originRegion && rank == 0;
-    for (int round = 0; round < 2; ++round) {
-        if (!first || round > 0) {
-            for (const PeerState &state : this->peers) {
-                LibPeers::PeerLink link(this->loop, state.peer.rpcAddress);
-                absl::StatusOr<std::string> text = link.manifest(scope, this->model, this->version, this->loop.clock().now() + mapTimeout);
-                if (text.ok() && !text->empty()) {
-                    return text;
-                }
-            }
+    const auto originsTurn = [&] {
+        return this->view.origin && readsManifest(this->nearOrigin(), rank, this->loop.clock().now() - this->beganAt);
+    };
+    if (this->nearOrigin() && rank == 0 && originsTurn()) {
+        absl::StatusOr<std::string> text = this->origin.manifestText(scope, *this->view.origin, this->model, this->version);
+        if (text.ok()) {
+            return text;
         }
-        if (this->view.origin && (first || round > 0)) {
-            return this->origin.manifestText(scope, *this->view.origin, this->model, this->version);
+    }
+    for (const PeerState &state : this->peers) {
+        LibPeers::PeerLink link(this->loop, state.peer.rpcAddress);
+        absl::StatusOr<std::string> text = link.manifest(scope, this->model, this->version, this->loop.clock().now() + mapTimeout);
+        if (text.ok() && !text->empty()) {
+            return text;
         }
-        this->loop.sleep(scope, askAgain * static_cast<AK::Milliseconds>(1 + rank));
+    }
+    if (originsTurn()) {
+        return this->origin.manifestText(scope, *this->view.origin, this->model, this->version);
     }
     return absl::UnavailableError("nobody has the manifest");
 }
@@ -108,14 +121,16 @@
     this->held = &target;
     this->wanted = isWanted;
     this->progressAt = this->loop.clock().now();
+    this->use = originUse(this->regionSize(), this->view.originConnections);
+    const size_t readers = this->nearOrigin() ? this->use.readers : this->regionSize();
     for (uint32_t i = 0; i < target.chunkCount(); ++i) {
-        this->ranks.push_back(regionRank(this->self.name, this->self.region, this->members, AK::concat(this->model, "/", this->version), i));
+        this->ranks.push_back(regionRank(this->self.name, this->self.region, this->members, AK::concat(this->model, "/", this->version), i, readers));
     }
-    auto fibers = kj::heapArrayBuilder<kj::Promise<void>>(this->peers.size() + originReads);
+    auto fibers = kj::heapArrayBuilder<kj::Promise<void>>(this->peers.size() + this->use.readsEach);
     for (size_t i = 0; i < this->peers.size(); ++i) {
         fibers.add(this->loop.fiber([this, i](kj::WaitScope &inner) { this->askPeer(inner, i); }));
     }
-    for (int i = 0; i < originReads; ++i) {
+    for (size_t i = 0; i < this->use.readsEach; ++i) {
         fibers.add(this->loop.fiber([this](kj::WaitScope &inner) { this->askOrigin(inner); }));
     }
     kj::joinPromises(fibers.finish()).wait(scope);
@@ -138,7 +153,7 @@
         if (this->held->has(i) || this->underWay.contains(i)) {
             continue;
         }
-        const FetchScope allowed = allowedScope({this->self.region == this->view.originRegion, this->ranks[i], stalled, now - this->beganAt}, rules);
+        const FetchScope allowed = allowedScope({this->nearOrigin(), this->ranks[i], stalled, now - this->beganAt}, rules);
         // The origin is for the chunks that this agent has to bring, and only for these.
         result[i] = scope == FetchScope::Origin ? allowed == FetchScope::Origin : static_cast<int>(scope) <= static_cast<int>(allowed);
     }
--- a/Userland/Services/WeightAgent/SwarmFetch.h
+++ b/Userland/Services/WeightAgent/SwarmFetch.h
@@ -23,6 +23,8 @@
     std::vector<SwarmPeer> peers;
     std::optional<AK::Endpoint> origin;
     std::string originRegion;
+    /// Connections that the origin serves at a time, 0 for no limit.
+    int originConnections = 0;
 };
 
 /// Who this agent is.
@@ -52,6 +54,9 @@
         bool excluded = false;
     };
 
+    bool nearOrigin() const;
+    /// Agents of the own region, this one among them.
+    size_t regionSize() const;
     void askPeer(kj::WaitScope &scope, size_t index);
     void askOrigin(kj::WaitScope &scope);
     bool running() const;
@@ -68,6 +73,7 @@
     SwarmView view;
     AK::Milliseconds beganAt;
     std::vector<SwarmMember> members;
+    OriginUse use;
     std::vector<size_t> ranks;
     std::vector<PeerState> peers;
     std::set<uint32_t> underWay;
