--- a/Tests/LibGateway/TestPlacement.cpp
+++ b/Tests/LibGateway/TestPlacement.cpp
@@ -68,7 +68,7 @@
 // Guards against upstreams that no entry prefers, or that several entries prefer.
 TEST(PreferredEntry, IsOneEntryOfTheSameDomain)
 {
-    const std::vector<EntryLocation> entries{{"e1", "lima"}, {"e2", "lima"}, {"e3", "cusco"}};
+    const std::vector<LibFleet::EntryLocation> entries{{"e1", "lima"}, {"e2", "lima"}, {"e3", "cusco"}};
     std::map<std::string, int> counts;
     for (int i = 0; i < 200; ++i) {
         ++counts[preferredEntry("u" + std::to_string(i), "lima", entries)];
--- /dev/null
+++ b/Tests/LibPeers/TestWireCodec.cpp
@@ -0,0 +1,60 @@
+#include <LibPeers/WireCodec.h>
+#include <capnp/message.h>
+#include <gtest/gtest.h>
+
+namespace
+{
+
+using namespace LibPeers;
+
+struct SightingCase {
+    const char *name;
+    EntrySighting sighting;
+};
+
+class SightingCodecTest : public testing::TestWithParam<SightingCase>
+{
+};
+
+// Guards against columns of sightings that are read in another order or with other bits than they were written.
+TEST_P(SightingCodecTest, ReturnsWhatWasSent)
+{
+    NodeState state;
+    state.name = "e1";
+    state.heartbeat = 9;
+    state.openSlots = 300;
+    state.sightings = {{1, 2, false, false, 0}, GetParam().sighting};
+    state.introduced.push_back(NodeState{.name = "e3", .clientAddress = "10.0.0.3:1"});
+    capnp::MallocMessageBuilder message;
+    encode(state, message.initRoot<PeerWire::NodeState>());
+    const NodeState decoded = decode(message.getRoot<PeerWire::NodeState>().asReader());
+    EXPECT_EQ(decoded.heartbeat, state.heartbeat);
+    EXPECT_EQ(decoded.openSlots, state.openSlots);
+    ASSERT_EQ(decoded.sightings.size(), 2U);
+    const EntrySighting &sighting = decoded.sightings.back();
+    EXPECT_EQ(sighting.entry, GetParam().sighting.entry);
+    EXPECT_EQ(sighting.heartbeat, GetParam().sighting.heartbeat);
+    EXPECT_EQ(sighting.ready, GetParam().sighting.ready);
+    EXPECT_EQ(sighting.leaving, GetParam().sighting.leaving);
+    EXPECT_EQ(sighting.openSlots, GetParam().sighting.openSlots);
+    ASSERT_EQ(decoded.introduced.size(), 1U);
+    EXPECT_EQ(decoded.introduced.front().clientAddress, "10.0.0.3:1");
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, SightingCodecTest,
+                         testing::Values(SightingCase{"ready", {7, 8, true, false, 5}}, SightingCase{"leaving", {7, 8, false, true, 0}},
+                                         SightingCase{"both", {UINT32_MAX, UINT32_MAX, true, true, 255}}, SightingCase{"neither", {0, 0, false, false, 1}}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+// Guards against columns of different length from a faulty peer.
+TEST(SightingCodec, ReadsOnlyCompleteRows)
+{
+    capnp::MallocMessageBuilder message;
+    auto builder = message.initRoot<PeerWire::NodeState>();
+    builder.initSightedEntries(3);
+    builder.initSightedHeartbeats(1);
+    builder.initSightedStates(2);
+    EXPECT_EQ(decode(builder.asReader()).sightings.size(), 1U);
+}
+
+} // namespace
--- a/Tests/Processes/TestWholeAnswers.cpp
+++ b/Tests/Processes/TestWholeAnswers.cpp
@@ -104,6 +104,7 @@
     EXPECT_TRUE(load.waitForNewCalls(40, waitLimitMs));
     const std::vector<Harness::CallRecord> records = load.finish();
     std::vector<Harness::CallRecord> heldRecords;
+    heldRecords.reserve(held.size());
     for (HeldStream &stream : held) {
         heldRecords.push_back(finishStream(std::move(stream)));
     }
--- a/Tests/Services/Fleet/TestObjectFeeds.cpp
+++ b/Tests/Services/Fleet/TestObjectFeeds.cpp
@@ -215,4 +215,57 @@
     EXPECT_EQ(this->feeds.objects(ObjectKind::Upstreams, 49, true).objects.front().spec, "part of 1");
 }
 
+// Guards against a call to the store by each of hundreds of entries for each burst of changes, and against an entry that stops calling a store which has not
+// answered it yet.
+TEST_F(ObjectFeedsTest, LeavesTheStoreToOthersOnStandby)
+{
+    this->feeds.watchStore();
+    ASSERT_TRUE(this->waitForNames({"a", "b"}));
+    this->feeds.setWatching(false);
+    EXPECT_FALSE(this->feeds.watchesStore(ObjectKind::Upstreams));
+    // Ends the watch that is waiting.
+    this->source.change = {20, {{"c", "1", false}}};
+    ASSERT_TRUE(this->waitForNames({"a", "b", "c"}));
+    this->loop.sleep(this->loop.rootScope(), 400);
+    const int changesBefore = this->source.changesReturned;
+    this->source.change = {30, {{"d", "1", false}}};
+    this->loop.sleep(this->loop.rootScope(), 400);
+    EXPECT_EQ(this->source.changesReturned, changesBefore);
+    EXPECT_EQ(this->decoder.names, (std::vector<std::string>{"a", "b", "c"}));
+    this->feeds.accept(ObjectKind::Upstreams, {30, {{"d", "1", false}}}, "peer");
+    EXPECT_EQ(this->decoder.names, (std::vector<std::string>{"d"}));
+    this->feeds.setWatching(true);
+    this->source.change = {40, {{"e", "1", false}}};
+    EXPECT_TRUE(this->waitForNames({"d", "e"}));
+}
+
+TEST_F(ObjectFeedsTest, CallsAStoreThatHasNotAnsweredAlsoOnStandby)
+{
+    this->source.down = true;
+    this->feeds.watchStore();
+    this->feeds.setWatching(false);
+    ASSERT_TRUE(this->waitFor([&] { return this->feeds.storeLost(); }));
+    this->source.down = false;
+    EXPECT_TRUE(this->waitForNames({"a", "b"}));
+    EXPECT_TRUE(this->waitFor([&] { return !this->feeds.storeLost(); }));
+}
+
+// Guards against an upstream that is gone and stays in force in every process that got it from another one: the revision of the objects does not change when
+// the other process ends the grace.
+TEST_F(ObjectFeedsTest, EndsTheGraceOfUpstreamsThatAnotherProcessKeeps)
+{
+    NameDecoder peerDecoder;
+    LibFleet::FleetState peerFleet(this->loop.clock());
+    Fleet::ObjectFeeds peer(this->loop, this->source, peerDecoder, peerFleet);
+    this->feeds.watchStore();
+    ASSERT_TRUE(this->waitForNames({"a", "b"}));
+    ASSERT_TRUE(this->loseStore());
+    this->source.all = {30, {{"c", "1", false}}};
+    this->source.down = false;
+    ASSERT_TRUE(this->waitForNames({"a", "b", "c"}));
+    peer.accept(ObjectKind::Upstreams, this->feeds.objects(ObjectKind::Upstreams, 10, false), "first");
+    EXPECT_EQ(peerDecoder.names, (std::vector<std::string>{"a", "b", "c"}));
+    EXPECT_TRUE(this->waitFor([&] { return peerDecoder.names == std::vector<std::string>{"c"}; }));
+}
+
 } // namespace
--- a/Tests/Services/Fleet/TestPeerExchange.cpp
+++ b/Tests/Services/Fleet/TestPeerExchange.cpp
@@ -16,16 +16,18 @@
 class SlowSource final : public Fleet::ObjectSource
 {
 public:
-    SlowSource(LibFiber::Loop &loop, bool reachable)
+    SlowSource(LibFiber::Loop &loop, bool reachable, AK::Milliseconds listDuration = 1, int64_t listRevision = 1)
         : loop(loop)
         , reachable(reachable)
+        , listDuration(listDuration)
+        , listRevision(listRevision)
     {
     }
 
     absl::StatusOr<LibFleet::ObjectPage> list(kj::WaitScope &scope, ObjectKind) override
     {
-        this->loop.sleep(scope, 1);
-        return this->reachable ? absl::StatusOr<LibFleet::ObjectPage>(LibFleet::ObjectPage{1, {}}) : absl::UnavailableError("unreachable");
+        this->loop.sleep(scope, this->listDuration);
+        return this->reachable ? absl::StatusOr<LibFleet::ObjectPage>(LibFleet::ObjectPage{this->listRevision, {}}) : absl::UnavailableError("unreachable");
     }
     absl::StatusOr<LibFleet::ObjectPage> watch(kj::WaitScope &scope, ObjectKind kind, int64_t since) override
     {
@@ -45,6 +47,8 @@
 private:
     LibFiber::Loop &loop;
     bool reachable;
+    AK::Milliseconds listDuration;
+    int64_t listRevision;
 };
 
 class RecordingDecoder final : public Fleet::ObjectDecoder
@@ -168,4 +172,91 @@
                                          ReadCase{"store_delivers_it", false, true, {true, true, true}, 0, 0}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+// Guards against a change that waits for the next exchange, which another process may begin only half a second later.
+TEST(PeerExchange, ReadsAtOnceWhatAnotherEntryAnnounces)
+{
+    constexpr uint16_t otherPort = 17'691;
+    constexpr uint16_t ownPort = 17'692;
+    LibFiber::Loop loop;
+    LibFleet::FleetState fleet(loop.clock());
+    RecordingDecoder decoder;
+    SlowSource source(loop, false);
+    Fleet::ObjectFeeds feeds(loop, source, decoder, fleet);
+    OtherEntry other(loop, "e1", {"127.0.0.1", otherPort}, true);
+    Fleet::PeerExchange exchange(loop, {"self", "lima-1", "lima", {"127.0.0.1", ownPort}, AK::Endpoint{"127.0.0.1", 2}, {}}, feeds, fleet);
+    // Not started, so that it calls no other process of its own accord.
+    exchange.exchange(other.exchange({}));
+    constexpr AK::Milliseconds shorterThanAnInterval = 200;
+    const AK::Milliseconds until = loop.clock().now() + shorterThanAnInterval;
+    while (decoder.specs.empty() && loop.clock().now() < until) {
+        loop.sleep(loop.rootScope(), 1);
+    }
+    EXPECT_EQ(decoder.specs.size(), 1U);
+    EXPECT_EQ(other.reads, 1);
+    loop.cancelSpawned();
+}
+
+// Guards against a withdrawn key, or an upstream that has left, that is in use again after a restart: a peer that lags behind answered before the store.
+TEST(PeerExchange, PrefersTheStoreToAPeerAfterARestart)
+{
+    constexpr uint16_t otherPort = 17'693;
+    constexpr uint16_t ownPort = 17'694;
+    constexpr AK::Milliseconds listDuration = 150;
+    constexpr AK::Milliseconds longEnough = 700;
+    LibFiber::Loop loop;
+    LibFleet::FleetState fleet(loop.clock());
+    RecordingDecoder decoder;
+    SlowSource source(loop, true, listDuration, newest + 1);
+    Fleet::ObjectFeeds feeds(loop, source, decoder, fleet);
+    OtherEntry other(loop, "e1", {"127.0.0.1", otherPort}, true);
+    fleet.setEntries({{"e1", {"e1", other.address, {"127.0.0.1", 1}, "lima", "lima-1"}}});
+    Fleet::PeerExchange exchange(loop, {"self", "lima-1", "lima", {"127.0.0.1", ownPort}, AK::Endpoint{"127.0.0.1", 2}, {}}, feeds, fleet);
+    feeds.watchStore();
+    exchange.start();
+    loop.sleep(loop.rootScope(), longEnough);
+    EXPECT_EQ(other.reads, 0);
+    EXPECT_EQ(feeds.revision(ObjectKind::Configuration), newest + 1);
+    loop.cancelSpawned();
+}
+
+struct WatcherCase {
+    const char *name;
+    /// Other entries of the region, and whether each of them reaches the store.
+    std::vector<bool> reachStore;
+    /// How many of all entries of the region watch the store when each knows the others.
+    size_t watchers;
+};
+
+class StoreWatcherTest : public testing::TestWithParam<WatcherCase>
+{
+};
+
+// Guards against a region in which no entry watches the store, and against more than two that do.
+TEST_P(StoreWatcherTest, AreTwoEntriesThatReachTheStore)
+{
+    std::vector<LibFleet::EntryLocation> all;
+    std::vector<LibFleet::EntryLocation> reaching;
+    for (size_t i = 0; i < GetParam().reachStore.size(); ++i) {
+        all.push_back({"e" + std::to_string(i), "lima-1", "lima"});
+        if (GetParam().reachStore[i]) {
+            reaching.push_back(all.back());
+        }
+    }
+    size_t watchers = 0;
+    for (const LibFleet::EntryLocation &entry : reaching) {
+        std::vector<LibFleet::EntryLocation> others = reaching;
+        std::erase(others, entry);
+        others.push_back({"remote", "cusco-1", "cusco"});
+        watchers += LibFleet::watchesStore(entry, others, LibFleet::PartnerSettings{}) ? 1 : 0;
+    }
+    EXPECT_EQ(watchers, GetParam().watchers);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, StoreWatcherTest,
+                         testing::Values(WatcherCase{"alone", {true}, 1}, WatcherCase{"two", {true, true}, 2},
+                                         WatcherCase{"twelve", std::vector<bool>(12, true), 2},
+                                         WatcherCase{"most_are_refused", {false, false, true, false, true, false, true}, 2},
+                                         WatcherCase{"all_but_one_refused", {false, false, true}, 1}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
--- a/Tests/Services/Gateway/TestSlots.cpp
+++ b/Tests/Services/Gateway/TestSlots.cpp
@@ -223,4 +223,59 @@
     EXPECT_EQ(served, "i-2");
 }
 
+// Guards against an engine that has loaded the new weights and gets no calls of other entries until the store tells them, and against a call that requires the
+// old weights of it.
+TEST(Slots, TakeTheWeightsThatTheOwnerHasSeen)
+{
+    constexpr AK::Milliseconds longAgo = 60'000;
+    SlotSite site;
+    site.fleet.setWeightsTargets({{"m", 2}}, longAgo);
+    EXPECT_EQ(upstreamOf(site.acquire(site.first, site.requirements())), "") << "the registrations name the old version";
+    LibPeers::EngineReport report;
+    report.upstream = "10.0.0.1:2";
+    report.weightsVersion = 2;
+    site.second.recordReport(report);
+    kj::Maybe<kj::Own<Grant>> grant = site.acquire(site.first, site.requirements());
+    ASSERT_EQ(upstreamOf(grant), "i-2");
+    EXPECT_EQ(KJ_ASSERT_NONNULL(grant)->weightsVersion(), 2);
+}
+
+struct OpenSlotsCase {
+    const char *name;
+    std::map<std::string, int> openSlots;
+    std::string expected;
+};
+
+class OpenSlotsTest : public testing::TestWithParam<OpenSlotsCase>
+{
+};
+
+// Guards against requests to owners that have said that their engines are full: in an overload each call would ask three of them.
+TEST_P(OpenSlotsTest, DecideWhetherAnOwnerIsAsked)
+{
+    SlotSite site;
+    const kj::Own<Grant> own = site.hold(site.first);
+    site.first.setOpenSlots(GetParam().openSlots);
+    EXPECT_EQ(upstreamOf(site.acquire(site.first, site.requirements())), GetParam().expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, OpenSlotsTest,
+                         testing::Values(OpenSlotsCase{"not_stated", {}, "i-2"}, OpenSlotsCase{"some", {{"e2", 3}}, "i-2"},
+                                         OpenSlotsCase{"none", {{"e2", 0}}, "i-1"}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+// Guards against an entry that offers slots it does not have.
+TEST(Slots, AreCountedAtTheEnginesOfTheEntry)
+{
+    SlotSite site;
+    EXPECT_EQ(site.first.openSlots(), 4);
+    const kj::Own<Grant> own = site.hold(site.first);
+    // Counts are made again after some time.
+    site.loop.sleep(site.loop.rootScope(), shortWait);
+    EXPECT_EQ(site.first.openSlots(), 3);
+    site.fleet.setEvacuations({"lima-1"});
+    site.loop.sleep(site.loop.rootScope(), shortWait);
+    EXPECT_EQ(site.first.openSlots(), 0);
+}
+
 } // namespace
--- a/Userland/Libraries/LibFleet/ObjectFeed.cpp
+++ b/Userland/Libraries/LibFleet/ObjectFeed.cpp
@@ -11,7 +11,7 @@
     this->revision = page.revision;
     std::map<std::string, std::string> replacement;
     for (const StoredObject &object : page.objects) {
-        if (!object.deleted) {
+        if (!object.deleted && !object.lapsed) {
             replacement[object.name] = object.spec;
         }
     }
--- a/Userland/Libraries/LibFleet/ObjectFeed.h
+++ b/Userland/Libraries/LibFleet/ObjectFeed.h
@@ -30,6 +30,8 @@
     std::string name;
     std::string spec;
     bool deleted = false;
+    /// Sent between processes: no longer in the store, and kept in force only until expiredLeaseGrace has passed.
+    bool lapsed = false;
 };
 
 /// All objects of a kind, or only those that have changed, up to `revision`.
--- a/Userland/Libraries/LibGateway/Placement.cpp
+++ b/Userland/Libraries/LibGateway/Placement.cpp
@@ -1,6 +1,5 @@
 #include <LibGateway/Placement.h>
 
-#include <AK/Hash.h>
 #include <algorithm>
 
 namespace LibGateway
@@ -99,19 +98,10 @@
     return chosen;
 }
 
-std::string preferredEntry(const std::string &upstream, const std::string &failureDomain, const std::vector<EntryLocation> &entries)
+std::string preferredEntry(const std::string &upstream, const std::string &failureDomain, const std::vector<LibFleet::EntryLocation> &entries)
 {
-    const bool anyInDomain = std::any_of(entries.begin(), entries.end(), [&](const EntryLocation &entry) { return entry.failureDomain == failureDomain; });
-    const EntryLocation *preferred = nullptr;
-    uint64_t greatestWeight = 0;
-    for (const EntryLocation &entry : entries) {
-        const uint64_t weight = AK::rendezvousWeight(upstream, entry.name);
-        if ((!anyInDomain || entry.failureDomain == failureDomain) && (preferred == nullptr || weight > greatestWeight)) {
-            preferred = &entry;
-            greatestWeight = weight;
-        }
-    }
-    return preferred == nullptr ? "" : preferred->name;
+    const std::vector<LibFleet::EntryLocation> ranked = LibFleet::rankOwners(upstream, failureDomain, entries);
+    return ranked.empty() ? "" : ranked.front().name;
 }
 
 int64_t requiredWeightsVersion(const std::vector<LibFleet::WeightsTarget> &targets, AK::Milliseconds now, AK::Milliseconds weightsSwitchDelay)
--- a/Userland/Libraries/LibGateway/Placement.h
+++ b/Userland/Libraries/LibGateway/Placement.h
@@ -2,6 +2,7 @@
 
 #include <AK/Random.h>
 #include <LibFleet/FleetState.h>
+#include <LibFleet/Partners.h>
 #include <LibPeers/PeerRecords.h>
 #include <optional>
 #include <vector>
@@ -99,18 +100,10 @@
 std::optional<size_t> chooseUpstream(const std::vector<PlacementCandidate> &candidates, double prefillMs, bool ignoreBacklog, const PlacementSettings &settings,
                                      AK::Random &random);
 
-/// An entry that may prefer upstreams, and where it runs.
-struct EntryLocation {
-    std::string name;
-    std::string failureDomain;
-
-    bool operator==(const EntryLocation &) const = default;
-};
-
-/// The entry that prefers an upstream: one in its failure domain if there is any, else one of all, chosen by rendezvous hash; empty without entries. Entries
+/// The entry that prefers an upstream, the first of LibFleet::rankOwners(); empty without entries. Entries
 /// learn of each other's calls with a delay; with one preferred entry per upstream, most of its calls come from an entry that knows them all. Load pattern:
 /// several entries choose the same least loaded upstream at once.
-std::string preferredEntry(const std::string &upstream, const std::string &failureDomain, const std::vector<EntryLocation> &entries);
+std::string preferredEntry(const std::string &upstream, const std::string &failureDomain, const std::vector<LibFleet::EntryLocation> &entries);
 
 /// The oldest weights version that may serve new calls now, 0 for any: the newest one that has been known for `weightsSwitchDelay` ms or longer. Load pattern:
 /// a version is announced before its predecessor has arrived, and the predecessor's delay still counts.
--- a/Userland/Libraries/LibPeers/PeerClient.cpp
+++ b/Userland/Libraries/LibPeers/PeerClient.cpp
@@ -171,7 +171,7 @@
             LibFleet::ObjectPage page;
             page.revision = response.getRevision();
             for (const auto object : response.getObjects()) {
-                page.objects.push_back({std::string(object.getName().cStr()), toBytes(object.getSpec()), false});
+                page.objects.push_back({std::string(object.getName().cStr()), toBytes(object.getSpec()), false, object.getLapsed()});
             }
             return page;
         });
@@ -227,7 +227,7 @@
             if (upstream.empty()) {
                 return nullptr;
             }
-            return OfferedSlot{std::move(upstream), kj::heap<RemoteSlot>(kj::mv(connection), response.getPlace())};
+            return OfferedSlot{std::move(upstream), kj::heap<RemoteSlot>(kj::mv(connection), response.getPlace()), response.getWeightsVersion()};
         });
 }
 
--- a/Userland/Libraries/LibPeers/PeerRecords.h
+++ b/Userland/Libraries/LibPeers/PeerRecords.h
@@ -7,6 +7,7 @@
 #include <kj/memory.h>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace LibPeers
@@ -31,6 +32,22 @@
     int64_t startTime = 0;
 };
 
+/// What one entry tells another about a third one.
+struct EntrySighting {
+    /// entryHash() of its name.
+    uint32_t entry = 0;
+    /// Newest heartbeat that the sender knows of.
+    uint32_t heartbeat = 0;
+    bool ready = false;
+    bool leaving = false;
+    /// Calls that the engines which the entry owns could take, at most 255.
+    uint8_t openSlots = 0;
+    bool storeLost = false;
+};
+
+/// Names an entry in sightings. Two of 1,000 entries have the same hash in one of 8,600 deployments; these two are then taken for each other.
+uint32_t entryHash(std::string_view name);
+
 /// State that processes send each other in each exchange.
 struct NodeState {
     std::string name;
@@ -43,6 +60,16 @@
     /// Store revision at which the known objects last changed, by kind of object.
     std::array<int64_t, LibFleet::objectKindCount> revisions{};
     std::optional<EngineReport> engine;
+    /// Entries: grows while the process runs, modulo 2^32.
+    uint32_t heartbeat = 0;
+    /// Entries: calls that the engines which this entry owns can take now.
+    uint16_t openSlots = 0;
+    /// Entries: the store does not answer this process.
+    bool storeLost = false;
+    /// Between entries: what the sender knows of the others that are alive.
+    std::vector<EntrySighting> sightings;
+    /// Between entries: those of `sightings` that the store does not list; without sightings of their own.
+    std::vector<NodeState> introduced;
 };
 
 /// Asks for a slot at an upstream that another entry owns.
@@ -75,6 +102,8 @@
     /// Id of the upstream.
     std::string upstream;
     kj::Own<HeldSlot> slot;
+    /// Version of the weights that the owner has seen at the engine, 0 when unknown.
+    int64_t weightsVersion = 0;
 };
 
 /// Offers slots at the upstreams of this entry to calls of other entries.
--- a/Userland/Libraries/LibPeers/PeerServer.cpp
+++ b/Userland/Libraries/LibPeers/PeerServer.cpp
@@ -72,6 +72,7 @@
         for (capnp::uint i = 0; i < objects.size(); ++i) {
             objects[i].setName(page.objects[i].name.c_str());
             objects[i].setSpec(asData(page.objects[i].spec));
+            objects[i].setLapsed(page.objects[i].lapsed);
         }
         return kj::READY_NOW;
     }
@@ -120,6 +121,7 @@
         auto offered = this->slots->offerSlot(request);
         KJ_IF_MAYBE (offer, offered) {
             context.getResults().setUpstream(offer->upstream.c_str());
+            context.getResults().setWeightsVersion(offer->weightsVersion);
             context.getResults().setPlace(kj::heap<SlotImplementation>(kj::mv(offer->slot)));
         }
         return kj::READY_NOW;
--- a/Userland/Libraries/LibPeers/WireCodec.cpp
+++ b/Userland/Libraries/LibPeers/WireCodec.cpp
@@ -1,5 +1,8 @@
 #include <LibPeers/WireCodec.h>
 
+#include <AK/Hash.h>
+#include <algorithm>
+
 namespace LibPeers
 {
 
@@ -30,8 +33,54 @@
             reader.getKvTotal(),          reader.getPace(),           reader.getSwitching(), reader.getBorn()};
 }
 
+constexpr uint16_t openSlotsMask = 0xff;
+constexpr uint16_t readyBit = 0x100;
+constexpr uint16_t leavingBit = 0x200;
+constexpr uint16_t storeLostBit = 0x400;
+
+uint16_t stateBits(const EntrySighting &sighting)
+{
+    const int bits = sighting.openSlots | (sighting.ready ? readyBit : 0) | (sighting.leaving ? leavingBit : 0) | (sighting.storeLost ? storeLostBit : 0);
+    return static_cast<uint16_t>(bits);
+}
+
+void encodeSightings(const std::vector<EntrySighting> &sightings, PeerWire::NodeState::Builder builder)
+{
+    const auto count = static_cast<capnp::uint>(sightings.size());
+    auto entries = builder.initSightedEntries(count);
+    auto heartbeats = builder.initSightedHeartbeats(count);
+    auto states = builder.initSightedStates(count);
+    for (capnp::uint i = 0; i < count; ++i) {
+        const EntrySighting &sighting = sightings[i];
+        entries.set(i, sighting.entry);
+        heartbeats.set(i, sighting.heartbeat);
+        states.set(i, stateBits(sighting));
+    }
+}
+
+std::vector<EntrySighting> decodeSightings(PeerWire::NodeState::Reader reader)
+{
+    const auto entries = reader.getSightedEntries();
+    const auto heartbeats = reader.getSightedHeartbeats();
+    const auto states = reader.getSightedStates();
+    std::vector<EntrySighting> sightings;
+    const capnp::uint count = std::min({entries.size(), heartbeats.size(), states.size()});
+    sightings.reserve(count);
+    for (capnp::uint i = 0; i < count; ++i) {
+        const uint16_t state = states[i];
+        sightings.push_back({entries[i], heartbeats[i], (state & readyBit) != 0, (state & leavingBit) != 0, static_cast<uint8_t>(state & openSlotsMask),
+                             (state & storeLostBit) != 0});
+    }
+    return sightings;
+}
+
 } // namespace
 
+uint32_t entryHash(std::string_view name)
+{
+    return static_cast<uint32_t>(AK::stableHash(name));
+}
+
 void encode(const NodeState &state, PeerWire::NodeState::Builder builder)
 {
     builder.setName(state.name.c_str());
@@ -48,6 +97,18 @@
     if (state.engine) {
         encodeEngine(*state.engine, builder.initEngine());
     }
+    builder.setHeartbeat(state.heartbeat);
+    builder.setOpenSlots(state.openSlots);
+    builder.setStoreLost(state.storeLost);
+    if (!state.sightings.empty()) {
+        encodeSightings(state.sightings, builder);
+    }
+    if (!state.introduced.empty()) {
+        auto introduced = builder.initIntroduced(static_cast<capnp::uint>(state.introduced.size()));
+        for (capnp::uint i = 0; i < introduced.size(); ++i) {
+            encode(state.introduced[i], introduced[i]);
+        }
+    }
 }
 
 NodeState decode(PeerWire::NodeState::Reader reader)
@@ -66,6 +127,13 @@
     if (reader.getHasEngine()) {
         state.engine = decodeEngine(reader.getEngine());
     }
+    state.heartbeat = reader.getHeartbeat();
+    state.openSlots = reader.getOpenSlots();
+    state.storeLost = reader.getStoreLost();
+    state.sightings = decodeSightings(reader);
+    for (const auto introduced : reader.getIntroduced()) {
+        state.introduced.push_back(decode(introduced));
+    }
     return state;
 }
 
--- a/Userland/Libraries/LibPeers/peers.capnp
+++ b/Userland/Libraries/LibPeers/peers.capnp
@@ -26,11 +26,20 @@
   hasEngine @6 :Bool;
   engine @7 :EngineReport;
   failureDomain @8 :Text;
+  heartbeat @9 :UInt32;       # entries: grows while the process runs
+  openSlots @10 :UInt16;      # entries: calls that the engines which the entry owns can take now
+  # What an entry tells another one about the rest, in columns of equal length.
+  sightedEntries @11 :List(UInt32);     # low 32 bits of the hash of each name
+  sightedHeartbeats @12 :List(UInt32);
+  sightedStates @13 :List(UInt16);      # open slots in the low byte, 0x100 ready, 0x200 leaving, 0x400 store lost
+  introduced @14 :List(NodeState);      # entries among the sighted ones that the store does not list
+  storeLost @15 :Bool;        # entries: the store does not answer this process
 }
 
 struct StoredObject {
   name @0 :Text;
   spec @1 :Data;
+  lapsed @2 :Bool;            # no longer in the store; in force until it would have registered again
 }
 
 # Asks for a slot (`place` on the wire) at an upstream that the other entry owns.
@@ -60,6 +69,6 @@
   heldChunks @3 (model :Text, version :Int64) -> (held :Data);
   # Empty when the peer does not hold the chunk or when too many bytes already wait for upload bandwidth.
   chunk @4 (model :Text, version :Int64, index :UInt32) -> (data :Data);
-  # Returns an empty upstream when no slot is free; never waits.
-  place @5 (request :PlaceRequest) -> (upstream :Text, place :Place);
+  # Returns an empty upstream when no slot is free; never waits. `weightsVersion` is the version that the engine has loaded, 0 when unknown.
+  place @5 (request :PlaceRequest) -> (upstream :Text, place :Place, weightsVersion :Int64);
 }
--- a/Userland/Services/Fleet/ObjectFeeds.h
+++ b/Userland/Services/Fleet/ObjectFeeds.h
@@ -3,6 +3,7 @@
 #include <Fleet/ObjectSource.h>
 #include <LibFleet/ObjectFeed.h>
 #include <array>
+#include <functional>
 
 namespace Fleet
 {
@@ -16,12 +17,25 @@
     /// Starts one fiber for each kind of objects, which lists and watches them in the store.
     void watchStore();
 
+    /// Sets whether this process watches the store or gets the changes from others. It always lists what it does not know yet, and goes on to call a store that
+    /// has not answered until it does.
+    void setWatching(bool active);
+
+    /// Whether the store did not answer the last call for any kind of objects.
+    bool storeLost() const;
+
+    /// Registers a function that is called when the objects of a kind have changed.
+    void onChange(std::function<void()> observer);
+
     /// Lists every kind once. For a process that reaches no other process.
     void refreshFromStore(kj::WaitScope &scope);
 
     /// Whether this process gets the changes of a kind from the store itself.
     bool watchesStore(LibFleet::ObjectKind kind) const;
 
+    /// Whether the first answer of the store for a kind is still under way.
+    bool awaitsFirstList(LibFleet::ObjectKind kind) const;
+
     /// All changes up to this revision of the store are known.
     int64_t revision(LibFleet::ObjectKind kind) const;
     /// Revision at which the objects of a kind last changed.
@@ -48,7 +62,11 @@
     const Feed &feed(LibFleet::ObjectKind kind) const;
     void followStore(kj::WaitScope &scope, LibFleet::ObjectKind kind);
     absl::Status readOnce(kj::WaitScope &scope, LibFleet::ObjectKind kind);
-    void publish(LibFleet::ObjectKind kind, bool fromStore);
+    void publish(LibFleet::ObjectKind kind, std::map<std::string, std::string> inForce);
+    /// Publishes the objects of the store, with upstreams whose leases expired in an outage.
+    void publishFromStore(LibFleet::ObjectKind kind);
+    /// Ends the time in which upstreams whose leases expired stay in force.
+    void endGraceLater();
     void noteStoreStatus(LibFleet::ObjectKind kind, const absl::Status &status);
 
     LibFiber::Loop &loop;
@@ -57,7 +75,9 @@
     LibFleet::FleetState &state;
     std::array<Feed, LibFleet::objectKindCount> feeds;
     LibFleet::ExpiredLeases expiredLeases;
-    bool watching = false;
+    bool started = false;
+    bool watchActive = true;
+    std::function<void()> changeObserver;
     LibLog::Logger logger{"feeds"};
 };
 
--- a/Userland/Services/Fleet/PeerExchange.cpp
+++ b/Userland/Services/Fleet/PeerExchange.cpp
@@ -17,13 +17,22 @@
 constexpr AK::Milliseconds exclusiveReadTime = 400;
 // Newer objects are read over the links between regions only when no process of the own region has them this long after they were announced.
 constexpr AK::Milliseconds sameRegionWait = 400;
-constexpr AK::Milliseconds sameRegionMaxAge = 1'000;
+// Entries without news for this long are not taken for partners.
+constexpr AK::Milliseconds liveMaxAge = 1'000;
 // A process that watches the store reads newer objects from another process only after this time: the watch delivers just the change, another process sends
 // all objects.
 constexpr AK::Milliseconds storeWatchWait = 500;
-constexpr AK::Milliseconds discoveryInterval = 500;
-// An entry that has not answered for this long is no longer contacted unless the store lists it.
-constexpr AK::Milliseconds forgetAfter = 30'000;
+// Interval of the heartbeat and of the choice of partners.
+constexpr AK::Milliseconds partnerInterval = 250;
+// Nobody can have news of an entry that was registered less than this ago.
+constexpr AK::Milliseconds newEntryTime = 2'500;
+// Seeds are tried while no entry has been heard for this long.
+constexpr AK::Milliseconds seedMaxAge = 1'500;
+constexpr AK::Milliseconds minPushInterval = 50;
+// Agents read lists of upstreams and of entries, which change in bursts, at this interval.
+constexpr AK::Milliseconds agentListInterval = 1'000;
+// Connections that stay open for reading announced objects; about as many entries exchange with this one.
+constexpr size_t maxPullLinks = 16;
 
 } // namespace
 
@@ -32,6 +41,8 @@
     , settings(std::move(settings))
     , feeds(feeds)
     , state(state)
+    , views(this->settings.name, loop.clock(), state)
+    , random(AK::seededFromSystem())
     , woken(nullptr)
 {
     auto paf = kj::newPromiseAndFulfiller<void>();
@@ -43,7 +54,10 @@
 
 void PeerExchange::start()
 {
-    this->loop.spawn([this](kj::WaitScope &scope) { this->discoverEntries(scope); });
+    if (this->settings.clientAddress) {
+        this->feeds.onChange([this] { this->pushObjects(); });
+    }
+    this->loop.spawn([this](kj::WaitScope &scope) { this->followPartners(scope); });
 }
 
 void PeerExchange::setSeeds(std::vector<AK::Endpoint> seeds)
@@ -63,54 +77,131 @@
 
 std::map<std::string, EntryView> PeerExchange::liveEntries(AK::Milliseconds maxAge) const
 {
-    std::map<std::string, EntryView> live;
-    const AK::Milliseconds now = this->loop.clock().now();
-    for (const auto &[name, view] : this->entryViews) {
-        if (now - view.lastSeenAt <= maxAge) {
-            live.emplace(name, view);
-        }
-    }
-    return live;
+    return this->views.live(maxAge);
 }
 
 void PeerExchange::pushNow()
 {
+    ++this->pushes;
+    this->wakePartners();
+}
+
+void PeerExchange::pushObjects()
+{
+    this->wakePartners();
+}
+
+void PeerExchange::wakePartners()
+{
+    const AK::Milliseconds now = this->loop.clock().now();
+    if (now - this->wokenAt < minPushInterval) {
+        if (!this->pushPending) {
+            this->pushPending = true;
+            this->loop.spawn([this](kj::WaitScope &scope) {
+                this->loop.sleep(scope, minPushInterval);
+                this->pushPending = false;
+                this->wakePartners();
+            });
+        }
+        return;
+    }
+    this->wokenAt = now;
     auto paf = kj::newPromiseAndFulfiller<void>();
     this->wakeUp->fulfill();
     this->wakeUp = kj::mv(paf.fulfiller);
     this->woken = paf.promise.fork();
 }
 
-LibPeers::NodeState PeerExchange::ownState() const
+EntryViews::Revisions PeerExchange::ownRevisions() const
+{
+    EntryViews::Revisions revisions{};
+    for (const auto &row : LibFleet::objectKindNames) {
+        revisions[static_cast<size_t>(row.value)] = this->feeds.changedAt(row.value);
+    }
+    return revisions;
+}
+
+LibPeers::NodeState PeerExchange::ownState(bool forEntry)
 {
     LibPeers::NodeState own;
     own.name = this->settings.name;
     own.failureDomain = this->settings.failureDomain;
     own.rpcAddress = this->settings.rpcAddress.text();
     own.clientAddress = this->settings.clientAddress ? this->settings.clientAddress->text() : "";
-    for (const auto &row : LibFleet::objectKindNames) {
-        own.revisions[static_cast<size_t>(row.value)] = this->feeds.changedAt(row.value);
-    }
+    own.revisions = this->ownRevisions();
     if (this->completeState) {
         this->completeState(own);
     }
+    if (!this->settings.clientAddress) {
+        return own;
+    }
+    own.storeLost = this->feeds.storeLost();
+    if (const Announcement current{own.ready, own.leaving, own.storeLost}; current != this->announced) {
+        this->announced = current;
+        this->views.beat();
+    }
+    own.heartbeat = this->views.heartbeat();
+    if (forEntry) {
+        this->views.addSightings(own, liveMaxAge);
+    }
     return own;
 }
 
-void PeerExchange::noteState(const LibPeers::NodeState &peer)
+void PeerExchange::record(const LibPeers::NodeState &peer)
 {
-    if (!peer.clientAddress.empty()) {
-        this->entryViews[peer.name] = {peer, this->loop.clock().now()};
-    }
+    const bool stopped = this->views.record(peer);
     if (peer.engine && this->reportObserver) {
         this->reportObserver(*peer.engine);
     }
+    if (stopped) {
+        this->pushNow();
+    }
 }
 
 LibPeers::NodeState PeerExchange::exchange(const LibPeers::NodeState &from)
 {
-    this->noteState(from);
-    return this->ownState();
+    this->record(from);
+    if (!from.clientAddress.empty() && this->hasNewer(from)) {
+        this->pullSoon(from);
+    }
+    return this->ownState(!from.clientAddress.empty());
+}
+
+bool PeerExchange::hasNewer(const LibPeers::NodeState &peer) const
+{
+    return std::any_of(LibFleet::objectKindNames.begin(), LibFleet::objectKindNames.end(),
+                       [&](const auto &row) { return peer.revisions[static_cast<size_t>(row.value)] > this->feeds.revision(row.value); });
+}
+
+void PeerExchange::pullSoon(const LibPeers::NodeState &peer)
+{
+    const absl::StatusOr<AK::Endpoint> address = AK::parseEndpoint(peer.rpcAddress);
+    if (!address.ok()) {
+        return;
+    }
+    if (this->pullLinks.size() >= maxPullLinks && !this->pullLinks.contains(peer.rpcAddress)) {
+        this->pullLinks.clear();
+    }
+    std::shared_ptr<LibPeers::PeerClient> &link = this->pullLinks[peer.rpcAddress];
+    if (!link) {
+        link = std::make_shared<LibPeers::PeerClient>(this->loop, *address);
+    }
+    const auto record = this->state.entries().find(peer.name);
+    const bool inOtherRegion = record != this->state.entries().end() && record->second.region != this->settings.region;
+    this->loop.spawn([this, link, peer, inOtherRegion](kj::WaitScope &scope) { this->pullNewer(scope, *link, peer, inOtherRegion); });
+}
+
+void PeerExchange::chooseStoreWatchers()
+{
+    std::vector<LibFleet::EntryLocation> reachingStore;
+    for (const auto &[name, view] : this->views.live(liveMaxAge)) {
+        const auto record = this->state.entries().find(name);
+        if (record != this->state.entries().end() && view.state.ready && !view.state.leaving && !view.state.storeLost) {
+            reachingStore.push_back({name, record->second.failureDomain, record->second.region});
+        }
+    }
+    const LibFleet::EntryLocation self{this->settings.name, this->settings.failureDomain, this->settings.region};
+    this->feeds.setWatching(LibFleet::watchesStore(self, reachingStore, this->settings.partners));
 }
 
 LibFleet::ObjectPage PeerExchange::objects(LibFleet::ObjectKind kind, int64_t newerThan, bool agentPart)
@@ -118,77 +209,144 @@
     return this->feeds.objects(kind, newerThan, agentPart);
 }
 
-bool PeerExchange::isInOtherRegion(const AK::Endpoint &address) const
+std::vector<LibFleet::EntryLocation> PeerExchange::entriesTakenAsAlive()
 {
-    const auto &entries = this->state.entries();
-    const auto found = std::find_if(entries.begin(), entries.end(), [&](const auto &entry) { return entry.second.rpcAddress == address; });
-    return found != entries.end() && found->second.region != this->settings.region;
+    const AK::Milliseconds now = this->loop.clock().now();
+    std::vector<LibFleet::EntryLocation> entries;
+    for (const auto &[name, record] : this->state.entries()) {
+        const AK::Milliseconds since = this->registeredSince.try_emplace(name, now).first->second;
+        if (name != this->settings.name && (now - since < newEntryTime || this->views.isLive(name, liveMaxAge))) {
+            entries.push_back({name, record.failureDomain, record.region});
+        }
+    }
+    std::erase_if(this->registeredSince, [&](const auto &item) { return !this->state.entries().contains(item.first); });
+    return entries;
 }
 
-bool PeerExchange::hasLiveEntryInRegion() const
+std::string PeerExchange::engineId() const
 {
-    const auto live = this->liveEntries(sameRegionMaxAge);
-    return std::any_of(live.begin(), live.end(), [&](const auto &view) {
-        const auto record = this->state.entries().find(view.first);
-        return record != this->state.entries().end() && record->second.region == this->settings.region;
-    });
+    for (const auto &[id, record] : this->state.upstreams()) {
+        if (this->settings.engineAddress && record.address == *this->settings.engineAddress) {
+            return id;
+        }
+    }
+    return "";
 }
 
-AK::Milliseconds PeerExchange::intervalTo(const AK::Endpoint &address) const
+std::map<std::string, PeerExchange::Partner> PeerExchange::choosePartners()
 {
-    return this->isInOtherRegion(address) ? this->settings.crossRegionInterval : this->settings.interval;
+    const LibFleet::EntryLocation self{this->settings.name, this->settings.failureDomain, this->settings.region};
+    const std::vector<LibFleet::EntryLocation> alive = this->entriesTakenAsAlive();
+    const std::vector<std::string> names = this->settings.clientAddress ? LibFleet::partnersOfEntry(self, alive, this->settings.partners)
+                                                                        : LibFleet::partnersOfAgent(self, this->engineId(), alive, this->settings.partners);
+    std::map<std::string, Partner> chosen;
+    for (const std::string &name : names) {
+        const LibFleet::EntryRecord &record = this->state.entries().at(name);
+        const bool inOtherRegion = record.region != this->settings.region;
+        AK::Milliseconds interval = inOtherRegion ? this->settings.crossRegionInterval : this->settings.interval;
+        if (!this->settings.clientAddress) {
+            interval = name == names.front() ? this->settings.interval : this->settings.standbyInterval;
+        }
+        chosen.emplace(record.rpcAddress.text(), Partner{name, record.rpcAddress, inOtherRegion, interval});
+    }
+    if (chosen.empty() || this->views.live(seedMaxAge).empty()) {
+        for (const AK::Endpoint &seed : this->settings.seeds) {
+            chosen.emplace(seed.text(), Partner{"", seed, false, this->settings.crossRegionInterval});
+        }
+    }
+    chosen.erase(this->settings.rpcAddress.text());
+    return chosen;
 }
 
-bool PeerExchange::isKnownEntry(const AK::Endpoint &address) const
+void PeerExchange::probeSilentEntry()
 {
-    const auto &entries = this->state.entries();
-    if (std::any_of(entries.begin(), entries.end(), [&](const auto &entry) { return entry.second.rpcAddress == address; })) {
-        return true;
+    std::vector<Partner> silent;
+    for (const auto &[name, record] : this->state.entries()) {
+        if (name != this->settings.name && !this->activeAddresses.contains(record.rpcAddress.text()) && !this->views.isLive(name, liveMaxAge)) {
+            silent.push_back({name, record.rpcAddress, record.region != this->settings.region, 0});
+        }
     }
-    const AK::Milliseconds now = this->loop.clock().now();
-    return std::any_of(this->entryViews.begin(), this->entryViews.end(),
-                       [&](const auto &entry) { return entry.second.state.rpcAddress == address.text() && now - entry.second.lastSeenAt < forgetAfter; });
+    if (silent.empty()) {
+        return;
+    }
+    this->loop.spawn([this, partner = silent[AK::uniformBelow(this->random, silent.size())]](kj::WaitScope &scope) {
+        LibPeers::PeerClient link(this->loop, partner.address);
+        (void)this->exchangeOnce(scope, link, partner, unreachedTimeout);
+    });
 }
 
-void PeerExchange::discoverEntries(kj::WaitScope &scope)
+void PeerExchange::followPartners(kj::WaitScope &scope)
 {
-    while (true) {
-        std::vector<AK::Endpoint> addresses = this->settings.seeds;
-        for (const auto &[name, entry] : this->state.entries()) {
-            addresses.push_back(entry.rpcAddress);
+    constexpr int roundsBetweenProbes = 4;
+    for (int round = 0;; ++round) {
+        this->views.beat();
+        this->partners = this->choosePartners();
+        if (this->settings.clientAddress) {
+            this->chooseStoreWatchers();
         }
-        for (const AK::Endpoint &address : addresses) {
-            if (!(address == this->settings.rpcAddress) && this->activeAddresses.insert(address.text()).second) {
-                this->loop.spawn([this, address](kj::WaitScope &inner) { this->exchangeWith(inner, address); });
+        for (const auto &[address, partner] : this->partners) {
+            if (this->activeAddresses.insert(address).second) {
+                this->loop.spawn([this, partner = partner](kj::WaitScope &inner) { this->exchangeWith(inner, partner); });
             }
         }
-        this->loop.sleep(scope, discoveryInterval);
+        if (round % roundsBetweenProbes == 0) {
+            this->probeSilentEntry();
+        }
+        this->loop.sleep(scope, partnerInterval);
+    }
+}
+
+absl::Status PeerExchange::exchangeOnce(kj::WaitScope &scope, LibPeers::PeerClient &link, const Partner &partner, AK::Milliseconds timeout)
+{
+    const absl::StatusOr<LibPeers::NodeState> peer =
+        link.exchange(scope, this->ownState(this->settings.clientAddress.has_value()), this->loop.clock().now() + timeout);
+    if (peer.ok()) {
+        this->record(*peer);
+        this->pullNewer(scope, link, *peer, partner.inOtherRegion);
     }
+    return peer.status();
 }
 
-void PeerExchange::exchangeWith(kj::WaitScope &scope, const AK::Endpoint &address)
+void PeerExchange::exchangeWith(kj::WaitScope &scope, const Partner &partner)
 {
-    LibPeers::PeerClient link(this->loop, address);
-    AK::Milliseconds answeredAt = this->loop.clock().now();
+    const std::string address = partner.address.text();
+    LibPeers::PeerClient link(this->loop, partner.address);
     bool reached = false;
-    while (this->isKnownEntry(address) || this->loop.clock().now() - answeredAt < forgetAfter) {
-        const absl::StatusOr<LibPeers::NodeState> peer =
-            link.exchange(scope, this->ownState(), this->loop.clock().now() + (reached ? callTimeout : unreachedTimeout));
-        if (peer.ok() != reached) {
-            reached = peer.ok();
-            this->logger.info(reached ? "peer_reached" : "peer_lost", {{"address", address.text()}, {"reason", std::string(peer.status().message())}});
+    const auto isStillPartner = [&] {
+        const auto found = this->partners.find(address);
+        return found != this->partners.end() && found->second == partner;
+    };
+    while (isStillPartner()) {
+        const uint64_t sentPushes = this->pushes;
+        const absl::Status status = this->exchangeOnce(scope, link, partner, reached ? callTimeout : unreachedTimeout);
+        if (status.ok() != reached) {
+            reached = status.ok();
+            this->logger.info(reached ? "peer_reached" : "peer_lost", {{"address", address}, {"reason", std::string(status.message())}});
         }
-        if (peer.ok()) {
-            answeredAt = this->loop.clock().now();
-            this->noteState(*peer);
-            this->pullNewer(scope, link, *peer);
+        if (!status.ok()) {
+            this->views.recordFailure(address);
+        }
+        this->waitForTurn(scope, partner, reached ? partner.interval : unreachedInterval, sentPushes);
+    }
+    this->activeAddresses.erase(address);
+}
+
+void PeerExchange::waitForTurn(kj::WaitScope &scope, const Partner &partner, AK::Milliseconds interval, uint64_t sentPushes)
+{
+    const AK::Milliseconds until = this->loop.clock().now() + interval;
+    while (this->pushes == sentPushes) {
+        const AK::Milliseconds left = until - this->loop.clock().now();
+        if (left <= 0) {
+            return;
+        }
+        this->loop.after(left).exclusiveJoin(this->woken.addBranch()).wait(scope);
+        if (!this->views.hasRevisions(partner.name, this->ownRevisions())) {
+            return;
         }
-        this->loop.after(reached ? this->intervalTo(address) : unreachedInterval).exclusiveJoin(this->woken.addBranch()).wait(scope);
     }
-    this->activeAddresses.erase(address.text());
 }
 
-void PeerExchange::pullNewer(kj::WaitScope &scope, LibPeers::PeerClient &link, const LibPeers::NodeState &peer)
+void PeerExchange::pullNewer(kj::WaitScope &scope, LibPeers::PeerClient &link, const LibPeers::NodeState &peer, bool inOtherRegion)
 {
     for (const auto &row : LibFleet::objectKindNames) {
         const int64_t known = this->feeds.revision(row.value);
@@ -202,9 +360,14 @@
             pending.announcedAt = now;
         }
         // Objects cross between regions once; the other processes of a region read them from the process that has them.
-        const bool waitForRegion = this->isInOtherRegion(link.address()) && this->hasLiveEntryInRegion() && now - pending.announcedAt < sameRegionWait;
-        const bool waitForStore = this->feeds.watchesStore(row.value) && now - pending.announcedAt < storeWatchWait;
-        if (waitForRegion || waitForStore || now < pending.exclusiveUntil) {
+        const bool waitForRegion =
+            inOtherRegion && this->views.anyHeardInRegion(this->settings.region, liveMaxAge) && now - pending.announcedAt < sameRegionWait;
+        // A process that has just started does not take what a peer knows, which may lag behind, while the store is about to answer.
+        const bool storeAnswers = this->feeds.watchesStore(row.value) || this->feeds.awaitsFirstList(row.value);
+        const bool waitForStore = storeAnswers && now - pending.announcedAt < storeWatchWait;
+        const bool isList = row.value == LibFleet::ObjectKind::Upstreams || row.value == LibFleet::ObjectKind::Entries;
+        const bool tooSoon = !this->settings.clientAddress && isList && now - pending.readAt < agentListInterval;
+        if (waitForRegion || waitForStore || tooSoon || now < pending.exclusiveUntil) {
             continue;
         }
         pending.exclusiveUntil = now + exclusiveReadTime;
@@ -217,6 +380,7 @@
         }
         if (page->revision > 0) {
             pending.announcedAt = 0;
+            pending.readAt = now;
             this->feeds.accept(row.value, *page, peer.name);
         }
     }
--- a/Userland/Services/Fleet/PeerExchange.h
+++ b/Userland/Services/Fleet/PeerExchange.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <AK/Random.h>
+#include <Fleet/EntryViews.h>
 #include <Fleet/ObjectFeeds.h>
+#include <LibFleet/Partners.h>
 #include <LibPeers/PeerClient.h>
 #include <LibPeers/PeerServer.h>
 #include <functional>
@@ -11,16 +14,8 @@
 namespace Fleet
 {
 
-/// The newest state that another entry has sent.
-struct EntryView {
-    LibPeers::NodeState state;
-    /// Monotonic time at which it arrived.
-    AK::Milliseconds lastSeenAt = 0;
-};
-
-/// Exchanges state with the entries of the deployment: liveness, engine reports, and objects of which the other side has a newer revision. Entries exchange
-/// with all other entries, agents with all entries.
-/// FIXME: With more than some tens of entries each process must exchange with a few random ones only; docs/CAPACITY.md shows how the cost grows.
+/// Exchanges state with a few entries of the deployment: liveness, engine reports, and objects of which the other side has a newer revision. Which entries
+/// these are follows from LibFleet::partnersOfEntry() and partnersOfAgent(); news of the others arrive by way of them.
 class PeerExchange final : public LibPeers::PeerHandler
 {
 public:
@@ -31,12 +26,17 @@
         AK::Endpoint rpcAddress;
         /// Entries: where clients connect.
         std::optional<AK::Endpoint> clientAddress;
-        /// RPC addresses to try before any entry is known; may be out of date.
+        /// RPC addresses to try while no entry is known; may be out of date.
         std::vector<AK::Endpoint> seeds;
-        /// Time between exchanges with an entry of the own region, in ms.
+        /// Agents: where the engine of this host accepts calls.
+        std::optional<AK::Endpoint> engineAddress;
+        /// Time between exchanges of entries within a region, and of an agent with the owner of its engine, in ms.
         AK::Milliseconds interval = 250;
-        /// The same for entries of other regions. Longer, because the links between regions carry all other traffic too; changes are sent at once anyway.
+        /// The same for entries of different regions, whose links carry all other traffic too; changes are sent at once anyway.
         AK::Milliseconds crossRegionInterval = 500;
+        /// The same for an agent and entries that would own its engine after the owner.
+        AK::Milliseconds standbyInterval = 1'000;
+        LibFleet::PartnerSettings partners;
     };
 
     PeerExchange(LibFiber::Loop &loop, Settings settings, ObjectFeeds &feeds, LibFleet::FleetState &state);
@@ -54,38 +54,82 @@
     /// Sets the function that is called for each engine report that arrives.
     void onReport(std::function<void(const LibPeers::EngineReport &)> observer);
 
-    /// Entries whose state arrived within the last `maxAge` ms, by name; this process is not among them.
+    /// Entries known to be alive by news of the last `maxAge` ms, by name; this process is not among them. News that came by way of other entries may be older
+    /// by the time that they take.
     std::map<std::string, EntryView> liveEntries(AK::Milliseconds maxAge) const;
 
-    /// Sends the state to all entries at once instead of at the end of the interval.
+    /// Sends the state to all partners at once instead of at the end of the interval.
     void pushNow();
 
+    /// The same for those partners only that were behind with the objects when they were heard last.
+    void pushObjects();
+
     LibPeers::NodeState exchange(const LibPeers::NodeState &from) override;
     LibFleet::ObjectPage objects(LibFleet::ObjectKind kind, int64_t newerThan, bool agentPart) override;
 
 private:
-    /// Exchanges with one process until it is no longer needed.
-    void exchangeWith(kj::WaitScope &scope, const AK::Endpoint &address);
-    void discoverEntries(kj::WaitScope &scope);
-    void pullNewer(kj::WaitScope &scope, LibPeers::PeerClient &link, const LibPeers::NodeState &peer);
-    LibPeers::NodeState ownState() const;
-    bool isInOtherRegion(const AK::Endpoint &address) const;
-    /// Whether an entry of the own region has sent its state recently.
-    bool hasLiveEntryInRegion() const;
-    AK::Milliseconds intervalTo(const AK::Endpoint &address) const;
-    /// Whether the store lists an entry at the address or one answered there recently.
-    bool isKnownEntry(const AK::Endpoint &address) const;
-    void noteState(const LibPeers::NodeState &peer);
+    struct Partner {
+        /// Empty for a seed.
+        std::string name;
+        AK::Endpoint address;
+        bool inOtherRegion = false;
+        AK::Milliseconds interval = 0;
+
+        bool operator==(const Partner &) const = default;
+    };
+
+    void followPartners(kj::WaitScope &scope);
+    /// By RPC address.
+    std::map<std::string, Partner> choosePartners();
+    /// Entries that are alive, or that were registered so recently that nobody can have news of them.
+    std::vector<LibFleet::EntryLocation> entriesTakenAsAlive();
+    std::string engineId() const;
+    /// Tries one registered entry of which there is no news, so that the parts of the fleet find each other again after a cut.
+    void probeSilentEntry();
+    /// Exchanges with one partner until it is one no longer.
+    void exchangeWith(kj::WaitScope &scope, const Partner &partner);
+    absl::Status exchangeOnce(kj::WaitScope &scope, LibPeers::PeerClient &link, const Partner &partner, AK::Milliseconds timeout);
+    void pullNewer(kj::WaitScope &scope, LibPeers::PeerClient &link, const LibPeers::NodeState &peer, bool inOtherRegion);
+    /// Reads the newer objects of an entry that has just announced them.
+    void pullSoon(const LibPeers::NodeState &peer);
+    bool hasNewer(const LibPeers::NodeState &peer) const;
+    /// Decides whether this entry or others of its region watch the store.
+    void chooseStoreWatchers();
+    EntryViews::Revisions ownRevisions() const;
+    LibPeers::NodeState ownState(bool forEntry);
+    /// Waits until the next exchange with a partner is due. `sentPushes`: `pushes` when the last exchange began.
+    void waitForTurn(kj::WaitScope &scope, const Partner &partner, AK::Milliseconds interval, uint64_t sentPushes);
+    void wakePartners();
+    void record(const LibPeers::NodeState &peer);
 
     LibFiber::Loop &loop;
     Settings settings;
     ObjectFeeds &feeds;
     LibFleet::FleetState &state;
+    EntryViews views;
     std::function<void(LibPeers::NodeState &)> completeState;
     std::function<void(const LibPeers::EngineReport &)> reportObserver;
-    std::map<std::string, EntryView> entryViews;
+    std::map<std::string, Partner> partners;
     /// Addresses that a fiber exchanges with.
     std::set<std::string> activeAddresses;
+    /// Monotonic time at which each registered entry was first seen.
+    std::map<std::string, AK::Milliseconds> registeredSince;
+    /// What others must learn at once when it changes. A change counts as a heartbeat, so that it replaces the older state everywhere.
+    struct Announcement {
+        bool ready = false;
+        bool leaving = false;
+        bool storeLost = false;
+
+        bool operator==(const Announcement &) const = default;
+    };
+    Announcement announced;
+    /// Connections for reading newer objects from entries that have announced them, by RPC address.
+    std::map<std::string, std::shared_ptr<LibPeers::PeerClient>> pullLinks;
+    AK::Milliseconds wokenAt = 0;
+    /// Calls of pushNow().
+    uint64_t pushes = 0;
+    bool pushPending = false;
+    AK::Random random;
     /// Newer objects of a kind that other processes have and this one has not read.
     struct PendingRead {
         /// While a read is running, no other one starts before this time; 0 when none is running.
@@ -93,6 +137,7 @@
         /// Time at which objects newer than the revision `known` were first announced; 0 when none are.
         AK::Milliseconds announcedAt = 0;
         int64_t known = 0;
+        AK::Milliseconds readAt = 0;
     };
     std::array<PendingRead, LibFleet::objectKindCount> pendingReads;
     kj::Own<kj::PromiseFulfiller<void>> wakeUp;
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -62,11 +62,21 @@
     this->table.setRegions(std::move(regionsByDomain));
 }
 
-void Dispatcher::setEntries(std::vector<LibGateway::EntryLocation> entries)
+void Dispatcher::setEntries(std::vector<LibFleet::EntryLocation> entries)
 {
     this->table.setEntries(std::move(entries));
 }
 
+void Dispatcher::setOpenSlots(std::map<std::string, int> openSlotsByEntry)
+{
+    this->table.setOpenSlots(std::move(openSlotsByEntry));
+}
+
+int Dispatcher::openSlots()
+{
+    return this->table.openSlots();
+}
+
 Dispatcher::ServiceQueue &Dispatcher::queue(const std::string &service)
 {
     std::unique_ptr<ServiceQueue> &queue = this->queues[service];
@@ -99,12 +109,16 @@
     CandidateSet candidateSet;
     bool anyUsable = false;
     for (const auto &[id, record] : this->fleet.upstreams()) {
+        const bool hasOwner = record.isEngine && this->slotSource != nullptr;
+        if (hasOwner && !this->table.isOwn(record)) {
+            anyUsable = anyUsable || this->table.mayRequest(record, requirements);
+            continue;
+        }
         if (!this->table.mayUse(record, requirements)) {
             continue;
         }
         anyUsable = true;
-        const bool hasOwner = record.isEngine && this->slotSource != nullptr;
-        if ((!hasOwner || this->table.isOwn(record)) && this->table.rateAllows(record, hasOwner)) {
+        if (this->table.rateAllows(record, hasOwner)) {
             candidateSet.candidates.push_back(this->table.candidateOf(record));
             candidateSet.records.push_back(&record);
         }
@@ -121,7 +135,8 @@
     load.pendingPromptTokens += requirements.promptTokens;
     load.rateTokens -= 1;
     this->callsForPeers += kind == GrantKind::ForPeer ? 1 : 0;
-    grant = kj::heap<Grant>(*this, kind, record, this->table.expectedWeightsVersion(record), requirements.promptTokens, candidateSet.candidates[*chosen].load);
+    grant = kj::heap<Grant>(*this, kind, record, this->table.expectedWeightsVersion(record, this->table.heldWeightsVersion(record)), requirements.promptTokens,
+                            candidateSet.candidates[*chosen].load);
     return Availability::Granted;
 }
 
@@ -136,13 +151,10 @@
         CandidateSet candidateSet;
         for (const auto &[id, record] : this->fleet.upstreams()) {
             if (!record.isEngine || this->table.isOwn(record) || askedOwners.contains(this->table.ownerOf(record)) || isExcluded(request, id)
-                || !this->table.mayUse(record, requirements)) {
+                || !this->table.mayRequest(record, requirements)) {
                 continue;
             }
-            LibGateway::PlacementCandidate candidate = this->table.candidateOf(record);
-            // The owner decides by its own backlog and load, which it knows better.
-            candidate.prefillBacklogMs = 0;
-            candidate.preferred = true;
+            LibGateway::PlacementCandidate candidate = this->table.remoteCandidateOf(record);
             candidate.load += std::uniform_real_distribution<double>(0, loadJitter)(this->random);
             candidateSet.candidates.push_back(candidate);
             candidateSet.records.push_back(&record);
@@ -159,7 +171,10 @@
         }
         KJ_IF_MAYBE (offer, *offered) {
             const auto record = this->fleet.upstreams().find(offer->upstream);
-            if (record == this->fleet.upstreams().end() || !this->table.mayUse(record->second, requirements)) {
+            const bool known = record != this->fleet.upstreams().end();
+            // An owner of an older build does not state the version.
+            const int64_t version = offer->weightsVersion != 0 || !known ? offer->weightsVersion : this->table.heldWeightsVersion(record->second);
+            if (!known || !this->table.mayRequest(record->second, requirements) || !this->table.allowsWeights(requirements.service, version)) {
                 request.excluded.push_back(offer->upstream);
                 continue;
             }
@@ -167,8 +182,8 @@
             const double estimated = LibGateway::estimatedLoad(load, this->loop.clock().now(), this->settings.upstreams.placement);
             ++load.ownInFlight;
             load.pendingPromptTokens += requirements.promptTokens;
-            return kj::heap<Grant>(*this, GrantKind::FromPeer, record->second, this->table.expectedWeightsVersion(record->second), requirements.promptTokens,
-                                   estimated, kj::mv(offer->slot));
+            return kj::heap<Grant>(*this, GrantKind::FromPeer, record->second, this->table.expectedWeightsVersion(record->second, version),
+                                   requirements.promptTokens, estimated, kj::mv(offer->slot));
         }
         askedOwners.insert(owner);
     }
@@ -193,7 +208,8 @@
     }
     kj::Own<Grant> &held = KJ_ASSERT_NONNULL(grant);
     std::string upstream = held->upstream().id;
-    return LibPeers::OfferedSlot{std::move(upstream), kj::mv(held)};
+    const int64_t version = this->table.heldWeightsVersion(held->upstream());
+    return LibPeers::OfferedSlot{std::move(upstream), kj::mv(held), version};
 }
 
 bool Dispatcher::waitInQueue(kj::WaitScope &scope, ServiceQueue &queue, Waiter &waiter, kj::ForkedPromise<void> &granted)
--- a/Userland/Services/Gateway/Dispatcher.h
+++ b/Userland/Services/Gateway/Dispatcher.h
@@ -72,7 +72,12 @@
     void recordReport(const LibPeers::EngineReport &report);
 
     /// Sets the entries that share the upstreams, this one included.
-    void setEntries(std::vector<LibGateway::EntryLocation> entries);
+    void setEntries(std::vector<LibFleet::EntryLocation> entries);
+
+    /// Sets the open slots that each other entry states for the engines that it owns, by its name.
+    void setOpenSlots(std::map<std::string, int> openSlotsByEntry);
+    /// Number of calls that the engines which this entry owns could take now.
+    int openSlots();
 
     /// Calls of this entry's clients in the queues.
     size_t waitingCalls() const;
--- a/Userland/Services/Gateway/UpstreamTable.cpp
+++ b/Userland/Services/Gateway/UpstreamTable.cpp
@@ -5,6 +5,14 @@
 namespace Gateway
 {
 
+namespace
+{
+
+// Counts over all upstreams are made again at this interval.
+constexpr AK::Milliseconds countInterval = 100;
+
+} // namespace
+
 UpstreamTable::UpstreamTable(const AK::Clock &clock, const LibFleet::FleetState &fleet, TableSettings settings)
     : clock(clock)
     , fleet(fleet)
@@ -22,7 +30,7 @@
     this->regions = std::move(regionsByDomain);
 }
 
-void UpstreamTable::setEntries(std::vector<LibGateway::EntryLocation> entriesNow)
+void UpstreamTable::setEntries(std::vector<LibFleet::EntryLocation> entriesNow)
 {
     if (this->entries != entriesNow) {
         this->owners.clear();
@@ -30,29 +38,83 @@
     }
 }
 
-bool UpstreamTable::mayUse(const LibFleet::UpstreamRecord &record, const CallRequirements &requirements) const
+bool UpstreamTable::isEligible(const LibFleet::UpstreamRecord &record, const CallRequirements &requirements) const
 {
-    const AK::Milliseconds now = this->clock.now();
     if (record.service != requirements.service || record.state != LibFleet::UpstreamState::Ready || requirements.excluded.contains(record.id)
         || this->fleet.isEvacuated(record.failureDomain)) {
         return false;
     }
-    const std::string region = this->regionOf(record.failureDomain);
-    if (!allowsRegion(requirements.regions, region) || !allowsRegion(requirements.accountRegions, region)) {
-        return false;
-    }
-    if (record.isEngine) {
-        const int64_t held = this->heldWeightsVersion(record);
-        if (held == 0 || held < this->requiredWeightsVersion(record.service)) {
+    if (!requirements.regions.empty() || !requirements.accountRegions.empty()) {
+        const std::string region = this->regionOf(record.failureDomain);
+        if (!allowsRegion(requirements.regions, region) || !allowsRegion(requirements.accountRegions, region)) {
             return false;
         }
     }
+    const LibGateway::UpstreamLoad *load = this->knownLoad(record);
+    return load == nullptr || this->clock.now() >= load->suspendedUntil;
+}
+
+const LibGateway::UpstreamLoad *UpstreamTable::knownLoad(const LibFleet::UpstreamRecord &record) const
+{
+    const auto load = this->loads.find(record.address.text());
+    return load == this->loads.end() || load->second.instance != record.id ? nullptr : &load->second;
+}
+
+bool UpstreamTable::hasFreshReport(const LibFleet::UpstreamRecord &record) const
+{
     const auto load = this->loads.find(record.address.text());
-    if (load == this->loads.end() || load->second.instance != record.id) {
-        return true;
+    return load != this->loads.end() && load->second.report && this->clock.now() - load->second.reportAt <= this->settings.placement.reportMaxAge;
+}
+
+bool UpstreamTable::allowsWeights(const std::string &service, int64_t version) const
+{
+    return version != 0 && version >= this->requiredWeightsVersion(service);
+}
+
+bool UpstreamTable::mayUse(const LibFleet::UpstreamRecord &record, const CallRequirements &requirements) const
+{
+    if (!this->isEligible(record, requirements) || (record.isEngine && !this->allowsWeights(record.service, this->heldWeightsVersion(record)))) {
+        return false;
     }
-    const bool fresh = load->second.report && now - load->second.reportAt <= this->settings.placement.reportMaxAge;
-    return now >= load->second.suspendedUntil && !(fresh && load->second.report->switching);
+    const LibGateway::UpstreamLoad *load = this->knownLoad(record);
+    return load == nullptr || !this->hasFreshReport(record) || !load->report->switching;
+}
+
+bool UpstreamTable::mayRequest(const LibFleet::UpstreamRecord &record, const CallRequirements &requirements)
+{
+    if (this->hasFreshReport(record)) {
+        return this->mayUse(record, requirements);
+    }
+    if (!this->isEligible(record, requirements)) {
+        return false;
+    }
+    // An engine that has loaded the required weights is registered with them up to two seconds later; its owner states open slots at once.
+    const auto open = this->openSlotsByEntry.find(this->ownerOf(record));
+    return this->allowsWeights(record.service, record.weightsVersion) || open == this->openSlotsByEntry.end() || open->second > 0;
+}
+
+void UpstreamTable::setOpenSlots(std::map<std::string, int> openSlots)
+{
+    this->openSlotsByEntry = std::move(openSlots);
+}
+
+int UpstreamTable::openSlots()
+{
+    if (this->clock.now() - this->openSlotsCountedAt < countInterval) {
+        return this->ownOpenSlots;
+    }
+    this->openSlotsCountedAt = this->clock.now();
+    double open = 0;
+    for (const auto &[id, record] : this->fleet.upstreams()) {
+        CallRequirements anyCall;
+        anyCall.service = record.service;
+        if (record.isEngine && this->isOwn(record) && this->mayUse(record, anyCall)) {
+            const LibGateway::PlacementCandidate candidate = this->candidateOf(record);
+            open += std::max(0.0, candidate.limit - candidate.load);
+        }
+    }
+    this->ownOpenSlots = static_cast<int>(open);
+    return this->ownOpenSlots;
 }
 
 LibGateway::UpstreamLoad &UpstreamTable::loadOf(const LibFleet::UpstreamRecord &record)
@@ -81,6 +143,33 @@
     return candidate;
 }
 
+size_t UpstreamTable::enginesOf(const std::string &owner)
+{
+    if (this->clock.now() - this->enginesCountedAt >= countInterval) {
+        this->enginesCountedAt = this->clock.now();
+        this->engineCounts.clear();
+        for (const auto &[id, record] : this->fleet.upstreams()) {
+            if (record.isEngine && record.state == LibFleet::UpstreamState::Ready && !this->fleet.isEvacuated(record.failureDomain)) {
+                ++this->engineCounts[this->ownerOf(record)];
+            }
+        }
+    }
+    return this->engineCounts[owner];
+}
+
+LibGateway::PlacementCandidate UpstreamTable::remoteCandidateOf(const LibFleet::UpstreamRecord &record)
+{
+    LibGateway::PlacementCandidate candidate = this->candidateOf(record);
+    // The owner decides by its own backlog and load, which it knows better.
+    candidate.prefillBacklogMs = 0;
+    candidate.preferred = true;
+    const std::string &owner = this->ownerOf(record);
+    if (const auto open = this->openSlotsByEntry.find(owner); open != this->openSlotsByEntry.end() && !this->hasFreshReport(record)) {
+        candidate.load = candidate.limit - static_cast<double>(open->second) / static_cast<double>(std::max<size_t>(1, this->enginesOf(owner)));
+    }
+    return candidate;
+}
+
 bool UpstreamTable::isOwn(const LibFleet::UpstreamRecord &record)
 {
     return this->ownerOf(record) == this->settings.name;
@@ -102,9 +191,9 @@
     return LibGateway::rateAllows(this->loadOf(record), spec == nullptr ? 0 : spec->coldCallsPerSecond, share, this->clock.now(), this->settings.placement);
 }
 
-int64_t UpstreamTable::expectedWeightsVersion(const LibFleet::UpstreamRecord &record) const
+int64_t UpstreamTable::expectedWeightsVersion(const LibFleet::UpstreamRecord &record, int64_t held) const
 {
-    return record.isEngine && this->requiredWeightsVersion(record.service) > 0 ? this->heldWeightsVersion(record) : 0;
+    return record.isEngine && this->requiredWeightsVersion(record.service) > 0 ? held : 0;
 }
 
 double UpstreamTable::prefillMs(const std::string &service, int64_t promptTokens) const
--- a/Userland/Services/Gateway/UpstreamTable.h
+++ b/Userland/Services/Gateway/UpstreamTable.h
@@ -33,16 +33,31 @@
     void setRegions(std::map<std::string, std::string> regionsByDomain);
 
     /// Sets the entries that share the upstreams, this one included.
-    void setEntries(std::vector<LibGateway::EntryLocation> entries);
+    void setEntries(std::vector<LibFleet::EntryLocation> entries);
 
     /// Whether a call may be sent to an upstream, regardless of free slots.
     bool mayUse(const LibFleet::UpstreamRecord &record, const CallRequirements &requirements) const;
 
+    /// Whether the owner of an upstream may be asked for a slot: as mayUse(), but the owner judges what only a report of the engine shows.
+    bool mayRequest(const LibFleet::UpstreamRecord &record, const CallRequirements &requirements);
+
+    /// Whether calls may use a version of the weights of a service.
+    bool allowsWeights(const std::string &service, int64_t version) const;
+
+    /// Sets the open slots that each other entry states for the engines that it owns, by its name.
+    void setOpenSlots(std::map<std::string, int> openSlotsByEntry);
+
+    /// Number of calls that the engines which this entry owns could take now.
+    int openSlots();
+
     LibGateway::UpstreamLoad &loadOf(const LibFleet::UpstreamRecord &record);
 
     /// The upstream as an input of chooseUpstream().
     LibGateway::PlacementCandidate candidateOf(const LibFleet::UpstreamRecord &record);
 
+    /// An upstream of another entry as an input of chooseUpstream(): its load is the mean of the engines that its owner owns, when the owner states it.
+    LibGateway::PlacementCandidate remoteCandidateOf(const LibFleet::UpstreamRecord &record);
+
     /// Whether this entry prefers an upstream; the entry that prefers an engine owns it.
     bool isOwn(const LibFleet::UpstreamRecord &record);
     const std::string &ownerOf(const LibFleet::UpstreamRecord &record);
@@ -51,8 +66,11 @@
     /// rate.
     bool rateAllows(const LibFleet::UpstreamRecord &record, bool owned);
 
-    /// Version of the weights that a call must require of an upstream, 0 for any.
-    int64_t expectedWeightsVersion(const LibFleet::UpstreamRecord &record) const;
+    /// Version of the weights that a call must require of an upstream which holds the version `held`, 0 for any.
+    int64_t expectedWeightsVersion(const LibFleet::UpstreamRecord &record, int64_t held) const;
+
+    /// Version of the weights that an upstream holds by the newest report, or by its registration without one.
+    int64_t heldWeightsVersion(const LibFleet::UpstreamRecord &record) const;
 
     /// Prefill time of a prompt at an engine of a service, in ms; 0 when unknown.
     double prefillMs(const std::string &service, int64_t promptTokens) const;
@@ -69,17 +87,28 @@
 
 private:
     const LibFleet::ServiceSpec *serviceSpec(const std::string &service) const;
+    /// What mayUse() and mayRequest() have in common.
+    bool isEligible(const LibFleet::UpstreamRecord &record, const CallRequirements &requirements) const;
+    const LibGateway::UpstreamLoad *knownLoad(const LibFleet::UpstreamRecord &record) const;
+    bool hasFreshReport(const LibFleet::UpstreamRecord &record) const;
+    /// Engines of each owner.
+    size_t enginesOf(const std::string &owner);
     int64_t requiredWeightsVersion(const std::string &service) const;
-    int64_t heldWeightsVersion(const LibFleet::UpstreamRecord &record) const;
     std::string regionOf(const std::string &failureDomain) const;
 
     const AK::Clock &clock;
     const LibFleet::FleetState &fleet;
     TableSettings settings;
     std::map<std::string, std::string> regions;
-    std::vector<LibGateway::EntryLocation> entries;
+    std::vector<LibFleet::EntryLocation> entries;
     /// Owners by upstream id; cleared when the entries change.
     std::map<std::string, std::string> owners;
+    std::map<std::string, int> openSlotsByEntry;
+    /// Number of engines by owner, and the monotonic time of the count.
+    std::map<std::string, size_t> engineCounts;
+    AK::Milliseconds enginesCountedAt = 0;
+    int ownOpenSlots = 0;
+    AK::Milliseconds openSlotsCountedAt = 0;
     /// By address, because the report of an agent names its upstream by address.
     std::map<std::string, LibGateway::UpstreamLoad> loads;
     LibLog::Logger logger{"dispatcher"};
--- a/Userland/Utilities/catkinlinkd/EntryProcess.cpp
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.cpp
@@ -1,6 +1,7 @@
 #include "EntryProcess.h"
 
 #include <Gateway/AddressChoice.h>
+#include <algorithm>
 #include <platform/Directory.h>
 
 namespace
@@ -11,6 +12,8 @@
 // Cache lifetime of the addresses; some clients keep them three times as long.
 constexpr AK::Milliseconds addressLifetime = 1'000;
 constexpr AK::Milliseconds registerInterval = 500;
+// Time after a registration in which it may not have come back with the objects of the store.
+constexpr AK::Milliseconds registrationReadTime = 2'000;
 constexpr AK::Milliseconds dispatcherUpdateInterval = 250;
 // Entries that were silent for this long are removed from the store. A restart takes only seconds.
 constexpr AK::Milliseconds removeAfter = 60'000;
@@ -42,6 +45,7 @@
     this->node.exchange.completeStateWith([this](LibPeers::NodeState &state) {
         state.ready = this->ready();
         state.leaving = this->leaving;
+        state.openSlots = static_cast<uint16_t>(std::clamp(this->dispatcher.openSlots(), 0, static_cast<int>(UINT16_MAX)));
     });
     this->node.exchange.onReport([this](const LibPeers::EngineReport &report) { this->dispatcher.recordReport(report); });
 }
@@ -150,13 +154,17 @@
 void EntryProcess::updateDispatcherEntries(kj::WaitScope &scope)
 {
     while (true) {
-        std::vector<LibGateway::EntryLocation> locations{{this->settings.name, this->settings.failureDomain}};
+        std::vector<LibFleet::EntryLocation> locations{{this->settings.name, this->settings.failureDomain, this->settings.region}};
+        std::map<std::string, int> openSlots;
         for (const auto &[name, view] : this->node.exchange.liveEntries(entryMaxAge)) {
             if (name != this->settings.name && view.state.ready) {
-                locations.push_back({name, view.state.failureDomain});
+                const auto region = this->settings.regionsByDomain.find(view.state.failureDomain);
+                locations.push_back({name, view.state.failureDomain, region == this->settings.regionsByDomain.end() ? "" : region->second});
+                openSlots[name] = view.state.openSlots;
             }
         }
         this->dispatcher.setEntries(std::move(locations));
+        this->dispatcher.setOpenSlots(std::move(openSlots));
         this->loop.sleep(scope, dispatcherUpdateInterval);
     }
 }
@@ -173,6 +181,7 @@
             const absl::Status status = this->node.store.put(scope, LibFleet::ObjectKind::Entries, self.name, this->node.decoder.encodeEntry(self));
             if (status.ok()) {
                 this->logger.info("registered");
+                this->loop.sleep(scope, registrationReadTime);
             } else {
                 this->logger.info("not_registered", {{"reason", std::string(status.message())}});
             }
--- a/Userland/Utilities/catkinlinkd/PlatformNode.cpp
+++ b/Userland/Utilities/catkinlinkd/PlatformNode.cpp
@@ -21,7 +21,8 @@
     , decoder(loop.clock(), std::max<AK::Milliseconds>(0, weightsSwitchDelay(settings) - restartTolerance))
     , store(loop, settings.store)
     , feeds(loop, this->store, this->decoder, this->fleet)
-    , exchange(loop, {settings.name, settings.failureDomain, settings.region, rpcAddress, std::move(clientAddress), settings.seeds}, this->feeds, this->fleet)
+    , exchange(loop, {settings.name, settings.failureDomain, settings.region, rpcAddress, std::move(clientAddress), settings.seeds, settings.engineAddress},
+               this->feeds, this->fleet)
 {
 }
 
