--- a/Tests/LibGateway/TestPlacement.cpp
+++ b/Tests/LibGateway/TestPlacement.cpp
@@ -293,7 +293,7 @@
         }
     }
     EXPECT_EQ(ids, GetParam().ids);
-    EXPECT_EQ(splitter.hasPartial(), GetParam().partial);
+    EXPECT_EQ(splitter.partialBytes() > 0, GetParam().partial);
     std::string sent;
     for (const std::string &part : GetParam().parts) {
         sent += part;
--- a/Tests/Services/Gateway/GatewaySite.cpp
+++ b/Tests/Services/Gateway/GatewaySite.cpp
@@ -118,12 +118,14 @@
     const AK::Milliseconds deadline = this->loop.clock().now() + testTimeout;
     auto channel = LibFiber::ByteChannel::connect(this->loop, scope, this->address, deadline);
     KJ_ASSERT(channel.ok());
-    LibHttpStream::RequestHead head{"POST", path, {{"Host", "h"}, {"X-Attempt-Id", "a1"}, {"X-Deadline-Ms", "2000"}}};
+    LibHttpStream::RequestHead head{"POST", path, {{"Host", "h"}}};
     for (const auto &header : headers) {
         head.headers.push_back(header);
     }
-    if (LibHttpStream::findHeader(headers, "X-Api-Key") == nullptr) {
-        head.headers.push_back({"X-Api-Key", "k"});
+    for (const LibHttpStream::Header &usual : LibHttpStream::Headers{{"X-Attempt-Id", "a1"}, {"X-Deadline-Ms", "2000"}, {"X-Api-Key", "k"}}) {
+        if (LibHttpStream::findHeader(headers, usual.name) == nullptr) {
+            head.headers.push_back(usual);
+        }
     }
     head.headers.push_back({"Content-Length", std::to_string(body.size())});
     KJ_ASSERT((*channel)->write(scope, LibHttpStream::serializeRequestHead(head) + body, deadline).ok());
--- a/Userland/Libraries/LibGateway/EventSplitter.cpp
+++ b/Userland/Libraries/LibGateway/EventSplitter.cpp
@@ -65,9 +65,9 @@
     return event;
 }
 
-bool EventSplitter::hasPartial() const
+size_t EventSplitter::partialBytes() const
 {
-    return !this->buffer.empty();
+    return this->buffer.size();
 }
 
 } // namespace LibGateway
--- a/Userland/Libraries/LibGateway/EventSplitter.h
+++ b/Userland/Libraries/LibGateway/EventSplitter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -23,8 +24,8 @@
     /// Removes and returns the next complete event, or nothing.
     std::optional<StreamEvent> next();
 
-    /// True when bytes of an incomplete event are left.
-    bool hasPartial() const;
+    /// Bytes of an incomplete event that are left.
+    size_t partialBytes() const;
 
 private:
     std::string buffer;
--- a/Userland/Libraries/LibHttpStream/MessageReader.cpp
+++ b/Userland/Libraries/LibHttpStream/MessageReader.cpp
@@ -39,10 +39,12 @@
 
 absl::StatusOr<std::string> readHeadText(LibFiber::ByteChannel &channel, kj::WaitScope &scope, size_t headBytes, AK::Milliseconds deadline)
 {
+    size_t skipped = 0;
     while (true) {
-        // Ignores empty lines before a message (RFC 9112, 2.2).
-        while (channel.buffered().substr(0, lineEnd.size()) == lineEnd) {
+        // Ignores empty lines before a message (RFC 9112, 2.2), but not without end.
+        while (channel.buffered().substr(0, lineEnd.size()) == lineEnd && skipped <= headBytes) {
             channel.consume(lineEnd.size());
+            skipped += lineEnd.size();
         }
         const size_t end = channel.buffered().find(headEnd);
         if (end != std::string_view::npos && end <= headBytes) {
@@ -50,7 +52,7 @@
             channel.consume(end + headEnd.size());
             return text;
         }
-        if (channel.buffered().size() > headBytes) {
+        if (channel.buffered().size() > headBytes || skipped > headBytes) {
             return absl::ResourceExhaustedError(absl::StrCat("the head exceeds ", headBytes, " bytes"));
         }
         const bool started = !channel.buffered().empty();
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -15,11 +15,14 @@
 constexpr AK::Milliseconds defaultClientTimeout = 10'000;
 // Time left for the response to reach the client before the client's own deadline.
 constexpr AK::Milliseconds responseMargin = 20;
-// A resumable stream is moved to another upstream when no event arrives for this long. Clients disconnect after 3.2 s.
+// A resumable stream is moved to another upstream when no event arrives for this long, whatever other bytes do. Clients disconnect after 3.2 s.
 constexpr AK::Milliseconds streamSilenceLimit = 1'800;
 // A retriable call that is not a stream is sent to another upstream when no response arrives within this share of its total time.
 constexpr double nonStreamSilenceShare = 0.4;
-constexpr uint64_t maxResponseBodyBytes = 16UL << 20;
+// Responses are held until they are complete, so that one that is cut can be retried; some hundred calls share the memory of an entry.
+constexpr uint64_t maxResponseBodyBytes = 4UL << 20;
+// Far above the text of the few tokens in an event.
+constexpr size_t maxEventBytes = 256UL << 10;
 constexpr AK::Milliseconds refusalRetryAfter = 500;
 // One in this many calls that succeed in time is logged; all others are always logged.
 constexpr uint64_t logSamplingInterval = 16;
@@ -208,6 +211,7 @@
         }
         responseBody += **data;
         if (responseBody.size() > maxResponseBodyBytes) {
+            this->context.dispatcher.recordOutcome(upstream, true);
             return this->retryOrGiveUp(scope, upstream, true, AK::concat("the response body exceeds ", maxResponseBodyBytes, " bytes"));
         }
     }
@@ -234,6 +238,7 @@
         text += event->text;
         if (event->id) {
             this->lastEventId = event->id;
+            this->lastEventAt = this->now();
         }
     }
     if (text.empty()) {
@@ -255,10 +260,11 @@
     const LibFleet::UpstreamRecord upstream = grant.upstream();
     this->mayHaveRun = true;
     LibGateway::EventSplitter splitter;
+    this->lastEventAt = this->now();
     while (true) {
-        const AK::Milliseconds until = this->route->resumable ? std::min(this->deadline, this->now() + streamSilenceLimit) : this->deadline;
+        const AK::Milliseconds until = this->route->resumable ? std::min(this->deadline, this->lastEventAt + streamSilenceLimit) : this->deadline;
         absl::StatusOr<std::optional<std::string>> data = call.read(scope, until);
-        if (!data.ok() || (!*data && splitter.hasPartial())) {
+        if (!data.ok() || (!*data && splitter.partialBytes() > 0)) {
             this->context.dispatcher.recordOutcome(upstream, true);
             return this->retryOrGiveUp(scope, upstream, true, data.ok() ? "stream ended inside an event" : AK::concat("stream cut: ", data.status().message()));
         }
@@ -270,6 +276,12 @@
         if (!this->forwardEvents(scope, call.responseHead(), splitter).ok()) {
             return NextStep::Done;
         }
+        // read() returns buffered bytes also after its deadline.
+        const bool stalled = this->now() >= until && this->lastEventAt + streamSilenceLimit <= this->now();
+        if (splitter.partialBytes() > maxEventBytes || stalled) {
+            this->context.dispatcher.recordOutcome(upstream, true);
+            return this->retryOrGiveUp(scope, upstream, true, stalled ? "stream stalled: bytes without an event" : "stream cut: an event is too long");
+        }
     }
     this->context.dispatcher.recordOutcome(upstream, false);
     call.finish();
--- a/Userland/Services/Gateway/CallTask.h
+++ b/Userland/Services/Gateway/CallTask.h
@@ -77,6 +77,8 @@
     /// An upstream may have run the request.
     bool mayHaveRun = false;
     std::optional<std::string> lastEventId;
+    /// Monotonic time of the newest event with an id, or of the response head.
+    AK::Milliseconds lastEventAt = 0;
     /// Response with status 5xx, kept while another upstream is tried.
     std::optional<std::pair<LibHttpStream::ResponseHead, std::string>> failedResponse;
     CallReport report;
--- a/Userland/Services/Gateway/UpstreamCall.cpp
+++ b/Userland/Services/Gateway/UpstreamCall.cpp
@@ -93,6 +93,9 @@
             }
             continue;
         }
+        if (decoded.requestId.empty() && this->connection.reused) {
+            return {SendOutcome::Unknown, false, "a response without a request id on a reused connection may belong to an earlier request"};
+        }
         this->head = std::move(*parsed);
         this->info = decoded;
         this->body = kj::mv(reader);
