--- a/Tests/Services/Fleet/TestPeerExchange.cpp
+++ b/Tests/Services/Fleet/TestPeerExchange.cpp
@@ -89,6 +89,7 @@
 
     LibPeers::NodeState exchange(const LibPeers::NodeState &) override
     {
+        ++this->exchanges;
         LibPeers::NodeState state;
         state.name = this->name;
         state.rpcAddress = this->address.text();
@@ -108,6 +109,7 @@
     AK::Endpoint address;
     bool hasNewest;
     LibPeers::PeerServer server;
+    int exchanges = 0;
     int reads = 0;
     int agentPartReads = 0;
 };
@@ -219,6 +221,45 @@
     loop.cancelSpawned();
 }
 
+// Guards against an owner that gets no reports of its engine after its restart: its agent knew only the entries that it exchanged with, and found the others
+// again by chance, one a second.
+TEST(PeerExchange, AgentsComeBackToAnOwnerThatHasRestarted)
+{
+    constexpr uint16_t firstPort = 17'700;
+    constexpr int entryCount = 12;
+    constexpr AK::Milliseconds downTime = 2'500;
+    constexpr AK::Milliseconds returnLimit = 4'000;
+    LibFiber::Loop loop;
+    LibFleet::FleetState fleet(loop.clock());
+    RecordingDecoder decoder;
+    SlowSource source(loop, false);
+    Fleet::ObjectFeeds feeds(loop, source, decoder, fleet);
+    std::map<std::string, LibFleet::EntryRecord> records;
+    std::vector<LibFleet::EntryLocation> locations;
+    for (int i = 0; i < entryCount; ++i) {
+        const std::string name = "e" + std::to_string(i);
+        records[name] = {name, {"127.0.0.1", static_cast<uint16_t>(firstPort + i)}, {"127.0.0.1", 1}, "lima", "lima-1"};
+        locations.push_back({name, "lima-1", "lima"});
+    }
+    fleet.setEntries(records);
+    LibFleet::UpstreamRecord engine;
+    engine.id = "i-1";
+    engine.address = {"127.0.0.1", 3};
+    fleet.setUpstreams({{"i-1", engine}});
+    const LibFleet::EntryRecord owner = records.at(LibFleet::rankOwners("i-1", "lima-1", locations).front().name);
+    Fleet::PeerExchange::Settings settings{"agent", "lima-1", "lima", {"127.0.0.1", firstPort + entryCount}, std::nullopt, {}, engine.address};
+    Fleet::PeerExchange exchange(loop, settings, feeds, fleet);
+    exchange.start();
+    loop.sleep(loop.rootScope(), downTime);
+    OtherEntry restarted(loop, owner.name, owner.rpcAddress, false);
+    const AK::Milliseconds until = loop.clock().now() + returnLimit;
+    while (restarted.exchanges == 0 && loop.clock().now() < until) {
+        loop.sleep(loop.rootScope(), 1);
+    }
+    EXPECT_GT(restarted.exchanges, 0);
+    loop.cancelSpawned();
+}
+
 struct WatcherCase {
     const char *name;
     /// Other entries of the region, and whether each of them reaches the store.
--- a/Userland/Services/Fleet/PeerExchange.cpp
+++ b/Userland/Services/Fleet/PeerExchange.cpp
@@ -28,6 +28,8 @@
 constexpr AK::Milliseconds newEntryTime = 2'500;
 // Seeds are tried while no entry has been heard for this long.
 constexpr AK::Milliseconds seedMaxAge = 1'500;
+// An agent turns to other entries in place of one that has not answered for liveMaxAge, and comes back to it after this time.
+constexpr AK::Milliseconds silentTime = 2'000;
 constexpr AK::Milliseconds minPushInterval = 50;
 // Agents read lists of upstreams and of entries, which change in bursts, at this interval.
 constexpr AK::Milliseconds agentListInterval = 1'000;
@@ -215,10 +217,18 @@
     std::vector<LibFleet::EntryLocation> entries;
     for (const auto &[name, record] : this->state.entries()) {
         const AK::Milliseconds since = this->registeredSince.try_emplace(name, now).first->second;
-        if (name != this->settings.name && (now - since < newEntryTime || this->views.isLive(name, liveMaxAge))) {
+        if (name == this->settings.name) {
+            continue;
+        }
+        // Nobody tells agents of entries that they don't exchange with.
+        const auto silent = this->silentUntil.find(record.rpcAddress.text());
+        const bool alive = this->settings.clientAddress ? now - since < newEntryTime || this->views.isLive(name, liveMaxAge)
+                                                        : silent == this->silentUntil.end() || now >= silent->second;
+        if (alive) {
             entries.push_back({name, record.failureDomain, record.region});
         }
     }
+    std::erase_if(this->silentUntil, [&](const auto &item) { return now - item.second > silentTime; });
     std::erase_if(this->registeredSince, [&](const auto &item) { return !this->state.entries().contains(item.first); });
     return entries;
 }
@@ -289,7 +299,7 @@
                 this->loop.spawn([this, partner = partner](kj::WaitScope &inner) { this->exchangeWith(inner, partner); });
             }
         }
-        if (round % roundsBetweenProbes == 0) {
+        if (this->settings.clientAddress && round % roundsBetweenProbes == 0) {
             this->probeSilentEntry();
         }
         this->loop.sleep(scope, partnerInterval);
@@ -312,6 +322,7 @@
     const std::string address = partner.address.text();
     LibPeers::PeerClient link(this->loop, partner.address);
     bool reached = false;
+    AK::Milliseconds answeredAt = this->loop.clock().now();
     const auto isStillPartner = [&] {
         const auto found = this->partners.find(address);
         return found != this->partners.end() && found->second == partner;
@@ -323,9 +334,14 @@
             reached = status.ok();
             this->logger.info(reached ? "peer_reached" : "peer_lost", {{"address", address}, {"reason", std::string(status.message())}});
         }
+        const AK::Milliseconds now = this->loop.clock().now();
+        answeredAt = status.ok() ? now : answeredAt;
         if (!status.ok()) {
             this->views.recordFailure(address);
         }
+        if (now - answeredAt > liveMaxAge) {
+            this->silentUntil[address] = now + silentTime;
+        }
         this->waitForTurn(scope, partner, reached ? partner.interval : unreachedInterval, sentPushes);
     }
     this->activeAddresses.erase(address);
--- a/Userland/Services/Fleet/PeerExchange.h
+++ b/Userland/Services/Fleet/PeerExchange.h
@@ -81,7 +81,7 @@
     void followPartners(kj::WaitScope &scope);
     /// By RPC address.
     std::map<std::string, Partner> choosePartners();
-    /// Entries that are alive, or that were registered so recently that nobody can have news of them.
+    /// Entries that are alive or registered so recently that nobody can have news of them; for an agent those that have not failed to answer.
     std::vector<LibFleet::EntryLocation> entriesTakenAsAlive();
     std::string engineId() const;
     /// Tries one registered entry of which there is no news, so that the parts of the fleet find each other again after a cut.
@@ -112,6 +112,8 @@
     std::map<std::string, Partner> partners;
     /// Addresses that a fiber exchanges with.
     std::set<std::string> activeAddresses;
+    /// Agents: monotonic time until which an entry that did not answer is not tried again, by RPC address.
+    std::map<std::string, AK::Milliseconds> silentUntil;
     /// Monotonic time at which each registered entry was first seen.
     std::map<std::string, AK::Milliseconds> registeredSince;
     /// What others must learn at once when it changes. A change counts as a heartbeat, so that it replaces the older state everywhere.
