--- a/Userland/Libraries/LibPeers/PeerClient.cpp
+++ b/Userland/Libraries/LibPeers/PeerClient.cpp
@@ -57,6 +57,7 @@
 PeerClient::Connection::Connection(kj::Own<kj::AsyncIoStream> stream)
     : stream(kj::mv(stream))
     , client(*this->stream)
+    , peer(this->client.bootstrap().castAs<PeerWire::FleetPeer>())
     , watch(this->client.onDisconnect().then([this] { this->ended = true; }).eagerlyEvaluate(nullptr))
 {
 }
@@ -116,7 +117,7 @@
     // A closed connection throws at once instead of failing the promise.
     kj::Maybe<kj::Promise<std::invoke_result_t<Decode, Response &&>>> sent;
     const auto failure = kj::runCatchingExceptions([&] {
-        auto request = prepare(connection.client.bootstrap().template castAs<PeerWire::FleetPeer>());
+        auto request = prepare(connection.peer);
         sent = request.send().then(std::forward<Decode>(decodeResponse));
     });
     KJ_IF_MAYBE (exception, failure) {
--- a/Userland/Libraries/LibPeers/PeerClient.h
+++ b/Userland/Libraries/LibPeers/PeerClient.h
@@ -35,6 +35,8 @@
         explicit Connection(kj::Own<kj::AsyncIoStream> stream);
         kj::Own<kj::AsyncIoStream> stream;
         capnp::TwoPartyClient client;
+        /// Asked for once: bootstrap() of a connection that has just been reset throws while it unwinds, which ends the process.
+        PeerWire::FleetPeer::Client peer;
         bool ended = false;
         kj::Promise<void> watch;
     };
