--- a/Userland/Services/Fleet/PeerExchange.h
+++ b/Userland/Services/Fleet/PeerExchange.h
@@ -35,7 +35,7 @@
         /// The same for entries of different regions, whose links carry all other traffic too; changes are sent at once anyway.
         AK::Milliseconds crossRegionInterval = 500;
         /// The same for an agent and entries that would own its engine after the owner.
-        AK::Milliseconds standbyInterval = 1'000;
+        AK::Milliseconds standbyInterval = 500;
         LibFleet::PartnerSettings partners;
     };
 
--- a/Userland/Services/WeightAgent/AgentService.h
+++ b/Userland/Services/WeightAgent/AgentService.h
@@ -19,7 +19,7 @@
         uint16_t rpcPort = 0;
         /// Time from learning of a new version until engines with an older one must not start any more calls.
         AK::Milliseconds switchTimeLimit = 8'000;
-        AK::Milliseconds statusInterval = 200;
+        AK::Milliseconds statusInterval = 100;
         /// Bandwidth limit for chunks sent to other agents, in bytes per second.
         double uploadBytesPerSecond = 0;
     };
