Gateway: Log crashes of upstreams and the prompt parts of the calls beside them

An entry now decodes the shared parts of a prompt and logs them with each failed or late call.

The fake upstreams of the gateway tests can crash and come back as another instance.

--- a/Tests/Platform/TestCodec.cpp
+++ b/Tests/Platform/TestCodec.cpp
@@ -61,6 +61,44 @@
                                          InvalidSettingsCase{"no_table", "platform:\n  addr: \"10.200.1.7:8007\"", "platform: 5", "platform"}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+struct PromptPartsCase {
+    const char *name;
+    std::string header;
+    std::vector<std::string> shared;
+    std::string last;
+};
+
+class PromptPartsTest : public testing::TestWithParam<PromptPartsCase>
+{
+};
+
+// Guards against a part of a prompt that is taken for another one, and against the last part being taken for a shared one.
+TEST_P(PromptPartsTest, AreDecoded)
+{
+    const auto call = CallHeaders().decodeRequest({"POST", "/a", {{"Host", "h"}, {"X-Prompt-Prefix", GetParam().header}}});
+    ASSERT_TRUE(call.ok()) << call.status();
+    EXPECT_EQ(call->sharedPromptParts, GetParam().shared);
+    EXPECT_EQ(call->lastPromptPart, GetParam().last);
+}
+
+std::string manyParts(size_t count)
+{
+    std::string header;
+    for (size_t i = 0; i < count; ++i) {
+        header += "ab:1,";
+    }
+    return header + "cd:1";
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, PromptPartsTest,
+                         testing::Values(PromptPartsCase{"three", "5c1e07a2:800,91BD3f06:410,e4402b7d:250", {"5c1e07a2", "91bd3f06"}, "e4402b7d"},
+                                         PromptPartsCase{"spaces", "5c:8, 91:4, e4:2", {"5c", "91"}, "e4"}, PromptPartsCase{"one", "5c:8", {}, "5c"},
+                                         PromptPartsCase{"empty", "", {}, ""}, PromptPartsCase{"without_tokens", "5c,91", {"5c"}, "91"},
+                                         PromptPartsCase{"empty_parts", ",,5c:1,,91:2", {"5c"}, "91"},
+                                         PromptPartsCase{"long_id", std::string(65, 'a') + ":1,5c:1,91:1", {"5c"}, "91"},
+                                         PromptPartsCase{"many", manyParts(40), std::vector<std::string>(32, "ab"), "cd"}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 LibHttpStream::RequestHead clientRequest()
 {
     return {"POST",
--- a/Tests/Services/Gateway/GatewaySite.cpp
+++ b/Tests/Services/Gateway/GatewaySite.cpp
@@ -27,16 +27,48 @@
 
 FakeUpstream::FakeUpstream(LibFiber::Loop &loop, uint16_t port, UpstreamScript script)
     : loop(loop)
+    , port(port)
     , script(std::move(script))
 {
-    auto receiver = LibFiber::listenOn(loop, {"127.0.0.1", port});
+    this->listen();
+}
+
+void FakeUpstream::listen()
+{
+    auto receiver = LibFiber::listenOn(this->loop, {"127.0.0.1", this->port});
     KJ_ASSERT(receiver.ok(), std::string(receiver.status().message()).c_str());
-    LibFiber::acceptEach(loop, kj::mv(*receiver), [this](kj::WaitScope &scope, kj::Own<kj::AsyncIoStream> stream) {
-        ++this->connections;
-        this->serve(scope, kj::mv(stream));
+    this->down = false;
+    this->accepting = this->loop
+                          .fiber([this, listener = kj::mv(*receiver)](kj::WaitScope &scope) mutable {
+                              while (true) {
+                                  kj::Own<kj::AsyncIoStream> accepted = listener->accept().wait(scope);
+                                  ++this->connections;
+                                  this->servingConnections.push_back(
+                                      this->loop.fiber([this, stream = kj::mv(accepted)](kj::WaitScope &inner) mutable { this->serve(inner, kj::mv(stream)); })
+                                          .eagerlyEvaluate(nullptr));
+                              }
+                          })
+                          .eagerlyEvaluate(nullptr);
+}
+
+void FakeUpstream::crash(AK::Milliseconds downFor, std::function<void()> restarted)
+{
+    this->down = true;
+    // A separate fiber, because the fibers that end may include the caller's.
+    this->loop.spawn([this, downFor, restarted = std::move(restarted)](kj::WaitScope &scope) {
+        this->accepting = nullptr;
+        this->servingConnections.clear();
+        this->loop.sleep(scope, downFor);
+        this->listen();
+        restarted();
     });
 }
 
+bool FakeUpstream::isDown() const
+{
+    return this->down;
+}
+
 void FakeUpstream::serve(kj::WaitScope &scope, kj::Own<kj::AsyncIoStream> stream)
 {
     LibFiber::ByteChannel channel(this->loop, kj::mv(stream));
@@ -65,8 +97,9 @@
     : fleet(loop.clock())
     , dispatcher(loop, fleet, dispatchSettings(), nullptr)
     , connections(loop)
+    , crashes(loop, metrics)
     , address{"127.0.0.1", nextPort()}
-    , gateway({loop, fleet, codec, dispatcher, connections, metrics}, address)
+    , gateway({loop, fleet, codec, dispatcher, connections, crashes, metrics}, address)
 {
     this->dispatcher.setRegions({{"lima-1", "lima"}});
     this->dispatcher.setEntries({{"e1", "lima-1"}});
@@ -82,6 +115,7 @@
         record.failureDomain = "lima-1";
         record.slots = 4;
         records[id] = record;
+        this->upstreamAddresses.push_back(record.address);
     }
     this->fleet.setUpstreams(records);
     KJ_ASSERT(this->gateway.start().ok());
@@ -112,9 +146,30 @@
     this->fleet.setConfiguration(configuration);
 }
 
+void GatewaySite::crashUpstream(size_t index, AK::Milliseconds downFor)
+{
+    this->upstreams[index]->crash(downFor, [this, index] {
+        std::map<std::string, LibFleet::UpstreamRecord> records = this->fleet.upstreams();
+        for (auto it = records.begin(); it != records.end(); ++it) {
+            if (it->second.address == this->upstreamAddresses[index]) {
+                LibFleet::UpstreamRecord restarted = it->second;
+                restarted.id += "+";
+                records.erase(it);
+                records[restarted.id] = restarted;
+                break;
+            }
+        }
+        this->fleet.setUpstreams(records);
+    });
+}
+
 ClientResponse GatewaySite::call(const LibHttpStream::Headers &headers, const std::string &path, const std::string &body)
 {
-    kj::WaitScope &scope = this->loop.rootScope();
+    return this->callFrom(this->loop.rootScope(), headers, path, body);
+}
+
+ClientResponse GatewaySite::callFrom(kj::WaitScope &scope, const LibHttpStream::Headers &headers, const std::string &path, const std::string &body)
+{
     const AK::Milliseconds deadline = this->loop.clock().now() + testTimeout;
     auto channel = LibFiber::ByteChannel::connect(this->loop, scope, this->address, deadline);
     KJ_ASSERT(channel.ok());
--- a/Tests/Services/Gateway/GatewaySite.h
+++ b/Tests/Services/Gateway/GatewaySite.h
@@ -3,6 +3,7 @@
 #include <Gateway/GatewayService.h>
 #include <LibHttpStream/MessageReader.h>
 #include <functional>
+#include <list>
 #include <platform/CallHeaders.h>
 
 /// Handles one request at a fake upstream: writes bytes to the channel and returns whether the connection stays open.
@@ -14,6 +15,11 @@
 public:
     FakeUpstream(LibFiber::Loop &loop, uint16_t port, UpstreamScript script);
 
+    /// Ends all connections and accepts no new ones for `downFor` ms, then calls `restarted`. May be called from a script, which must return after it.
+    void crash(AK::Milliseconds downFor, std::function<void()> restarted);
+
+    bool isDown() const;
+
     std::vector<LibHttpStream::RequestHead> requests;
     std::vector<std::string> bodies;
     int connections = 0;
@@ -21,10 +27,15 @@
     int abandonedRequests = 0;
 
 private:
+    void listen();
     void serve(kj::WaitScope &scope, kj::Own<kj::AsyncIoStream> stream);
 
     LibFiber::Loop &loop;
+    uint16_t port;
     UpstreamScript script;
+    bool down = false;
+    kj::Promise<void> accepting = nullptr;
+    std::list<kj::Promise<void>> servingConnections;
 };
 
 /// What a client sees of one call.
@@ -47,6 +58,12 @@
     void configure(LibFleet::RouteKind kind, bool resumable, int maxAttempts, AK::Milliseconds timeout);
 
     ClientResponse call(const LibHttpStream::Headers &headers = {}, const std::string &path = "/r/1", const std::string &body = "ask");
+    /// The same from a fiber.
+    ClientResponse callFrom(kj::WaitScope &scope, const LibHttpStream::Headers &headers = {}, const std::string &path = "/r/1",
+                            const std::string &body = "ask");
+
+    /// Crashes an upstream; after `downFor` ms a new instance of it is registered. The old one stays registered until then.
+    void crashUpstream(size_t index, AK::Milliseconds downFor);
 
     LibFiber::Loop loop;
     LibFleet::FleetState fleet;
@@ -54,9 +71,11 @@
     LibMetrics::MetricRegistry metrics;
     Gateway::Dispatcher dispatcher;
     Gateway::UpstreamConnectionPool connections;
+    Gateway::CrashDetector crashes;
     AK::Endpoint address;
     Gateway::GatewayService gateway;
     std::vector<std::unique_ptr<FakeUpstream>> upstreams;
+    std::vector<AK::Endpoint> upstreamAddresses;
     LibFiber::SpawnedFibersGuard fibersGuard{this->loop};
 };
 
--- a/Userland/Libraries/LibGateway/Codec.h
+++ b/Userland/Libraries/LibGateway/Codec.h
@@ -4,6 +4,7 @@
 #include <LibHttpStream/MessageHead.h>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace LibGateway
 {
@@ -27,6 +28,10 @@
     std::optional<int64_t> answerTokenHint;
     /// The client resumes a stream after this event.
     std::optional<std::string> lastEventId;
+    /// Ids of the parts of the prompt that other requests may share, in order; the last part belongs to the request or its session alone and is left out.
+    std::vector<std::string> sharedPromptParts;
+    /// Id of the last part of the prompt; a client that repeats a request sends the same. Empty when not given.
+    std::string lastPromptPart;
 };
 
 /// What the request to one upstream carries besides the client's request.
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -24,6 +24,8 @@
 // Far above the text of the few tokens in an event.
 constexpr size_t maxEventBytes = 256UL << 10;
 constexpr AK::Milliseconds refusalRetryAfter = 500;
+// A request that crashes upstreams does so when they begin to write its response; one whose events have come for this long is not the cause.
+constexpr AK::Milliseconds crashTime = 500;
 // One in this many calls that succeed in time is logged; all others are always logged.
 constexpr uint64_t logSamplingInterval = 16;
 
@@ -145,6 +147,8 @@
         this->report.upstream = upstream.id;
         this->report.loadAtChoice = (*grant)->loadAtChoice();
         ++this->report.sends;
+        this->sentAt = this->now();
+        this->firstEventAt = 0;
         UpstreamCall call(this->context.loop, this->context.connections, this->context.codec);
         const bool repeatable = this->route->repeatable();
         AK::Milliseconds responseDeadline = this->deadline;
@@ -156,6 +160,9 @@
         const UpstreamCall::Result sent = call.send(scope, upstream, outgoing, this->body, this->request.id, repeatable, responseDeadline);
         if (sent.outcome != SendOutcome::Answered) {
             this->context.dispatcher.recordOutcome(upstream, !sent.refusedByUpstream);
+            if (sent.connectionEnded) {
+                this->recordBrokenCall(upstream);
+            }
             return this->retryOrGiveUp(scope, upstream, sent.outcome == SendOutcome::Unknown, sent.reason);
         }
         if (call.responseInfo().load) {
@@ -196,6 +203,15 @@
     return NextStep::Done;
 }
 
+void CallTask::recordBrokenCall(const LibFleet::UpstreamRecord &upstream)
+{
+    std::optional<LibGateway::CrashSuspect> suspect;
+    if (!this->request.sharedPromptParts.empty() && (this->firstEventAt == 0 || this->now() - this->firstEventAt < crashTime)) {
+        suspect = {AK::stableHash(this->request.lastPromptPart), this->sentAt, this->request.sharedPromptParts};
+    }
+    this->context.crashes.recordBrokenCall(upstream, std::move(suspect));
+}
+
 CallTask::NextStep CallTask::forwardResponse(kj::WaitScope &scope, UpstreamCall &call, const LibFleet::UpstreamRecord &upstream)
 {
     this->mayHaveRun = true;
@@ -204,6 +220,9 @@
         absl::StatusOr<std::optional<std::string>> data = call.read(scope, this->deadline);
         if (!data.ok()) {
             this->context.dispatcher.recordOutcome(upstream, true);
+            if (!absl::IsDeadlineExceeded(data.status())) {
+                this->recordBrokenCall(upstream);
+            }
             return this->retryOrGiveUp(scope, upstream, true, AK::concat("answer cut: ", data.status().message()));
         }
         if (!*data) {
@@ -239,6 +258,7 @@
         if (event->id) {
             this->lastEventId = event->id;
             this->lastEventAt = this->now();
+            this->firstEventAt = this->firstEventAt > 0 ? this->firstEventAt : this->now();
         }
     }
     if (text.empty()) {
@@ -266,6 +286,9 @@
         absl::StatusOr<std::optional<std::string>> data = call.read(scope, until);
         if (!data.ok() || (!*data && splitter.partialBytes() > 0)) {
             this->context.dispatcher.recordOutcome(upstream, true);
+            if (!absl::IsDeadlineExceeded(data.status())) {
+                this->recordBrokenCall(upstream);
+            }
             return this->retryOrGiveUp(scope, upstream, true, data.ok() ? "stream ended inside an event" : AK::concat("stream cut: ", data.status().message()));
         }
         if (!*data) {
@@ -348,6 +371,7 @@
                        {"first_byte_ms", this->report.firstByteAfter},
                        {"longest_gap_ms", this->report.longestGap},
                        {"prompt_tokens", this->request.promptTokens},
+                       {"prompt_parts", this->request.sharedPromptParts},
                        {"late", late},
                        {"returning", this->requirements.rank.returning},
                        {"patience_ms", this->request.clientTimeout.value_or(-1)},
--- a/Userland/Services/Gateway/CallTask.h
+++ b/Userland/Services/Gateway/CallTask.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ClientChannel.h"
+#include "CrashDetector.h"
 #include "Dispatcher.h"
 #include "UpstreamCall.h"
 #include <LibGateway/EventSplitter.h>
@@ -16,6 +17,7 @@
     const LibGateway::CallCodec &codec;
     Dispatcher &dispatcher;
     UpstreamConnectionPool &connections;
+    CrashDetector &crashes;
     LibMetrics::MetricRegistry &metrics;
 };
 
@@ -55,6 +57,8 @@
     NextStep forwardResponse(kj::WaitScope &scope, UpstreamCall &call, const LibFleet::UpstreamRecord &upstream);
     NextStep forwardStream(kj::WaitScope &scope, UpstreamCall &call, Grant &grant);
     NextStep retryOrGiveUp(kj::WaitScope &scope, const LibFleet::UpstreamRecord &upstream, bool sendMayHaveRun, const std::string &reason);
+    /// Records that the upstream has ended the connection before the end of its response.
+    void recordBrokenCall(const LibFleet::UpstreamRecord &upstream);
     absl::Status forwardEvents(kj::WaitScope &scope, const LibHttpStream::ResponseHead &head, LibGateway::EventSplitter &splitter);
     void refuse(kj::WaitScope &scope, int status, const std::string &reason, AK::Milliseconds retryAfter);
     void giveUp(kj::WaitScope &scope, const std::string &reason, AK::Milliseconds retryAfter);
@@ -74,6 +78,10 @@
     AK::Milliseconds arrivedAt;
     /// Time at which the client gives up or the timeout of the route ends the call, less responseMargin.
     AK::Milliseconds deadline = 0;
+    /// Time at which the request was last sent to an upstream.
+    AK::Milliseconds sentAt = 0;
+    /// Time of the first event of the last send, 0 before.
+    AK::Milliseconds firstEventAt = 0;
     /// An upstream may have run the request.
     bool mayHaveRun = false;
     std::optional<std::string> lastEventId;
--- a/Userland/Services/Gateway/UpstreamCall.cpp
+++ b/Userland/Services/Gateway/UpstreamCall.cpp
@@ -72,7 +72,7 @@
     for (int mismatched = 0; mismatched <= maxMismatchedResponses; ++mismatched) {
         const absl::StatusOr<std::string> text = LibHttpStream::readHeadText(channel, scope, maxResponseHeadBytes, deadline);
         if (!text.ok()) {
-            return {SendOutcome::Unknown, false, AK::concat("no answer: ", text.status().message())};
+            return {SendOutcome::Unknown, false, AK::concat("no answer: ", text.status().message()), !absl::IsDeadlineExceeded(text.status())};
         }
         absl::StatusOr<LibHttpStream::ResponseHead> parsed = LibHttpStream::parseResponseHead(*text);
         if (!parsed.ok()) {
--- a/Userland/Services/Gateway/UpstreamCall.h
+++ b/Userland/Services/Gateway/UpstreamCall.h
@@ -35,6 +35,8 @@
         /// The request reached the upstream, which refused it.
         bool refusedByUpstream = false;
         std::string reason;
+        /// The upstream ended the connection before it had sent the head of a response.
+        bool connectionEnded = false;
     };
 
     /// Sends the request and reads the head of its response. Responses to other requests are dropped.
--- a/Userland/Utilities/catkinlinkd/EntryProcess.h
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.h
@@ -52,6 +52,7 @@
     Gateway::SlotClient slotClient;
     Gateway::Dispatcher dispatcher;
     Gateway::UpstreamConnectionPool upstreamConnections;
+    Gateway::CrashDetector crashes;
     Gateway::GatewayService gateway;
     LibPeers::PeerServer peers;
     Gateway::SimpleHttpServer readiness;
