Tests: Show prompts that crash one upstream after the other

Four cases: the part in the middle, first, alone, and always beside a sound part. After the fifth crash three more such requests may reach upstreams; calls with the other parts must go on being served.

--- /dev/null
+++ b/Tests/Services/Gateway/TestCrashingPrompts.cpp
@@ -0,0 +1,135 @@
+#include "GatewaySite.h"
+#include <AK/Text.h>
+#include <gtest/gtest.h>
+
+namespace
+{
+
+using LibFleet::RouteKind;
+
+constexpr AK::Milliseconds callTimeout = 3'000;
+constexpr size_t upstreamCount = 8;
+constexpr int events = 3;
+// Upstreams take this long to read a prompt, so that other calls are in flight when one crashes.
+constexpr AK::Milliseconds readingTime = 10;
+constexpr AK::Milliseconds downTime = 60;
+
+/// Upstreams that crash when they begin to write a response to a prompt with the part "bad".
+class CrashingSite
+{
+public:
+    CrashingSite()
+        : site(this->scripts())
+    {
+        this->loop = &this->site.loop;
+        this->site.configure(RouteKind::Stream, true, 2, callTimeout);
+    }
+
+    ClientResponse call(kj::WaitScope &scope, const std::string &sharedParts)
+    {
+        const std::string id = AK::concat("a", ++this->calls);
+        // The last part is the call's own.
+        return this->site.callFrom(
+            scope, {{"X-Attempt-Id", id}, {"X-Deadline-Ms", std::to_string(callTimeout)}, {"X-Prompt-Prefix", AK::concat(sharedParts, ",", "f", id, ":5")}});
+    }
+
+    GatewaySite site;
+    LibFiber::Loop *loop = nullptr;
+    int crashes = 0;
+    /// Requests with the bad part that reached an upstream.
+    int badRequests = 0;
+
+private:
+    std::vector<UpstreamScript> scripts()
+    {
+        std::vector<UpstreamScript> result;
+        for (size_t index = 0; index < upstreamCount; ++index) {
+            result.push_back([this, index](kj::WaitScope &scope, LibFiber::ByteChannel &channel, const LibHttpStream::RequestHead &head, const std::string &) {
+                return this->serve(scope, channel, head, index);
+            });
+        }
+        return result;
+    }
+
+    bool serve(kj::WaitScope &scope, LibFiber::ByteChannel &channel, const LibHttpStream::RequestHead &head, size_t index)
+    {
+        const AK::Milliseconds deadline = this->loop->clock().now() + callTimeout;
+        const bool bad = LibHttpStream::findHeader(head.headers, "X-Prompt-Prefix")->find("bad:") != std::string::npos;
+        this->badRequests += bad ? 1 : 0;
+        this->loop->sleep(scope, readingTime);
+        const std::string startLine = AK::concat("HTTP/1.1 200 OK\r\nX-Attempt-Id: ", *LibHttpStream::findHeader(head.headers, "X-Attempt-Id"),
+                                                 "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        bool ok = channel.write(scope, startLine, deadline).ok();
+        if (bad) {
+            if (!this->site.upstreams[index]->isDown()) {
+                ++this->crashes;
+                this->site.crashUpstream(index, downTime);
+            }
+            return false;
+        }
+        const std::string *last = LibHttpStream::findHeader(head.headers, "Last-Event-Id");
+        for (int event = last == nullptr ? 1 : std::stoi(*last) + 1; event <= events && ok; ++event) {
+            ok = channel.write(scope, LibHttpStream::encodeChunk(AK::concat("id: ", event, "\ndata: word\n\n")), deadline).ok();
+            this->loop->sleep(scope, readingTime);
+        }
+        return ok && channel.write(scope, LibHttpStream::lastChunk, deadline).ok();
+    }
+
+    int calls = 0;
+};
+
+struct CrashingPromptCase {
+    const char *name;
+    /// Shared parts of the prompts that crash upstreams.
+    std::string bad;
+    /// Shared parts of other prompts.
+    std::vector<std::string> sound;
+};
+
+class CrashingPromptTest : public testing::TestWithParam<CrashingPromptCase>
+{
+};
+
+// Guards against prompts that crash one upstream after the other, and against rejecting the calls that share their other parts.
+TEST_P(CrashingPromptTest, StopReachingUpstreams)
+{
+    constexpr int rounds = 16;
+    constexpr int toleratedCrashes = 5;
+    constexpr int toleratedRequestsAfter = 3;
+    // By then the part must have been found.
+    constexpr int roundsToFind = 8;
+    CrashingSite crashing;
+    kj::WaitScope &scope = crashing.site.loop.rootScope();
+    int badRequestsAtLimit = -1;
+    int soundFailures = 0;
+    for (int round = 0; round < rounds; ++round) {
+        auto calls = kj::heapArrayBuilder<kj::Promise<void>>(GetParam().sound.size() + 1);
+        std::vector<ClientResponse> soundResponses(GetParam().sound.size());
+        for (size_t i = 0; i < GetParam().sound.size(); ++i) {
+            calls.add(crashing.site.loop.fiber([&, i](kj::WaitScope &inner) { soundResponses[i] = crashing.call(inner, GetParam().sound[i]); }));
+        }
+        ClientResponse badResponse;
+        calls.add(crashing.site.loop.fiber([&](kj::WaitScope &inner) { badResponse = crashing.call(inner, GetParam().bad); }));
+        kj::joinPromises(calls.finish()).wait(scope);
+        EXPECT_GE(badResponse.status, 500) << "round " << round;
+        for (const ClientResponse &response : soundResponses) {
+            soundFailures += round >= roundsToFind && (response.status != 200 || !response.complete) ? 1 : 0;
+        }
+        if (badRequestsAtLimit < 0 && crashing.crashes >= toleratedCrashes) {
+            badRequestsAtLimit = crashing.badRequests;
+        }
+        // Let upstreams that have crashed come back.
+        crashing.site.loop.sleep(scope, 2 * downTime);
+    }
+    EXPECT_LE(crashing.badRequests, (badRequestsAtLimit < 0 ? toleratedCrashes : badRequestsAtLimit) + toleratedRequestsAfter);
+    EXPECT_EQ(soundFailures, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, CrashingPromptTest,
+                         testing::Values(CrashingPromptCase{"part_in_the_middle", "a1:40,bad:20", {"a1:40", "a1:40,c2:20"}},
+                                         CrashingPromptCase{"first_part", "bad:40,c1:20", {"a1:40,c1:20", "a1:40"}},
+                                         CrashingPromptCase{"only_shared_part", "bad:40", {"a1:40", "a2:40"}},
+                                         CrashingPromptCase{"always_beside_a_sound_part", "a1:40,bad:20,c3:9", {"a1:40,c3:9", "a1:40"}}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+} // namespace
