Gateway: Quarantine prompt parts that crash upstreams

Cause: nothing linked the end of an engine to what the calls beside it had in common. A failed call was sent to a second engine and accepted again from its client, so each crashed up to four. Suspending an engine or its address can't help, because the fault moves with the request.

An entry now keeps the crashes beside which its calls broke off, with the shared parts of the prompts whose responses had hardly begun, and the parts with which upstreams have written responses. Entries exchange both at once. The part that explains the crashes, and with which nothing was answered since, is quarantined: calls with it are rejected with 503, and a call whose part another prompt shares is not sent to a second upstream meanwhile. Three crashes of two prompts suffice, six of four for a part that was answered before; upstreams that end together count as one round, of which it takes two. The parts are stored, one object each, so that they outlive every process; ten minutes later the object is removed. Releasing it lets calls pass again.

--- /dev/null
+++ b/Tests/LibGateway/TestCrashEvidence.cpp
@@ -0,0 +1,183 @@
+#include <LibGateway/CrashEvidence.h>
+#include <gtest/gtest.h>
+
+namespace
+{
+
+using namespace LibGateway;
+
+using Parts = std::vector<std::string>;
+
+struct SuspectRow {
+    std::string upstream;
+    AK::Milliseconds sentAt;
+    AK::Milliseconds crashedAt;
+    uint64_t prompt;
+    Parts parts;
+};
+
+struct SoundRow {
+    std::string part;
+    AK::Milliseconds at;
+};
+
+struct CauseCase {
+    const char *name;
+    std::vector<SuspectRow> suspects;
+    std::vector<SoundRow> sound;
+    std::vector<std::string> causes;
+};
+
+class FindCrashingPartsTest : public testing::TestWithParam<CauseCase>
+{
+};
+
+constexpr AK::Milliseconds start = 100'000;
+constexpr AK::Milliseconds judgedAt = start + 5'000;
+
+CrashEvidence evidenceOf(const CauseCase &testCase)
+{
+    const QuarantineSettings settings;
+    CrashEvidence evidence;
+    for (const SoundRow &row : testCase.sound) {
+        recordSoundPart(evidence.soundParts, row.part, start + row.at);
+    }
+    for (const SuspectRow &row : testCase.suspects) {
+        recordCrash(evidence, {row.upstream, start + row.crashedAt, {{row.prompt, start + row.sentAt, row.parts}}}, judgedAt, settings);
+    }
+    return evidence;
+}
+
+// Guards against a part that crashes upstreams and is not found, and against a sound part that is taken for it.
+TEST_P(FindCrashingPartsTest, FindsTheCauseAlone)
+{
+    EXPECT_EQ(findCrashingParts(evidenceOf(GetParam()), {}, judgedAt, QuarantineSettings{}), GetParam().causes);
+}
+
+/// Crashes 100 ms apart, each by a call with `bad` that was sent after the crash before.
+std::vector<SuspectRow> crashesInTurn(int count, const Parts &parts, const std::string &prefix = "u")
+{
+    std::vector<SuspectRow> rows;
+    for (int i = 0; i < count; ++i) {
+        rows.push_back({prefix + std::to_string(i), i * 100 + 10, i * 100 + 100, static_cast<uint64_t>(i), parts});
+    }
+    return rows;
+}
+
+std::vector<SuspectRow> join(std::vector<SuspectRow> left, const std::vector<SuspectRow> &right)
+{
+    left.insert(left.end(), right.begin(), right.end());
+    return left;
+}
+
+/// Crashes of upstreams that are hit together, for example by a loss of power.
+std::vector<SuspectRow> crashesTogether(int count, const Parts &parts)
+{
+    std::vector<SuspectRow> rows;
+    for (int i = 0; i < count; ++i) {
+        rows.push_back({"p" + std::to_string(i), -50 + i, 100 + i, static_cast<uint64_t>(1'000 + i), parts});
+    }
+    return rows;
+}
+
+/// One prompt that was sent again after each crash.
+std::vector<SuspectRow> onePrompt(int count, const Parts &parts)
+{
+    std::vector<SuspectRow> rows = crashesInTurn(count, parts, "v");
+    for (SuspectRow &row : rows) {
+        row.prompt = 77;
+    }
+    return rows;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, FindCrashingPartsTest,
+    testing::Values(CauseCase{"no_crash", {}, {}, {}}, CauseCase{"two_crashes", crashesInTurn(2, {"a", "bad"}), {}, {}},
+                    CauseCase{"three_crashes", crashesInTurn(3, {"a", "bad"}), {}, {"bad"}},
+                    CauseCase{"front_part_that_varies_behind",
+                              join(join(crashesInTurn(2, {"bad", "c1"}), crashesInTurn(2, {"bad", "c2"}, "w")), crashesInTurn(1, {"bad", "c3"}, "x")),
+                              {},
+                              {"bad"}},
+                    CauseCase{"sound_part_behind", crashesInTurn(4, {"a", "bad", "c"}), {{"c", -500}}, {"bad"}},
+                    CauseCase{"one_prompt_sent_again", onePrompt(5, {"a", "b"}), {}, {}},
+                    CauseCase{"power_lost_everywhere", crashesTogether(40, {"a", "b"}), {{"a", -400}, {"b", -400}}, {}},
+                    CauseCase{"power_lost_beside_new_parts", crashesTogether(40, {"a", "b"}), {}, {}},
+                    CauseCase{"answered_since", crashesInTurn(5, {"a", "b"}), {{"a", 600}, {"b", 600}}, {}},
+                    CauseCase{"answered_between", crashesInTurn(4, {"b"}), {{"b", 250}}, {}},
+                    CauseCase{"turned_bad_after_it_was_sound", crashesInTurn(6, {"bad"}), {{"bad", -2'000}}, {"bad"}},
+                    CauseCase{"few_crashes_of_a_part_that_was_sound", crashesInTurn(5, {"b"}), {{"b", -2'000}}, {}},
+                    CauseCase{"innocent_calls_on_the_same_upstreams",
+                              join(crashesInTurn(6, {"a", "bad"}),
+                                   {{"u1", 150, 200, 50, {"a", "c"}}, {"u3", 350, 400, 51, {"a", "c"}}, {"u5", 550, 600, 52, {"a", "c"}}}),
+                              {},
+                              {"bad"}},
+                    CauseCase{"two_causes", join(crashesInTurn(5, {"a", "bad"}), crashesInTurn(4, {"a", "bad2"}, "w")), {{"a", -100}}, {"bad", "bad2"}}),
+    [](const auto &info) { return std::string(info.param.name); });
+
+// Guards against parts that are taken for the cause again after they have been released, by crashes that are already explained.
+TEST(FindCrashingParts, DoesNotBlameOthersForExplainedCrashes)
+{
+    const CrashEvidence evidence = evidenceOf({"", crashesInTurn(6, {"a", "bad"}), {}, {}});
+    EXPECT_TRUE(findCrashingParts(evidence, {"bad"}, judgedAt, QuarantineSettings{}).empty());
+}
+
+// Guards against crashes that count for ever.
+TEST(FindCrashingParts, ForgetsOldCrashes)
+{
+    const QuarantineSettings settings;
+    const CrashEvidence evidence = evidenceOf({"", crashesInTurn(3, {"a", "bad"}), {}, {}});
+    EXPECT_TRUE(findCrashingParts(evidence, {}, judgedAt + settings.evidenceMaxAge, settings).empty());
+}
+
+// Guards against one crash that counts once for each entry that saw it.
+TEST(RecordCrash, JoinsWhatSeveralEntriesSaw)
+{
+    const QuarantineSettings settings;
+    CrashEvidence evidence;
+    EXPECT_TRUE(recordCrash(evidence, {"u1", start, {{1, start - 50, {"a"}}}}, start, settings));
+    EXPECT_TRUE(recordCrash(evidence, {"u1", start + 30, {{2, start - 20, {"b"}}}}, start + 40, settings));
+    EXPECT_FALSE(recordCrash(evidence, {"u1", start + 60, {{1, start - 50, {"a"}}}}, start + 70, settings));
+    ASSERT_EQ(evidence.crashes.size(), 1U);
+    EXPECT_EQ(evidence.crashes[0].suspects.size(), 2U);
+}
+
+// Guards against a memory of parts that grows with the number of prompts.
+TEST(SoundParts, ForgetsTheOldest)
+{
+    SoundParts parts;
+    for (int i = 0; i < 100'000; ++i) {
+        recordSoundPart(parts, std::to_string(i), i);
+    }
+    EXPECT_LT(parts.newer.size() + parts.older.size(), 20'000U);
+    EXPECT_FALSE(lastSound(parts, "1"));
+    EXPECT_EQ(lastSound(parts, "99999"), 99'999);
+}
+
+struct SuspicionCase {
+    const char *name;
+    std::vector<SoundRow> sound;
+    Parts parts;
+    uint64_t prompt;
+    bool suspected;
+};
+
+class IsSuspectedTest : public testing::TestWithParam<SuspicionCase>
+{
+};
+
+// Guards against calls that crash a second upstream although another call has crashed one with the same part, and against calls with sound parts that are not
+// sent again.
+TEST_P(IsSuspectedTest, ByAnotherPromptWithThePart)
+{
+    const CrashEvidence evidence = evidenceOf({"", crashesInTurn(1, {"a", "bad"}), GetParam().sound, {}});
+    EXPECT_EQ(isSuspected(evidence, GetParam().parts, GetParam().prompt), GetParam().suspected);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, IsSuspectedTest,
+                         testing::Values(SuspicionCase{"another_prompt", {{"a", -10}}, {"a", "bad"}, 5, true},
+                                         SuspicionCase{"same_prompt", {{"a", -10}}, {"a", "bad"}, 0, false},
+                                         SuspicionCase{"sound_part_only", {{"a", -10}}, {"a"}, 5, false},
+                                         SuspicionCase{"other_part", {{"a", -10}}, {"a", "c"}, 5, false}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+} // namespace
--- a/Tests/LibPeers/TestWireCodec.cpp
+++ b/Tests/LibPeers/TestWireCodec.cpp
@@ -57,4 +57,25 @@
     EXPECT_EQ(decode(builder.asReader()).sightings.size(), 1U);
 }
 
+// Guards against crashes whose suspects or times are changed on the way to another entry.
+TEST(CrashCodec, ReturnsWhatWasSent)
+{
+    NodeState state;
+    state.crashes = {{"i-1", 250, {{UINT64_MAX, 130, {"a1", "b2"}}, {7, 0, {}}}}, {"i-2", 0, {}}};
+    state.soundParts = {{"a1", 900}};
+    capnp::MallocMessageBuilder message;
+    encode(state, message.initRoot<PeerWire::NodeState>());
+    const NodeState decoded = decode(message.getRoot<PeerWire::NodeState>().asReader());
+    ASSERT_EQ(decoded.crashes.size(), 2U);
+    EXPECT_EQ(decoded.crashes[0].upstream, "i-1");
+    EXPECT_EQ(decoded.crashes[0].age, 250);
+    ASSERT_EQ(decoded.crashes[0].suspects.size(), 2U);
+    EXPECT_EQ(decoded.crashes[0].suspects[0].prompt, UINT64_MAX);
+    EXPECT_EQ(decoded.crashes[0].suspects[0].sentBefore, 130);
+    EXPECT_EQ(decoded.crashes[0].suspects[0].parts, (std::vector<std::string>{"a1", "b2"}));
+    ASSERT_EQ(decoded.soundParts.size(), 1U);
+    EXPECT_EQ(decoded.soundParts[0].part, "a1");
+    EXPECT_EQ(decoded.soundParts[0].age, 900);
+}
+
 } // namespace
--- a/Tests/Services/Gateway/GatewaySite.cpp
+++ b/Tests/Services/Gateway/GatewaySite.cpp
@@ -98,11 +98,13 @@
     , dispatcher(loop, fleet, dispatchSettings(), nullptr)
     , connections(loop)
     , crashes(loop, metrics)
+    , quarantine(loop.clock(), fleet)
     , address{"127.0.0.1", nextPort()}
-    , gateway({loop, fleet, codec, dispatcher, connections, crashes, metrics}, address)
+    , gateway({loop, fleet, codec, dispatcher, connections, crashes, quarantine, metrics}, address)
 {
     this->dispatcher.setRegions({{"lima-1", "lima"}});
     this->dispatcher.setEntries({{"e1", "lima-1"}});
+    this->crashes.onCrash([this](const LibGateway::Crash &crash) { this->quarantine.recordCrash(crash); });
     std::map<std::string, LibFleet::UpstreamRecord> records;
     for (const UpstreamScript &script : scripts) {
         const uint16_t port = nextPort();
--- a/Tests/Services/Gateway/GatewaySite.h
+++ b/Tests/Services/Gateway/GatewaySite.h
@@ -72,6 +72,7 @@
     Gateway::Dispatcher dispatcher;
     Gateway::UpstreamConnectionPool connections;
     Gateway::CrashDetector crashes;
+    Gateway::PromptQuarantine quarantine;
     AK::Endpoint address;
     Gateway::GatewayService gateway;
     std::vector<std::unique_ptr<FakeUpstream>> upstreams;
--- a/Userland/Libraries/LibFleet/FleetState.cpp
+++ b/Userland/Libraries/LibFleet/FleetState.cpp
@@ -43,6 +43,11 @@
     return this->evacuated.contains(failureDomain);
 }
 
+const std::set<std::string> &FleetState::quarantinedParts() const
+{
+    return this->quarantined;
+}
+
 bool FleetState::weightsTargetsKnown() const
 {
     return this->targetsKnown;
@@ -116,6 +121,16 @@
     this->notifyObservers();
 }
 
+void FleetState::setQuarantinedParts(std::set<std::string> parts)
+{
+    if (parts == this->quarantined) {
+        return;
+    }
+    this->quarantined = std::move(parts);
+    this->logger.info("quarantined_parts", {{"parts", this->quarantined}});
+    this->notifyObservers();
+}
+
 void FleetState::setWeightsTargets(const std::map<std::string, int64_t> &versions, AK::Milliseconds initialAge)
 {
     bool added = false;
--- a/Userland/Libraries/LibFleet/FleetState.h
+++ b/Userland/Libraries/LibFleet/FleetState.h
@@ -55,6 +55,8 @@
     const std::map<std::string, UpstreamRecord> &upstreams() const;
     const std::map<std::string, EntryRecord> &entries() const;
     bool isEvacuated(const std::string &failureDomain) const;
+    /// Parts of prompts that crash upstreams; calls with one of them are rejected.
+    const std::set<std::string> &quarantinedParts() const;
     /// Whether the targets have been read. Until then a model without a target may still have one.
     bool weightsTargetsKnown() const;
     /// The newest target of a model; version 0 when it has none.
@@ -67,6 +69,7 @@
     void setUpstreams(std::map<std::string, UpstreamRecord> upstreams);
     void setEntries(std::map<std::string, EntryRecord> entries);
     void setEvacuations(std::set<std::string> failureDomains);
+    void setQuarantinedParts(std::set<std::string> parts);
     /// Adds targets that are newer than the known ones. `initialAge` is the assumed age, in ms, of targets that were named before this process started.
     void setWeightsTargets(const std::map<std::string, int64_t> &versions, AK::Milliseconds initialAge);
 
@@ -82,6 +85,7 @@
     std::map<std::string, UpstreamRecord> upstreamsById;
     std::map<std::string, EntryRecord> entriesByName;
     std::set<std::string> evacuated;
+    std::set<std::string> quarantined;
     std::map<std::string, std::vector<WeightsTarget>> targetsByModel;
     bool targetsKnown = false;
     std::vector<std::function<void()>> observers;
--- a/Userland/Libraries/LibFleet/ObjectFeed.h
+++ b/Userland/Libraries/LibFleet/ObjectFeed.h
@@ -12,8 +12,8 @@
 namespace LibFleet
 {
 
-/// Kinds of objects that the system reads from the platform's store.
-enum class ObjectKind { Configuration, Evacuations, WeightsTargets, Upstreams, Entries };
+/// Kinds of objects that the system reads from the platform's store. Processes exchange them by number.
+enum class ObjectKind { Configuration, Evacuations, WeightsTargets, Upstreams, Entries, QuarantinedParts };
 
 inline constexpr std::array objectKindNames{
     AK::EnumName{ObjectKind::Configuration, "configuration"},
@@ -21,6 +21,7 @@
     AK::EnumName{ObjectKind::WeightsTargets, "weights_targets"},
     AK::EnumName{ObjectKind::Upstreams, "upstreams"},
     AK::EnumName{ObjectKind::Entries, "entries"},
+    AK::EnumName{ObjectKind::QuarantinedParts, "quarantined_parts"},
 };
 
 inline constexpr size_t objectKindCount = objectKindNames.size();
--- a/Userland/Libraries/LibPeers/PeerRecords.h
+++ b/Userland/Libraries/LibPeers/PeerRecords.h
@@ -48,6 +48,32 @@
 /// Names an entry in sightings. Two of 1,000 entries have the same hash in one of 8,600 deployments; these two are then taken for each other.
 uint32_t entryHash(std::string_view name);
 
+/// A call that may have crashed an upstream.
+struct SuspectReport {
+    /// Hash of the last part of its prompt.
+    uint64_t prompt = 0;
+    /// Time from its send to the crash, in ms.
+    AK::Milliseconds sentBefore = 0;
+    /// Parts of the prompt that other calls may share, in order.
+    std::vector<std::string> parts;
+};
+
+/// The crash of an upstream.
+struct CrashReport {
+    /// Id of the upstream instance.
+    std::string upstream;
+    /// Time since the crash, in ms.
+    AK::Milliseconds age = 0;
+    std::vector<SuspectReport> suspects;
+};
+
+/// A part of a prompt with which an upstream has written a response.
+struct SoundPartReport {
+    std::string part;
+    /// Time since then, in ms.
+    AK::Milliseconds age = 0;
+};
+
 /// State that processes send each other in each exchange.
 struct NodeState {
     std::string name;
@@ -70,6 +96,9 @@
     std::vector<EntrySighting> sightings;
     /// Between entries: those of `sightings` that the store does not list; without sightings of their own.
     std::vector<NodeState> introduced;
+    /// Between entries: crashes that the sender has learned of lately, and the parts of their prompts that are known to be sound.
+    std::vector<CrashReport> crashes;
+    std::vector<SoundPartReport> soundParts;
 };
 
 /// Asks for a slot at an upstream that another entry owns.
--- a/Userland/Libraries/LibPeers/WireCodec.cpp
+++ b/Userland/Libraries/LibPeers/WireCodec.cpp
@@ -74,6 +74,54 @@
     return sightings;
 }
 
+uint32_t toUnsigned(AK::Milliseconds duration)
+{
+    return static_cast<uint32_t>(std::clamp<AK::Milliseconds>(duration, 0, UINT32_MAX));
+}
+
+void encodeCrash(const CrashReport &crash, PeerWire::CrashReport::Builder builder)
+{
+    builder.setUpstream(crash.upstream.c_str());
+    builder.setAgeMs(toUnsigned(crash.age));
+    auto suspects = builder.initSuspects(static_cast<capnp::uint>(crash.suspects.size()));
+    for (capnp::uint i = 0; i < suspects.size(); ++i) {
+        const SuspectReport &suspect = crash.suspects[i];
+        suspects[i].setPrompt(suspect.prompt);
+        suspects[i].setSentBeforeMs(toUnsigned(suspect.sentBefore));
+        auto parts = suspects[i].initParts(static_cast<capnp::uint>(suspect.parts.size()));
+        for (capnp::uint part = 0; part < parts.size(); ++part) {
+            parts.set(part, suspect.parts[part].c_str());
+        }
+    }
+}
+
+CrashReport decodeCrash(PeerWire::CrashReport::Reader reader)
+{
+    CrashReport crash{toText(reader.getUpstream()), reader.getAgeMs(), {}};
+    for (const auto suspect : reader.getSuspects()) {
+        SuspectReport &decoded = crash.suspects.emplace_back();
+        decoded.prompt = suspect.getPrompt();
+        decoded.sentBefore = suspect.getSentBeforeMs();
+        for (const auto part : suspect.getParts()) {
+            decoded.parts.push_back(toText(part));
+        }
+    }
+    return crash;
+}
+
+void encodeCrashes(const NodeState &state, PeerWire::NodeState::Builder builder)
+{
+    auto crashes = builder.initCrashes(static_cast<capnp::uint>(state.crashes.size()));
+    for (capnp::uint i = 0; i < crashes.size(); ++i) {
+        encodeCrash(state.crashes[i], crashes[i]);
+    }
+    auto soundParts = builder.initSoundParts(static_cast<capnp::uint>(state.soundParts.size()));
+    for (capnp::uint i = 0; i < soundParts.size(); ++i) {
+        soundParts[i].setPart(state.soundParts[i].part.c_str());
+        soundParts[i].setAgeMs(toUnsigned(state.soundParts[i].age));
+    }
+}
+
 } // namespace
 
 uint32_t entryHash(std::string_view name)
@@ -109,6 +157,9 @@
             encode(state.introduced[i], introduced[i]);
         }
     }
+    if (!state.crashes.empty()) {
+        encodeCrashes(state, builder);
+    }
 }
 
 NodeState decode(PeerWire::NodeState::Reader reader)
@@ -134,6 +185,12 @@
     for (const auto introduced : reader.getIntroduced()) {
         state.introduced.push_back(decode(introduced));
     }
+    for (const auto crash : reader.getCrashes()) {
+        state.crashes.push_back(decodeCrash(crash));
+    }
+    for (const auto sound : reader.getSoundParts()) {
+        state.soundParts.push_back({toText(sound.getPart()), sound.getAgeMs()});
+    }
     return state;
 }
 
--- a/Userland/Libraries/LibPeers/peers.capnp
+++ b/Userland/Libraries/LibPeers/peers.capnp
@@ -34,6 +34,28 @@
   sightedStates @13 :List(UInt16);      # open slots in the low byte, 0x100 ready, 0x200 leaving, 0x400 store lost
   introduced @14 :List(NodeState);      # entries among the sighted ones that the store does not list
   storeLost @15 :Bool;        # entries: the store does not answer this process
+  # Between entries: crashes learned of lately, and parts of their prompts that are known to be sound.
+  crashes @16 :List(CrashReport);
+  soundParts @17 :List(SoundPartReport);
+}
+
+struct CrashReport {
+  upstream @0 :Text;          # id of the instance
+  ageMs @1 :UInt32;
+  suspects @2 :List(SuspectReport);
+}
+
+# A call that may have crashed an upstream.
+struct SuspectReport {
+  prompt @0 :UInt64;          # hash of the last part of its prompt
+  sentBeforeMs @1 :UInt32;    # from its send to the crash
+  parts @2 :List(Text);       # shared parts of its prompt, in order
+}
+
+# A part of a prompt with which an upstream has written a response.
+struct SoundPartReport {
+  part @0 :Text;
+  ageMs @1 :UInt32;
 }
 
 struct StoredObject {
--- a/Userland/Services/Fleet/PeerExchange.cpp
+++ b/Userland/Services/Fleet/PeerExchange.cpp
@@ -77,6 +77,11 @@
     this->reportObserver = std::move(observer);
 }
 
+void PeerExchange::onEntryState(std::function<void(const LibPeers::NodeState &)> observer)
+{
+    this->entryObserver = std::move(observer);
+}
+
 std::map<std::string, EntryView> PeerExchange::liveEntries(AK::Milliseconds maxAge) const
 {
     return this->views.live(maxAge);
@@ -155,6 +160,9 @@
     if (peer.engine && this->reportObserver) {
         this->reportObserver(*peer.engine);
     }
+    if (!peer.clientAddress.empty() && this->entryObserver) {
+        this->entryObserver(peer);
+    }
     if (stopped) {
         this->pushNow();
     }
--- a/Userland/Services/Fleet/PeerExchange.h
+++ b/Userland/Services/Fleet/PeerExchange.h
@@ -54,6 +54,9 @@
     /// Sets the function that is called for each engine report that arrives.
     void onReport(std::function<void(const LibPeers::EngineReport &)> observer);
 
+    /// Sets the function that is called for the state of each entry that arrives from that entry itself.
+    void onEntryState(std::function<void(const LibPeers::NodeState &)> observer);
+
     /// Entries known to be alive by news of the last `maxAge` ms, by name; this process is not among them. News that came by way of other entries may be older
     /// by the time that they take.
     std::map<std::string, EntryView> liveEntries(AK::Milliseconds maxAge) const;
@@ -109,6 +112,7 @@
     EntryViews views;
     std::function<void(LibPeers::NodeState &)> completeState;
     std::function<void(const LibPeers::EngineReport &)> reportObserver;
+    std::function<void(const LibPeers::NodeState &)> entryObserver;
     std::map<std::string, Partner> partners;
     /// Addresses that a fiber exchanges with.
     std::set<std::string> activeAddresses;
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -26,6 +26,8 @@
 constexpr AK::Milliseconds refusalRetryAfter = 500;
 // A request that crashes upstreams does so when they begin to write its response; one whose events have come for this long is not the cause.
 constexpr AK::Milliseconds crashTime = 500;
+// Longer than clients wait: sent again, the call would be rejected again.
+constexpr AK::Milliseconds quarantineRetryAfter = 60'000;
 // One in this many calls that succeed in time is logged; all others are always logged.
 constexpr uint64_t logSamplingInterval = 16;
 
@@ -109,6 +111,9 @@
         }
         this->account = found->second;
     }
+    if (this->rejectQuarantined(scope)) {
+        return false;
+    }
     const AK::Milliseconds clientTimeout = this->request.clientTimeout.value_or(defaultClientTimeout);
     this->deadline = this->arrivedAt + std::min(clientTimeout, this->route->timeout > 0 ? this->route->timeout : clientTimeout) - responseMargin;
     this->requirements.service = pickService(*this->route, this->request.id);
@@ -143,6 +148,9 @@
     GrantOrRefusal granted = this->context.dispatcher.acquire(scope, this->requirements);
     this->report.waited += this->now() - requestedAt;
     KJ_IF_MAYBE (grant, granted.grant) {
+        if (this->rejectQuarantined(scope)) {
+            return NextStep::Done;
+        }
         const LibFleet::UpstreamRecord upstream = (*grant)->upstream();
         this->report.upstream = upstream.id;
         this->report.loadAtChoice = (*grant)->loadAtChoice();
@@ -194,7 +202,7 @@
     this->report.reason = reason;
     this->mayHaveRun = this->mayHaveRun || sendMayHaveRun;
     this->requirements.excluded.insert(upstream.id);
-    const bool allowed = !this->mayHaveRun || this->route->repeatable();
+    const bool allowed = (!this->mayHaveRun || this->route->repeatable()) && !this->context.quarantine.isSuspected(this->request);
     if (allowed && this->report.sends < this->route->maxAttempts && this->now() < this->deadline
         && this->context.dispatcher.trySpendRetry(this->requirements.service)) {
         return NextStep::TryAnother;
@@ -203,6 +211,24 @@
     return NextStep::Done;
 }
 
+bool CallTask::rejectQuarantined(kj::WaitScope &scope)
+{
+    if (!this->context.quarantine.isQuarantined(this->request.sharedPromptParts)) {
+        return false;
+    }
+    this->context.metrics.add("catkinlink_quarantined_calls_total");
+    this->giveUp(scope, "a part of the prompt is quarantined", quarantineRetryAfter);
+    return true;
+}
+
+void CallTask::noteSoundPrompt(bool complete)
+{
+    if (!this->soundNoted && this->firstEventAt > 0 && (complete || this->now() - this->firstEventAt >= crashTime)) {
+        this->soundNoted = true;
+        this->context.quarantine.recordSoundPrompt(this->request.sharedPromptParts);
+    }
+}
+
 void CallTask::recordBrokenCall(const LibFleet::UpstreamRecord &upstream)
 {
     std::optional<LibGateway::CrashSuspect> suspect;
@@ -296,6 +322,7 @@
         }
         splitter.feed(**data);
         grant.promptRead();
+        this->noteSoundPrompt(false);
         if (!this->forwardEvents(scope, call.responseHead(), splitter).ok()) {
             return NextStep::Done;
         }
@@ -307,6 +334,7 @@
         }
     }
     this->context.dispatcher.recordOutcome(upstream, false);
+    this->noteSoundPrompt(true);
     call.finish();
     const absl::Status written = this->client.begun() ? this->client.endStream(scope) : this->client.sendResponse(scope, call.responseHead(), "", true);
     this->report.result = written.ok() ? "answered" : "client_left";
--- a/Userland/Services/Gateway/CallTask.h
+++ b/Userland/Services/Gateway/CallTask.h
@@ -3,6 +3,7 @@
 #include "ClientChannel.h"
 #include "CrashDetector.h"
 #include "Dispatcher.h"
+#include "PromptQuarantine.h"
 #include "UpstreamCall.h"
 #include <LibGateway/EventSplitter.h>
 #include <LibMetrics/MetricRegistry.h>
@@ -18,6 +19,7 @@
     Dispatcher &dispatcher;
     UpstreamConnectionPool &connections;
     CrashDetector &crashes;
+    PromptQuarantine &quarantine;
     LibMetrics::MetricRegistry &metrics;
 };
 
@@ -57,6 +59,10 @@
     NextStep forwardResponse(kj::WaitScope &scope, UpstreamCall &call, const LibFleet::UpstreamRecord &upstream);
     NextStep forwardStream(kj::WaitScope &scope, UpstreamCall &call, Grant &grant);
     NextStep retryOrGiveUp(kj::WaitScope &scope, const LibFleet::UpstreamRecord &upstream, bool sendMayHaveRun, const std::string &reason);
+    /// Rejects a call whose prompt has a quarantined part. Returns whether it did.
+    bool rejectQuarantined(kj::WaitScope &scope);
+    /// Records once that the parts of the prompt are sound: the response is complete, or has gone on for longer than a crash takes.
+    void noteSoundPrompt(bool complete);
     /// Records that the upstream has ended the connection before the end of its response.
     void recordBrokenCall(const LibFleet::UpstreamRecord &upstream);
     absl::Status forwardEvents(kj::WaitScope &scope, const LibHttpStream::ResponseHead &head, LibGateway::EventSplitter &splitter);
@@ -82,6 +88,8 @@
     AK::Milliseconds sentAt = 0;
     /// Time of the first event of the last send, 0 before.
     AK::Milliseconds firstEventAt = 0;
+    /// The prompt has been recorded as sound.
+    bool soundNoted = false;
     /// An upstream may have run the request.
     bool mayHaveRun = false;
     std::optional<std::string> lastEventId;
--- /dev/null
+++ b/Userland/Services/Gateway/PromptQuarantine.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <AK/Clock.h>
+#include <LibFleet/FleetState.h>
+#include <LibGateway/Codec.h>
+#include <LibGateway/CrashEvidence.h>
+#include <LibPeers/PeerRecords.h>
+#include <functional>
+#include <map>
+
+namespace Gateway
+{
+
+/// Finds the parts of prompts that crash upstreams and keeps calls with such a part from being sent. The entries exchange what they saw, because each of them
+/// may see too few crashes; each then comes to the same result. QuarantineKeeper stores the parts, so that they outlive every process.
+class PromptQuarantine
+{
+public:
+    PromptQuarantine(const AK::Clock &clock, LibFleet::FleetState &fleet, LibGateway::QuarantineSettings settings = {});
+
+    /// Sets the function that is called when there is something that the other entries must learn.
+    void onNews(std::function<void()> observer);
+
+    /// Records a crash that broke off calls of this entry.
+    void recordCrash(const LibGateway::Crash &crash);
+
+    /// Records that an upstream has written a response to a prompt with these parts.
+    void recordSoundPrompt(const std::vector<std::string> &parts);
+
+    /// Whether a call with one of these parts must not be sent.
+    bool isQuarantined(const std::vector<std::string> &parts) const;
+
+    /// Whether a call that was broken off by a crash must not be sent to another upstream.
+    bool isSuspected(const LibGateway::CallRequest &request) const;
+
+    /// Adds the news of the last seconds to the state that other entries get.
+    void addTo(LibPeers::NodeState &state) const;
+    /// Records the news of another entry.
+    void record(const LibPeers::NodeState &state);
+
+    /// Parts found by this process that are not stored, and the monotonic time at which they were found.
+    std::map<std::string, AK::Milliseconds> unstoredParts() const;
+    /// Stored parts that turned out to be sound.
+    std::vector<std::string> partsToRelease() const;
+
+private:
+    struct Entry {
+        /// Monotonic time at which this process found the part or learned of it.
+        AK::Milliseconds since = 0;
+        bool isStored = false;
+    };
+
+    bool isSoundSince(const std::string &part, AK::Milliseconds since) const;
+    /// Takes over the stored parts. A part that is no longer stored has been released.
+    void followStore();
+    void findParts();
+
+    const AK::Clock &clock;
+    LibFleet::FleetState &fleet;
+    LibGateway::QuarantineSettings settings;
+    LibGateway::CrashEvidence evidence;
+    std::map<std::string, Entry> quarantined;
+    std::function<void()> newsObserver;
+    LibLog::Logger logger{"quarantine"};
+};
+
+} // namespace Gateway
--- /dev/null
+++ b/Userland/Services/Gateway/QuarantineKeeper.cpp
@@ -0,0 +1,87 @@
+#include "QuarantineKeeper.h"
+
+#include <AK/Hash.h>
+#include <algorithm>
+
+namespace Gateway
+{
+
+namespace
+{
+
+constexpr AK::Milliseconds pollInterval = 100;
+// A part is stored when it has stayed the likeliest cause for this long, because news of other entries may still show that it is sound.
+constexpr AK::Milliseconds settleTime = 1'000;
+// The next entry writes if the one before it has not by then; a write and its way back take some ten ms.
+constexpr AK::Milliseconds takeoverTime = 300;
+constexpr AK::Milliseconds retryInterval = 1'000;
+// After this time calls with the part are sent again. If they still crash upstreams, it is found again.
+constexpr AK::Milliseconds quarantineTime = 600'000;
+
+} // namespace
+
+QuarantineKeeper::QuarantineKeeper(LibFiber::Loop &loop, Fleet::ObjectSource &store, const LibFleet::FleetState &fleet, const PromptQuarantine &quarantine)
+    : loop(loop)
+    , store(store)
+    , fleet(fleet)
+    , quarantine(quarantine)
+{
+}
+
+void QuarantineKeeper::setEntries(const std::string &selfName, std::vector<std::string> names)
+{
+    this->self = selfName;
+    this->entries = std::move(names);
+}
+
+void QuarantineKeeper::start()
+{
+    this->loop.spawn([this](kj::WaitScope &scope) {
+        while (true) {
+            this->loop.sleep(scope, pollInterval);
+            this->storeParts(scope);
+            this->removeParts(scope);
+        }
+    });
+}
+
+size_t QuarantineKeeper::rankFor(const std::string &part) const
+{
+    const uint64_t own = AK::rendezvousWeight(part, this->self);
+    return static_cast<size_t>(
+        std::count_if(this->entries.begin(), this->entries.end(), [&](const std::string &name) { return AK::rendezvousWeight(part, name) > own; }));
+}
+
+void QuarantineKeeper::storeParts(kj::WaitScope &scope)
+{
+    for (const auto &[part, since] : this->quarantine.unstoredParts()) {
+        const AK::Milliseconds turn = since + settleTime + static_cast<AK::Milliseconds>(this->rankFor(part)) * takeoverTime;
+        if (this->loop.clock().now() < turn || this->fleet.quarantinedParts().contains(part)) {
+            continue;
+        }
+        const absl::Status status = this->store.put(scope, LibFleet::ObjectKind::QuarantinedParts, part, R"({"reason":"crashes upstreams"})");
+        this->logger.info("part_stored", {{"part", part}, {"reason", std::string(status.message())}});
+        // The object comes back with the objects of the store.
+        this->loop.sleep(scope, retryInterval);
+    }
+}
+
+void QuarantineKeeper::removeParts(kj::WaitScope &scope)
+{
+    const AK::Milliseconds now = this->loop.clock().now();
+    std::vector<std::string> toRemove = this->quarantine.partsToRelease();
+    std::erase_if(this->storedSince, [&](const auto &row) { return !this->fleet.quarantinedParts().contains(row.first); });
+    for (const std::string &part : this->fleet.quarantinedParts()) {
+        const AK::Milliseconds since = this->storedSince.try_emplace(part, now).first->second;
+        if (now - since >= quarantineTime + static_cast<AK::Milliseconds>(this->rankFor(part)) * takeoverTime) {
+            toRemove.push_back(part);
+        }
+    }
+    for (const std::string &part : toRemove) {
+        const absl::Status status = this->store.erase(scope, LibFleet::ObjectKind::QuarantinedParts, part);
+        this->logger.info("part_removed", {{"part", part}, {"reason", std::string(status.message())}});
+        this->loop.sleep(scope, retryInterval);
+    }
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/Userland/Services/Gateway/QuarantineKeeper.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "PromptQuarantine.h"
+#include <Fleet/ObjectSource.h>
+
+namespace Gateway
+{
+
+/// Stores the parts of prompts that are quarantined, one object each, so that they stay in force when all entries have been restarted, and removes the objects
+/// after a time. The entries find the same parts at about the same time; they write one after the other, until one of them has succeeded.
+class QuarantineKeeper
+{
+public:
+    QuarantineKeeper(LibFiber::Loop &loop, Fleet::ObjectSource &store, const LibFleet::FleetState &fleet, const PromptQuarantine &quarantine);
+
+    /// Sets the names of the live entries, `self` among them.
+    void setEntries(const std::string &self, std::vector<std::string> names);
+
+    /// Starts the fiber that stores and removes parts.
+    void start();
+
+private:
+    /// Number of live entries that come before this one for a part.
+    size_t rankFor(const std::string &part) const;
+    void storeParts(kj::WaitScope &scope);
+    void removeParts(kj::WaitScope &scope);
+
+    LibFiber::Loop &loop;
+    Fleet::ObjectSource &store;
+    const LibFleet::FleetState &fleet;
+    const PromptQuarantine &quarantine;
+    std::string self;
+    std::vector<std::string> entries;
+    /// Monotonic time at which this process learned of each stored part.
+    std::map<std::string, AK::Milliseconds> storedSince;
+    LibLog::Logger logger{"quarantine"};
+};
+
+} // namespace Gateway
--- a/Userland/Utilities/catkinlinkd/EntryProcess.cpp
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.cpp
@@ -36,7 +36,10 @@
     , dispatcher(loop, this->node.fleet, dispatchSettings(settings), &this->slotClient)
     , upstreamConnections(loop)
     , crashes(loop, this->metrics)
-    , gateway({loop, this->node.fleet, this->codec, this->dispatcher, this->upstreamConnections, this->crashes, this->metrics}, *settings.clientAddress)
+    , quarantine(loop.clock(), this->node.fleet)
+    , quarantineKeeper(loop, this->node.store, this->node.fleet, this->quarantine)
+    , gateway({loop, this->node.fleet, this->codec, this->dispatcher, this->upstreamConnections, this->crashes, this->quarantine, this->metrics},
+              *settings.clientAddress)
     , peers(loop, this->node.exchange, nullptr, &this->dispatcher)
     , readiness(loop, *settings.readinessAddress, [this](const auto &head) { return this->readinessResponse(head); })
     , directory(loop, *settings.directoryAddress, [this](const auto &head) { return this->directoryResponse(head); })
@@ -47,7 +50,11 @@
         state.ready = this->ready();
         state.leaving = this->leaving;
         state.openSlots = static_cast<uint16_t>(std::clamp(this->dispatcher.openSlots(), 0, static_cast<int>(UINT16_MAX)));
+        this->quarantine.addTo(state);
     });
+    this->crashes.onCrash([this](const LibGateway::Crash &crash) { this->quarantine.recordCrash(crash); });
+    this->quarantine.onNews([this] { this->node.exchange.pushNow(); });
+    this->node.exchange.onEntryState([this](const LibPeers::NodeState &state) { this->quarantine.record(state); });
     this->node.exchange.onReport([this](const LibPeers::EngineReport &report) { this->dispatcher.recordReport(report); });
 }
 
@@ -64,6 +71,7 @@
     this->loop.spawn([this](kj::WaitScope &scope) { this->registerSelf(scope); });
     this->loop.spawn([this](kj::WaitScope &scope) { this->updateDispatcherEntries(scope); });
     this->loop.spawn([this](kj::WaitScope &scope) { this->removeSilentEntries(scope); });
+    this->quarantineKeeper.start();
     return absl::OkStatus();
 }
 
@@ -157,15 +165,18 @@
     while (true) {
         std::vector<LibFleet::EntryLocation> locations{{this->settings.name, this->settings.failureDomain, this->settings.region}};
         std::map<std::string, int> openSlots;
+        std::vector<std::string> names{this->settings.name};
         for (const auto &[name, view] : this->node.exchange.liveEntries(entryMaxAge)) {
             if (name != this->settings.name && view.state.ready) {
                 const auto region = this->settings.regionsByDomain.find(view.state.failureDomain);
                 locations.push_back({name, view.state.failureDomain, region == this->settings.regionsByDomain.end() ? "" : region->second});
                 openSlots[name] = view.state.openSlots;
+                names.push_back(name);
             }
         }
         this->dispatcher.setEntries(std::move(locations));
         this->dispatcher.setOpenSlots(std::move(openSlots));
+        this->quarantineKeeper.setEntries(this->settings.name, std::move(names));
         this->loop.sleep(scope, dispatcherUpdateInterval);
     }
 }
--- a/Userland/Utilities/catkinlinkd/EntryProcess.h
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.h
@@ -2,6 +2,7 @@
 
 #include "PlatformNode.h"
 #include <Gateway/GatewayService.h>
+#include <Gateway/QuarantineKeeper.h>
 #include <Gateway/SimpleHttpServer.h>
 #include <LibPeers/PeerServer.h>
 #include <platform/CallHeaders.h>
@@ -53,6 +54,8 @@
     Gateway::Dispatcher dispatcher;
     Gateway::UpstreamConnectionPool upstreamConnections;
     Gateway::CrashDetector crashes;
+    Gateway::PromptQuarantine quarantine;
+    Gateway::QuarantineKeeper quarantineKeeper;
     Gateway::GatewayService gateway;
     LibPeers::PeerServer peers;
     Gateway::SimpleHttpServer readiness;
