Gateway: Log the rate limits that upstreams name

Upstreams in need name a limit on their calls in their responses, and nothing read it: the logs could not show what an upstream had asked for. The limit is decoded, kept with the upstream and logged when it changes or ends (upstream_limited). A response without a limit ends it only if its call was sent after the limit was last named. Nothing is decided by it yet.

--- a/Tests/Platform/TestCodec.cpp
+++ b/Tests/Platform/TestCodec.cpp
@@ -100,6 +100,29 @@
                                          PromptPartsCase{"many", manyParts(40), std::vector<std::string>(32, "ab"), "cd"}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+struct RateLimitCase {
+    const char *name;
+    std::string header;
+    std::optional<double> limit;
+};
+
+class RateLimitHeaderTest : public testing::TestWithParam<RateLimitCase>
+{
+};
+
+// Guards against a limit that is misread, and against one made of text that names none.
+TEST_P(RateLimitHeaderTest, IsDecoded)
+{
+    EXPECT_EQ(CallHeaders().decodeResponse({200, "OK", {{"Server-Limit", GetParam().header}}}).callsPerSecondLimit, GetParam().limit);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, RateLimitHeaderTest,
+                         testing::Values(RateLimitCase{"decimal", "2.75", 2.75}, RateLimitCase{"whole", "12", 12}, RateLimitCase{"none_taken", "0", 0},
+                                         RateLimitCase{"negative", "-1", std::nullopt}, RateLimitCase{"text", "soon", std::nullopt},
+                                         RateLimitCase{"unit", "3/s", std::nullopt}, RateLimitCase{"empty", "", std::nullopt},
+                                         RateLimitCase{"infinite", "inf", std::nullopt}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 LibHttpStream::RequestHead clientRequest()
 {
     return {"POST",
--- a/Userland/Libraries/LibGateway/Codec.h
+++ b/Userland/Libraries/LibGateway/Codec.h
@@ -61,6 +61,8 @@
         int slots = 0;
     };
     std::optional<Load> load;
+    /// Calls a second that the upstream takes from all entries together, while its responses say so.
+    std::optional<double> callsPerSecondLimit;
 };
 
 /// Translates between the HTTP headers of clients and upstreams and the types above.
--- a/Userland/Libraries/LibGateway/Placement.h
+++ b/Userland/Libraries/LibGateway/Placement.h
@@ -10,6 +10,16 @@
 namespace LibGateway
 {
 
+/// A limit that an upstream names in its responses, or has ceased to name.
+struct NamedRateLimit {
+    /// Calls that it takes from all entries together; nothing when it names no limit any more.
+    std::optional<double> callsPerSecond;
+    /// Monotonic time of the newest response that told so, at whichever entry.
+    AK::Milliseconds toldAt = 0;
+    /// Monotonic time at which this entry last had news of it.
+    AK::Milliseconds learnedAt = 0;
+};
+
 /// What this entry knows about one upstream beyond its record.
 struct UpstreamLoad {
     /// Instance that this describes. For another instance at the same address the failure counts start from zero.
@@ -31,7 +41,8 @@
     int failuresInRow = 0;
     /// No calls before this time, after failures.
     AK::Milliseconds suspendedUntil = 0;
-    /// Token bucket of the cold rate: calls allowed now, and the time of the last refill.
+    std::optional<NamedRateLimit> rateLimit;
+    /// Token bucket of the rate in force: calls allowed now, and the time of the last refill.
     double rateTokens = 0;
     AK::Milliseconds rateRefilledAt = 0;
 };
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -166,6 +166,9 @@
         }
         const LibHttpStream::RequestHead outgoing = this->context.codec.encodeRequest(this->head, this->targetFor(**grant));
         const UpstreamCall::Result sent = call.send(scope, upstream, outgoing, this->body, this->request.id, repeatable, responseDeadline);
+        if (sent.outcome == SendOutcome::Answered || sent.refusedByUpstream) {
+            this->context.dispatcher.recordRateLimit(upstream, call.responseInfo().callsPerSecondLimit, this->sentAt);
+        }
         if (sent.outcome != SendOutcome::Answered) {
             this->context.dispatcher.recordOutcome(upstream, !sent.refusedByUpstream);
             if (sent.connectionEnded) {
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -353,6 +353,11 @@
     this->table.recordResponseLoad(upstream, running, waiting);
 }
 
+void Dispatcher::recordRateLimit(const LibFleet::UpstreamRecord &upstream, std::optional<double> callsPerSecond, AK::Milliseconds sentAt)
+{
+    this->table.recordRateLimit(upstream, callsPerSecond, sentAt);
+}
+
 void Dispatcher::recordReport(const LibPeers::EngineReport &report)
 {
     this->table.recordReport(report);
--- a/Userland/Services/Gateway/Dispatcher.h
+++ b/Userland/Services/Gateway/Dispatcher.h
@@ -70,6 +70,8 @@
     void recordOutcome(const LibFleet::UpstreamRecord &upstream, bool failed);
     void recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting);
     void recordReport(const LibPeers::EngineReport &report);
+    /// See UpstreamTable::recordRateLimit().
+    void recordRateLimit(const LibFleet::UpstreamRecord &upstream, std::optional<double> callsPerSecond, AK::Milliseconds sentAt);
 
     /// Sets the entries that share the upstreams, this one included.
     void setEntries(std::vector<LibFleet::EntryLocation> entries);
--- a/Userland/Services/Gateway/UpstreamTable.cpp
+++ b/Userland/Services/Gateway/UpstreamTable.cpp
@@ -125,6 +125,7 @@
         load.failureShare = 0;
         load.failuresInRow = 0;
         load.suspendedUntil = 0;
+        load.rateLimit.reset();
     }
     return load;
 }
@@ -235,6 +236,22 @@
     load.ownInFlightAtReport = load.ownInFlight;
 }
 
+void UpstreamTable::recordRateLimit(const LibFleet::UpstreamRecord &upstream, std::optional<double> callsPerSecond, AK::Milliseconds sentAt)
+{
+    std::optional<LibGateway::NamedRateLimit> &limit = this->loadOf(upstream).rateLimit;
+    const bool isLimited = limit && limit->callsPerSecond;
+    // A response without a limit to an earlier call does not end it.
+    if (!callsPerSecond && (!isLimited || sentAt <= limit->toldAt)) {
+        return;
+    }
+    const bool changes = !limit || limit->callsPerSecond != callsPerSecond;
+    limit = {callsPerSecond, this->clock.now(), limit ? limit->learnedAt : 0};
+    if (changes) {
+        limit->learnedAt = this->clock.now();
+        this->logger.info("upstream_limited", {{"upstream", upstream.id}, {"calls_per_second", callsPerSecond.value_or(0)}, {"ended", !callsPerSecond}});
+    }
+}
+
 int UpstreamTable::callsInFlight() const
 {
     int count = 0;
--- a/Userland/Services/Gateway/UpstreamTable.h
+++ b/Userland/Services/Gateway/UpstreamTable.h
@@ -81,6 +81,8 @@
     void recordOutcome(const LibFleet::UpstreamRecord &upstream, bool failed);
     void recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting);
     void recordReport(const LibPeers::EngineReport &report);
+    /// Records which limit the response to a call has named, if any. `sentAt`: monotonic time at which the call was sent.
+    void recordRateLimit(const LibFleet::UpstreamRecord &upstream, std::optional<double> callsPerSecond, AK::Milliseconds sentAt);
 
     /// Calls in flight that this entry knows of: those of its own clients, and those of other entries at upstreams that it owns.
     int callsInFlight() const;
