Gateway: Keep the rate limits that upstreams name, over all entries together

Cause: calls were placed by slots, load and the cold rate alone; the limit was not a part of the decision, and an entry that was told of it does not decide alone.

The limit now bounds the token bucket of the cold rate. One entry decides on all calls to an upstream with a limit, its owner, for plain services too: entries that each kept an equal share of a low limit would exceed it together. What an entry was told goes with the exchanges, for two seconds after a change and again each four, so that the owner and its successors know. The newest response decides; a response to an earlier call does not end a limit. A limit below one call in four seconds counts as that, so that its end is seen.

New: SharedLimitTest (engine and plain service, told to its owner or to another entry), NamedLimitTest, LimitNewsTest, RateLimitCodec.

--- a/Tests/LibGateway/TestPlacement.cpp
+++ b/Tests/LibGateway/TestPlacement.cpp
@@ -138,7 +138,7 @@
     for (const size_t group : GetParam().groups) {
         UpstreamLoad load;
         for (AK::Milliseconds now = 5'000; now < 15'000; ++now) {
-            if (rateAllows(load, GetParam().coldRate, ownerShare(group, GetParam().entries), now, settings)) {
+            if (rateAllows(load, callsPerSecond(load, GetParam().coldRate, settings), ownerShare(group, GetParam().entries), now)) {
                 load.rateTokens -= 1;
                 sent.push_back(now);
             }
@@ -161,6 +161,74 @@
                                          ColdRateCase{"each_alone", 14, 12, std::vector<size_t>(12, 1), 100}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+struct NamedLimitCase {
+    const char *name;
+    double coldRate;
+    std::optional<double> limit;
+    double expected;
+};
+
+class NamedLimitTest : public testing::TestWithParam<NamedLimitCase>
+{
+};
+
+// Guards against a limit that an upstream names and that is not kept, and against one that raises the cold rate.
+TEST_P(NamedLimitTest, BoundsTheRate)
+{
+    UpstreamLoad load;
+    recordRateLimit(load, GetParam().limit, 900, 1'000);
+    EXPECT_DOUBLE_EQ(callsPerSecond(load, GetParam().coldRate, PlacementSettings{}), GetParam().expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, NamedLimitTest,
+                         testing::Values(NamedLimitCase{"none", 36, std::nullopt, 32.4}, NamedLimitCase{"no_rate_at_all", 0, std::nullopt, 0},
+                                         NamedLimitCase{"lower", 36, 2.8, 2.8}, NamedLimitCase{"higher", 36, 80, 32.4},
+                                         NamedLimitCase{"without_cold_rate", 0, 5, 5}, NamedLimitCase{"nothing_taken", 36, 0, 0.25}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+/// One piece of news about a limit, from a response to a call of this entry or from another entry.
+struct LimitNews {
+    AK::Milliseconds arrivesAt;
+    std::optional<double> limit;
+    /// Responses: when the call was sent. Entries: when the newest response told so.
+    AK::Milliseconds at;
+    bool fromEntry = false;
+};
+
+struct LimitNewsCase {
+    const char *name;
+    std::vector<LimitNews> news;
+    std::optional<double> inForce;
+};
+
+class LimitNewsTest : public testing::TestWithParam<LimitNewsCase>
+{
+};
+
+// Guards against a limit that is ended by the response to an earlier call or by old news of another entry, and against one that stays after it has ended.
+TEST_P(LimitNewsTest, NewestResponseDecides)
+{
+    UpstreamLoad load;
+    for (const LimitNews &news : GetParam().news) {
+        news.fromEntry ? adoptRateLimit(load, news.limit, news.at, news.arrivesAt) : recordRateLimit(load, news.limit, news.at, news.arrivesAt);
+    }
+    EXPECT_EQ(isRateLimited(load), GetParam().inForce.has_value());
+    if (GetParam().inForce) {
+        EXPECT_EQ(load.rateLimit->callsPerSecond, GetParam().inForce);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, LimitNewsTest,
+                         testing::Values(LimitNewsCase{"never", {{1'000, std::nullopt, 900}}, std::nullopt}, LimitNewsCase{"named", {{1'000, 3, 900}}, 3},
+                                         LimitNewsCase{"changed", {{1'000, 3, 900}, {1'200, 2, 950}}, 2},
+                                         LimitNewsCase{"response_to_an_earlier_call", {{1'000, 3, 900}, {1'200, std::nullopt, 950}}, 3},
+                                         LimitNewsCase{"ended", {{1'000, 3, 900}, {1'400, std::nullopt, 1'100}}, std::nullopt},
+                                         LimitNewsCase{"ended_and_named_again", {{1'000, 3, 900}, {1'400, std::nullopt, 1'100}, {1'900, 4, 1'800}}, 4},
+                                         LimitNewsCase{"told_by_an_entry", {{1'000, 3, 800, true}}, 3},
+                                         LimitNewsCase{"old_news_of_an_entry", {{1'000, 3, 900}, {1'100, std::nullopt, 700, true}}, 3},
+                                         LimitNewsCase{"end_told_by_an_entry", {{1'000, 3, 900}, {1'600, std::nullopt, 1'500, true}}, std::nullopt}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 // Guards against a dead upstream that gets every third call, and against an upstream that never gets calls again.
 TEST(CountOutcome, SuspendsAfterFailuresInARow)
 {
--- a/Tests/LibPeers/TestWireCodec.cpp
+++ b/Tests/LibPeers/TestWireCodec.cpp
@@ -57,6 +57,22 @@
     EXPECT_EQ(decode(builder.asReader()).sightings.size(), 1U);
 }
 
+// Guards against the end of a limit that is read as a limit of nothing.
+TEST(RateLimitCodec, ReturnsWhatWasSent)
+{
+    NodeState state;
+    state.rateLimits = {{"i-1", 2.75, 40}, {"i-2", std::nullopt, 0}, {"i-3", 0.0, 1}};
+    capnp::MallocMessageBuilder message;
+    encode(state, message.initRoot<PeerWire::NodeState>());
+    const NodeState decoded = decode(message.getRoot<PeerWire::NodeState>().asReader());
+    ASSERT_EQ(decoded.rateLimits.size(), 3U);
+    EXPECT_EQ(decoded.rateLimits[0].upstream, "i-1");
+    EXPECT_EQ(decoded.rateLimits[0].callsPerSecond, 2.75);
+    EXPECT_EQ(decoded.rateLimits[0].age, 40);
+    EXPECT_EQ(decoded.rateLimits[1].callsPerSecond, std::nullopt);
+    EXPECT_EQ(decoded.rateLimits[2].callsPerSecond, 0.0);
+}
+
 // Guards against crashes whose suspects or times are changed on the way to another entry.
 TEST(CrashCodec, ReturnsWhatWasSent)
 {
--- a/Tests/Services/Gateway/TestSlots.cpp
+++ b/Tests/Services/Gateway/TestSlots.cpp
@@ -278,4 +278,61 @@
     EXPECT_EQ(site.first.openSlots(), 0);
 }
 
+struct SharedLimitCase {
+    const char *name;
+    bool isEngine;
+    /// The entry whose call got the response with the limit: 0 for the first, which does not own the upstream.
+    int toldEntry;
+    double limit;
+};
+
+class SharedLimitTest : public testing::TestWithParam<SharedLimitCase>
+{
+};
+
+// Guards against a limit that an upstream names to one entry and that the entries together exceed, because the other one owns it or because each of them keeps
+// the limit for itself.
+TEST_P(SharedLimitTest, HoldsForAllEntriesTogether)
+{
+    constexpr AK::Milliseconds duration = 1'500;
+    constexpr AK::Milliseconds step = 5;
+    SlotSite site;
+    LibFleet::UpstreamRecord record = engineRecord("i-2", "cusco-1", 2);
+    record.isEngine = GetParam().isEngine;
+    site.fleet.setUpstreams({{"i-2", record}});
+    Dispatcher &told = GetParam().toldEntry == 0 ? site.first : site.second;
+    told.recordRateLimit(record, GetParam().limit, site.loop.clock().now() - 1);
+    LibPeers::NodeState state;
+    told.addRateLimits(state);
+    ASSERT_EQ(state.rateLimits.size(), 1U);
+    (GetParam().toldEntry == 0 ? site.second : site.first).adoptRateLimits(state);
+    int granted = 0;
+    int grantedToFirst = 0;
+    const AK::Milliseconds startedAt = site.loop.clock().now();
+    for (Dispatcher *dispatcher : {&site.first, &site.second}) {
+        site.loop.spawn([&, dispatcher](kj::WaitScope &scope) {
+            while (site.loop.clock().now() < startedAt + duration) {
+                CallRequirements requirements = site.requirements(0);
+                requirements.startBy = site.loop.clock().now() + step;
+                const GrantOrRefusal result = dispatcher->acquire(scope, requirements);
+                granted += result.grant != nullptr ? 1 : 0;
+                grantedToFirst += result.grant != nullptr && dispatcher == &site.first ? 1 : 0;
+                site.loop.sleep(scope, step);
+            }
+        });
+    }
+    site.loop.sleep(site.loop.rootScope(), duration + shortWait);
+    const double expected = GetParam().limit * static_cast<double>(duration) / 1'000;
+    const double burst = std::max(1.0, GetParam().limit / 3);
+    EXPECT_LE(granted, expected + burst + 1);
+    EXPECT_GE(granted, expected / 2);
+    EXPECT_GT(grantedToFirst, 0) << "the entry that does not own the upstream gets its part";
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, SharedLimitTest,
+                         testing::Values(SharedLimitCase{"engine_tells_its_owner", true, 1, 20}, SharedLimitCase{"engine_tells_another_entry", true, 0, 20},
+                                         SharedLimitCase{"plain_service_tells_its_owner", false, 1, 20},
+                                         SharedLimitCase{"plain_service_tells_another_entry", false, 0, 12}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
--- a/Userland/Libraries/LibGateway/Placement.cpp
+++ b/Userland/Libraries/LibGateway/Placement.cpp
@@ -12,6 +12,8 @@
 constexpr double failureDecay = 0.9;
 // Width of the random part of a score.
 constexpr double jitterMs = 5;
+// What is known of a rate limit counts as news again after this time, so that entries that have just started learn of it.
+constexpr AK::Milliseconds rateLimitNewsInterval = 4'000;
 // Each further failure in a row doubles the suspension, at most this often.
 constexpr int maxSuspensionExponent = 3;
 
@@ -28,12 +30,46 @@
     return load.ownInFlight + std::max(0.0, others);
 }
 
-bool rateAllows(UpstreamLoad &load, double callsPerSecond, double share, AK::Milliseconds now, const PlacementSettings &settings)
+bool recordRateLimit(UpstreamLoad &load, std::optional<double> callsPerSecond, AK::Milliseconds sentAt, AK::Milliseconds now)
+{
+    if (!callsPerSecond && (!isRateLimited(load) || sentAt <= load.rateLimit->toldAt)) {
+        return false;
+    }
+    return adoptRateLimit(load, callsPerSecond, now, now);
+}
+
+bool adoptRateLimit(UpstreamLoad &load, std::optional<double> callsPerSecond, AK::Milliseconds toldAt, AK::Milliseconds now)
+{
+    if (load.rateLimit && toldAt <= load.rateLimit->toldAt) {
+        return false;
+    }
+    const bool changes = callsPerSecond != (load.rateLimit ? load.rateLimit->callsPerSecond : std::nullopt);
+    const bool isNews = changes || !load.rateLimit || now - load.rateLimit->learnedAt >= rateLimitNewsInterval;
+    load.rateLimit = {callsPerSecond, toldAt, isNews ? now : load.rateLimit->learnedAt};
+    return changes;
+}
+
+bool isRateLimited(const UpstreamLoad &load)
+{
+    return load.rateLimit && load.rateLimit->callsPerSecond;
+}
+
+double callsPerSecond(const UpstreamLoad &load, double coldCallsPerSecond, const PlacementSettings &settings)
+{
+    const double cold = settings.coldRateShare * coldCallsPerSecond;
+    if (!isRateLimited(load)) {
+        return cold;
+    }
+    const double limit = std::max(settings.leastCallsPerSecond, *load.rateLimit->callsPerSecond);
+    return cold > 0 ? std::min(cold, limit) : limit;
+}
+
+bool rateAllows(UpstreamLoad &load, double callsPerSecond, double share, AK::Milliseconds now)
 {
     if (callsPerSecond <= 0) {
         return true;
     }
-    const double rate = settings.coldRateShare * callsPerSecond * share;
+    const double rate = callsPerSecond * share;
     // The burst and the refill of one second together stay below the limit on calls per second.
     const double burst = std::max(1.0, rate / 3);
     load.rateTokens = std::min(burst, load.rateTokens + rate * static_cast<double>(now - load.rateRefilledAt) / 1000);
--- a/Userland/Libraries/LibGateway/Placement.h
+++ b/Userland/Libraries/LibGateway/Placement.h
@@ -72,15 +72,30 @@
     AK::Milliseconds suspension = 1'000;
     /// Share of the configured cold rate that is used.
     double coldRateShare = 0.9;
+    /// Calls per second that an upstream gets at least, whatever limit it names; its responses show when the limit ends.
+    double leastCallsPerSecond = 0.25;
 };
 
 /// Estimated calls at the upstream, of this entry and of all others.
 double estimatedLoad(const UpstreamLoad &load, AK::Milliseconds now, const PlacementSettings &settings);
 
-/// Refills the token bucket of the cold rate and returns whether a call may be sent now. `share` is the share of this entry in the rate, 0 to 1. The rate
-/// always applies, because an upstream may become cold without reporting it; it is above what a warm engine completes. Load pattern: a failure domain
-/// returns cold under full load.
-bool rateAllows(UpstreamLoad &load, double callsPerSecond, double share, AK::Milliseconds now, const PlacementSettings &settings);
+/// Records what the response to a call that was sent at `sentAt` tells of the upstream's rate limit. A response without one ends the limit, unless the call was
+/// sent before the limit was last named. Returns whether the limit has changed.
+bool recordRateLimit(UpstreamLoad &load, std::optional<double> callsPerSecond, AK::Milliseconds sentAt, AK::Milliseconds now);
+
+/// Takes over what another entry knows of the rate limit, if it is newer.
+bool adoptRateLimit(UpstreamLoad &load, std::optional<double> callsPerSecond, AK::Milliseconds toldAt, AK::Milliseconds now);
+
+/// Whether the upstream has named a limit that is in force.
+bool isRateLimited(const UpstreamLoad &load);
+
+/// Calls per second that an upstream may get from all entries: the configured cold rate, or the limit that it names if that is lower; 0 for any number. The
+/// cold rate always applies, because an upstream may become cold without reporting it; it is above what a warm engine completes. Load patterns: a failure
+/// domain returns cold under full load; upstreams in need ask for fewer calls.
+double callsPerSecond(const UpstreamLoad &load, double coldCallsPerSecond, const PlacementSettings &settings);
+
+/// Refills the token bucket of an upstream and returns whether a call may be sent now. `share` is the share of this entry in the rate, 0 to 1.
+bool rateAllows(UpstreamLoad &load, double callsPerSecond, double share, AK::Milliseconds now);
 
 /// Share of an entry in the cold rate of an upstream that it owns: the share of the registered entries that it reaches, itself included. Entries that do not
 /// reach each other may own the same upstream; their shares add up to 1.
--- a/Userland/Libraries/LibPeers/PeerRecords.h
+++ b/Userland/Libraries/LibPeers/PeerRecords.h
@@ -74,6 +74,16 @@
     AK::Milliseconds age = 0;
 };
 
+/// A rate limit that an upstream has named in its responses.
+struct RateLimitReport {
+    /// Id of the upstream instance.
+    std::string upstream;
+    /// Nothing when it names no limit any more.
+    std::optional<double> callsPerSecond;
+    /// Time since the newest response that told so, in ms.
+    AK::Milliseconds age = 0;
+};
+
 /// State that processes send each other in each exchange.
 struct NodeState {
     std::string name;
@@ -99,6 +109,8 @@
     /// Between entries: crashes that the sender has learned of lately, and the parts of their prompts that are known to be sound.
     std::vector<CrashReport> crashes;
     std::vector<SoundPartReport> soundParts;
+    /// Between entries: limits of which the sender had news lately.
+    std::vector<RateLimitReport> rateLimits;
 };
 
 /// Asks for a slot at an upstream that another entry owns.
--- a/Userland/Libraries/LibPeers/WireCodec.cpp
+++ b/Userland/Libraries/LibPeers/WireCodec.cpp
@@ -160,6 +160,14 @@
     if (!state.crashes.empty()) {
         encodeCrashes(state, builder);
     }
+    if (!state.rateLimits.empty()) {
+        auto limits = builder.initRateLimits(static_cast<capnp::uint>(state.rateLimits.size()));
+        for (capnp::uint i = 0; i < limits.size(); ++i) {
+            limits[i].setUpstream(state.rateLimits[i].upstream.c_str());
+            limits[i].setCallsPerSecond(state.rateLimits[i].callsPerSecond.value_or(-1));
+            limits[i].setAgeMs(toUnsigned(state.rateLimits[i].age));
+        }
+    }
 }
 
 NodeState decode(PeerWire::NodeState::Reader reader)
@@ -188,6 +196,10 @@
     for (const auto crash : reader.getCrashes()) {
         state.crashes.push_back(decodeCrash(crash));
     }
+    for (const auto limit : reader.getRateLimits()) {
+        const double rate = limit.getCallsPerSecond();
+        state.rateLimits.push_back({toText(limit.getUpstream()), rate >= 0 ? std::optional(rate) : std::nullopt, limit.getAgeMs()});
+    }
     for (const auto sound : reader.getSoundParts()) {
         state.soundParts.push_back({toText(sound.getPart()), sound.getAgeMs()});
     }
--- a/Userland/Libraries/LibPeers/peers.capnp
+++ b/Userland/Libraries/LibPeers/peers.capnp
@@ -37,6 +37,7 @@
   # Between entries: crashes learned of lately, and parts of their prompts that are known to be sound.
   crashes @16 :List(CrashReport);
   soundParts @17 :List(SoundPartReport);
+  rateLimits @18 :List(RateLimitReport);  # between entries: limits of which the sender had news lately
 }
 
 struct CrashReport {
@@ -52,6 +53,13 @@
   parts @2 :List(Text);       # shared parts of its prompt, in order
 }
 
+# A limit on calls that an upstream has named in its responses.
+struct RateLimitReport {
+  upstream @0 :Text;          # id of the instance
+  callsPerSecond @1 :Float64; # negative: it names none any more
+  ageMs @2 :UInt32;
+}
+
 # A part of a prompt with which an upstream has written a response.
 struct SoundPartReport {
   part @0 :Text;
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -109,11 +109,14 @@
     CandidateSet candidateSet;
     bool anyUsable = false;
     for (const auto &[id, record] : this->fleet.upstreams()) {
-        const bool hasOwner = record.isEngine && this->slotSource != nullptr;
+        const bool hasOwner = this->slotSource != nullptr && this->table.hasOwner(record);
         if (hasOwner && !this->table.isOwn(record)) {
             anyUsable = anyUsable || this->table.mayRequest(record, requirements);
             continue;
         }
+        if (kind == GrantKind::ForPeer && !hasOwner) {
+            continue;
+        }
         if (!this->table.mayUse(record, requirements)) {
             continue;
         }
@@ -150,7 +153,7 @@
     for (int i = 0; i < maxOwnersAsked && this->loop.clock().now() < requirements.startBy; ++i) {
         CandidateSet candidateSet;
         for (const auto &[id, record] : this->fleet.upstreams()) {
-            if (!record.isEngine || this->table.isOwn(record) || askedOwners.contains(this->table.ownerOf(record)) || isExcluded(request, id)
+            if (!this->table.hasOwner(record) || this->table.isOwn(record) || askedOwners.contains(this->table.ownerOf(record)) || isExcluded(request, id)
                 || !this->table.mayRequest(record, requirements)) {
                 continue;
             }
@@ -174,7 +177,9 @@
             const bool known = record != this->fleet.upstreams().end();
             // An owner of an older build does not state the version.
             const int64_t version = offer->weightsVersion != 0 || !known ? offer->weightsVersion : this->table.heldWeightsVersion(record->second);
-            if (!known || !this->table.mayRequest(record->second, requirements) || !this->table.allowsWeights(requirements.service, version)) {
+            const bool fits = known && this->table.mayRequest(record->second, requirements)
+                && (!record->second.isEngine || this->table.allowsWeights(requirements.service, version));
+            if (!fits) {
                 request.excluded.push_back(offer->upstream);
                 continue;
             }
@@ -358,6 +363,16 @@
     this->table.recordRateLimit(upstream, callsPerSecond, sentAt);
 }
 
+void Dispatcher::addRateLimits(LibPeers::NodeState &state) const
+{
+    this->table.addRateLimits(state);
+}
+
+void Dispatcher::adoptRateLimits(const LibPeers::NodeState &state)
+{
+    this->table.adoptRateLimits(state);
+}
+
 void Dispatcher::recordReport(const LibPeers::EngineReport &report)
 {
     this->table.recordReport(report);
--- a/Userland/Services/Gateway/Dispatcher.h
+++ b/Userland/Services/Gateway/Dispatcher.h
@@ -72,6 +72,8 @@
     void recordReport(const LibPeers::EngineReport &report);
     /// See UpstreamTable::recordRateLimit().
     void recordRateLimit(const LibFleet::UpstreamRecord &upstream, std::optional<double> callsPerSecond, AK::Milliseconds sentAt);
+    void addRateLimits(LibPeers::NodeState &state) const;
+    void adoptRateLimits(const LibPeers::NodeState &state);
 
     /// Sets the entries that share the upstreams, this one included.
     void setEntries(std::vector<LibFleet::EntryLocation> entries);
--- a/Userland/Services/Gateway/UpstreamTable.cpp
+++ b/Userland/Services/Gateway/UpstreamTable.cpp
@@ -10,6 +10,8 @@
 
 // Counts over all upstreams are made again at this interval.
 constexpr AK::Milliseconds countInterval = 100;
+// News of rate limits are sent with every exchange for this long.
+constexpr AK::Milliseconds rateLimitNewsTime = 2'000;
 
 } // namespace
 
@@ -88,6 +90,9 @@
     if (!this->isEligible(record, requirements)) {
         return false;
     }
+    if (!record.isEngine) {
+        return true;
+    }
     // An engine that has loaded the required weights is registered with them up to two seconds later; its owner states open slots at once.
     const auto open = this->openSlotsByEntry.find(this->ownerOf(record));
     return this->allowsWeights(record.service, record.weightsVersion) || open == this->openSlotsByEntry.end() || open->second > 0;
@@ -108,7 +113,7 @@
     for (const auto &[id, record] : this->fleet.upstreams()) {
         CallRequirements anyCall;
         anyCall.service = record.service;
-        if (record.isEngine && this->isOwn(record) && this->mayUse(record, anyCall)) {
+        if (this->hasOwner(record) && this->isOwn(record) && this->mayUse(record, anyCall) && !this->awaitsRate(record)) {
             const LibGateway::PlacementCandidate candidate = this->candidateOf(record);
             open += std::max(0.0, candidate.limit - candidate.load);
         }
@@ -185,11 +190,24 @@
     return owner->second;
 }
 
+bool UpstreamTable::hasOwner(const LibFleet::UpstreamRecord &record) const
+{
+    const LibGateway::UpstreamLoad *load = this->knownLoad(record);
+    return record.isEngine || (load != nullptr && LibGateway::isRateLimited(*load));
+}
+
 bool UpstreamTable::rateAllows(const LibFleet::UpstreamRecord &record, bool owned)
 {
     const LibFleet::ServiceSpec *spec = this->serviceSpec(record.service);
     const double share = owned ? LibGateway::ownerShare(this->entries.size(), this->registeredEntries()) : 1.0 / static_cast<double>(this->registeredEntries());
-    return LibGateway::rateAllows(this->loadOf(record), spec == nullptr ? 0 : spec->coldCallsPerSecond, share, this->clock.now(), this->settings.placement);
+    LibGateway::UpstreamLoad &load = this->loadOf(record);
+    const double rate = LibGateway::callsPerSecond(load, spec == nullptr ? 0 : spec->coldCallsPerSecond, this->settings.placement);
+    return LibGateway::rateAllows(load, rate, share, this->clock.now());
+}
+
+bool UpstreamTable::awaitsRate(const LibFleet::UpstreamRecord &record)
+{
+    return LibGateway::isRateLimited(this->loadOf(record)) && !this->rateAllows(record, true);
 }
 
 int64_t UpstreamTable::expectedWeightsVersion(const LibFleet::UpstreamRecord &record, int64_t held) const
@@ -238,20 +256,38 @@
 
 void UpstreamTable::recordRateLimit(const LibFleet::UpstreamRecord &upstream, std::optional<double> callsPerSecond, AK::Milliseconds sentAt)
 {
-    std::optional<LibGateway::NamedRateLimit> &limit = this->loadOf(upstream).rateLimit;
-    const bool isLimited = limit && limit->callsPerSecond;
-    // A response without a limit to an earlier call does not end it.
-    if (!callsPerSecond && (!isLimited || sentAt <= limit->toldAt)) {
-        return;
+    if (LibGateway::recordRateLimit(this->loadOf(upstream), callsPerSecond, sentAt, this->clock.now())) {
+        this->logRateLimit(upstream.id, callsPerSecond, "response");
     }
-    const bool changes = !limit || limit->callsPerSecond != callsPerSecond;
-    limit = {callsPerSecond, this->clock.now(), limit ? limit->learnedAt : 0};
-    if (changes) {
-        limit->learnedAt = this->clock.now();
-        this->logger.info("upstream_limited", {{"upstream", upstream.id}, {"calls_per_second", callsPerSecond.value_or(0)}, {"ended", !callsPerSecond}});
+}
+
+void UpstreamTable::addRateLimits(LibPeers::NodeState &state) const
+{
+    const AK::Milliseconds now = this->clock.now();
+    for (const auto &[address, load] : this->loads) {
+        if (load.rateLimit && now - load.rateLimit->learnedAt <= rateLimitNewsTime) {
+            state.rateLimits.push_back({load.instance, load.rateLimit->callsPerSecond, now - load.rateLimit->toldAt});
+        }
+    }
+}
+
+void UpstreamTable::adoptRateLimits(const LibPeers::NodeState &state)
+{
+    const AK::Milliseconds now = this->clock.now();
+    for (const LibPeers::RateLimitReport &report : state.rateLimits) {
+        const auto record = this->fleet.upstreams().find(report.upstream);
+        if (record != this->fleet.upstreams().end() && LibGateway::adoptRateLimit(this->loadOf(record->second), report.callsPerSecond, now - report.age, now)) {
+            this->logRateLimit(report.upstream, report.callsPerSecond, state.name);
+        }
     }
 }
 
+void UpstreamTable::logRateLimit(const std::string &upstream, std::optional<double> callsPerSecond, std::string_view from) const
+{
+    this->logger.info("upstream_limited",
+                      {{"upstream", upstream}, {"calls_per_second", callsPerSecond.value_or(0)}, {"ended", !callsPerSecond}, {"from", from}});
+}
+
 int UpstreamTable::callsInFlight() const
 {
     int count = 0;
--- a/Userland/Services/Gateway/UpstreamTable.h
+++ b/Userland/Services/Gateway/UpstreamTable.h
@@ -62,8 +62,12 @@
     bool isOwn(const LibFleet::UpstreamRecord &record);
     const std::string &ownerOf(const LibFleet::UpstreamRecord &record);
 
-    /// Whether the cold rate allows another call now. `owned`: all calls to the upstream go through this entry; otherwise each entry gets an equal share of the
-    /// rate.
+    /// Whether one entry decides on all calls to the upstream: an engine, or an upstream that has named a rate limit. Entries that each kept an equal share of
+    /// a low limit would exceed it together.
+    bool hasOwner(const LibFleet::UpstreamRecord &record) const;
+
+    /// Whether the rate of the upstream allows another call now. `owned`: all calls to the upstream go through this entry; otherwise each entry gets an equal
+    /// share of the rate.
     bool rateAllows(const LibFleet::UpstreamRecord &record, bool owned);
 
     /// Version of the weights that a call must require of an upstream which holds the version `held`, 0 for any.
@@ -84,10 +88,17 @@
     /// Records which limit the response to a call has named, if any. `sentAt`: monotonic time at which the call was sent.
     void recordRateLimit(const LibFleet::UpstreamRecord &upstream, std::optional<double> callsPerSecond, AK::Milliseconds sentAt);
 
+    /// Adds the rate limits of which this entry had news lately to the state that other entries get.
+    void addRateLimits(LibPeers::NodeState &state) const;
+    void adoptRateLimits(const LibPeers::NodeState &state);
+
     /// Calls in flight that this entry knows of: those of its own clients, and those of other entries at upstreams that it owns.
     int callsInFlight() const;
 
 private:
+    /// Whether an upstream of this entry has used up the rate limit that it names.
+    bool awaitsRate(const LibFleet::UpstreamRecord &record);
+    void logRateLimit(const std::string &upstream, std::optional<double> callsPerSecond, std::string_view from) const;
     const LibFleet::ServiceSpec *serviceSpec(const std::string &service) const;
     /// What mayUse() and mayRequest() have in common.
     bool isEligible(const LibFleet::UpstreamRecord &record, const CallRequirements &requirements) const;
