Catkinlink: Name crashes, quarantined parts and rate limits as causes

explain gave the bare reason for a call whose prompt part is quarantined, took the crash of an upstream for the fault of one call until the store had removed it, and did not count a named rate limit as a change of capacity. It now names the part and when it was found, the crash, and the limit.

ExplainTest: four new cases, seen to fail before.

--- a/Tests/Catkinlink/TestExplain.cpp
+++ b/Tests/Catkinlink/TestExplain.cpp
@@ -43,6 +43,7 @@
 }
 
 const std::string unknownKey = R"("result":"refused","status":401,"reason":"unknown key","sends":0,"configuration":7)";
+const std::string quarantined = R"("result":"refused","status":503,"reason":"a part of the prompt is quarantined","prompt_parts":["a1","b2"],"sends":0)";
 const std::string queueTooLong = R"("result":"refused","status":503,"reason":"queue_too_long","sends":0)";
 const std::string noUpstream = R"("result":"refused","status":503,"reason":"no_upstream","sends":0)";
 const std::string noResponse = R"("result":"refused","status":504,"reason":"no answer: operation timed out","sends":1,"upstream":"i-1")";
@@ -65,6 +66,19 @@
                     "refused for the same reason within a second; last change of capacity: upstream_removed 300 ms before. It has not run."},
         ExplainCase{"weights", logLine(endTime - 9'000, "front-1", "weights_named", R"("version":2)") + callEnded("r1", noUpstream),
                     "no engine that the call could use held weights of version 2, named 9000 ms before"},
+        ExplainCase{"overload_after_a_limit",
+                    logLine(endTime - 300, "front-1", "upstream_limited", R"("upstream":"i-9","calls_per_second":3.5)") + callEnded("r1", queueTooLong),
+                    "overload: every engine that the call could use was full and the queue was too long for its deadline; 0 other calls at this entry were "
+                    "refused for the same reason within a second; last change of capacity: upstream_limited 300 ms before. It has not run."},
+        ExplainCase{"quarantined_part",
+                    logLine(endTime - 900, "front-2", "part_quarantined", R"("part":"c9")")
+                        + logLine(endTime - 400, "front-2", "part_quarantined", R"("part":"b2")") + callEnded("r1", quarantined),
+                    "a part of its prompt crashes upstreams and is quarantined: b2, part_quarantined 400 ms before. It has not run."},
+        ExplainCase{"quarantined_part_from_the_store",
+                    logLine(endTime - 900, "front-1", "quarantined_parts", R"("parts":["b2","d4"])") + callEnded("r1", quarantined),
+                    "a part of its prompt crashes upstreams and is quarantined: b2, quarantined_parts 900 ms before"},
+        ExplainCase{"engine_crashed", callEnded("r1", streamCut) + logLine(endTime + 20, "front-1", "upstream_crashed", R"("upstream":"i-1","calls_broken":4)"),
+                    "the upstream crashed 20 ms after with 4 calls of entry front-1"},
         ExplainCase{"engine_gone", callEnded("r1", noResponse) + logLine(endTime + 900, "front-1", "upstream_removed", R"("upstream":"i-1")"),
                     "the upstream left the store 900 ms after; upstream i-1: no answer: operation timed out. It may have run."},
         ExplainCase{"other_engine_gone", callEnded("r1", noResponse) + logLine(endTime + 900, "front-1", "upstream_removed", R"("upstream":"i-2")"),
--- a/Userland/Utilities/catkinlink/Explain.cpp
+++ b/Userland/Utilities/catkinlink/Explain.cpp
@@ -92,7 +92,7 @@
 // The last change of capacity that the entry logged before the end.
 std::string describeCapacityChange(LogContext &context)
 {
-    const LogLine *line = context.findLastOfEntry({"upstream_removed", "upstream_suspended", "evacuations", "weights_named"});
+    const LogLine *line = context.findLastOfEntry({"upstream_removed", "upstream_suspended", "upstream_limited", "evacuations", "weights_named"});
     return line == nullptr ? "" : AK::concat("; last change of capacity: ", line->event, " ", timeFromEnd(*line, context.end));
 }
 
@@ -107,6 +107,29 @@
                       others, " other calls at this entry were refused for the same reason within a second", describeCapacityChange(context));
 }
 
+// Parts of the call's prompt that a log line names.
+std::string namedParts(const LogLine &end, const LogLine &line)
+{
+    const nlohmann::json parts = end.fields.value("prompt_parts", nlohmann::json::array());
+    const std::string text = line.fields.dump();
+    std::string named;
+    for (const nlohmann::json &part : parts) {
+        if (part.is_string() && text.find(AK::concat("\"", part.get<std::string>(), "\"")) != std::string::npos) {
+            named += (named.empty() ? "" : ", ") + part.get<std::string>();
+        }
+    }
+    return named;
+}
+
+std::string explainQuarantine(LogContext &context)
+{
+    const LogLine *found = context.findLast(
+        [&](const LogLine &line) { return (line.event == "part_quarantined" || line.event == "quarantined_parts") && !namedParts(context.end, line).empty(); },
+        0);
+    return AK::concat("a part of its prompt crashes upstreams and is quarantined",
+                      found == nullptr ? "" : AK::concat(": ", namedParts(context.end, *found), ", ", found->event, " ", timeFromEnd(*found, context.end)));
+}
+
 std::string explainNoUpstream(LogContext &context)
 {
     const LogLine *named = context.findLastOfEntry({"weights_named"});
@@ -123,6 +146,10 @@
     const auto findUpstreamEvent = [&](const char *event) {
         return context.findLast([&](const LogLine &line) { return line.event == event && field(line, "upstream") == upstream; }, lookAhead);
     };
+    if (const LogLine *crashed = findUpstreamEvent("upstream_crashed")) {
+        return AK::concat("the upstream crashed ", timeFromEnd(*crashed, context.end), " with ", field(*crashed, "calls_broken"), " calls of entry ",
+                          crashed->process, "; ", field(context.end, "reason"));
+    }
     const std::string upstreamReason = AK::concat("upstream ", upstream, ": ", field(context.end, "reason"));
     const LogLine *stopping = context.findLastOfEntry({"stopping"});
     if (stopping != nullptr) {
@@ -174,11 +201,17 @@
     const std::string result = field(end, "result");
     using ExplainFunction = std::string (*)(LogContext &);
     static const std::vector<std::pair<std::string, ExplainFunction>> byReason{
-        {"unknown key", explainUnknownKey},       {"queue_too_long", explainQueueRefusal},
-        {"waited_too_long", explainQueueRefusal}, {"no_upstream", explainNoUpstream},
-        {"stream cut", explainUpstream},          {"no answer", explainUpstream},
-        {"answer cut", explainUpstream},          {"connect", explainUpstream},
-        {"refused with", explainUpstream},        {"stream ended", explainUpstream},
+        {"a part of the prompt is quarantined", explainQuarantine},
+        {"unknown key", explainUnknownKey},
+        {"queue_too_long", explainQueueRefusal},
+        {"waited_too_long", explainQueueRefusal},
+        {"no_upstream", explainNoUpstream},
+        {"stream cut", explainUpstream},
+        {"no answer", explainUpstream},
+        {"answer cut", explainUpstream},
+        {"connect", explainUpstream},
+        {"refused with", explainUpstream},
+        {"stream ended", explainUpstream},
     };
     if (result == "client_left") {
         return AK::concat("the client closed its connection after ", number(end, "took_ms"), " ms");
