Gateway: Exchange crashes with the regular exchanges

Each entry pushed its whole state to all partners for each crash that it learned of. A service that loses many upstreams at once would make every entry push many times a second for the same news. Crashes now go with the regular exchanges (250 ms in a region, 500 ms between regions; three hops in a fleet of 59 entries, within the 3 to 5 s in which the part must be found). An entry that has found a part still pushes at once.

--- a/Userland/Services/Gateway/PromptQuarantine.cpp
+++ b/Userland/Services/Gateway/PromptQuarantine.cpp
@@ -22,9 +22,9 @@
     fleet.observe([this] { this->followStore(); });
 }
 
-void PromptQuarantine::onNews(std::function<void()> observer)
+void PromptQuarantine::onPartFound(std::function<void()> observer)
 {
-    this->newsObserver = std::move(observer);
+    this->foundObserver = std::move(observer);
 }
 
 void PromptQuarantine::recordCrash(const LibGateway::Crash &crash)
@@ -38,9 +38,6 @@
         return;
     }
     this->findParts();
-    if (this->newsObserver) {
-        this->newsObserver();
-    }
 }
 
 void PromptQuarantine::recordSoundPrompt(const std::vector<std::string> &parts)
@@ -85,11 +82,16 @@
         }
         return cleared;
     });
+    bool isNew = false;
     for (const std::string &part : found) {
         if (this->quarantined.try_emplace(part, Entry{now, false}).second) {
+            isNew = true;
             this->logger.warning("part_quarantined", {{"part", part}, {"crashes_known", this->evidence.crashes.size()}});
         }
     }
+    if (isNew && this->foundObserver) {
+        this->foundObserver();
+    }
 }
 
 void PromptQuarantine::followStore()
@@ -153,9 +155,6 @@
     if (isNews || changesFinding) {
         this->findParts();
     }
-    if (isNews && this->newsObserver) {
-        this->newsObserver();
-    }
 }
 
 std::map<std::string, AK::Milliseconds> PromptQuarantine::unstoredParts() const
--- a/Userland/Services/Gateway/PromptQuarantine.h
+++ b/Userland/Services/Gateway/PromptQuarantine.h
@@ -18,8 +18,8 @@
 public:
     PromptQuarantine(const AK::Clock &clock, LibFleet::FleetState &fleet, LibGateway::QuarantineSettings settings = {});
 
-    /// Sets the function that is called when there is something that the other entries must learn.
-    void onNews(std::function<void()> observer);
+    /// Sets the function that is called when this entry has found a part, so that the others learn of the crashes behind it at once.
+    void onPartFound(std::function<void()> observer);
 
     /// Records a crash that broke off calls of this entry.
     void recordCrash(const LibGateway::Crash &crash);
@@ -60,7 +60,7 @@
     LibGateway::QuarantineSettings settings;
     LibGateway::CrashEvidence evidence;
     std::map<std::string, Entry> quarantined;
-    std::function<void()> newsObserver;
+    std::function<void()> foundObserver;
     LibLog::Logger logger{"quarantine"};
 };
 
--- a/Userland/Utilities/catkinlinkd/EntryProcess.cpp
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.cpp
@@ -54,7 +54,7 @@
         this->dispatcher.addRateLimits(state);
     });
     this->crashes.onCrash([this](const LibGateway::Crash &crash) { this->quarantine.recordCrash(crash); });
-    this->quarantine.onNews([this] { this->node.exchange.pushNow(); });
+    this->quarantine.onPartFound([this] { this->node.exchange.pushNow(); });
     this->node.exchange.onEntryState([this](const LibPeers::NodeState &state) {
         this->quarantine.record(state);
         this->dispatcher.adoptRateLimits(state);
