LibFleet: Hand owned upstreams over when an entry stops

An entry that stops went on owning its upstreams for up to 2.5 s, while the others had taken them over as soon as it announced its end: both sent calls at the full rate, twice the limit of a capped or cold upstream. It now counts itself among the owners only while no other entry accepts clients, and asks them for slots like any other entry.

HandOverTest: owningEntries() did not exist; the list always held the entry itself, which the case 'leaving' rejects.

--- a/Tests/LibFleet/TestPartners.cpp
+++ b/Tests/LibFleet/TestPartners.cpp
@@ -151,6 +151,34 @@
                                          FleetCase{"target_size", 2, 3, 62, 0, false}, FleetCase{"target_size_third_dead", 2, 3, 62, 3, false}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+struct HandOverCase {
+    const char *name;
+    bool leaving;
+    std::vector<EntryLocation> live;
+    std::vector<std::string> owners;
+};
+
+class HandOverTest : public testing::TestWithParam<HandOverCase>
+{
+};
+
+// Guards against an entry that stops and its successor, which both own an upstream and send it twice the calls that it takes.
+TEST_P(HandOverTest, HasOneOwner)
+{
+    std::vector<std::string> owners;
+    for (const EntryLocation &entry : owningEntries({"e1", "lima-1", "lima"}, GetParam().leaving, GetParam().live)) {
+        owners.push_back(entry.name);
+    }
+    EXPECT_EQ(owners, GetParam().owners);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, HandOverTest,
+                         testing::Values(HandOverCase{"staying", false, {{"e2", "lima-1", "lima"}}, {"e1", "e2"}},
+                                         HandOverCase{"staying_alone", false, {}, {"e1"}},
+                                         HandOverCase{"leaving", true, {{"e2", "lima-1", "lima"}, {"e3", "cusco-1", "cusco"}}, {"e2", "e3"}},
+                                         HandOverCase{"leaving_with_no_successor", true, {}, {"e1"}}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 // Guards against an agent that reports to entries in another failure domain only, while the owner is in its own.
 TEST(RankOwners, StartsInTheFailureDomainOfTheUpstream)
 {
--- a/Userland/Libraries/LibFleet/Partners.cpp
+++ b/Userland/Libraries/LibFleet/Partners.cpp
@@ -62,6 +62,14 @@
 
 } // namespace
 
+std::vector<EntryLocation> owningEntries(const EntryLocation &self, bool leaving, std::vector<EntryLocation> live)
+{
+    if (!leaving || live.empty()) {
+        live.insert(live.begin(), self);
+    }
+    return live;
+}
+
 std::vector<EntryLocation> rankOwners(const std::string &upstream, const std::string &failureDomain, const std::vector<EntryLocation> &entries)
 {
     const std::vector<EntryLocation> inDomain = select(entries, [&](const EntryLocation &entry) { return entry.failureDomain == failureDomain; });
--- a/Userland/Libraries/LibFleet/Partners.h
+++ b/Userland/Libraries/LibFleet/Partners.h
@@ -32,6 +32,10 @@
     size_t agentPartnersElsewhere = 1;
 };
 
+/// Entries that own upstreams, as the entry `self` sees it. `live`: the others that accept clients. An entry that stops hands its upstreams over to them at
+/// once: as an owner it would send calls beside its successors until it has ended.
+std::vector<EntryLocation> owningEntries(const EntryLocation &self, bool leaving, std::vector<EntryLocation> live);
+
 /// Entries in the order in which they own an upstream while they are alive: those of its failure domain, or all when it has none there, by rendezvous hash.
 std::vector<EntryLocation> rankOwners(const std::string &upstream, const std::string &failureDomain, const std::vector<EntryLocation> &entries);
 
--- a/Userland/Utilities/catkinlinkd/EntryProcess.cpp
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.cpp
@@ -167,18 +167,19 @@
 void EntryProcess::updateDispatcherEntries(kj::WaitScope &scope)
 {
     while (true) {
-        std::vector<LibFleet::EntryLocation> locations{{this->settings.name, this->settings.failureDomain, this->settings.region}};
+        std::vector<LibFleet::EntryLocation> live;
         std::map<std::string, int> openSlots;
         std::vector<std::string> names{this->settings.name};
         for (const auto &[name, view] : this->node.exchange.liveEntries(entryMaxAge)) {
             if (name != this->settings.name && view.state.ready) {
                 const auto region = this->settings.regionsByDomain.find(view.state.failureDomain);
-                locations.push_back({name, view.state.failureDomain, region == this->settings.regionsByDomain.end() ? "" : region->second});
+                live.push_back({name, view.state.failureDomain, region == this->settings.regionsByDomain.end() ? "" : region->second});
                 openSlots[name] = view.state.openSlots;
                 names.push_back(name);
             }
         }
-        this->dispatcher.setEntries(std::move(locations));
+        const LibFleet::EntryLocation self{this->settings.name, this->settings.failureDomain, this->settings.region};
+        this->dispatcher.setEntries(LibFleet::owningEntries(self, this->leaving, std::move(live)));
         this->dispatcher.setOpenSlots(std::move(openSlots));
         this->quarantineKeeper.setEntries(this->settings.name, std::move(names));
         this->loop.sleep(scope, dispatcherUpdateInterval);
