Gateway: Take an empty stream that ends with its connection for broken off

A response may have neither a length nor chunks and end with its connection. An upstream that ended before the first event of such a stream, for example by a crash, gave the client an empty response with status 200. It is now sent to another upstream where that is allowed, else 502. A resumed stream may have no events left.

UnframedStreamTest: both cases before the first event failed (200, empty body, one request); the five cases of streams that end inside an event, between events by a reset, or whole passed before too.

--- a/Userland/Libraries/LibHttpStream/MessageReader.cpp
+++ b/Userland/Libraries/LibHttpStream/MessageReader.cpp
@@ -93,6 +93,11 @@
     return this->done && this->framing.kind != FramingKind::UntilClose;
 }
 
+bool BodyReader::endsWithConnection() const
+{
+    return this->framing.kind == FramingKind::UntilClose;
+}
+
 absl::Status BodyReader::fillChannel(kj::WaitScope &scope, AK::Milliseconds deadline)
 {
     const absl::Status status = this->channel.fill(scope, deadline);
--- a/Userland/Libraries/LibHttpStream/MessageReader.h
+++ b/Userland/Libraries/LibHttpStream/MessageReader.h
@@ -31,6 +31,9 @@
     /// True when the whole body was read and the connection can be used for another message.
     bool reusable() const;
 
+    /// The body ends with the connection, so that its end does not show that it is whole.
+    bool endsWithConnection() const;
+
 private:
     absl::StatusOr<std::optional<std::string>> nextSized(kj::WaitScope &scope, AK::Milliseconds deadline);
     absl::StatusOr<std::optional<std::string>> nextChunked(kj::WaitScope &scope, AK::Milliseconds deadline);
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -313,12 +313,15 @@
     while (true) {
         const AK::Milliseconds until = this->route->resumable ? std::min(this->deadline, this->lastEventAt + streamSilenceLimit) : this->deadline;
         absl::StatusOr<std::optional<std::string>> data = call.read(scope, until);
-        if (!data.ok() || (!*data && splitter.partialBytes() > 0)) {
+        // The end of the connection alone does not show that the stream has no events; a resumed one may have none left.
+        const bool endedBeforeFirstEvent = data.ok() && !*data && call.endsWithConnection() && !this->lastEventId;
+        if (!data.ok() || endedBeforeFirstEvent || (!*data && splitter.partialBytes() > 0)) {
             this->context.dispatcher.recordOutcome(upstream, true);
             if (!absl::IsDeadlineExceeded(data.status())) {
                 this->recordBrokenCall(upstream);
             }
-            return this->retryOrGiveUp(scope, upstream, true, data.ok() ? "stream ended inside an event" : AK::concat("stream cut: ", data.status().message()));
+            const std::string_view unfinished = splitter.partialBytes() > 0 ? "stream ended inside an event" : "stream ended before its first event";
+            return this->retryOrGiveUp(scope, upstream, true, data.ok() ? std::string(unfinished) : AK::concat("stream cut: ", data.status().message()));
         }
         if (!*data) {
             break;
--- a/Userland/Services/Gateway/UpstreamCall.cpp
+++ b/Userland/Services/Gateway/UpstreamCall.cpp
@@ -122,6 +122,14 @@
     return KJ_ASSERT_NONNULL(this->body)->next(scope, deadline);
 }
 
+bool UpstreamCall::endsWithConnection() const
+{
+    KJ_IF_MAYBE (reader, this->body) {
+        return (*reader)->endsWithConnection();
+    }
+    return false;
+}
+
 void UpstreamCall::finish()
 {
     KJ_IF_MAYBE (reader, this->body) {
--- a/Userland/Services/Gateway/UpstreamCall.h
+++ b/Userland/Services/Gateway/UpstreamCall.h
@@ -50,6 +50,9 @@
     /// Returns the bytes of the body as they arrive; see BodyReader::next().
     absl::StatusOr<std::optional<std::string>> read(kj::WaitScope &scope, AK::Milliseconds deadline);
 
+    /// The body has neither a length nor chunks; see BodyReader::endsWithConnection().
+    bool endsWithConnection() const;
+
     /// Returns the connection to the pool if it can be reused: the response was read whole and nothing follows it.
     void finish();
 
