Tests: Catch two switched-off mechanisms that the tests passed over

Two were not: the owner of a plain service with a limit, and the rule that a suspected call is not sent to a second upstream. SharedLimitTest now has calls at one entry only, which gets the whole limit, and AreNotSentAgainBesideAnotherSuspect counts the requests of the second call; both catch it. Decoding of stored parts has a test too.

--- a/Tests/Platform/TestCodec.cpp
+++ b/Tests/Platform/TestCodec.cpp
@@ -276,6 +276,18 @@
     EXPECT_EQ(state.upstreams().size(), 1U) << "an upstream of an unknown service is skipped";
 }
 
+// Guards against a quarantined part that is lost between the store and the entries, and against one that stays after its object is gone.
+TEST(ObjectCodec, DecodesQuarantinedParts)
+{
+    AK::SystemClock clock;
+    LibFleet::FleetState state(clock);
+    ObjectCodec codec(clock, 0);
+    codec.decode(LibFleet::ObjectKind::QuarantinedParts, {{"5c1e07a2", R"({"reason":"crashes upstreams"})"}, {"91bd3f06", "null"}}, state);
+    EXPECT_EQ(state.quarantinedParts(), (std::set<std::string>{"5c1e07a2", "91bd3f06"}));
+    codec.decode(LibFleet::ObjectKind::QuarantinedParts, {{"91bd3f06", "null"}}, state);
+    EXPECT_EQ(state.quarantinedParts(), (std::set<std::string>{"91bd3f06"}));
+}
+
 TEST(ObjectCodec, DecodesAConfiguration)
 {
     const auto configuration = decodeConfiguration(
--- a/Tests/Services/Gateway/TestCrashingPrompts.cpp
+++ b/Tests/Services/Gateway/TestCrashingPrompts.cpp
@@ -125,6 +125,24 @@
     EXPECT_EQ(soundFailures, 0);
 }
 
+// Guards against a call that crashes a second upstream although another call with the same part has just crashed one.
+TEST_P(CrashingPromptTest, AreNotSentAgainBesideAnotherSuspect)
+{
+    CrashingSite crashing;
+    kj::WaitScope &scope = crashing.site.loop.rootScope();
+    for (const std::string &sound : GetParam().sound) {
+        EXPECT_EQ(crashing.call(scope, sound).status, 200);
+    }
+    std::vector<int> requests;
+    for (int round = 0; round < 2; ++round) {
+        const int before = crashing.badRequests;
+        EXPECT_EQ(crashing.call(scope, GetParam().bad).status, 502);
+        requests.push_back(crashing.badRequests - before);
+        crashing.site.loop.sleep(scope, 2 * downTime);
+    }
+    EXPECT_EQ(requests, (std::vector<int>{2, 1}));
+}
+
 INSTANTIATE_TEST_SUITE_P(Table, CrashingPromptTest,
                          testing::Values(CrashingPromptCase{"part_in_the_middle", "a1:40,bad:20", {"a1:40", "a1:40,c2:20"}},
                                          CrashingPromptCase{"first_part", "bad:40,c1:20", {"a1:40,c1:20", "a1:40"}},
--- a/Tests/Services/Gateway/TestSlots.cpp
+++ b/Tests/Services/Gateway/TestSlots.cpp
@@ -284,6 +284,8 @@
     /// The entry whose call got the response with the limit: 0 for the first, which does not own the upstream.
     int toldEntry;
     double limit;
+    /// All calls arrive at the first entry.
+    bool firstOnly;
 };
 
 class SharedLimitTest : public testing::TestWithParam<SharedLimitCase>
@@ -310,6 +312,9 @@
     int grantedToFirst = 0;
     const AK::Milliseconds startedAt = site.loop.clock().now();
     for (Dispatcher *dispatcher : {&site.first, &site.second}) {
+        if (GetParam().firstOnly && dispatcher == &site.second) {
+            continue;
+        }
         site.loop.spawn([&, dispatcher](kj::WaitScope &scope) {
             while (site.loop.clock().now() < startedAt + duration) {
                 CallRequirements requirements = site.requirements(0);
@@ -325,14 +330,17 @@
     const double expected = GetParam().limit * static_cast<double>(duration) / 1'000;
     const double burst = std::max(1.0, GetParam().limit / 3);
     EXPECT_LE(granted, expected + burst + 1);
-    EXPECT_GE(granted, expected / 2);
+    EXPECT_GE(granted, 0.75 * expected) << "the limit is used, whichever entry the calls arrive at";
     EXPECT_GT(grantedToFirst, 0) << "the entry that does not own the upstream gets its part";
 }
 
 INSTANTIATE_TEST_SUITE_P(Table, SharedLimitTest,
-                         testing::Values(SharedLimitCase{"engine_tells_its_owner", true, 1, 20}, SharedLimitCase{"engine_tells_another_entry", true, 0, 20},
-                                         SharedLimitCase{"plain_service_tells_its_owner", false, 1, 20},
-                                         SharedLimitCase{"plain_service_tells_another_entry", false, 0, 12}),
+                         testing::Values(SharedLimitCase{"engine_tells_its_owner", true, 1, 20, false},
+                                         SharedLimitCase{"engine_tells_another_entry", true, 0, 20, false},
+                                         SharedLimitCase{"plain_service_tells_its_owner", false, 1, 20, false},
+                                         SharedLimitCase{"plain_service_tells_another_entry", false, 0, 12, false},
+                                         SharedLimitCase{"plain_service_with_calls_at_one_entry", false, 0, 20, true},
+                                         SharedLimitCase{"engine_with_calls_at_one_entry", true, 1, 20, true}),
                          [](const auto &info) { return std::string(info.param.name); });
 
 } // namespace
