--- a/Tests/LibGateway/TestCrashEvidence.cpp
+++ b/Tests/LibGateway/TestCrashEvidence.cpp
@@ -58,6 +58,7 @@
 std::vector<SuspectRow> crashesInTurn(int count, const Parts &parts, const std::string &prefix = "u")
 {
     std::vector<SuspectRow> rows;
+    rows.reserve(static_cast<size_t>(count));
     for (int i = 0; i < count; ++i) {
         rows.push_back({prefix + std::to_string(i), i * 100 + 10, i * 100 + 100, static_cast<uint64_t>(i), parts});
     }
@@ -74,6 +75,7 @@
 std::vector<SuspectRow> crashesTogether(int count, const Parts &parts)
 {
     std::vector<SuspectRow> rows;
+    rows.reserve(static_cast<size_t>(count));
     for (int i = 0; i < count; ++i) {
         rows.push_back({"p" + std::to_string(i), -50 + i, 100 + i, static_cast<uint64_t>(1'000 + i), parts});
     }
