Gateway: Send a suspected call on that has not run

A call whose part was beside another prompt's crash was given up with 503 when an upstream refused its connection, though it had not run and another upstream could have taken it. While engines crash, many connections are refused and many parts are not known to be sound yet, so sound calls were hit. Only a call that may have run is held back now.

--- a/Tests/Services/Gateway/TestCrashingPrompts.cpp
+++ b/Tests/Services/Gateway/TestCrashingPrompts.cpp
@@ -143,6 +143,28 @@
     EXPECT_EQ(requests, (std::vector<int>{2, 1}));
 }
 
+// Guards against calls that are given up because an upstream refused the connection, only because another call with their part was beside a crash.
+TEST(CrashingPrompt, CallsThatHaveNotRunAreSentOn)
+{
+    // Which upstream a call tries first is random.
+    constexpr int sites = 8;
+    for (int i = 0; i < sites; ++i) {
+        LibFiber::Loop *loop = nullptr;
+        const UpstreamScript answer = [&](kj::WaitScope &scope, LibFiber::ByteChannel &channel, const LibHttpStream::RequestHead &head, const std::string &) {
+            writeResponse(scope, channel, *loop, *LibHttpStream::findHeader(head.headers, "X-Attempt-Id"), 200, "id: 1\ndata: word\n\n", 19);
+            return true;
+        };
+        GatewaySite site({answer, answer});
+        loop = &site.loop;
+        site.configure(RouteKind::Stream, true, 2, callTimeout);
+        site.crashUpstream(0, callTimeout);
+        site.loop.sleep(site.loop.rootScope(), readingTime);
+        const AK::Milliseconds now = site.loop.clock().now();
+        site.quarantine.recordCrash({"i-1", now, {{7, now - 1, {"ab"}}}});
+        EXPECT_EQ(site.call({{"X-Prompt-Prefix", "ab:4,f1:5"}}).status, 200) << "site " << i;
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(Table, CrashingPromptTest,
                          testing::Values(CrashingPromptCase{"part_in_the_middle", "a1:40,bad:20", {"a1:40", "a1:40,c2:20"}},
                                          CrashingPromptCase{"first_part", "bad:40,c1:20", {"a1:40,c1:20", "a1:40"}},
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -205,7 +205,9 @@
     this->report.reason = reason;
     this->mayHaveRun = this->mayHaveRun || sendMayHaveRun;
     this->requirements.excluded.insert(upstream.id);
-    const bool allowed = (!this->mayHaveRun || this->route->repeatable()) && !this->context.quarantine.isSuspected(this->request);
+    // A call that has not run can't have crashed the upstream.
+    const bool suspected = this->mayHaveRun && this->context.quarantine.isSuspected(this->request);
+    const bool allowed = !suspected && (!this->mayHaveRun || this->route->repeatable());
     if (allowed && this->report.sends < this->route->maxAttempts && this->now() < this->deadline
         && this->context.dispatcher.trySpendRetry(this->requirements.service)) {
         return NextStep::TryAnother;
