LibFleet: Move the choice of a route's service out of CallTask

The choice depends on the route and the request id alone. No change of behaviour; ServiceFor is its first test.

--- a/Tests/LibFleet/TestFleet.cpp
+++ b/Tests/LibFleet/TestFleet.cpp
@@ -135,4 +135,21 @@
                                          LeaseCase{"grace_over", true, expiredLeaseGrace, false}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+// Guards against a request whose sends go to different services, and against shares that differ from the weights.
+TEST(ServiceFor, FollowsTheWeights)
+{
+    constexpr int requests = 4'000;
+    LibFleet::Route route;
+    route.services = {{"a", 3}, {"b", 0}, {"c", 1}};
+    std::map<std::string, int> counts;
+    for (int i = 0; i < requests; ++i) {
+        const std::string id = "r" + std::to_string(i);
+        const std::string &service = LibFleet::serviceFor(route, id);
+        EXPECT_EQ(LibFleet::serviceFor(route, id), service);
+        ++counts[service];
+    }
+    EXPECT_EQ(counts.count("b"), 0U);
+    EXPECT_NEAR(counts["a"], requests * 0.75, requests * 0.03);
+}
+
 } // namespace
--- a/Userland/Libraries/LibFleet/Configuration.cpp
+++ b/Userland/Libraries/LibFleet/Configuration.cpp
@@ -1,10 +1,28 @@
 #include <LibFleet/Configuration.h>
 
+#include <AK/Hash.h>
 #include <algorithm>
 
 namespace LibFleet
 {
 
+const std::string &serviceFor(const Route &route, const std::string &requestId)
+{
+    double total = 0;
+    for (const ServiceShare &share : route.services) {
+        total += share.weight;
+    }
+    // Derived from the request id, so that a retry goes to the same service.
+    double position = static_cast<double>(AK::stableHash(requestId) % 1'000'000) / 1'000'000 * total;
+    for (const ServiceShare &share : route.services) {
+        if (position < share.weight) {
+            return share.service;
+        }
+        position -= share.weight;
+    }
+    return route.services.back().service;
+}
+
 RouteTable::RouteTable(const Configuration &configuration)
 {
     for (const Route &route : configuration.routes) {
--- a/Userland/Libraries/LibFleet/Configuration.h
+++ b/Userland/Libraries/LibFleet/Configuration.h
@@ -125,6 +125,9 @@
     ClientLimits limits;
 };
 
+/// The service that a request on a route goes to, by the weights of its services. The same for all sends of the request. The route must have a service.
+const std::string &serviceFor(const Route &route, const std::string &requestId);
+
 /// Finds routes by host and longest path prefix.
 class RouteTable
 {
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -38,23 +38,6 @@
 constexpr int unavailable = 503;
 constexpr int gatewayTimeout = 504;
 
-const std::string &pickService(const LibFleet::Route &route, const std::string &requestId)
-{
-    double total = 0;
-    for (const LibFleet::ServiceShare &share : route.services) {
-        total += share.weight;
-    }
-    // Derived from the request id, so that a retry goes to the same service.
-    double position = static_cast<double>(AK::stableHash(requestId) % 1'000'000) / 1'000'000 * total;
-    for (const LibFleet::ServiceShare &share : route.services) {
-        if (position < share.weight) {
-            return share.service;
-        }
-        position -= share.weight;
-    }
-    return route.services.back().service;
-}
-
 } // namespace
 
 CallTask::CallTask(const CallContext &context, LibHttpStream::RequestHead head, std::string body, ClientChannel &client)
@@ -116,7 +99,7 @@
     }
     const AK::Milliseconds clientTimeout = this->request.clientTimeout.value_or(defaultClientTimeout);
     this->deadline = this->arrivedAt + std::min(clientTimeout, this->route->timeout > 0 ? this->route->timeout : clientTimeout) - responseMargin;
-    this->requirements.service = pickService(*this->route, this->request.id);
+    this->requirements.service = LibFleet::serviceFor(*this->route, this->request.id);
     this->requirements.rank.priority = this->account && this->account->priority ? *this->account->priority : this->route->priority;
     this->requirements.arrivedAt = this->arrivedAt;
     this->requirements.regions = this->route->allowedRegions;
