--- a/review/lib/smallsite.py
+++ b/review/lib/smallsite.py
@@ -164,6 +164,7 @@
         super().__init__(ip)
         self.record, self.rev, self.objects, self.events, self.changed = record, 1, {}, [], asyncio.Event()
         self.watching = set()
+        # Bytes that stand in answers in place of a string of a spec, as another writer wrote them.
         self.raw = {}
 
     def put(self, kind, name, spec, create_only=False):
@@ -191,10 +192,10 @@
         self.changed = asyncio.Event()
 
     def dump(self, value):
-        text = json.dumps(value)
+        text = json.dumps(value).encode()
         for marker, raw in self.raw.items():
-            text = text.replace(json.dumps(marker), raw)
-        return text.encode()
+            text = text.replace(json.dumps(marker).encode(), raw)
+        return text
 
     def reset_watches(self, kind):
         """Cuts off the watches of a kind that wait now."""
