--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,84 +1,80 @@
-"""MIXED: a stream that is resumed because its worker's machine stands still meets a worker that answers with a failure."""
+"""LOST: one entry of another writer among the registrations ends every process that reads the store, again and again."""
 
 import asyncio
 import os
-import random
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
-from smallsite import TROUBLE, Client, Engine, main, now, response_bytes, stream_headers  # noqa: E402
+from smallsite import TROUBLE, Client, Worker, main, now  # noqa: E402
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-# Limits of the site file: one machine at a time stands still for 4 s; a share of 0.14 of the workers (here one of eight) fails
-# 0.45 of its requests for 6.5 s at a time, while its status check is good.
-FREEZE_S = 4.0
-GREY_SHARE, GREY_S = 0.45, 6.5
-ENGINES, CLIENTS, ROUNDS, ROUND_S = 8, 56, 8, 7.5
+# The rule excuses three.
+ALLOWED = 3
+RESTART_DELAY_S = 0.5
+# A field of another type: lists in lists. The entry has some 8 KB; the store takes values of 1 MB.
+DEPTH = 4000
 
 
-class TroubledEngine(Engine):
-    frozen_until = 0.0
-    grey_until = 0.0
-
-    async def thaw(self):
-        while now() < self.frozen_until:
-            await asyncio.sleep(0.02)
-
-    async def handle(self, request, writer):
-        await self.thaw()
-        return await super().handle(request, writer)
-
-    async def before_event(self, request, writer, attempt, number):
-        await self.thaw()
+class SlowWorker(Worker):
+    """A sound worker whose requests take a while, so that some are always at work."""
 
     async def run(self, request, writer, attempt):
-        if now() < self.grey_until and random.random() < GREY_SHARE:
-            self.record.line("worker", self.id, "answers 500 to", attempt, "from event", request.header("Last-Event-Id"))
-            self.site.failed.add(attempt)
-            return response_bytes(500, b"internal error", self.answer_headers(request, attempt), "text/plain")
+        await asyncio.sleep(0.6)
         return await super().run(request, writer, attempt)
 
 
 async def case(site):
-    site.failed = set()
-    await site.start_platform({"lima-miraflores": "lima", "cusco-wanchaq": "cusco"})
-    engines = [await site.add(TroubledEngine(site, "i-%d" % i, site.ip(), "bench-assistant", list(site.zones)[i % 2])) for i in range(ENGINES)]
-    for engine in engines:
-        engine.event_s = 0.1
-    site.configure([site.route("cure", "/cure/", "streaming", "bench-assistant", 6000, 400, sticky=True, resumable=True, gapTargetMs=400)],
-                   [site.model_service("bench-assistant"), site.origin_service("ledger-room", "lima-miraflores")])
-    entries = [await site.add_entry(zone) for zone in site.zones]
-    for engine in engines:
-        await site.add_agent(engine)
+    await site.start_platform({"lima-miraflores": "lima", "cusco-wanchaq": "cusco", "arequipa-cayma": "arequipa"})
+    workers = [await site.add(SlowWorker(site, "i-%d" % i, site.ip(), "order-desk", zone, 6)) for i, zone in enumerate([*site.zones, "lima-miraflores"])]
+    site.configure([site.route("ship", "/ship/", "unsafe", "order-desk", 1000, 100)],
+                   [site.plain_service("order-desk"), site.origin_service("ledger-room", "cusco-wanchaq")])
+    entries = [await site.add_entry(zone) for zone in ("lima-miraflores", "lima-miraflores", "cusco-wanchaq", "arequipa-cayma")]
     await site.all_ready()
     await asyncio.sleep(4)
-    until = now() + ROUNDS * ROUND_S + 4
-    answers = []
+    until = now() + 16
+    answers, ends = [], []
 
     async def traffic(entry):
         client = Client(site, entry)
-        await asyncio.sleep(random.uniform(0, 2))
         while now() < until:
-            answers.append(await client.call("/cure/1", 6000, headers=stream_headers()))
-            await asyncio.sleep(random.uniform(0.05, 0.2))
+            answers.append((entry, await client.call("/ship/1", 1000)))
+            await asyncio.sleep(0.1)
 
-    clients = [site.spawn(traffic(entry)) for entry in entries for _ in range(CLIENTS // 2)]
-    await asyncio.sleep(3)
-    for _ in range(ROUNDS):
-        grey, frozen = random.sample(engines, 2)
-        if TROUBLE:
-            grey.grey_until, frozen.frozen_until = now() + GREY_S, now() + FREEZE_S
-            site.record.line("worker", grey.id, "fails a share of its requests; the machine of worker", frozen.id, "stands still")
-        await asyncio.sleep(ROUND_S)
+    async def restart(entry):
+        """The platform starts a process that has ended again."""
+        while now() < until:
+            code = await entry.process.wait()
+            if now() >= until:
+                return
+            ends.append((entry, code))
+            site.record.line(entry.name, "has ended by itself with", code)
+            await asyncio.sleep(RESTART_DELAY_S)
+            await entry.start()
+
+    clients = [site.spawn(traffic(entry)) for entry in entries for _ in range(6)]
+    keepers = [site.spawn(restart(entry)) for entry in entries]
+    await asyncio.sleep(4)
+    if TROUBLE:
+        site.store.raw["(lists)"] = b"[" * DEPTH + b"]" * DEPTH
+        site.store.put("servers", "x-1", {"service": "order-desk", "addr": workers[0].ip + ":9", "zone": "lima-miraflores",
+                                          "version": "(lists)", "slots": 6, "state": "ready", "coldLeftMs": 0, "seq": 1})
+        site.record.line("another writer adds the entry x-1, whose version is a list of lists")
     await asyncio.gather(*clients)
+    for keeper in keepers:
+        keeper.cancel()
+    arrived = {attempt for worker in workers for _, attempt in worker.arrived}
     broken = []
-    for answer in answers:
-        if answer.end.startswith("not the protocol"):
-            site.record.line("raw end of the answer to", answer.attempt, answer.raw[-400:])
-            broken.append("MIXED: the client of %s got bytes that are no answer in the protocol, after %d bytes of its stream: %s" %
-                          (answer.attempt, len(answer.body), answer.end))
-    site.record.say("streams:", len(answers), "complete:", sum(1 for answer in answers if answer.end == "complete" and answer.status == 200),
-                    "failed by the grey worker:", len(site.failed), "not in the protocol:", len(broken))
+    for entry in entries:
+        lost = [answer for of, answer in answers if of is entry and answer.end.startswith("channel broken") and answer.attempt in arrived]
+        crashes = [code for of, code in ends if of is entry]
+        site.record.say(entry.name, "requests:", sum(1 for of, _ in answers if of is entry), "ended by itself:", crashes,
+                        "passed on to a sound worker and closed without an answer:", len(lost))
+        if len(lost) > ALLOWED:
+            broken.append("LOST: %s passed %d requests on to sound workers and closed their channels without an answer; it ended by itself %d times" %
+                          (entry.name, len(lost), len(crashes)))
+    after = [answer for _, answer in answers[-40:]]
+    site.record.say("the last 40 requests:", sum(1 for answer in after if answer.status == 200), "answered 200,",
+                    sum(1 for answer in after if answer.status == 0), "without an answer")
     return broken
 
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,51 +1,85 @@
-"""DRAIN: one registration with bytes that can't be read hides all later changes, so that a leaving worker gets work on and on."""
+"""MIXED: a stream that is resumed because its worker's machine stands still meets a worker that answers with a failure."""
 
 import asyncio
 import os
+import random
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
-from smallsite import BOUNDS, TROUBLE, Client, Worker, main, now  # noqa: E402
+from smallsite import TROUBLE, Client, Engine, main, now, response_bytes, stream_headers  # noqa: E402
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
+# Limits of the site file: one machine at a time stands still for 4 s; a share of 0.14 of the workers (here one of eight) fails
+# 0.45 of its requests for 6.5 s at a time, while its status check is good.
+FREEZE_S = 4.0
+GREY_SHARE, GREY_S = 0.45, 6.5
+ENGINES, CLIENTS, ROUNDS, ROUND_S = 8, 56, 8, 7.5
+
+
+class TroubledEngine(Engine):
+    frozen_until = 0.0
+    grey_until = 0.0
+
+    async def thaw(self):
+        while now() < self.frozen_until:
+            await asyncio.sleep(0.02)
+
+    async def handle(self, request, writer):
+        await self.thaw()
+        return await super().handle(request, writer)
+
+    async def before_event(self, request, writer, attempt, number):
+        await self.thaw()
+
+    async def run(self, request, writer, attempt):
+        if now() < self.grey_until and random.random() < GREY_SHARE:
+            self.record.line("worker", self.id, "answers 500 to", attempt, "from event", request.header("Last-Event-Id"))
+            self.site.failed.add(attempt)
+            return response_bytes(500, b"internal error", self.answer_headers(request, attempt), "text/plain")
+        return await super().run(request, writer, attempt)
 
 
 async def case(site):
-    await site.start_platform({"lima-miraflores": "lima", "cusco-wanchaq": "cusco", "arequipa-cayma": "arequipa"})
-    workers = [await site.add(Worker(site, "i-%d" % i, site.ip(), "order-desk", zone, 6)) for i, zone in enumerate(site.zones)]
-    site.configure([site.route("ship", "/ship/", "unsafe", "order-desk", 1000, 100)],
-                   [site.plain_service("order-desk"), site.origin_service("ledger-room", "cusco-wanchaq")])
-    entries = [await site.add_entry(zone) for zone in ("lima-miraflores", "lima-miraflores", "cusco-wanchaq", "arequipa-cayma")]
+    site.failed = set()
+    await site.start_platform({"lima-miraflores": "lima", "cusco-wanchaq": "cusco"})
+    engines = [await site.add(TroubledEngine(site, "i-%d" % i, site.ip(), "bench-assistant", list(site.zones)[i % 2])) for i in range(ENGINES)]
+    for engine in engines:
+        engine.event_s = 0.1
+    site.configure([site.route("cure", "/cure/", "streaming", "bench-assistant", 6000, 400, sticky=True, resumable=True, gapTargetMs=400)],
+                   [site.model_service("bench-assistant"), site.origin_service("ledger-room", "lima-miraflores")])
+    entries = [await site.add_entry(zone) for zone in site.zones]
+    for engine in engines:
+        await site.add_agent(engine)
     await site.all_ready()
     await asyncio.sleep(4)
-    until = now() + 22
+    until = now() + ROUNDS * ROUND_S + 4
     answers = []
 
     async def traffic(entry):
         client = Client(site, entry)
+        await asyncio.sleep(random.uniform(0, 2))
         while now() < until:
-            answers.append(await client.call("/ship/1", 1000))
-            await asyncio.sleep(0.1)
+            answers.append(await client.call("/cure/1", 6000, headers=stream_headers()))
+            await asyncio.sleep(random.uniform(0.05, 0.2))
 
-    clients = [site.spawn(traffic(entry)) for entry in entries for _ in range(2)]
-    await asyncio.sleep(3)
-    if TROUBLE:
-        # "é" in Latin-1, as a writer that knows no UTF-8 leaves it in its entry.
-        site.store.raw["(latin-1)"] = b'"caf\xe9"'
-        site.store.put("servers", "x-1", {"service": "caf", "addr": workers[0].ip + ":9", "zone": "lima-miraflores", "version": "(latin-1)",
-                                          "slots": 6, "state": "ready", "coldLeftMs": 0, "seq": 1})
-        site.record.line("another writer adds the entry x-1 with a byte that is no UTF-8")
+    clients = [site.spawn(traffic(entry)) for entry in entries for _ in range(CLIENTS // 2)]
     await asyncio.sleep(3)
-    leaving = workers[1]
-    leaving.state = "draining"
-    site.store.put("servers", leaving.id, leaving.spec())
-    left_at = now()
-    site.record.line(leaving.id, "reports draining")
+    for _ in range(ROUNDS):
+        grey, frozen = random.sample(engines, 2)
+        if TROUBLE:
+            grey.grey_until, frozen.frozen_until = now() + GREY_S, now() + FREEZE_S
+            site.record.line("worker", grey.id, "fails a share of its requests; the machine of worker", frozen.id, "stands still")
+        await asyncio.sleep(ROUND_S)
     await asyncio.gather(*clients)
-    late = [(at - left_at, attempt) for at, attempt in leaving.arrived if at > left_at + BOUNDS["drainMs"] / 1000]
-    site.record.say("requests:", len(answers), "answered 200:", sum(1 for answer in answers if answer.status == 200), "at", leaving.id,
-                    "later than drainMs:", len(late), "the last after", "%.2f s" % max([at - left_at for at, _ in leaving.arrived] + [0]))
-    return ["DRAIN: %d requests reached %s later than drainMs, the last %.2f s after its report" % (len(late), leaving.id, late[-1][0])] if late else []
+    broken = []
+    for answer in answers:
+        if answer.end.startswith("not the protocol"):
+            site.record.line("raw end of the answer to", answer.attempt, answer.raw[-400:])
+            broken.append("MIXED: the client of %s got bytes that are no answer in the protocol, after %d bytes of its stream: %s" %
+                          (answer.attempt, len(answer.body), answer.end))
+    site.record.say("streams:", len(answers), "complete:", sum(1 for answer in answers if answer.end == "complete" and answer.status == 200),
+                    "failed by the grey worker:", len(site.failed), "not in the protocol:", len(broken))
+    return broken
 
 
 main(FOLDER, case)
