--- a/review/4/case.py
+++ b/review/4/case.py
@@ -9,16 +9,18 @@
 from smallsite import TROUBLE, Client, Engine, main, now, response_bytes, stream_headers  # noqa: E402
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-# Limits of the site file: one machine at a time stands still for 4 s; a share of 0.14 of the workers (here one of eight) fails
-# 0.45 of its requests for 6.5 s at a time, while its status check is good.
+# Limits: one machine at a time stands still for 4 s; a share of 0.15 of the workers (here one of seven) fails 0.45 of its requests
+# for 6.5 s at a time, while its status check is good.
 FREEZE_S = 4.0
 GREY_SHARE, GREY_S = 0.45, 6.5
-ENGINES, CLIENTS, ROUNDS, ROUND_S = 8, 56, 8, 7.5
+# The worker begins to fail this long after the machine stands still.
+GREY_AFTER_S = 1.2
+ENGINES, CLIENTS, ROUNDS, ROUND_S = 7, 70, 9, 8.5
 
 
 class TroubledEngine(Engine):
     frozen_until = 0.0
-    grey_until = 0.0
+    grey_from = 0.0
 
     async def thaw(self):
         while now() < self.frozen_until:
@@ -32,7 +34,7 @@
         await self.thaw()
 
     async def run(self, request, writer, attempt):
-        if now() < self.grey_until and random.random() < GREY_SHARE:
+        if self.grey_from <= now() < self.grey_from + GREY_S and random.random() < GREY_SHARE:
             self.record.line("worker", self.id, "answers 500 to", attempt, "from event", request.header("Last-Event-Id"))
             self.site.failed.add(attempt)
             return response_bytes(500, b"internal error", self.answer_headers(request, attempt), "text/plain")
@@ -65,10 +67,12 @@
     clients = [site.spawn(traffic(entry)) for entry in entries for _ in range(CLIENTS // 2)]
     await asyncio.sleep(3)
     for _ in range(ROUNDS):
-        grey, frozen = random.sample(engines, 2)
+        # In one zone, whose entry sends most of its requests there.
+        zone = random.choice(list(site.zones))
+        grey, frozen = random.sample([engine for engine in engines if engine.zone == zone], 2)
         if TROUBLE:
-            grey.grey_until, frozen.frozen_until = now() + GREY_S, now() + FREEZE_S
-            site.record.line("worker", grey.id, "fails a share of its requests; the machine of worker", frozen.id, "stands still")
+            grey.grey_from, frozen.frozen_until = now() + GREY_AFTER_S, now() + FREEZE_S
+            site.record.line("the machine of worker", frozen.id, "stands still; soon worker", grey.id, "fails a share of its requests")
         await asyncio.sleep(ROUND_S)
     await asyncio.gather(*clients)
     broken = []
--- a/review/lib/smallsite.py
+++ b/review/lib/smallsite.py
@@ -644,10 +644,13 @@
             shutil.copytree(self.folder, os.environ["KEEP_LOGS"], dirs_exist_ok=True)
         for process in self.processes:
             await process.end()
-        for task in list(self.tasks):
+        tasks = list(self.tasks)
+        for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         for server in self.servers:
             server.stop()
+        await asyncio.sleep(0.1)
         self.temporary.cleanup()
 
 
