--- a/review/lib/smallsite.py
+++ b/review/lib/smallsite.py
@@ -745,10 +745,12 @@
 
     async def run():
         site = Site(folder)
+        # A run that is told to end still ends its processes.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         site.record.line("trouble" if TROUBLE else "no trouble (TROUBLE=0)")
         try:
             broken = await asyncio.wait_for(case(site), 105)
-        except Exception as error:  # pylint: disable=broad-except
+        except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
             site.record.say("the case could not run:", type(error).__name__, error)
             return 2
         finally:
