Tests/Harness: Show the log of a process that does not respond

A test that fails because a process of its site never responds says now whether the process has ended, with which status, and what it logged last. The folder that the message named before is removed with the site.

--- a/Tests/Harness/Site.cpp
+++ b/Tests/Harness/Site.cpp
@@ -24,6 +24,7 @@
 // The more processes start at the same time on one machine, the longer they take to discover each other.
 constexpr AK::Milliseconds extraLimitPerHostMs = 500;
 constexpr AK::Milliseconds requestTimeoutMs = 5'000;
+constexpr size_t shownLogBytes = 4'000;
 
 const std::string siteName = "costilla-luz";
 const std::string platform = "platform";
@@ -122,9 +123,8 @@
 
 void Site::spawn(const std::string &name, const std::string &program, std::vector<std::string> arguments)
 {
-    const std::string log = AK::concat(this->temporaryFolder, "/", name, ".log");
     this->processes[name].reset();
-    this->processes[name] = std::make_unique<ChildProcess>(AK::concat(this->sitePlan.binFolder, "/", program), std::move(arguments), log);
+    this->processes[name] = std::make_unique<ChildProcess>(AK::concat(this->sitePlan.binFolder, "/", program), std::move(arguments), this->logFile(name));
 }
 
 void Site::startFakes()
@@ -164,12 +164,26 @@
 {
     const bool responded = waitUntil(limit, [&] { return LibHttp::httpCall(address, {.path = path}, 1'000).ok(); });
     if (!responded) {
-        return absl::DeadlineExceededError(
-            AK::concat("process ", name, " does not respond at ", address.text(), " within ", limit, " ms; its log is in ", this->temporaryFolder));
+        const std::optional<int> exitStatus = this->process(name).wait(0);
+        return absl::DeadlineExceededError(AK::concat("process ", name, " does not respond at ", address.text(), " within ", limit, " ms; it ",
+                                                      exitStatus ? AK::concat("has ended with status ", *exitStatus) : std::string("is running"),
+                                                      "; the end of its log:\n", this->endOfLog(name)));
     }
     return absl::OkStatus();
 }
 
+std::string Site::logFile(const std::string &name) const
+{
+    return AK::concat(this->temporaryFolder, "/", name, ".log");
+}
+
+std::string Site::endOfLog(const std::string &name) const
+{
+    std::ifstream file(this->logFile(name));
+    const std::string text{std::istreambuf_iterator<char>(file), {}};
+    return text.substr(text.size() - std::min(text.size(), shownLogBytes));
+}
+
 absl::Status Site::readRoots()
 {
     for (int version = 1; version <= this->sitePlan.versions; ++version) {
--- a/Tests/Harness/Site.h
+++ b/Tests/Harness/Site.h
@@ -67,6 +67,9 @@
     void spawn(const std::string &name, const std::string &program, std::vector<std::string> arguments);
     void startFakes();
     void startUpstreams();
+    std::string logFile(const std::string &name) const;
+    /// The last bytes that a process has written to its log.
+    std::string endOfLog(const std::string &name) const;
     absl::Status waitHttp(const std::string &name, const AK::Endpoint &address, const std::string &path, AK::Milliseconds limit);
     absl::Status readRoots();
     /// Waits until the gauge has at least the value on every running daemon.
