Tests/Harness: Reserve the loopback network of a site

Suspected cause, not traced: networks were numbered by process id modulo 2,500, and threads use up ids quickly, so two test programs could have the same addresses at the same time.

Change: a site listens on an address of its network for as long as it exists, and takes the next network when that fails.

--- a/Tests/Harness/SiteHosts.cpp
+++ b/Tests/Harness/SiteHosts.cpp
@@ -16,25 +16,22 @@
 constexpr uint16_t objectApiProxyPort = 7302;
 constexpr uint16_t proxyAdminPort = 7303;
 constexpr uint16_t upstreamPort = 7400;
-constexpr int hostsPerNetwork = 250;
-// Number of sites that one process may have at the same time, and the loopback networks 127.secondOctet.thirdOctet.0 that are assigned to sites. Each site has
-// networksPerSite consecutive networks.
+// Sites that one process usually has.
 constexpr int sitesPerProcess = 4;
-constexpr int minSecondOctet = 20;
-constexpr int secondOctetCount = 200;
-constexpr int sitesPerSecondOctet = 50;
-constexpr int networksPerSite = 5;
+
+// Where the search for a network begins, so that programs that run at the same time rarely try the same one.
+int firstNetwork()
+{
+    static int sites = 0;
+    return ::getpid() * sitesPerProcess + sites++ % sitesPerProcess;
+}
 
 } // namespace
 
 SiteHosts::SiteHosts(SitePlan plan)
     : sitePlan(std::move(plan))
+    , network(firstNetwork())
 {
-    // Test programs that run at the same time have different process ids, so their sites get different networks.
-    static int siteCount = 0;
-    const int number = ::getpid() * sitesPerProcess + siteCount++ % sitesPerProcess;
-    this->secondOctet = minSecondOctet + number / sitesPerSecondOctet % secondOctetCount;
-    this->thirdOctet = number % sitesPerSecondOctet * networksPerSite;
     this->planHosts();
 }
 
@@ -55,7 +52,7 @@
 
 std::string SiteHosts::hostAddress(int index) const
 {
-    return AK::concat("127.", this->secondOctet, ".", this->thirdOctet + index / hostsPerNetwork, ".", index % hostsPerNetwork + 1);
+    return this->network.hostAddress(index);
 }
 
 AK::Endpoint SiteHosts::objectApi() const
--- a/Tests/Harness/SiteHosts.h
+++ b/Tests/Harness/SiteHosts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <AK/Endpoint.h>
+#include <Harness/LoopbackNetwork.h>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -86,8 +87,7 @@
 private:
     void planHosts();
 
-    int secondOctet = 0;
-    int thirdOctet = 0;
+    LoopbackNetwork network;
 };
 
 } // namespace Harness
