LibHttpStream: Lose no bytes of a chunk when a read reaches its deadline

Callers saw nothing so far: each read that reaches its deadline ends its call.

The reader keeps what it has parsed as state, and returns the data of a chunk before it waits for the chunk's end.

Evidence: BodyTest.GoesOnAfterADeadline sends the bytes of each case of the table one by one, with a deadline after each.

--- a/Tests/LibHttpStream/TestMessages.cpp
+++ b/Tests/LibHttpStream/TestMessages.cpp
@@ -98,6 +98,40 @@
     }
 }
 
+// Guards against losing bytes when the deadline of a read passes inside a chunk: a caller that reads on would get a body with a gap.
+TEST_P(BodyTest, GoesOnAfterADeadline)
+{
+    const BodyCase &row = GetParam();
+    Connection connection;
+    BodyReader reader(connection.channel, row.framing);
+    std::string body;
+    absl::Status status;
+    bool ended = false;
+    const auto readAll = [&] {
+        while (status.ok() && !ended) {
+            const auto data = reader.next(connection.loop.rootScope(), connection.loop.clock().now() + 1);
+            status = data.status();
+            ended = data.ok() && !*data;
+            body += data.ok() && *data ? **data : "";
+        }
+    };
+    for (size_t i = 0; i < row.bytes.size() && !ended && (status.ok() || absl::IsDeadlineExceeded(status)); ++i) {
+        connection.send(row.bytes.substr(i, 1), i + 1 == row.bytes.size());
+        status = absl::OkStatus();
+        readAll();
+    }
+    const bool tooLong = row.code == absl::StatusCode::kResourceExhausted;
+    if (absl::IsDeadlineExceeded(status)) {
+        status = absl::OkStatus();
+        readAll();
+    }
+    EXPECT_EQ(status.code(), tooLong ? absl::StatusCode::kOk : row.code) << status;
+    EXPECT_EQ(ended, status.ok());
+    if (row.code == absl::StatusCode::kOk) {
+        EXPECT_EQ(body, row.body);
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Table, BodyTest,
     testing::Values(BodyCase{"counted", {FramingKind::Length, 5}, "hello", absl::StatusCode::kOk, "hello", true},
--- a/Userland/Libraries/LibHttpStream/MessageReader.cpp
+++ b/Userland/Libraries/LibHttpStream/MessageReader.cpp
@@ -139,37 +139,40 @@
     }
 }
 
-absl::StatusOr<std::optional<std::string>> BodyReader::nextChunked(kj::WaitScope &scope, AK::Milliseconds deadline)
+absl::Status BodyReader::readUpToChunkData(kj::WaitScope &scope, AK::Milliseconds deadline)
 {
-    if (!this->insideChunk) {
+    if (this->chunkPart == ChunkPart::DataEnd) {
+        CATKINLINK_ASSIGN(const std::string end, this->readLine(scope, deadline));
+        if (!end.empty()) {
+            return absl::InvalidArgumentError("a chunk is longer than its declared size");
+        }
+        this->chunkPart = ChunkPart::Size;
+    }
+    if (this->chunkPart == ChunkPart::Size) {
         CATKINLINK_ASSIGN(const std::string line, this->readLine(scope, deadline));
         const std::optional<uint64_t> size = parseChunkSize(line);
         if (!size) {
             return absl::InvalidArgumentError("invalid chunk size");
         }
-        if (*size == 0) {
-            // Skips the trailers.
-            while (true) {
-                CATKINLINK_ASSIGN(const std::string trailer, this->readLine(scope, deadline));
-                if (trailer.empty()) {
-                    break;
-                }
-            }
-            this->done = true;
-            return std::optional<std::string>();
-        }
         this->remaining = *size;
-        this->insideChunk = true;
+        this->chunkPart = *size == 0 ? ChunkPart::Trailers : ChunkPart::Data;
+    }
+    while (this->chunkPart == ChunkPart::Trailers && !this->done) {
+        CATKINLINK_ASSIGN(const std::string trailer, this->readLine(scope, deadline));
+        this->done = trailer.empty();
+    }
+    return absl::OkStatus();
+}
+
+absl::StatusOr<std::optional<std::string>> BodyReader::nextChunked(kj::WaitScope &scope, AK::Milliseconds deadline)
+{
+    CATKINLINK_TRY(this->readUpToChunkData(scope, deadline));
+    if (this->done) {
+        return std::optional<std::string>();
     }
     CATKINLINK_ASSIGN(std::string data, this->takeBuffered(scope, this->remaining, deadline));
     this->remaining -= data.size();
-    if (this->remaining == 0) {
-        this->insideChunk = false;
-        CATKINLINK_ASSIGN(const std::string end, this->readLine(scope, deadline));
-        if (!end.empty()) {
-            return absl::InvalidArgumentError("a chunk is longer than its declared size");
-        }
-    }
+    this->chunkPart = this->remaining == 0 ? ChunkPart::DataEnd : ChunkPart::Data;
     return std::optional<std::string>(std::move(data));
 }
 
--- a/Userland/Libraries/LibHttpStream/MessageReader.h
+++ b/Userland/Libraries/LibHttpStream/MessageReader.h
@@ -25,7 +25,8 @@
     BodyReader(LibFiber::ByteChannel &channel, BodyFraming framing);
 
     /// The next bytes, or std::nullopt at the end of the body as its framing defines it.
-    /// Errors: kDataLoss when the body ended early, kInvalidArgument for invalid framing, kDeadlineExceeded, kUnavailable.
+    /// Errors: kDataLoss when the body ended early, kInvalidArgument for invalid framing, kDeadlineExceeded, kUnavailable. After kDeadlineExceeded no byte is
+    /// lost, and the next call goes on.
     absl::StatusOr<std::optional<std::string>> next(kj::WaitScope &scope, AK::Milliseconds deadline);
 
     /// True when the whole body was read and the connection can be used for another message.
@@ -35,8 +36,13 @@
     bool endsWithConnection() const;
 
 private:
+    /// What follows next in a chunked body.
+    enum class ChunkPart { Size, Data, DataEnd, Trailers };
+
     absl::StatusOr<std::optional<std::string>> nextSized(kj::WaitScope &scope, AK::Milliseconds deadline);
     absl::StatusOr<std::optional<std::string>> nextChunked(kj::WaitScope &scope, AK::Milliseconds deadline);
+    // Reads up to the data of the next chunk, or to the end of the body.
+    absl::Status readUpToChunkData(kj::WaitScope &scope, AK::Milliseconds deadline);
     absl::StatusOr<std::optional<std::string>> nextUntilClose(kj::WaitScope &scope, AK::Milliseconds deadline);
     absl::StatusOr<std::string> readLine(kj::WaitScope &scope, AK::Milliseconds deadline);
     // Waits for more bytes; the end of the stream is kDataLoss.
@@ -47,7 +53,7 @@
     LibFiber::ByteChannel &channel;
     BodyFraming framing;
     uint64_t remaining = 0;
-    bool insideChunk = false;
+    ChunkPart chunkPart = ChunkPart::Size;
     bool done = false;
 };
 
