Gateway: Keep a silent upstream's call open until another upstream answers

Callers saw streams that ended in the middle, with their connection closed and no complete answer, and 502s, although a sound upstream was at work on them and would have gone on: a resumable stream was given up after 1.8 s without an event, a repeatable call after 0.4 of its time.

Cause: the call to the silent upstream was dropped before anything was known of a replacement. If no other upstream had room, refused, failed or was silent too, if the retry budget or maxAttempts were used up (a stream lost its only upstream even at its last attempt), or the prompt was suspected, nothing was left to answer with. Class: the old is released before the new is confirmed.

Change: other upstreams are tried beside the silent call (SilentCall). The first side that shows an event, a head or a complete response goes on, the other is dropped; if no other upstream answers, the silent one keeps the call until its deadline. Attempts, retry budget and exclusion count as before. A silent call that fails while another is tried leaves the call to the other. Logs: upstream_silent with its end; catkinlink_silent_calls_total.

Evidence: SilentUpstreamTest, an upstream that pauses for 2.4 s beside others that are missing, reject, reset, fail, are silent, drain or are sound.

--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -15,14 +15,8 @@
 constexpr AK::Milliseconds defaultClientTimeout = 10'000;
 // Time left for the response to reach the client before the client's own deadline.
 constexpr AK::Milliseconds responseMargin = 20;
-// A resumable stream is moved to another upstream when no event arrives for this long, whatever other bytes do. Clients disconnect after 3.2 s.
-constexpr AK::Milliseconds streamSilenceLimit = 1'800;
-// A retriable call that is not a stream is sent to another upstream when no response arrives within this share of its total time.
-constexpr double nonStreamSilenceShare = 0.4;
 // Responses are held until they are complete, so that one that is cut can be retried; some hundred calls share the memory of an entry.
 constexpr uint64_t maxResponseBodyBytes = 4UL << 20;
-// Far above the text of the few tokens in an event.
-constexpr size_t maxEventBytes = 256UL << 10;
 constexpr AK::Milliseconds refusalRetryAfter = 500;
 // A request that crashes upstreams does so when they begin to write its response; one whose events have come for this long is not the cause.
 constexpr AK::Milliseconds crashTime = 500;
@@ -142,13 +136,12 @@
         this->firstEventAt = 0;
         UpstreamCall call(this->context.loop, this->context.connections, this->context.codec);
         const bool repeatable = this->route->repeatable();
-        AK::Milliseconds responseDeadline = this->deadline;
-        if (repeatable && this->report.sends < this->route->maxAttempts) {
-            const auto share = static_cast<AK::Milliseconds>(nonStreamSilenceShare * static_cast<double>(this->deadline - this->arrivedAt));
-            responseDeadline = std::min(responseDeadline, this->now() + (this->route->kind == RouteKind::Stream ? streamSilenceLimit : share));
-        }
         const LibHttpStream::RequestHead outgoing = this->context.codec.encodeRequest(this->head, this->targetFor(**grant));
-        const UpstreamCall::Result sent = call.send(scope, upstream, outgoing, this->body, this->request.id, repeatable, responseDeadline);
+        UpstreamCall::Result sent =
+            call.send(scope, upstream, outgoing, this->body, this->request.id, repeatable, this->silentAfter(this->sentAt), this->deadline);
+        if (!this->awaitHead(scope, call, *grant, sent)) {
+            return NextStep::Done;
+        }
         if (sent.outcome == SendOutcome::Answered || sent.refusedByUpstream) {
             this->context.dispatcher.recordRateLimit(upstream, call.responseInfo().callsPerSecondLimit, this->sentAt);
         }
@@ -163,7 +156,7 @@
             this->context.dispatcher.recordResponseLoad(upstream, call.responseInfo().load->running, call.responseInfo().load->waiting);
         }
         if (this->route->kind == RouteKind::Stream && call.responseHead().status / 100 == 2) {
-            return this->forwardStream(scope, call, **grant);
+            return this->forwardStream(scope, call, *grant);
         }
         return this->forwardResponse(scope, call, upstream);
     }
@@ -258,6 +251,11 @@
         this->requirements.excluded.insert(upstream.id);
         return NextStep::TryAnother;
     }
+    if (failed && this->silentCall != nullptr) {
+        this->failedResponse.emplace(responseHead, std::move(responseBody));
+        return NextStep::Done;
+    }
+    this->takeOver();
     this->report.status = responseHead.status;
     this->report.firstByteAfter = this->now() - this->arrivedAt;
     this->report.result = this->client.sendResponse(scope, responseHead, responseBody, responseHead.status != 204).ok() ? "answered" : "client_left";
@@ -278,6 +276,7 @@
     if (text.empty()) {
         return absl::OkStatus();
     }
+    this->takeOver();
     if (this->client.begun()) {
         this->report.longestGap = std::max(this->report.longestGap, this->now() - this->report.lastPartAt);
         this->report.lastPartAt = this->now();
@@ -289,49 +288,6 @@
     return this->client.beginStream(scope, responseHead, text);
 }
 
-CallTask::NextStep CallTask::forwardStream(kj::WaitScope &scope, UpstreamCall &call, Grant &grant)
-{
-    const LibFleet::UpstreamRecord upstream = grant.upstream();
-    this->mayHaveRun = true;
-    LibGateway::EventSplitter splitter;
-    this->lastEventAt = this->now();
-    while (true) {
-        const AK::Milliseconds until = this->route->resumable ? std::min(this->deadline, this->lastEventAt + streamSilenceLimit) : this->deadline;
-        absl::StatusOr<std::optional<std::string>> data = call.read(scope, until);
-        // The end of the connection alone does not show that the stream has no events; a resumed one may have none left.
-        const bool endedBeforeFirstEvent = data.ok() && !*data && call.endsWithConnection() && !this->lastEventId;
-        if (!data.ok() || endedBeforeFirstEvent || (!*data && splitter.partialBytes() > 0)) {
-            this->context.dispatcher.recordOutcome(upstream, true);
-            if (!absl::IsDeadlineExceeded(data.status())) {
-                this->recordBrokenCall(upstream);
-            }
-            const std::string_view unfinished = splitter.partialBytes() > 0 ? "stream ended inside an event" : "stream ended before its first event";
-            return this->retryOrGiveUp(scope, upstream, true, data.ok() ? std::string(unfinished) : AK::concat("stream cut: ", data.status().message()));
-        }
-        if (!*data) {
-            break;
-        }
-        splitter.feed(**data);
-        grant.promptRead();
-        this->noteSoundPrompt(false);
-        if (!this->forwardEvents(scope, call.responseHead(), splitter).ok()) {
-            return NextStep::Done;
-        }
-        // read() returns buffered bytes also after its deadline.
-        const bool stalled = this->now() >= until && this->lastEventAt + streamSilenceLimit <= this->now();
-        if (splitter.partialBytes() > maxEventBytes || stalled) {
-            this->context.dispatcher.recordOutcome(upstream, true);
-            return this->retryOrGiveUp(scope, upstream, true, stalled ? "stream stalled: bytes without an event" : "stream cut: an event is too long");
-        }
-    }
-    this->context.dispatcher.recordOutcome(upstream, false);
-    this->noteSoundPrompt(true);
-    call.finish();
-    const absl::Status written = this->client.begun() ? this->client.endStream(scope) : this->client.sendResponse(scope, call.responseHead(), "", true);
-    this->report.result = written.ok() ? "answered" : "client_left";
-    return NextStep::Done;
-}
-
 void CallTask::refuse(kj::WaitScope &scope, int status, const std::string &reason, AK::Milliseconds retryAfter)
 {
     this->report.status = status;
@@ -343,6 +299,10 @@
 void CallTask::giveUp(kj::WaitScope &scope, const std::string &reason, AK::Milliseconds retryAfter)
 {
     this->report.reason = reason;
+    if (this->silentCall != nullptr) {
+        // The silent upstream may still answer.
+        return;
+    }
     if (this->client.begun()) {
         // The connection is closed without the last chunk, so that the client does not take the stream for complete.
         this->report.result = "stream_cut";
--- a/Userland/Services/Gateway/CallTask.h
+++ b/Userland/Services/Gateway/CallTask.h
@@ -4,6 +4,7 @@
 #include "CrashDetector.h"
 #include "Dispatcher.h"
 #include "PromptQuarantine.h"
+#include "SilentCall.h"
 #include "UpstreamCall.h"
 #include <LibGateway/EventSplitter.h>
 #include <LibMetrics/MetricRegistry.h>
@@ -50,6 +51,9 @@
     void run(kj::WaitScope &scope);
 
 private:
+    // Far above the text of the few tokens in an event.
+    static constexpr size_t maxEventBytes = 256UL << 10;
+
     enum class NextStep { Done, TryAnother };
 
     /// Decodes and authorizes the call. Returns false after refusing it.
@@ -57,8 +61,32 @@
     void runAttempts(kj::WaitScope &scope);
     NextStep runAttempt(kj::WaitScope &scope);
     NextStep forwardResponse(kj::WaitScope &scope, UpstreamCall &call, const LibFleet::UpstreamRecord &upstream);
-    NextStep forwardStream(kj::WaitScope &scope, UpstreamCall &call, Grant &grant);
+    NextStep forwardStream(kj::WaitScope &scope, UpstreamCall &call, kj::Own<Grant> &grant);
     NextStep retryOrGiveUp(kj::WaitScope &scope, const LibFleet::UpstreamRecord &upstream, bool sendMayHaveRun, const std::string &reason);
+
+    /// Monotonic time at which an upstream counts as silent: other upstreams are then tried beside it. The deadline when there is nothing to try.
+    AK::Milliseconds silentAfter(AK::Milliseconds lastSign) const;
+    /// Tries other upstreams while `call` stays open. After SilentCall::End::Replaced the client's call is complete or has been given up.
+    SilentCall::End tryOthers(kj::WaitScope &scope, UpstreamCall &call, kj::Own<Grant> &grant, const SilentCall::Probe &probe);
+    /// Must be called before anything is written to the client: from now on no silent call goes on.
+    void takeOver();
+    /// Waits for the head of a silent call. Returns false when another upstream has replaced it.
+    bool awaitHead(kj::WaitScope &scope, UpstreamCall &call, kj::Own<Grant> &grant, UpstreamCall::Result &sent);
+
+    /// What the read of a stream has returned.
+    struct StreamPart {
+        std::string text;
+        std::string newest;
+        absl::Status status;
+        bool ended = false;
+        /// Another upstream has replaced the silent one.
+        bool replaced = false;
+
+        /// Adds the result of UpstreamCall::read(). Returns whether it has bytes.
+        bool take(absl::StatusOr<std::optional<std::string>> data);
+    };
+    StreamPart readStream(kj::WaitScope &scope, UpstreamCall &call, kj::Own<Grant> &grant, const LibGateway::EventSplitter &splitter);
+
     /// Rejects a call whose prompt has a quarantined part. Returns whether it did.
     bool rejectQuarantined(kj::WaitScope &scope);
     /// Records once that the parts of the prompt are sound: the response is complete, or has gone on for longer than a crash takes.
@@ -95,6 +123,10 @@
     std::optional<std::string> lastEventId;
     /// Monotonic time of the newest event with an id, or of the response head.
     AK::Milliseconds lastEventAt = 0;
+    /// Monotonic time at which other upstreams were last tried beside a silent one.
+    AK::Milliseconds othersTriedAt = 0;
+    /// The innermost silent call that the attempt in progress runs beside.
+    SilentCall *silentCall = nullptr;
     /// Response with status 5xx, kept while another upstream is tried.
     std::optional<std::pair<LibHttpStream::ResponseHead, std::string>> failedResponse;
     CallReport report;
--- /dev/null
+++ b/Userland/Services/Gateway/CallTaskStream.cpp
@@ -0,0 +1,195 @@
+#include "CallTask.h"
+
+#include <AK/Text.h>
+#include <algorithm>
+
+namespace Gateway
+{
+
+namespace
+{
+
+// Other upstreams are tried when a resumable stream has no event for this long, whatever other bytes come. Clients disconnect after 3.2 s.
+constexpr AK::Milliseconds streamSilenceLimit = 1'800;
+// Other upstreams are tried when a retriable call that is not a stream has no response within this share of its total time.
+constexpr double nonStreamSilenceShare = 0.4;
+
+} // namespace
+
+AK::Milliseconds CallTask::silentAfter(AK::Milliseconds lastSign) const
+{
+    // A call whose prompt may crash upstreams stays where it is.
+    const bool mayTryAnother =
+        this->route->repeatable() && this->report.sends < this->route->maxAttempts && !this->context.quarantine.isSuspected(this->request);
+    if (!mayTryAnother) {
+        return this->deadline;
+    }
+    const auto share = static_cast<AK::Milliseconds>(nonStreamSilenceShare * static_cast<double>(this->deadline - this->arrivedAt));
+    const AK::Milliseconds limit = this->route->kind == LibFleet::RouteKind::Stream ? streamSilenceLimit : share;
+    return std::min(this->deadline, std::max(lastSign, this->othersTriedAt) + limit);
+}
+
+SilentCall::End CallTask::tryOthers(kj::WaitScope &scope, UpstreamCall &call, kj::Own<Grant> &grant, const SilentCall::Probe &probe)
+{
+    const AK::Milliseconds startedAt = this->now();
+    this->othersTriedAt = startedAt;
+    if (probe() != SilentCall::Sign::None) {
+        return SilentCall::End::Spoke;
+    }
+    const std::string upstream = grant->upstream().id;
+    this->mayHaveRun = true;
+    this->context.dispatcher.recordOutcome(grant->upstream(), true);
+    this->requirements.excluded.insert(upstream);
+    SilentCall::End end = SilentCall::End::OthersFailed;
+    if (this->context.dispatcher.trySpendRetry(this->requirements.service)) {
+        const AK::Milliseconds sentBefore = this->sentAt;
+        const AK::Milliseconds firstEventBefore = this->firstEventAt;
+        SilentCall silent(this->context.loop, this->silentCall);
+        this->silentCall = &silent;
+        const auto giveUp = [&] {
+            call.close();
+            grant = nullptr;
+        };
+        end = silent.await(scope, call, probe, giveUp, this->context.loop.fiber([this](kj::WaitScope &inner) { this->runAttempts(inner); }), this->deadline);
+        if (end != SilentCall::End::Replaced) {
+            this->silentCall = silent.outerCall();
+            this->sentAt = sentBefore;
+            this->firstEventAt = firstEventBefore;
+            this->report.upstream = upstream;
+        }
+    }
+    this->context.metrics.add("catkinlink_silent_calls_total", {{"end", std::string(AK::nameOf(silenceEndNames, end))}});
+    this->logger.info(
+        "upstream_silent",
+        {{"request", this->request.id}, {"upstream", upstream}, {"end", AK::nameOf(silenceEndNames, end)}, {"waited_ms", this->now() - startedAt}});
+    return end;
+}
+
+void CallTask::takeOver()
+{
+    if (this->silentCall != nullptr) {
+        this->silentCall->replace();
+        this->silentCall = nullptr;
+    }
+}
+
+bool CallTask::awaitHead(kj::WaitScope &scope, UpstreamCall &call, kj::Own<Grant> &grant, UpstreamCall::Result &sent)
+{
+    while (sent.silent && this->now() < this->deadline) {
+        const AK::Milliseconds until = this->silentAfter(this->sentAt);
+        if (this->now() < until) {
+            sent = call.receiveHead(scope, until);
+            continue;
+        }
+        const auto probe = [&] {
+            sent = call.receiveHead(scope, this->now());
+            if (sent.silent) {
+                return SilentCall::Sign::None;
+            }
+            const bool answered = sent.outcome == SendOutcome::Answered && call.responseHead().status / 100 != 5;
+            return answered ? SilentCall::Sign::Answer : SilentCall::Sign::Failure;
+        };
+        if (this->tryOthers(scope, call, grant, probe) == SilentCall::End::Replaced) {
+            return false;
+        }
+    }
+    return true;
+}
+
+CallTask::StreamPart CallTask::readStream(kj::WaitScope &scope, UpstreamCall &call, kj::Own<Grant> &grant, const LibGateway::EventSplitter &splitter)
+{
+    StreamPart part;
+    while (true) {
+        const AK::Milliseconds until = this->route->resumable ? this->silentAfter(this->lastEventAt) : this->deadline;
+        const bool mayTryOthers = until < this->deadline;
+        if (!mayTryOthers || this->now() < until) {
+            part.take(call.read(scope, until));
+            // The loop's timers may end a wait some ms early.
+            if (!absl::IsDeadlineExceeded(part.status) || this->now() >= this->deadline) {
+                return part;
+            }
+            continue;
+        }
+        LibGateway::EventSplitter ahead = splitter;
+        const auto probe = [&] {
+            while (part.take(call.read(scope, this->now()))) {
+                ahead.feed(part.newest);
+                if (ahead.next()) {
+                    return SilentCall::Sign::Answer;
+                }
+                if (ahead.partialBytes() > maxEventBytes) {
+                    return SilentCall::Sign::Failure;
+                }
+            }
+            if (absl::IsDeadlineExceeded(part.status)) {
+                return SilentCall::Sign::None;
+            }
+            return part.ended && ahead.partialBytes() == 0 ? SilentCall::Sign::Answer : SilentCall::Sign::Failure;
+        };
+        part.replaced = this->tryOthers(scope, call, grant, probe) == SilentCall::End::Replaced;
+        if (part.replaced || !part.text.empty() || !absl::IsDeadlineExceeded(part.status)) {
+            return part;
+        }
+    }
+}
+
+bool CallTask::StreamPart::take(absl::StatusOr<std::optional<std::string>> data)
+{
+    this->status = data.status();
+    this->ended = data.ok() && !*data;
+    this->newest = data.ok() && *data ? std::move(**data) : "";
+    this->text += this->newest;
+    return !this->newest.empty();
+}
+
+CallTask::NextStep CallTask::forwardStream(kj::WaitScope &scope, UpstreamCall &call, kj::Own<Grant> &grant)
+{
+    const LibFleet::UpstreamRecord upstream = grant->upstream();
+    this->mayHaveRun = true;
+    LibGateway::EventSplitter splitter;
+    this->lastEventAt = this->now();
+    while (true) {
+        const StreamPart part = this->readStream(scope, call, grant, splitter);
+        if (part.replaced) {
+            return NextStep::Done;
+        }
+        if (!part.text.empty()) {
+            splitter.feed(part.text);
+            grant->promptRead();
+            this->noteSoundPrompt(false);
+            if (!this->forwardEvents(scope, call.responseHead(), splitter).ok()) {
+                return NextStep::Done;
+            }
+        }
+        const bool timedOut = absl::IsDeadlineExceeded(part.status);
+        // read() returns buffered bytes also after its deadline.
+        const bool stalled = this->now() >= this->deadline && this->lastEventAt + streamSilenceLimit <= this->now();
+        if (splitter.partialBytes() > maxEventBytes || (part.status.ok() && !part.ended && stalled)) {
+            this->context.dispatcher.recordOutcome(upstream, true);
+            return this->retryOrGiveUp(scope, upstream, true, stalled ? "stream stalled: bytes without an event" : "stream cut: an event is too long");
+        }
+        if ((timedOut && this->now() < this->deadline) || (part.status.ok() && !part.ended)) {
+            continue;
+        }
+        // The end of the connection alone does not show that the stream has no events; a resumed one may have none left.
+        const bool endedBeforeFirstEvent = part.ended && call.endsWithConnection() && !this->lastEventId;
+        if (!part.status.ok() || endedBeforeFirstEvent || splitter.partialBytes() > 0) {
+            this->context.dispatcher.recordOutcome(upstream, true);
+            if (!timedOut) {
+                this->recordBrokenCall(upstream);
+            }
+            const std::string_view unfinished = splitter.partialBytes() > 0 ? "stream ended inside an event" : "stream ended before its first event";
+            return this->retryOrGiveUp(scope, upstream, true, part.ended ? std::string(unfinished) : AK::concat("stream cut: ", part.status.message()));
+        }
+        break;
+    }
+    this->context.dispatcher.recordOutcome(upstream, false);
+    this->noteSoundPrompt(true);
+    call.finish();
+    this->takeOver();
+    const absl::Status written = this->client.begun() ? this->client.endStream(scope) : this->client.sendResponse(scope, call.responseHead(), "", true);
+    this->report.result = written.ok() ? "answered" : "client_left";
+    return NextStep::Done;
+}
+
+} // namespace Gateway
--- a/Userland/Services/Gateway/UpstreamCall.cpp
+++ b/Userland/Services/Gateway/UpstreamCall.cpp
@@ -44,10 +44,11 @@
 }
 
 UpstreamCall::Result UpstreamCall::send(kj::WaitScope &scope, const LibFleet::UpstreamRecord &upstream, const LibHttpStream::RequestHead &requestHead,
-                                        const std::string &requestBody, const std::string &requestId, bool allowReuse, AK::Milliseconds deadline)
+                                        const std::string &requestBody, const std::string &id, bool allowReuse, AK::Milliseconds headDeadline,
+                                        AK::Milliseconds deadline)
 {
     this->address = upstream.address;
-    const AK::Milliseconds connectBy = std::min(deadline, this->loop.clock().now() + connectTimeout);
+    const AK::Milliseconds connectBy = std::min(headDeadline, this->loop.clock().now() + connectTimeout);
     absl::StatusOr<PooledConnection> opened = this->connections.open(scope, this->address, allowReuse, connectBy);
     if (!opened.ok()) {
         this->connections.dropIdle(this->address);
@@ -59,26 +60,29 @@
         framed.headers.push_back({"Content-Length", std::to_string(requestBody.size())});
     }
     this->request = LibHttpStream::serializeRequestHead(framed) + requestBody;
+    this->requestId = id;
+    this->method = framed.method;
     // Written in parallel with reading: an upstream may respond before it has read a long body.
     this->writing =
         this->loop.fiber([this, deadline](kj::WaitScope &inner) { this->written = this->connection.channel->write(inner, this->request, deadline).ok(); })
             .eagerlyEvaluate(nullptr);
-    return this->receiveHead(scope, requestId, framed.method, deadline);
+    return this->receiveHead(scope, headDeadline);
 }
 
-UpstreamCall::Result UpstreamCall::receiveHead(kj::WaitScope &scope, const std::string &requestId, std::string_view method, AK::Milliseconds deadline)
+UpstreamCall::Result UpstreamCall::receiveHead(kj::WaitScope &scope, AK::Milliseconds deadline)
 {
     LibFiber::ByteChannel &channel = *this->connection.channel;
-    for (int mismatched = 0; mismatched <= maxMismatchedResponses; ++mismatched) {
+    for (; this->mismatchedResponses <= maxMismatchedResponses; ++this->mismatchedResponses) {
         const absl::StatusOr<std::string> text = LibHttpStream::readHeadText(channel, scope, maxResponseHeadBytes, deadline);
         if (!text.ok()) {
-            return {SendOutcome::Unknown, false, AK::concat("no answer: ", text.status().message()), !absl::IsDeadlineExceeded(text.status())};
+            const bool silent = absl::IsDeadlineExceeded(text.status());
+            return {SendOutcome::Unknown, false, AK::concat("no answer: ", text.status().message()), !silent, silent};
         }
         absl::StatusOr<LibHttpStream::ResponseHead> parsed = LibHttpStream::parseResponseHead(*text);
         if (!parsed.ok()) {
             return {SendOutcome::Unknown, false, AK::concat("malformed response head: ", parsed.status().message())};
         }
-        const absl::StatusOr<LibHttpStream::BodyFraming> framing = LibHttpStream::responseBodyFraming(method, *parsed);
+        const absl::StatusOr<LibHttpStream::BodyFraming> framing = LibHttpStream::responseBodyFraming(this->method, *parsed);
         if (!framing.ok()) {
             return {SendOutcome::Unknown, false, AK::concat("malformed response framing: ", framing.status().message())};
         }
@@ -87,7 +91,7 @@
             continue;
         }
         const LibGateway::ResponseInfo decoded = this->codec.decodeResponse(*parsed);
-        if (!decoded.requestId.empty() && decoded.requestId != requestId) {
+        if (!decoded.requestId.empty() && decoded.requestId != this->requestId) {
             if (!LibHttpStream::readBody(*reader, scope, maxMismatchedBodyBytes, deadline).ok() || !reader->reusable()) {
                 return {SendOutcome::Unknown, false, "a response to another request ended the connection"};
             }
@@ -130,6 +134,18 @@
     return false;
 }
 
+kj::Promise<void> UpstreamCall::whenReadable()
+{
+    return this->connection.channel->whenReadable();
+}
+
+void UpstreamCall::close()
+{
+    this->body = nullptr;
+    this->writing = nullptr;
+    this->connection.channel = nullptr;
+}
+
 void UpstreamCall::finish()
 {
     KJ_IF_MAYBE (reader, this->body) {
--- a/Userland/Services/Gateway/UpstreamCall.h
+++ b/Userland/Services/Gateway/UpstreamCall.h
@@ -37,11 +37,22 @@
         std::string reason;
         /// The upstream ended the connection before it had sent the head of a response.
         bool connectionEnded = false;
+        /// No head has come in time; receiveHead() may go on.
+        bool silent = false;
     };
 
-    /// Sends the request and reads the head of its response. Responses to other requests are dropped.
+    /// Sends the request until `deadline` and reads the head of its response until `headDeadline`. Responses to other requests are dropped.
     Result send(kj::WaitScope &scope, const LibFleet::UpstreamRecord &upstream, const LibHttpStream::RequestHead &head, const std::string &body,
-                const std::string &requestId, bool allowReuse, AK::Milliseconds deadline);
+                const std::string &requestId, bool allowReuse, AK::Milliseconds headDeadline, AK::Milliseconds deadline);
+
+    /// Goes on reading the head of the response after a result that was silent.
+    Result receiveHead(kj::WaitScope &scope, AK::Milliseconds deadline);
+
+    /// Resolves when more bytes arrive or the connection ends.
+    kj::Promise<void> whenReadable();
+
+    /// Closes the connection, which stops the work at the upstream.
+    void close();
 
     /// Valid after SendOutcome::Answered.
     const LibHttpStream::ResponseHead &responseHead() const;
@@ -57,14 +68,15 @@
     void finish();
 
 private:
-    Result receiveHead(kj::WaitScope &scope, const std::string &requestId, std::string_view method, AK::Milliseconds deadline);
-
     LibFiber::Loop &loop;
     UpstreamConnectionPool &connections;
     const LibGateway::CallCodec &codec;
     AK::Endpoint address;
     PooledConnection connection;
     std::string request;
+    std::string requestId;
+    std::string method;
+    int mismatchedResponses = 0;
     bool written = false;
     kj::Promise<void> writing = nullptr;
     LibHttpStream::ResponseHead head;
