Gateway: Write one head and one end to each response

Nothing kept a caller of ClientChannel from writing a second head into a stream that had begun, or events after a complete response; an empty event would have been written as the last chunk. The channel now has a state. A call that doesn't fit it writes nothing, is logged (response_out_of_order) and breaks the response off, so the connection is reset and the client can't take the response for complete.

--- a/Userland/Services/Gateway/ClientChannel.cpp
+++ b/Userland/Services/Gateway/ClientChannel.cpp
@@ -30,9 +30,24 @@
 {
 }
 
-absl::Status ClientChannel::write(kj::WaitScope &scope, std::string_view data)
+absl::Status ClientChannel::expectState(State expected, std::string_view operation)
 {
-    return this->channel.write(scope, data, this->loop.clock().now() + writeTimeout);
+    if (this->state == expected) {
+        return absl::OkStatus();
+    }
+    const std::string_view name = AK::nameOf(stateNames, this->state);
+    this->logger.error("response_out_of_order", {{"operation", operation}, {"state", name}});
+    this->state = this->state == State::Complete ? State::Complete : State::Broken;
+    return absl::FailedPreconditionError(AK::concat(operation, ": the response is ", name));
+}
+
+absl::Status ClientChannel::write(kj::WaitScope &scope, std::string_view data, State next)
+{
+    // Until the write has ended, it is unknown how much of it the client has.
+    this->state = State::Broken;
+    CATKINLINK_TRY(this->channel.write(scope, data, this->loop.clock().now() + writeTimeout));
+    this->state = next;
+    return absl::OkStatus();
 }
 
 LibHttpStream::ResponseHead ClientChannel::forwardedHead(const LibHttpStream::ResponseHead &head) const
@@ -62,44 +77,43 @@
 
 absl::Status ClientChannel::sendResponse(kj::WaitScope &scope, const LibHttpStream::ResponseHead &head, const std::string &body, bool bodyAllowed)
 {
+    CATKINLINK_TRY(this->expectState(State::NotBegun, "sendResponse"));
     LibHttpStream::ResponseHead framed = this->forwardedHead(head);
     if (bodyAllowed) {
         framed.headers.push_back({"Content-Length", std::to_string(body.size())});
     }
-    this->responseStarted = true;
-    CATKINLINK_TRY(this->write(scope, LibHttpStream::serializeResponseHead(framed) + body));
-    this->responseComplete = true;
-    return absl::OkStatus();
+    return this->write(scope, LibHttpStream::serializeResponseHead(framed) + body, State::Complete);
 }
 
 absl::Status ClientChannel::beginStream(kj::WaitScope &scope, const LibHttpStream::ResponseHead &head, std::string_view firstPart)
 {
+    CATKINLINK_TRY(this->expectState(State::NotBegun, "beginStream"));
     LibHttpStream::ResponseHead framed = this->forwardedHead(head);
     framed.headers.push_back({"Transfer-Encoding", "chunked"});
-    this->responseStarted = true;
-    return this->write(scope, LibHttpStream::serializeResponseHead(framed) + LibHttpStream::encodeChunk(firstPart));
+    const std::string chunk = firstPart.empty() ? "" : LibHttpStream::encodeChunk(firstPart);
+    return this->write(scope, LibHttpStream::serializeResponseHead(framed) + chunk, State::Streaming);
 }
 
 absl::Status ClientChannel::writeStream(kj::WaitScope &scope, std::string_view data)
 {
-    return this->write(scope, LibHttpStream::encodeChunk(data));
+    CATKINLINK_TRY(this->expectState(State::Streaming, "writeStream"));
+    return data.empty() ? absl::OkStatus() : this->write(scope, LibHttpStream::encodeChunk(data), State::Streaming);
 }
 
 absl::Status ClientChannel::endStream(kj::WaitScope &scope)
 {
-    CATKINLINK_TRY(this->write(scope, LibHttpStream::lastChunk));
-    this->responseComplete = true;
-    return absl::OkStatus();
+    CATKINLINK_TRY(this->expectState(State::Streaming, "endStream"));
+    return this->write(scope, LibHttpStream::lastChunk, State::Complete);
 }
 
 bool ClientChannel::begun() const
 {
-    return this->responseStarted;
+    return this->state != State::NotBegun;
 }
 
 bool ClientChannel::complete() const
 {
-    return this->responseComplete;
+    return this->state == State::Complete;
 }
 
 bool ClientChannel::closeAfter() const
--- a/Userland/Services/Gateway/ClientChannel.h
+++ b/Userland/Services/Gateway/ClientChannel.h
@@ -1,12 +1,15 @@
 #pragma once
 
+#include <AK/EnumNames.h>
 #include <LibFiber/ByteChannel.h>
 #include <LibHttpStream/MessageHead.h>
+#include <LibLog/Logger.h>
 
 namespace Gateway
 {
 
-/// Writes responses to the connection of a client.
+/// Writes one response to the connection of a client. A call that does not fit the state of the response writes nothing, is logged and returns
+/// kFailedPrecondition; inside a stream it also breaks the response off, so that the client never finds a second head in its body.
 class ClientChannel
 {
 public:
@@ -19,7 +22,7 @@
     /// Sends a complete response.
     absl::Status sendResponse(kj::WaitScope &scope, const LibHttpStream::ResponseHead &head, const std::string &body, bool bodyAllowed);
 
-    /// Begins a chunked response; followed by writeStream() and endStream().
+    /// Begins a chunked response; followed by writeStream() and endStream(). An empty part writes no chunk, since that would end the stream.
     absl::Status beginStream(kj::WaitScope &scope, const LibHttpStream::ResponseHead &head, std::string_view firstPart);
     absl::Status writeStream(kj::WaitScope &scope, std::string_view data);
     absl::Status endStream(kj::WaitScope &scope);
@@ -33,14 +36,31 @@
     void requestClose();
 
 private:
+    enum class State {
+        NotBegun,
+        /// The head of a stream has been written, and not its end.
+        Streaming,
+        Complete,
+        /// A write failed, or a call did not fit the state.
+        Broken,
+    };
+    static constexpr std::array stateNames{
+        AK::EnumName{State::NotBegun, "not_begun"},
+        AK::EnumName{State::Streaming, "streaming"},
+        AK::EnumName{State::Complete, "complete"},
+        AK::EnumName{State::Broken, "broken"},
+    };
+
     LibHttpStream::ResponseHead forwardedHead(const LibHttpStream::ResponseHead &head) const;
-    absl::Status write(kj::WaitScope &scope, std::string_view data);
+    absl::Status expectState(State expected, std::string_view operation);
+    /// Writes data after which the response is in the state `next`.
+    absl::Status write(kj::WaitScope &scope, std::string_view data, State next);
 
     LibFiber::Loop &loop;
     LibFiber::ByteChannel &channel;
     bool close;
-    bool responseStarted = false;
-    bool responseComplete = false;
+    State state = State::NotBegun;
+    LibLog::Logger logger{"client"};
 };
 
 } // namespace Gateway
