Gateway: Continue a stream only with the events that follow

Callers found the text of an error, at times its whole head, in the middle of their stream, or the stream ended as if it were complete: a stream had begun and broke off, and the upstream it was resumed at answered with anything but a stream.

Cause: runAttempt() sent each response that was not 2xx to forwardResponse(), which writes a head without a look at what the client has already; a 2xx was taken for the rest of the stream whatever it held.

A response to a resumption now continues the stream only if it is a 200 with an event stream, not encoded, with the upstream's receipt, and each event's id is the one after the last event sent; only comments have no id. Everything else is a failed attempt: the call goes to another upstream within its attempts, budget and deadline, else the client's connection is reset. The decisions are free functions (LibGateway/StreamContinuation).

An end counts as the end of the stream if the framing proves it: the last chunk or the whole length, also without an event, since a resumption after the last event has none left. The end of the connection proves nothing before the first event of that response; it was taken for complete in a resumed stream. Events of a stream's first upstream are passed on as they are.

The stand-in of TestFaultyUpstreams sends the receipt that upstreams send; three of its cases resume a stream and its responses would now be turned down without one.

catkinlink explain names the upstream for the new reason, "stream not continued"; requirementsFor() moved out of CallTask.cpp.

--- a/Tests/Catkinlink/TestExplain.cpp
+++ b/Tests/Catkinlink/TestExplain.cpp
@@ -49,6 +49,9 @@
 const std::string noResponse = R"("result":"refused","status":504,"reason":"no answer: operation timed out","sends":1,"upstream":"i-1")";
 const std::string streamCut = R"("result":"stream_cut","status":200,"reason":"stream cut: the peer reset the connection","sends":2,"upstream":"i-1")";
 
+const std::string notContinued =
+    R"("result":"stream_cut","status":200,"reason":"stream not continued: status 500: the status is not 200","sends":2,"upstream":"i-1")";
+
 INSTANTIATE_TEST_SUITE_P(
     Table, ExplainTest,
     testing::Values(
@@ -83,6 +86,8 @@
                     "the upstream left the store 900 ms after; upstream i-1: no answer: operation timed out. It may have run."},
         ExplainCase{"other_engine_gone", callEnded("r1", noResponse) + logLine(endTime + 900, "front-1", "upstream_removed", R"("upstream":"i-2")"),
                     "only this call failed at the upstream or on the connection to it; upstream i-1"},
+        ExplainCase{"not_continued", callEnded("r1", notContinued),
+                    "only this call failed at the upstream or on the connection to it; upstream i-1: stream not continued: status 500"},
         ExplainCase{"engine_draining",
                     logLine(endTime - 700, "front-2", "upstream_changed", R"("upstream":"i-1","draining":true,"version":3,"born":5)")
                         + callEnded("r1", streamCut),
--- a/Tests/Services/Gateway/GatewaySite.cpp
+++ b/Tests/Services/Gateway/GatewaySite.cpp
@@ -199,6 +199,7 @@
     while (true) {
         const auto data = reader.next(scope, deadline);
         if (!data.ok()) {
+            result.bodyError = data.status();
             return result;
         }
         if (!*data) {
--- a/Tests/Services/Gateway/GatewaySite.h
+++ b/Tests/Services/Gateway/GatewaySite.h
@@ -44,6 +44,8 @@
     std::string body;
     /// The response ended as its framing says.
     bool complete = false;
+    /// Why the body could not be read to its end; see BodyReader::next().
+    absl::Status bodyError;
     LibHttpStream::Headers headers;
 };
 
--- a/Tests/Services/Gateway/TestFaultyUpstreams.cpp
+++ b/Tests/Services/Gateway/TestFaultyUpstreams.cpp
@@ -56,7 +56,7 @@
         const std::string *last = LibHttpStream::findHeader(head.headers, "Last-Event-Id");
         const int first = last == nullptr ? 1 : std::stoi(*last) + 1;
         const bool isFaulty = this->record.faults == 0;
-        const std::string startLine = AK::concat("HTTP/1.1 200 OK\r\nX-Attempt-Id: ", id, "\r\n");
+        const std::string startLine = AK::concat("HTTP/1.1 200 OK\r\nX-Attempt-Id: ", id, "\r\nX-Server-Seal: seal\r\n");
         const std::string streamHead = startLine + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
         if (isFaulty) {
             ++this->record.faults;
--- a/Userland/Services/Gateway/CallRequirements.h
+++ b/Userland/Services/Gateway/CallRequirements.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <LibFleet/Configuration.h>
+#include <LibGateway/Codec.h>
 #include <LibGateway/QueueRules.h>
 #include <set>
 #include <string>
@@ -24,6 +26,10 @@
     std::set<std::string> excluded;
 };
 
+/// Requirements of a call on a route, without its rank among others and its deadline. `account` is null for calls without one.
+CallRequirements requirementsFor(const LibFleet::Route &route, const LibFleet::ClientAccount *account, const LibGateway::CallRequest &request,
+                                 AK::Milliseconds arrivedAt);
+
 /// Whether a list of allowed regions contains a region; an empty list allows any.
 bool allowsRegion(const std::vector<std::string> &allowed, const std::string &region);
 
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -8,6 +8,7 @@
 {
 
 using LibFleet::RouteKind;
+using LibGateway::ContinuationFault;
 
 namespace
 {
@@ -93,14 +94,7 @@
     }
     const AK::Milliseconds clientTimeout = this->request.clientTimeout.value_or(defaultClientTimeout);
     this->deadline = this->arrivedAt + std::min(clientTimeout, this->route->timeout > 0 ? this->route->timeout : clientTimeout) - responseMargin;
-    this->requirements.service = LibFleet::serviceFor(*this->route, this->request.id);
-    this->requirements.rank.priority = this->account && this->account->priority ? *this->account->priority : this->route->priority;
-    this->requirements.arrivedAt = this->arrivedAt;
-    this->requirements.regions = this->route->allowedRegions;
-    if (this->account) {
-        this->requirements.accountRegions = this->account->allowedRegions;
-    }
-    this->requirements.promptTokens = this->route->kind == RouteKind::Stream ? this->request.promptTokens : 0;
+    this->requirements = requirementsFor(*this->route, this->account.get(), this->request, this->arrivedAt);
     this->context.dispatcher.setRankAndStartBy(this->requirements, *this->route, clientTimeout);
     this->requirements.startBy = std::min(this->requirements.startBy, this->deadline);
     return true;
@@ -155,6 +149,11 @@
         if (call.responseInfo().load) {
             this->context.dispatcher.recordResponseLoad(upstream, call.responseInfo().load->running, call.responseInfo().load->waiting);
         }
+        if (this->client.begun()) {
+            if (const auto fault = LibGateway::checkContinuationHead(call.responseHead(), call.responseInfo()); fault != ContinuationFault::None) {
+                return this->rejectContinuation(scope, call, upstream, fault);
+            }
+        }
         if (this->route->kind == RouteKind::Stream && call.responseHead().status / 100 == 2) {
             return this->forwardStream(scope, call, *grant);
         }
@@ -262,30 +261,35 @@
     return NextStep::Done;
 }
 
-absl::Status CallTask::forwardEvents(kj::WaitScope &scope, const LibHttpStream::ResponseHead &responseHead, LibGateway::EventSplitter &splitter)
+absl::StatusOr<ContinuationFault> CallTask::forwardEvents(kj::WaitScope &scope, const UpstreamCall &call, LibGateway::EventSplitter &splitter, bool continues)
 {
-    std::string text;
-    while (std::optional<LibGateway::StreamEvent> event = splitter.next()) {
-        text += event->text;
-        if (event->id) {
-            this->lastEventId = event->id;
-            this->lastEventAt = this->now();
-            this->firstEventAt = this->firstEventAt > 0 ? this->firstEventAt : this->now();
-        }
+    const LibGateway::EventBatch batch = LibGateway::takeEvents(splitter, this->lastEventId, continues);
+    if (batch.lastId) {
+        this->lastEventId = batch.lastId;
+        this->lastEventAt = this->now();
+        this->firstEventAt = this->firstEventAt > 0 ? this->firstEventAt : this->now();
     }
-    if (text.empty()) {
-        return absl::OkStatus();
+    if (batch.text.empty()) {
+        return batch.fault;
     }
     this->takeOver();
-    if (this->client.begun()) {
+    const bool begins = !this->client.begun();
+    if (begins) {
+        this->report.status = call.responseHead().status;
+        this->report.firstByteAfter = this->now() - this->arrivedAt;
+    } else {
         this->report.longestGap = std::max(this->report.longestGap, this->now() - this->report.lastPartAt);
-        this->report.lastPartAt = this->now();
-        return this->client.writeStream(scope, text);
     }
     this->report.lastPartAt = this->now();
-    this->report.status = responseHead.status;
-    this->report.firstByteAfter = this->now() - this->arrivedAt;
-    return this->client.beginStream(scope, responseHead, text);
+    const absl::Status written = begins ? this->client.beginStream(scope, call.responseHead(), batch.text) : this->client.writeStream(scope, batch.text);
+    return written.ok() ? absl::StatusOr<ContinuationFault>(batch.fault) : written;
+}
+
+CallTask::NextStep CallTask::rejectContinuation(kj::WaitScope &scope, const UpstreamCall &call, const LibFleet::UpstreamRecord &upstream,
+                                                ContinuationFault fault)
+{
+    this->context.dispatcher.recordOutcome(upstream, call.responseHead().status / 100 != 4);
+    return this->retryOrGiveUp(scope, upstream, true, LibGateway::describeContinuationFault(fault, call.responseHead().status));
 }
 
 void CallTask::refuse(kj::WaitScope &scope, int status, const std::string &reason, AK::Milliseconds retryAfter)
--- a/Userland/Services/Gateway/CallTask.h
+++ b/Userland/Services/Gateway/CallTask.h
@@ -6,7 +6,7 @@
 #include "PromptQuarantine.h"
 #include "SilentCall.h"
 #include "UpstreamCall.h"
-#include <LibGateway/EventSplitter.h>
+#include <LibGateway/StreamContinuation.h>
 #include <LibMetrics/MetricRegistry.h>
 
 namespace Gateway
@@ -93,7 +93,11 @@
     void noteSoundPrompt(bool complete);
     /// Records that the upstream has ended the connection before the end of its response.
     void recordBrokenCall(const LibFleet::UpstreamRecord &upstream);
-    absl::Status forwardEvents(kj::WaitScope &scope, const LibHttpStream::ResponseHead &head, LibGateway::EventSplitter &splitter);
+    /// Sends the whole events to the client. `continues`: see LibGateway::takeEvents(). Returns why the next event was not sent; an error when the client has
+    /// left.
+    absl::StatusOr<LibGateway::ContinuationFault> forwardEvents(kj::WaitScope &scope, const UpstreamCall &call, LibGateway::EventSplitter &splitter,
+                                                                bool continues);
+    NextStep rejectContinuation(kj::WaitScope &scope, const UpstreamCall &call, const LibFleet::UpstreamRecord &upstream, LibGateway::ContinuationFault fault);
     void refuse(kj::WaitScope &scope, int status, const std::string &reason, AK::Milliseconds retryAfter);
     void giveUp(kj::WaitScope &scope, const std::string &reason, AK::Milliseconds retryAfter);
     LibGateway::UpstreamTarget targetFor(const Grant &grant) const;
--- a/Userland/Services/Gateway/CallTaskStream.cpp
+++ b/Userland/Services/Gateway/CallTaskStream.cpp
@@ -6,6 +6,8 @@
 namespace Gateway
 {
 
+using LibGateway::ContinuationFault;
+
 namespace
 {
 
@@ -146,6 +148,7 @@
 {
     const LibFleet::UpstreamRecord upstream = grant->upstream();
     this->mayHaveRun = true;
+    const bool continues = this->client.begun();
     LibGateway::EventSplitter splitter;
     this->lastEventAt = this->now();
     while (true) {
@@ -157,8 +160,9 @@
             splitter.feed(part.text);
             grant->promptRead();
             this->noteSoundPrompt(false);
-            if (!this->forwardEvents(scope, call.responseHead(), splitter).ok()) {
-                return NextStep::Done;
+            const absl::StatusOr<ContinuationFault> forwarded = this->forwardEvents(scope, call, splitter, continues);
+            if (!forwarded.ok() || *forwarded != ContinuationFault::None) {
+                return forwarded.ok() ? this->rejectContinuation(scope, call, upstream, *forwarded) : NextStep::Done;
             }
         }
         const bool timedOut = absl::IsDeadlineExceeded(part.status);
@@ -171,14 +175,12 @@
         if ((timedOut && this->now() < this->deadline) || (part.status.ok() && !part.ended)) {
             continue;
         }
-        // The end of the connection alone does not show that the stream has no events; a resumed one may have none left.
-        const bool endedBeforeFirstEvent = part.ended && call.endsWithConnection() && !this->lastEventId;
-        if (!part.status.ok() || endedBeforeFirstEvent || splitter.partialBytes() > 0) {
+        const std::string_view unfinished = LibGateway::unfinishedReason({call.endsWithConnection(), this->firstEventAt > 0, splitter.partialBytes()});
+        if (!part.status.ok() || !unfinished.empty()) {
             this->context.dispatcher.recordOutcome(upstream, true);
             if (!timedOut) {
                 this->recordBrokenCall(upstream);
             }
-            const std::string_view unfinished = splitter.partialBytes() > 0 ? "stream ended inside an event" : "stream ended before its first event";
             return this->retryOrGiveUp(scope, upstream, true, part.ended ? std::string(unfinished) : AK::concat("stream cut: ", part.status.message()));
         }
         break;
--- a/Userland/Utilities/catkinlink/Explain.cpp
+++ b/Userland/Utilities/catkinlink/Explain.cpp
@@ -212,6 +212,7 @@
         {"connect", explainUpstream},
         {"refused with", explainUpstream},
         {"stream ended", explainUpstream},
+        {"stream not continued", explainUpstream},
     };
     if (result == "client_left") {
         return AK::concat("the client closed its connection after ", number(end, "took_ms"), " ms");
