LibFleet: Compare positions in the store's history by era

Cause: a list of the restored store has a lower revision than the one known and was rejected as old. Processes compared bare revisions with each other in the same way.

Change: a position is an era and a revision, in that order. Feeds, pages and the state that processes exchange carry it; the fields are new at the end of their messages. Responses of another era than expected are dropped, and any response or exchange that shows a higher era makes all kinds be listed again. A list that brings nothing newer after a 410 is followed by a pause. The copy is no news: for a grace time, objects that it lacks stay in force, and objects that it has in a state that this process has seen replaced stay as they were. An object written again has another revision and takes effect at once.

--- a/Tests/LibFleet/TestFleet.cpp
+++ b/Tests/LibFleet/TestFleet.cpp
@@ -98,7 +98,7 @@
     EXPECT_TRUE(snapshot.apply({11, {{"a", "2", false}, {"b", "", true}}}, 10));
     EXPECT_EQ(snapshot.specs, (std::map<std::string, std::string>{{"a", "2"}}));
     EXPECT_TRUE(snapshot.apply({15, {}}, 11));
-    EXPECT_EQ(snapshot.revision, 15);
+    EXPECT_EQ(snapshot.position, 15);
     EXPECT_EQ(snapshot.changedAt, 11) << "a watch without events changes nothing";
     EXPECT_TRUE(snapshot.replace({16, {{"a", "2", false}}}));
     EXPECT_EQ(snapshot.changedAt, 11) << "listing the same objects again changes nothing";
--- a/Tests/LibPeers/TestPeerClient.cpp
+++ b/Tests/LibPeers/TestPeerClient.cpp
@@ -17,7 +17,7 @@
     {
         return {};
     }
-    LibFleet::ObjectPage objects(LibFleet::ObjectKind /*kind*/, int64_t /*newerThan*/, bool /*agentPart*/) override
+    LibFleet::ObjectPage objects(LibFleet::ObjectKind /*kind*/, LibFleet::StorePosition /*newerThan*/, bool /*agentPart*/) override
     {
         return {};
     }
--- a/Tests/LibPeers/TestWireCodec.cpp
+++ b/Tests/LibPeers/TestWireCodec.cpp
@@ -57,6 +57,20 @@
     EXPECT_EQ(decode(builder.asReader()).sightings.size(), 1U);
 }
 
+// Guards against revisions of different eras that are compared with each other, and against a process that sends no eras.
+TEST(PositionCodec, KeepsTheEraOfEachRevision)
+{
+    NodeState state;
+    state.revisions = {LibFleet::StorePosition(7, 2), LibFleet::StorePosition(9, 1)};
+    capnp::MallocMessageBuilder message;
+    auto builder = message.initRoot<PeerWire::NodeState>();
+    encode(state, builder);
+    EXPECT_EQ(decode(builder.asReader()).revisions, state.revisions);
+    EXPECT_GT(state.revisions[0], state.revisions[1]);
+    builder.disownEras();
+    EXPECT_EQ(decode(builder.asReader()).revisions[0], LibFleet::StorePosition(7));
+}
+
 // Guards against the end of a limit that is read as a limit of nothing.
 TEST(RateLimitCodec, ReturnsWhatWasSent)
 {
--- a/Tests/Services/Fleet/TestPeerExchange.cpp
+++ b/Tests/Services/Fleet/TestPeerExchange.cpp
@@ -98,7 +98,7 @@
         return state;
     }
 
-    LibFleet::ObjectPage objects(ObjectKind, int64_t, bool agentPart) override
+    LibFleet::ObjectPage objects(ObjectKind, LibFleet::StorePosition, bool agentPart) override
     {
         ++this->reads;
         this->agentPartReads += agentPart ? 1 : 0;
@@ -217,7 +217,7 @@
     exchange.start();
     loop.sleep(loop.rootScope(), longEnough);
     EXPECT_EQ(other.reads, 0);
-    EXPECT_EQ(feeds.revision(ObjectKind::Configuration), newest + 1);
+    EXPECT_EQ(feeds.position(ObjectKind::Configuration), newest + 1);
     loop.cancelSpawned();
 }
 
--- a/Tests/Services/WeightAgent/TestRules.cpp
+++ b/Tests/Services/WeightAgent/TestRules.cpp
@@ -150,7 +150,7 @@
         own.revisions[2] = 77;
         return own;
     }
-    LibFleet::ObjectPage objects(LibFleet::ObjectKind, int64_t newerThan, bool) override
+    LibFleet::ObjectPage objects(LibFleet::ObjectKind, LibFleet::StorePosition newerThan, bool) override
     {
         return newerThan < 77 ? LibFleet::ObjectPage{77, {{"a", "{}", false}}} : LibFleet::ObjectPage{};
     }
@@ -184,7 +184,7 @@
     EXPECT_EQ(handler.received.engine->weightsVersion, 6);
     EXPECT_TRUE(handler.received.engine->switching);
     EXPECT_EQ(client.objects(scope, LibFleet::ObjectKind::Upstreams, 10, false, deadline())->objects.size(), 1U);
-    EXPECT_EQ(client.objects(scope, LibFleet::ObjectKind::Upstreams, 77, false, deadline())->revision, 0);
+    EXPECT_EQ(client.objects(scope, LibFleet::ObjectKind::Upstreams, 77, false, deadline())->position, 0);
     EXPECT_EQ(*client.manifest(scope, "m", 1, deadline()), "text");
     EXPECT_EQ(*client.chunk(scope, "m", 1, 0, deadline()), "aaaa");
     EXPECT_EQ(*client.chunk(scope, "m", 2, 0, deadline()), "");
--- a/Userland/Libraries/LibFleet/ObjectFeed.cpp
+++ b/Userland/Libraries/LibFleet/ObjectFeed.cpp
@@ -1,39 +1,46 @@
 #include <LibFleet/ObjectFeed.h>
 
+#include <algorithm>
+
 namespace LibFleet
 {
 
 bool ObjectSnapshot::replace(const ObjectPage &page)
 {
-    if (page.revision <= this->revision) {
+    if (page.position <= this->position) {
         return false;
     }
-    this->revision = page.revision;
     std::map<std::string, std::string> replacement;
+    this->revisions.clear();
     for (const StoredObject &object : page.objects) {
         if (!object.deleted && !object.lapsed) {
             replacement[object.name] = object.spec;
+            this->revisions[object.name] = object.revision;
         }
     }
-    if (this->changedAt == 0 || replacement != this->specs) {
-        this->changedAt = page.revision;
+    // Processes that know a later position of an older era take the same objects from this one.
+    if (this->changedAt == 0 || page.position.era != this->position.era || replacement != this->specs) {
+        this->changedAt = page.position;
     }
+    this->position = page.position;
     this->specs = std::move(replacement);
     return true;
 }
 
-bool ObjectSnapshot::apply(const ObjectPage &changes, int64_t since)
+bool ObjectSnapshot::apply(const ObjectPage &changes, StorePosition since)
 {
-    if (this->revision != since) {
+    if (this->position != since || changes.position.era != since.era) {
         return false;
     }
-    this->revision = std::max(this->revision, changes.revision);
-    this->changedAt = changes.objects.empty() ? this->changedAt : this->revision;
+    this->position = std::max(this->position, changes.position);
+    this->changedAt = changes.objects.empty() ? this->changedAt : this->position;
     for (const StoredObject &object : changes.objects) {
         if (object.deleted) {
             this->specs.erase(object.name);
+            this->revisions.erase(object.name);
         } else {
             this->specs[object.name] = object.spec;
+            this->revisions[object.name] = object.revision;
         }
     }
     return true;
--- a/Userland/Libraries/LibFleet/ObjectFeed.h
+++ b/Userland/Libraries/LibFleet/ObjectFeed.h
@@ -2,6 +2,7 @@
 
 #include <AK/Clock.h>
 #include <AK/EnumNames.h>
+#include <LibFleet/StorePosition.h>
 #include <absl/status/statusor.h>
 #include <array>
 #include <functional>
@@ -31,29 +32,36 @@
     std::string name;
     std::string spec;
     bool deleted = false;
-    /// Sent between processes: no longer in the store, and kept in force only until expiredLeaseGrace has passed.
+    /// Sent between processes: not in the store in this state, and kept in force only until a grace time has passed.
     bool lapsed = false;
+    /// Revision of its last change; 0 when unknown.
+    int64_t revision = 0;
+    /// Sent between processes: in the store, which came back from an older copy, but known to be out of date and not in force.
+    bool outOfDate = false;
 };
 
-/// All objects of a kind, or only those that have changed, up to `revision`.
+/// All objects of a kind, or only those that have changed, up to `position`.
 struct ObjectPage {
-    int64_t revision = 0;
+    StorePosition position;
     std::vector<StoredObject> objects;
 };
 
-/// The newest known objects of one kind. The revision never decreases.
+/// The newest known objects of one kind. The position never goes back.
 struct ObjectSnapshot {
-    /// `specs` contains all changes up to this revision of the store.
-    int64_t revision = 0;
-    /// Revision at which `specs` last changed. Processes compare this one, because the store's revision also grows with changes of other kinds.
-    int64_t changedAt = 0;
+    /// `specs` contains all changes up to this position of the store.
+    StorePosition position;
+    /// Position at which `specs` last changed. Processes compare this one, because the store's revision also grows with changes of other kinds.
+    StorePosition changedAt;
     std::map<std::string, std::string> specs;
+    /// Revision of the last change of each object in `specs`.
+    std::map<std::string, int64_t> revisions;
 
     /// Replaces all objects. Returns false and changes nothing when the page is not newer.
     bool replace(const ObjectPage &page);
 
-    /// Applies changes that follow the revision `since`. Returns false and changes nothing when the snapshot is at another revision by now.
-    bool apply(const ObjectPage &changes, int64_t since);
+    /// Applies changes that follow the position `since`. Returns false and changes nothing when the snapshot is at another position by now, or when the changes
+    /// are of another era.
+    bool apply(const ObjectPage &changes, StorePosition since);
 };
 
 /// Upstreams whose leases expired during a store outage register again within this time after the store has recovered, in ms; until then removals are ignored.
--- /dev/null
+++ b/Userland/Libraries/LibFleet/RestoredCopy.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <AK/Clock.h>
+#include <LibFleet/ObjectFeed.h>
+#include <deque>
+
+namespace LibFleet
+{
+
+/// Objects that a restored store has lost are written again, or have gone, within this time after the process learned of the restore, in ms.
+inline constexpr AK::Milliseconds restoredCopyGrace = 5'000;
+
+/// What a process knew of the objects of one kind, for the time after the store has come back from an older copy. The copy is no news: until an object is
+/// written again or the grace is over, an object that the copy lacks stays in force, and one that the copy has in a state known to be out of date stays as it
+/// was, in force or not. Load pattern: evacuations, leases and configurations of the last seconds before the restore vanish, and removed ones come back.
+class RestoredCopy
+{
+public:
+    /// Must be called before `page` changes `snapshot`. `complete`: objects that the page lacks are removed. Remembers the states that it replaces.
+    void recordReplaced(const ObjectSnapshot &snapshot, const ObjectPage &page, bool complete, AK::Milliseconds now);
+
+    /// The store has come back from a copy; `known` was in force. `copy` is the first position known of the new era.
+    void storeRestored(std::map<std::string, std::string> known, StorePosition copy, AK::Milliseconds now, AK::Milliseconds grace);
+
+    /// Takes over what another process keeps in force against the copy, and what it keeps out of force, according to the marks of the objects in `page`.
+    void adopt(const ObjectPage &page, AK::Milliseconds now, AK::Milliseconds grace);
+
+    /// The object has been removed in the new history.
+    void forget(const std::string &name);
+
+    /// Objects to be in force when the store holds `snapshot`.
+    std::map<std::string, std::string> merge(const ObjectSnapshot &snapshot, AK::Milliseconds now);
+
+    /// Time at which the grace ends; the objects in force must be computed again then.
+    AK::Milliseconds graceEnd() const;
+
+private:
+    struct ReplacedState {
+        int64_t revision = 0;
+        uint64_t specHash = 0;
+        AK::Milliseconds replacedAt = 0;
+    };
+
+    void recordReplaced(const std::string &name, const ObjectSnapshot &snapshot, AK::Milliseconds now);
+    bool isReplaced(const std::string &name, int64_t revision, const std::string &spec) const;
+    void forgetOldStates(AK::Milliseconds now);
+
+    std::map<std::string, std::deque<ReplacedState>> replaced;
+    AK::Milliseconds forgottenAt = 0;
+    std::map<std::string, std::string> known;
+    StorePosition copy;
+    AK::Milliseconds endsAt = 0;
+};
+
+} // namespace LibFleet
--- a/Userland/Libraries/LibPeers/PeerClient.cpp
+++ b/Userland/Libraries/LibPeers/PeerClient.cpp
@@ -156,7 +156,7 @@
         [](auto &&response) { return decode(response.getState()); });
 }
 
-absl::StatusOr<LibFleet::ObjectPage> PeerClient::objects(kj::WaitScope &scope, LibFleet::ObjectKind kind, int64_t newerThan, bool agentPart,
+absl::StatusOr<LibFleet::ObjectPage> PeerClient::objects(kj::WaitScope &scope, LibFleet::ObjectKind kind, LibFleet::StorePosition newerThan, bool agentPart,
                                                          AK::Milliseconds deadline)
 {
     return this->call(
@@ -164,15 +164,17 @@
         [&](PeerWire::FleetPeer::Client peer) {
             auto request = peer.objectsRequest();
             request.setKind(static_cast<uint16_t>(kind));
-            request.setNewerThan(newerThan);
+            request.setNewerThan(newerThan.revision);
+            request.setNewerThanEra(newerThan.era);
             request.setAgentPart(agentPart);
             return request;
         },
         [](auto &&response) {
             LibFleet::ObjectPage page;
-            page.revision = response.getRevision();
+            page.position = {response.getRevision(), response.getEra()};
             for (const auto object : response.getObjects()) {
-                page.objects.push_back({std::string(object.getName().cStr()), toBytes(object.getSpec()), false, object.getLapsed()});
+                page.objects.push_back(
+                    {std::string(object.getName().cStr()), toBytes(object.getSpec()), false, object.getLapsed(), object.getRevision(), object.getOutOfDate()});
             }
             return page;
         });
--- a/Userland/Libraries/LibPeers/PeerClient.h
+++ b/Userland/Libraries/LibPeers/PeerClient.h
@@ -16,8 +16,9 @@
     PeerClient(LibFiber::Loop &loop, AK::Endpoint address);
 
     absl::StatusOr<NodeState> exchange(kj::WaitScope &scope, const NodeState &state, AK::Milliseconds deadline);
-    /// Returns a page with revision 0 when the peer knows nothing newer. `agentPart` leaves out what only entries use.
-    absl::StatusOr<LibFleet::ObjectPage> objects(kj::WaitScope &scope, LibFleet::ObjectKind kind, int64_t newerThan, bool agentPart, AK::Milliseconds deadline);
+    /// Returns a page with position 0 when the peer knows nothing newer. `agentPart` leaves out what only entries use.
+    absl::StatusOr<LibFleet::ObjectPage> objects(kj::WaitScope &scope, LibFleet::ObjectKind kind, LibFleet::StorePosition newerThan, bool agentPart,
+                                                 AK::Milliseconds deadline);
     absl::StatusOr<std::string> manifest(kj::WaitScope &scope, const std::string &model, int64_t version, AK::Milliseconds deadline);
     absl::StatusOr<std::string> heldChunks(kj::WaitScope &scope, const std::string &model, int64_t version, AK::Milliseconds deadline);
     absl::StatusOr<std::string> chunk(kj::WaitScope &scope, const std::string &model, int64_t version, uint32_t index, AK::Milliseconds deadline);
--- a/Userland/Libraries/LibPeers/PeerRecords.h
+++ b/Userland/Libraries/LibPeers/PeerRecords.h
@@ -93,8 +93,8 @@
     std::string clientAddress;
     bool ready = false;
     bool leaving = false;
-    /// Store revision at which the known objects last changed, by kind of object.
-    std::array<int64_t, LibFleet::objectKindCount> revisions{};
+    /// Position of the store at which the known objects last changed, by kind of object.
+    std::array<LibFleet::StorePosition, LibFleet::objectKindCount> revisions{};
     std::optional<EngineReport> engine;
     /// Entries: grows while the process runs, modulo 2^32.
     uint32_t heartbeat = 0;
@@ -165,8 +165,8 @@
 
     /// Receives the state of the caller and returns that of this process.
     virtual NodeState exchange(const NodeState &from) = 0;
-    /// Returns all objects of a kind, or a page with revision 0 when nothing newer is known. `agentPart` leaves out what only entries use.
-    virtual LibFleet::ObjectPage objects(LibFleet::ObjectKind kind, int64_t newerThan, bool agentPart) = 0;
+    /// Returns all objects of a kind, or a page with position 0 when nothing newer is known. `agentPart` leaves out what only entries use.
+    virtual LibFleet::ObjectPage objects(LibFleet::ObjectKind kind, LibFleet::StorePosition newerThan, bool agentPart) = 0;
 };
 
 /// Serves weights to other agents. An empty result means that the requested data is not held.
--- a/Userland/Libraries/LibPeers/PeerServer.cpp
+++ b/Userland/Libraries/LibPeers/PeerServer.cpp
@@ -64,15 +64,18 @@
         if (params.getKind() >= LibFleet::objectKindCount) {
             return KJ_EXCEPTION(FAILED, "unknown kind of object", params.getKind());
         }
-        const LibFleet::ObjectPage page =
-            this->handler.objects(static_cast<LibFleet::ObjectKind>(params.getKind()), params.getNewerThan(), params.getAgentPart());
+        const LibFleet::ObjectPage page = this->handler.objects(static_cast<LibFleet::ObjectKind>(params.getKind()),
+                                                                {params.getNewerThan(), params.getNewerThanEra()}, params.getAgentPart());
         auto results = context.getResults();
-        results.setRevision(page.revision);
+        results.setRevision(page.position.revision);
+        results.setEra(page.position.era);
         auto objects = results.initObjects(static_cast<capnp::uint>(page.objects.size()));
         for (capnp::uint i = 0; i < objects.size(); ++i) {
             objects[i].setName(page.objects[i].name.c_str());
             objects[i].setSpec(asData(page.objects[i].spec));
             objects[i].setLapsed(page.objects[i].lapsed);
+            objects[i].setRevision(page.objects[i].revision);
+            objects[i].setOutOfDate(page.objects[i].outOfDate);
         }
         return kj::READY_NOW;
     }
--- a/Userland/Libraries/LibPeers/WireCodec.cpp
+++ b/Userland/Libraries/LibPeers/WireCodec.cpp
@@ -138,8 +138,10 @@
     builder.setReady(state.ready);
     builder.setLeaving(state.leaving);
     auto revisions = builder.initRevisions(static_cast<capnp::uint>(state.revisions.size()));
+    auto eras = builder.initEras(revisions.size());
     for (capnp::uint i = 0; i < revisions.size(); ++i) {
-        revisions.set(i, state.revisions[i]);
+        revisions.set(i, state.revisions[i].revision);
+        eras.set(i, state.revisions[i].era);
     }
     builder.setHasEngine(state.engine.has_value());
     if (state.engine) {
@@ -180,8 +182,9 @@
     state.ready = reader.getReady();
     state.leaving = reader.getLeaving();
     const auto revisions = reader.getRevisions();
+    const auto eras = reader.getEras();
     for (capnp::uint i = 0; i < revisions.size() && i < state.revisions.size(); ++i) {
-        state.revisions[i] = revisions[i];
+        state.revisions[i] = {revisions[i], i < eras.size() ? eras[i] : 0};
     }
     if (reader.getHasEngine()) {
         state.engine = decodeEngine(reader.getEngine());
--- a/Userland/Libraries/LibPeers/peers.capnp
+++ b/Userland/Libraries/LibPeers/peers.capnp
@@ -38,6 +38,7 @@
   crashes @16 :List(CrashReport);
   soundParts @17 :List(SoundPartReport);
   rateLimits @18 :List(RateLimitReport);  # between entries: limits of which the sender had news lately
+  eras @19 :List(Int64);      # era of the store to which each of `revisions` belongs; missing ones are 0
 }
 
 struct CrashReport {
@@ -69,7 +70,9 @@
 struct StoredObject {
   name @0 :Text;
   spec @1 :Data;
-  lapsed @2 :Bool;            # no longer in the store; in force until it would have registered again
+  lapsed @2 :Bool;            # not in the store in this state; in force for a grace time
+  revision @3 :Int64;         # of its last change
+  outOfDate @4 :Bool;         # in the store, which came back from an older copy, but not in force for a grace time
 }
 
 # Asks for a slot (`place` on the wire) at an upstream that the other entry owns.
@@ -90,9 +93,9 @@
 # Calls between the processes of one deployment, served on their RPC addresses.
 interface FleetPeer {
   exchange @0 (state :NodeState) -> (state :NodeState);
-  # All objects of a kind that the peer knows, or revision 0 when none has changed after the revision `newerThan`.
+  # All objects of a kind that the peer knows, or revision 0 when none has changed after the revision `newerThan` of the era `newerThanEra`.
   # `agentPart` leaves out what only entries use.
-  objects @1 (kind :UInt16, newerThan :Int64, agentPart :Bool) -> (revision :Int64, objects :List(StoredObject));
+  objects @1 (kind :UInt16, newerThan :Int64, agentPart :Bool, newerThanEra :Int64) -> (revision :Int64, objects :List(StoredObject), era :Int64);
   # Text of the manifest of a version; empty when the peer does not have it.
   manifest @2 (model :Text, version :Int64) -> (text :Text);
   # One bit per chunk, lowest bit first; empty when the peer holds nothing of the version.
--- a/Userland/Services/Fleet/EntryViews.cpp
+++ b/Userland/Services/Fleet/EntryViews.cpp
@@ -173,7 +173,8 @@
 {
     const auto view = this->views.find(name);
     return view != this->views.end()
-        && std::equal(revisions.begin(), revisions.end(), view->second.state.revisions.begin(), [](int64_t wanted, int64_t held) { return held >= wanted; });
+        && std::equal(revisions.begin(), revisions.end(), view->second.state.revisions.begin(),
+                      [](LibFleet::StorePosition wanted, LibFleet::StorePosition held) { return held >= wanted; });
 }
 
 bool EntryViews::anyHeardInRegion(const std::string &region, AK::Milliseconds maxAge) const
--- a/Userland/Services/Fleet/EntryViews.h
+++ b/Userland/Services/Fleet/EntryViews.h
@@ -37,7 +37,7 @@
 
     bool isLive(const std::string &name, AK::Milliseconds maxAge) const;
 
-    using Revisions = std::array<int64_t, LibFleet::objectKindCount>;
+    using Revisions = std::array<LibFleet::StorePosition, LibFleet::objectKindCount>;
 
     /// Whether an entry had objects of all these revisions when it was heard last.
     bool hasRevisions(const std::string &name, const Revisions &revisions) const;
--- a/Userland/Services/Fleet/ObjectFeeds.cpp
+++ b/Userland/Services/Fleet/ObjectFeeds.cpp
@@ -2,6 +2,7 @@
 
 #include <AK/StatusMacros.h>
 #include <algorithm>
+#include <set>
 
 namespace Fleet
 {
@@ -21,6 +22,14 @@
 // A process that does not watch the store looks at this interval whether it has to.
 constexpr AK::Milliseconds standbyInterval = 50;
 
+// Time for the watches of the other kinds to fail, which then list by themselves, before a kind is listed beside its watch.
+constexpr AK::Milliseconds newEraListDelay = 100;
+
+AK::Milliseconds graceFor(ObjectKind kind)
+{
+    return kind == ObjectKind::Upstreams ? LibFleet::expiredLeaseGrace : LibFleet::restoredCopyGrace;
+}
+
 std::string_view nameOf(ObjectKind kind)
 {
     return AK::nameOf(LibFleet::objectKindNames, kind);
@@ -34,6 +43,7 @@
     , decoder(decoder)
     , state(state)
 {
+    this->source.observeEra([this](int64_t era) { this->noteEra(era); });
 }
 
 ObjectFeeds::Feed &ObjectFeeds::feed(ObjectKind kind)
@@ -75,11 +85,7 @@
 void ObjectFeeds::refreshFromStore(kj::WaitScope &scope)
 {
     for (const auto &row : LibFleet::objectKindNames) {
-        const absl::StatusOr<LibFleet::ObjectPage> page = this->source.list(scope, row.value);
-        this->noteStoreStatus(row.value, page.status());
-        if (page.ok() && this->feed(row.value).snapshot.replace(*page)) {
-            this->publishFromStore(row.value);
-        }
+        this->noteStoreStatus(row.value, this->listOnce(scope, row.value));
     }
 }
 
@@ -87,7 +93,7 @@
 {
     AK::Milliseconds pause = firstRetryPause;
     while (true) {
-        if (!this->watchActive && this->feed(kind).storeReached && this->revision(kind) > 0) {
+        if (!this->watchActive && this->feed(kind).storeReached && this->position(kind) > 0) {
             this->loop.sleep(scope, standbyInterval);
             continue;
         }
@@ -104,33 +110,124 @@
 
 absl::Status ObjectFeeds::readOnce(kj::WaitScope &scope, ObjectKind kind)
 {
-    Feed &feed = this->feed(kind);
-    const int64_t since = feed.snapshot.revision;
+    const Feed &feed = this->feed(kind);
     // After an error the objects are listed: a watch would show only with the next change that the store has recovered, and an upstream that this change
     // removes would be taken for one whose lease expired in the outage.
-    if (since > 0 && feed.storeReached) {
-        const absl::StatusOr<LibFleet::ObjectPage> changes = this->source.watch(scope, kind, since);
-        if (changes.ok()) {
-            if (feed.snapshot.apply(*changes, since) && !changes->objects.empty()) {
-                this->publishFromStore(kind);
-            }
-            if ((kind == ObjectKind::Upstreams || kind == ObjectKind::Entries) && !changes->objects.empty()) {
-                this->loop.sleep(scope, burstWatchPause);
-            }
-            return absl::OkStatus();
+    if (feed.snapshot.position > 0 && feed.snapshot.position.era >= this->newestEra && feed.storeReached) {
+        return this->watchOnce(scope, kind);
+    }
+    return this->listOnce(scope, kind);
+}
+
+absl::Status ObjectFeeds::watchOnce(kj::WaitScope &scope, ObjectKind kind)
+{
+    Feed &feed = this->feed(kind);
+    const LibFleet::StorePosition since = feed.snapshot.position;
+    const absl::StatusOr<LibFleet::ObjectPage> changes = this->source.watch(scope, kind, since.revision);
+    if (absl::IsOutOfRange(changes.status())) {
+        this->logger.info("history_gone", {{"kind", nameOf(kind)}, {"era", since.era}, {"since", since.revision}});
+        CATKINLINK_TRY(this->listOnce(scope, kind));
+        if (feed.snapshot.position <= since) {
+            // The next watch would fail at once too.
+            this->loop.sleep(scope, firstRetryPause);
         }
-        if (!absl::IsOutOfRange(changes.status())) {
-            return changes.status();
+        return absl::OkStatus();
+    }
+    if (!changes.ok()) {
+        return changes.status();
+    }
+    this->noteEra(changes->position.era);
+    if (changes->position.era != since.era) {
+        // The revision that was asked for is of another history. The kind is listed, unless that has been done while the watch waited.
+        return changes->position.era < this->newestEra ? absl::UnavailableError("store: response of an older era") : absl::OkStatus();
+    }
+    if (feed.snapshot.position == since) {
+        feed.restored.recordReplaced(feed.snapshot, *changes, false, this->loop.clock().now());
+        for (const LibFleet::StoredObject &object : changes->objects) {
+            if (object.deleted) {
+                feed.restored.forget(object.name);
+            }
         }
-        this->logger.info("history_gone", {{"kind", nameOf(kind)}, {"since", since}});
     }
-    CATKINLINK_ASSIGN(const LibFleet::ObjectPage page, this->source.list(scope, kind));
-    if (feed.snapshot.replace(page)) {
+    if (feed.snapshot.apply(*changes, since) && !changes->objects.empty()) {
+        this->publishFromStore(kind);
+    }
+    if ((kind == ObjectKind::Upstreams || kind == ObjectKind::Entries) && !changes->objects.empty()) {
+        this->loop.sleep(scope, burstWatchPause);
+    }
+    return absl::OkStatus();
+}
+
+absl::Status ObjectFeeds::listOnce(kj::WaitScope &scope, ObjectKind kind)
+{
+    Feed &feed = this->feed(kind);
+    feed.listing = true;
+    const absl::StatusOr<LibFleet::ObjectPage> page = this->source.list(scope, kind);
+    feed.listing = false;
+    if (!page.ok()) {
+        return page.status();
+    }
+    this->noteEra(page->position.era);
+    if (page->position.era < this->newestEra) {
+        return absl::UnavailableError("store: response of an older era");
+    }
+    if (this->replaceAll(kind, *page)) {
         this->publishFromStore(kind);
+        this->logKeptObjects(kind);
     }
     return absl::OkStatus();
 }
 
+bool ObjectFeeds::replaceAll(ObjectKind kind, const LibFleet::ObjectPage &page)
+{
+    Feed &feed = this->feed(kind);
+    const AK::Milliseconds now = this->loop.clock().now();
+    const LibFleet::StorePosition before = feed.snapshot.position;
+    if (page.position <= before) {
+        return false;
+    }
+    if (before > 0 && page.position.era > before.era) {
+        this->logger.warning("store_restored",
+                             {{"kind", nameOf(kind)},
+                              {"era", page.position.era},
+                              {"revision", page.position.revision},
+                              {"previous_era", before.era},
+                              {"previous_revision", before.revision}});
+        feed.restored.storeRestored(feed.inForce, page.position, now, graceFor(kind));
+        this->endGraceLater(kind);
+    } else {
+        feed.restored.recordReplaced(feed.snapshot, page, true, now);
+    }
+    return feed.snapshot.replace(page);
+}
+
+void ObjectFeeds::noteEra(int64_t era)
+{
+    if (era <= this->newestEra) {
+        return;
+    }
+    this->newestEra = era;
+    for (const auto &row : LibFleet::objectKindNames) {
+        if (this->started && this->position(row.value) > 0) {
+            this->loop.spawn([this, kind = row.value](kj::WaitScope &scope) { this->listNewEra(scope, kind); });
+        }
+    }
+}
+
+void ObjectFeeds::listNewEra(kj::WaitScope &scope, ObjectKind kind)
+{
+    const Feed &feed = this->feed(kind);
+    AK::Milliseconds pause = newEraListDelay;
+    // A kind whose last call failed is listed by its own fiber.
+    while (feed.snapshot.position.era < this->newestEra && this->watchActive && feed.storeReached) {
+        this->loop.sleep(scope, pause);
+        if (!feed.listing && feed.snapshot.position.era < this->newestEra && feed.storeReached) {
+            (void)this->listOnce(scope, kind);
+        }
+        pause = std::min(retryPauseLimit, pause * 2);
+    }
+}
+
 void ObjectFeeds::noteStoreStatus(ObjectKind kind, const absl::Status &status)
 {
     Feed &feed = this->feed(kind);
@@ -139,9 +236,9 @@
     }
     feed.storeReached = status.ok();
     if (status.ok()) {
-        this->logger.info("store_regained", {{"kind", nameOf(kind)}, {"revision", feed.snapshot.revision}});
+        this->logger.info("store_regained", {{"kind", nameOf(kind)}, {"revision", feed.snapshot.position.revision}});
     } else {
-        this->logger.warning("store_lost", {{"kind", nameOf(kind)}, {"revision", feed.snapshot.revision}, {"reason", std::string(status.message())}});
+        this->logger.warning("store_lost", {{"kind", nameOf(kind)}, {"revision", feed.snapshot.position.revision}, {"reason", std::string(status.message())}});
     }
     if (kind != ObjectKind::Upstreams) {
         return;
@@ -151,30 +248,51 @@
         return;
     }
     this->expiredLeases.storeRecovered(this->loop.clock().now());
-    this->endGraceLater();
+    this->endGraceLater(kind);
 }
 
-void ObjectFeeds::endGraceLater()
+void ObjectFeeds::endGraceLater(ObjectKind kind)
 {
-    const AK::Milliseconds graceEnd = this->loop.clock().now() + LibFleet::expiredLeaseGrace;
-    this->loop.spawn([this, graceEnd](kj::WaitScope &scope) {
+    const AK::Milliseconds graceEnd = this->loop.clock().now() + graceFor(kind);
+    this->loop.spawn([this, kind, graceEnd](kj::WaitScope &scope) {
         // The loop's timers count from its last turn, which may be some ms ago, so a sleep can end too early.
         while (this->loop.clock().now() < graceEnd) {
             this->loop.sleep(scope, graceEnd - this->loop.clock().now());
         }
-        this->publishFromStore(ObjectKind::Upstreams);
+        this->publishFromStore(kind);
     });
 }
 
-void ObjectFeeds::publishFromStore(ObjectKind kind)
+void ObjectFeeds::logKeptObjects(ObjectKind kind) const
 {
     const Feed &feed = this->feed(kind);
-    if (kind != ObjectKind::Upstreams) {
-        this->publish(kind, feed.snapshot.specs);
-        return;
+    std::set<std::string> kept;
+    std::set<std::string> unused;
+    for (const auto &[name, spec] : feed.inForce) {
+        if (!this->isStored(kind, name)) {
+            kept.insert(name);
+        }
     }
-    AK::Milliseconds expiresAt = 0;
-    this->publish(kind, this->expiredLeases.merge(feed.inForce, feed.snapshot.specs, this->loop.clock().now(), expiresAt));
+    for (const auto &[name, spec] : feed.snapshot.specs) {
+        if (!feed.inForce.contains(name)) {
+            unused.insert(name);
+        }
+    }
+    if (!kept.empty() || !unused.empty()) {
+        this->logger.info("kept_against_store", {{"kind", nameOf(kind)}, {"kept", kept}, {"unused", unused}});
+    }
+}
+
+void ObjectFeeds::publishFromStore(ObjectKind kind)
+{
+    Feed &feed = this->feed(kind);
+    const AK::Milliseconds now = this->loop.clock().now();
+    std::map<std::string, std::string> inForce = feed.restored.merge(feed.snapshot, now);
+    if (kind == ObjectKind::Upstreams) {
+        AK::Milliseconds expiresAt = 0;
+        inForce = this->expiredLeases.merge(feed.inForce, inForce, now, expiresAt);
+    }
+    this->publish(kind, std::move(inForce));
 }
 
 void ObjectFeeds::publish(ObjectKind kind, std::map<std::string, std::string> inForce)
@@ -197,33 +315,50 @@
 
 bool ObjectFeeds::watchesStore(ObjectKind kind) const
 {
-    return this->started && this->watchActive && this->feed(kind).storeReached && this->revision(kind) > 0;
+    return this->started && this->watchActive && this->feed(kind).storeReached && this->position(kind) > 0;
 }
 
 bool ObjectFeeds::awaitsFirstList(ObjectKind kind) const
 {
-    return this->started && this->feed(kind).storeReached && this->revision(kind) == 0;
+    return this->started && this->feed(kind).storeReached && this->position(kind) == 0;
 }
 
-int64_t ObjectFeeds::revision(ObjectKind kind) const
+LibFleet::StorePosition ObjectFeeds::position(ObjectKind kind) const
 {
-    return this->feed(kind).snapshot.revision;
+    return this->feed(kind).snapshot.position;
 }
 
-int64_t ObjectFeeds::changedAt(ObjectKind kind) const
+LibFleet::StorePosition ObjectFeeds::changedAt(ObjectKind kind) const
 {
     return this->feed(kind).snapshot.changedAt;
 }
 
-LibFleet::ObjectPage ObjectFeeds::objects(ObjectKind kind, int64_t newerThan, bool agentPart) const
+bool ObjectFeeds::isStored(ObjectKind kind, const std::string &name) const
+{
+    const Feed &feed = this->feed(kind);
+    const auto used = feed.inForce.find(name);
+    const auto stored = feed.snapshot.specs.find(name);
+    return used != feed.inForce.end() && stored != feed.snapshot.specs.end() && used->second == stored->second;
+}
+
+LibFleet::ObjectPage ObjectFeeds::objects(ObjectKind kind, LibFleet::StorePosition newerThan, bool agentPart) const
 {
     const Feed &feed = this->feed(kind);
     if (feed.snapshot.changedAt <= newerThan) {
         return {};
     }
     LibFleet::ObjectPage page{feed.snapshot.changedAt, {}};
+    const auto revisionOf = [&feed](const std::string &name) {
+        return feed.snapshot.revisions.at(name);
+    };
     for (const auto &[name, spec] : agentPart ? feed.agentParts : feed.inForce) {
-        page.objects.push_back({name, spec, false, !feed.snapshot.specs.contains(name)});
+        const bool stored = this->isStored(kind, name);
+        page.objects.push_back({name, spec, false, !stored, stored ? revisionOf(name) : 0});
+    }
+    for (const auto &[name, spec] : feed.snapshot.specs) {
+        if (!this->isStored(kind, name)) {
+            page.objects.push_back({name, agentPart ? this->decoder.agentPart(kind, spec) : spec, false, false, revisionOf(name), true});
+        }
     }
     return page;
 }
@@ -231,21 +366,15 @@
 void ObjectFeeds::accept(ObjectKind kind, const LibFleet::ObjectPage &page, std::string_view from)
 {
     Feed &feed = this->feed(kind);
-    if (!feed.snapshot.replace(page)) {
+    if (!this->replaceAll(kind, page)) {
         return;
     }
-    this->logger.info("objects_from_peer", {{"kind", nameOf(kind)}, {"revision", page.revision}, {"peer", from}});
-    std::map<std::string, std::string> inForce = feed.snapshot.specs;
-    bool anyLapsed = false;
-    for (const LibFleet::StoredObject &object : page.objects) {
-        if (object.lapsed) {
-            inForce.emplace(object.name, object.spec);
-            anyLapsed = true;
-        }
-    }
-    this->publish(kind, std::move(inForce));
-    if (anyLapsed) {
-        this->endGraceLater();
+    const AK::Milliseconds now = this->loop.clock().now();
+    this->logger.info("objects_from_peer", {{"kind", nameOf(kind)}, {"era", page.position.era}, {"revision", page.position.revision}, {"peer", from}});
+    feed.restored.adopt(page, now, graceFor(kind));
+    this->publish(kind, feed.restored.merge(feed.snapshot, now));
+    if (std::any_of(page.objects.begin(), page.objects.end(), [](const auto &object) { return object.lapsed || object.outOfDate; })) {
+        this->endGraceLater(kind);
     }
 }
 
--- a/Userland/Services/Fleet/ObjectFeeds.h
+++ b/Userland/Services/Fleet/ObjectFeeds.h
@@ -2,13 +2,15 @@
 
 #include <Fleet/ObjectSource.h>
 #include <LibFleet/ObjectFeed.h>
+#include <LibFleet/RestoredCopy.h>
 #include <array>
 #include <functional>
 
 namespace Fleet
 {
 
-/// Keeps the newest objects of every kind, read from the store while it answers and from other processes that have a newer revision. Revisions never decrease.
+/// Keeps the newest objects of every kind, read from the store while it answers and from other processes that have a newer position. Positions never go back:
+/// when the store comes back from an older copy, its era rises, and what this process knew stays in force against the copy for a grace time.
 class ObjectFeeds
 {
 public:
@@ -36,13 +38,19 @@
     /// Whether the first answer of the store for a kind is still under way.
     bool awaitsFirstList(LibFleet::ObjectKind kind) const;
 
-    /// All changes up to this revision of the store are known.
-    int64_t revision(LibFleet::ObjectKind kind) const;
-    /// Revision at which the objects of a kind last changed.
-    int64_t changedAt(LibFleet::ObjectKind kind) const;
+    /// All changes up to this position of the store are known.
+    LibFleet::StorePosition position(LibFleet::ObjectKind kind) const;
+    /// Position at which the objects of a kind last changed.
+    LibFleet::StorePosition changedAt(LibFleet::ObjectKind kind) const;
 
-    /// Returns the objects in force if they changed after `newerThan`, else a page with revision 0. `agentPart` leaves out what only entries use.
-    LibFleet::ObjectPage objects(LibFleet::ObjectKind kind, int64_t newerThan, bool agentPart) const;
+    /// Whether the store holds an object in the state that is in force.
+    bool isStored(LibFleet::ObjectKind kind, const std::string &name) const;
+
+    /// Reports the era of a response of the store, or one that another process has seen. Kinds that are known only up to an older era are listed again.
+    void noteEra(int64_t era);
+
+    /// Returns the objects in force if they changed after `newerThan`, else a page with position 0. `agentPart` leaves out what only entries use.
+    LibFleet::ObjectPage objects(LibFleet::ObjectKind kind, LibFleet::StorePosition newerThan, bool agentPart) const;
 
     /// Takes over the objects that another process has in force, if they are newer.
     void accept(LibFleet::ObjectKind kind, const LibFleet::ObjectPage &page, std::string_view from);
@@ -56,17 +64,28 @@
         /// The parts of `inForce` that agents get.
         std::map<std::string, std::string> agentParts;
         bool storeReached = true;
+        /// What stays in force, or out of force, against a restored copy.
+        LibFleet::RestoredCopy restored;
+        /// A list is under way.
+        bool listing = false;
     };
 
     Feed &feed(LibFleet::ObjectKind kind);
     const Feed &feed(LibFleet::ObjectKind kind) const;
     void followStore(kj::WaitScope &scope, LibFleet::ObjectKind kind);
     absl::Status readOnce(kj::WaitScope &scope, LibFleet::ObjectKind kind);
+    absl::Status watchOnce(kj::WaitScope &scope, LibFleet::ObjectKind kind);
+    absl::Status listOnce(kj::WaitScope &scope, LibFleet::ObjectKind kind);
+    /// Lists a kind that is known only up to an older era while its watch waits.
+    void listNewEra(kj::WaitScope &scope, LibFleet::ObjectKind kind);
+    /// Takes over all objects of a kind. Returns false when they are not newer.
+    bool replaceAll(LibFleet::ObjectKind kind, const LibFleet::ObjectPage &page);
     void publish(LibFleet::ObjectKind kind, std::map<std::string, std::string> inForce);
     /// Publishes the objects of the store, with upstreams whose leases expired in an outage.
     void publishFromStore(LibFleet::ObjectKind kind);
-    /// Ends the time in which upstreams whose leases expired stay in force.
-    void endGraceLater();
+    /// Publishes the objects again when the time is over in which those that the store has lost stay in force.
+    void endGraceLater(LibFleet::ObjectKind kind);
+    void logKeptObjects(LibFleet::ObjectKind kind) const;
     void noteStoreStatus(LibFleet::ObjectKind kind, const absl::Status &status);
 
     LibFiber::Loop &loop;
@@ -75,6 +94,8 @@
     LibFleet::FleetState &state;
     std::array<Feed, LibFleet::objectKindCount> feeds;
     LibFleet::ExpiredLeases expiredLeases;
+    /// Highest era that a response of the store or another process has shown.
+    int64_t newestEra = 0;
     bool started = false;
     bool watchActive = true;
     std::function<void()> changeObserver;
--- a/Userland/Services/Fleet/ObjectSource.h
+++ b/Userland/Services/Fleet/ObjectSource.h
@@ -3,6 +3,7 @@
 #include <LibFiber/Loop.h>
 #include <LibFleet/FleetState.h>
 #include <LibFleet/ObjectFeed.h>
+#include <functional>
 
 namespace Fleet
 {
@@ -24,6 +25,11 @@
     /// Creates or replaces an object that the system itself owns.
     virtual absl::Status put(kj::WaitScope &scope, LibFleet::ObjectKind kind, const std::string &name, const std::string &spec) = 0;
     virtual absl::Status erase(kj::WaitScope &scope, LibFleet::ObjectKind kind, const std::string &name) = 0;
+
+    /// Sets the function that is called with the era of each response, also of those that fail; see LibFleet::StorePosition.
+    virtual void observeEra(std::function<void(int64_t)> /*observer*/)
+    {
+    }
 };
 
 /// Decodes the objects of a kind into FleetState. An object that can't be decoded is logged and skipped; the others are not affected.
--- a/Userland/Services/Fleet/PeerExchange.cpp
+++ b/Userland/Services/Fleet/PeerExchange.cpp
@@ -157,6 +157,7 @@
 void PeerExchange::record(const LibPeers::NodeState &peer)
 {
     const bool stopped = this->views.record(peer);
+    this->feeds.noteEra(std::max_element(peer.revisions.begin(), peer.revisions.end())->era);
     if (peer.engine && this->reportObserver) {
         this->reportObserver(*peer.engine);
     }
@@ -180,7 +181,7 @@
 bool PeerExchange::hasNewer(const LibPeers::NodeState &peer) const
 {
     return std::any_of(LibFleet::objectKindNames.begin(), LibFleet::objectKindNames.end(),
-                       [&](const auto &row) { return peer.revisions[static_cast<size_t>(row.value)] > this->feeds.revision(row.value); });
+                       [&](const auto &row) { return peer.revisions[static_cast<size_t>(row.value)] > this->feeds.position(row.value); });
 }
 
 void PeerExchange::pullSoon(const LibPeers::NodeState &peer)
@@ -214,7 +215,7 @@
     this->feeds.setWatching(LibFleet::watchesStore(self, reachingStore, this->settings.partners));
 }
 
-LibFleet::ObjectPage PeerExchange::objects(LibFleet::ObjectKind kind, int64_t newerThan, bool agentPart)
+LibFleet::ObjectPage PeerExchange::objects(LibFleet::ObjectKind kind, LibFleet::StorePosition newerThan, bool agentPart)
 {
     return this->feeds.objects(kind, newerThan, agentPart);
 }
@@ -373,7 +374,7 @@
 void PeerExchange::pullNewer(kj::WaitScope &scope, LibPeers::PeerClient &link, const LibPeers::NodeState &peer, bool inOtherRegion)
 {
     for (const auto &row : LibFleet::objectKindNames) {
-        const int64_t known = this->feeds.revision(row.value);
+        const LibFleet::StorePosition known = this->feeds.position(row.value);
         PendingRead &pending = this->pendingReads[static_cast<size_t>(row.value)];
         if (peer.revisions[static_cast<size_t>(row.value)] <= known) {
             continue;
@@ -402,7 +403,7 @@
             this->logger.info("objects_not_read", {{"peer", peer.name}, {"reason", std::string(page.status().message())}});
             return;
         }
-        if (page->revision > 0) {
+        if (page->position > 0) {
             pending.announcedAt = 0;
             pending.readAt = now;
             this->feeds.accept(row.value, *page, peer.name);
--- a/Userland/Services/Fleet/PeerExchange.h
+++ b/Userland/Services/Fleet/PeerExchange.h
@@ -14,7 +14,7 @@
 namespace Fleet
 {
 
-/// Exchanges state with a few entries of the deployment: liveness, engine reports, and objects of which the other side has a newer revision. Which entries
+/// Exchanges state with a few entries of the deployment: liveness, engine reports, and objects of which the other side has a newer position. Which entries
 /// these are follows from LibFleet::partnersOfEntry() and partnersOfAgent(); news of the others arrive by way of them.
 class PeerExchange final : public LibPeers::PeerHandler
 {
@@ -68,7 +68,7 @@
     void pushObjects();
 
     LibPeers::NodeState exchange(const LibPeers::NodeState &from) override;
-    LibFleet::ObjectPage objects(LibFleet::ObjectKind kind, int64_t newerThan, bool agentPart) override;
+    LibFleet::ObjectPage objects(LibFleet::ObjectKind kind, LibFleet::StorePosition newerThan, bool agentPart) override;
 
 private:
     struct Partner {
@@ -140,9 +140,9 @@
     struct PendingRead {
         /// While a read is running, no other one starts before this time; 0 when none is running.
         AK::Milliseconds exclusiveUntil = 0;
-        /// Time at which objects newer than the revision `known` were first announced; 0 when none are.
+        /// Time at which objects newer than the position `known` were first announced; 0 when none are.
         AK::Milliseconds announcedAt = 0;
-        int64_t known = 0;
+        LibFleet::StorePosition known;
         AK::Milliseconds readAt = 0;
     };
     std::array<PendingRead, LibFleet::objectKindCount> pendingReads;
