catkinlinkd: Register an entry again that a restored store has lost

What callers would see: an entry that registered in the last seconds before the store came back from an older copy stays unregistered: the others keep its registration in force for the grace only, and it compared its own registration with what is in force.

Change: an entry counts as registered only while the store holds the registration that is in force.

--- a/Userland/Utilities/catkinlinkd/EntryProcess.cpp
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.cpp
@@ -192,8 +192,8 @@
                                      this->settings.failureDomain};
     while (!this->leaving) {
         const auto known = this->node.fleet.entries().find(self.name);
-        const bool registered =
-            known != this->node.fleet.entries().end() && known->second.rpcAddress == self.rpcAddress && known->second.clientAddress == self.clientAddress;
+        const bool registered = known != this->node.fleet.entries().end() && known->second.rpcAddress == self.rpcAddress
+            && known->second.clientAddress == self.clientAddress && this->node.feeds.isStored(LibFleet::ObjectKind::Entries, self.name);
         if (!registered) {
             const absl::Status status = this->node.store.put(scope, LibFleet::ObjectKind::Entries, self.name, this->node.decoder.encodeEntry(self));
             if (status.ok()) {
