Gateway: Store a quarantined part again that a restored store has lost

What callers would see: a part whose calls crash upstreams is sent to them again some seconds after the store came back from a copy without it. The part stays in force for the grace, and no entry writes it again, because all take it for stored.

Change: a part that is in force and that the store lacks is written again, by one entry after the other as when it was found.

Evidence: PromptQuarantine.IsStoredAgainWhenTheStoreHasLostIt fails (6,112 ms) when every part in force is taken for stored, as before, and passes (1,512 ms) now.

--- a/Tests/Services/Gateway/TestPromptQuarantine.cpp
+++ b/Tests/Services/Gateway/TestPromptQuarantine.cpp
@@ -59,7 +59,7 @@
     EntryFixture(LibFiber::Loop &loop, SharedStore &store)
         : fleet(loop.clock())
         , quarantine(loop.clock(), fleet)
-        , keeper(loop, store, fleet, quarantine)
+        , keeper(loop, store, fleet, quarantine, [&store](const std::string &part) { return store.parts.contains(part); })
     {
         store.readers.push_back(&this->fleet);
         store.publish();
@@ -182,6 +182,22 @@
     EXPECT_TRUE(site.entries.back()->quarantine.isQuarantined({"bad"}));
 }
 
+// Guards against a part that is sent to upstreams again because the store came back from a copy without it: it is in force, and nobody writes it again.
+TEST(PromptQuarantine, IsStoredAgainWhenTheStoreHasLostIt)
+{
+    QuarantineSite site(4);
+    for (size_t i = 0; i < 4; ++i) {
+        site.crash(i, {"a1", "bad"});
+    }
+    site.exchange();
+    ASSERT_TRUE(site.waitUntil([&] { return site.store.parts.contains("bad"); }));
+    const int writesBefore = site.store.writes;
+    // The entries keep it in force.
+    site.store.parts.clear();
+    EXPECT_TRUE(site.waitUntil([&] { return site.store.parts.contains("bad"); }));
+    EXPECT_EQ(site.store.writes, writesBefore + 1);
+}
+
 // Guards against a part that is never stored because the store was out of service when it was found.
 TEST(PromptQuarantine, IsStoredWhenTheStoreIsBack)
 {
--- a/Userland/Services/Gateway/QuarantineKeeper.cpp
+++ b/Userland/Services/Gateway/QuarantineKeeper.cpp
@@ -20,11 +20,13 @@
 
 } // namespace
 
-QuarantineKeeper::QuarantineKeeper(LibFiber::Loop &loop, Fleet::ObjectSource &store, const LibFleet::FleetState &fleet, const PromptQuarantine &quarantine)
+QuarantineKeeper::QuarantineKeeper(LibFiber::Loop &loop, Fleet::ObjectSource &store, const LibFleet::FleetState &fleet, const PromptQuarantine &quarantine,
+                                   std::function<bool(const std::string &part)> isStored)
     : loop(loop)
     , store(store)
     , fleet(fleet)
     , quarantine(quarantine)
+    , isStored(std::move(isStored))
 {
 }
 
@@ -40,6 +42,7 @@
         while (true) {
             this->loop.sleep(scope, pollInterval);
             this->storeParts(scope);
+            this->storeLostParts(scope);
             this->removeParts(scope);
         }
     });
@@ -59,13 +62,38 @@
         if (this->loop.clock().now() < turn || this->fleet.quarantinedParts().contains(part)) {
             continue;
         }
-        const absl::Status status = this->store.put(scope, LibFleet::ObjectKind::QuarantinedParts, part, R"({"reason":"crashes upstreams"})");
-        this->logger.info("part_stored", {{"part", part}, {"reason", std::string(status.message())}});
-        // The object comes back with the objects of the store.
-        this->loop.sleep(scope, retryInterval);
+        this->storePart(scope, part);
+    }
+}
+
+void QuarantineKeeper::storeLostParts(kj::WaitScope &scope)
+{
+    const AK::Milliseconds now = this->loop.clock().now();
+    const auto isLost = [this](const std::string &part) {
+        return this->fleet.quarantinedParts().contains(part) && !this->isStored(part);
+    };
+    std::erase_if(this->lostSince, [&](const auto &row) { return !isLost(row.first); });
+    // A copy, because storePart() suspends this fiber.
+    const std::set<std::string> parts = this->fleet.quarantinedParts();
+    for (const std::string &part : parts) {
+        if (!isLost(part)) {
+            continue;
+        }
+        const AK::Milliseconds since = this->lostSince.try_emplace(part, now).first->second;
+        if (now >= since + static_cast<AK::Milliseconds>(this->rankFor(part)) * takeoverTime) {
+            this->storePart(scope, part);
+        }
     }
 }
 
+void QuarantineKeeper::storePart(kj::WaitScope &scope, const std::string &part)
+{
+    const absl::Status status = this->store.put(scope, LibFleet::ObjectKind::QuarantinedParts, part, R"({"reason":"crashes upstreams"})");
+    this->logger.info("part_stored", {{"part", part}, {"reason", std::string(status.message())}});
+    // The object comes back with the objects of the store.
+    this->loop.sleep(scope, retryInterval);
+}
+
 void QuarantineKeeper::removeParts(kj::WaitScope &scope)
 {
     const AK::Milliseconds now = this->loop.clock().now();
--- a/Userland/Services/Gateway/QuarantineKeeper.h
+++ b/Userland/Services/Gateway/QuarantineKeeper.h
@@ -11,7 +11,9 @@
 class QuarantineKeeper
 {
 public:
-    QuarantineKeeper(LibFiber::Loop &loop, Fleet::ObjectSource &store, const LibFleet::FleetState &fleet, const PromptQuarantine &quarantine);
+    /// `isStored` tells whether the store holds a part that is in force; it may have lost it.
+    QuarantineKeeper(LibFiber::Loop &loop, Fleet::ObjectSource &store, const LibFleet::FleetState &fleet, const PromptQuarantine &quarantine,
+                     std::function<bool(const std::string &part)> isStored);
 
     /// Sets the names of the live entries, `self` among them.
     void setEntries(const std::string &self, std::vector<std::string> names);
@@ -23,16 +25,22 @@
     /// Number of live entries that come before this one for a part.
     size_t rankFor(const std::string &part) const;
     void storeParts(kj::WaitScope &scope);
+    /// Stores the parts again that are in force although the store has lost them.
+    void storeLostParts(kj::WaitScope &scope);
+    void storePart(kj::WaitScope &scope, const std::string &part);
     void removeParts(kj::WaitScope &scope);
 
     LibFiber::Loop &loop;
     Fleet::ObjectSource &store;
     const LibFleet::FleetState &fleet;
     const PromptQuarantine &quarantine;
+    std::function<bool(const std::string &part)> isStored;
     std::string self;
     std::vector<std::string> entries;
     /// Monotonic time at which this process learned of each stored part.
     std::map<std::string, AK::Milliseconds> storedSince;
+    /// Monotonic time at which this process found that the store lacks each part that is in force.
+    std::map<std::string, AK::Milliseconds> lostSince;
     LibLog::Logger logger{"quarantine"};
 };
 
--- a/Userland/Utilities/catkinlinkd/EntryProcess.cpp
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.cpp
@@ -37,7 +37,8 @@
     , upstreamConnections(loop)
     , crashes(loop, this->metrics)
     , quarantine(loop.clock(), this->node.fleet)
-    , quarantineKeeper(loop, this->node.store, this->node.fleet, this->quarantine)
+    , quarantineKeeper(loop, this->node.store, this->node.fleet, this->quarantine,
+                       [this](const std::string &part) { return this->node.feeds.isStored(LibFleet::ObjectKind::QuarantinedParts, part); })
     , gateway({loop, this->node.fleet, this->codec, this->dispatcher, this->upstreamConnections, this->crashes, this->quarantine, this->metrics},
               *settings.clientAddress)
     , peers(loop, this->node.exchange, nullptr, &this->dispatcher)
