--- a/Tests/Platform/TestStoreClient.cpp
+++ b/Tests/Platform/TestStoreClient.cpp
@@ -7,7 +7,7 @@
 {
 
 constexpr AK::Milliseconds timeout = 5'000;
-constexpr uint16_t port = 17'811;
+constexpr uint16_t port = 17'930;
 
 struct EraCase {
     const char *name;
