--- a/Tests/Services/Gateway/TestSilentUpstreams.cpp
+++ b/Tests/Services/Gateway/TestSilentUpstreams.cpp
@@ -84,7 +84,9 @@
     {
         const std::string *last = LibHttpStream::findHeader(head.headers, "Last-Event-Id");
         bool ok = this->pauseAt(SilentAt::BeforeTheHead, scope, pauses)
-            && this->send(scope, channel, AK::concat("HTTP/1.1 200 OK\r\nX-Attempt-Id: ", id, "\r\nX-Server-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n"));
+            && this->send(scope, channel,
+                          AK::concat("HTTP/1.1 200 OK\r\nX-Attempt-Id: ", id,
+                                     "\r\nX-Server-Seal: seal\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"));
         ok = ok && this->pauseAt(SilentAt::AfterTheHead, scope, pauses);
         for (int event = last == nullptr ? 1 : std::stoi(*last) + 1; event <= events && ok; ++event) {
             ok = event != 4 || this->pauseAt(SilentAt::AfterThreeEvents, scope, pauses);
