LibFiber: Count waits from the present time, not from the start of the turn

Callers saw calls that ended before their deadline, slot requests and connection attempts that failed too early, and streams taken for silent, by as much as a turn of the event loop had taken: decoding a configuration, a pause of a process that has used up its share of the processor.

Cause: kj's timer keeps the time at which the loop last waited, and timeoutAfter() and afterDelay() add to that. withDeadline() computed the delay from the real time and added it to the old one. Class: a duration added to a time of another clock reading.

Change: both waits use the absolute time; kj's timer and AK::SystemClock read the same monotonic clock.

Evidence: LongTurnTest works for 120 ms in a turn and then waits for 80 ms.

--- a/Tests/LibFiber/TestLoop.cpp
+++ b/Tests/LibFiber/TestLoop.cpp
@@ -74,6 +74,44 @@
     EXPECT_FALSE(ran);
 }
 
+enum class Wait { Sleep, After, Await };
+
+struct WaitCase {
+    const char *name;
+    Wait wait;
+};
+
+class LongTurnTest : public testing::TestWithParam<WaitCase>
+{
+};
+
+// Guards against a wait that ends before its time because the turn of the loop in which it began had taken long: the timer counted from the start of the turn.
+TEST_P(LongTurnTest, DoesNotShortenAWait)
+{
+    constexpr AK::Milliseconds work = 120;
+    constexpr AK::Milliseconds duration = 80;
+    Loop loop;
+    kj::WaitScope &scope = loop.rootScope();
+    loop.sleep(scope, 1);
+    loop.clock().sleep(work);
+    const AK::Milliseconds startedAt = loop.clock().now();
+    switch (GetParam().wait) {
+    case Wait::Sleep:
+        loop.sleep(scope, duration);
+        break;
+    case Wait::After:
+        loop.after(duration).wait(scope);
+        break;
+    case Wait::Await:
+        EXPECT_TRUE(absl::IsDeadlineExceeded(loop.awaitDone(scope, kj::NEVER_DONE, startedAt + duration)));
+        break;
+    }
+    EXPECT_GE(loop.clock().now() - startedAt, duration);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, LongTurnTest, testing::Values(WaitCase{"sleep", Wait::Sleep}, WaitCase{"after", Wait::After}, WaitCase{"await", Wait::Await}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 // Guards against taking the cancellation of the accepting fiber for a failed accept, after which the fiber would wait again.
 TEST(Acceptor, AcceptsConnectionsUntilCancelled)
 {
--- a/Userland/Libraries/LibFiber/Loop.cpp
+++ b/Userland/Libraries/LibFiber/Loop.cpp
@@ -63,7 +63,12 @@
 
 kj::Promise<void> Loop::after(AK::Milliseconds duration)
 {
-    return this->io.provider->getTimer().afterDelay((duration > 0 ? duration : 0) * kj::MILLISECONDS);
+    return this->io.provider->getTimer().atTime(timePoint(this->systemClock.now() + duration));
+}
+
+kj::TimePoint Loop::timePoint(AK::Milliseconds monotonicTime)
+{
+    return kj::origin<kj::TimePoint>() + monotonicTime * kj::MILLISECONDS;
 }
 
 void Loop::cancelSpawned()
--- a/Userland/Libraries/LibFiber/Loop.h
+++ b/Userland/Libraries/LibFiber/Loop.h
@@ -93,11 +93,13 @@
 
     void taskFailed(kj::Exception &&exception) override;
 
+    /// The time on the clock of kj's timer, which is the monotonic system clock too. A delay would count from the start of the loop's turn instead.
+    static kj::TimePoint timePoint(AK::Milliseconds monotonicTime);
+
     template <typename Type>
     kj::Promise<Type> withDeadline(kj::Promise<Type> promise, AK::Milliseconds deadline)
     {
-        const AK::Milliseconds left = deadline - this->systemClock.now();
-        return this->io.provider->getTimer().timeoutAfter((left > 0 ? left : 0) * kj::MILLISECONDS, kj::mv(promise));
+        return this->io.provider->getTimer().timeoutAt(timePoint(deadline), kj::mv(promise));
     }
 
     AK::SystemClock systemClock;
--- a/Userland/Services/Gateway/CallTaskStream.cpp
+++ b/Userland/Services/Gateway/CallTaskStream.cpp
@@ -106,7 +106,6 @@
         const bool mayTryOthers = until < this->deadline;
         if (!mayTryOthers || this->now() < until) {
             part.take(call.read(scope, until));
-            // The loop's timers may end a wait some ms early.
             if (!absl::IsDeadlineExceeded(part.status) || this->now() >= this->deadline) {
                 return part;
             }
