Gateway: Close idle connections by the timeout in force

Callers saw their connection closed while the configuration allowed them to use it again, and the request on it without an answer: clients reuse a connection for up to four fifths of idleTimeoutMs, but the entry closed it by the timeout of the configuration at the time when it became idle. An entry also closed a connection whose request had arrived in the same turn of the loop as the end of the wait, for example at a planned stop.

Cause: the timeout was read once, when the wait began. Class: a value of the configuration that outlives its change.

Change: awaitRequest() reads the timeout again after each wait, and looks once more for a request before it closes. A lowered timeout still ends a wait that has begun at the earlier time, which is longer and harms no client.

The second part, a request in the turn of the close, was not reproduced; reading kj's order of events, such a request is read first.

--- a/Userland/Services/Gateway/GatewayService.cpp
+++ b/Userland/Services/Gateway/GatewayService.cpp
@@ -62,15 +62,8 @@
     this->connections.insert(&connection);
     KJ_DEFER(this->connections.erase(&connection));
     while (true) {
-        if (channel.buffered().empty()) {
-            auto paf = kj::newPromiseAndFulfiller<void>();
-            connection.closeWhenIdle = kj::mv(paf.fulfiller);
-            kj::Promise<void> idle = this->context.loop.after(this->limits().idleTimeout + idleMargin).exclusiveJoin(kj::mv(paf.promise));
-            channel.whenReadable().exclusiveJoin(kj::mv(idle)).wait(scope);
-            connection.closeWhenIdle = nullptr;
-            if (channel.buffered().empty()) {
-                return;
-            }
+        if (channel.buffered().empty() && !this->awaitRequest(scope, channel, connection)) {
+            return;
         }
         std::string body;
         absl::StatusOr<LibHttpStream::RequestHead> head = this->readRequest(scope, channel, body);
@@ -84,6 +77,30 @@
     }
 }
 
+bool GatewayService::awaitRequest(kj::WaitScope &scope, LibFiber::ByteChannel &channel, Connection &connection)
+{
+    const LibFiber::Loop &loop = this->context.loop;
+    const AK::Milliseconds idleSince = loop.clock().now();
+    auto paf = kj::newPromiseAndFulfiller<void>();
+    connection.closeWhenIdle = kj::mv(paf.fulfiller);
+    KJ_DEFER(connection.closeWhenIdle = nullptr);
+    bool stopped = false;
+    kj::ForkedPromise<void> stop = paf.promise.then([&stopped] { stopped = true; }).fork();
+    while (!stopped && !channel.ended()) {
+        // Read again after each wait, because a new configuration may have changed it.
+        const AK::Milliseconds left = idleSince + this->limits().idleTimeout + idleMargin - loop.clock().now();
+        if (left <= 0) {
+            break;
+        }
+        channel.whenReadable().exclusiveJoin(stop.addBranch()).exclusiveJoin(this->context.loop.after(left)).wait(scope);
+        if (!channel.buffered().empty()) {
+            return true;
+        }
+    }
+    // A request may have arrived in the turn in which the wait ended.
+    return channel.fill(scope, loop.clock().now()).ok();
+}
+
 absl::StatusOr<LibHttpStream::RequestHead> GatewayService::readRequest(kj::WaitScope &scope, LibFiber::ByteChannel &channel, std::string &body)
 {
     const LibFleet::ClientLimits limits = this->limits();
--- a/Userland/Services/Gateway/GatewayService.h
+++ b/Userland/Services/Gateway/GatewayService.h
@@ -32,6 +32,8 @@
     };
 
     void serve(kj::WaitScope &scope, kj::Own<kj::AsyncIoStream> stream);
+    /// Waits for the first byte of a request. Returns false when the connection has ended, has been idle for too long or is to be closed.
+    bool awaitRequest(kj::WaitScope &scope, LibFiber::ByteChannel &channel, Connection &connection);
     absl::StatusOr<LibHttpStream::RequestHead> readRequest(kj::WaitScope &scope, LibFiber::ByteChannel &channel, std::string &body);
     /// Closes the sending side and waits a short time until the client has closed its side.
     void closeGracefully(kj::WaitScope &scope, LibFiber::ByteChannel &channel);
