Gateway: Answer a call in which an exception was thrown

Callers would see the connection of a whole request closed with neither an answer nor a refusal, whether an upstream had got the request or not. This guards against the class and makes it visible.

Cause: an exception in the fiber of a call passed through the fiber of its connection, which then ended. The log had task_failed, without the request.

Change: CallTask ends such a call with 503 when nothing has been sent to an upstream, otherwise with 502; a response that has begun is cut. Logs: call_failed with the request and the reason; catkinlink_call_exceptions_total.

Evidence: FailingCallTest. Before: 4 of 4 cases failed with no response. After: 4 of 4 passed, and so did the 38 cases of SilentUpstreamTest, IdleConnectionTest and CallTest run with them.

--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -56,9 +56,30 @@
 
 void CallTask::run(kj::WaitScope &scope)
 {
-    if (this->prepare(scope)) {
-        this->context.dispatcher.countCall(this->requirements.service);
-        this->runAttempts(scope);
+    std::optional<std::string> failure;
+    // Exceptions of kj are also exceptions of the standard library; the cancellation of the fiber is neither.
+    try {
+        if (this->prepare(scope)) {
+            this->context.dispatcher.countCall(this->requirements.service);
+            this->runAttempts(scope);
+        }
+    } catch (const std::exception &exception) {
+        failure = exception.what();
+    }
+    // Outside of the handler, because a fiber must not be suspended in one.
+    if (failure) {
+        this->endAfterException(scope, *failure);
+    }
+}
+
+void CallTask::endAfterException(kj::WaitScope &scope, const std::string &failure)
+{
+    this->context.metrics.add("catkinlink_call_exceptions_total");
+    this->logger.error("call_failed", {{"request", this->request.id}, {"reason", failure}});
+    this->silentCall = nullptr;
+    this->mayHaveRun = this->mayHaveRun || this->report.sends > 0;
+    if (!this->client.complete()) {
+        this->giveUp(scope, "internal error", refusalRetryAfter);
     }
 }
 
--- a/Userland/Services/Gateway/CallTask.h
+++ b/Userland/Services/Gateway/CallTask.h
@@ -56,6 +56,8 @@
 
     enum class NextStep { Done, TryAnother };
 
+    /// Answers a call in which an exception was thrown, unless its response has begun.
+    void endAfterException(kj::WaitScope &scope, const std::string &failure);
     /// Decodes and authorizes the call. Returns false after refusing it.
     bool prepare(kj::WaitScope &scope);
     void runAttempts(kj::WaitScope &scope);
