Gateway: Count a refusal only if it is proven to mean this request

Callers were told "not run, try again" for requests that an upstream had run or was running, or such a request was sent to a second upstream: a refusal was believed without a look at what request it means.

A refusal now needs the upstream's statement (or 421), a status from 400 on and the id of this request; without one of them, or if bytes follow it in the same read that neither repeat it nor belong to another request, the outcome is unknown (502, no second upstream for a request that may run once). So it is for 408, 429 and 503 without a statement, which clients take for a promise whoever sends them; they were passed on.

Ways that can't happen, by cases that passed before and after: an earlier refusal with its own id in front of the answer, alone, after a 1xx or on a kept connection; one without an id on a kept connection; a refusal behind an answer; a refusal of a second upstream after a part of an answer (502). A connection is never used again after a refusal, so a repeated refusal with the same id can't meet a retry, and requests that may run once never share a connection.

catkinlink explain names the upstream for the new reason, "unproven refusal".

--- a/Userland/Services/Gateway/UpstreamCall.cpp
+++ b/Userland/Services/Gateway/UpstreamCall.cpp
@@ -1,6 +1,7 @@
 #include "UpstreamCall.h"
 
 #include <AK/Text.h>
+#include <LibGateway/RefusalProof.h>
 #include <algorithm>
 #include <kj/debug.h>
 
@@ -16,7 +17,6 @@
 // Responses to other requests that are dropped before the call fails.
 constexpr int maxMismatchedResponses = 3;
 constexpr uint64_t maxMismatchedBodyBytes = 1UL << 20;
-constexpr int misdirectedStatus = 421;
 
 AK::Milliseconds keepAliveOf(const LibHttpStream::Headers &headers)
 {
@@ -103,14 +103,44 @@
         this->head = std::move(*parsed);
         this->info = decoded;
         this->body = kj::mv(reader);
-        if (decoded.notRun || this->head.status == misdirectedStatus) {
-            return {SendOutcome::NotRun, true, AK::concat("refused with ", this->head.status)};
-        }
-        return {SendOutcome::Answered, false, ""};
+        return this->judgeRefusal(scope);
     }
     return {SendOutcome::Unknown, false, AK::concat("more than ", maxMismatchedResponses, " responses to other requests")};
 }
 
+UpstreamCall::Result UpstreamCall::judgeRefusal(kj::WaitScope &scope)
+{
+    switch (LibGateway::proofOfRefusal(this->head.status, this->info, this->requestId)) {
+    case LibGateway::RefusalProof::NoRefusal:
+        return {SendOutcome::Answered, false, ""};
+    case LibGateway::RefusalProof::Unproven:
+        return {SendOutcome::Unknown, false, AK::concat("unproven refusal: status ", this->head.status, " may mean another request")};
+    case LibGateway::RefusalProof::Proven:
+        break;
+    }
+    if (this->isContradicted(scope)) {
+        return {SendOutcome::Unknown, false, AK::concat("unproven refusal: status ", this->head.status, " is followed by more bytes")};
+    }
+    return {SendOutcome::NotRun, true, AK::concat("refused with ", this->head.status)};
+}
+
+bool UpstreamCall::isContradicted(kj::WaitScope &scope)
+{
+    LibFiber::ByteChannel &channel = *this->connection.channel;
+    const AK::Milliseconds now = this->loop.clock().now();
+    if (!LibHttpStream::readBody(*KJ_ASSERT_NONNULL(this->body), scope, maxMismatchedBodyBytes, now).ok() || channel.buffered().empty()) {
+        return false;
+    }
+    const absl::StatusOr<std::string> text = LibHttpStream::readHeadText(channel, scope, maxResponseHeadBytes, now);
+    const auto next = text.ok() ? LibHttpStream::parseResponseHead(*text) : absl::StatusOr<LibHttpStream::ResponseHead>(text.status());
+    if (!next.ok()) {
+        return true;
+    }
+    const LibGateway::ResponseInfo nextInfo = this->codec.decodeResponse(*next);
+    const bool isOfAnother = !nextInfo.requestId.empty() && nextInfo.requestId != this->requestId;
+    return !isOfAnother && LibGateway::proofOfRefusal(next->status, nextInfo, this->requestId) != LibGateway::RefusalProof::Proven;
+}
+
 const LibHttpStream::ResponseHead &UpstreamCall::responseHead() const
 {
     return this->head;
--- a/Userland/Services/Gateway/UpstreamCall.h
+++ b/Userland/Services/Gateway/UpstreamCall.h
@@ -41,7 +41,8 @@
         bool silent = false;
     };
 
-    /// Sends the request until `deadline` and reads the head of its response until `headDeadline`. Responses to other requests are dropped.
+/// Sends the request until `deadline` and reads the head of its response until `headDeadline`. Responses to other requests are dropped. A refusal counts as
+    /// SendOutcome::NotRun only if it is proven to be the response to this request; see LibGateway::proofOfRefusal().
     Result send(kj::WaitScope &scope, const LibFleet::UpstreamRecord &upstream, const LibHttpStream::RequestHead &head, const std::string &body,
                 const std::string &requestId, bool allowReuse, AK::Milliseconds headDeadline, AK::Milliseconds deadline);
 
@@ -68,6 +69,11 @@
     void finish();
 
 private:
+    /// The result of a response to this request by its head.
+    Result judgeRefusal(kj::WaitScope &scope);
+    /// More bytes have arrived with a refusal that don't repeat it and don't belong to another request.
+    bool isContradicted(kj::WaitScope &scope);
+
     LibFiber::Loop &loop;
     UpstreamConnectionPool &connections;
     const LibGateway::CallCodec &codec;
--- a/Userland/Utilities/catkinlink/Explain.cpp
+++ b/Userland/Utilities/catkinlink/Explain.cpp
@@ -213,6 +213,7 @@
         {"refused with", explainUpstream},
         {"stream ended", explainUpstream},
         {"stream not continued", explainUpstream},
+        {"unproven refusal", explainUpstream},
     };
     if (result == "client_left") {
         return AK::concat("the client closed its connection after ", number(end, "took_ms"), " ms");
