--- a/Tests/Catkinlink/TestExplain.cpp
+++ b/Tests/Catkinlink/TestExplain.cpp
@@ -51,6 +51,8 @@
 
 const std::string notContinued =
     R"("result":"stream_cut","status":200,"reason":"stream not continued: status 500: the status is not 200","sends":2,"upstream":"i-1")";
+const std::string unprovenRefusal =
+    R"("result":"refused","status":502,"reason":"unproven refusal: status 503 may mean another request","sends":1,"upstream":"i-1")";
 
 INSTANTIATE_TEST_SUITE_P(
     Table, ExplainTest,
@@ -88,6 +90,8 @@
                     "only this call failed at the upstream or on the connection to it; upstream i-1"},
         ExplainCase{"not_continued", callEnded("r1", notContinued),
                     "only this call failed at the upstream or on the connection to it; upstream i-1: stream not continued: status 500"},
+        ExplainCase{"unproven_refusal", callEnded("r0", unprovenRefusal) + callEnded("r1", unprovenRefusal),
+                    "the upstream failed 1 other calls within a second; upstream i-1: unproven refusal: status 503 may mean another request. It may have run."},
         ExplainCase{"engine_draining",
                     logLine(endTime - 700, "front-2", "upstream_changed", R"("upstream":"i-1","draining":true,"version":3,"born":5)")
                         + callEnded("r1", streamCut),
