LibHttpStream: Don't use a connection again after bytes while idle

A call of the agent to its engine, or of any process to the store, could get a second copy of an earlier response as its own, so that an order that the engine had refused could be taken for accepted, or the other way round. A connection that the server had closed while idle failed the next call.

Cause: HttpClient looked for bytes and the end of an idle connection only in what had been read already, and nothing read while it was idle. It now reads on, so the next call sees both and opens another connection.

A copy that arrives after the next request was sent is not recognised: these responses carry no id.

--- a/Tests/LibHttpStream/TestHttpClient.cpp
+++ b/Tests/LibHttpStream/TestHttpClient.cpp
@@ -56,4 +56,55 @@
 INSTANTIATE_TEST_SUITE_P(Table, IdleTest, testing::Values(IdleCase{"kept", 0, 1}, IdleCase{"closed", 100, 0}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+struct StrayCase {
+    const char *name;
+    /// Time from the first response until the server writes it once more, in ms.
+    AK::Milliseconds copyAfter;
+    /// The server closes the connection instead.
+    bool closes;
+};
+
+class StrayResponseTest : public testing::TestWithParam<StrayCase>
+{
+};
+
+// Guards against a second copy of a response that is taken for the response to the next call, and against a call on a connection that the server has closed.
+TEST_P(StrayResponseTest, IsNotReadByTheNextCall)
+{
+    LibFiber::Loop loop;
+    int requests = 0;
+    constexpr uint16_t strayPort = port + 1;
+    auto receiver = LibFiber::listenOn(loop, {"127.0.0.1", strayPort});
+    ASSERT_TRUE(receiver.ok()) << receiver.status();
+    LibFiber::acceptEach(loop, kj::mv(*receiver), [&](kj::WaitScope &scope, kj::Own<kj::AsyncIoStream> stream) {
+        LibFiber::ByteChannel channel(loop, kj::mv(stream));
+        while (LibHttpStream::readHeadText(channel, scope, 65'536, loop.clock().now() + timeout).ok()) {
+            const std::string response = absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n", ++requests);
+            EXPECT_TRUE(channel.write(scope, response, loop.clock().now() + timeout).ok());
+            if (requests > 1) {
+                continue;
+            }
+            if (GetParam().closes) {
+                return;
+            }
+            loop.sleep(scope, GetParam().copyAfter);
+            EXPECT_TRUE(channel.write(scope, response, loop.clock().now() + timeout).ok());
+        }
+    });
+    LibHttpStream::HttpClientPool pool(loop, {"127.0.0.1", strayPort});
+    kj::WaitScope &scope = loop.rootScope();
+    for (const char *body : {"1", "2", "3"}) {
+        const AK::Milliseconds deadline = loop.clock().now() + timeout;
+        const auto response = pool.call(scope, "GET", "/", "", deadline, deadline);
+        ASSERT_TRUE(response.ok()) << response.status();
+        EXPECT_EQ(response->body, body);
+        loop.sleep(scope, 60);
+    }
+    loop.cancelSpawned();
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, StrayResponseTest,
+                         testing::Values(StrayCase{"copy_at_once", 0, false}, StrayCase{"copy_while_idle", 20, false}, StrayCase{"closed_while_idle", 0, true}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
--- a/Userland/Libraries/LibHttpStream/HttpClient.cpp
+++ b/Userland/Libraries/LibHttpStream/HttpClient.cpp
@@ -70,6 +70,9 @@
     CATKINLINK_ASSIGN(std::string content, readBody(reader, scope, responseBodyBytes, deadline));
     if (!reader.reusable() || hasToken(response.headers, "Connection", "close")) {
         this->connection = nullptr;
+    } else {
+        // Reads on while the connection is idle, so that the next call sees its end, or bytes that belong to no call.
+        channel.whenReadable();
     }
     return WholeResponse{response.status, std::move(response.headers), std::move(content)};
 }
--- a/Userland/Libraries/LibHttpStream/HttpClient.h
+++ b/Userland/Libraries/LibHttpStream/HttpClient.h
@@ -14,7 +14,8 @@
     std::string body;
 };
 
-/// An HTTP/1.1 client of one server with a persistent connection. Makes one call at a time; fibers must not share an instance.
+/// An HTTP/1.1 client of one server with a persistent connection. Makes one call at a time; fibers must not share an instance. A connection that is closed or
+/// receives bytes while idle is not used again.
 class HttpClient
 {
 public:
