--- a/Userland/Services/Gateway/UpstreamCall.h
+++ b/Userland/Services/Gateway/UpstreamCall.h
@@ -41,7 +41,7 @@
         bool silent = false;
     };
 
-/// Sends the request until `deadline` and reads the head of its response until `headDeadline`. Responses to other requests are dropped. A refusal counts as
+    /// Sends the request until `deadline` and reads the head of its response until `headDeadline`. Responses to other requests are dropped. A refusal counts as
     /// SendOutcome::NotRun only if it is proven to be the response to this request; see LibGateway::proofOfRefusal().
     Result send(kj::WaitScope &scope, const LibFleet::UpstreamRecord &upstream, const LibHttpStream::RequestHead &head, const std::string &body,
                 const std::string &requestId, bool allowReuse, AK::Milliseconds headDeadline, AK::Milliseconds deadline);
