WeightAgent: Load only chunks compared within the last two seconds

An agent whose host stood still between the comparison of its staged chunks and the load command loaded chunks that had become corrupt meanwhile.

Cause: a check whose result is used after a wait. The comparison came before the wait for running calls and for a fresh status, and nothing bounded the time between it and the command.

Change: the comparison returns an AK::RecentCheck, which says how old it is; a load command is sent only while it holds, else the chunks are compared again and the status is read again.

--- a/Userland/Services/WeightAgent/AgentService.cpp
+++ b/Userland/Services/WeightAgent/AgentService.cpp
@@ -24,6 +24,10 @@
 constexpr AK::Milliseconds loadPollInterval = 20;
 // Time after which a load command without effect is evaluated again.
 constexpr AK::Milliseconds loadTimeout = 8'000;
+// Staged chunks may become corrupt at any time, so a load must follow their comparison within this time.
+constexpr AK::Milliseconds comparisonMaxAge = 2'000;
+// Comparisons for one load command; on a host that is too slow for all of them the load is tried again later.
+constexpr int maxComparisons = 3;
 // Version that engines have at the start of a deployment, before the operator names one.
 constexpr int64_t initialVersion = 1;
 
@@ -233,13 +237,16 @@
         if (!held || this->status->report.weightsVersion >= held->manifest().version) {
             continue;
         }
-        // Staged data may become corrupt while the agent waits, so it is compared again right before the load.
-        if (!this->ensureStaged(scope, spec->model, *held) || !this->waitForLoadTurn(scope, spec->model, held->manifest().version)
-            || !this->ensureStaged(scope, spec->model, *held)) {
+        if (!this->compareStaged(scope, spec->model, *held) || !this->waitForLoadTurn(scope, spec->model, held->manifest().version)) {
             this->loop.sleep(scope, retryDelay);
             continue;
         }
-        this->switchTo(scope, spec->model, *held);
+        const std::optional<AK::RecentCheck> compared = this->compareStaged(scope, spec->model, *held);
+        if (!compared) {
+            this->loop.sleep(scope, retryDelay);
+            continue;
+        }
+        this->switchTo(scope, spec->model, *held, *compared);
     }
 }
 
@@ -255,23 +262,24 @@
     this->logger.info("staged_chunks_taken", {{"version", held.manifest().version}, {"chunks", held.heldCount()}, {"of", held.chunkCount()}});
 }
 
-bool AgentService::ensureStaged(kj::WaitScope &scope, const std::string &model, const HeldVersion &held)
+std::optional<AK::RecentCheck> AgentService::compareStaged(kj::WaitScope &scope, const std::string &model, const HeldVersion &held)
 {
+    const AK::RecentCheck compared(this->loop.clock(), comparisonMaxAge);
     for (uint32_t i = 0; i < held.chunkCount(); ++i) {
         const absl::StatusOr<std::string> staged = this->engine.stagedChunk(scope, model, i);
         if (staged.ok() && *staged == held.chunk(i)) {
             continue;
         }
         if (!staged.ok() && !absl::IsNotFound(staged.status())) {
-            return false;
+            return std::nullopt;
         }
         const absl::Status put = this->engine.stageChunk(scope, model, i, held.chunk(i));
         if (!put.ok()) {
             this->logger.warning("chunk_not_staged", {{"chunk", i}, {"reason", std::string(put.message())}});
-            return false;
+            return std::nullopt;
         }
     }
-    return true;
+    return compared;
 }
 
 absl::StatusOr<EngineStatus> AgentService::waitForFreshStatus(kj::WaitScope &scope) const
@@ -319,7 +327,28 @@
     }
 }
 
-void AgentService::switchTo(kj::WaitScope &scope, const std::string &model, const HeldVersion &held)
+std::optional<EngineStatus> AgentService::statusForLoad(kj::WaitScope &scope, const std::string &model, const HeldVersion &held, AK::RecentCheck compared)
+{
+    for (int comparisons = 0; comparisons < maxComparisons; ++comparisons) {
+        const absl::StatusOr<EngineStatus> status = this->waitForFreshStatus(scope);
+        if (!status.ok() || status->busy || status->report.weightsVersion == held.manifest().version) {
+            return std::nullopt;
+        }
+        if (compared.holds()) {
+            return *status;
+        }
+        this->logger.info("staged_chunks_compared_again", {{"version", held.manifest().version}, {"age_ms", compared.age()}});
+        const std::optional<AK::RecentCheck> again = this->compareStaged(scope, model, held);
+        if (!again) {
+            return std::nullopt;
+        }
+        compared = *again;
+    }
+    this->logger.warning("load_put_off", {{"version", held.manifest().version}, {"reason", "comparing the staged chunks takes too long"}});
+    return std::nullopt;
+}
+
+void AgentService::switchTo(kj::WaitScope &scope, const std::string &model, const HeldVersion &held, const AK::RecentCheck &compared)
 {
     const int64_t version = held.manifest().version;
     this->switchPending = true;
@@ -328,8 +357,8 @@
     if (this->status->report.weightsVersion != 0) {
         this->drainCalls(scope);
     }
-    const absl::StatusOr<EngineStatus> before = this->waitForFreshStatus(scope);
-    if (!before.ok() || before->busy || before->report.weightsVersion == version) {
+    const std::optional<EngineStatus> before = this->statusForLoad(scope, model, held, compared);
+    if (!before) {
         return;
     }
     const absl::StatusOr<LoadOutcome> answer = this->engine.load(scope, model, version, LoadStrategy::AbortCalls, before->commandSequence);
--- a/Userland/Services/WeightAgent/AgentService.h
+++ b/Userland/Services/WeightAgent/AgentService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "SwarmFetch.h"
+#include <AK/RecentCheck.h>
 #include <Fleet/PeerExchange.h>
 
 namespace WeightAgent
@@ -45,9 +46,12 @@
     std::shared_ptr<HeldVersion> newestCompleteVersion(const std::string &model) const;
     /// Adds the chunks that are already staged at the engine to `held`.
     void adoptStagedChunks(kj::WaitScope &scope, const std::string &model, HeldVersion &held);
-    /// Compares all staged chunks with `held` and stages those that are missing or differ. False when the engine fails.
-    bool ensureStaged(kj::WaitScope &scope, const std::string &model, const HeldVersion &held);
-    void switchTo(kj::WaitScope &scope, const std::string &model, const HeldVersion &held);
+    /// Compares all staged chunks with `held` and stages those that are missing or differ. Returns nothing when the engine fails.
+    std::optional<AK::RecentCheck> compareStaged(kj::WaitScope &scope, const std::string &model, const HeldVersion &held);
+    /// Returns the status on which a load command is to be based. `compared` holds then, after more comparisons if necessary. Nothing when the engine must not
+    /// or need not load the version now.
+    std::optional<EngineStatus> statusForLoad(kj::WaitScope &scope, const std::string &model, const HeldVersion &held, AK::RecentCheck compared);
+    void switchTo(kj::WaitScope &scope, const std::string &model, const HeldVersion &held, const AK::RecentCheck &compared);
     /// Waits for a status that was read after this call. Errors: kUnavailable when the engine does not answer.
     absl::StatusOr<EngineStatus> waitForFreshStatus(kj::WaitScope &scope) const;
     /// Waits for loadDelay(). False when `version` is no longer the newest complete version.
