LibFleet: Mend what the linter found in the era of the store

The observer of the era is passed by reference, a test joins strings with AK::concat, and one check that misreads operator<=> is switched off on its line.

--- a/Tests/Services/Fleet/TestObjectFeeds.cpp
+++ b/Tests/Services/Fleet/TestObjectFeeds.cpp
@@ -1,3 +1,4 @@
+#include <AK/Text.h>
 #include <Fleet/ObjectFeeds.h>
 #include <functional>
 #include <gtest/gtest.h>
@@ -79,7 +80,7 @@
             this->specs.clear();
             for (const auto &[name, spec] : specs) {
                 this->names.push_back(name);
-                this->specs.push_back(name + " " + spec);
+                this->specs.push_back(AK::concat(name, " ", spec));
             }
         }
     }
--- a/Userland/Libraries/LibFleet/StorePosition.h
+++ b/Userland/Libraries/LibFleet/StorePosition.h
@@ -21,7 +21,7 @@
     {
     }
 
-    auto operator<=>(const StorePosition &) const = default;
+    auto operator<=>(const StorePosition &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 } // namespace LibFleet
--- a/Userland/Services/Fleet/ObjectSource.h
+++ b/Userland/Services/Fleet/ObjectSource.h
@@ -27,7 +27,7 @@
     virtual absl::Status erase(kj::WaitScope &scope, LibFleet::ObjectKind kind, const std::string &name) = 0;
 
     /// Sets the function that is called with the era of each response, also of those that fail; see LibFleet::StorePosition.
-    virtual void observeEra(std::function<void(int64_t)> /*observer*/)
+    virtual void observeEra(const std::function<void(int64_t)> & /*observer*/)
     {
     }
 };
