LibJson: Bound a text before recursive code sees it

One registration of another writer with a list in a list, 4,000 deep, ended every entry process within a few ms of its read: StoreClient serialized each spec again, json::dump() calls itself once a level, and a fiber's stack has 256 KiB. The platform started the processes again and they read the same list. A number beyond the range of a double (1e999) made the parser refuse the whole list, and with it every later change. The class: bytes of another writer reach code whose stack or memory grows with them, and one value decides about all others of an answer.

LibJson checks size, depth and number of values on the bytes, without recursion, and is now the only way in for JSON of the product: store and peers' objects, engine status and responses, claims, manifests, audit batches, settings, requests of operators and callers, the object API, the command line.

--- a/Userland/Libraries/LibAudit/AuditArchive.cpp
+++ b/Userland/Libraries/LibAudit/AuditArchive.cpp
@@ -3,6 +3,7 @@
 #include <AK/StatusMacros.h>
 #include <AK/Text.h>
 #include <LibAudit/AuditTrail.h>
+#include <LibJson/BoundedJson.h>
 #include <map>
 
 namespace LibAudit
@@ -31,7 +32,8 @@
         if (!stored.ok()) {
             return created;
         }
-        if (nlohmann::json::parse(stored->value, nullptr, false) != batch) {
+        const absl::StatusOr<nlohmann::json> held = LibJson::parse(stored->value);
+        if (!held.ok() || *held != batch) {
             return absl::DataLossError(AK::concat("audit/", name, " holds other entries than the configuration object"));
         }
     }
@@ -50,11 +52,11 @@
         if (!first) {
             continue;
         }
-        nlohmann::json batch = nlohmann::json::parse(object.value, nullptr, false);
-        if (!batch.is_array()) {
+        absl::StatusOr<nlohmann::json> batch = LibJson::parse(object.value);
+        if (!batch.ok() || !batch->is_array()) {
             return absl::DataLossError(AK::concat("audit/", object.name, " is not a JSON array"));
         }
-        batches[*first] = std::move(batch);
+        batches[*first] = std::move(*batch);
     }
     nlohmann::json entries = nlohmann::json::array();
     for (const auto &[first, batch] : batches) {
--- a/Userland/Libraries/LibEngine/Engine.cpp
+++ b/Userland/Libraries/LibEngine/Engine.cpp
@@ -2,7 +2,7 @@
 
 #include <AK/StatusMacros.h>
 #include <AK/Text.h>
-#include <nlohmann/json.hpp>
+#include <LibJson/BoundedJson.h>
 #include <optional>
 
 namespace LibEngine
@@ -13,17 +13,25 @@
     return AK::concat(this->instance, "-", this->generation, "-", this->root.substr(0, 16));
 }
 
+namespace
+{
+
+// A completion with its text; the service reads no longer ones.
+constexpr LibJson::JsonLimits responseLimits{size_t{16} << 20, 64, 1'000'000};
+
+} // namespace
+
 std::optional<std::string> fingerprintOf(std::string_view text)
 {
     constexpr std::string_view eventPrefix = "data: ";
     if (text.starts_with(eventPrefix)) {
         text.remove_prefix(eventPrefix.size());
     }
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
-    if (!json.is_object() || !json.contains("system_fingerprint") || !json["system_fingerprint"].is_string()) {
+    const absl::StatusOr<nlohmann::json> json = LibJson::parseObject(text, responseLimits);
+    if (!json.ok() || !json->contains("system_fingerprint") || !(*json)["system_fingerprint"].is_string()) {
         return std::nullopt;
     }
-    return json["system_fingerprint"].get<std::string>();
+    return (*json)["system_fingerprint"].get<std::string>();
 }
 
 namespace
@@ -50,10 +58,11 @@
 
 absl::StatusOr<EngineStatus> parseEngineStatus(std::string_view text)
 {
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
-    if (!json.is_object()) {
-        return absl::InvalidArgumentError("engine status is not a JSON object");
+    const absl::StatusOr<nlohmann::json> parsed = LibJson::parseObject(text, LibJson::recordLimits);
+    if (!parsed.ok()) {
+        return absl::InvalidArgumentError(AK::concat("engine status: ", parsed.status().message()));
     }
+    const nlohmann::json &json = *parsed;
     try {
         EngineStatus status;
         status.instance = json.at("instance").get<std::string>();
--- a/Userland/Libraries/LibObjectStore/HttpObjectStore.cpp
+++ b/Userland/Libraries/LibObjectStore/HttpObjectStore.cpp
@@ -3,7 +3,7 @@
 #include <AK/StatusMacros.h>
 #include <AK/Text.h>
 #include <LibHttp/HttpClient.h>
-#include <nlohmann/json.hpp>
+#include <LibJson/BoundedJson.h>
 
 namespace LibObjectStore
 {
@@ -12,6 +12,8 @@
 {
 
 constexpr size_t responseLimitBytes = size_t{16} << 20;
+// A list of many objects, each as deep as a settings document.
+constexpr LibJson::JsonLimits responseLimits{responseLimitBytes, 40, 2'000'000};
 // Added to the wait of a watch, because the store sends the response only when the wait has ended.
 constexpr AK::Milliseconds watchMarginMs = 2'000;
 
@@ -27,9 +29,9 @@
 
 absl::StatusOr<nlohmann::json> parseJsonObject(const std::string &text)
 {
-    nlohmann::json parsed = nlohmann::json::parse(text, nullptr, false);
-    if (!parsed.is_object()) {
-        return malformed("not a JSON object");
+    absl::StatusOr<nlohmann::json> parsed = LibJson::parseObject(text, responseLimits);
+    if (!parsed.ok()) {
+        return malformed(std::string(parsed.status().message()));
     }
     return parsed;
 }
--- a/Userland/Libraries/LibOnce/ClaimRecord.cpp
+++ b/Userland/Libraries/LibOnce/ClaimRecord.cpp
@@ -3,7 +3,7 @@
 #include <AK/Hash.h>
 #include <AK/StatusMacros.h>
 #include <AK/Text.h>
-#include <nlohmann/json.hpp>
+#include <LibJson/BoundedJson.h>
 
 namespace LibOnce
 {
@@ -219,13 +219,11 @@
 
 absl::StatusOr<ClaimRecord> parseClaim(std::string_view text)
 {
-    if (text.size() > maxClaimBytes) {
-        return invalid(AK::concat("claim: has ", text.size(), " bytes, limit ", maxClaimBytes));
-    }
-    const Json json = Json::parse(text, nullptr, false);
-    if (!json.is_object()) {
-        return invalid("claim: is no JSON object");
+    const absl::StatusOr<Json> parsed = LibJson::parseObject(text, {maxClaimBytes, 8, 10'000});
+    if (!parsed.ok()) {
+        return invalid(AK::concat("claim: ", parsed.status().message()));
     }
+    const Json &json = *parsed;
     CATKINLINK_TRY(readNumber(json, "", "format", 1, 1).status());
     ClaimRecord record;
     CATKINLINK_ASSIGN(const std::string stateName, readText(json, "", "state", 32, true));
--- a/Userland/Libraries/LibSettings/JsonFile.cpp
+++ b/Userland/Libraries/LibSettings/JsonFile.cpp
@@ -1,6 +1,7 @@
 #include <LibSettings/JsonFile.h>
 
 #include <AK/Text.h>
+#include <LibJson/BoundedJson.h>
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -12,21 +13,18 @@
 namespace
 {
 
-constexpr int nestingLimit = 32;
+constexpr LibJson::JsonLimits documentLimits{documentLimitBytes, 32, 200'000};
 
 } // namespace
 
 absl::StatusOr<nlohmann::json> parseJson(const std::string &text, const std::string &source)
 {
-    if (text.size() > documentLimitBytes) {
-        return absl::InvalidArgumentError(AK::concat(source, ": ", text.size(), " bytes, the limit is ", documentLimitBytes));
+    if (const absl::Status status = LibJson::checkLimits(text, documentLimits); !status.ok()) {
+        return absl::InvalidArgumentError(AK::concat(source, ": ", status.message()));
     }
     std::string problem;
     std::vector<std::set<std::string>> keysOfObjects;
-    const auto checkEvent = [&](int depth, nlohmann::json::parse_event_t event, nlohmann::json &value) {
-        if (depth > nestingLimit && problem.empty()) {
-            problem = AK::concat("nests deeper than ", nestingLimit, " levels");
-        }
+    const auto checkEvent = [&](int /*depth*/, nlohmann::json::parse_event_t event, nlohmann::json &value) {
         if (event == nlohmann::json::parse_event_t::object_start) {
             keysOfObjects.emplace_back();
         } else if (event == nlohmann::json::parse_event_t::object_end) {
--- a/Userland/Libraries/LibWeights/Manifest.cpp
+++ b/Userland/Libraries/LibWeights/Manifest.cpp
@@ -4,8 +4,8 @@
 #include <AK/StatusMacros.h>
 #include <AK/Text.h>
 #include <LibHttp/HttpMessage.h>
+#include <LibJson/BoundedJson.h>
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <set>
 
 namespace LibWeights
@@ -15,7 +15,7 @@
 {
 
 // A manifest is sent in one RPC message, which may have at most 16 MiB.
-constexpr size_t maxTextBytes = size_t{8} << 20;
+constexpr LibJson::JsonLimits textLimits{size_t{8} << 20, 16, 200'000};
 constexpr size_t maxFiles = 4096;
 constexpr size_t maxChunks = 100'000;
 // A chunk is sent in one RPC message.
@@ -141,13 +141,11 @@
 
 absl::StatusOr<Manifest> parseManifest(std::string_view text)
 {
-    if (text.size() > maxTextBytes) {
-        return invalid("/", AK::concat(text.size(), " bytes exceed the limit of ", maxTextBytes));
-    }
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
-    if (!json.is_object()) {
-        return invalid("/", "must be a JSON object");
+    const absl::StatusOr<nlohmann::json> parsed = LibJson::parseObject(text, textLimits);
+    if (!parsed.ok()) {
+        return invalid("/", std::string(parsed.status().message()));
     }
+    const nlohmann::json &json = *parsed;
     Manifest manifest;
     CATKINLINK_ASSIGN(manifest.model, readName(json, "model", "/"));
     CATKINLINK_ASSIGN(manifest.adapter, readName(json, "adapter", "/"));
--- a/Userland/Services/Entry/CallParser.cpp
+++ b/Userland/Services/Entry/CallParser.cpp
@@ -2,8 +2,8 @@
 
 #include <AK/Hash.h>
 #include <AK/Text.h>
+#include <LibJson/BoundedJson.h>
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace Entry
 {
@@ -16,6 +16,8 @@
 constexpr AK::Milliseconds maximumDeadlineMs = 3'600'000;
 // Part of the prompt that selects an upstream by affinity: shorter than most system prompts, longer than a common greeting.
 constexpr size_t promptPrefixBytes = 512;
+// The server bounds the size of a body further.
+constexpr LibJson::JsonLimits requestLimits{size_t{64} << 20, 64, 1'000'000};
 
 std::optional<std::string> percentDecode(std::string_view text)
 {
@@ -93,8 +95,12 @@
     if (call.request.method != "POST") {
         return RequestError{405, "method", AK::concat("method ", call.request.method, " is not allowed on ", call.request.path), 0};
     }
-    const nlohmann::json body = nlohmann::json::parse(call.request.body, nullptr, false);
-    if (!body.is_object() || !body.contains("model") || !body["model"].is_string()) {
+    const absl::StatusOr<nlohmann::json> parsed = LibJson::parseObject(call.request.body, requestLimits);
+    if (!parsed.ok()) {
+        return RequestError{400, "body", AK::concat("body: ", parsed.status().message()), 0};
+    }
+    const nlohmann::json &body = *parsed;
+    if (!body.contains("model") || !body["model"].is_string()) {
         return RequestError{400, "body", "body must be a JSON object with a string field model", 0};
     }
     if (body.contains("stream") && !body["stream"].is_boolean()) {
--- a/Userland/Services/Operator/OperatorJson.cpp
+++ b/Userland/Services/Operator/OperatorJson.cpp
@@ -3,6 +3,7 @@
 #include <AK/Hash.h>
 #include <AK/Text.h>
 #include <LibConfiguration/RevisionHolder.h>
+#include <LibJson/BoundedJson.h>
 
 namespace Operator
 {
@@ -82,8 +83,12 @@
 
 absl::StatusOr<LibConfiguration::ApplyRequest> parseApplyRequest(const std::string &body, const std::string &author)
 {
-    const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
-    if (!json.is_object() || !json.contains("document") || !json["document"].is_object()) {
+    const absl::StatusOr<nlohmann::json> parsed = LibJson::parseObject(body);
+    if (!parsed.ok()) {
+        return invalid(AK::concat("body: ", parsed.status().message()));
+    }
+    const nlohmann::json &json = *parsed;
+    if (!json.contains("document") || !json["document"].is_object()) {
         return invalid("/document is not an object");
     }
     if (!json.contains("expected_revision") || !json["expected_revision"].is_number_unsigned()) {
@@ -102,8 +107,12 @@
 absl::StatusOr<LibConfiguration::Restriction> parseRestriction(const std::string &body, const std::string &author, const LibSettings::SiteDocument &document,
                                                                AK::Milliseconds wallTime)
 {
-    const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
-    if (!json.is_object() || json.contains("failure_domain") == json.contains("upstream") || hasString(json, "failure_domain") == hasString(json, "upstream")) {
+    const absl::StatusOr<nlohmann::json> parsed = LibJson::parseObject(body, LibJson::recordLimits);
+    if (!parsed.ok()) {
+        return invalid(AK::concat("body: ", parsed.status().message()));
+    }
+    const nlohmann::json &json = *parsed;
+    if (json.contains("failure_domain") == json.contains("upstream") || hasString(json, "failure_domain") == hasString(json, "upstream")) {
         return invalid("exactly one of /failure_domain and /upstream must be a string");
     }
     if ((json.contains("reason") && !json["reason"].is_string()) || (json.contains("ttl_ms") && !json["ttl_ms"].is_number_unsigned())) {
--- a/Userland/Utilities/catkinlink/EntryClient.cpp
+++ b/Userland/Utilities/catkinlink/EntryClient.cpp
@@ -2,6 +2,7 @@
 
 #include <AK/Text.h>
 #include <LibHttp/HttpClient.h>
+#include <LibJson/BoundedJson.h>
 #include <fstream>
 #include <sstream>
 #include <utility>
@@ -15,6 +16,8 @@
 constexpr AK::Milliseconds readTimeoutMs = 3'000;
 // Longer than the conditional update at the entry, including its re-reads.
 constexpr AK::Milliseconds changeTimeoutMs = 10'000;
+// A view of many hosts, or an audit trail with its archive.
+constexpr LibJson::JsonLimits responseLimits{size_t{64} << 20, 48, 4'000'000};
 
 bool isRefusal(const LibHttp::HttpResponse &response, RefusalIndicator indicator)
 {
@@ -57,9 +60,10 @@
             problems += AK::concat("\n  entry ", entry.text(), " answered ", response->status, ": ", textIn(objectIn(response->body), "error"));
             continue;
         }
-        nlohmann::json json = nlohmann::json::parse(response->body, nullptr, false);
-        if (!json.is_object()) {
-            return absl::DataLossError(AK::concat("entry ", entry.text(), " answered GET ", path, " with a body that is not a JSON object"));
+        absl::StatusOr<nlohmann::json> json = LibJson::parseObject(response->body, responseLimits);
+        if (!json.ok()) {
+            return absl::DataLossError(
+                AK::concat("entry ", entry.text(), " answered GET ", path, " with a body that is not a JSON object: ", json.status().message()));
         }
         return json;
     }
@@ -116,8 +120,8 @@
 
 nlohmann::json objectIn(const std::string &body)
 {
-    nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
-    return json.is_object() ? json : nlohmann::json::object();
+    absl::StatusOr<nlohmann::json> json = LibJson::parseObject(body, responseLimits);
+    return json.ok() ? std::move(*json) : nlohmann::json::object();
 }
 
 std::string textIn(const nlohmann::json &json, const char *key)
--- a/Userland/Utilities/catkinlink/Explain.cpp
+++ b/Userland/Utilities/catkinlink/Explain.cpp
@@ -4,6 +4,7 @@
 
 #include <AK/StatusMacros.h>
 #include <AK/Text.h>
+#include <LibJson/BoundedJson.h>
 #include <algorithm>
 #include <fstream>
 #include <functional>
@@ -240,12 +241,12 @@
     if (begin == std::string::npos) {
         return std::nullopt;
     }
-    nlohmann::json object = nlohmann::json::parse(text.substr(begin), nullptr, false);
-    if (!object.is_object()) {
+    absl::StatusOr<nlohmann::json> object = LibJson::parseObject(std::string_view(text).substr(begin));
+    if (!object.ok()) {
         return std::nullopt;
     }
     LogLine line;
-    line.fields = std::move(object);
+    line.fields = std::move(*object);
     line.time = number(line, "time_ms");
     line.process = field(line, "process");
     line.event = field(line, "event");
