platform: Refuse a number out of range with the path of its field

A registration with slots was used as one with 16, a cold time of 2^53 ms was added to the clock, negative counts and text in place of a number became 0, a duration in the settings file with ".nan" or "1e300" seconds was cast to an integer, and the load that an upstream names in a header could overflow where running and waiting are added. The class: each reader cast what integerField() returned, and a field of another type counted as missing.

LibJson::ObjectReader reads the fields of an object: type and range are checked against the target type, the first error keeps the path of its field, and only null counts as missing. Numbers in headers are bounded where they are decoded.

--- a/Tests/Fuzz/TestHostileInput.cpp
+++ b/Tests/Fuzz/TestHostileInput.cpp
@@ -99,7 +99,7 @@
         {"call", {{"model", "m"}, {"stream", true}, {"messages", nlohmann::json::array()}}, acceptsCall},
         {"origin_manifest", {{"version", 2}, {"chunkBytes", 32'768}, {"digests", {digest}}}, acceptsOriginManifest},
         {"configuration",
-         {{"version", 7}, {"routes", nlohmann::json::array()}, {"services", nlohmann::json::array()}},
+         {{"version", 7}, {"routes", nlohmann::json::array()}, {"services", nlohmann::json::array()}, {"limits", nlohmann::json::object()}},
          [](LibFiber::Loop &, const std::string &text) {
              return Platform::decodeConfiguration(text).ok();
          }},
--- a/Tests/Platform/TestCodec.cpp
+++ b/Tests/Platform/TestCodec.cpp
@@ -3,7 +3,6 @@
 #include <gtest/gtest.h>
 #include <platform/CallHeaders.h>
 #include <platform/Directory.h>
-#include <platform/JsonFields.h>
 #include <platform/NodeSettings.h>
 #include <platform/ObjectCodec.h>
 
@@ -221,6 +220,7 @@
                          testing::Values(AnswerCase{"refused", {{"X-Not-Executed", "1"}}, true, false, -1},
                                          AnswerCase{"ran", {{"X-Server-Seal", "3e1b"}, {"X-Worker-Load", "3,0,8"}}, false, true, 3},
                                          AnswerCase{"broken_load", {{"X-Worker-Load", "3,x"}}, false, false, -1},
+                                         AnswerCase{"load_that_overflows", {{"X-Worker-Load", "2147483646,2147483646,8"}}, false, false, -1},
                                          AnswerCase{"negative_load", {{"X-Worker-Load", "3,-1,8"}}, false, false, -1}),
                          [](const auto &info) { return std::string(info.param.name); });
 
@@ -245,7 +245,7 @@
     }
 }
 
-const std::string upstreamStart = R"({"service":"s","addr":"10.1.0.2:80","zone":"z","slots":16,"state":"ready")";
+const std::string upstreamStart = R"({"service":"s","addr":"10.1.0.2:80","zone":"z","version":"v1","slots":16,"state":"ready","coldLeftMs":0,"seq":3)";
 
 INSTANTIATE_TEST_SUITE_P(
     Table, UpstreamTest,
@@ -255,9 +255,13 @@
                     UpstreamCase{"other_version", upstreamStart + R"(,"models":[{"version":2}],"layers":{"from":0,"to":16,"version":1}})", true, 0},
                     UpstreamCase{"empty", upstreamStart + R"(,"models":[],"layers":null})", true, 0}, UpstreamCase{"no_object", "7", false, 0},
                     UpstreamCase{"no_json", "{", false, 0},
-                    UpstreamCase{"unknown_state", R"({"service":"s","addr":"1.2.3.4:5","zone":"z","slots":1,"state":"odd"})", false, 0},
-                    UpstreamCase{"address_no_ip", R"({"service":"s","addr":"host:5","zone":"z","slots":1,"state":"ready"})", false, 0},
-                    UpstreamCase{"slots_text", R"({"service":"s","addr":"1.2.3.4:5","zone":"z","slots":"16","state":"ready"})", false, 0}),
+                    UpstreamCase{"unknown_state",
+                                 R"({"service":"s","addr":"1.2.3.4:5","zone":"z","version":"v1","slots":1,"state":"odd","coldLeftMs":0,"seq":3})", false, 0},
+                    UpstreamCase{"address_no_ip",
+                                 R"({"service":"s","addr":"host:5","zone":"z","version":"v1","slots":1,"state":"ready","coldLeftMs":0,"seq":3})", false, 0},
+                    UpstreamCase{"slots_text",
+                                 R"({"service":"s","addr":"1.2.3.4:5","zone":"z","version":"v1","slots":"16","state":"ready","coldLeftMs":0,"seq":3})", false,
+                                 0}),
     [](const auto &info) { return std::string(info.param.name); });
 
 // Guards against one malformed object that prevents the others from being decoded.
@@ -268,11 +272,13 @@
     LibFleet::FleetState state(clock);
     codec.decode(LibFleet::ObjectKind::Upstreams, {{"a", upstreamStart + "}"}, {"b", "rubbish"}}, state);
     EXPECT_EQ(state.upstreams().size(), 1U);
-    codec.decode(LibFleet::ObjectKind::Configuration, {{"main", R"({"version":3,"routes":[],"services":[{"name":"s"}]})"}}, state);
+    codec.decode(LibFleet::ObjectKind::Configuration, {{"main", R"({"version":3,"routes":[],"services":[{"name":"s"}],"limits":{}})"}}, state);
     codec.decode(LibFleet::ObjectKind::Configuration, {{"main", R"({"version":4,"routes":[{"host":"h"}]})"}}, state);
     EXPECT_EQ(state.configuration()->version, 3) << "a malformed configuration changes nothing";
-    codec.decode(LibFleet::ObjectKind::Upstreams,
-                 {{"a", upstreamStart + "}"}, {"c", R"({"service":"t","addr":"1.2.3.4:5","zone":"z","slots":1,"state":"ready"})"}}, state);
+    codec.decode(
+        LibFleet::ObjectKind::Upstreams,
+        {{"a", upstreamStart + "}"}, {"c", R"({"service":"t","addr":"1.2.3.4:5","zone":"z","version":"v1","slots":1,"state":"ready","coldLeftMs":0,"seq":3})"}},
+        state);
     EXPECT_EQ(state.upstreams().size(), 1U) << "an upstream of an unknown service is skipped";
 }
 
--- a/Tests/Platform/TestOddObjects.cpp
+++ b/Tests/Platform/TestOddObjects.cpp
@@ -61,6 +61,12 @@
                                          OddEntryCase{"nested_without_end", R"(,"more":)" + nestedLists(400'000)},
                                          OddEntryCase{"too_many_values", R"(,"more":[)" + repeated("0,", 100'000) + "0]"},
                                          OddEntryCase{"too_large_for_a_double", R"(,"more":1e999)"},
+                                         OddEntryCase{"slots_beyond_32_bits", R"(,"slots":4294967312)"}, OddEntryCase{"slots_negative", R"(,"slots":-1)"},
+                                         OddEntryCase{"slots_fraction", R"(,"slots":1.5)"}, OddEntryCase{"cold_for_ages", R"(,"coldLeftMs":9007199254740991)"},
+                                         OddEntryCase{"cold_negative", R"(,"coldLeftMs":-1)"}, OddEntryCase{"sequence_negative", R"(,"seq":-1)"},
+                                         OddEntryCase{"start_as_text", R"(,"born":"1780000000000")"}, OddEntryCase{"start_fraction", R"(,"born":1.5)"},
+                                         OddEntryCase{"models_as_text", R"(,"models":"m")"},
+                                         OddEntryCase{"layers_beyond_64_bits", R"(,"models":[{"version":1}],"layers":{"from":0,"to":1e18,"version":1})"},
                                          OddEntryCase{"port_out_of_range", R"(,"addr":"10.1.0.2:70000")"}),
                          [](const auto &info) { return std::string(info.param.name); });
 
--- a/Userland/Libraries/LibJson/ObjectReader.cpp
+++ b/Userland/Libraries/LibJson/ObjectReader.cpp
@@ -69,6 +69,11 @@
     }
 }
 
+void ObjectReader::adopt(const absl::Status &status)
+{
+    this->firstError.Update(status);
+}
+
 const nlohmann::json *ObjectReader::find(const char *name) const
 {
     if (!this->source.is_object()) {
@@ -92,6 +97,11 @@
     return this->find(name) != nullptr;
 }
 
+bool ObjectReader::mentions(const char *name) const
+{
+    return this->source.is_object() && this->source.contains(name);
+}
+
 std::string ObjectReader::text(const char *name)
 {
     const nlohmann::json *value = this->require(name);
--- a/Userland/Libraries/LibJson/ObjectReader.h
+++ b/Userland/Libraries/LibJson/ObjectReader.h
@@ -6,7 +6,9 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <type_traits>
+#include <utility>
 
 namespace LibJson
 {
@@ -47,6 +49,8 @@
 
     /// Whether the field exists and is not null.
     bool has(const char *name) const;
+    /// Whether the field exists.
+    bool mentions(const char *name) const;
 
     /// An array or an object; empty when an optional one is missing.
     const nlohmann::json &array(const char *name);
@@ -59,6 +63,8 @@
 
     /// Records an error at a field.
     void fail(const char *name, std::string_view problem);
+    /// Records the error of the reader of a part of the object.
+    void adopt(const absl::Status &status);
 
 private:
     template <typename Integer>
--- a/Userland/Services/Gateway/UpstreamCall.cpp
+++ b/Userland/Services/Gateway/UpstreamCall.cpp
@@ -17,6 +17,7 @@
 // Responses to other requests that are dropped before the call fails.
 constexpr int maxMismatchedResponses = 3;
 constexpr uint64_t maxMismatchedBodyBytes = 1UL << 20;
+constexpr int64_t maxKeepAliveSeconds = 24 * 3'600;
 
 AK::Milliseconds keepAliveOf(const LibHttpStream::Headers &headers)
 {
@@ -31,7 +32,7 @@
     }
     std::string_view digits = std::string_view(*value).substr(start + field.size());
     digits = digits.substr(0, std::min(digits.find_first_not_of("0123456789"), digits.size()));
-    return AK::parseInteger(digits).value_or(0) * 1000;
+    return std::min(AK::parseInteger(digits).value_or(0), maxKeepAliveSeconds) * 1000;
 }
 
 } // namespace
