platform: Let an object that can't be read hide no other

One registration with a byte that can't be read ("caf\xe9") hid all later changes: the answer was parsed as a whole, thrown away, and the store taken for lost. The class: one bad item decides about the list that holds it.

Since StoreAnswer takes each object out of the answer by itself, the decision about it is the decoder's. What is new here: names are decoded byte by byte, also where the store writes a byte as half a surrogate pair, so that a change or removal of such an object is its own; the list goes on after such a name; a name that can't stand in a header names no upstream; an item or event without a name is left out. A registration that was sound and can't be read any more names no upstream: what it says now is not known. Each such object is logged once (object_unreadable, in place of four events that were logged at each read) and counted (catkinlink_unreadable_objects, _total).

--- a/Tests/Platform/FakeStore.cpp
+++ b/Tests/Platform/FakeStore.cpp
@@ -4,6 +4,7 @@
 #include <LibFiber/Acceptor.h>
 #include <LibFiber/ByteChannel.h>
 #include <LibHttpStream/MessageReader.h>
+#include <LibJson/RawJson.h>
 #include <kj/debug.h>
 
 namespace
@@ -27,6 +28,20 @@
     return target.substr(valueStart, target.find('&', valueStart) - valueStart);
 }
 
+std::string percentDecode(const std::string &text)
+{
+    std::string decoded;
+    for (size_t i = 0; i < text.size(); ++i) {
+        if (text[i] == '%' && i + 2 < text.size()) {
+            decoded += static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16));
+            i += 2;
+        } else {
+            decoded += text[i];
+        }
+    }
+    return decoded;
+}
+
 } // namespace
 
 FakeStore::FakeStore(LibFiber::Loop &loop)
@@ -75,7 +90,8 @@
     size_t count = 0;
     bool truncated = false;
     for (const auto &[name, object] : this->objects[kind]) {
-        if (name <= AK::concat("\"", after, "\"") && !after.empty()) {
+        // What is no object has no name and comes after the others.
+        if (const auto decoded = LibJson::decodeText(name); decoded && *decoded <= after) {
             continue;
         }
         truncated = count == this->pageSize;
@@ -119,7 +135,7 @@
         const std::string kind = path.substr(path.rfind('/') + 1);
         const std::string since = queryValue(head->target, "watch");
         const std::string body = since.empty()
-            ? this->listAnswer(kind, queryValue(head->target, "afterRev"))
+            ? this->listAnswer(kind, percentDecode(queryValue(head->target, "afterRev")))
             : this->watchAnswer(scope, kind, AK::parseInteger(since).value_or(0), AK::parseInteger(queryValue(head->target, "waitMs")).value_or(0));
         const LibHttpStream::ResponseHead response{200, "OK", {{"Content-Type", "application/json"}, {"Content-Length", std::to_string(body.size())}}};
         if (!channel.write(scope, LibHttpStream::serializeResponseHead(response) + body, this->loop.clock().now() + testTimeout).ok()) {
--- a/Tests/Platform/StoreReader.h
+++ b/Tests/Platform/StoreReader.h
@@ -2,6 +2,7 @@
 
 #include "FakeStore.h"
 #include <Fleet/ObjectFeeds.h>
+#include <LibMetrics/MetricRegistry.h>
 #include <functional>
 #include <platform/ObjectCodec.h>
 #include <platform/StoreClient.h>
@@ -22,7 +23,8 @@
     LibFiber::Loop loop;
     FakeStore store{this->loop};
     LibFleet::FleetState state{this->loop.clock()};
-    Platform::ObjectCodec codec{this->loop.clock(), 0};
+    LibMetrics::MetricRegistry metrics;
+    Platform::ObjectCodec codec{this->loop.clock(), 0, this->metrics};
     Platform::StoreClient client{this->loop, this->store.address()};
     Fleet::ObjectFeeds feeds{this->loop, this->client, this->codec, this->state};
     LibFiber::SpawnedFibersGuard fibersGuard{this->loop};
--- a/Tests/Platform/TestCodec.cpp
+++ b/Tests/Platform/TestCodec.cpp
@@ -268,7 +268,8 @@
 TEST(ObjectCodec, SkipsOnlyMalformedObjects)
 {
     const AK::SystemClock clock;
-    ObjectCodec codec(clock, 0);
+    LibMetrics::MetricRegistry metrics;
+    ObjectCodec codec(clock, 0, metrics);
     LibFleet::FleetState state(clock);
     codec.decode(LibFleet::ObjectKind::Upstreams, {{"a", upstreamStart + "}"}, {"b", "rubbish"}}, state);
     EXPECT_EQ(state.upstreams().size(), 1U);
@@ -287,7 +288,8 @@
 {
     AK::SystemClock clock;
     LibFleet::FleetState state(clock);
-    ObjectCodec codec(clock, 0);
+    LibMetrics::MetricRegistry metrics;
+    ObjectCodec codec(clock, 0, metrics);
     codec.decode(LibFleet::ObjectKind::QuarantinedParts, {{"5c1e07a2", R"({"reason":"crashes upstreams"})"}, {"91bd3f06", "null"}}, state);
     EXPECT_EQ(state.quarantinedParts(), (std::set<std::string>{"5c1e07a2", "91bd3f06"}));
     codec.decode(LibFleet::ObjectKind::QuarantinedParts, {{"91bd3f06", "null"}}, state);
--- a/Tests/Platform/TestOddObjects.cpp
+++ b/Tests/Platform/TestOddObjects.cpp
@@ -70,4 +70,80 @@
                                          OddEntryCase{"port_out_of_range", R"(,"addr":"10.1.0.2:70000")"}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+struct UnreadableCase {
+    const char *name;
+    /// Text of the name and of the spec, as the store writes them.
+    std::string objectName;
+    std::string spec;
+};
+
+class UnreadableObjectTest : public testing::TestWithParam<UnreadableCase>
+{
+};
+
+// Guards against one object that can't be read and hides the others and all later changes: a draining upstream would keep getting calls.
+TEST_P(UnreadableObjectTest, HidesNoOtherAndNoLaterChange)
+{
+    StoreReader reader;
+    reader.store.pageSize = 1;
+    for (const char *name : {R"("i-1")", R"("i-3")", R"("z")"}) {
+        reader.store.put("servers", name, registration("ready"));
+    }
+    reader.store.put("servers", GetParam().objectName, GetParam().spec);
+    reader.start();
+    ASSERT_TRUE(reader.waitFor([&] { return reader.state.upstreams().size() == 3; }));
+    reader.store.put("servers", R"("i-1")", registration("draining"));
+    reader.store.put("servers", GetParam().objectName, GetParam().spec);
+    ASSERT_TRUE(reader.waitFor([&] { return reader.state.upstreams().at("i-1").state == LibFleet::UpstreamState::Draining; }));
+    reader.store.remove("servers", R"("z")");
+    ASSERT_TRUE(reader.waitFor([&] { return !reader.hasUpstream("z"); }));
+    EXPECT_EQ(reader.state.upstreams().size(), 2U);
+    EXPECT_FALSE(reader.feeds.storeLost());
+    const std::string counted = R"(catkinlink_unreadable_objects_total{kind="upstreams"} 1)";
+    EXPECT_NE(reader.metrics.text().find(counted), std::string::npos) << "counted once, not at each read: " << reader.metrics.text();
+    reader.store.remove("servers", GetParam().objectName);
+    EXPECT_TRUE(reader.waitFor([&] { return reader.metrics.text().find(R"(catkinlink_unreadable_objects{kind="upstreams"} 0)") != std::string::npos; }));
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, UnreadableObjectTest,
+                         testing::Values(UnreadableCase{"byte", R"("i-2")", registration("ready", ",\"more\":\"caf\xe9\"")},
+                                         UnreadableCase{"byte_as_half_a_pair", R"("i-2")", registration("ready", R"(,"more":"caf\udce9")")},
+                                         UnreadableCase{"byte_in_a_name_of_a_field", R"("i-2")", registration("ready", ",\"\xff\xfe\":1")},
+                                         UnreadableCase{"control_character", R"("i-2")", registration("ready", ",\"more\":\"\x01\"")},
+                                         UnreadableCase{"no_value", R"("i-2")", registration("ready", R"(,"more":nonsense)")},
+                                         UnreadableCase{"byte_in_the_name", "\"i-2\xe9\"", registration("ready")},
+                                         UnreadableCase{"half_a_pair_in_the_name", R"("i-2\udce9")", registration("ready")},
+                                         UnreadableCase{"line_break_in_the_name", R"("i-2\r\nX-Injected: 1")", registration("ready")},
+                                         UnreadableCase{"spec_missing", R"("i-2")", "null"}, UnreadableCase{"spec_of_another_type", R"("i-2")", "[7]"},
+                                         UnreadableCase{"unknown_state", R"("i-2")", registration("odd")}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+// Guards against an upstream that stays in use after its registration has become one that can't be read.
+TEST(UnreadableObject, NamesNoUpstreamAnyMore)
+{
+    StoreReader reader;
+    reader.store.put("servers", R"("i-1")", registration("ready"));
+    reader.start();
+    ASSERT_TRUE(reader.waitFor([&] { return reader.hasUpstream("i-1"); }));
+    reader.store.put("servers", R"("i-1")", registration("ready", ",\"more\":\"\xe9\""));
+    EXPECT_TRUE(reader.waitFor([&] { return !reader.hasUpstream("i-1"); }));
+    reader.store.put("servers", R"("i-1")", registration("draining"));
+    EXPECT_TRUE(reader.waitFor([&] { return reader.hasUpstream("i-1"); }));
+}
+
+// Guards against an item or event without a name that hides the others.
+TEST(UnreadableObject, MayHaveNoName)
+{
+    StoreReader reader;
+    for (const char *text : {"7", "{}", R"({"object":7,"deleted":false})", R"({"metadata":{"name":7}})", R"({"object":{"metadata":null}})"}) {
+        reader.store.putRaw("servers", text);
+    }
+    reader.store.put("servers", R"("i-1")", registration("ready"));
+    reader.start();
+    ASSERT_TRUE(reader.waitFor([&] { return reader.hasUpstream("i-1"); }));
+    reader.store.putRaw("servers", "[]");
+    reader.store.put("servers", R"("i-1")", registration("draining"));
+    EXPECT_TRUE(reader.waitFor([&] { return reader.state.upstreams().at("i-1").state == LibFleet::UpstreamState::Draining; }));
+}
+
 } // namespace
--- a/Userland/Utilities/catkinlinkd/EntryProcess.cpp
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.cpp
@@ -31,7 +31,7 @@
 EntryProcess::EntryProcess(LibFiber::Loop &loop, const Platform::NodeSettings &settings)
     : loop(loop)
     , settings(settings)
-    , node(loop, settings, *settings.rpcAddress, *settings.clientAddress)
+    , node(loop, settings, *settings.rpcAddress, *settings.clientAddress, this->metrics)
     , slotClient(loop, this->node.fleet)
     , dispatcher(loop, this->node.fleet, dispatchSettings(settings), &this->slotClient)
     , upstreamConnections(loop)
--- a/Userland/Utilities/catkinlinkd/EntryProcess.h
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.h
@@ -47,8 +47,8 @@
 
     LibFiber::Loop &loop;
     Platform::NodeSettings settings;
-    PlatformNode node;
     LibMetrics::MetricRegistry metrics;
+    PlatformNode node;
     Platform::CallHeaders codec;
     Gateway::SlotClient slotClient;
     Gateway::Dispatcher dispatcher;
--- a/Userland/Utilities/catkinlinkd/PlatformDaemon.cpp
+++ b/Userland/Utilities/catkinlinkd/PlatformDaemon.cpp
@@ -40,7 +40,8 @@
         logger.error("failed", {{"reason", "settings: app and innerPorts are needed by an agent"}});
         return InvalidSettings;
     }
-    PlatformNode node(loop, settings, {settings.ip, settings.innerPort}, std::nullopt);
+    LibMetrics::MetricRegistry metrics;
+    PlatformNode node(loop, settings, {settings.ip, settings.innerPort}, std::nullopt, metrics);
     const auto layers = [&node, service = settings.engineService] {
         const auto configuration = node.fleet.configuration();
         const auto found = configuration ? configuration->services.find(service) : decltype(configuration->services.end()){};
@@ -49,7 +50,6 @@
     Platform::EngineClient engine(loop, *settings.engineAddress, layers);
     Platform::OriginClient origin(loop);
     WeightAgent::AgentService agent(loop, agentSettings(settings), node.fleet, engine, origin, node.exchange);
-    LibMetrics::MetricRegistry metrics;
     Gateway::SimpleHttpServer metricsServer(loop, {settings.ip, metricsPort}, [&](const auto &) {
         metrics.set("catkinlink_engine_weights_version", {}, static_cast<double>(agent.loadedVersion()));
         return Gateway::SimpleHttpResponse{200, "text/plain; version=0.0.4", metrics.text()};
--- a/Userland/Utilities/catkinlinkd/PlatformNode.cpp
+++ b/Userland/Utilities/catkinlinkd/PlatformNode.cpp
@@ -15,10 +15,10 @@
 } // namespace
 
 PlatformNode::PlatformNode(LibFiber::Loop &loop, const Platform::NodeSettings &settings, const AK::Endpoint &rpcAddress,
-                           std::optional<AK::Endpoint> clientAddress)
+                           std::optional<AK::Endpoint> clientAddress, LibMetrics::MetricRegistry &metrics)
     : loop(loop)
     , fleet(loop.clock())
-    , decoder(loop.clock(), std::max<AK::Milliseconds>(0, weightsSwitchDelay(settings) - restartTolerance))
+    , decoder(loop.clock(), std::max<AK::Milliseconds>(0, weightsSwitchDelay(settings) - restartTolerance), metrics)
     , store(loop, settings.store)
     , feeds(loop, this->store, this->decoder, this->fleet)
     , exchange(loop, {settings.name, settings.failureDomain, settings.region, rpcAddress, std::move(clientAddress), settings.seeds, settings.engineAddress},
--- a/Userland/Utilities/catkinlinkd/PlatformNode.h
+++ b/Userland/Utilities/catkinlinkd/PlatformNode.h
@@ -8,7 +8,8 @@
 
 /// The parts that every process on the platform has: fleet state, object feeds and the exchange with other processes.
 struct PlatformNode {
-    PlatformNode(LibFiber::Loop &loop, const Platform::NodeSettings &settings, const AK::Endpoint &rpcAddress, std::optional<AK::Endpoint> clientAddress);
+    PlatformNode(LibFiber::Loop &loop, const Platform::NodeSettings &settings, const AK::Endpoint &rpcAddress, std::optional<AK::Endpoint> clientAddress,
+                 LibMetrics::MetricRegistry &metrics);
 
     /// Starts to read the store at intervals while no entry responds.
     void readStoreWithoutEntries();
