Gateway: Pass on no success without its proof

Nobody looked at ResponseInfo::authentic, so that any 200 on a new connection was passed on.

A 2xx without the receipt is no answer: the call may have run, is retried where its route allows, else gets 502, which promises nothing. No sound upstream answers so, so it is suspended at once and not after three failures. On the other call path the agent checked the fingerprint of whole answers of engines, but passed on the status of a stream before its first part; it now goes out with the first part that carries the fingerprint. Plain services of the product's own site have no receipt in their protocol.

--- a/Tests/Platform/TestOddObjects.cpp
+++ b/Tests/Platform/TestOddObjects.cpp
@@ -70,6 +70,49 @@
                                          OddEntryCase{"port_out_of_range", R"(,"addr":"10.1.0.2:70000")"}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+struct MissingFieldCase {
+    const char *name;
+    std::string spec;
+};
+
+class MissingFieldTest : public testing::TestWithParam<MissingFieldCase>
+{
+};
+
+// Guards against an entry of another writer that lacks a field and is taken for an upstream: its server's answers would pass for those of an upstream.
+TEST_P(MissingFieldTest, NamesNoUpstream)
+{
+    StoreReader reader;
+    reader.store.put("servers", R"("i-odd")", GetParam().spec);
+    reader.store.put("servers", R"("i-sound")", registration("ready"));
+    reader.start();
+    ASSERT_TRUE(reader.waitFor([&] { return reader.hasUpstream("i-sound"); }));
+    EXPECT_FALSE(reader.hasUpstream("i-odd"));
+}
+
+// A sound registration without one of its fields, or with another value in its place.
+MissingFieldCase changed(const char *name, const std::string &field, const std::string &value = "")
+{
+    nlohmann::json spec = nlohmann::json::parse(registration("ready"));
+    if (value.empty()) {
+        spec.erase(field);
+    } else {
+        spec[field] = nlohmann::json::parse(value);
+    }
+    return {name, spec.dump()};
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, MissingFieldTest,
+                         testing::Values(changed("service", "service"), changed("address", "addr"), changed("zone", "zone"), changed("version", "version"),
+                                         changed("slots", "slots"), changed("state", "state"), changed("cold_time", "coldLeftMs"), changed("sequence", "seq"),
+                                         changed("version_null", "version", "null"), changed("version_number", "version", "1"),
+                                         changed("cold_time_text", "coldLeftMs", R"("0")"), changed("cold_time_null", "coldLeftMs", "null"),
+                                         changed("sequence_text", "seq", R"("3")"), changed("sequence_fraction", "seq", "1.5"),
+                                         changed("port_zero", "addr", R"("10.1.0.2:0")"), changed("port_too_high", "addr", R"("10.1.0.2:65536")"),
+                                         changed("port_missing", "addr", R"("10.1.0.2")"), changed("address_list", "addr", R"(["10.1.0.2:80"])"),
+                                         changed("zone_number", "zone", "3")),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 struct UnreadableCase {
     const char *name;
     /// Text of the name and of the spec, as the store writes them.
--- a/Tests/Services/Gateway/TestCrashDetector.cpp
+++ b/Tests/Services/Gateway/TestCrashDetector.cpp
@@ -31,7 +31,7 @@
     GatewaySite *site = nullptr;
     GatewaySite built({[&](kj::WaitScope &scope, LibFiber::ByteChannel &channel, const LibHttpStream::RequestHead &head, const std::string &) {
         const std::string text =
-            AK::concat("HTTP/1.1 200 OK\r\nX-Attempt-Id: ", *LibHttpStream::findHeader(head.headers, "X-Attempt-Id"),
+            AK::concat("HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\nX-Attempt-Id: ", *LibHttpStream::findHeader(head.headers, "X-Attempt-Id"),
                        "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", LibHttpStream::encodeChunk("id: 1\ndata: word\n\n"));
         EXPECT_TRUE(channel.write(scope, text, site->loop.clock().now() + callTimeout).ok());
         switch (GetParam().ending) {
--- a/Tests/Services/Gateway/TestCrashingPrompts.cpp
+++ b/Tests/Services/Gateway/TestCrashingPrompts.cpp
@@ -57,8 +57,9 @@
         const bool bad = LibHttpStream::findHeader(head.headers, "X-Prompt-Prefix")->find("bad:") != std::string::npos;
         this->badRequests += bad ? 1 : 0;
         this->loop->sleep(scope, readingTime);
-        const std::string startLine = AK::concat("HTTP/1.1 200 OK\r\nX-Attempt-Id: ", *LibHttpStream::findHeader(head.headers, "X-Attempt-Id"),
-                                                 "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        const std::string startLine =
+            AK::concat("HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\nX-Attempt-Id: ", *LibHttpStream::findHeader(head.headers, "X-Attempt-Id"),
+                       "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
         bool ok = channel.write(scope, startLine, deadline).ok();
         if (bad) {
             if (!this->site.upstreams[index]->isDown()) {
--- a/Tests/Services/Gateway/TestGateway.cpp
+++ b/Tests/Services/Gateway/TestGateway.cpp
@@ -38,7 +38,7 @@
             writeResponse(scope, channel, *loop, id, 200, "hello", 5);
             return true;
         case Behaviour::Unframed: {
-            const std::string text = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\n\r\nhello";
+            const std::string text = "HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\nX-Attempt-Id: " + id + "\r\n\r\nhello";
             EXPECT_TRUE(channel.write(scope, text, loop->clock().now() + testTimeout).ok());
             return false;
         }
--- a/Userland/Libraries/LibGateway/Placement.cpp
+++ b/Userland/Libraries/LibGateway/Placement.cpp
@@ -96,6 +96,16 @@
     }
 }
 
+bool suspend(UpstreamLoad &load, AK::Milliseconds now, const PlacementSettings &settings)
+{
+    if (now < load.suspendedUntil) {
+        return false;
+    }
+    load.failuresInRow = std::max(load.failuresInRow, settings.failuresToSuspend);
+    load.suspendedUntil = now + (settings.suspension << std::min(maxSuspensionExponent, load.failuresInRow - settings.failuresToSuspend));
+    return true;
+}
+
 namespace
 {
 
--- a/Userland/Libraries/LibGateway/Placement.h
+++ b/Userland/Libraries/LibGateway/Placement.h
@@ -105,6 +105,9 @@
 /// which all fail at once and count as one crash.
 void recordOutcome(UpstreamLoad &load, bool failed, AK::Milliseconds now, const PlacementSettings &settings);
 
+/// Suspends the upstream at once. Returns false when it is suspended already. Load pattern: an address belongs to a server that is no upstream.
+bool suspend(UpstreamLoad &load, AK::Milliseconds now, const PlacementSettings &settings);
+
 /// One upstream that may be chosen for a call.
 struct PlacementCandidate {
     double load = 0;
--- a/Userland/Services/Agent/UpstreamCall.cpp
+++ b/Userland/Services/Agent/UpstreamCall.cpp
@@ -94,7 +94,7 @@
     ResponsePart head = partOfKind(ResponsePart::Kind::Head);
     head.status = response.status();
     head.headers = response.headers();
-    this->push(std::move(head));
+    // The status is passed on only with the first part that carries the fingerprint.
     bool matched = false;
     while (true) {
         absl::StatusOr<std::optional<std::string>> line = response.readLine();
@@ -102,7 +102,7 @@
             return failedPart(line.ok() ? "stream ended without the end marker" : std::string(line.status().message()));
         }
         if (!(*line)->starts_with(dataPrefix)) {
-            if ((*line)->empty() && !this->push(dataPart("\n"))) {
+            if (matched && (*line)->empty() && !this->push(dataPart("\n"))) {
                 return failedPart("call was cancelled");
             }
             // Other event stream fields carry no fingerprint and are not forwarded.
@@ -120,6 +120,9 @@
         if (match != ResponseMatch::Match) {
             return match == ResponseMatch::Mismatch ? this->reportMismatch() : failedPart("engine reported an error in the stream");
         }
+        if (!matched && !this->push(std::move(head))) {
+            return failedPart("call was cancelled");
+        }
         matched = true;
         if (!this->push(dataPart(AK::concat(**line, "\n")))) {
             return failedPart("call was cancelled");
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -162,6 +162,9 @@
         }
         if (sent.outcome != SendOutcome::Answered) {
             this->context.dispatcher.recordOutcome(upstream, !sent.refusedByUpstream);
+            if (sent.unproven) {
+                this->context.dispatcher.suspend(upstream);
+            }
             if (sent.connectionEnded) {
                 this->recordBrokenCall(upstream);
             }
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -353,6 +353,11 @@
     this->table.recordOutcome(upstream, failed);
 }
 
+void Dispatcher::suspend(const LibFleet::UpstreamRecord &upstream)
+{
+    this->table.suspend(upstream);
+}
+
 void Dispatcher::recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting)
 {
     this->table.recordResponseLoad(upstream, running, waiting);
--- a/Userland/Services/Gateway/Dispatcher.h
+++ b/Userland/Services/Gateway/Dispatcher.h
@@ -68,6 +68,8 @@
     bool trySpendRetry(const std::string &service);
 
     void recordOutcome(const LibFleet::UpstreamRecord &upstream, bool failed);
+    /// Sends no calls to an upstream for a while; for a failure that no sound upstream shows.
+    void suspend(const LibFleet::UpstreamRecord &upstream);
     void recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting);
     void recordReport(const LibPeers::EngineReport &report);
     /// See UpstreamTable::recordRateLimit().
--- a/Userland/Services/Gateway/UpstreamCall.cpp
+++ b/Userland/Services/Gateway/UpstreamCall.cpp
@@ -101,6 +101,9 @@
         if (decoded.requestId.empty() && this->connection.reused) {
             return {SendOutcome::Unknown, false, "a response without a request id on a reused connection may belong to an earlier request"};
         }
+        if (parsed->status / 100 == 2 && !decoded.authentic && !decoded.notRun) {
+            return {SendOutcome::Unknown, false, AK::concat("unproven success: status ", parsed->status, " without a receipt"), false, false, true};
+        }
         this->head = std::move(*parsed);
         this->info = decoded;
         this->body = kj::mv(reader);
--- a/Userland/Services/Gateway/UpstreamCall.h
+++ b/Userland/Services/Gateway/UpstreamCall.h
@@ -39,10 +39,13 @@
         bool connectionEnded = false;
         /// No head has come in time; receiveHead() may go on.
         bool silent = false;
+        /// The response claims success without proof that the upstream made it.
+        bool unproven = false;
     };
 
-    /// Sends the request until `deadline` and reads the head of its response until `headDeadline`. Responses to other requests are dropped. A refusal counts as
-    /// SendOutcome::NotRun only if it is proven to be the response to this request; see LibGateway::proofOfRefusal().
+    /// Sends the request until `deadline` and reads the head of its response until `headDeadline`. Responses to other requests are dropped. A success counts
+    /// only with its proof, and a refusal counts as SendOutcome::NotRun only if it is proven to be the response to this request; see
+    /// LibGateway::proofOfRefusal().
     Result send(kj::WaitScope &scope, const LibFleet::UpstreamRecord &upstream, const LibHttpStream::RequestHead &head, const std::string &body,
                 const std::string &requestId, bool allowReuse, AK::Milliseconds headDeadline, AK::Milliseconds deadline);
 
--- a/Userland/Services/Gateway/UpstreamTable.cpp
+++ b/Userland/Services/Gateway/UpstreamTable.cpp
@@ -238,6 +238,14 @@
     }
 }
 
+void UpstreamTable::suspend(const LibFleet::UpstreamRecord &upstream)
+{
+    LibGateway::UpstreamLoad &load = this->loadOf(upstream);
+    if (LibGateway::suspend(load, this->clock.now(), this->settings.placement)) {
+        this->logger.info("upstream_suspended", {{"upstream", upstream.id}, {"failures_in_row", load.failuresInRow}, {"failure_share", load.failureShare}});
+    }
+}
+
 void UpstreamTable::recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting)
 {
     LibGateway::UpstreamLoad &load = this->loadOf(upstream);
--- a/Userland/Services/Gateway/UpstreamTable.h
+++ b/Userland/Services/Gateway/UpstreamTable.h
@@ -83,6 +83,7 @@
     size_t registeredEntries() const;
 
     void recordOutcome(const LibFleet::UpstreamRecord &upstream, bool failed);
+    void suspend(const LibFleet::UpstreamRecord &upstream);
     void recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting);
     void recordReport(const LibPeers::EngineReport &report);
     /// Records which limit the response to a call has named, if any. `sentAt`: monotonic time at which the call was sent.
