LibHttpStream: Take only three digits for a status

Bytes that are no answer became one, with a status that nobody sent, and became 200.

parseResponseHead() now accepts exactly three digits from 100 to 599 (RFC 9110, 15) and reports another status line as malformed, which the callers treat as no answer. The client of the other call path refuses a status above 599 too; its library checks the digits.

--- a/Tests/LibHttpStream/TestMessages.cpp
+++ b/Tests/LibHttpStream/TestMessages.cpp
@@ -188,4 +188,35 @@
     EXPECT_EQ(connection.channel.buffered(), "hello");
 }
 
+struct StatusCase {
+    const char *name;
+    const char *line;
+    int status;
+};
+
+class StatusLineTest : public testing::TestWithParam<StatusCase>
+{
+};
+
+// Guards against a status that is narrowed to another number and passed on: "99999999999" has reached a client as 1215752191.
+TEST_P(StatusLineTest, HasThreeDigits)
+{
+    const auto head = parseResponseHead(std::string(GetParam().line) + "\r\nContent-Length: 0\r\n");
+    ASSERT_EQ(head.ok(), GetParam().status != 0) << head.status();
+    if (head.ok()) {
+        EXPECT_EQ(head->status, GetParam().status);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, StatusLineTest,
+                         testing::Values(StatusCase{"ok", "HTTP/1.1 200 OK", 200}, StatusCase{"without_a_reason", "HTTP/1.1 204", 204},
+                                         StatusCase{"empty_reason", "HTTP/1.1 204 ", 204}, StatusCase{"lowest", "HTTP/1.1 100 Continue", 100},
+                                         StatusCase{"highest", "HTTP/1.1 599 Odd", 599}, StatusCase{"eleven_digits", "HTTP/1.1 99999999999 OK", 0},
+                                         StatusCase{"wraps_to_200", "HTTP/1.1 4294967496 OK", 0}, StatusCase{"too_low", "HTTP/1.1 099 Odd", 0},
+                                         StatusCase{"zero", "HTTP/1.1 000 Odd", 0}, StatusCase{"too_high", "HTTP/1.1 600 Odd", 0},
+                                         StatusCase{"two_digits", "HTTP/1.1 20 OK", 0}, StatusCase{"four_digits", "HTTP/1.1 2000 OK", 0},
+                                         StatusCase{"negative", "HTTP/1.1 -200 OK", 0}, StatusCase{"plus", "HTTP/1.1 +200 OK", 0},
+                                         StatusCase{"text", "HTTP/1.1 OK 200", 0}, StatusCase{"missing", "HTTP/1.1", 0}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
--- a/Userland/Libraries/LibHttp/HttpClient.cpp
+++ b/Userland/Libraries/LibHttp/HttpClient.cpp
@@ -13,6 +13,8 @@
 {
 
 constexpr size_t lineLimitBytes = 1 << 20;
+constexpr int lowestStatus = 100;
+constexpr int highestStatus = 599;
 constexpr const char *notSentPayload = "catkinlink.not_sent";
 
 absl::Status notSent(const std::string &message)
@@ -83,6 +85,11 @@
             AK::concat("no response from ", target.text(), " to ", request.method, " ", request.path, " within ", headTimeout, " ms: ", reason.data()));
     }
     const mg_response_info *info = mg_get_response_info(connection);
+    if (info->status_code < lowestStatus || info->status_code > highestStatus) {
+        const int status = info->status_code;
+        mg_close_connection(connection);
+        return absl::DataLossError(AK::concat("response from ", target.text(), " to ", request.method, " ", request.path, " has status ", status));
+    }
     HttpHeaders headers;
     for (int i = 0; i < info->num_headers; ++i) {
         headers[AK::toLower(info->http_headers[i].name)] = info->http_headers[i].value;
--- a/Userland/Libraries/LibHttpStream/MessageHead.cpp
+++ b/Userland/Libraries/LibHttpStream/MessageHead.cpp
@@ -15,6 +15,9 @@
     "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length",
 };
 
+constexpr int lowestStatus = 100;
+constexpr int highestStatus = 599;
+
 const kj::HttpHeaderTable &headerTable()
 {
     static const kj::Own<kj::HttpHeaderTable> table = kj::HttpHeaderTable::Builder().build();
@@ -77,6 +80,18 @@
     return BodyFraming{};
 }
 
+// A status code has exactly three digits (RFC 9112, 4); the parser would take any number and narrow it.
+bool hasValidStatus(std::string_view text)
+{
+    std::string_view line = text.substr(0, text.find_first_of("\r\n"));
+    line.remove_prefix(std::min(line.find(' '), line.size()));
+    line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
+    const std::string_view digits = line.substr(0, line.find(' '));
+    const bool threeDigits = digits.size() == 3 && digits.find_first_not_of("0123456789") == std::string_view::npos;
+    const int64_t status = threeDigits ? AK::parseInteger(digits).value_or(0) : 0;
+    return status >= lowestStatus && status <= highestStatus;
+}
+
 } // namespace
 
 bool equalsIgnoringCase(std::string_view left, std::string_view right)
@@ -135,6 +150,9 @@
 
 absl::StatusOr<ResponseHead> parseResponseHead(std::string_view text)
 {
+    if (!hasValidStatus(text)) {
+        return absl::InvalidArgumentError(AK::concat("the status must be three digits from ", lowestStatus, " to ", highestStatus));
+    }
     kj::Array<char> content = kj::heapArray<char>(text.data(), text.size());
     kj::HttpHeaders parsed(headerTable());
     const auto result = parsed.tryParseResponse(content);
--- a/Userland/Libraries/LibHttpStream/MessageHead.h
+++ b/Userland/Libraries/LibHttpStream/MessageHead.h
@@ -54,7 +54,7 @@
 };
 
 /// Parses a head without the empty line that ends it.
-/// Errors: kInvalidArgument naming the fault.
+/// Errors: kInvalidArgument naming the fault. A status that is not three digits from 100 to 599 is one.
 absl::StatusOr<RequestHead> parseRequestHead(std::string_view text);
 absl::StatusOr<ResponseHead> parseResponseHead(std::string_view text);
 
