--- a/Tests/Platform/TestOddObjects.cpp
+++ b/Tests/Platform/TestOddObjects.cpp
@@ -189,4 +189,63 @@
     EXPECT_TRUE(reader.waitFor([&] { return reader.state.upstreams().at("i-1").state == LibFleet::UpstreamState::Draining; }));
 }
 
+std::string configuration(int version, const std::string &more = "")
+{
+    return AK::concat(R"({"version":)", version, R"(,"routes":[{"name":"r","host":"h","pathPrefix":"/p/","kind":"safe","service":"s"}],)",
+                      R"("services":[{"name":"s"}],"limits":{"idleTimeoutMs":9000})", more, "}");
+}
+
+struct OddConfigurationCase {
+    const char *name;
+    std::string spec;
+};
+
+class OddConfigurationTest : public testing::TestWithParam<OddConfigurationCase>
+{
+};
+
+// Guards against a configuration that can't be read and replaces the one in force, or that hides the next one.
+TEST_P(OddConfigurationTest, ChangesNothingAndHidesNoLaterOne)
+{
+    StoreReader reader;
+    reader.store.put("config", R"("main")", GetParam().spec);
+    reader.start();
+    ASSERT_TRUE(reader.waitFor([&] { return reader.feeds.revision(LibFleet::ObjectKind::Configuration) > 0; }));
+    EXPECT_EQ(reader.state.configuration(), nullptr);
+    reader.store.put("config", R"("main")", configuration(1));
+    ASSERT_TRUE(reader.waitFor([&] { return reader.state.configuration() && reader.state.configuration()->version == 1; }));
+    const int64_t before = reader.feeds.revision(LibFleet::ObjectKind::Configuration);
+    reader.store.put("config", R"("main")", GetParam().spec);
+    ASSERT_TRUE(reader.waitFor([&] { return reader.feeds.revision(LibFleet::ObjectKind::Configuration) > before; }));
+    EXPECT_EQ(reader.state.configuration()->version, 1);
+    EXPECT_NE(reader.state.routes()->find("h", "/p/1"), nullptr);
+    reader.store.put("config", R"("main")", configuration(2));
+    EXPECT_TRUE(reader.waitFor([&] { return reader.state.configuration()->version == 2; }));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, OddConfigurationTest,
+    testing::Values(OddConfigurationCase{"missing", "null"}, OddConfigurationCase{"list", "[]"}, OddConfigurationCase{"text", R"("version")"},
+                    OddConfigurationCase{"deep", configuration(9, R"(,"more":)" + nestedLists(4'000))},
+                    OddConfigurationCase{"number_too_large", configuration(9, R"(,"more":1e999)")},
+                    OddConfigurationCase{"byte", configuration(9, ",\"more\":\"caf\xe9\"")},
+                    OddConfigurationCase{"half_a_pair", configuration(9, R"(,"more":"caf\udce9")")},
+                    OddConfigurationCase{"no_version", R"({"routes":[],"services":[],"limits":{}})"},
+                    OddConfigurationCase{"version_text", R"({"version":"9","routes":[],"services":[],"limits":{}})"},
+                    OddConfigurationCase{"no_routes", R"({"version":9,"services":[],"limits":{}})"},
+                    OddConfigurationCase{"no_services", R"({"version":9,"routes":[],"limits":{}})"},
+                    OddConfigurationCase{"no_limits", R"({"version":9,"routes":[],"services":[]})"},
+                    OddConfigurationCase{"routes_text", R"({"version":9,"routes":"none","services":[],"limits":{}})"},
+                    OddConfigurationCase{"route_without_host", configuration(9, R"(,"routes":[{"pathPrefix":"/p/","kind":"safe"}])")},
+                    OddConfigurationCase{"timeout_text", configuration(9, R"(,"routes":[{"host":"h","pathPrefix":"/","kind":"safe","timeoutMs":"9"}])")},
+                    OddConfigurationCase{"attempts_beyond_32_bits",
+                                         configuration(9, R"(,"routes":[{"host":"h","pathPrefix":"/","kind":"safe","maxAttempts":4294967296}])")},
+                    OddConfigurationCase{
+                        "weight_negative",
+                        configuration(9, R"(,"routes":[{"host":"h","pathPrefix":"/","kind":"safe","trafficSplit":[{"service":"s","weight":-1}]}])")},
+                    OddConfigurationCase{"head_limit_negative", configuration(9, R"(,"limits":{"maxHeaderBytes":-1})")},
+                    OddConfigurationCase{"tenants_text", configuration(9, R"(,"tenants":"all")")},
+                    OddConfigurationCase{"tenant_with_a_line_break", configuration(9, R"(,"tenants":[{"name":"a\r\nX-Other: 1","apiKeys":["k"]}])")}),
+    [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
