--- a/Tests/Fuzz/HostileText.cpp
+++ b/Tests/Fuzz/HostileText.cpp
@@ -1,5 +1,7 @@
 #include "HostileText.h"
 
+#include "Mutation.h"
+
 namespace FuzzTest
 {
 
@@ -49,4 +51,19 @@
     return values;
 }
 
+std::string mutateHostile(std::string text, AK::Random &random)
+{
+    constexpr size_t maxInsertedBytes = size_t{64} << 10;
+    text = mutate(std::move(text), random);
+    const HostileValue &value = hostileValues()[AK::uniformBelow(random, hostileValues().size())];
+    if (AK::uniformBelow(random, 4) != 0 || value.text.size() > maxInsertedBytes) {
+        return text;
+    }
+    const size_t position = text.find_first_of(":,[", AK::uniformBelow(random, text.size() + 1));
+    if (position != std::string::npos) {
+        text.insert(position + 1, value.text + (text[position] == ':' ? ",\"a\":" : ","));
+    }
+    return text;
+}
+
 } // namespace FuzzTest
--- a/Tests/Fuzz/HostileText.h
+++ b/Tests/Fuzz/HostileText.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <AK/Random.h>
 #include <string>
 #include <vector>
 
@@ -17,4 +18,7 @@
 /// Values that are too deep, too many, too long, out of range or that can't be read.
 const std::vector<HostileValue> &hostileValues();
 
+/// Applies the edits of mutate(), and in one of four texts inserts a hostile value of at most 64 KiB after a colon, a comma or a bracket.
+std::string mutateHostile(std::string text, AK::Random &random);
+
 } // namespace FuzzTest
--- a/Tests/Fuzz/TestHostileInput.cpp
+++ b/Tests/Fuzz/TestHostileInput.cpp
@@ -1,4 +1,5 @@
 #include "HostileText.h"
+#include "Mutation.h"
 
 #include <AK/Hash.h>
 #include <AK/Text.h>
@@ -13,6 +14,8 @@
 #include <Services/Agent/ResponseCheck.h>
 #include <Services/Entry/CallParser.h>
 #include <Services/Operator/OperatorJson.h>
+#include <filesystem>
+#include <fstream>
 #include <functional>
 #include <gtest/gtest.h>
 #include <platform/EngineClient.h>
@@ -158,6 +161,33 @@
     EXPECT_EQ(wronglyAccepted, std::vector<std::string>());
 }
 
+// Guards against an input that was once read wrongly. A file is named after its parser and says whether the parser accepts it; valid ones are also mutated,
+// with hostile values among the edits.
+TEST_P(HostileInputTest, CorpusIsReadAsBefore)
+{
+    LibFiber::Loop loop;
+    AK::Random random(FuzzTest::fuzzSeed());
+    int files = 0;
+    for (const auto &entry : std::filesystem::directory_iterator(FUZZ_CORPUS)) {
+        const std::string name = entry.path().filename().string();
+        if (!name.starts_with(std::string(GetParam().name) + ".")) {
+            continue;
+        }
+        ++files;
+        std::ifstream file(entry.path(), std::ios::binary);
+        const std::string text((std::istreambuf_iterator<char>(file)), {});
+        const bool valid = name.find(".valid.") != std::string::npos;
+        loop.fiber([&](kj::WaitScope &) {
+                EXPECT_EQ(GetParam().accepts(loop, text), valid) << name;
+                for (int i = 0; i < FuzzTest::fuzzCount(300); ++i) {
+                    (void)GetParam().accepts(loop, FuzzTest::mutateHostile(text, random));
+                }
+            })
+            .wait(loop.rootScope());
+    }
+    EXPECT_GE(files, 1);
+}
+
 INSTANTIATE_TEST_SUITE_P(Table, HostileInputTest, testing::ValuesIn(parsers()), [](const auto &info) { return std::string(info.param.name); });
 
 } // namespace
