--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -75,7 +75,7 @@
 void CallTask::endAfterException(kj::WaitScope &scope, const std::string &failure)
 {
     this->context.metrics.add("catkinlink_call_exceptions_total");
-    this->logger.error("call_failed", {{"request", this->request.id}, {"reason", failure}});
+    this->logger.error("call_exception", {{"request", this->request.id}, {"reason", failure}});
     this->silentCall = nullptr;
     this->mayHaveRun = this->mayHaveRun || this->report.sends > 0;
     if (!this->client.complete()) {
