LibHttp: Answer a request whose handler throws

Callers would see all connections of a process end: an exception of a handler passed through CivetWeb, which is written in C, and ended the process. No handler that throws is known.

Change: HttpServer answers such a request with 500; a response that has begun is broken off. Logs: handler_exception.

--- a/Userland/Libraries/LibHttp/HttpServer.cpp
+++ b/Userland/Libraries/LibHttp/HttpServer.cpp
@@ -188,7 +188,12 @@
         exchange.respond(jsonResponse(413, AK::concat(R"({"error":"request body is incomplete or larger than )", this->limits.bodyBytes, R"( bytes"})")));
         return;
     }
-    this->handler(exchange);
+    try {
+        this->handler(exchange);
+    } catch (const std::exception &exception) {
+        // CivetWeb is written in C: an exception that reaches it ends the process.
+        this->logger.error("handler_exception", {{"path", exchange.request().path}, {"reason", exception.what()}});
+    }
     if (!exchange.started()) {
         exchange.respond(jsonResponse(500, R"({"error":"the handler gave no response"})"));
     }
--- a/Userland/Libraries/LibHttp/HttpServer.h
+++ b/Userland/Libraries/LibHttp/HttpServer.h
@@ -3,6 +3,7 @@
 #include <AK/Clock.h>
 #include <AK/Endpoint.h>
 #include <LibHttp/HttpMessage.h>
+#include <LibLog/Logger.h>
 #include <absl/status/status.h>
 #include <atomic>
 #include <functional>
@@ -59,6 +60,7 @@
 class HttpServer
 {
 public:
+    /// A request whose handler throws gets 500; a response that it had begun is broken off.
     using Handler = std::function<void(HttpExchange &)>;
 
     HttpServer(AK::Endpoint endpoint, HttpServerLimits limits, Handler handler);
@@ -87,6 +89,7 @@
     Handler handler;
     mg_context *context = nullptr;
     std::atomic<int> active{0};
+    LibLog::Logger logger{"http"};
 };
 
 } // namespace LibHttp
