Platform: Decode the leaving and the pause of an upstream's response

Upstreams now state in their responses that they are leaving (Server-Leaving: 1) and, with 503, for how long they want no calls of the entry that gets the response (Retry-After). Neither was read. Both are decoded once into fields of ResponseInfo; nothing uses them yet.

A pause is rounded up to a whole ms.

TestPlatform: with the decoder switched off 8 of the 23 new cases fail (those that state something); with it all 72 tests pass.

--- a/Tests/Platform/TestCodec.cpp
+++ b/Tests/Platform/TestCodec.cpp
@@ -122,6 +122,60 @@
                                          RateLimitCase{"infinite", "inf", std::nullopt}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+struct LeavingCase {
+    const char *name;
+    int status;
+    LibHttpStream::Headers headers;
+    bool leaving;
+};
+
+class LeavingHeaderTest : public testing::TestWithParam<LeavingCase>
+{
+};
+
+// Guards against an upstream whose leaving is overlooked because of the response's status, and against one that is given up because of other text.
+TEST_P(LeavingHeaderTest, IsDecoded)
+{
+    EXPECT_EQ(CallHeaders().decodeResponse({GetParam().status, "", GetParam().headers}).leaving, GetParam().leaving);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, LeavingHeaderTest,
+                         testing::Values(LeavingCase{"answer", 200, {{"Server-Leaving", "1"}}, true},
+                                         LeavingCase{"refusal", 503, {{"Server-Leaving", "1"}}, true},
+                                         LeavingCase{"failure", 500, {{"server-leaving", "1"}}, true}, LeavingCase{"absent", 200, {}, false},
+                                         LeavingCase{"zero", 200, {{"Server-Leaving", "0"}}, false},
+                                         LeavingCase{"text", 200, {{"Server-Leaving", "soon"}}, false},
+                                         LeavingCase{"empty", 200, {{"Server-Leaving", ""}}, false}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+struct PauseCase {
+    const char *name;
+    int status;
+    std::string header;
+    std::optional<AK::Milliseconds> pause;
+};
+
+class PauseHeaderTest : public testing::TestWithParam<PauseCase>
+{
+};
+
+// Guards against a pause that is cut short by a lost fraction, and against one made of text or of a number that names none.
+TEST_P(PauseHeaderTest, IsDecoded)
+{
+    EXPECT_EQ(CallHeaders().decodeResponse({GetParam().status, "", {{"Retry-After", GetParam().header}}}).pause, GetParam().pause);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, PauseHeaderTest,
+                         testing::Values(PauseCase{"whole", 503, "3", 3'000}, PauseCase{"fraction", 503, "2.75", 2'750},
+                                         PauseCase{"rounded_up", 503, "0.0001", 1}, PauseCase{"zero", 503, "0", 0},
+                                         PauseCase{"other_status", 429, "3", std::nullopt}, PauseCase{"answer", 200, "3", std::nullopt},
+                                         PauseCase{"negative", 503, "-1", std::nullopt}, PauseCase{"text", 503, "soon", std::nullopt},
+                                         PauseCase{"date", 503, "Sat, 05 Dec 2026 04:20:00 GMT", std::nullopt}, PauseCase{"unit", 503, "3s", std::nullopt},
+                                         PauseCase{"empty", 503, "", std::nullopt}, PauseCase{"infinite", 503, "inf", std::nullopt},
+                                         PauseCase{"not_a_number", 503, "nan", std::nullopt}, PauseCase{"overflow", 503, "1e400", std::nullopt},
+                                         PauseCase{"overflow_in_ms", 503, "1e17", std::nullopt}, PauseCase{"long", 503, "86400", 86'400'000}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 LibHttpStream::RequestHead clientRequest()
 {
     return {"POST",
--- a/Userland/Libraries/LibGateway/Codec.h
+++ b/Userland/Libraries/LibGateway/Codec.h
@@ -63,6 +63,10 @@
     std::optional<Load> load;
     /// Calls a second that the upstream takes from all entries together, while its responses say so.
     std::optional<double> callsPerSecondLimit;
+    /// The upstream is about to stop and wants no new calls.
+    bool leaving = false;
+    /// The upstream has refused the call and wants no calls of this entry for this long, in ms; as stated, without an upper limit.
+    std::optional<AK::Milliseconds> pause;
 };
 
 /// Translates between the HTTP headers of clients and upstreams and the types above.
