Gateway: Ask one function whether an upstream may get a call

The reasons against an upstream lived in UpstreamTable::mayUse(), mayRequest(), rateAllows() and the Dispatcher, and a call that had a slot was written without being checked again: a connection may take 400 ms to open, and an upstream that drained, was evacuated or was replaced meanwhile still got the call.

UpstreamTable::hindranceTo() gathers the conditions, LibGateway::hindranceTo() decides and names the obstacle. All ways to an upstream ask it, UpstreamCall::send() also right before the request is written; a call held back there is no retry.

TestGateway with the check before the write switched off: 9 of the 39 new cases fail (CallPathTest send_*, ReplacedUpstreamTest, LateObstacleTest/draining); with it all pass, and the 97 tests of before too. TestLibGateway HindranceTest: 14 new cases pass.

--- /dev/null
+++ b/Userland/Libraries/LibGateway/Availability.cpp
@@ -0,0 +1,33 @@
+#include <LibGateway/Availability.h>
+
+namespace LibGateway
+{
+
+std::optional<Hindrance> hindranceTo(const UpstreamConditions &conditions, AK::Milliseconds now)
+{
+    const std::array lasting{
+        std::pair{!conditions.sameService, Obstacle::OtherService}, std::pair{conditions.draining, Obstacle::Draining},
+        std::pair{conditions.evacuated, Obstacle::Evacuated},       std::pair{!conditions.regionAllowed, Obstacle::OtherRegion},
+        std::pair{conditions.excluded, Obstacle::Excluded},         std::pair{!conditions.weightsAllowed, Obstacle::Weights},
+        std::pair{conditions.switching, Obstacle::Switching},
+    };
+    for (const auto &[hinders, obstacle] : lasting) {
+        if (hinders) {
+            return Hindrance{obstacle, 0};
+        }
+    }
+    if (now < conditions.suspendedUntil) {
+        return Hindrance{Obstacle::Suspended, conditions.suspendedUntil};
+    }
+    if (!conditions.rateAllows) {
+        return Hindrance{conditions.rateNamed ? Obstacle::RateLimit : Obstacle::ColdRate, 0};
+    }
+    return std::nullopt;
+}
+
+bool isLackOfRoom(Obstacle obstacle)
+{
+    return obstacle == Obstacle::RateLimit || obstacle == Obstacle::ColdRate;
+}
+
+} // namespace LibGateway
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -152,8 +152,14 @@
         UpstreamCall call(this->context.loop, this->context.connections, this->context.codec);
         const bool repeatable = this->route->repeatable();
         const LibHttpStream::RequestHead outgoing = this->context.codec.encodeRequest(this->head, this->targetFor(**grant));
-        UpstreamCall::Result sent =
-            call.send(scope, upstream, outgoing, this->body, this->request.id, repeatable, this->silentAfter(this->sentAt), this->deadline);
+        UpstreamCall::Result sent = call.send(scope, upstream, outgoing, this->body, this->request.id, repeatable, this->silentAfter(this->sentAt),
+                                              this->deadline, [&] { return this->context.dispatcher.hindranceToSend(**grant, this->requirements); });
+        if (sent.withheldBy) {
+            // The upstream got nothing, so this is no retry.
+            --this->report.sends;
+            this->context.metrics.add("catkinlink_sends_withheld_total", {{"reason", std::string(AK::nameOf(LibGateway::obstacleNames, *sent.withheldBy))}});
+            return NextStep::TryAnother;
+        }
         if (!this->awaitHead(scope, call, *grant, sent)) {
             return NextStep::Done;
         }
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -13,28 +13,6 @@
 constexpr AK::Milliseconds pollInterval = 20;
 // The first call in a queue repeats its requests to the owners of other engines at this interval.
 constexpr AK::Milliseconds ownerRequestInterval = 40;
-// Owners that a call asks in one round; each request is a round trip.
-constexpr int maxOwnersAsked = 3;
-// Upper limit, in calls, of the random load added to each candidate. All entries see the same reports and would otherwise ask the same owner at once.
-constexpr double loadJitter = 2;
-
-bool isExcluded(const LibPeers::SlotRequest &request, const std::string &upstream)
-{
-    return std::find(request.excluded.begin(), request.excluded.end(), upstream) != request.excluded.end();
-}
-
-LibPeers::SlotRequest slotRequest(const CallRequirements &requirements)
-{
-    LibPeers::SlotRequest request{requirements.service,        requirements.promptTokens, requirements.rank.priority,
-                                  requirements.rank.returning, requirements.regions,      {}};
-    if (request.regions.empty()) {
-        request.regions = requirements.accountRegions;
-    } else {
-        std::erase_if(request.regions, [&](const std::string &region) { return !allowsRegion(requirements.accountRegions, region); });
-    }
-    request.excluded.assign(requirements.excluded.begin(), requirements.excluded.end());
-    return request;
-}
 
 } // namespace
 
@@ -43,7 +21,8 @@
     , fleet(fleet)
     , settings(std::move(settings))
     , slotSource(slotSource)
-    , table(loop.clock(), fleet, this->settings.upstreams)
+    , table(loop.clock(), fleet, this->settings.upstreams, slotSource != nullptr)
+    , slotRequester(loop, fleet, this->table, this->settings.upstreams.placement, slotSource)
     , random(AK::seededFromSystem())
 {
 }
@@ -109,19 +88,14 @@
     CandidateSet candidateSet;
     bool anyUsable = false;
     for (const auto &[id, record] : this->fleet.upstreams()) {
-        const bool hasOwner = this->slotSource != nullptr && this->table.hasOwner(record);
-        if (hasOwner && !this->table.isOwn(record)) {
-            anyUsable = anyUsable || this->table.mayRequest(record, requirements);
-            continue;
-        }
-        if (kind == GrantKind::ForPeer && !hasOwner) {
+        const bool hasOwner = this->table.hasOwner(record);
+        const bool foreign = hasOwner && !this->table.isOwn(record);
+        if ((kind == GrantKind::ForPeer && (foreign || !hasOwner)) || (foreign && anyUsable)) {
             continue;
         }
-        if (!this->table.mayUse(record, requirements)) {
-            continue;
-        }
-        anyUsable = true;
-        if (this->table.rateAllows(record, hasOwner)) {
+        const auto hindrance = this->table.hindranceTo(record, requirements, foreign ? CallStage::Request : CallStage::Choice);
+        anyUsable = anyUsable || !hindrance || LibGateway::isLackOfRoom(hindrance->obstacle);
+        if (!foreign && !hindrance) {
             candidateSet.candidates.push_back(this->table.candidateOf(record));
             candidateSet.records.push_back(&record);
         }
@@ -145,56 +119,23 @@
 
 kj::Maybe<kj::Own<Grant>> Dispatcher::requestFromOwners(kj::WaitScope &scope, const CallRequirements &requirements)
 {
-    if (this->slotSource == nullptr) {
-        return nullptr;
-    }
-    LibPeers::SlotRequest request = slotRequest(requirements);
-    std::set<std::string> askedOwners;
-    for (int i = 0; i < maxOwnersAsked && this->loop.clock().now() < requirements.startBy; ++i) {
-        CandidateSet candidateSet;
-        for (const auto &[id, record] : this->fleet.upstreams()) {
-            if (!this->table.hasOwner(record) || this->table.isOwn(record) || askedOwners.contains(this->table.ownerOf(record)) || isExcluded(request, id)
-                || !this->table.mayRequest(record, requirements)) {
-                continue;
-            }
-            LibGateway::PlacementCandidate candidate = this->table.remoteCandidateOf(record);
-            candidate.load += std::uniform_real_distribution<double>(0, loadJitter)(this->random);
-            candidateSet.candidates.push_back(candidate);
-            candidateSet.records.push_back(&record);
-        }
-        const std::optional<size_t> chosen = LibGateway::chooseUpstream(candidateSet.candidates, 0, true, this->settings.upstreams.placement, this->random);
-        if (!chosen) {
-            return nullptr;
-        }
-        const std::string owner = this->table.ownerOf(*candidateSet.records[*chosen]);
-        auto offered = this->slotSource->requestSlot(scope, owner, request);
-        if (!offered.ok()) {
-            askedOwners.insert(owner);
-            continue;
-        }
-        KJ_IF_MAYBE (offer, *offered) {
-            const auto record = this->fleet.upstreams().find(offer->upstream);
-            const bool known = record != this->fleet.upstreams().end();
-            // An owner of an older build does not state the version.
-            const int64_t version = offer->weightsVersion != 0 || !known ? offer->weightsVersion : this->table.heldWeightsVersion(record->second);
-            const bool fits = known && this->table.mayRequest(record->second, requirements)
-                && (!record->second.isEngine || this->table.allowsWeights(requirements.service, version));
-            if (!fits) {
-                request.excluded.push_back(offer->upstream);
-                continue;
-            }
-            LibGateway::UpstreamLoad &load = this->table.loadOf(record->second);
-            const double estimated = LibGateway::estimatedLoad(load, this->loop.clock().now(), this->settings.upstreams.placement);
-            ++load.ownInFlight;
-            load.pendingPromptTokens += requirements.promptTokens;
-            return kj::heap<Grant>(*this, GrantKind::FromPeer, record->second, this->table.expectedWeightsVersion(record->second, version),
-                                   requirements.promptTokens, estimated, kj::mv(offer->slot));
-        }
-        askedOwners.insert(owner);
+    kj::Maybe<RequestedSlot> requested = this->slotRequester.request(scope, requirements);
+    KJ_IF_MAYBE (slot, requested) {
+        LibGateway::UpstreamLoad &load = this->table.loadOf(slot->upstream);
+        const double estimated = LibGateway::estimatedLoad(load, this->loop.clock().now(), this->settings.upstreams.placement);
+        ++load.ownInFlight;
+        load.pendingPromptTokens += requirements.promptTokens;
+        const int64_t version = this->table.expectedWeightsVersion(slot->upstream, slot->weightsVersion);
+        return kj::heap<Grant>(*this, GrantKind::FromPeer, slot->upstream, version, requirements.promptTokens, estimated, kj::mv(slot->slot));
     }
     return nullptr;
 }
 
+std::optional<LibGateway::Hindrance> Dispatcher::hindranceToSend(const Grant &grant, const CallRequirements &requirements)
+{
+    return this->table.hindranceToSend(grant.upstream(), requirements);
+}
+
 kj::Maybe<LibPeers::OfferedSlot> Dispatcher::offerSlot(const LibPeers::SlotRequest &request)
 {
     CallRequirements requirements;
--- a/Userland/Services/Gateway/Dispatcher.h
+++ b/Userland/Services/Gateway/Dispatcher.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Grant.h"
-#include "SlotClient.h"
+#include "SlotRequester.h"
 #include "UpstreamTable.h"
 
 #include <AK/Random.h>
@@ -64,6 +64,9 @@
 
     kj::Maybe<LibPeers::OfferedSlot> offerSlot(const LibPeers::SlotRequest &request) override;
 
+    /// What keeps a call from the upstream of its grant by now; to be asked right before the request is written. See UpstreamTable::hindranceToSend().
+    std::optional<LibGateway::Hindrance> hindranceToSend(const Grant &grant, const CallRequirements &requirements);
+
     /// Spends one retry of the service's budget; false when it is used up.
     bool trySpendRetry(const std::string &service);
 
@@ -120,7 +123,7 @@
 
     ServiceQueue &queue(const std::string &service);
     Availability tryGrant(const CallRequirements &requirements, bool ignoreBacklog, GrantKind kind, kj::Maybe<kj::Own<Grant>> &grant);
-    /// Requests a slot from the owners of other engines, one after the other.
+    /// Requests a slot at an upstream of another entry.
     kj::Maybe<kj::Own<Grant>> requestFromOwners(kj::WaitScope &scope, const CallRequirements &requirements);
     bool waitInQueue(kj::WaitScope &scope, ServiceQueue &queue, Waiter &waiter, kj::ForkedPromise<void> &granted);
     void release(const LibFleet::UpstreamRecord &record, GrantKind kind);
@@ -134,6 +137,7 @@
     DispatchSettings settings;
     SlotSource *slotSource;
     UpstreamTable table;
+    SlotRequester slotRequester;
     int callsForPeers = 0;
     std::map<std::string, std::unique_ptr<ServiceQueue>> queues;
     /// By route name.
--- /dev/null
+++ b/Userland/Services/Gateway/SlotRequester.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "SlotClient.h"
+#include "UpstreamTable.h"
+
+#include <AK/Random.h>
+#include <LibFiber/Loop.h>
+
+namespace Gateway
+{
+
+/// A slot at an upstream of another entry.
+struct RequestedSlot {
+    LibFleet::UpstreamRecord upstream;
+    /// Version of the weights that the owner has seen there, 0 when unknown.
+    int64_t weightsVersion = 0;
+    kj::Own<LibPeers::HeldSlot> slot;
+};
+
+/// Requests slots for the calls of this entry from the owners of other upstreams, one after the other.
+class SlotRequester
+{
+public:
+    /// `slotSource` is nullptr for an entry that owns all upstreams.
+    SlotRequester(LibFiber::Loop &loop, const LibFleet::FleetState &fleet, UpstreamTable &table, LibGateway::PlacementSettings settings,
+                  SlotSource *slotSource);
+
+    /// Returns nothing when none of the owners asked has a free slot.
+    kj::Maybe<RequestedSlot> request(kj::WaitScope &scope, const CallRequirements &requirements);
+
+private:
+    /// The owner with the best upstream for the call that was not asked yet; empty when there is none.
+    std::string chooseOwner(const CallRequirements &requirements, const LibPeers::SlotRequest &request, const std::set<std::string> &askedOwners);
+    /// The offered slot if the call may use it.
+    kj::Maybe<RequestedSlot> accept(LibPeers::OfferedSlot offer, const CallRequirements &requirements);
+
+    LibFiber::Loop &loop;
+    const LibFleet::FleetState &fleet;
+    UpstreamTable &table;
+    LibGateway::PlacementSettings settings;
+    SlotSource *slotSource;
+    AK::Random random;
+};
+
+} // namespace Gateway
--- a/Userland/Services/Gateway/UpstreamCall.cpp
+++ b/Userland/Services/Gateway/UpstreamCall.cpp
@@ -46,7 +46,7 @@
 
 UpstreamCall::Result UpstreamCall::send(kj::WaitScope &scope, const LibFleet::UpstreamRecord &upstream, const LibHttpStream::RequestHead &requestHead,
                                         const std::string &requestBody, const std::string &id, bool allowReuse, AK::Milliseconds headDeadline,
-                                        AK::Milliseconds deadline)
+                                        AK::Milliseconds deadline, const SendCheck &check)
 {
     this->address = upstream.address;
     const AK::Milliseconds connectBy = std::min(headDeadline, this->loop.clock().now() + connectTimeout);
@@ -55,6 +55,9 @@
         this->connections.dropIdle(this->address);
         return {SendOutcome::NotRun, false, AK::concat("connect: ", opened.status().message())};
     }
+    if (const std::optional<LibGateway::Hindrance> hindrance = check()) {
+        return {SendOutcome::NotRun, false, AK::concat("not sent: ", AK::nameOf(LibGateway::obstacleNames, hindrance->obstacle)), false, hindrance->obstacle};
+    }
     this->connection = kj::mv(*opened);
     LibHttpStream::RequestHead framed = requestHead;
     if (!requestBody.empty() || (framed.method != "GET" && framed.method != "HEAD")) {
--- a/Userland/Services/Gateway/UpstreamCall.h
+++ b/Userland/Services/Gateway/UpstreamCall.h
@@ -2,8 +2,10 @@
 
 #include "UpstreamConnectionPool.h"
 #include <LibFleet/FleetState.h>
+#include <LibGateway/Availability.h>
 #include <LibGateway/Codec.h>
 #include <LibHttpStream/MessageReader.h>
+#include <functional>
 
 namespace Gateway
 {
@@ -41,13 +43,19 @@
         bool silent = false;
         /// The response claims success without proof that the upstream made it.
         bool unproven = false;
+        /// Nothing was sent, because the upstream may not get the call any more.
+        std::optional<LibGateway::Obstacle> withheldBy;
     };
 
-    /// Sends the request until `deadline` and reads the head of its response until `headDeadline`. Responses to other requests are dropped. A success counts
-    /// only with its proof, and a refusal counts as SendOutcome::NotRun only if it is proven to be the response to this request; see
+    /// Names what keeps the call from its upstream by now.
+    using SendCheck = std::function<std::optional<LibGateway::Hindrance>()>;
+
+    /// Sends the request until `deadline` and reads the head of its response until `headDeadline`. A connection may take long to open, so `check` is asked
+    /// again once it is open; the request is written only if nothing keeps the call from the upstream. Responses to other requests are dropped. A success
+    /// counts only with its proof, and a refusal counts as SendOutcome::NotRun only if it is proven to be the response to this request; see
     /// LibGateway::proofOfRefusal().
     Result send(kj::WaitScope &scope, const LibFleet::UpstreamRecord &upstream, const LibHttpStream::RequestHead &head, const std::string &body,
-                const std::string &requestId, bool allowReuse, AK::Milliseconds headDeadline, AK::Milliseconds deadline);
+                const std::string &requestId, bool allowReuse, AK::Milliseconds headDeadline, AK::Milliseconds deadline, const SendCheck &check);
 
     /// Goes on reading the head of the response after a result that was silent.
     Result receiveHead(kj::WaitScope &scope, AK::Milliseconds deadline);
--- a/Userland/Services/Gateway/UpstreamTable.cpp
+++ b/Userland/Services/Gateway/UpstreamTable.cpp
@@ -15,10 +15,11 @@
 
 } // namespace
 
-UpstreamTable::UpstreamTable(const AK::Clock &clock, const LibFleet::FleetState &fleet, TableSettings settings)
+UpstreamTable::UpstreamTable(const AK::Clock &clock, const LibFleet::FleetState &fleet, TableSettings settings, bool ownersDecide)
     : clock(clock)
     , fleet(fleet)
     , settings(std::move(settings))
+    , ownersDecide(ownersDecide)
 {
 }
 
@@ -40,20 +41,55 @@
     }
 }
 
-bool UpstreamTable::isEligible(const LibFleet::UpstreamRecord &record, const CallRequirements &requirements) const
+std::optional<LibGateway::Hindrance> UpstreamTable::hindranceTo(const LibFleet::UpstreamRecord &record, const CallRequirements &requirements, CallStage stage)
 {
-    if (record.service != requirements.service || record.state != LibFleet::UpstreamState::Ready || requirements.excluded.contains(record.id)
-        || this->fleet.isEvacuated(record.failureDomain)) {
-        return false;
-    }
-    if (!requirements.regions.empty() || !requirements.accountRegions.empty()) {
-        const std::string region = this->regionOf(record.failureDomain);
-        if (!allowsRegion(requirements.regions, region) || !allowsRegion(requirements.accountRegions, region)) {
-            return false;
-        }
+    LibGateway::UpstreamConditions conditions;
+    conditions.sameService = record.service == requirements.service;
+    if (!conditions.sameService) {
+        return LibGateway::hindranceTo(conditions, this->clock.now());
     }
+    conditions.draining = record.state != LibFleet::UpstreamState::Ready;
+    conditions.evacuated = this->fleet.isEvacuated(record.failureDomain);
+    conditions.regionAllowed = this->regionAllowed(record, requirements);
+    conditions.excluded = requirements.excluded.contains(record.id);
     const LibGateway::UpstreamLoad *load = this->knownLoad(record);
-    return load == nullptr || this->clock.now() >= load->suspendedUntil;
+    conditions.suspendedUntil = load == nullptr ? 0 : load->suspendedUntil;
+    if (stage != CallStage::Send) {
+        const bool freshReport = this->hasFreshReport(record);
+        const bool ownerJudges = stage == CallStage::Request && !freshReport;
+        conditions.weightsAllowed =
+            !record.isEngine || this->allowsWeights(record.service, this->heldWeightsVersion(record)) || (ownerJudges && this->ownerMayHaveWeights(record));
+        conditions.switching = !ownerJudges && load != nullptr && freshReport && load->report->switching;
+    }
+    std::optional<LibGateway::Hindrance> hindrance = LibGateway::hindranceTo(conditions, this->clock.now());
+    if (!hindrance && stage == CallStage::Choice) {
+        // Counts only for an upstream that may be used otherwise, because it takes over the record's instance.
+        conditions.rateAllows = this->rateAllows(record);
+        conditions.rateNamed = LibGateway::isRateLimited(this->loadOf(record));
+        hindrance = LibGateway::hindranceTo(conditions, this->clock.now());
+    }
+    return hindrance;
+}
+
+std::optional<LibGateway::Hindrance> UpstreamTable::hindranceToSend(const LibFleet::UpstreamRecord &granted, const CallRequirements &requirements)
+{
+    const auto registered = this->fleet.upstreams().find(granted.id);
+    if (registered == this->fleet.upstreams().end()) {
+        return LibGateway::Hindrance{LibGateway::Obstacle::Unregistered, 0};
+    }
+    if (registered->second.startTime != granted.startTime || registered->second.address != granted.address) {
+        return LibGateway::Hindrance{LibGateway::Obstacle::Replaced, 0};
+    }
+    return this->hindranceTo(registered->second, requirements, CallStage::Send);
+}
+
+bool UpstreamTable::regionAllowed(const LibFleet::UpstreamRecord &record, const CallRequirements &requirements) const
+{
+    if (requirements.regions.empty() && requirements.accountRegions.empty()) {
+        return true;
+    }
+    const std::string region = this->regionOf(record.failureDomain);
+    return allowsRegion(requirements.regions, region) && allowsRegion(requirements.accountRegions, region);
 }
 
 const LibGateway::UpstreamLoad *UpstreamTable::knownLoad(const LibFleet::UpstreamRecord &record) const
@@ -73,29 +109,11 @@
     return version != 0 && version >= this->requiredWeightsVersion(service);
 }
 
-bool UpstreamTable::mayUse(const LibFleet::UpstreamRecord &record, const CallRequirements &requirements) const
+bool UpstreamTable::ownerMayHaveWeights(const LibFleet::UpstreamRecord &record)
 {
-    if (!this->isEligible(record, requirements) || (record.isEngine && !this->allowsWeights(record.service, this->heldWeightsVersion(record)))) {
-        return false;
-    }
-    const LibGateway::UpstreamLoad *load = this->knownLoad(record);
-    return load == nullptr || !this->hasFreshReport(record) || !load->report->switching;
-}
-
-bool UpstreamTable::mayRequest(const LibFleet::UpstreamRecord &record, const CallRequirements &requirements)
-{
-    if (this->hasFreshReport(record)) {
-        return this->mayUse(record, requirements);
-    }
-    if (!this->isEligible(record, requirements)) {
-        return false;
-    }
-    if (!record.isEngine) {
-        return true;
-    }
     // An engine that has loaded the required weights is registered with them up to two seconds later; its owner states open slots at once.
     const auto open = this->openSlotsByEntry.find(this->ownerOf(record));
-    return this->allowsWeights(record.service, record.weightsVersion) || open == this->openSlotsByEntry.end() || open->second > 0;
+    return open == this->openSlotsByEntry.end() || open->second > 0;
 }
 
 void UpstreamTable::setOpenSlots(std::map<std::string, int> openSlots)
@@ -113,7 +131,11 @@
     for (const auto &[id, record] : this->fleet.upstreams()) {
         CallRequirements anyCall;
         anyCall.service = record.service;
-        if (this->hasOwner(record) && this->isOwn(record) && this->mayUse(record, anyCall) && !this->awaitsRate(record)) {
+        if (!this->hasOwner(record) || !this->isOwn(record)) {
+            continue;
+        }
+        const std::optional<LibGateway::Hindrance> hindrance = this->hindranceTo(record, anyCall, CallStage::Choice);
+        if (!hindrance || hindrance->obstacle == LibGateway::Obstacle::ColdRate) {
             const LibGateway::PlacementCandidate candidate = this->candidateOf(record);
             open += std::max(0.0, candidate.limit - candidate.load);
         }
@@ -193,23 +215,19 @@
 bool UpstreamTable::hasOwner(const LibFleet::UpstreamRecord &record) const
 {
     const LibGateway::UpstreamLoad *load = this->knownLoad(record);
-    return record.isEngine || (load != nullptr && LibGateway::isRateLimited(*load));
+    return this->ownersDecide && (record.isEngine || (load != nullptr && LibGateway::isRateLimited(*load)));
 }
 
-bool UpstreamTable::rateAllows(const LibFleet::UpstreamRecord &record, bool owned)
+bool UpstreamTable::rateAllows(const LibFleet::UpstreamRecord &record)
 {
     const LibFleet::ServiceSpec *spec = this->serviceSpec(record.service);
-    const double share = owned ? LibGateway::ownerShare(this->entries.size(), this->registeredEntries()) : 1.0 / static_cast<double>(this->registeredEntries());
+    const double share =
+        this->hasOwner(record) ? LibGateway::ownerShare(this->entries.size(), this->registeredEntries()) : 1.0 / static_cast<double>(this->registeredEntries());
     LibGateway::UpstreamLoad &load = this->loadOf(record);
     const double rate = LibGateway::callsPerSecond(load, spec == nullptr ? 0 : spec->coldCallsPerSecond, this->settings.placement);
     return LibGateway::rateAllows(load, rate, share, this->clock.now());
 }
 
-bool UpstreamTable::awaitsRate(const LibFleet::UpstreamRecord &record)
-{
-    return LibGateway::isRateLimited(this->loadOf(record)) && !this->rateAllows(record, true);
-}
-
 int64_t UpstreamTable::expectedWeightsVersion(const LibFleet::UpstreamRecord &record, int64_t held) const
 {
     return record.isEngine && this->requiredWeightsVersion(record.service) > 0 ? held : 0;
--- a/Userland/Services/Gateway/UpstreamTable.h
+++ b/Userland/Services/Gateway/UpstreamTable.h
@@ -4,6 +4,7 @@
 
 #include <AK/Clock.h>
 #include <LibFleet/FleetState.h>
+#include <LibGateway/Availability.h>
 #include <LibGateway/Placement.h>
 #include <LibLog/Logger.h>
 #include <map>
@@ -21,11 +22,22 @@
     AK::Milliseconds weightsSwitchDelay = 6'000;
 };
 
+/// Who decides at which point of a call whether an upstream may get it.
+enum class CallStage {
+    /// This entry chooses the upstream.
+    Choice,
+    /// The owner of the upstream is asked for a slot. It judges rates, and weights that only a report of the engine shows.
+    Request,
+    /// The slot is held and the request is about to be written. Rates and weights were settled with the slot.
+    Send,
+};
+
 /// What an entry knows about the upstreams beyond their records: their load, their owners and whether they may get a call.
 class UpstreamTable
 {
 public:
-    UpstreamTable(const AK::Clock &clock, const LibFleet::FleetState &fleet, TableSettings settings);
+    /// `ownersDecide`: other entries can be asked for slots at the upstreams that they own.
+    UpstreamTable(const AK::Clock &clock, const LibFleet::FleetState &fleet, TableSettings settings, bool ownersDecide);
 
     void setWeightsSwitchDelay(AK::Milliseconds weightsSwitchDelay);
 
@@ -35,11 +47,12 @@
     /// Sets the entries that share the upstreams, this one included.
     void setEntries(std::vector<LibFleet::EntryLocation> entries);
 
-    /// Whether a call may be sent to an upstream, regardless of free slots.
-    bool mayUse(const LibFleet::UpstreamRecord &record, const CallRequirements &requirements) const;
+    /// What keeps a call from an upstream, apart from the number of calls there; nothing when the upstream may get the call now. Every way on which a call
+    /// reaches an upstream asks this.
+    std::optional<LibGateway::Hindrance> hindranceTo(const LibFleet::UpstreamRecord &record, const CallRequirements &requirements, CallStage stage);
 
-    /// Whether the owner of an upstream may be asked for a slot: as mayUse(), but the owner judges what only a report of the engine shows.
-    bool mayRequest(const LibFleet::UpstreamRecord &record, const CallRequirements &requirements);
+    /// The same right before the request is written, for the record that was granted. `granted` may differ from what is registered by now.
+    std::optional<LibGateway::Hindrance> hindranceToSend(const LibFleet::UpstreamRecord &granted, const CallRequirements &requirements);
 
     /// Whether calls may use a version of the weights of a service.
     bool allowsWeights(const std::string &service, int64_t version) const;
@@ -66,10 +79,6 @@
     /// a low limit would exceed it together.
     bool hasOwner(const LibFleet::UpstreamRecord &record) const;
 
-    /// Whether the rate of the upstream allows another call now. `owned`: all calls to the upstream go through this entry; otherwise each entry gets an equal
-    /// share of the rate.
-    bool rateAllows(const LibFleet::UpstreamRecord &record, bool owned);
-
     /// Version of the weights that a call must require of an upstream which holds the version `held`, 0 for any.
     int64_t expectedWeightsVersion(const LibFleet::UpstreamRecord &record, int64_t held) const;
 
@@ -97,12 +106,13 @@
     int callsInFlight() const;
 
 private:
-    /// Whether an upstream of this entry has used up the rate limit that it names.
-    bool awaitsRate(const LibFleet::UpstreamRecord &record);
+    /// Whether the rate of the upstream allows another call now: the whole rate for an upstream that has an owner, else an equal share for each entry.
+    bool rateAllows(const LibFleet::UpstreamRecord &record);
+    /// Whether the owner of an engine without a fresh report may hold one with the required weights.
+    bool ownerMayHaveWeights(const LibFleet::UpstreamRecord &record);
     void logRateLimit(const std::string &upstream, std::optional<double> callsPerSecond, std::string_view from) const;
     const LibFleet::ServiceSpec *serviceSpec(const std::string &service) const;
-    /// What mayUse() and mayRequest() have in common.
-    bool isEligible(const LibFleet::UpstreamRecord &record, const CallRequirements &requirements) const;
+    bool regionAllowed(const LibFleet::UpstreamRecord &record, const CallRequirements &requirements) const;
     const LibGateway::UpstreamLoad *knownLoad(const LibFleet::UpstreamRecord &record) const;
     bool hasFreshReport(const LibFleet::UpstreamRecord &record) const;
     /// Engines of each owner.
@@ -113,6 +123,7 @@
     const AK::Clock &clock;
     const LibFleet::FleetState &fleet;
     TableSettings settings;
+    bool ownersDecide;
     std::map<std::string, std::string> regions;
     std::vector<LibFleet::EntryLocation> entries;
     /// Owners by upstream id; cleared when the entries change.
