Gateway: Send nothing new to an upstream that says it is leaving

Upstreams say in their responses that they are leaving. Only the registration was read, so an upstream kept getting calls while the store was away or its record or a peer's list was out of date.

The first such response of an incarnation (id and start time) is recorded at its head, whatever its status, and is an obstacle on all ways to the upstream (UpstreamTable::hindranceTo). It is never taken back; a registration of the id with a later start, or another id at the address, is free. Calls at work are not touched. Logged as upstream_leaving, counted in catkinlink_upstream_notices_total; catkinlink_upstreams_hindered has the upstreams without new calls by reason.

--- a/Tests/Services/Gateway/TestCallPaths.cpp
+++ b/Tests/Services/Gateway/TestCallPaths.cpp
@@ -130,40 +130,48 @@
     EXPECT_EQ(paths.reaches(path, obstacle), free);
 }
 
-INSTANTIATE_TEST_SUITE_P(Table, CallPathTest,
-                         testing::Combine(testing::Values(Path::Choice, Path::Queue, Path::Offer, Path::Request, Path::Send),
-                                          testing::Values(ObstacleCase{"none",
-                                                                       [](SlotSite &, Dispatcher &, CallRequirements &) {
-                                                                       }},
-                                                          ObstacleCase{"draining",
-                                                                       [](SlotSite &site, Dispatcher &, CallRequirements &) {
-                                                                           changeRecord(site,
-                                                                                        [](auto &record) { record.state = LibFleet::UpstreamState::Draining; });
-                                                                       }},
-                                                          ObstacleCase{"unregistered",
-                                                                       [](SlotSite &site, Dispatcher &, CallRequirements &) {
-                                                                           site.fleet.setUpstreams({});
-                                                                       }},
-                                                          ObstacleCase{"evacuated",
-                                                                       [](SlotSite &site, Dispatcher &, CallRequirements &) {
-                                                                           site.fleet.setEvacuations({"cusco-1"});
-                                                                       }},
-                                                          ObstacleCase{"suspended",
-                                                                       [](SlotSite &site, Dispatcher &dispatcher, CallRequirements &) {
-                                                                           constexpr int failures = 3;
-                                                                           for (int i = 0; i < failures; ++i) {
-                                                                               dispatcher.recordOutcome(site.fleet.upstreams().at("i-2"), true);
-                                                                           }
-                                                                       }},
-                                                          ObstacleCase{"other_region",
-                                                                       [](SlotSite &, Dispatcher &, CallRequirements &requirements) {
-                                                                           requirements.regions = {"lima"};
-                                                                       }},
-                                                          ObstacleCase{"excluded",
-                                                                       [](SlotSite &, Dispatcher &, CallRequirements &requirements) {
-                                                                           requirements.excluded = {"i-2"};
-                                                                       }})),
-                         [](const auto &info) { return AK::concat(AK::nameOf(pathNames, std::get<0>(info.param)), "_", std::get<1>(info.param).name); });
+INSTANTIATE_TEST_SUITE_P(
+    Table, CallPathTest,
+    testing::Combine(testing::Values(Path::Choice, Path::Queue, Path::Offer, Path::Request, Path::Send),
+                     testing::Values(
+                         ObstacleCase{"none",
+                                      [](SlotSite &, Dispatcher &, CallRequirements &) {
+                                      }},
+                         ObstacleCase{"draining",
+                                      [](SlotSite &site, Dispatcher &, CallRequirements &) {
+                                          changeRecord(site, [](auto &record) { record.state = LibFleet::UpstreamState::Draining; });
+                                      }},
+                         ObstacleCase{"leaving",
+                                      [](SlotSite &site, Dispatcher &dispatcher, CallRequirements &) {
+                                          LibGateway::ResponseInfo response;
+                                          response.leaving = true;
+                                          dispatcher.recordResponse(site.fleet.upstreams().at("i-2"), response, 0);
+                                      }},
+                         ObstacleCase{"unregistered",
+                                      [](SlotSite &site, Dispatcher &, CallRequirements &) {
+                                          site.fleet.setUpstreams({});
+                                      }},
+                         ObstacleCase{"evacuated",
+                                      [](SlotSite &site, Dispatcher &, CallRequirements &) {
+                                          site.fleet.setEvacuations({"cusco-1"});
+                                      }},
+                         ObstacleCase{"suspended",
+                                      [](SlotSite &site, Dispatcher &dispatcher, CallRequirements &) {
+                                          constexpr int failures = 3;
+                                          for (int i = 0; i < failures; ++i) {
+                                              dispatcher.recordOutcome(site.fleet.upstreams().at("i-2"), true);
+                                          }
+                                      }},
+                         ObstacleCase{"other_region",
+                                      [](SlotSite &, Dispatcher &, CallRequirements &requirements) {
+                                          requirements.regions = {"lima"};
+                                      }},
+                         ObstacleCase{
+                             "excluded",
+                             [](SlotSite &, Dispatcher &, CallRequirements &requirements) {
+                                 requirements.excluded = {"i-2"};
+                             }})),
+    [](const auto &info) { return AK::concat(AK::nameOf(pathNames, std::get<0>(info.param)), "_", std::get<1>(info.param).name); });
 
 struct ReplacedCase {
     const char *name;
--- /dev/null
+++ b/Tests/Services/Gateway/TestLeavingUpstreams.cpp
@@ -0,0 +1,222 @@
+#include "GatewaySite.h"
+#include <AK/Text.h>
+#include <gtest/gtest.h>
+
+namespace
+{
+
+using LibFleet::RouteKind;
+
+constexpr AK::Milliseconds callTimeout = 1'500;
+constexpr AK::Milliseconds pollInterval = 10;
+constexpr AK::Milliseconds eventInterval = 60;
+constexpr int eventsOfStream = 8;
+constexpr int64_t firstStart = 1'000;
+/// Requests written before the response is read may still arrive.
+constexpr AK::Milliseconds inFlightTime = 100;
+
+/// The first upstream says that it is leaving in all responses from a given one on; the second one never does.
+struct LeavingSite {
+    struct Response {
+        int status = 200;
+        LibHttpStream::Headers more;
+        /// The response is a stream that goes on for long after its head.
+        bool stream = false;
+        AK::Milliseconds duration = 0;
+    };
+
+    LeavingSite(Response response, RouteKind kind, size_t leavesAt = 1)
+        : response(std::move(response))
+        , leavesAt(leavesAt)
+        , site({this->script(true), this->script(false)})
+    {
+        this->site.configure(kind, true, 2, callTimeout);
+        this->changeUpstream([](auto &record) { record.startTime = firstStart; });
+    }
+
+    UpstreamScript script(bool leaving)
+    {
+        return [this, leaving](kj::WaitScope &scope, LibFiber::ByteChannel &channel, const LibHttpStream::RequestHead &head, const std::string &) {
+            const std::string id = *LibHttpStream::findHeader(head.headers, "X-Attempt-Id");
+            this->site.loop.sleep(scope, this->response.duration);
+            if (leaving && ++this->responses >= this->leavesAt) {
+                this->leftAt = this->leftAt == 0 ? this->site.loop.clock().now() : this->leftAt;
+                LibHttpStream::Headers headers = this->response.more;
+                headers.push_back({"Server-Leaving", "1"});
+                return this->response.stream ? this->writeSlowStream(scope, channel, id) : this->write(scope, channel, id, this->response.status, headers);
+            }
+            return this->write(scope, channel, id, 200, {});
+        };
+    }
+
+    bool write(kj::WaitScope &scope, LibFiber::ByteChannel &channel, const std::string &id, int status, LibHttpStream::Headers headers)
+    {
+        const bool events = this->site.fleet.configuration()->routes[0].kind == RouteKind::Stream && status == 200;
+        const std::string body = events ? "id: 1\ndata: word\n\n" : "hello";
+        if (events) {
+            headers.push_back({"Content-Type", "text/event-stream"});
+        }
+        writeResponse(scope, channel, this->site.loop, id, status, body, body.size(), headers);
+        return true;
+    }
+
+    bool writeSlowStream(kj::WaitScope &scope, LibFiber::ByteChannel &channel, const std::string &id)
+    {
+        const std::string event = "id: 1\ndata: word\n\n";
+        writeResponse(scope, channel, this->site.loop, id, 200, event, event.size() * eventsOfStream,
+                      {{"Content-Type", "text/event-stream"}, {"Server-Leaving", "1"}});
+        for (int i = 1; i < eventsOfStream; ++i) {
+            this->site.loop.sleep(scope, eventInterval);
+            if (!channel.write(scope, event, this->site.loop.clock().now() + callTimeout).ok()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    void changeUpstream(const std::function<void(LibFleet::UpstreamRecord &)> &change)
+    {
+        std::map<std::string, LibFleet::UpstreamRecord> records;
+        for (const auto &[id, record] : this->site.fleet.upstreams()) {
+            LibFleet::UpstreamRecord changed = record;
+            if (record.address == this->site.upstreamAddresses[0]) {
+                change(changed);
+            }
+            records[changed.id] = changed;
+        }
+        this->site.fleet.setUpstreams(records);
+    }
+
+    void startCall()
+    {
+        this->site.loop.spawn([this, id = AK::concat("a", ++this->calls)](kj::WaitScope &scope) {
+            const ClientResponse answer = this->site.callFrom(scope, {{"X-Attempt-Id", id}, {"X-Deadline-Ms", std::to_string(callTimeout)}});
+            this->served += answer.status == 200 && answer.complete ? 1 : 0;
+            ++this->ended;
+        });
+    }
+
+    void wait(const std::function<bool()> &done)
+    {
+        const AK::Milliseconds deadline = this->site.loop.clock().now() + 2 * callTimeout;
+        while (!done() && this->site.loop.clock().now() < deadline) {
+            this->site.loop.sleep(this->site.loop.rootScope(), pollInterval);
+        }
+    }
+
+    void callUntilLeaving()
+    {
+        while (this->leftAt == 0) {
+            const int before = this->ended;
+            this->startCall();
+            this->wait([&] { return this->ended > before || this->leftAt > 0; });
+        }
+        this->site.loop.sleep(this->site.loop.rootScope(), inFlightTime);
+    }
+
+    size_t requestsOfLeaving() const
+    {
+        return this->site.upstreams[0]->requests.size();
+    }
+
+    Response response;
+    size_t leavesAt;
+    size_t responses = 0;
+    AK::Milliseconds leftAt = 0;
+    int calls = 0;
+    int served = 0;
+    int ended = 0;
+    GatewaySite site;
+};
+
+struct LeavingCase {
+    const char *name;
+    RouteKind kind;
+    LeavingSite::Response response;
+};
+
+class LeavingTest : public testing::TestWithParam<LeavingCase>
+{
+};
+
+// Guards against an upstream that says that it is leaving and gets further calls while its registration still says that it is ready.
+TEST_P(LeavingTest, GetsNothingNewAndFinishes)
+{
+    constexpr int further = 12;
+    LeavingSite site(GetParam().response, GetParam().kind);
+    site.callUntilLeaving();
+    const size_t before = site.requestsOfLeaving();
+    for (int i = 0; i < further; ++i) {
+        site.startCall();
+    }
+    site.wait([&] { return site.ended == site.calls; });
+    EXPECT_EQ(site.requestsOfLeaving(), before);
+    EXPECT_EQ(site.served, site.calls) << "a call at work ends untouched, all others are served by the second upstream";
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, LeavingTest,
+                         testing::Values(LeavingCase{"answer", RouteKind::Idempotent, {200, {}}}, LeavingCase{"at_most_once", RouteKind::AtMostOnce, {200, {}}},
+                                         LeavingCase{"stream_at_its_head", RouteKind::Stream, {200, {}, true}},
+                                         LeavingCase{"failure", RouteKind::Idempotent, {500, {}}},
+                                         LeavingCase{"refusal", RouteKind::AtMostOnce, {503, {{"X-Not-Executed", "1"}}}},
+                                         LeavingCase{"misdirected", RouteKind::AtMostOnce, {421, {}}},
+                                         LeavingCase{"beside_a_rate_limit", RouteKind::Idempotent, {200, {{"Server-Limit", "50"}}}}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+// Guards against calls that wait in a full queue and are given a slot of an upstream that has said that it is leaving.
+TEST(Leaving, HoldsForCallsInTheQueue)
+{
+    constexpr int load = 48;
+    constexpr AK::Milliseconds duration = 60;
+    LeavingSite site({200, {}, false, duration}, RouteKind::Idempotent, 3);
+    for (int i = 0; i < load; ++i) {
+        site.startCall();
+    }
+    site.wait([&] { return site.leftAt > 0; });
+    site.site.loop.sleep(site.site.loop.rootScope(), inFlightTime);
+    EXPECT_GT(site.site.dispatcher.waitingCalls(), 0U) << "the queue is not empty when the upstream leaves";
+    const size_t before = site.requestsOfLeaving();
+    site.wait([&] { return site.ended == site.calls; });
+    EXPECT_EQ(site.requestsOfLeaving(), before);
+    EXPECT_EQ(site.ended, site.calls);
+}
+
+struct RegistrationCase {
+    const char *name;
+    std::function<void(LibFleet::UpstreamRecord &)> change;
+    bool getsCalls;
+};
+
+class LeavingRegistrationTest : public testing::TestWithParam<RegistrationCase>
+{
+};
+
+// Guards against a registration that brings back an upstream which has said that it is leaving, and against one that keeps its successor without calls.
+TEST_P(LeavingRegistrationTest, DecidesWhichIncarnationIsFree)
+{
+    constexpr int further = 12;
+    LeavingSite site({200, {}}, RouteKind::Idempotent);
+    site.callUntilLeaving();
+    site.changeUpstream(GetParam().change);
+    const size_t before = site.requestsOfLeaving();
+    for (int i = 0; i < further; ++i) {
+        site.startCall();
+    }
+    site.wait([&] { return site.ended == site.calls; });
+    EXPECT_EQ(site.requestsOfLeaving() > before, GetParam().getsCalls);
+    EXPECT_EQ(site.served, site.calls);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, LeavingRegistrationTest,
+                         testing::Values(RegistrationCase{"written_again", [](auto &record) { record.weightsVersion = 9; }, false},
+                                         RegistrationCase{"of_an_earlier_start", [](auto &record) { record.startTime = firstStart - 1; }, false},
+                                         RegistrationCase{"restarted_under_its_id", [](auto &record) { record.startTime = firstStart + 1; }, true},
+                                         RegistrationCase{"address_used_again",
+                                                          [](auto &record) {
+                                                              record.id = "i-9";
+                                                              record.startTime = firstStart + 1;
+                                                          },
+                                                          true}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+} // namespace
--- a/Userland/Libraries/LibGateway/Availability.h
+++ b/Userland/Libraries/LibGateway/Availability.h
@@ -18,6 +18,8 @@
     Replaced,
     /// Its registration says that it is draining.
     Draining,
+    /// It has said in a response that it is leaving.
+    Leaving,
     /// Its failure domain is evacuated.
     Evacuated,
     /// The route or the client account does not allow its region.
@@ -41,6 +43,7 @@
     AK::EnumName{Obstacle::Unregistered, "unregistered"},
     AK::EnumName{Obstacle::Replaced, "replaced"},
     AK::EnumName{Obstacle::Draining, "draining"},
+    AK::EnumName{Obstacle::Leaving, "leaving"},
     AK::EnumName{Obstacle::Evacuated, "evacuated"},
     AK::EnumName{Obstacle::OtherRegion, "other_region"},
     AK::EnumName{Obstacle::Excluded, "excluded"},
@@ -64,6 +67,7 @@
 struct UpstreamConditions {
     bool sameService = true;
     bool draining = false;
+    bool leaving = false;
     bool evacuated = false;
     bool regionAllowed = true;
     bool excluded = false;
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -164,7 +164,7 @@
             return NextStep::Done;
         }
         if (sent.outcome == SendOutcome::Answered || sent.refusedByUpstream) {
-            this->context.dispatcher.recordRateLimit(upstream, call.responseInfo().callsPerSecondLimit, this->sentAt);
+            this->context.dispatcher.recordResponse(upstream, call.responseInfo(), this->sentAt);
         }
         if (sent.outcome != SendOutcome::Answered) {
             this->context.dispatcher.recordOutcome(upstream, !sent.refusedByUpstream);
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -299,6 +299,28 @@
     this->table.suspend(upstream);
 }
 
+void Dispatcher::recordResponse(const LibFleet::UpstreamRecord &upstream, const LibGateway::ResponseInfo &response, AK::Milliseconds sentAt)
+{
+    this->table.recordRateLimit(upstream, response.callsPerSecondLimit, sentAt);
+    this->table.notices().record(upstream, response);
+}
+
+void Dispatcher::exportMetrics(LibMetrics::MetricRegistry &metrics)
+{
+    this->table.notices().exportTo(metrics);
+    std::map<LibGateway::Obstacle, int> hindered;
+    for (const auto &[id, record] : this->fleet.upstreams()) {
+        CallRequirements anyCall;
+        anyCall.service = record.service;
+        if (const auto hindrance = this->table.hindranceTo(record, anyCall, CallStage::Request)) {
+            ++hindered[hindrance->obstacle];
+        }
+    }
+    for (const auto &row : LibGateway::obstacleNames) {
+        metrics.set("catkinlink_upstreams_hindered", {{"reason", std::string(row.name)}}, hindered[row.value]);
+    }
+}
+
 void Dispatcher::recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting)
 {
     this->table.recordResponseLoad(upstream, running, waiting);
--- a/Userland/Services/Gateway/Dispatcher.h
+++ b/Userland/Services/Gateway/Dispatcher.h
@@ -75,6 +75,8 @@
     void suspend(const LibFleet::UpstreamRecord &upstream);
     void recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting);
     void recordReport(const LibPeers::EngineReport &report);
+    /// Records what the head of a response says about the upstream's rate limit and leaving. `sentAt`: monotonic time at which the call was sent.
+    void recordResponse(const LibFleet::UpstreamRecord &upstream, const LibGateway::ResponseInfo &response, AK::Milliseconds sentAt);
     /// See UpstreamTable::recordRateLimit().
     void recordRateLimit(const LibFleet::UpstreamRecord &upstream, std::optional<double> callsPerSecond, AK::Milliseconds sentAt);
     void addRateLimits(LibPeers::NodeState &state) const;
@@ -88,6 +90,9 @@
     /// Number of calls that the engines which this entry owns could take now.
     int openSlots();
 
+    /// Writes the upstreams that get no calls now, by reason, and what upstreams have said about new calls.
+    void exportMetrics(LibMetrics::MetricRegistry &metrics);
+
     /// Calls of this entry's clients in the queues.
     size_t waitingCalls() const;
     /// Calls of this entry's clients at upstreams.
--- a/Userland/Services/Gateway/UpstreamCall.cpp
+++ b/Userland/Services/Gateway/UpstreamCall.cpp
@@ -56,7 +56,8 @@
         return {SendOutcome::NotRun, false, AK::concat("connect: ", opened.status().message())};
     }
     if (const std::optional<LibGateway::Hindrance> hindrance = check()) {
-        return {SendOutcome::NotRun, false, AK::concat("not sent: ", AK::nameOf(LibGateway::obstacleNames, hindrance->obstacle)), false, hindrance->obstacle};
+        return {SendOutcome::NotRun, false, AK::concat("not sent: ", AK::nameOf(LibGateway::obstacleNames, hindrance->obstacle)), false, false, false,
+                hindrance->obstacle};
     }
     this->connection = kj::mv(*opened);
     LibHttpStream::RequestHead framed = requestHead;
--- /dev/null
+++ b/Userland/Services/Gateway/UpstreamNotices.cpp
@@ -0,0 +1,48 @@
+#include "UpstreamNotices.h"
+
+namespace Gateway
+{
+
+namespace
+{
+
+// Far above the upstreams of a deployment that leave within hours.
+constexpr size_t maxLeavingNotices = 4'096;
+
+} // namespace
+
+UpstreamNotices::UpstreamNotices(const AK::Clock &clock, const LibFleet::FleetState &fleet)
+    : clock(clock)
+    , fleet(fleet)
+{
+}
+
+void UpstreamNotices::record(const LibFleet::UpstreamRecord &upstream, const LibGateway::ResponseInfo &response)
+{
+    if (response.leaving) {
+        this->recordLeaving(upstream.id, upstream.startTime, "response");
+    }
+}
+
+void UpstreamNotices::recordLeaving(const std::string &upstream, int64_t startTime, std::string_view from)
+{
+    if (LibGateway::recordLeaving(this->leaving, upstream, startTime, this->clock.now(), maxLeavingNotices)) {
+        ++this->uncounted[NoticeKind::Leaving];
+        this->logger.info("upstream_leaving", {{"upstream", upstream}, {"born", startTime}, {"from", from}});
+    }
+}
+
+bool UpstreamNotices::isLeaving(const LibFleet::UpstreamRecord &upstream) const
+{
+    return LibGateway::isLeaving(this->leaving, upstream.id, upstream.startTime);
+}
+
+void UpstreamNotices::exportTo(LibMetrics::MetricRegistry &metrics)
+{
+    for (auto &[kind, count] : this->uncounted) {
+        metrics.add("catkinlink_upstream_notices_total", {{"kind", std::string(AK::nameOf(noticeKindNames, kind))}}, static_cast<double>(count));
+    }
+    this->uncounted.clear();
+}
+
+} // namespace Gateway
--- a/Userland/Services/Gateway/UpstreamTable.cpp
+++ b/Userland/Services/Gateway/UpstreamTable.cpp
@@ -20,6 +20,7 @@
     , fleet(fleet)
     , settings(std::move(settings))
     , ownersDecide(ownersDecide)
+    , upstreamNotices(clock, fleet)
 {
 }
 
@@ -49,6 +50,7 @@
         return LibGateway::hindranceTo(conditions, this->clock.now());
     }
     conditions.draining = record.state != LibFleet::UpstreamState::Ready;
+    conditions.leaving = this->upstreamNotices.isLeaving(record);
     conditions.evacuated = this->fleet.isEvacuated(record.failureDomain);
     conditions.regionAllowed = this->regionAllowed(record, requirements);
     conditions.excluded = requirements.excluded.contains(record.id);
@@ -287,6 +289,11 @@
     }
 }
 
+UpstreamNotices &UpstreamTable::notices()
+{
+    return this->upstreamNotices;
+}
+
 void UpstreamTable::addRateLimits(LibPeers::NodeState &state) const
 {
     const AK::Milliseconds now = this->clock.now();
--- a/Userland/Services/Gateway/UpstreamTable.h
+++ b/Userland/Services/Gateway/UpstreamTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CallRequirements.h"
+#include "UpstreamNotices.h"
 
 #include <AK/Clock.h>
 #include <LibFleet/FleetState.h>
@@ -98,6 +99,9 @@
     /// Records which limit the response to a call has named, if any. `sentAt`: monotonic time at which the call was sent.
     void recordRateLimit(const LibFleet::UpstreamRecord &upstream, std::optional<double> callsPerSecond, AK::Milliseconds sentAt);
 
+    /// What the upstreams have said about new calls.
+    UpstreamNotices &notices();
+
     /// Adds the rate limits of which this entry had news lately to the state that other entries get.
     void addRateLimits(LibPeers::NodeState &state) const;
     void adoptRateLimits(const LibPeers::NodeState &state);
@@ -136,6 +140,7 @@
     AK::Milliseconds openSlotsCountedAt = 0;
     /// By address, because the report of an agent names its upstream by address.
     std::map<std::string, LibGateway::UpstreamLoad> loads;
+    UpstreamNotices upstreamNotices;
     LibLog::Logger logger{"dispatcher"};
 };
 
--- a/Userland/Utilities/catkinlinkd/EntryProcess.cpp
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.cpp
@@ -129,6 +129,7 @@
 {
     this->metrics.set("catkinlink_calls_waiting", {}, static_cast<double>(this->dispatcher.waitingCalls()));
     this->metrics.set("catkinlink_calls_in_flight", {}, this->dispatcher.callsInFlight());
+    this->dispatcher.exportMetrics(this->metrics);
     return {200, "text/plain; version=0.0.4", this->metrics.text()};
 }
 
