Gateway: Tell other entries which upstreams say that they are leaving

An entry learned of an upstream's leaving only from a response to one of its own calls. An entry that starts, or whose list of upstreams is out of date, had to be told again by the upstream, at the price of a call there.

NodeState carries the notices (leavingUpstreams, id and start time): for two seconds after an entry has learned of one, and as long as it sees the upstream registered as ready. Dispatcher::addUpstreamNews() and adoptUpstreamNews() carry these and the rate limits.

TestGateway LeavingNewsTest with the sending switched off: 3 of 4 cases fail; with it all pass, and SharedLimitTest, TestLibPeers, TestFleet and TestFuzz too.

--- a/Tests/LibPeers/TestWireCodec.cpp
+++ b/Tests/LibPeers/TestWireCodec.cpp
@@ -87,6 +87,21 @@
     EXPECT_EQ(decoded.rateLimits[2].callsPerSecond, 0.0);
 }
 
+// Guards against a notice that is taken for another incarnation's on the way to another entry.
+TEST(LeavingUpstreamCodec, ReturnsWhatWasSent)
+{
+    NodeState state;
+    state.leavingUpstreams = {{"i-1", 1'764'900'000'123}, {"i-2", 0}};
+    capnp::MallocMessageBuilder message;
+    encode(state, message.initRoot<PeerWire::NodeState>());
+    const NodeState decoded = decode(message.getRoot<PeerWire::NodeState>().asReader());
+    ASSERT_EQ(decoded.leavingUpstreams.size(), 2U);
+    EXPECT_EQ(decoded.leavingUpstreams[0].upstream, "i-1");
+    EXPECT_EQ(decoded.leavingUpstreams[0].startTime, 1'764'900'000'123);
+    EXPECT_EQ(decoded.leavingUpstreams[1].upstream, "i-2");
+    EXPECT_EQ(decoded.leavingUpstreams[1].startTime, 0);
+}
+
 // Guards against crashes whose suspects or times are changed on the way to another entry.
 TEST(CrashCodec, ReturnsWhatWasSent)
 {
--- a/Tests/Services/Gateway/TestLeavingUpstreams.cpp
+++ b/Tests/Services/Gateway/TestLeavingUpstreams.cpp
@@ -1,4 +1,5 @@
 #include "GatewaySite.h"
+#include "SlotSite.h"
 #include <AK/Text.h>
 #include <gtest/gtest.h>
 
@@ -181,6 +182,53 @@
     EXPECT_EQ(site.ended, site.calls);
 }
 
+struct LeavingNewsCase {
+    const char *name;
+    /// Time from the response until the other entry starts.
+    AK::Milliseconds startsAfter;
+    LibFleet::UpstreamState registered;
+    bool told;
+};
+
+class LeavingNewsTest : public testing::TestWithParam<LeavingNewsCase>
+{
+};
+
+// Guards against an entry that starts, or whose list is out of date, and must be told by the upstream again; and against news that are sent without end.
+TEST_P(LeavingNewsTest, ReachesOtherEntries)
+{
+    SlotSite site;
+    LibFleet::UpstreamRecord record = engineRecord("i-2", "cusco-1", 2);
+    record.startTime = firstStart;
+    site.fleet.setUpstreams({{"i-2", record}});
+    LibGateway::ResponseInfo response;
+    response.leaving = true;
+    site.first.recordResponse(record, response, 0);
+    site.loop.sleep(site.loop.rootScope(), GetParam().startsAfter);
+    record.state = GetParam().registered;
+    site.fleet.setUpstreams({{"i-2", record}});
+    LibPeers::NodeState state;
+    site.first.addUpstreamNews(state);
+    EXPECT_EQ(!state.leavingUpstreams.empty(), GetParam().told);
+    site.second.adoptUpstreamNews(state);
+    EXPECT_EQ(upstreamOf(site.acquire(site.second, site.requirements())), "");
+    LibPeers::NodeState passedOn;
+    site.second.addUpstreamNews(passedOn);
+    EXPECT_EQ(passedOn.leavingUpstreams.size(), state.leavingUpstreams.size());
+    // The successor is free at the entry that was told, too.
+    record.startTime = firstStart + 1;
+    record.state = LibFleet::UpstreamState::Ready;
+    site.fleet.setUpstreams({{"i-2", record}});
+    EXPECT_EQ(upstreamOf(site.acquire(site.second, site.requirements())), "i-2");
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, LeavingNewsTest,
+                         testing::Values(LeavingNewsCase{"at_once", 0, LibFleet::UpstreamState::Ready, true},
+                                         LeavingNewsCase{"at_once_with_a_newer_list", 0, LibFleet::UpstreamState::Draining, true},
+                                         LeavingNewsCase{"late_while_called_ready", 2'100, LibFleet::UpstreamState::Ready, true},
+                                         LeavingNewsCase{"late_with_a_newer_list", 2'100, LibFleet::UpstreamState::Draining, false}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 struct RegistrationCase {
     const char *name;
     std::function<void(LibFleet::UpstreamRecord &)> change;
--- a/Tests/Services/Gateway/TestSlots.cpp
+++ b/Tests/Services/Gateway/TestSlots.cpp
@@ -190,9 +190,9 @@
     Dispatcher &told = GetParam().toldEntry == 0 ? site.first : site.second;
     told.recordRateLimit(record, GetParam().limit, site.loop.clock().now() - 1);
     LibPeers::NodeState state;
-    told.addRateLimits(state);
+    told.addUpstreamNews(state);
     ASSERT_EQ(state.rateLimits.size(), 1U);
-    (GetParam().toldEntry == 0 ? site.second : site.first).adoptRateLimits(state);
+    (GetParam().toldEntry == 0 ? site.second : site.first).adoptUpstreamNews(state);
     int granted = 0;
     int grantedToFirst = 0;
     const AK::Milliseconds startedAt = site.loop.clock().now();
--- a/Userland/Libraries/LibPeers/PeerRecords.h
+++ b/Userland/Libraries/LibPeers/PeerRecords.h
@@ -84,6 +84,14 @@
     AK::Milliseconds age = 0;
 };
 
+/// An upstream that has said in a response that it is leaving.
+struct LeavingUpstreamReport {
+    /// Id of the upstream instance.
+    std::string upstream;
+    /// Wall time of the start of the incarnation that leaves in ms, 0 when unknown.
+    int64_t startTime = 0;
+};
+
 /// State that processes send each other in each exchange.
 struct NodeState {
     std::string name;
@@ -111,6 +119,8 @@
     std::vector<SoundPartReport> soundParts;
     /// Between entries: limits of which the sender had news lately.
     std::vector<RateLimitReport> rateLimits;
+    /// Between entries: upstreams on their way out of which others may not know yet.
+    std::vector<LeavingUpstreamReport> leavingUpstreams;
 };
 
 /// Asks for a slot at an upstream that another entry owns.
--- a/Userland/Libraries/LibPeers/WireCodec.cpp
+++ b/Userland/Libraries/LibPeers/WireCodec.cpp
@@ -109,6 +109,25 @@
     return crash;
 }
 
+void encodeRateLimits(const NodeState &state, PeerWire::NodeState::Builder builder)
+{
+    auto limits = builder.initRateLimits(static_cast<capnp::uint>(state.rateLimits.size()));
+    for (capnp::uint i = 0; i < limits.size(); ++i) {
+        limits[i].setUpstream(state.rateLimits[i].upstream.c_str());
+        limits[i].setCallsPerSecond(state.rateLimits[i].callsPerSecond.value_or(-1));
+        limits[i].setAgeMs(toUnsigned(state.rateLimits[i].age));
+    }
+}
+
+void encodeLeavingUpstreams(const NodeState &state, PeerWire::NodeState::Builder builder)
+{
+    auto leaving = builder.initLeavingUpstreams(static_cast<capnp::uint>(state.leavingUpstreams.size()));
+    for (capnp::uint i = 0; i < leaving.size(); ++i) {
+        leaving[i].setUpstream(state.leavingUpstreams[i].upstream.c_str());
+        leaving[i].setStartTime(state.leavingUpstreams[i].startTime);
+    }
+}
+
 void encodeCrashes(const NodeState &state, PeerWire::NodeState::Builder builder)
 {
     auto crashes = builder.initCrashes(static_cast<capnp::uint>(state.crashes.size()));
@@ -163,12 +182,10 @@
         encodeCrashes(state, builder);
     }
     if (!state.rateLimits.empty()) {
-        auto limits = builder.initRateLimits(static_cast<capnp::uint>(state.rateLimits.size()));
-        for (capnp::uint i = 0; i < limits.size(); ++i) {
-            limits[i].setUpstream(state.rateLimits[i].upstream.c_str());
-            limits[i].setCallsPerSecond(state.rateLimits[i].callsPerSecond.value_or(-1));
-            limits[i].setAgeMs(toUnsigned(state.rateLimits[i].age));
-        }
+        encodeRateLimits(state, builder);
+    }
+    if (!state.leavingUpstreams.empty()) {
+        encodeLeavingUpstreams(state, builder);
     }
 }
 
@@ -203,6 +220,9 @@
         const double rate = limit.getCallsPerSecond();
         state.rateLimits.push_back({toText(limit.getUpstream()), rate >= 0 ? std::optional(rate) : std::nullopt, limit.getAgeMs()});
     }
+    for (const auto leaving : reader.getLeavingUpstreams()) {
+        state.leavingUpstreams.push_back({toText(leaving.getUpstream()), leaving.getStartTime()});
+    }
     for (const auto sound : reader.getSoundParts()) {
         state.soundParts.push_back({toText(sound.getPart()), sound.getAgeMs()});
     }
--- a/Userland/Libraries/LibPeers/peers.capnp
+++ b/Userland/Libraries/LibPeers/peers.capnp
@@ -39,6 +39,7 @@
   soundParts @17 :List(SoundPartReport);
   rateLimits @18 :List(RateLimitReport);  # between entries: limits of which the sender had news lately
   eras @19 :List(Int64);      # era of the store to which each of `revisions` belongs; missing ones are 0
+  leavingUpstreams @20 :List(LeavingUpstream);  # between entries: those of which others may not know yet
 }
 
 struct CrashReport {
@@ -61,6 +62,12 @@
   ageMs @2 :UInt32;
 }
 
+# An upstream that has said in a response that it is leaving.
+struct LeavingUpstream {
+  upstream @0 :Text;          # id of the instance
+  startTime @1 :Int64;        # wall time in ms of the start of the incarnation that leaves, 0 when unknown
+}
+
 # A part of a prompt with which an upstream has written a response.
 struct SoundPartReport {
   part @0 :Text;
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -331,14 +331,16 @@
     this->table.recordRateLimit(upstream, callsPerSecond, sentAt);
 }
 
-void Dispatcher::addRateLimits(LibPeers::NodeState &state) const
+void Dispatcher::addUpstreamNews(LibPeers::NodeState &state)
 {
     this->table.addRateLimits(state);
+    this->table.notices().addTo(state);
 }
 
-void Dispatcher::adoptRateLimits(const LibPeers::NodeState &state)
+void Dispatcher::adoptUpstreamNews(const LibPeers::NodeState &state)
 {
     this->table.adoptRateLimits(state);
+    this->table.notices().adopt(state);
 }
 
 void Dispatcher::recordReport(const LibPeers::EngineReport &report)
--- a/Userland/Services/Gateway/Dispatcher.h
+++ b/Userland/Services/Gateway/Dispatcher.h
@@ -79,8 +79,9 @@
     void recordResponse(const LibFleet::UpstreamRecord &upstream, const LibGateway::ResponseInfo &response, AK::Milliseconds sentAt);
     /// See UpstreamTable::recordRateLimit().
     void recordRateLimit(const LibFleet::UpstreamRecord &upstream, std::optional<double> callsPerSecond, AK::Milliseconds sentAt);
-    void addRateLimits(LibPeers::NodeState &state) const;
-    void adoptRateLimits(const LibPeers::NodeState &state);
+    /// Adds what upstreams have said to the state that other entries get, and takes over what they know.
+    void addUpstreamNews(LibPeers::NodeState &state);
+    void adoptUpstreamNews(const LibPeers::NodeState &state);
 
     /// Sets the entries that share the upstreams, this one included.
     void setEntries(std::vector<LibFleet::EntryLocation> entries);
--- a/Userland/Services/Gateway/UpstreamNotices.cpp
+++ b/Userland/Services/Gateway/UpstreamNotices.cpp
@@ -8,6 +8,8 @@
 
 // Far above the upstreams of a deployment that leave within hours.
 constexpr size_t maxLeavingNotices = 4'096;
+// News are sent with every exchange for this long, so that they reach the entries that don't exchange with this one.
+constexpr AK::Milliseconds newsTime = 2'000;
 
 } // namespace
 
@@ -37,6 +39,26 @@
     return LibGateway::isLeaving(this->leaving, upstream.id, upstream.startTime);
 }
 
+void UpstreamNotices::addTo(LibPeers::NodeState &state) const
+{
+    const AK::Milliseconds now = this->clock.now();
+    for (const auto &[upstream, notice] : this->leaving) {
+        const auto record = this->fleet.upstreams().find(upstream);
+        const bool calledReady =
+            record != this->fleet.upstreams().end() && record->second.state == LibFleet::UpstreamState::Ready && this->isLeaving(record->second);
+        if (calledReady || now - notice.learnedAt <= newsTime) {
+            state.leavingUpstreams.push_back({upstream, notice.startTime});
+        }
+    }
+}
+
+void UpstreamNotices::adopt(const LibPeers::NodeState &state)
+{
+    for (const LibPeers::LeavingUpstreamReport &report : state.leavingUpstreams) {
+        this->recordLeaving(report.upstream, report.startTime, state.name);
+    }
+}
+
 void UpstreamNotices::exportTo(LibMetrics::MetricRegistry &metrics)
 {
     for (auto &[kind, count] : this->uncounted) {
--- a/Userland/Services/Gateway/UpstreamNotices.h
+++ b/Userland/Services/Gateway/UpstreamNotices.h
@@ -6,6 +6,7 @@
 #include <LibGateway/Leaving.h>
 #include <LibLog/Logger.h>
 #include <LibMetrics/MetricRegistry.h>
+#include <LibPeers/PeerRecords.h>
 
 namespace Gateway
 {
@@ -31,6 +32,11 @@
 
     bool isLeaving(const LibFleet::UpstreamRecord &upstream) const;
 
+    /// Adds what other entries may not know yet to the state that they get: recent news, and notices of upstreams that are still registered as ready, so that
+    /// an entry that has just started learns of them.
+    void addTo(LibPeers::NodeState &state) const;
+    void adopt(const LibPeers::NodeState &state);
+
     /// Adds the notices received since the last time to the counters.
     void exportTo(LibMetrics::MetricRegistry &metrics);
 
--- a/Userland/Utilities/catkinlinkd/EntryProcess.cpp
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.cpp
@@ -52,13 +52,13 @@
         state.leaving = this->leaving;
         state.openSlots = static_cast<uint16_t>(std::clamp(this->dispatcher.openSlots(), 0, static_cast<int>(UINT16_MAX)));
         this->quarantine.addTo(state);
-        this->dispatcher.addRateLimits(state);
+        this->dispatcher.addUpstreamNews(state);
     });
     this->crashes.onCrash([this](const LibGateway::Crash &crash) { this->quarantine.recordCrash(crash); });
     this->quarantine.onPartFound([this] { this->node.exchange.pushNow(); });
     this->node.exchange.onEntryState([this](const LibPeers::NodeState &state) {
         this->quarantine.record(state);
-        this->dispatcher.adoptRateLimits(state);
+        this->dispatcher.adoptUpstreamNews(state);
     });
     this->node.exchange.onReport([this](const LibPeers::EngineReport &report) { this->dispatcher.recordReport(report); });
 }
