Gateway: Keep the pause that an upstream asks for

An upstream may refuse a call with 503 and state for how long it wants nothing more of the entry (Retry-After). It was not read: the upstream got the next calls at once, was suspended where the refusal did not say that the call had not run, and calls waited for it until their time was over.

Nothing new is sent to it before the end of the pause (LibGateway/Pause). A pause is no failure. While all upstreams of a call are paused it is refused at once (all_paused), also from the queue, and Retry-After leads to the time after the earliest end. Requests for slots leave out what upstreams have told this entry. SlotSite takes ports above those of GatewaySite, which come close with the new cases.

--- a/Tests/LibGateway/TestAvailability.cpp
+++ b/Tests/LibGateway/TestAvailability.cpp
@@ -37,6 +37,15 @@
                                          HindranceCase{"excluded", [](auto &c) { c.excluded = true; }, Hindrance{Obstacle::Excluded}},
                                          HindranceCase{"weights", [](auto &c) { c.weightsAllowed = false; }, Hindrance{Obstacle::Weights}},
                                          HindranceCase{"switching", [](auto &c) { c.switching = true; }, Hindrance{Obstacle::Switching}},
+                                         HindranceCase{"paused", [](auto &c) { c.pausedUntil = now + 7; }, Hindrance{Obstacle::Paused, now + 7}},
+                                         HindranceCase{"pause_over", [](auto &c) { c.pausedUntil = now; }, std::nullopt},
+                                         HindranceCase{"paused_and_suspended",
+                                                       [](auto &c) {
+                                                           c.pausedUntil = now + 7;
+                                                           c.suspendedUntil = now + 9;
+                                                       },
+                                                       Hindrance{Obstacle::Paused, now + 9}},
+                                         HindranceCase{"resuming", [](auto &c) { c.resuming = true; }, Hindrance{Obstacle::Resuming}},
                                          HindranceCase{"suspended", [](auto &c) { c.suspendedUntil = now + 1; }, Hindrance{Obstacle::Suspended, now + 1}},
                                          HindranceCase{"suspension_over", [](auto &c) { c.suspendedUntil = now; }, std::nullopt},
                                          HindranceCase{"cold_rate", [](auto &c) { c.rateAllows = false; }, Hindrance{Obstacle::ColdRate}},
--- a/Tests/Services/Gateway/SlotSite.h
+++ b/Tests/Services/Gateway/SlotSite.h
@@ -56,7 +56,8 @@
         , second(loop, fleet, settingsOf("e2", "cusco"), &secondClient)
         , server(loop, handler, nullptr, &second)
     {
-        static uint16_t port = 17'400;
+        // Above the ports of GatewaySite.
+        static uint16_t port = 18'400;
         const AK::Endpoint address{"127.0.0.1", ++port};
         KJ_ASSERT(this->server.listen(address).ok());
         LibFleet::Configuration configuration;
--- a/Tests/Services/Gateway/TestCallPaths.cpp
+++ b/Tests/Services/Gateway/TestCallPaths.cpp
@@ -147,7 +147,13 @@
                                           response.leaving = true;
                                           dispatcher.recordResponse(site.fleet.upstreams().at("i-2"), response, 0);
                                       }},
-                         ObstacleCase{"unregistered",
+                         ObstacleCase{"paused",
+                                     [](SlotSite &site, Dispatcher &dispatcher, CallRequirements &) {
+                                         LibGateway::ResponseInfo response;
+                                         response.pause = 10 * shortWait;
+                                         dispatcher.recordResponse(site.fleet.upstreams().at("i-2"), response, 0);
+                                     }},
+                        ObstacleCase{"unregistered",
                                       [](SlotSite &site, Dispatcher &, CallRequirements &) {
                                           site.fleet.setUpstreams({});
                                       }},
--- a/Userland/Libraries/LibGateway/Availability.cpp
+++ b/Userland/Libraries/LibGateway/Availability.cpp
@@ -1,5 +1,7 @@
 #include <LibGateway/Availability.h>
 
+#include <algorithm>
+
 namespace LibGateway
 {
 
@@ -20,9 +22,15 @@
             return Hindrance{obstacle, 0};
         }
     }
+    if (now < conditions.pausedUntil) {
+        return Hindrance{Obstacle::Paused, std::max(conditions.pausedUntil, conditions.suspendedUntil)};
+    }
     if (now < conditions.suspendedUntil) {
         return Hindrance{Obstacle::Suspended, conditions.suspendedUntil};
     }
+    if (conditions.resuming) {
+        return Hindrance{Obstacle::Resuming, 0};
+    }
     if (!conditions.rateAllows) {
         return Hindrance{conditions.rateNamed ? Obstacle::RateLimit : Obstacle::ColdRate, 0};
     }
@@ -31,7 +39,7 @@
 
 bool isLackOfRoom(Obstacle obstacle)
 {
-    return obstacle == Obstacle::RateLimit || obstacle == Obstacle::ColdRate;
+    return obstacle == Obstacle::Resuming || obstacle == Obstacle::RateLimit || obstacle == Obstacle::ColdRate;
 }
 
 } // namespace LibGateway
--- a/Userland/Libraries/LibGateway/Availability.h
+++ b/Userland/Libraries/LibGateway/Availability.h
@@ -26,12 +26,16 @@
     OtherRegion,
     /// The call has been sent to it before.
     Excluded,
+    /// It has asked this entry for a pause.
+    Paused,
     /// Too many calls in a row failed.
     Suspended,
     /// It holds older weights than required.
     Weights,
     /// It is loading weights, or about to.
     Switching,
+    /// Its pause is over, and this entry has as many calls there as it may have so soon after it.
+    Resuming,
     /// The calls per second that it names itself are used up.
     RateLimit,
     /// The calls per second that it may get while cold are used up.
@@ -39,19 +43,11 @@
 };
 
 inline constexpr std::array obstacleNames{
-    AK::EnumName{Obstacle::OtherService, "other_service"},
-    AK::EnumName{Obstacle::Unregistered, "unregistered"},
-    AK::EnumName{Obstacle::Replaced, "replaced"},
-    AK::EnumName{Obstacle::Draining, "draining"},
-    AK::EnumName{Obstacle::Leaving, "leaving"},
-    AK::EnumName{Obstacle::Evacuated, "evacuated"},
-    AK::EnumName{Obstacle::OtherRegion, "other_region"},
-    AK::EnumName{Obstacle::Excluded, "excluded"},
-    AK::EnumName{Obstacle::Suspended, "suspended"},
-    AK::EnumName{Obstacle::Weights, "weights"},
-    AK::EnumName{Obstacle::Switching, "switching"},
-    AK::EnumName{Obstacle::RateLimit, "rate_limit"},
-    AK::EnumName{Obstacle::ColdRate, "cold_rate"},
+    AK::EnumName{Obstacle::OtherService, "other_service"}, AK::EnumName{Obstacle::Unregistered, "unregistered"}, AK::EnumName{Obstacle::Replaced, "replaced"},
+    AK::EnumName{Obstacle::Draining, "draining"},          AK::EnumName{Obstacle::Leaving, "leaving"},           AK::EnumName{Obstacle::Evacuated, "evacuated"},
+    AK::EnumName{Obstacle::OtherRegion, "other_region"},   AK::EnumName{Obstacle::Excluded, "excluded"},         AK::EnumName{Obstacle::Paused, "paused"},
+    AK::EnumName{Obstacle::Suspended, "suspended"},        AK::EnumName{Obstacle::Weights, "weights"},           AK::EnumName{Obstacle::Switching, "switching"},
+    AK::EnumName{Obstacle::Resuming, "resuming"},          AK::EnumName{Obstacle::RateLimit, "rate_limit"},      AK::EnumName{Obstacle::ColdRate, "cold_rate"},
 };
 
 /// What keeps a call from an upstream, and for how long.
@@ -71,9 +67,12 @@
     bool evacuated = false;
     bool regionAllowed = true;
     bool excluded = false;
+    AK::Milliseconds pausedUntil = 0;
     AK::Milliseconds suspendedUntil = 0;
     bool weightsAllowed = true;
     bool switching = false;
+    /// This entry has as many calls there as it may have after a pause.
+    bool resuming = false;
     bool rateAllows = true;
     /// The rate is one that the upstream names itself, not that of a cold start.
     bool rateNamed = false;
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -167,7 +167,9 @@
             this->context.dispatcher.recordResponse(upstream, call.responseInfo(), this->sentAt);
         }
         if (sent.outcome != SendOutcome::Answered) {
-            this->context.dispatcher.recordOutcome(upstream, !sent.refusedByUpstream);
+            if (!call.responseInfo().pause) {
+                this->context.dispatcher.recordOutcome(upstream, !sent.refusedByUpstream);
+            }
             if (sent.unproven) {
                 this->context.dispatcher.suspend(upstream);
             }
@@ -217,7 +219,7 @@
         && this->context.dispatcher.trySpendRetry(this->requirements.service)) {
         return NextStep::TryAnother;
     }
-    this->giveUp(scope, reason, refusalRetryAfter);
+    this->giveUp(scope, reason, this->context.dispatcher.retryAfterPause(this->requirements).value_or(refusalRetryAfter));
     return NextStep::Done;
 }
 
@@ -273,7 +275,9 @@
     call.finish();
     const LibHttpStream::ResponseHead responseHead = call.responseHead();
     const bool failed = responseHead.status / 100 == 5;
-    this->context.dispatcher.recordOutcome(upstream, failed);
+    if (!call.responseInfo().pause) {
+        this->context.dispatcher.recordOutcome(upstream, failed);
+    }
     if (failed && this->route->repeatable() && this->report.sends < this->route->maxAttempts && this->now() < this->deadline
         && this->context.dispatcher.trySpendRetry(this->requirements.service)) {
         this->failedResponse.emplace(responseHead, std::move(responseBody));
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -165,7 +165,7 @@
         if (waiter.grant != nullptr) {
             return true;
         }
-        if (now >= waiter.requirements->startBy) {
+        if (waiter.refused || now >= waiter.requirements->startBy) {
             return false;
         }
         const AK::Milliseconds until =
@@ -198,9 +198,7 @@
             return result;
         }
         if (availability == Availability::None) {
-            result.reason = RefusalReason::NoUpstream;
-            result.retryAfter = this->retryAfter(queue);
-            return result;
+            return this->refusalWithoutUpstream(requirements);
         }
     }
     const auto ahead = static_cast<size_t>(std::count_if(
@@ -212,7 +210,7 @@
     }
     auto paf = kj::newPromiseAndFulfiller<void>();
     kj::ForkedPromise<void> granted = paf.promise.fork();
-    Waiter waiter{&requirements, kj::mv(paf.fulfiller), nullptr};
+    Waiter waiter{&requirements, kj::mv(paf.fulfiller), nullptr, false};
     const auto position = std::find_if(queue.waiters.begin(), queue.waiters.end(),
                                        [&](const Waiter *other) { return LibGateway::isBefore(requirements.rank, other->requirements->rank); });
     queue.waiters.insert(position, &waiter);
@@ -222,11 +220,43 @@
         result.grant = kj::mv(waiter.grant);
         return result;
     }
+    if (waiter.refused) {
+        return this->refusalWithoutUpstream(requirements);
+    }
     result.reason = RefusalReason::WaitedTooLong;
     result.retryAfter = this->retryAfter(queue);
     return result;
 }
 
+GrantOrRefusal Dispatcher::refusalWithoutUpstream(const CallRequirements &requirements)
+{
+    GrantOrRefusal result;
+    const std::optional<AK::Milliseconds> afterPause = this->retryAfterPause(requirements);
+    result.reason = afterPause ? RefusalReason::AllPaused : RefusalReason::NoUpstream;
+    result.retryAfter = afterPause ? *afterPause : this->retryAfter(this->queue(requirements.service));
+    return result;
+}
+
+std::optional<AK::Milliseconds> Dispatcher::retryAfterPause(CallRequirements requirements)
+{
+    requirements.excluded.clear();
+    std::optional<AK::Milliseconds> firstEnd;
+    for (const auto &[id, record] : this->fleet.upstreams()) {
+        const auto hindrance = this->table.hindranceTo(record, requirements, CallStage::Request);
+        if (!hindrance || LibGateway::isLackOfRoom(hindrance->obstacle)) {
+            return std::nullopt;
+        }
+        if (hindrance->obstacle == LibGateway::Obstacle::Paused) {
+            firstEnd = std::min(firstEnd.value_or(hindrance->until), hindrance->until);
+        }
+    }
+    if (!firstEnd) {
+        return std::nullopt;
+    }
+    const double spread = std::uniform_real_distribution<double>(0, 1)(this->random);
+    return LibGateway::retryAfterPause(*firstEnd, this->loop.clock().now(), spread, this->table.notices().pauseSettings());
+}
+
 void Dispatcher::serveWaiters(const std::string &service)
 {
     ServiceQueue &queue = this->queue(service);
@@ -234,7 +264,9 @@
         Waiter &waiter = **it;
         // A call that has waited for half of its time in the queue is sent to an engine even if its prompt must wait there.
         const bool ignoreBacklog = this->loop.clock().now() >= (waiter.requirements->arrivedAt + waiter.requirements->startBy) / 2;
-        if (this->tryGrant(*waiter.requirements, ignoreBacklog, GrantKind::Local, waiter.grant) != Availability::Granted) {
+        const Availability availability = this->tryGrant(*waiter.requirements, ignoreBacklog, GrantKind::Local, waiter.grant);
+        waiter.refused = availability == Availability::None && this->retryAfterPause(*waiter.requirements);
+        if (availability != Availability::Granted && !waiter.refused) {
             if (waiter.requirements->excluded.empty() && waiter.requirements->regions.empty() && waiter.requirements->accountRegions.empty()) {
                 // No upstream has room for a call without restrictions, so none has room for the calls behind it.
                 break;
--- a/Userland/Services/Gateway/Dispatcher.h
+++ b/Userland/Services/Gateway/Dispatcher.h
@@ -22,10 +22,11 @@
 };
 
 /// Why a call got no slot at an upstream.
-enum class RefusalReason { NoUpstream, QueueTooLong, WaitedTooLong };
+enum class RefusalReason { NoUpstream, AllPaused, QueueTooLong, WaitedTooLong };
 
 inline constexpr std::array refusalReasonNames{
     AK::EnumName{RefusalReason::NoUpstream, "no_upstream"},
+    AK::EnumName{RefusalReason::AllPaused, "all_paused"},
     AK::EnumName{RefusalReason::QueueTooLong, "queue_too_long"},
     AK::EnumName{RefusalReason::WaitedTooLong, "waited_too_long"},
 };
@@ -67,6 +68,9 @@
     /// What keeps a call from the upstream of its grant by now; to be asked right before the request is written. See UpstreamTable::hindranceToSend().
     std::optional<LibGateway::Hindrance> hindranceToSend(const Grant &grant, const CallRequirements &requirements);
 
+    /// Time after which a refused client should retry, in ms, when all upstreams that the call may use, those tried before included, are paused.
+    std::optional<AK::Milliseconds> retryAfterPause(CallRequirements requirements);
+
     /// Spends one retry of the service's budget; false when it is used up.
     bool trySpendRetry(const std::string &service);
 
@@ -106,6 +110,8 @@
         const CallRequirements *requirements = nullptr;
         kj::Own<kj::PromiseFulfiller<void>> fulfiller;
         kj::Maybe<kj::Own<Grant>> grant;
+        /// All upstreams of the service are paused.
+        bool refused = false;
     };
 
     struct ServiceQueue {
@@ -137,6 +143,8 @@
     void serveAllWaiters();
     void schedulePoll(const std::string &service);
     AK::Milliseconds retryAfter(const ServiceQueue &queue);
+    /// The refusal of a call that no upstream may get.
+    GrantOrRefusal refusalWithoutUpstream(const CallRequirements &requirements);
 
     LibFiber::Loop &loop;
     const LibFleet::FleetState &fleet;
--- a/Userland/Services/Gateway/SlotRequester.cpp
+++ b/Userland/Services/Gateway/SlotRequester.cpp
@@ -50,6 +50,7 @@
         return nullptr;
     }
     LibPeers::SlotRequest request = slotRequest(requirements);
+    this->excludeByNotice(requirements, request);
     std::set<std::string> askedOwners;
     for (int i = 0; i < maxOwnersAsked && this->loop.clock().now() < requirements.startBy; ++i) {
         const std::string owner = this->chooseOwner(requirements, request, askedOwners);
@@ -75,6 +76,17 @@
     return nullptr;
 }
 
+void SlotRequester::excludeByNotice(const CallRequirements &requirements, LibPeers::SlotRequest &request)
+{
+    using LibGateway::Obstacle;
+    for (const auto &[id, record] : this->fleet.upstreams()) {
+        const auto hindrance = this->table.hindranceTo(record, requirements, CallStage::Request);
+        if (hindrance && (hindrance->obstacle == Obstacle::Leaving || hindrance->obstacle == Obstacle::Paused || hindrance->obstacle == Obstacle::Resuming)) {
+            request.excluded.push_back(id);
+        }
+    }
+}
+
 std::string SlotRequester::chooseOwner(const CallRequirements &requirements, const LibPeers::SlotRequest &request, const std::set<std::string> &askedOwners)
 {
     std::vector<LibGateway::PlacementCandidate> candidates;
--- a/Userland/Services/Gateway/SlotRequester.h
+++ b/Userland/Services/Gateway/SlotRequester.h
@@ -29,6 +29,8 @@
     kj::Maybe<RequestedSlot> request(kj::WaitScope &scope, const CallRequirements &requirements);
 
 private:
+    /// Excludes what the upstreams have told this entry and their owners may not know.
+    void excludeByNotice(const CallRequirements &requirements, LibPeers::SlotRequest &request);
     /// The owner with the best upstream for the call that was not asked yet; empty when there is none.
     std::string chooseOwner(const CallRequirements &requirements, const LibPeers::SlotRequest &request, const std::set<std::string> &askedOwners);
     /// The offered slot if the call may use it.
--- a/Userland/Services/Gateway/UpstreamNotices.cpp
+++ b/Userland/Services/Gateway/UpstreamNotices.cpp
@@ -16,6 +16,7 @@
 UpstreamNotices::UpstreamNotices(const AK::Clock &clock, const LibFleet::FleetState &fleet)
     : clock(clock)
     , fleet(fleet)
+    , random(AK::seededFromSystem())
 {
 }
 
@@ -24,6 +25,38 @@
     if (response.leaving) {
         this->recordLeaving(upstream.id, upstream.startTime, "response");
     }
+    if (response.pause) {
+        this->recordPause(upstream.id, *response.pause);
+    }
+}
+
+void UpstreamNotices::recordPause(const std::string &upstream, AK::Milliseconds duration)
+{
+    const AK::Milliseconds now = this->clock.now();
+    std::erase_if(this->pauseOf, [&](const auto &entry) { return LibGateway::isOver(entry.second, now, this->pauses); });
+    LibGateway::Pause &pause = this->pauseOf[upstream];
+    if (LibGateway::recordPause(pause, duration, now, this->pauses, this->random)) {
+        ++this->uncounted[NoticeKind::Pause];
+        this->logger.info("upstream_paused",
+                          {{"upstream", upstream}, {"asked_ms", duration}, {"pause_ms", pause.until - now}, {"resumes_in_ms", pause.resumesAt - now}});
+    }
+}
+
+AK::Milliseconds UpstreamNotices::pausedUntil(const LibFleet::UpstreamRecord &upstream) const
+{
+    const auto pause = this->pauseOf.find(upstream.id);
+    return pause == this->pauseOf.end() ? 0 : pause->second.resumesAt;
+}
+
+bool UpstreamNotices::isResuming(const LibFleet::UpstreamRecord &upstream, int ownInFlight) const
+{
+    const auto pause = this->pauseOf.find(upstream.id);
+    return pause != this->pauseOf.end() && ownInFlight >= LibGateway::callsAllowed(pause->second, upstream.slots, this->clock.now(), this->pauses);
+}
+
+const LibGateway::PauseSettings &UpstreamNotices::pauseSettings() const
+{
+    return this->pauses;
 }
 
 void UpstreamNotices::recordLeaving(const std::string &upstream, int64_t startTime, std::string_view from)
--- a/Userland/Services/Gateway/UpstreamNotices.h
+++ b/Userland/Services/Gateway/UpstreamNotices.h
@@ -4,6 +4,7 @@
 #include <LibFleet/FleetState.h>
 #include <LibGateway/Codec.h>
 #include <LibGateway/Leaving.h>
+#include <LibGateway/Pause.h>
 #include <LibLog/Logger.h>
 #include <LibMetrics/MetricRegistry.h>
 #include <LibPeers/PeerRecords.h>
@@ -15,10 +16,13 @@
 enum class NoticeKind {
     /// It is leaving and wants none any more.
     Leaving,
+    /// It wants none of this entry for some time.
+    Pause,
 };
 
 inline constexpr std::array noticeKindNames{
     AK::EnumName{NoticeKind::Leaving, "leaving"},
+    AK::EnumName{NoticeKind::Pause, "pause"},
 };
 
 /// What the upstreams themselves have said about new calls, in their responses to this entry. It holds whatever the store or another entry says of them.
@@ -32,6 +36,14 @@
 
     bool isLeaving(const LibFleet::UpstreamRecord &upstream) const;
 
+    /// Monotonic time before which an upstream gets nothing new after it has asked for a pause; 0 without one.
+    AK::Milliseconds pausedUntil(const LibFleet::UpstreamRecord &upstream) const;
+
+    /// Whether an upstream whose pause is over may not get another call yet, because it has `ownInFlight` calls of this entry.
+    bool isResuming(const LibFleet::UpstreamRecord &upstream, int ownInFlight) const;
+
+    const LibGateway::PauseSettings &pauseSettings() const;
+
     /// Adds what other entries may not know yet to the state that they get: recent news, and notices of upstreams that are still registered as ready, so that
     /// an entry that has just started learns of them.
     void addTo(LibPeers::NodeState &state) const;
@@ -42,10 +54,15 @@
 
 private:
     void recordLeaving(const std::string &upstream, int64_t startTime, std::string_view from);
+    void recordPause(const std::string &upstream, AK::Milliseconds duration);
 
     const AK::Clock &clock;
     const LibFleet::FleetState &fleet;
     LibGateway::LeavingNotices leaving;
+    LibGateway::PauseSettings pauses;
+    /// By id of the upstream, so that a registration which changes to and fro does not end a pause.
+    std::map<std::string, LibGateway::Pause> pauseOf;
+    AK::Random random;
     std::map<NoticeKind, int64_t> uncounted;
     LibLog::Logger logger{"dispatcher"};
 };
--- a/Userland/Services/Gateway/UpstreamTable.cpp
+++ b/Userland/Services/Gateway/UpstreamTable.cpp
@@ -55,8 +55,10 @@
     conditions.regionAllowed = this->regionAllowed(record, requirements);
     conditions.excluded = requirements.excluded.contains(record.id);
     const LibGateway::UpstreamLoad *load = this->knownLoad(record);
+    conditions.pausedUntil = this->upstreamNotices.pausedUntil(record);
     conditions.suspendedUntil = load == nullptr ? 0 : load->suspendedUntil;
     if (stage != CallStage::Send) {
+        conditions.resuming = this->upstreamNotices.isResuming(record, load == nullptr ? 0 : load->ownInFlight);
         const bool freshReport = this->hasFreshReport(record);
         const bool ownerJudges = stage == CallStage::Request && !freshReport;
         conditions.weightsAllowed =
