catkinlink: Name leaving and pauses of upstreams as causes

explain knows all_paused, and names the upstream's leaving or the pause that it asked of the entry for calls that ended there.

--- a/Tests/Catkinlink/TestExplain.cpp
+++ b/Tests/Catkinlink/TestExplain.cpp
@@ -46,6 +46,8 @@
 const std::string quarantined = R"("result":"refused","status":503,"reason":"a part of the prompt is quarantined","prompt_parts":["a1","b2"],"sends":0)";
 const std::string queueTooLong = R"("result":"refused","status":503,"reason":"queue_too_long","sends":0)";
 const std::string noUpstream = R"("result":"refused","status":503,"reason":"no_upstream","sends":0)";
+const std::string allPaused = R"("result":"refused","status":503,"reason":"all_paused","sends":0)";
+const std::string refusedByUpstream = R"("result":"refused","status":503,"reason":"refused with 503","sends":2,"upstream":"i-1")";
 const std::string noResponse = R"("result":"refused","status":504,"reason":"no answer: operation timed out","sends":1,"upstream":"i-1")";
 const std::string streamCut = R"("result":"stream_cut","status":200,"reason":"stream cut: the peer reset the connection","sends":2,"upstream":"i-1")";
 
@@ -75,6 +77,20 @@
                     logLine(endTime - 300, "front-1", "upstream_limited", R"("upstream":"i-9","calls_per_second":3.5)") + callEnded("r1", queueTooLong),
                     "overload: every engine that the call could use was full and the queue was too long for its deadline; 0 other calls at this entry were "
                     "refused for the same reason within a second; last change of capacity: upstream_limited 300 ms before. It has not run."},
+        ExplainCase{
+            "all_paused",
+            logLine(endTime - 900, "front-1", "upstream_paused", R"("upstream":"i-8","asked_ms":4000)")
+                + logLine(endTime - 300, "front-1", "upstream_paused", R"("upstream":"i-9","asked_ms":3000)")
+                + logLine(endTime - 100, "front-2", "upstream_paused", R"("upstream":"i-7","asked_ms":500)") + callEnded("r1", allPaused),
+            "all upstreams that the call could use had asked entry front-1 for a pause; the last one was i-9 for 3000 ms, 300 ms before. It has not run."},
+        ExplainCase{"paused_upstream",
+                    logLine(endTime - 5, "front-1", "upstream_paused", R"("upstream":"i-1","asked_ms":1500)") + callEnded("r1", refusedByUpstream),
+                    "the upstream asked for a pause of 1500 ms 5 ms before; upstream i-1: refused with 503. It has not run."},
+        ExplainCase{"paused_for_another_entry",
+                    logLine(endTime - 5, "front-2", "upstream_paused", R"("upstream":"i-1","asked_ms":1500)") + callEnded("r1", refusedByUpstream),
+                    "only this call failed at the upstream"},
+        ExplainCase{"leaving_upstream", logLine(endTime - 800, "front-2", "upstream_leaving", R"("upstream":"i-1","born":5)") + callEnded("r1", streamCut),
+                    "the upstream said that it was leaving 800 ms before; upstream i-1: stream cut"},
         ExplainCase{"quarantined_part",
                     logLine(endTime - 900, "front-2", "part_quarantined", R"("part":"c9")")
                         + logLine(endTime - 400, "front-2", "part_quarantined", R"("part":"b2")") + callEnded("r1", quarantined),
--- a/Userland/Utilities/catkinlink/Explain.cpp
+++ b/Userland/Utilities/catkinlink/Explain.cpp
@@ -93,7 +93,8 @@
 // The last change of capacity that the entry logged before the end.
 std::string describeCapacityChange(LogContext &context)
 {
-    const LogLine *line = context.findLastOfEntry({"upstream_removed", "upstream_suspended", "upstream_limited", "evacuations", "weights_named"});
+    const LogLine *line = context.findLastOfEntry(
+        {"upstream_removed", "upstream_suspended", "upstream_limited", "upstream_leaving", "upstream_paused", "evacuations", "weights_named"});
     return line == nullptr ? "" : AK::concat("; last change of capacity: ", line->event, " ", timeFromEnd(*line, context.end));
 }
 
@@ -141,6 +142,15 @@
     return AK::concat("no upstream of the service could be used", describeCapacityChange(context));
 }
 
+std::string explainAllPaused(LogContext &context)
+{
+    const LogLine *paused = context.findLastOfEntry({"upstream_paused"});
+    return AK::concat("all upstreams that the call could use had asked entry ", context.end.process, " for a pause",
+                      paused == nullptr ? ""
+                                        : AK::concat("; the last one was ", field(*paused, "upstream"), " for ", field(*paused, "asked_ms"), " ms, ",
+                                                     timeFromEnd(*paused, context.end)));
+}
+
 std::string explainUpstream(LogContext &context)
 {
     const std::string upstream = field(context.end, "upstream");
@@ -152,6 +162,16 @@
                           crashed->process, "; ", field(context.end, "reason"));
     }
     const std::string upstreamReason = AK::concat("upstream ", upstream, ": ", field(context.end, "reason"));
+    // A pause concerns the entry alone that was asked for it.
+    const LogLine *paused = context.findLast(
+        [&](const LogLine &line) { return line.event == "upstream_paused" && line.process == context.end.process && field(line, "upstream") == upstream; },
+        lookAhead);
+    if (paused != nullptr) {
+        return AK::concat("the upstream asked for a pause of ", field(*paused, "asked_ms"), " ms ", timeFromEnd(*paused, context.end), "; ", upstreamReason);
+    }
+    if (const LogLine *leaving = findUpstreamEvent("upstream_leaving")) {
+        return AK::concat("the upstream said that it was leaving ", timeFromEnd(*leaving, context.end), "; ", upstreamReason);
+    }
     const LogLine *stopping = context.findLastOfEntry({"stopping"});
     if (stopping != nullptr) {
         return AK::concat("the entry was stopping (SIGTERM ", timeFromEnd(*stopping, context.end), "); ", upstreamReason);
@@ -207,6 +227,7 @@
         {"queue_too_long", explainQueueRefusal},
         {"waited_too_long", explainQueueRefusal},
         {"no_upstream", explainNoUpstream},
+        {"all_paused", explainAllPaused},
         {"stream cut", explainUpstream},
         {"no answer", explainUpstream},
         {"answer cut", explainUpstream},
