Tests: Let a stand-in refuse before it has read the request

FakeUpstream can run its script before it reads the body. Three cases: a proven refusal goes to another upstream, one without an id is an unknown outcome, and one of another request is dropped.

--- a/Tests/Services/Gateway/GatewaySite.cpp
+++ b/Tests/Services/Gateway/GatewaySite.cpp
@@ -79,6 +79,10 @@
         }
         const auto head = LibHttpStream::parseRequestHead(*text);
         KJ_ASSERT(head.ok());
+        const bool early = this->respondsEarly;
+        if (early && !this->script(scope, channel, *head, "")) {
+            return;
+        }
         LibHttpStream::BodyReader reader(channel, *LibHttpStream::requestBodyFraming(head->headers));
         const auto body = LibHttpStream::readBody(reader, scope, 1 << 20, this->loop.clock().now() + testTimeout);
         if (!body.ok()) {
@@ -86,7 +90,7 @@
         }
         this->requests.push_back(*head);
         this->bodies.push_back(*body);
-        if (!this->script(scope, channel, *head, *body)) {
+        if (!early && !this->script(scope, channel, *head, *body)) {
             this->abandonedRequests += channel.ended() ? 1 : 0;
             return;
         }
--- a/Tests/Services/Gateway/GatewaySite.h
+++ b/Tests/Services/Gateway/GatewaySite.h
@@ -25,6 +25,8 @@
     int connections = 0;
     /// Connections that the gateway closed before a response was written.
     int abandonedRequests = 0;
+    /// Runs the script before the body of a request is read; the script gets an empty one.
+    bool respondsEarly = false;
 
 private:
     void listen();
--- a/Tests/Services/Gateway/TestRefusals.cpp
+++ b/Tests/Services/Gateway/TestRefusals.cpp
@@ -144,4 +144,33 @@
                                          ConnectionCase{"refusal_after_an_answer", idempotent, {sound + ownRefusal, sound}, {200, 200, 200}, 2}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+class EarlyRefusalTest : public testing::TestWithParam<RefusalCase>
+{
+};
+
+// Guards against a refusal that arrives before the upstream has read the request, and is believed without a proof that the upstream knows which one it is.
+TEST_P(EarlyRefusalTest, CountsOnlyIfItIsProven)
+{
+    const RefusalCase &row = GetParam();
+    LibFiber::Loop *loop = nullptr;
+    size_t requests = 0;
+    const UpstreamScript script = scriptFor(row.responses, requests, loop);
+    GatewaySite site({script, script});
+    loop = &site.loop;
+    for (auto &upstream : site.upstreams) {
+        upstream->respondsEarly = true;
+    }
+    site.configure(row.kind, false, 2, 700);
+    const ClientResponse response = site.call({}, "/r/1", std::string(1 << 19, 'x'));
+    EXPECT_EQ(response.status, row.status);
+    EXPECT_TRUE(response.complete);
+    EXPECT_EQ(requests, row.requests);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, EarlyRefusalTest,
+                         testing::Values(RefusalCase{"proven", once, {ownRefusal, sound}, 200, 2},
+                                         RefusalCase{"without_an_id", once, {response("503 Service Unavailable", notRun), sound}, 502, 1},
+                                         RefusalCase{"of_another_request_before_the_answer", once, {otherRefusal + sound, sound}, 200, 1}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
