Tests: Follow the merged interfaces

TestOddObjects asks the feeds for their position, and TestCallPaths gives the deadline of the head and of the call, since the era of the store and the silent calls came together with them.

--- a/Tests/Platform/TestOddObjects.cpp
+++ b/Tests/Platform/TestOddObjects.cpp
@@ -210,13 +210,13 @@
     StoreReader reader;
     reader.store.put("config", R"("main")", GetParam().spec);
     reader.start();
-    ASSERT_TRUE(reader.waitFor([&] { return reader.feeds.revision(LibFleet::ObjectKind::Configuration) > 0; }));
+    ASSERT_TRUE(reader.waitFor([&] { return reader.feeds.position(LibFleet::ObjectKind::Configuration) > 0; }));
     EXPECT_EQ(reader.state.configuration(), nullptr);
     reader.store.put("config", R"("main")", configuration(1));
     ASSERT_TRUE(reader.waitFor([&] { return reader.state.configuration() && reader.state.configuration()->version == 1; }));
-    const int64_t before = reader.feeds.revision(LibFleet::ObjectKind::Configuration);
+    const LibFleet::StorePosition before = reader.feeds.position(LibFleet::ObjectKind::Configuration);
     reader.store.put("config", R"("main")", GetParam().spec);
-    ASSERT_TRUE(reader.waitFor([&] { return reader.feeds.revision(LibFleet::ObjectKind::Configuration) > before; }));
+    ASSERT_TRUE(reader.waitFor([&] { return reader.feeds.position(LibFleet::ObjectKind::Configuration) > before; }));
     EXPECT_EQ(reader.state.configuration()->version, 1);
     EXPECT_NE(reader.state.routes()->find("h", "/p/1"), nullptr);
     reader.store.put("config", R"("main")", configuration(2));
--- a/Tests/Services/Gateway/TestCallPaths.cpp
+++ b/Tests/Services/Gateway/TestCallPaths.cpp
@@ -230,8 +230,9 @@
     loop = &site.loop;
     Gateway::UpstreamCall call(site.loop, site.connections, site.codec);
     const LibHttpStream::RequestHead head{"POST", "/r/1", {{"X-Attempt-Id", "a1"}}};
-    const Gateway::UpstreamCall::Result result = call.send(loop->rootScope(), site.fleet.upstreams().at("i-1"), head, "", "a1", true,
-                                                           loop->clock().now() + shortWait, [] { return GetParam().hindrance; });
+    const AK::Milliseconds deadline = loop->clock().now() + shortWait;
+    const Gateway::UpstreamCall::Result result =
+        call.send(loop->rootScope(), site.fleet.upstreams().at("i-1"), head, "", "a1", true, deadline, deadline, [] { return GetParam().hindrance; });
     EXPECT_EQ(result.outcome, GetParam().hindrance ? Gateway::SendOutcome::NotRun : Gateway::SendOutcome::Answered);
     EXPECT_EQ(result.withheldBy.has_value(), GetParam().hindrance.has_value());
     loop->sleep(loop->rootScope(), shortWait / 4);
