LibFleet: Take over a kept object once

Cause: each page with a mark began the grace anew, and processes repeat the marks of each other for as long as other objects change.

Change: a state is taken over once; each kept object has an end of its own, and an object that is stored again in between counts as news.

--- a/Userland/Libraries/LibFleet/RestoredCopy.cpp
+++ b/Userland/Libraries/LibFleet/RestoredCopy.cpp
@@ -51,25 +51,39 @@
     }
 }
 
-void RestoredCopy::storeRestored(std::map<std::string, std::string> known, StorePosition copy, AK::Milliseconds now, AK::Milliseconds grace)
+bool RestoredCopy::addMark(Marks &marks, const std::string &name, const std::string &spec, AK::Milliseconds now)
 {
-    this->known = std::move(known);
-    this->copy = copy;
+    const uint64_t hash = AK::stableHash(spec);
+    const auto [mark, added] = marks.try_emplace(name, Mark{hash, now});
+    const bool isNew = added || mark->second.specHash != hash;
+    if (isNew) {
+        mark->second = {hash, now};
+    }
+    return isNew;
+}
+
+void RestoredCopy::storeRestored(std::map<std::string, std::string> inForce, StorePosition position, AK::Milliseconds now, AK::Milliseconds grace)
+{
+    this->known.clear();
+    for (auto &[name, spec] : inForce) {
+        addMark(this->lapsedMarks, name, spec, now);
+        this->known[name] = {std::move(spec), now + grace};
+    }
+    this->copy = position;
     this->endsAt = now + grace;
 }
 
 void RestoredCopy::adopt(const ObjectPage &page, AK::Milliseconds now, AK::Milliseconds grace)
 {
     for (const StoredObject &object : page.objects) {
-        if (object.lapsed) {
-            this->known.emplace(object.name, object.spec);
+        if (object.lapsed && addMark(this->lapsedMarks, object.name, object.spec, now)) {
+            this->known[object.name] = {object.spec, now + grace};
+            this->copy = std::max(this->copy, page.position);
         }
-        if (object.outOfDate) {
+        if (object.outOfDate && addMark(this->outOfDateMarks, object.name, object.spec, now)) {
             this->replaced[object.name].push_back({object.revision, AK::stableHash(object.spec), now});
-        }
-        if (object.lapsed || object.outOfDate) {
+            this->unusedUntil[object.name] = now + grace;
             this->copy = std::max(this->copy, page.position);
-            this->endsAt = std::max(this->endsAt, now + grace);
         }
     }
 }
@@ -81,26 +95,27 @@
 
 std::map<std::string, std::string> RestoredCopy::merge(const ObjectSnapshot &snapshot, AK::Milliseconds now)
 {
-    if (now >= this->endsAt) {
-        this->known.clear();
-        return snapshot.specs;
-    }
+    std::erase_if(this->known, [&](const auto &item) { return now >= item.second.endsAt; });
     std::map<std::string, std::string> merged;
     for (const auto &[name, spec] : snapshot.specs) {
-        const int64_t revision = snapshot.revisions.at(name);
-        const bool outOfDate = revision <= this->copy.revision && this->isReplaced(name, revision, spec);
-        if (!outOfDate) {
+        if (!this->isOutOfUse(name, snapshot.revisions.at(name), spec, now)) {
             merged[name] = spec;
             this->known.erase(name);
+            // When the object vanishes once more, that is news again.
+            this->lapsedMarks.erase(name);
         }
     }
-    merged.insert(this->known.begin(), this->known.end());
+    for (const auto &[name, object] : this->known) {
+        merged.emplace(name, object.spec);
+    }
     return merged;
 }
 
-AK::Milliseconds RestoredCopy::graceEnd() const
+bool RestoredCopy::isOutOfUse(const std::string &name, int64_t revision, const std::string &spec, AK::Milliseconds now) const
 {
-    return this->endsAt;
+    const auto until = this->unusedUntil.find(name);
+    const bool withinGrace = now < this->endsAt || (until != this->unusedUntil.end() && now < until->second);
+    return withinGrace && revision <= this->copy.revision && this->isReplaced(name, revision, spec);
 }
 
 bool RestoredCopy::isReplaced(const std::string &name, int64_t revision, const std::string &spec) const
@@ -121,6 +136,10 @@
         std::erase_if(states, [&](const ReplacedState &state) { return now - state.replacedAt > replacedStateAge; });
     }
     std::erase_if(this->replaced, [](const auto &item) { return item.second.empty(); });
+    std::erase_if(this->unusedUntil, [&](const auto &item) { return now >= item.second; });
+    for (Marks *marks : {&this->lapsedMarks, &this->outOfDateMarks}) {
+        std::erase_if(*marks, [&](const auto &item) { return now - item.second.since > replacedStateAge; });
+    }
 }
 
 } // namespace LibFleet
--- a/Userland/Libraries/LibFleet/RestoredCopy.h
+++ b/Userland/Libraries/LibFleet/RestoredCopy.h
@@ -19,10 +19,11 @@
     /// Must be called before `page` changes `snapshot`. `complete`: objects that the page lacks are removed. Remembers the states that it replaces.
     void recordReplaced(const ObjectSnapshot &snapshot, const ObjectPage &page, bool complete, AK::Milliseconds now);
 
-    /// The store has come back from a copy; `known` was in force. `copy` is the first position known of the new era.
-    void storeRestored(std::map<std::string, std::string> known, StorePosition copy, AK::Milliseconds now, AK::Milliseconds grace);
+    /// The store has come back from a copy; `inForce` was in force. `position` is the first one known of the new era.
+    void storeRestored(std::map<std::string, std::string> inForce, StorePosition position, AK::Milliseconds now, AK::Milliseconds grace);
 
-    /// Takes over what another process keeps in force against the copy, and what it keeps out of force, according to the marks of the objects in `page`.
+    /// Takes over what another process keeps in force against the copy, and what it keeps out of force, according to the marks of the objects in `page`. Each
+    /// state is taken over once: processes that repeat each other's marks would otherwise keep it for as long as objects change.
     void adopt(const ObjectPage &page, AK::Milliseconds now, AK::Milliseconds grace);
 
     /// The object has been removed in the new history.
@@ -31,9 +32,6 @@
     /// Objects to be in force when the store holds `snapshot`.
     std::map<std::string, std::string> merge(const ObjectSnapshot &snapshot, AK::Milliseconds now);
 
-    /// Time at which the grace ends; the objects in force must be computed again then.
-    AK::Milliseconds graceEnd() const;
-
 private:
     struct ReplacedState {
         int64_t revision = 0;
@@ -41,15 +39,35 @@
         AK::Milliseconds replacedAt = 0;
     };
 
+    struct KeptObject {
+        std::string spec;
+        AK::Milliseconds endsAt = 0;
+    };
+
+    /// A state that this process has kept, by itself or after another one.
+    struct Mark {
+        uint64_t specHash = 0;
+        AK::Milliseconds since = 0;
+    };
+    using Marks = std::map<std::string, Mark>;
+
+    /// Returns whether the state of the object has not been marked before.
+    static bool addMark(Marks &marks, const std::string &name, const std::string &spec, AK::Milliseconds now);
     void recordReplaced(const std::string &name, const ObjectSnapshot &snapshot, AK::Milliseconds now);
+    bool isOutOfUse(const std::string &name, int64_t revision, const std::string &spec, AK::Milliseconds now) const;
     bool isReplaced(const std::string &name, int64_t revision, const std::string &spec) const;
     void forgetOldStates(AK::Milliseconds now);
 
     std::map<std::string, std::deque<ReplacedState>> replaced;
     AK::Milliseconds forgottenAt = 0;
-    std::map<std::string, std::string> known;
+    /// Objects that stay in force though the store lacks them, or has them in another state.
+    std::map<std::string, KeptObject> known;
     StorePosition copy;
+    /// Until then all states that are known to be out of date stay out of force; the marked ones of other processes until the time of each.
     AK::Milliseconds endsAt = 0;
+    std::map<std::string, AK::Milliseconds> unusedUntil;
+    Marks lapsedMarks;
+    Marks outOfDateMarks;
 };
 
 } // namespace LibFleet
