Gateway: Record what an upstream says of itself with the head of its response

What was seen: an upstream that asked for a pause in a refusal that doesn't prove that the call has not run got its full share of calls, and so did one whose refusal came while another upstream was tried beside it.

Cause: the notice was recorded only after the call had been judged, and not at all when it was given up in favour of another upstream.

Change: UpstreamCall tells the notice as soon as it has the head; a pause of 0 s is a failure like others.

--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -150,6 +150,9 @@
         this->sentAt = this->now();
         this->firstEventAt = 0;
         UpstreamCall call(this->context.loop, this->context.connections, this->context.codec);
+        call.onHead([this, upstream, requestSentAt = this->sentAt](const LibGateway::ResponseInfo &info) {
+            this->context.dispatcher.recordResponse(upstream, info, requestSentAt);
+        });
         const bool repeatable = this->route->repeatable();
         const LibHttpStream::RequestHead outgoing = this->context.codec.encodeRequest(this->head, this->targetFor(**grant));
         UpstreamCall::Result sent = call.send(scope, upstream, outgoing, this->body, this->request.id, repeatable, this->silentAfter(this->sentAt),
@@ -163,11 +166,8 @@
         if (!this->awaitHead(scope, call, *grant, sent)) {
             return NextStep::Done;
         }
-        if (sent.outcome == SendOutcome::Answered || sent.refusedByUpstream) {
-            this->context.dispatcher.recordResponse(upstream, call.responseInfo(), this->sentAt);
-        }
         if (sent.outcome != SendOutcome::Answered) {
-            if (!call.responseInfo().pause) {
+            if (call.responseInfo().pause.value_or(0) <= 0) {
                 this->context.dispatcher.recordOutcome(upstream, !sent.refusedByUpstream);
             }
             if (sent.unproven) {
--- a/Userland/Services/Gateway/UpstreamCall.cpp
+++ b/Userland/Services/Gateway/UpstreamCall.cpp
@@ -44,6 +44,11 @@
 {
 }
 
+void UpstreamCall::onHead(std::function<void(const LibGateway::ResponseInfo &)> observer)
+{
+    this->headObserver = std::move(observer);
+}
+
 UpstreamCall::Result UpstreamCall::send(kj::WaitScope &scope, const LibFleet::UpstreamRecord &upstream, const LibHttpStream::RequestHead &requestHead,
                                         const std::string &requestBody, const std::string &id, bool allowReuse, AK::Milliseconds headDeadline,
                                         AK::Milliseconds deadline, const SendCheck &check)
@@ -105,6 +110,9 @@
         if (decoded.requestId.empty() && this->connection.reused) {
             return {SendOutcome::Unknown, false, "a response without a request id on a reused connection may belong to an earlier request"};
         }
+        if (this->headObserver) {
+            this->headObserver(decoded);
+        }
         if (parsed->status / 100 == 2 && !decoded.authentic && !decoded.notRun) {
             return {SendOutcome::Unknown, false, AK::concat("unproven success: status ", parsed->status, " without a receipt"), false, false, true};
         }
--- a/Userland/Services/Gateway/UpstreamCall.h
+++ b/Userland/Services/Gateway/UpstreamCall.h
@@ -32,6 +32,9 @@
 public:
     UpstreamCall(LibFiber::Loop &loop, UpstreamConnectionPool &connections, const LibGateway::CallCodec &codec);
 
+    /// Sets the function that gets what the upstream says of itself, as soon as the head of its response is there and whatever the response proves.
+    void onHead(std::function<void(const LibGateway::ResponseInfo &)> observer);
+
     struct Result {
         SendOutcome outcome = SendOutcome::Unknown;
         /// The request reached the upstream, which refused it.
@@ -88,6 +91,7 @@
     LibFiber::Loop &loop;
     UpstreamConnectionPool &connections;
     const LibGateway::CallCodec &codec;
+    std::function<void(const LibGateway::ResponseInfo &)> headObserver;
     AK::Endpoint address;
     PooledConnection connection;
     std::string request;
