Gateway: Keep a silent upstream's call only for a response that has begun

Cause: a call of which the client has nothing yet waited for its silent upstream until the client left. A host that stood still read the request afterwards and ran it, also on weights that were no longer allowed.

Change: such a call goes to another upstream after the silence, or ends with an error that lets the client retry, as it did before. Only a response that has begun keeps its upstream until another one goes on with it.

--- a/Userland/Services/Gateway/CallTaskStream.cpp
+++ b/Userland/Services/Gateway/CallTaskStream.cpp
@@ -77,7 +77,9 @@
 
 bool CallTask::awaitHead(kj::WaitScope &scope, UpstreamCall &call, kj::Own<Grant> &grant, UpstreamCall::Result &sent)
 {
-    while (sent.silent && this->now() < this->deadline) {
+    // A client that has nothing yet is served better by another attempt or an error that lets it retry: a silent upstream may run the request after it has
+    // left.
+    while (sent.silent && this->client.begun() && this->now() < this->deadline) {
         const AK::Milliseconds until = this->silentAfter(this->sentAt);
         if (this->now() < until) {
             sent = call.receiveHead(scope, until);
@@ -111,6 +113,10 @@
             }
             continue;
         }
+        if (!this->client.begun()) {
+            part.status = absl::DeadlineExceededError("no event in time");
+            return part;
+        }
         LibGateway::EventSplitter ahead = splitter;
         const auto probe = [&] {
             while (part.take(call.read(scope, this->now()))) {
@@ -171,7 +177,7 @@
             this->context.dispatcher.recordOutcome(upstream, true);
             return this->retryOrGiveUp(scope, upstream, true, stalled ? "stream stalled: bytes without an event" : "stream cut: an event is too long");
         }
-        if ((timedOut && this->now() < this->deadline) || (part.status.ok() && !part.ended)) {
+        if ((timedOut && this->client.begun() && this->now() < this->deadline) || (part.status.ok() && !part.ended)) {
             continue;
         }
         const std::string_view unfinished = LibGateway::unfinishedReason({call.endsWithConnection(), this->firstEventAt > 0, splitter.partialBytes()});
