--- a/Userland/Libraries/LibFleet/RestoredCopy.cpp
+++ b/Userland/Libraries/LibFleet/RestoredCopy.cpp
@@ -65,9 +65,10 @@
 void RestoredCopy::storeRestored(std::map<std::string, std::string> inForce, StorePosition position, AK::Milliseconds now, AK::Milliseconds grace)
 {
     this->known.clear();
-    for (auto &[name, spec] : inForce) {
-        addMark(this->lapsedMarks, name, spec, now);
-        this->known[name] = {std::move(spec), now + grace};
+    while (!inForce.empty()) {
+        auto object = inForce.extract(inForce.begin());
+        addMark(this->lapsedMarks, object.key(), object.mapped(), now);
+        this->known[object.key()] = {std::move(object.mapped()), now + grace};
     }
     this->copy = position;
     this->endsAt = now + grace;
--- a/Userland/Services/Agent/UpstreamCall.cpp
+++ b/Userland/Services/Agent/UpstreamCall.cpp
@@ -120,7 +120,7 @@
         if (match != ResponseMatch::Match) {
             return match == ResponseMatch::Mismatch ? this->reportMismatch() : failedPart("engine reported an error in the stream");
         }
-        if (!matched && !this->push(std::move(head))) {
+        if (!matched && !this->push(head)) {
             return failedPart("call was cancelled");
         }
         matched = true;
