Tests/Platform: Give the fake store ports of its own

TestPlatform failed once, tenants_text, with "Address already in use" on 127.0.0.1:18467. No check changed.

--- a/Tests/Platform/FakeStore.cpp
+++ b/Tests/Platform/FakeStore.cpp
@@ -14,7 +14,7 @@
 
 uint16_t nextPort()
 {
-    static uint16_t port = 18'400;
+    static uint16_t port = 21'400;
     return ++port;
 }
 
