Tests/Gateway: Count the ports of the gateway sites from 22,000

They began at 17,000 and ran into the fixed ports of test programs that run beside them, from 17,600 on.

--- a/Tests/Services/Gateway/GatewaySite.cpp
+++ b/Tests/Services/Gateway/GatewaySite.cpp
@@ -9,7 +9,7 @@
 
 uint16_t nextPort()
 {
-    static uint16_t port = 17'000;
+    static uint16_t port = 22'000;
     return ++port;
 }
 
