LibHttp: Set up CivetWeb once for the process

Cause: HttpClient and HttpServer each called mg_init_library() behind a static of their own, so the first client call of a service's thread and the start of the server overlapped. CivetWeb's initialization is not thread-safe: helgrind shows that it creates its global mutex while another thread holds it. Class: two guards for one thing that must happen once.

Change: one function with one static, initializeCivetWeb(), called by both.

--- a/Userland/Libraries/LibHttp/HttpClient.cpp
+++ b/Userland/Libraries/LibHttp/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/HttpClient.h>
 
 #include <AK/Text.h>
+#include <LibHttp/CivetWebLibrary.h>
 #include <absl/strings/cord.h>
 #include <array>
 #include <civetweb.h>
@@ -67,8 +68,7 @@
 
 absl::StatusOr<std::unique_ptr<HttpStream>> HttpStream::open(const AK::Endpoint &target, const HttpRequest &request, AK::Milliseconds headTimeout)
 {
-    static const unsigned initialized = mg_init_library(0);
-    (void)initialized;
+    initializeCivetWeb();
     std::array<char, 256> reason{};
     mg_connection *connection = mg_connect_client(target.host.c_str(), target.port, 0, reason.data(), reason.size());
     if (connection == nullptr) {
--- a/Userland/Libraries/LibHttp/HttpServer.cpp
+++ b/Userland/Libraries/LibHttp/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/HttpServer.h>
 
 #include <AK/Text.h>
+#include <LibHttp/CivetWebLibrary.h>
 #include <civetweb.h>
 #include <optional>
 
@@ -137,8 +138,7 @@
 
 absl::Status HttpServer::start()
 {
-    static const unsigned initialized = mg_init_library(0);
-    (void)initialized;
+    initializeCivetWeb();
     const std::string address = this->endpoint.text();
     const std::string threads = std::to_string(this->limits.threads);
     const std::string queue = std::to_string(std::max(64, this->limits.threads));
