Tests: Let each test program listen on a loopback address of its own

Seen: TestGateway and TestPlatform failed with "Address already in use" when several clones ran them at once, and once when two programs counted their ports from the same number.

Cause: fixed ports at 127.0.0.1. Loopback::processHost() takes an address that no other test program of this machine uses, by the reservation that the sites of the process tests have; LoopbackNetwork moves to its own library for that. No check changes.

--- a/Tests/Harness/SiteHosts.h
+++ b/Tests/Harness/SiteHosts.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <AK/Endpoint.h>
-#include <Harness/LoopbackNetwork.h>
+#include <Loopback/LoopbackNetwork.h>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -87,7 +87,7 @@
 private:
     void planHosts();
 
-    LoopbackNetwork network;
+    Loopback::LoopbackNetwork network;
 };
 
 } // namespace Harness
--- a/Tests/LibFiber/TestLoop.cpp
+++ b/Tests/LibFiber/TestLoop.cpp
@@ -1,5 +1,6 @@
 #include <LibFiber/Acceptor.h>
 #include <LibFiber/ByteChannel.h>
+#include <Loopback/ProcessHost.h>
 #include <gtest/gtest.h>
 
 namespace
@@ -116,7 +117,7 @@
 TEST(Acceptor, AcceptsConnectionsUntilCancelled)
 {
     Loop loop;
-    const AK::Endpoint address{"127.0.0.1", 17'990};
+    const AK::Endpoint address{Loopback::processHost(), 17'990};
     int accepted = 0;
     auto receiver = LibFiber::listenOn(loop, address);
     ASSERT_TRUE(receiver.ok()) << receiver.status();
--- a/Tests/LibHttp/TestHttpServer.cpp
+++ b/Tests/LibHttp/TestHttpServer.cpp
@@ -1,5 +1,6 @@
 #include <LibHttp/HttpClient.h>
 #include <LibHttp/HttpServer.h>
+#include <Loopback/ProcessHost.h>
 #include <gtest/gtest.h>
 #include <stdexcept>
 
@@ -23,7 +24,7 @@
 TEST_P(ThrowingHandlerTest, LeavesTheServerRunning)
 {
     static uint16_t port = 17'950;
-    const AK::Endpoint address{"127.0.0.1", ++port};
+    const AK::Endpoint address{Loopback::processHost(), ++port};
     LibHttp::HttpServer server(address, {}, [](LibHttp::HttpExchange &exchange) {
         if (exchange.request().path == "/sound") {
             exchange.respond(LibHttp::jsonResponse(200, "{}"));
--- a/Tests/LibHttpStream/TestHttpClient.cpp
+++ b/Tests/LibHttpStream/TestHttpClient.cpp
@@ -1,6 +1,7 @@
 #include <LibFiber/Acceptor.h>
 #include <LibHttpStream/HttpClient.h>
 #include <LibHttpStream/MessageReader.h>
+#include <Loopback/ProcessHost.h>
 #include <gtest/gtest.h>
 
 namespace
@@ -25,7 +26,7 @@
     LibFiber::Loop loop;
     int open = 0;
     int requests = 0;
-    auto receiver = LibFiber::listenOn(loop, {"127.0.0.1", port});
+    auto receiver = LibFiber::listenOn(loop, {Loopback::processHost(), port});
     ASSERT_TRUE(receiver.ok()) << receiver.status();
     LibFiber::acceptEach(loop, kj::mv(*receiver), [&](kj::WaitScope &scope, kj::Own<kj::AsyncIoStream> stream) {
         ++open;
@@ -38,7 +39,7 @@
         }
         --open;
     });
-    LibHttpStream::HttpClientPool pool(loop, {"127.0.0.1", port}, GetParam().idleTimeout);
+    LibHttpStream::HttpClientPool pool(loop, {Loopback::processHost(), port}, GetParam().idleTimeout);
     kj::WaitScope &scope = loop.rootScope();
     for (int i = 0; i < 3; ++i) {
         const AK::Milliseconds deadline = loop.clock().now() + timeout;
@@ -74,7 +75,7 @@
     LibFiber::Loop loop;
     int requests = 0;
     constexpr uint16_t strayPort = port + 1;
-    auto receiver = LibFiber::listenOn(loop, {"127.0.0.1", strayPort});
+    auto receiver = LibFiber::listenOn(loop, {Loopback::processHost(), strayPort});
     ASSERT_TRUE(receiver.ok()) << receiver.status();
     LibFiber::acceptEach(loop, kj::mv(*receiver), [&](kj::WaitScope &scope, kj::Own<kj::AsyncIoStream> stream) {
         LibFiber::ByteChannel channel(loop, kj::mv(stream));
@@ -91,7 +92,7 @@
             EXPECT_TRUE(channel.write(scope, response, loop.clock().now() + timeout).ok());
         }
     });
-    LibHttpStream::HttpClientPool pool(loop, {"127.0.0.1", strayPort});
+    LibHttpStream::HttpClientPool pool(loop, {Loopback::processHost(), strayPort});
     kj::WaitScope &scope = loop.rootScope();
     for (const char *body : {"1", "2", "3"}) {
         const AK::Milliseconds deadline = loop.clock().now() + timeout;
--- a/Tests/LibPeers/TestPeerClient.cpp
+++ b/Tests/LibPeers/TestPeerClient.cpp
@@ -1,5 +1,6 @@
 #include <LibPeers/PeerClient.h>
 #include <LibPeers/PeerServer.h>
+#include <Loopback/ProcessHost.h>
 #include <gtest/gtest.h>
 #include <kj/debug.h>
 #include <list>
@@ -89,12 +90,12 @@
     kj::WaitScope &scope = loop.rootScope();
     EmptyPeerHandler handler;
     PeerServer server(loop, handler, nullptr, nullptr);
-    ASSERT_TRUE(server.listen({"127.0.0.1", serverPort}).ok());
+    ASSERT_TRUE(server.listen({Loopback::processHost(), serverPort}).ok());
     std::vector<std::unique_ptr<ResettingRelay>> relays;
     std::vector<std::unique_ptr<PeerClient>> clients;
     for (size_t i = 0; i < peers; ++i) {
-        const AK::Endpoint address{"127.0.0.1", static_cast<uint16_t>(firstRelayPort + i)};
-        relays.push_back(std::make_unique<ResettingRelay>(loop, address, AK::Endpoint{"127.0.0.1", serverPort}));
+        const AK::Endpoint address{Loopback::processHost(), static_cast<uint16_t>(firstRelayPort + i)};
+        relays.push_back(std::make_unique<ResettingRelay>(loop, address, AK::Endpoint{Loopback::processHost(), serverPort}));
         clients.push_back(std::make_unique<PeerClient>(loop, address));
     }
     int failures = 0;
--- a/Tests/Harness/LoopbackNetwork.cpp
+++ b/Tests/Loopback/LoopbackNetwork.cpp
@@ -1,4 +1,4 @@
-#include <Harness/LoopbackNetwork.h>
+#include <Loopback/LoopbackNetwork.h>
 
 #include <AK/Text.h>
 #include <arpa/inet.h>
@@ -8,7 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-namespace Harness
+namespace Loopback
 {
 
 namespace
@@ -64,4 +64,4 @@
     return false;
 }
 
-} // namespace Harness
+} // namespace Loopback
--- a/Tests/Harness/LoopbackNetwork.h
+++ b/Tests/Loopback/LoopbackNetwork.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-namespace Harness
+namespace Loopback
 {
 
 /// Consecutive networks 127.a.b.0 that one test site uses alone, among all test programs of this machine, until the object is destroyed.
@@ -26,4 +26,4 @@
     int reservation = -1;
 };
 
-} // namespace Harness
+} // namespace Loopback
--- a/Tests/Platform/FakeStore.cpp
+++ b/Tests/Platform/FakeStore.cpp
@@ -5,6 +5,7 @@
 #include <LibFiber/ByteChannel.h>
 #include <LibHttpStream/MessageReader.h>
 #include <LibJson/RawJson.h>
+#include <Loopback/ProcessHost.h>
 #include <kj/debug.h>
 
 namespace
@@ -46,7 +47,7 @@
 
 FakeStore::FakeStore(LibFiber::Loop &loop)
     : loop(loop)
-    , endpoint{"127.0.0.1", nextPort()}
+    , endpoint{Loopback::processHost(), nextPort()}
 {
     auto listener = LibFiber::listenOn(loop, this->endpoint);
     KJ_ASSERT(listener.ok(), std::string(listener.status().message()).c_str());
--- a/Tests/Platform/TestStoreClient.cpp
+++ b/Tests/Platform/TestStoreClient.cpp
@@ -1,5 +1,6 @@
 #include <LibFiber/Acceptor.h>
 #include <LibHttpStream/MessageReader.h>
+#include <Loopback/ProcessHost.h>
 #include <gtest/gtest.h>
 #include <platform/StoreClient.h>
 
@@ -26,7 +27,7 @@
 TEST_P(StoreEraTest, ReportsTheEraOfEachResponse)
 {
     LibFiber::Loop loop;
-    auto receiver = LibFiber::listenOn(loop, {"127.0.0.1", port});
+    auto receiver = LibFiber::listenOn(loop, {Loopback::processHost(), port});
     ASSERT_TRUE(receiver.ok()) << receiver.status();
     LibFiber::acceptEach(loop, kj::mv(*receiver), [&](kj::WaitScope &scope, kj::Own<kj::AsyncIoStream> stream) {
         LibFiber::ByteChannel channel(loop, kj::mv(stream));
@@ -35,7 +36,7 @@
         while (LibHttpStream::readHeadText(channel, scope, 65'536, loop.clock().now() + timeout).ok()
                && channel.write(scope, response, loop.clock().now() + timeout).ok()) {}
     });
-    Platform::StoreClient store(loop, {"127.0.0.1", port});
+    Platform::StoreClient store(loop, {Loopback::processHost(), port});
     std::vector<int64_t> eras;
     store.observeEra([&](int64_t era) { eras.push_back(era); });
     const absl::StatusOr<LibFleet::ObjectPage> page = store.list(loop.rootScope(), LibFleet::ObjectKind::Upstreams);
--- a/Tests/Processes/TestSiteNetworks.cpp
+++ b/Tests/Processes/TestSiteNetworks.cpp
@@ -1,4 +1,4 @@
-#include <Harness/LoopbackNetwork.h>
+#include <Loopback/LoopbackNetwork.h>
 #include <gtest/gtest.h>
 #include <memory>
 #include <set>
@@ -20,11 +20,11 @@
 TEST_P(SiteNetworksTest, NoTwoSitesShareAnAddress)
 {
     constexpr int mostHosts = 1'250;
-    std::vector<std::unique_ptr<Harness::LoopbackNetwork>> networks;
+    std::vector<std::unique_ptr<Loopback::LoopbackNetwork>> networks;
     std::set<std::string> first;
     std::set<std::string> last;
     for (const int number : GetParam().numbers) {
-        networks.push_back(std::make_unique<Harness::LoopbackNetwork>(number));
+        networks.push_back(std::make_unique<Loopback::LoopbackNetwork>(number));
         EXPECT_TRUE(first.insert(networks.back()->hostAddress(0)).second) << networks.back()->hostAddress(0);
         EXPECT_TRUE(last.insert(networks.back()->hostAddress(mostHosts - 1)).second);
     }
--- a/Tests/Services/Fleet/TestPeerExchange.cpp
+++ b/Tests/Services/Fleet/TestPeerExchange.cpp
@@ -1,4 +1,5 @@
 #include <Fleet/PeerExchange.h>
+#include <Loopback/ProcessHost.h>
 #include <gtest/gtest.h>
 #include <kj/debug.h>
 
@@ -142,14 +143,14 @@
     std::map<std::string, LibFleet::EntryRecord> records;
     for (size_t i = 0; i < GetParam().hasNewest.size(); ++i) {
         const std::string name = "e" + std::to_string(i);
-        const AK::Endpoint address{"127.0.0.1", ++port};
+        const AK::Endpoint address{Loopback::processHost(), ++port};
         others.push_back(std::make_unique<OtherEntry>(loop, name, address, GetParam().hasNewest[i]));
-        records[name] = {name, address, {"127.0.0.1", 1}, i < 2 ? "lima" : "cusco", i < 2 ? "lima-1" : "cusco-1"};
+        records[name] = {name, address, {Loopback::processHost(), 1}, i < 2 ? "lima" : "cusco", i < 2 ? "lima-1" : "cusco-1"};
     }
     fleet.setEntries(records);
-    Fleet::PeerExchange::Settings settings{"self", "lima-1", "lima", {"127.0.0.1", ++port}, std::nullopt, {}};
+    Fleet::PeerExchange::Settings settings{"self", "lima-1", "lima", {Loopback::processHost(), ++port}, std::nullopt, {}};
     if (!GetParam().agent) {
-        settings.clientAddress = AK::Endpoint{"127.0.0.1", 2};
+        settings.clientAddress = AK::Endpoint{Loopback::processHost(), 2};
     }
     Fleet::PeerExchange exchange(loop, settings, feeds, fleet);
     if (GetParam().watchesStore) {
@@ -184,8 +185,9 @@
     RecordingDecoder decoder;
     SlowSource source(loop, false);
     Fleet::ObjectFeeds feeds(loop, source, decoder, fleet);
-    OtherEntry other(loop, "e1", {"127.0.0.1", otherPort}, true);
-    Fleet::PeerExchange exchange(loop, {"self", "lima-1", "lima", {"127.0.0.1", ownPort}, AK::Endpoint{"127.0.0.1", 2}, {}}, feeds, fleet);
+    OtherEntry other(loop, "e1", {Loopback::processHost(), otherPort}, true);
+    Fleet::PeerExchange exchange(loop, {"self", "lima-1", "lima", {Loopback::processHost(), ownPort}, AK::Endpoint{Loopback::processHost(), 2}, {}}, feeds,
+                                 fleet);
     // Not started, so that it calls no other process of its own accord.
     exchange.exchange(other.exchange({}));
     constexpr AK::Milliseconds shorterThanAnInterval = 200;
@@ -210,9 +212,10 @@
     RecordingDecoder decoder;
     SlowSource source(loop, true, listDuration, newest + 1);
     Fleet::ObjectFeeds feeds(loop, source, decoder, fleet);
-    OtherEntry other(loop, "e1", {"127.0.0.1", otherPort}, true);
-    fleet.setEntries({{"e1", {"e1", other.address, {"127.0.0.1", 1}, "lima", "lima-1"}}});
-    Fleet::PeerExchange exchange(loop, {"self", "lima-1", "lima", {"127.0.0.1", ownPort}, AK::Endpoint{"127.0.0.1", 2}, {}}, feeds, fleet);
+    OtherEntry other(loop, "e1", {Loopback::processHost(), otherPort}, true);
+    fleet.setEntries({{"e1", {"e1", other.address, {Loopback::processHost(), 1}, "lima", "lima-1"}}});
+    Fleet::PeerExchange exchange(loop, {"self", "lima-1", "lima", {Loopback::processHost(), ownPort}, AK::Endpoint{Loopback::processHost(), 2}, {}}, feeds,
+                                 fleet);
     feeds.watchStore();
     exchange.start();
     loop.sleep(loop.rootScope(), longEnough);
@@ -238,16 +241,16 @@
     std::vector<LibFleet::EntryLocation> locations;
     for (int i = 0; i < entryCount; ++i) {
         const std::string name = "e" + std::to_string(i);
-        records[name] = {name, {"127.0.0.1", static_cast<uint16_t>(firstPort + i)}, {"127.0.0.1", 1}, "lima", "lima-1"};
+        records[name] = {name, {Loopback::processHost(), static_cast<uint16_t>(firstPort + i)}, {Loopback::processHost(), 1}, "lima", "lima-1"};
         locations.push_back({name, "lima-1", "lima"});
     }
     fleet.setEntries(records);
     LibFleet::UpstreamRecord engine;
     engine.id = "i-1";
-    engine.address = {"127.0.0.1", 3};
+    engine.address = {Loopback::processHost(), 3};
     fleet.setUpstreams({{"i-1", engine}});
     const LibFleet::EntryRecord owner = records.at(LibFleet::rankOwners("i-1", "lima-1", locations).front().name);
-    Fleet::PeerExchange::Settings settings{"agent", "lima-1", "lima", {"127.0.0.1", firstPort + entryCount}, std::nullopt, {}, engine.address};
+    Fleet::PeerExchange::Settings settings{"agent", "lima-1", "lima", {Loopback::processHost(), firstPort + entryCount}, std::nullopt, {}, engine.address};
     Fleet::PeerExchange exchange(loop, settings, feeds, fleet);
     exchange.start();
     loop.sleep(loop.rootScope(), downTime);
--- a/Tests/Services/Gateway/GatewaySite.cpp
+++ b/Tests/Services/Gateway/GatewaySite.cpp
@@ -2,6 +2,7 @@
 
 #include <AK/Text.h>
 #include <LibFiber/Acceptor.h>
+#include <Loopback/ProcessHost.h>
 #include <kj/debug.h>
 
 namespace
@@ -35,7 +36,7 @@
 
 void FakeUpstream::listen()
 {
-    auto receiver = LibFiber::listenOn(this->loop, {"127.0.0.1", this->port});
+    auto receiver = LibFiber::listenOn(this->loop, {Loopback::processHost(), this->port});
     KJ_ASSERT(receiver.ok(), std::string(receiver.status().message()).c_str());
     this->down = false;
     this->accepting = this->loop
@@ -103,7 +104,7 @@
     , connections(loop)
     , crashes(loop, metrics)
     , quarantine(loop.clock(), fleet)
-    , address{"127.0.0.1", nextPort()}
+    , address{Loopback::processHost(), nextPort()}
     , gateway({loop, fleet, codec, dispatcher, connections, crashes, quarantine, metrics}, address)
 {
     this->dispatcher.setRegions({{"lima-1", "lima"}});
@@ -117,7 +118,7 @@
         LibFleet::UpstreamRecord record;
         record.id = id;
         record.service = "s";
-        record.address = {"127.0.0.1", port};
+        record.address = {Loopback::processHost(), port};
         record.failureDomain = "lima-1";
         record.slots = 4;
         records[id] = record;
--- a/Tests/Services/Gateway/SlotSite.h
+++ b/Tests/Services/Gateway/SlotSite.h
@@ -3,6 +3,7 @@
 #include <Gateway/Dispatcher.h>
 #include <LibPeers/PeerServer.h>
 
+#include <Loopback/ProcessHost.h>
 #include <kj/debug.h>
 
 inline constexpr double prefillPerSecond = 19'100;
@@ -58,7 +59,7 @@
     {
         // Above the ports of GatewaySite.
         static uint16_t port = 18'400;
-        const AK::Endpoint address{"127.0.0.1", ++port};
+        const AK::Endpoint address{Loopback::processHost(), ++port};
         KJ_ASSERT(this->server.listen(address).ok());
         LibFleet::Configuration configuration;
         configuration.version = 1;
@@ -71,7 +72,7 @@
         configuration.services["s"] = service;
         this->fleet.setConfiguration(configuration);
         this->fleet.setUpstreams({{"i-1", engineRecord("i-1", "lima-1", 1)}, {"i-2", engineRecord("i-2", "cusco-1", 2)}});
-        this->fleet.setEntries({{"e1", {"e1", {"127.0.0.1", 1}, {}, "lima", "lima-1"}}, {"e2", {"e2", address, {}, "cusco", "cusco-1"}}});
+        this->fleet.setEntries({{"e1", {"e1", {Loopback::processHost(), 1}, {}, "lima", "lima-1"}}, {"e2", {"e2", address, {}, "cusco", "cusco-1"}}});
         for (Gateway::Dispatcher *dispatcher : {&this->first, &this->second}) {
             dispatcher->setRegions({{"lima-1", "lima"}, {"cusco-1", "cusco"}});
             dispatcher->setEntries({{"e1", "lima-1"}, {"e2", "cusco-1"}});
--- a/Tests/Services/Gateway/TestFailingCalls.cpp
+++ b/Tests/Services/Gateway/TestFailingCalls.cpp
@@ -1,4 +1,5 @@
 #include "GatewaySite.h"
+#include <Loopback/ProcessHost.h>
 #include <gtest/gtest.h>
 #include <kj/debug.h>
 
@@ -75,7 +76,7 @@
     loop = &site.loop;
     site.configure(RouteKind::AtMostOnce, false, 1, 2'000);
     const ThrowingCodec codec(GetParam());
-    const AK::Endpoint address{"127.0.0.1", static_cast<uint16_t>(site.address.port + 500)};
+    const AK::Endpoint address{Loopback::processHost(), static_cast<uint16_t>(site.address.port + 500)};
     Gateway::GatewayService gateway({site.loop, site.fleet, codec, site.dispatcher, site.connections, site.crashes, site.quarantine, site.metrics}, address);
     ASSERT_TRUE(gateway.start().ok());
     site.address = address;
--- a/Tests/Services/Gateway/TestSlots.cpp
+++ b/Tests/Services/Gateway/TestSlots.cpp
@@ -1,4 +1,5 @@
 #include "SlotSite.h"
+#include <Loopback/ProcessHost.h>
 #include <gtest/gtest.h>
 
 namespace
@@ -35,7 +36,8 @@
         held.push_back(site.hold(site.second));
     }
     if (!GetParam().secondReachable) {
-        site.fleet.setEntries({{"e1", {"e1", {"127.0.0.1", 1}, {}, "lima", "lima-1"}}, {"e2", {"e2", {"127.0.0.1", 17'399}, {}, "cusco", "cusco-1"}}});
+        site.fleet.setEntries(
+            {{"e1", {"e1", {Loopback::processHost(), 1}, {}, "lima", "lima-1"}}, {"e2", {"e2", {Loopback::processHost(), 17'399}, {}, "cusco", "cusco-1"}}});
     }
     CallRequirements requirements = site.requirements();
     requirements.regions = GetParam().regions;
--- a/Tests/Services/WeightAgent/TestRules.cpp
+++ b/Tests/Services/WeightAgent/TestRules.cpp
@@ -1,6 +1,7 @@
 #include <AK/Hash.h>
 #include <LibPeers/PeerClient.h>
 #include <LibPeers/PeerServer.h>
+#include <Loopback/ProcessHost.h>
 #include <WeightAgent/FetchRules.h>
 #include <WeightAgent/VersionStore.h>
 #include <gtest/gtest.h>
@@ -168,7 +169,7 @@
     const auto held = store.add("m", "text", manifestOf(1, {"aaaa"}));
     ASSERT_TRUE(held->put(0, "aaaa").ok());
     const uint16_t port = 17'917;
-    const AK::Endpoint address{"127.0.0.1", port};
+    const AK::Endpoint address{Loopback::processHost(), port};
     auto server = std::make_unique<LibPeers::PeerServer>(loop, handler, &store, nullptr);
     ASSERT_TRUE(server->listen(address).ok());
     LibPeers::PeerClient client(loop, address);
@@ -189,7 +190,7 @@
     EXPECT_EQ(*client.chunk(scope, "m", 1, 0, deadline()), "aaaa");
     EXPECT_EQ(*client.chunk(scope, "m", 2, 0, deadline()), "");
     // No process listens on this port: each call fails without an exception.
-    LibPeers::PeerClient unreachable(loop, {"127.0.0.1", static_cast<uint16_t>(port + 1)});
+    LibPeers::PeerClient unreachable(loop, {Loopback::processHost(), static_cast<uint16_t>(port + 1)});
     for (int i = 0; i < 3; ++i) {
         EXPECT_FALSE(unreachable.exchange(scope, own, deadline()).ok());
     }
