Gateway: Take rate tokens only while a rate is in force

Cause: each grant took a token from the upstream's bucket, also while no rate was in force. Nothing refills the bucket then, so it went below zero by the number of calls granted meanwhile, and the next limit had to work that off first: 100 calls at 20 a second take 5 s, at 4 a second 25 s. Class: a count that is taken in all states and given back in one. A cold rate that a configuration removes and sets again did the same.

Change: the dispatcher takes the token through UpstreamTable::takeRateToken(), which does nothing while no rate is in force.

--- a/Tests/LibGateway/TestPlacement.cpp
+++ b/Tests/LibGateway/TestPlacement.cpp
@@ -138,8 +138,9 @@
     for (const size_t group : GetParam().groups) {
         UpstreamLoad load;
         for (AK::Milliseconds now = 5'000; now < 15'000; ++now) {
-            if (rateAllows(load, callsPerSecond(load, GetParam().coldRate, settings), ownerShare(group, GetParam().entries), now)) {
-                load.rateTokens -= 1;
+            const double rate = callsPerSecond(load, GetParam().coldRate, settings);
+            if (rateAllows(load, rate, ownerShare(group, GetParam().entries), now)) {
+                takeRateToken(load, rate);
                 sent.push_back(now);
             }
         }
--- a/Userland/Libraries/LibGateway/Placement.cpp
+++ b/Userland/Libraries/LibGateway/Placement.cpp
@@ -77,6 +77,13 @@
     return load.rateTokens >= 1;
 }
 
+void takeRateToken(UpstreamLoad &load, double callsPerSecond)
+{
+    if (callsPerSecond > 0) {
+        load.rateTokens -= 1;
+    }
+}
+
 double ownerShare(size_t reachable, size_t registered)
 {
     return registered <= reachable ? 1 : static_cast<double>(reachable) / static_cast<double>(registered);
--- a/Userland/Libraries/LibGateway/Placement.h
+++ b/Userland/Libraries/LibGateway/Placement.h
@@ -97,6 +97,9 @@
 /// Refills the token bucket of an upstream and returns whether a call may be sent now. `share` is the share of this entry in the rate, 0 to 1.
 bool rateAllows(UpstreamLoad &load, double callsPerSecond, double share, AK::Milliseconds now);
 
+/// Takes the token of a call from the bucket that rateAllows() refills; nothing while no rate is in force, because nothing refills the bucket then.
+void takeRateToken(UpstreamLoad &load, double callsPerSecond);
+
 /// Share of an entry in the cold rate of an upstream that it owns: the share of the registered entries that it reaches, itself included. Entries that do not
 /// reach each other may own the same upstream; their shares add up to 1.
 double ownerShare(size_t reachable, size_t registered);
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -110,7 +110,7 @@
     LibGateway::UpstreamLoad &load = this->table.loadOf(record);
     ++load.ownInFlight;
     load.pendingPromptTokens += requirements.promptTokens;
-    load.rateTokens -= 1;
+    this->table.takeRateToken(record);
     this->callsForPeers += kind == GrantKind::ForPeer ? 1 : 0;
     grant = kj::heap<Grant>(*this, kind, record, this->table.expectedWeightsVersion(record, this->table.heldWeightsVersion(record)), requirements.promptTokens,
                             candidateSet.candidates[*chosen].load);
--- a/Userland/Services/Gateway/UpstreamTable.cpp
+++ b/Userland/Services/Gateway/UpstreamTable.cpp
@@ -224,12 +224,20 @@
 
 bool UpstreamTable::rateAllows(const LibFleet::UpstreamRecord &record)
 {
-    const LibFleet::ServiceSpec *spec = this->serviceSpec(record.service);
     const double share =
         this->hasOwner(record) ? LibGateway::ownerShare(this->entries.size(), this->registeredEntries()) : 1.0 / static_cast<double>(this->registeredEntries());
-    LibGateway::UpstreamLoad &load = this->loadOf(record);
-    const double rate = LibGateway::callsPerSecond(load, spec == nullptr ? 0 : spec->coldCallsPerSecond, this->settings.placement);
-    return LibGateway::rateAllows(load, rate, share, this->clock.now());
+    return LibGateway::rateAllows(this->loadOf(record), this->callsPerSecond(record), share, this->clock.now());
+}
+
+void UpstreamTable::takeRateToken(const LibFleet::UpstreamRecord &record)
+{
+    LibGateway::takeRateToken(this->loadOf(record), this->callsPerSecond(record));
+}
+
+double UpstreamTable::callsPerSecond(const LibFleet::UpstreamRecord &record)
+{
+    const LibFleet::ServiceSpec *spec = this->serviceSpec(record.service);
+    return LibGateway::callsPerSecond(this->loadOf(record), spec == nullptr ? 0 : spec->coldCallsPerSecond, this->settings.placement);
 }
 
 int64_t UpstreamTable::expectedWeightsVersion(const LibFleet::UpstreamRecord &record, int64_t held) const
--- a/Userland/Services/Gateway/UpstreamTable.h
+++ b/Userland/Services/Gateway/UpstreamTable.h
@@ -64,6 +64,9 @@
     /// Number of calls that the engines which this entry owns could take now.
     int openSlots();
 
+    /// Counts a call that was granted to an upstream against its rate, if one is in force.
+    void takeRateToken(const LibFleet::UpstreamRecord &record);
+
     LibGateway::UpstreamLoad &loadOf(const LibFleet::UpstreamRecord &record);
 
     /// The upstream as an input of chooseUpstream().
@@ -112,6 +115,8 @@
 private:
     /// Whether the rate of the upstream allows another call now: the whole rate for an upstream that has an owner, else an equal share for each entry.
     bool rateAllows(const LibFleet::UpstreamRecord &record);
+    /// Calls per second that the upstream may get from all entries, 0 for any number.
+    double callsPerSecond(const LibFleet::UpstreamRecord &record);
     /// Whether the owner of an engine without a fresh report may hold one with the required weights.
     bool ownerMayHaveWeights(const LibFleet::UpstreamRecord &record);
     void logRateLimit(const std::string &upstream, std::optional<double> callsPerSecond, std::string_view from) const;
