LibPeers: Take slots back from a caller that falls silent

The owner counts its calls and offers its other callers less than there is.

Cause: slots end with the connection of their holder, and the owner had nothing that ends a connection whose other end is gone: no keepalive of the kernel, no message of its own. The kernel's probes alone don't help behind a relay or on a channel that goes silent while its host lives.

Change: - While an entry holds slots over a connection it sends a keep-alive each second (a manifest request for no model, which every build answers with nothing; the first goes out before the request for a slot). The owner closes a connection that has sent keep-alives, holds slots and has been silent for four checks, one a second: its slots are free within five seconds. Checks are counted, not time, so that a pause of the owner takes nothing from others. A caller of an earlier build sends none and is left alone. - A holder that gets no response to a keep-alive opens another connection for its next request. - Connections of peers get the kernel's probes that those of calls have. - New log event places_taken_back.

The kernel's probes aren't shown by a test: on loopback no host vanishes.

--- a/Userland/Libraries/LibPeers/PeerClient.cpp
+++ b/Userland/Libraries/LibPeers/PeerClient.cpp
@@ -1,6 +1,7 @@
 #include <LibPeers/PeerClient.h>
 
 #include <AK/StatusMacros.h>
+#include <LibPeers/KeepAlive.h>
 #include <LibPeers/WireCodec.h>
 #include <kj/debug.h>
 #include <netinet/in.h>
@@ -37,8 +38,17 @@
         : connection(kj::mv(connection))
         , client(kj::mv(client))
     {
+        ++this->connection->slots;
+        this->connection->startKeepAlive();
     }
 
+    ~RemoteSlot() noexcept(false) override
+    {
+        --this->connection->slots;
+    }
+
+    KJ_DISALLOW_COPY(RemoteSlot);
+
     void promptRead() override
     {
         // Not retried: when the connection is lost, the other entry has released the slot already.
@@ -54,14 +64,47 @@
     PeerWire::Place::Client client;
 };
 
-PeerClient::Connection::Connection(kj::Own<kj::AsyncIoStream> stream)
-    : stream(kj::mv(stream))
+PeerClient::Connection::Connection(LibFiber::Loop &loop, kj::Own<kj::AsyncIoStream> stream)
+    : loop(loop)
+    , stream(kj::mv(stream))
     , client(*this->stream)
     , peer(this->client.bootstrap().castAs<PeerWire::FleetPeer>())
     , watch(this->client.onDisconnect().then([this] { this->ended = true; }).eagerlyEvaluate(nullptr))
 {
 }
 
+void PeerClient::Connection::startKeepAlive()
+{
+    if (!this->sendsKeepAlives) {
+        this->sendsKeepAlives = true;
+        this->keepAlive = kj::evalNow([this] { return this->sendKeepAlives(); }).eagerlyEvaluate([this](kj::Exception &&) {
+            // The next request opens another connection; slots that are held over this one are released by their owner.
+            this->sendsKeepAlives = false;
+            this->ended = true;
+        });
+    }
+}
+
+kj::Promise<void> PeerClient::Connection::sendKeepAlives()
+{
+    auto request = this->peer.manifestRequest();
+    request.setModel("");
+    auto unanswered = this->loop.after(maxSilentIntervals * keepAliveInterval).then([]() -> kj::Promise<void> {
+        return KJ_EXCEPTION(DISCONNECTED, "no response to a keep-alive");
+    });
+    return request.send()
+        .ignoreResult()
+        .exclusiveJoin(kj::mv(unanswered))
+        .then([this] { return this->loop.after(keepAliveInterval); })
+        .then([this]() -> kj::Promise<void> {
+            if (this->slots == 0) {
+                this->sendsKeepAlives = false;
+                return kj::READY_NOW;
+            }
+            return this->sendKeepAlives();
+        });
+}
+
 PeerClient::PeerClient(LibFiber::Loop &loop, AK::Endpoint address)
     : loop(loop)
     , target(std::move(address))
@@ -94,7 +137,7 @@
         (*stream)->setsockopt(IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
         (*stream)->setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, &tcpUserTimeoutMs, sizeof tcpUserTimeoutMs);
     });
-    kj::Own<Connection> opened = kj::refcounted<Connection>(kj::mv(*stream));
+    kj::Own<Connection> opened = kj::refcounted<Connection>(this->loop, kj::mv(*stream));
     this->current = kj::addRef(*opened);
     return opened;
 }
@@ -212,6 +255,8 @@
     if (!open.ok()) {
         return open.status();
     }
+    // Sent before the request, so that the owner knows of the keep-alives when it offers a slot.
+    (*open)->startKeepAlive();
     return this->callOver(
         scope, **open, deadline,
         [&](PeerWire::FleetPeer::Client peer) {
--- a/Userland/Libraries/LibPeers/PeerClient.h
+++ b/Userland/Libraries/LibPeers/PeerClient.h
@@ -33,13 +33,22 @@
 
     /// A connection and its RPC state. Calls in flight hold a reference, so that a failed connection can be replaced before they end.
     struct Connection : kj::Refcounted {
-        explicit Connection(kj::Own<kj::AsyncIoStream> stream);
+        Connection(LibFiber::Loop &loop, kj::Own<kj::AsyncIoStream> stream);
+        /// Sends keep-alives, the first at once, until no slot is held over the connection.
+        void startKeepAlive();
+        kj::Promise<void> sendKeepAlives();
+
+        LibFiber::Loop &loop;
         kj::Own<kj::AsyncIoStream> stream;
         capnp::TwoPartyClient client;
         /// Asked for once: bootstrap() of a connection that has just been reset throws while it unwinds, which ends the process.
         PeerWire::FleetPeer::Client peer;
         bool ended = false;
+        /// Slots held over the connection.
+        int slots = 0;
+        bool sendsKeepAlives = false;
         kj::Promise<void> watch;
+        kj::Promise<void> keepAlive = nullptr;
     };
 
     absl::StatusOr<kj::Own<Connection>> connection(kj::WaitScope &scope, AK::Milliseconds deadline);
--- a/Userland/Libraries/LibPeers/PeerServer.cpp
+++ b/Userland/Libraries/LibPeers/PeerServer.cpp
@@ -1,6 +1,10 @@
 #include <LibPeers/PeerServer.h>
 
+#include <LibFiber/SocketOptions.h>
+#include <LibPeers/KeepAlive.h>
 #include <LibPeers/WireCodec.h>
+#include <LibPeers/generated/peers.capnp.h>
+#include <capnp/rpc-twoparty.h>
 #include <kj/debug.h>
 
 namespace LibPeers
@@ -14,22 +18,43 @@
     return {reinterpret_cast<const capnp::byte *>(bytes.data()), bytes.size()};
 }
 
+/// What is known of the caller at the other end of a connection.
+struct CallerState {
+    /// Slots that it holds over the connection.
+    int slots = 0;
+    /// It has sent keep-alives. One that sends none, as earlier builds do, is not expected to.
+    bool keepsAlive = false;
+    /// Checks since a call has arrived. Checks are counted instead of time, so that a pause of this process does not count against the caller.
+    int silentChecks = 0;
+};
+
 class SlotImplementation final : public PeerWire::Place::Server
 {
 public:
-    explicit SlotImplementation(kj::Own<HeldSlot> slot)
+    SlotImplementation(kj::Own<HeldSlot> slot, std::shared_ptr<CallerState> caller)
         : slot(kj::mv(slot))
+        , caller(std::move(caller))
     {
+        ++this->caller->slots;
     }
 
+    ~SlotImplementation() noexcept(false)
+    {
+        --this->caller->slots;
+    }
+
+    KJ_DISALLOW_COPY(SlotImplementation);
+
     kj::Promise<void> promptRead(PromptReadContext /*context*/) override
     {
+        this->caller->silentChecks = 0;
         this->slot->promptRead();
         return kj::READY_NOW;
     }
 
 private:
     kj::Own<HeldSlot> slot;
+    std::shared_ptr<CallerState> caller;
 };
 
 std::vector<std::string> toStrings(capnp::List<capnp::Text>::Reader list)
@@ -44,16 +69,18 @@
 class FleetPeerImplementation final : public PeerWire::FleetPeer::Server
 {
 public:
-    FleetPeerImplementation(LibFiber::Loop &loop, PeerHandler &handler, ChunkProvider *chunks, SlotProvider *slots)
+    FleetPeerImplementation(LibFiber::Loop &loop, PeerHandler &handler, ChunkProvider *chunks, SlotProvider *slots, std::shared_ptr<CallerState> caller)
         : loop(loop)
         , handler(handler)
         , chunks(chunks)
         , slots(slots)
+        , caller(std::move(caller))
     {
     }
 
     kj::Promise<void> exchange(ExchangeContext context) override
     {
+        this->caller->silentChecks = 0;
         encode(this->handler.exchange(decode(context.getParams().getState())), context.getResults().initState());
         return kj::READY_NOW;
     }
@@ -82,6 +109,11 @@
 
     kj::Promise<void> manifest(ManifestContext context) override
     {
+        this->caller->silentChecks = 0;
+        if (context.getParams().getModel().size() == 0) {
+            this->caller->keepsAlive = true;
+            return kj::READY_NOW;
+        }
         if (this->chunks != nullptr) {
             const auto params = context.getParams();
             context.getResults().setText(this->chunks->manifest(params.getModel().cStr(), params.getVersion()).c_str());
@@ -114,6 +146,7 @@
 
     kj::Promise<void> place(PlaceContext context) override
     {
+        this->caller->silentChecks = 0;
         if (this->slots == nullptr) {
             return kj::READY_NOW;
         }
@@ -125,7 +158,7 @@
         KJ_IF_MAYBE (offer, offered) {
             context.getResults().setUpstream(offer->upstream.c_str());
             context.getResults().setWeightsVersion(offer->weightsVersion);
-            context.getResults().setPlace(kj::heap<SlotImplementation>(kj::mv(offer->slot)));
+            context.getResults().setPlace(kj::heap<SlotImplementation>(kj::mv(offer->slot), this->caller));
         }
         return kj::READY_NOW;
     }
@@ -135,24 +168,85 @@
     PeerHandler &handler;
     ChunkProvider *chunks;
     SlotProvider *slots;
+    std::shared_ptr<CallerState> caller;
 };
 
 } // namespace
 
+struct PeerServer::Connection {
+    Connection(kj::Own<kj::AsyncIoStream> accepted, kj::Own<FleetPeerImplementation> implementation, std::shared_ptr<CallerState> caller)
+        : caller(std::move(caller))
+        , stream(kj::mv(accepted))
+        , rpc(*this->stream, kj::mv(implementation), capnp::rpc::twoparty::Side::SERVER)
+        , watch(this->rpc.onDisconnect().then([this] { this->ended = true; }).eagerlyEvaluate(nullptr))
+    {
+    }
+
+    bool isSilent() const
+    {
+        return this->caller->keepsAlive && this->caller->slots > 0 && this->caller->silentChecks >= maxSilentIntervals;
+    }
+
+    std::shared_ptr<CallerState> caller;
+    kj::Own<kj::AsyncIoStream> stream;
+    capnp::TwoPartyClient rpc;
+    bool ended = false;
+    kj::Promise<void> watch;
+};
+
 PeerServer::PeerServer(LibFiber::Loop &loop, PeerHandler &handler, ChunkProvider *chunks, SlotProvider *slots)
     : loop(loop)
-    , server(kj::heap<FleetPeerImplementation>(loop, handler, chunks, slots))
+    , handler(handler)
+    , chunks(chunks)
+    , slots(slots)
 {
 }
 
+PeerServer::~PeerServer() = default;
+
 absl::Status PeerServer::listen(const AK::Endpoint &address)
 {
     auto receiver = LibFiber::listenOn(this->loop, address);
     if (!receiver.ok()) {
         return receiver.status();
     }
-    this->loop.spawn([this, listener = kj::mv(*receiver)](kj::WaitScope &scope) mutable { this->server.listen(*listener).wait(scope); });
+    this->loop.spawn([this, listener = kj::mv(*receiver)](kj::WaitScope &scope) mutable { this->accept(*listener, scope); });
+    this->loop.spawn([this](kj::WaitScope &scope) {
+        while (true) {
+            this->loop.sleep(scope, keepAliveInterval);
+            this->closeLostConnections();
+        }
+    });
     return absl::OkStatus();
 }
 
+void PeerServer::accept(kj::ConnectionReceiver &receiver, kj::WaitScope &scope)
+{
+    while (true) {
+        kj::Own<kj::AsyncIoStream> stream = receiver.accept().wait(scope);
+        LibFiber::setLossDetection(*stream);
+        auto caller = std::make_shared<CallerState>();
+        auto implementation = kj::heap<FleetPeerImplementation>(this->loop, this->handler, this->chunks, this->slots, caller);
+        this->connections.push_back(kj::heap<Connection>(kj::mv(stream), kj::mv(implementation), std::move(caller)));
+    }
+}
+
+void PeerServer::closeLostConnections()
+{
+    // Closed after the list is in order again, because a released slot may be granted at once.
+    std::list<kj::Own<Connection>> lost;
+    for (auto it = this->connections.begin(); it != this->connections.end();) {
+        Connection &connection = **it;
+        ++connection.caller->silentChecks;
+        const auto next = std::next(it);
+        if (connection.ended || connection.isSilent()) {
+            if (!connection.ended) {
+                this->logger.info("places_taken_back", {{"places", connection.caller->slots}, {"silent_ms", maxSilentIntervals * keepAliveInterval}});
+            }
+            lost.splice(lost.end(), this->connections, it);
+        }
+        it = next;
+    }
+}
+
 } // namespace LibPeers
--- a/Userland/Libraries/LibPeers/peers.capnp
+++ b/Userland/Libraries/LibPeers/peers.capnp
@@ -103,7 +103,8 @@
   # All objects of a kind that the peer knows, or revision 0 when none has changed after the revision `newerThan` of the era `newerThanEra`.
   # `agentPart` leaves out what only entries use.
   objects @1 (kind :UInt16, newerThan :Int64, agentPart :Bool, newerThanEra :Int64) -> (revision :Int64, objects :List(StoredObject), era :Int64);
-  # Text of the manifest of a version; empty when the peer does not have it.
+  # Text of the manifest of a version; empty when the peer does not have it. With an empty model it asks for nothing and is a keep-alive: a caller that holds
+  # slots over a connection sends one at an interval, and the owner takes the slots back when they cease. Every build of the peer answers it.
   manifest @2 (model :Text, version :Int64) -> (text :Text);
   # One bit per chunk, lowest bit first; empty when the peer holds nothing of the version.
   heldChunks @3 (model :Text, version :Int64) -> (held :Data);
