Gateway: Close idle connections to upstreams that are gone

Cause: the pool looked at its connections only when a call asked for one. Class: a cleanup that rests on traffic.

Change: while the pool holds connections it looks at all of them each second and closes those that were closed by the upstream, that are past their time, or at whose address no upstream is registered. A draining upstream is still registered.

--- a/Tests/Services/Gateway/GatewaySite.cpp
+++ b/Tests/Services/Gateway/GatewaySite.cpp
@@ -73,6 +73,8 @@
 void FakeUpstream::serve(kj::WaitScope &scope, kj::Own<kj::AsyncIoStream> stream)
 {
     LibFiber::ByteChannel channel(this->loop, kj::mv(stream));
+    ++this->openConnections;
+    KJ_DEFER(--this->openConnections);
     while (true) {
         const auto text = LibHttpStream::readHeadText(channel, scope, 65536, this->loop.clock().now() + testTimeout);
         if (!text.ok()) {
@@ -101,7 +103,7 @@
 GatewaySite::GatewaySite(const std::vector<UpstreamScript> &scripts)
     : fleet(loop.clock())
     , dispatcher(loop, fleet, dispatchSettings(), nullptr)
-    , connections(loop)
+    , connections(loop, fleet)
     , crashes(loop, metrics)
     , quarantine(loop.clock(), fleet)
     , address{Loopback::processHost(), nextPort()}
--- a/Tests/Services/Gateway/GatewaySite.h
+++ b/Tests/Services/Gateway/GatewaySite.h
@@ -23,6 +23,7 @@
     std::vector<LibHttpStream::RequestHead> requests;
     std::vector<std::string> bodies;
     int connections = 0;
+    int openConnections = 0;
     /// Connections that the gateway closed before a response was written.
     int abandonedRequests = 0;
     /// Runs the script before the body of a request is read; the script gets an empty one.
--- a/Userland/Services/Gateway/UpstreamConnectionPool.h
+++ b/Userland/Services/Gateway/UpstreamConnectionPool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibFiber/ByteChannel.h>
+#include <LibFleet/FleetState.h>
 #include <list>
 #include <map>
 #include <string>
@@ -14,11 +15,12 @@
     bool reused = false;
 };
 
-/// Pool of idle connections to upstreams. A connection that is closed or receives bytes while idle is not used again.
+/// Pool of idle connections to upstreams. A connection that is closed or receives bytes while idle is not used again. It is closed within a second after that,
+/// after the time to keep it is over, or after no upstream is registered at its address any more.
 class UpstreamConnectionPool
 {
 public:
-    explicit UpstreamConnectionPool(LibFiber::Loop &loop);
+    UpstreamConnectionPool(LibFiber::Loop &loop, const LibFleet::FleetState &fleet);
 
     /// Returns an idle connection if `allowReuse` is set and there is one, else opens a new one.
     /// Errors: kUnavailable, kDeadlineExceeded.
@@ -39,7 +41,14 @@
         kj::Promise<void> watch = nullptr;
     };
 
+    static bool isOver(const IdleConnection &connection, AK::Milliseconds now);
+    /// Removes the connections that are of no use any more, at an interval until none is left.
+    void scheduleCleanup();
+    void removeUseless();
+
     LibFiber::Loop &loop;
+    const LibFleet::FleetState &fleet;
+    bool cleanupScheduled = false;
     std::map<std::string, std::list<kj::Own<IdleConnection>>> idle;
 };
 
--- a/Userland/Utilities/catkinlinkd/EntryProcess.cpp
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.cpp
@@ -34,7 +34,7 @@
     , node(loop, settings, *settings.rpcAddress, *settings.clientAddress, this->metrics)
     , slotClient(loop, this->node.fleet)
     , dispatcher(loop, this->node.fleet, dispatchSettings(settings), &this->slotClient)
-    , upstreamConnections(loop)
+    , upstreamConnections(loop, this->node.fleet)
     , crashes(loop, this->metrics)
     , quarantine(loop.clock(), this->node.fleet)
     , quarantineKeeper(loop, this->node.store, this->node.fleet, this->quarantine,
