Gateway: Judge a slot and the time left when a request is written

Seen, by the search for checks whose result is used after a wait: an entry that stands still after it has got a slot goes on where it was. A call that may not be repeated was sent 0.2 s after its deadline and its client told 504; a slot of any age was used, also one that its owner has taken back or that was granted by a rate which has been refilled since; and the request stated the time that its client had left before the connection opened.

Change: - A grant carries an AK::RecentCheck, begun before the slot is looked for. Older than 1.5 s it isn't used: the call asks for another slot ("slot_expired"). Three owners that respond late and a connection that opens slowly take 850 ms. - A call past its deadline isn't written ("deadline_passed"); it has not run, so its client gets 503. - The head of the request is made after the check, when the connection is open. Both reasons are counted in catkinlink_sends_withheld_total.

Measured, StandstillTest (the process sleeps after the grant): before (the three checks switched off), beyond_the_deadline and beyond_the_deadline_may_not_be_repeated reached the upstream and ended with 504, beyond_the_age_of_a_slot used the old slot, and a request written after a standstill of 500 ms stated 2,000 ms of 1,500; after, all seven pass. The cases "none", "short" and "short_may_not_be_repeated" pass on both.

--- a/Userland/Libraries/LibGateway/Availability.h
+++ b/Userland/Libraries/LibGateway/Availability.h
@@ -34,6 +34,10 @@
     Weights,
     /// It is loading weights, or about to.
     Switching,
+    /// The slot was granted too long ago to be used.
+    SlotExpired,
+    /// The deadline of the call has passed.
+    DeadlinePassed,
     /// Its pause is over, and this entry has as many calls there as it may have so soon after it.
     Resuming,
     /// The calls per second that it names itself are used up.
@@ -43,11 +47,23 @@
 };
 
 inline constexpr std::array obstacleNames{
-    AK::EnumName{Obstacle::OtherService, "other_service"}, AK::EnumName{Obstacle::Unregistered, "unregistered"}, AK::EnumName{Obstacle::Replaced, "replaced"},
-    AK::EnumName{Obstacle::Draining, "draining"},          AK::EnumName{Obstacle::Leaving, "leaving"},           AK::EnumName{Obstacle::Evacuated, "evacuated"},
-    AK::EnumName{Obstacle::OtherRegion, "other_region"},   AK::EnumName{Obstacle::Excluded, "excluded"},         AK::EnumName{Obstacle::Paused, "paused"},
-    AK::EnumName{Obstacle::Suspended, "suspended"},        AK::EnumName{Obstacle::Weights, "weights"},           AK::EnumName{Obstacle::Switching, "switching"},
-    AK::EnumName{Obstacle::Resuming, "resuming"},          AK::EnumName{Obstacle::RateLimit, "rate_limit"},      AK::EnumName{Obstacle::ColdRate, "cold_rate"},
+    AK::EnumName{Obstacle::OtherService, "other_service"},
+    AK::EnumName{Obstacle::Unregistered, "unregistered"},
+    AK::EnumName{Obstacle::Replaced, "replaced"},
+    AK::EnumName{Obstacle::Draining, "draining"},
+    AK::EnumName{Obstacle::Leaving, "leaving"},
+    AK::EnumName{Obstacle::Evacuated, "evacuated"},
+    AK::EnumName{Obstacle::OtherRegion, "other_region"},
+    AK::EnumName{Obstacle::Excluded, "excluded"},
+    AK::EnumName{Obstacle::Paused, "paused"},
+    AK::EnumName{Obstacle::Suspended, "suspended"},
+    AK::EnumName{Obstacle::Weights, "weights"},
+    AK::EnumName{Obstacle::Switching, "switching"},
+    AK::EnumName{Obstacle::SlotExpired, "slot_expired"},
+    AK::EnumName{Obstacle::DeadlinePassed, "deadline_passed"},
+    AK::EnumName{Obstacle::Resuming, "resuming"},
+    AK::EnumName{Obstacle::RateLimit, "rate_limit"},
+    AK::EnumName{Obstacle::ColdRate, "cold_rate"},
 };
 
 /// What keeps a call from an upstream, and for how long.
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -154,9 +154,9 @@
             this->context.dispatcher.recordResponse(upstream, info, requestSentAt);
         });
         const bool repeatable = this->route->repeatable();
-        const LibHttpStream::RequestHead outgoing = this->context.codec.encodeRequest(this->head, this->targetFor(**grant));
-        UpstreamCall::Result sent = call.send(scope, upstream, outgoing, this->body, this->request.id, repeatable, this->silentAfter(this->sentAt),
-                                              this->deadline, [&] { return this->context.dispatcher.hindranceToSend(**grant, this->requirements); });
+        UpstreamCall::Result sent = call.send(
+            scope, upstream, [&] { return this->context.codec.encodeRequest(this->head, this->targetFor(**grant)); }, this->body, this->request.id, repeatable,
+            this->silentAfter(this->sentAt), this->deadline, [&] { return this->hindranceToSend(**grant); });
         if (sent.withheldBy) {
             // The upstream got nothing, so this is no retry.
             --this->report.sends;
@@ -195,6 +195,14 @@
     return NextStep::Done;
 }
 
+std::optional<LibGateway::Hindrance> CallTask::hindranceToSend(const Grant &grant) const
+{
+    if (this->now() >= this->deadline) {
+        return LibGateway::Hindrance{LibGateway::Obstacle::DeadlinePassed, 0};
+    }
+    return this->context.dispatcher.hindranceToSend(grant, this->requirements);
+}
+
 LibGateway::UpstreamTarget CallTask::targetFor(const Grant &grant) const
 {
     LibGateway::UpstreamTarget target;
--- a/Userland/Services/Gateway/CallTask.h
+++ b/Userland/Services/Gateway/CallTask.h
@@ -102,6 +102,8 @@
     NextStep rejectContinuation(kj::WaitScope &scope, const UpstreamCall &call, const LibFleet::UpstreamRecord &upstream, LibGateway::ContinuationFault fault);
     void refuse(kj::WaitScope &scope, int status, const std::string &reason, AK::Milliseconds retryAfter);
     void giveUp(kj::WaitScope &scope, const std::string &reason, AK::Milliseconds retryAfter);
+    /// What keeps the call from being sent in a slot by now; asked right before the request is written.
+    std::optional<LibGateway::Hindrance> hindranceToSend(const Grant &grant) const;
     LibGateway::UpstreamTarget targetFor(const Grant &grant) const;
     AK::Milliseconds now() const;
     void log() const;
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -13,6 +13,9 @@
 constexpr AK::Milliseconds pollInterval = 20;
 // The first call in a queue repeats its requests to the owners of other engines at this interval.
 constexpr AK::Milliseconds ownerRequestInterval = 40;
+// A slot must be used within this time, which is longer than three owners may take to respond and a connection to open. Later, its owner may have taken it
+// back, and rates that it was granted by have been refilled.
+constexpr AK::Milliseconds slotMaxAge = 1'500;
 
 } // namespace
 
@@ -85,6 +88,7 @@
 
 Dispatcher::Availability Dispatcher::tryGrant(const CallRequirements &requirements, bool ignoreBacklog, GrantKind kind, kj::Maybe<kj::Own<Grant>> &grant)
 {
+    const AK::RecentCheck check(this->loop.clock(), slotMaxAge);
     CandidateSet candidateSet;
     bool anyUsable = false;
     for (const auto &[id, record] : this->fleet.upstreams()) {
@@ -113,12 +117,13 @@
     this->table.takeRateToken(record);
     this->callsForPeers += kind == GrantKind::ForPeer ? 1 : 0;
     grant = kj::heap<Grant>(*this, kind, record, this->table.expectedWeightsVersion(record, this->table.heldWeightsVersion(record)), requirements.promptTokens,
-                            candidateSet.candidates[*chosen].load);
+                            candidateSet.candidates[*chosen].load, check);
     return Availability::Granted;
 }
 
 kj::Maybe<kj::Own<Grant>> Dispatcher::requestFromOwners(kj::WaitScope &scope, const CallRequirements &requirements)
 {
+    const AK::RecentCheck check(this->loop.clock(), slotMaxAge);
     kj::Maybe<RequestedSlot> requested = this->slotRequester.request(scope, requirements);
     KJ_IF_MAYBE (slot, requested) {
         LibGateway::UpstreamLoad &load = this->table.loadOf(slot->upstream);
@@ -126,13 +131,16 @@
         ++load.ownInFlight;
         load.pendingPromptTokens += requirements.promptTokens;
         const int64_t version = this->table.expectedWeightsVersion(slot->upstream, slot->weightsVersion);
-        return kj::heap<Grant>(*this, GrantKind::FromPeer, slot->upstream, version, requirements.promptTokens, estimated, kj::mv(slot->slot));
+        return kj::heap<Grant>(*this, GrantKind::FromPeer, slot->upstream, version, requirements.promptTokens, estimated, check, kj::mv(slot->slot));
     }
     return nullptr;
 }
 
 std::optional<LibGateway::Hindrance> Dispatcher::hindranceToSend(const Grant &grant, const CallRequirements &requirements)
 {
+    if (!grant.isRecent()) {
+        return LibGateway::Hindrance{LibGateway::Obstacle::SlotExpired, 0};
+    }
     return this->table.hindranceToSend(grant.upstream(), requirements);
 }
 
--- a/Userland/Services/Gateway/Grant.cpp
+++ b/Userland/Services/Gateway/Grant.cpp
@@ -6,13 +6,14 @@
 {
 
 Grant::Grant(Dispatcher &dispatcher, GrantKind kind, LibFleet::UpstreamRecord upstream, int64_t weightsVersion, int64_t promptTokens, double load,
-             kj::Maybe<kj::Own<LibPeers::HeldSlot>> heldByOwner)
+             AK::RecentCheck check, kj::Maybe<kj::Own<LibPeers::HeldSlot>> heldByOwner)
     : dispatcher(dispatcher)
     , kind(kind)
     , record(std::move(upstream))
     , version(weightsVersion)
     , pendingPromptTokens(promptTokens)
     , load(load)
+    , check(check)
     , heldByOwner(kj::mv(heldByOwner))
 {
 }
@@ -59,4 +60,9 @@
     return this->load;
 }
 
+bool Grant::isRecent() const
+{
+    return this->check.holds();
+}
+
 } // namespace Gateway
--- a/Userland/Services/Gateway/Grant.h
+++ b/Userland/Services/Gateway/Grant.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <AK/RecentCheck.h>
 #include <LibFleet/FleetState.h>
 #include <LibPeers/PeerRecords.h>
 #include <kj/common.h>
@@ -23,9 +24,9 @@
 class Grant final : public LibPeers::HeldSlot
 {
 public:
-    /// `heldByOwner`: the slot that the owner of the upstream holds, for GrantKind::FromPeer.
+    /// `check`: begun before the slot was looked for. `heldByOwner`: the slot that the owner of the upstream holds, for GrantKind::FromPeer.
     Grant(Dispatcher &dispatcher, GrantKind kind, LibFleet::UpstreamRecord upstream, int64_t weightsVersion, int64_t promptTokens, double load,
-          kj::Maybe<kj::Own<LibPeers::HeldSlot>> heldByOwner = nullptr);
+          AK::RecentCheck check, kj::Maybe<kj::Own<LibPeers::HeldSlot>> heldByOwner = nullptr);
     ~Grant() noexcept(false) override;
     KJ_DISALLOW_COPY(Grant);
 
@@ -34,6 +35,8 @@
     int64_t weightsVersion() const;
     /// Estimated calls at the upstream when it was chosen.
     double loadAtChoice() const;
+    /// Whether the call may still be sent in this slot.
+    bool isRecent() const;
 
     void promptRead() override;
 
@@ -47,6 +50,7 @@
     int64_t version;
     int64_t pendingPromptTokens;
     double load;
+    AK::RecentCheck check;
     kj::Maybe<kj::Own<LibPeers::HeldSlot>> heldByOwner;
 };
 
--- a/Userland/Services/Gateway/UpstreamCall.cpp
+++ b/Userland/Services/Gateway/UpstreamCall.cpp
@@ -49,7 +49,7 @@
     this->headObserver = std::move(observer);
 }
 
-UpstreamCall::Result UpstreamCall::send(kj::WaitScope &scope, const LibFleet::UpstreamRecord &upstream, const LibHttpStream::RequestHead &requestHead,
+UpstreamCall::Result UpstreamCall::send(kj::WaitScope &scope, const LibFleet::UpstreamRecord &upstream, const HeadSource &makeHead,
                                         const std::string &requestBody, const std::string &id, bool allowReuse, AK::Milliseconds headDeadline,
                                         AK::Milliseconds deadline, const SendCheck &check)
 {
@@ -65,7 +65,7 @@
                 hindrance->obstacle};
     }
     this->connection = kj::mv(*opened);
-    LibHttpStream::RequestHead framed = requestHead;
+    LibHttpStream::RequestHead framed = makeHead();
     if (!requestBody.empty() || (framed.method != "GET" && framed.method != "HEAD")) {
         framed.headers.push_back({"Content-Length", std::to_string(requestBody.size())});
     }
--- a/Userland/Services/Gateway/UpstreamCall.h
+++ b/Userland/Services/Gateway/UpstreamCall.h
@@ -53,11 +53,14 @@
     /// Names what keeps the call from its upstream by now.
     using SendCheck = std::function<std::optional<LibGateway::Hindrance>()>;
 
+    /// Makes the head of the request.
+    using HeadSource = std::function<LibHttpStream::RequestHead()>;
+
     /// Sends the request until `deadline` and reads the head of its response until `headDeadline`. A connection may take long to open, so `check` is asked
-    /// again once it is open; the request is written only if nothing keeps the call from the upstream. Responses to other requests are dropped. A success
-    /// counts only with its proof, and a refusal counts as SendOutcome::NotRun only if it is proven to be the response to this request; see
-    /// LibGateway::proofOfRefusal().
-    Result send(kj::WaitScope &scope, const LibFleet::UpstreamRecord &upstream, const LibHttpStream::RequestHead &head, const std::string &body,
+    /// again once it is open; the request is written only if nothing keeps the call from the upstream. `makeHead` is asked after it, because the head states
+    /// the time left. Responses to other requests are dropped. A success counts only with its proof, and a refusal counts as SendOutcome::NotRun only if it is
+    /// proven to be the response to this request; see LibGateway::proofOfRefusal().
+    Result send(kj::WaitScope &scope, const LibFleet::UpstreamRecord &upstream, const HeadSource &makeHead, const std::string &body,
                 const std::string &requestId, bool allowReuse, AK::Milliseconds headDeadline, AK::Milliseconds deadline, const SendCheck &check);
 
     /// Goes on reading the head of the response after a result that was silent.
