Gateway: Split the dispatcher by subject

Dispatcher.cpp had grown past 400 lines: queues, the choice of an upstream and the overviews of hindrances stood beside the grants. They have file pairs of their own now; nothing else changes.

- ServiceQueue: the calls of a service that wait, their order, Retry-After.
- UpstreamChoice: which upstreams this entry decides on, and the one chosen.
- HindranceOverview: what all upstreams together say, for the metrics and for calls that find every upstream paused.

--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -1,5 +1,8 @@
 #include "Dispatcher.h"
 
+#include "HindranceOverview.h"
+#include "UpstreamChoice.h"
+
 #include <algorithm>
 #include <kj/debug.h>
 
@@ -59,7 +62,7 @@
     return this->table.openSlots();
 }
 
-Dispatcher::ServiceQueue &Dispatcher::queue(const std::string &service)
+ServiceQueue &Dispatcher::queue(const std::string &service)
 {
     std::unique_ptr<ServiceQueue> &queue = this->queues[service];
     if (!queue) {
@@ -89,35 +92,18 @@
 Dispatcher::Availability Dispatcher::tryGrant(const CallRequirements &requirements, bool ignoreBacklog, GrantKind kind, kj::Maybe<kj::Own<Grant>> &grant)
 {
     const AK::RecentCheck check(this->loop.clock(), slotMaxAge);
-    CandidateSet candidateSet;
-    bool anyUsable = false;
-    for (const auto &[id, record] : this->fleet.upstreams()) {
-        const bool hasOwner = this->table.hasOwner(record);
-        const bool foreign = hasOwner && !this->table.isOwn(record);
-        if ((kind == GrantKind::ForPeer && (foreign || !hasOwner)) || (foreign && anyUsable)) {
-            continue;
-        }
-        const auto hindrance = this->table.hindranceTo(record, requirements, foreign ? CallStage::Request : CallStage::Choice);
-        anyUsable = anyUsable || !hindrance || LibGateway::isLackOfRoom(hindrance->obstacle);
-        if (!foreign && !hindrance) {
-            candidateSet.candidates.push_back(this->table.candidateOf(record));
-            candidateSet.records.push_back(&record);
-        }
+    const UpstreamChoice choice = chooseUpstream(this->table, this->fleet, requirements, kind, ignoreBacklog, this->settings.upstreams.placement, this->random);
+    if (choice.upstream == nullptr) {
+        return choice.anyUsable ? Availability::Full : Availability::None;
     }
-    const std::optional<size_t> chosen =
-        LibGateway::chooseUpstream(candidateSet.candidates, this->table.prefillMs(requirements.service, requirements.promptTokens), ignoreBacklog,
-                                   this->settings.upstreams.placement, this->random);
-    if (!chosen) {
-        return anyUsable ? Availability::Full : Availability::None;
-    }
-    const LibFleet::UpstreamRecord &record = *candidateSet.records[*chosen];
+    const LibFleet::UpstreamRecord &record = *choice.upstream;
     LibGateway::UpstreamLoad &load = this->table.loadOf(record);
     ++load.ownInFlight;
     load.pendingPromptTokens += requirements.promptTokens;
     this->table.takeRateToken(record);
     this->callsForPeers += kind == GrantKind::ForPeer ? 1 : 0;
     grant = kj::heap<Grant>(*this, kind, record, this->table.expectedWeightsVersion(record, this->table.heldWeightsVersion(record)), requirements.promptTokens,
-                            candidateSet.candidates[*chosen].load, check);
+                            choice.load, check);
     return Availability::Granted;
 }
 
@@ -152,8 +138,7 @@
     requirements.promptTokens = request.promptTokens;
     requirements.regions = request.regions;
     requirements.excluded.insert(request.excluded.begin(), request.excluded.end());
-    const ServiceQueue &queue = this->queue(request.service);
-    if (!queue.waiters.empty() && !LibGateway::isBefore(requirements.rank, queue.waiters.front()->requirements->rank)) {
+    if (!isBeforeAll(this->queue(request.service), requirements.rank)) {
         return nullptr;
     }
     kj::Maybe<kj::Own<Grant>> grant;
@@ -209,19 +194,15 @@
             return this->refusalWithoutUpstream(requirements);
         }
     }
-    const auto ahead = static_cast<size_t>(std::count_if(
-        queue.waiters.begin(), queue.waiters.end(), [&](const Waiter *other) { return !LibGateway::isBefore(requirements.rank, other->requirements->rank); }));
-    if (LibGateway::startsTooLate(queue.intervals, requirements.rank, ahead, this->loop.clock().now(), requirements.startBy)) {
+    if (LibGateway::startsTooLate(queue.intervals, requirements.rank, callsAhead(queue, requirements.rank), this->loop.clock().now(), requirements.startBy)) {
         result.reason = RefusalReason::QueueTooLong;
-        result.retryAfter = this->retryAfter(queue);
+        result.retryAfter = Gateway::retryAfter(queue, this->settings.queue, this->random);
         return result;
     }
     auto paf = kj::newPromiseAndFulfiller<void>();
     kj::ForkedPromise<void> granted = paf.promise.fork();
     Waiter waiter{&requirements, kj::mv(paf.fulfiller), nullptr, false};
-    const auto position = std::find_if(queue.waiters.begin(), queue.waiters.end(),
-                                       [&](const Waiter *other) { return LibGateway::isBefore(requirements.rank, other->requirements->rank); });
-    queue.waiters.insert(position, &waiter);
+    insert(queue, waiter);
     KJ_DEFER(queue.waiters.remove(&waiter));
     this->schedulePoll(requirements.service);
     if (this->waitInQueue(scope, queue, waiter, granted)) {
@@ -232,7 +213,7 @@
         return this->refusalWithoutUpstream(requirements);
     }
     result.reason = RefusalReason::WaitedTooLong;
-    result.retryAfter = this->retryAfter(queue);
+    result.retryAfter = Gateway::retryAfter(queue, this->settings.queue, this->random);
     return result;
 }
 
@@ -241,23 +222,14 @@
     GrantOrRefusal result;
     const std::optional<AK::Milliseconds> afterPause = this->retryAfterPause(requirements);
     result.reason = afterPause ? RefusalReason::AllPaused : RefusalReason::NoUpstream;
-    result.retryAfter = afterPause ? *afterPause : this->retryAfter(this->queue(requirements.service));
+    result.retryAfter = afterPause ? *afterPause : Gateway::retryAfter(this->queue(requirements.service), this->settings.queue, this->random);
     return result;
 }
 
 std::optional<AK::Milliseconds> Dispatcher::retryAfterPause(CallRequirements requirements)
 {
     requirements.excluded.clear();
-    std::optional<AK::Milliseconds> firstEnd;
-    for (const auto &[id, record] : this->fleet.upstreams()) {
-        const auto hindrance = this->table.hindranceTo(record, requirements, CallStage::Request);
-        if (!hindrance || LibGateway::isLackOfRoom(hindrance->obstacle)) {
-            return std::nullopt;
-        }
-        if (hindrance->obstacle == LibGateway::Obstacle::Paused) {
-            firstEnd = std::min(firstEnd.value_or(hindrance->until), hindrance->until);
-        }
-    }
+    const std::optional<AK::Milliseconds> firstEnd = firstPauseEnd(this->table, this->fleet, requirements);
     if (!firstEnd) {
         return std::nullopt;
     }
@@ -348,17 +320,7 @@
 void Dispatcher::exportMetrics(LibMetrics::MetricRegistry &metrics)
 {
     this->table.notices().exportTo(metrics);
-    std::map<LibGateway::Obstacle, int> hindered;
-    for (const auto &[id, record] : this->fleet.upstreams()) {
-        CallRequirements anyCall;
-        anyCall.service = record.service;
-        if (const auto hindrance = this->table.hindranceTo(record, anyCall, CallStage::Request)) {
-            ++hindered[hindrance->obstacle];
-        }
-    }
-    for (const auto &row : LibGateway::obstacleNames) {
-        metrics.set("catkinlink_upstreams_hindered", {{"reason", std::string(row.name)}}, hindered[row.value]);
-    }
+    exportHindrances(this->table, this->fleet, metrics);
 }
 
 void Dispatcher::recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting)
@@ -389,11 +351,6 @@
     this->serveAllWaiters();
 }
 
-AK::Milliseconds Dispatcher::retryAfter(const ServiceQueue &queue)
-{
-    return LibGateway::retryAfter(queue.intervals, queue.waiters.size(), std::uniform_real_distribution<double>(0, 1)(this->random), this->settings.queue);
-}
-
 size_t Dispatcher::waitingCalls() const
 {
     size_t count = 0;
--- a/Userland/Services/Gateway/Dispatcher.h
+++ b/Userland/Services/Gateway/Dispatcher.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "Grant.h"
+#include "ServiceQueue.h"
 #include "SlotRequester.h"
 #include "UpstreamTable.h"
 
 #include <AK/Random.h>
 #include <LibFiber/Loop.h>
 #include <LibGateway/RetryBudget.h>
-#include <list>
 #include <map>
 #include <memory>
 
@@ -106,33 +106,8 @@
 private:
     friend class Grant;
 
-    struct Waiter {
-        const CallRequirements *requirements = nullptr;
-        kj::Own<kj::PromiseFulfiller<void>> fulfiller;
-        kj::Maybe<kj::Own<Grant>> grant;
-        /// All upstreams of the service are paused.
-        bool refused = false;
-    };
-
-    struct ServiceQueue {
-        explicit ServiceQueue(const LibGateway::RetryBudgetSettings &settings)
-            : budget(settings)
-        {
-        }
-        std::list<Waiter *> waiters;
-        LibGateway::RetryBudget budget;
-        LibGateway::QueueIntervals intervals;
-        bool pollScheduled = false;
-    };
-
     enum class Availability { None, Full, Granted };
 
-    /// Upstreams that may get a call, and the records of the same indices.
-    struct CandidateSet {
-        std::vector<LibGateway::PlacementCandidate> candidates;
-        std::vector<const LibFleet::UpstreamRecord *> records;
-    };
-
     ServiceQueue &queue(const std::string &service);
     Availability tryGrant(const CallRequirements &requirements, bool ignoreBacklog, GrantKind kind, kj::Maybe<kj::Own<Grant>> &grant);
     /// Requests a slot at an upstream of another entry.
@@ -142,7 +117,6 @@
     void serveWaiters(const std::string &service);
     void serveAllWaiters();
     void schedulePoll(const std::string &service);
-    AK::Milliseconds retryAfter(const ServiceQueue &queue);
     /// The refusal of a call that no upstream may get.
     GrantOrRefusal refusalWithoutUpstream(const CallRequirements &requirements);
 
