LibHttpStream: Report a connection closed before the response as unavailable

Cause: a connection that ends without a response returned kOutOfRange, the code of the byte channel. HttpClient does not name it among its errors, and the feeds know it as the store's 410, "the history is gone", so that a closed watch was forgotten history and no failure of the store. Class: a code that passes through a layer which gives it another meaning.

Change: HttpClient returns kUnavailable. The fake store can cut waiting watches, be away, and let its channels fall silent.

--- a/Tests/LibHttpStream/TestHttpClient.cpp
+++ b/Tests/LibHttpStream/TestHttpClient.cpp
@@ -108,4 +108,41 @@
                          testing::Values(StrayCase{"copy_at_once", 0, false}, StrayCase{"copy_while_idle", 20, false}, StrayCase{"closed_while_idle", 0, true}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+struct EndCase {
+    const char *name;
+    /// What the server writes before it closes the connection.
+    std::string written;
+    absl::StatusCode code;
+};
+
+class EndedCallTest : public testing::TestWithParam<EndCase>
+{
+};
+
+// Guards against a connection that the server closed and that is taken for what a server says with a code of the same name: a store whose watch was closed had
+// "forgotten its history".
+TEST_P(EndedCallTest, ReportsTheEndAsDocumented)
+{
+    LibFiber::Loop loop;
+    constexpr uint16_t endPort = port + 2;
+    auto receiver = LibFiber::listenOn(loop, {Loopback::processHost(), endPort});
+    ASSERT_TRUE(receiver.ok()) << receiver.status();
+    LibFiber::acceptEach(loop, kj::mv(*receiver), [&](kj::WaitScope &scope, kj::Own<kj::AsyncIoStream> stream) {
+        LibFiber::ByteChannel channel(loop, kj::mv(stream));
+        EXPECT_TRUE(LibHttpStream::readHeadText(channel, scope, 65'536, loop.clock().now() + timeout).ok());
+        EXPECT_TRUE(channel.write(scope, GetParam().written, loop.clock().now() + timeout).ok());
+    });
+    LibHttpStream::HttpClient client(loop, {Loopback::processHost(), endPort});
+    const AK::Milliseconds deadline = loop.clock().now() + timeout;
+    EXPECT_EQ(client.call(loop.rootScope(), "GET", "/", "", deadline, deadline).status().code(), GetParam().code);
+    loop.cancelSpawned();
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, EndedCallTest,
+                         testing::Values(EndCase{"no_response", "", absl::StatusCode::kUnavailable},
+                                         EndCase{"empty_line", "\r\n", absl::StatusCode::kUnavailable},
+                                         EndCase{"part_of_the_head", "HTTP/1.1 2", absl::StatusCode::kInvalidArgument},
+                                         EndCase{"part_of_the_body", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no", absl::StatusCode::kDataLoss}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
--- a/Tests/Platform/FakeStore.cpp
+++ b/Tests/Platform/FakeStore.cpp
@@ -7,6 +7,7 @@
 #include <LibJson/RawJson.h>
 #include <Loopback/ProcessHost.h>
 #include <kj/debug.h>
+#include <sys/socket.h>
 
 namespace
 {
@@ -43,6 +44,13 @@
     return decoded;
 }
 
+/// Makes the socket send a reset when it is closed.
+void resetWhenClosed(kj::AsyncIoStream &stream)
+{
+    const linger atOnce{1, 0};
+    stream.setsockopt(SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
+}
+
 } // namespace
 
 FakeStore::FakeStore(LibFiber::Loop &loop)
@@ -84,6 +92,35 @@
     this->changes.push_back({++this->revision, kind, AK::concat(R"({"object":)", object, R"(,"deleted":)", deleted ? "true" : "false", "}")});
 }
 
+void FakeStore::cutWatches(ChannelEnd end)
+{
+    this->channelEnd = end;
+    ++this->cuts;
+}
+
+void FakeStore::silenceChannels()
+{
+    ++this->silences;
+}
+
+void FakeStore::goAway()
+{
+    this->away = true;
+}
+
+void FakeStore::comeBack(ChannelEnd end)
+{
+    this->cutWatches(end);
+    this->away = false;
+}
+
+void FakeStore::awaitReturn(kj::WaitScope &scope)
+{
+    while (this->away) {
+        this->loop.sleep(scope, 2);
+    }
+}
+
 std::string FakeStore::listAnswer(const std::string &kind, const std::string &after)
 {
     ++this->lists;
@@ -105,10 +142,15 @@
     return AK::concat(R"({"items":[)", items, R"(],"truncated":)", truncated ? "true" : "false", R"(,"currentRev":)", this->revision, "}");
 }
 
-std::string FakeStore::watchAnswer(kj::WaitScope &scope, const std::string &kind, int64_t since, AK::Milliseconds wait)
+std::optional<std::string> FakeStore::watchAnswer(kj::WaitScope &scope, const std::string &kind, int64_t since, AK::Milliseconds wait)
 {
     const AK::Milliseconds until = this->loop.clock().now() + wait;
+    const int cutsBefore = this->cuts;
     while (true) {
+        this->awaitReturn(scope);
+        if (this->cuts != cutsBefore) {
+            return std::nullopt;
+        }
         std::string events;
         for (const Change &change : this->changes) {
             if (change.revision > since && change.kind == kind) {
@@ -122,9 +164,24 @@
     }
 }
 
+std::optional<std::string> FakeStore::answer(kj::WaitScope &scope, const std::string &target)
+{
+    const std::string path = target.substr(0, target.find('?'));
+    const std::string kind = path.substr(path.rfind('/') + 1);
+    const std::string since = queryValue(target, "watch");
+    if (since.empty()) {
+        const int cutsBefore = this->cuts;
+        this->awaitReturn(scope);
+        return this->cuts != cutsBefore ? std::nullopt : std::optional(this->listAnswer(kind, percentDecode(queryValue(target, "afterRev"))));
+    }
+    return this->watchAnswer(scope, kind, AK::parseInteger(since).value_or(0), AK::parseInteger(queryValue(target, "waitMs")).value_or(0));
+}
+
 void FakeStore::serve(kj::WaitScope &scope, kj::Own<kj::AsyncIoStream> stream)
 {
+    kj::AsyncIoStream &socket = *stream;
     LibFiber::ByteChannel channel(this->loop, kj::mv(stream));
+    const int silencesBefore = this->silences;
     while (true) {
         const auto text = LibHttpStream::readHeadText(channel, scope, 65'536, this->loop.clock().now() + testTimeout);
         if (!text.ok()) {
@@ -132,14 +189,19 @@
         }
         const auto head = LibHttpStream::parseRequestHead(*text);
         KJ_ASSERT(head.ok());
-        const std::string path = head->target.substr(0, head->target.find('?'));
-        const std::string kind = path.substr(path.rfind('/') + 1);
-        const std::string since = queryValue(head->target, "watch");
-        const std::string body = since.empty()
-            ? this->listAnswer(kind, percentDecode(queryValue(head->target, "afterRev")))
-            : this->watchAnswer(scope, kind, AK::parseInteger(since).value_or(0), AK::parseInteger(queryValue(head->target, "waitMs")).value_or(0));
-        const LibHttpStream::ResponseHead response{200, "OK", {{"Content-Type", "application/json"}, {"Content-Length", std::to_string(body.size())}}};
-        if (!channel.write(scope, LibHttpStream::serializeResponseHead(response) + body, this->loop.clock().now() + testTimeout).ok()) {
+        const std::optional<std::string> body = this->answer(scope, head->target);
+        if (this->silences != silencesBefore) {
+            channel.whenClosed().wait(scope);
+            return;
+        }
+        if (!body) {
+            if (this->channelEnd == ChannelEnd::Reset) {
+                resetWhenClosed(socket);
+            }
+            return;
+        }
+        const LibHttpStream::ResponseHead response{200, "OK", {{"Content-Type", "application/json"}, {"Content-Length", std::to_string(body->size())}}};
+        if (!channel.write(scope, LibHttpStream::serializeResponseHead(response) + *body, this->loop.clock().now() + testTimeout).ok()) {
             return;
         }
     }
--- a/Userland/Libraries/LibHttpStream/HttpClient.cpp
+++ b/Userland/Libraries/LibHttpStream/HttpClient.cpp
@@ -63,8 +63,12 @@
 {
     LibFiber::ByteChannel &channel = *KJ_ASSERT_NONNULL(this->connection);
     CATKINLINK_TRY(channel.write(scope, serializeRequestHead(head) + body, deadline));
-    CATKINLINK_ASSIGN(const std::string text, readHeadText(channel, scope, responseHeadBytes, deadline));
-    CATKINLINK_ASSIGN(ResponseHead response, parseResponseHead(text));
+    const absl::StatusOr<std::string> text = readHeadText(channel, scope, responseHeadBytes, deadline);
+    if (absl::IsOutOfRange(text.status())) {
+        return absl::UnavailableError("the server closed the connection without a response");
+    }
+    CATKINLINK_TRY(text.status());
+    CATKINLINK_ASSIGN(ResponseHead response, parseResponseHead(*text));
     CATKINLINK_ASSIGN(const BodyFraming framing, responseBodyFraming(head.method, response));
     BodyReader reader(channel, framing);
     CATKINLINK_ASSIGN(std::string content, readBody(reader, scope, responseBodyBytes, deadline));
