LibFleet: Judge an outage of the store by the time without an answer

Seen: a watch that is cut with a reset counted as an outage of the store, so that an upstream removed 0.3 s later stayed in use for 2.1 s (bound drainMs, 2 s), and while watches were cut every 2 s each cut began the grace anew.

Cause: the state of one channel was taken for the state of the store. Class: a dead or cut channel is taken for an outage.

Change: a cut watch is followed at once by a list. ExpiredLeases begins the grace only if a call failed and nothing was answered, for any kind, for two renewal intervals of a lease (heartbeatMs, 2.4 s at 1.2 s): a lease lapses after three, and an upstream that is alive renewed it within the one before the store went away. A shorter absence lets none lapse, so "no outage" is the safe side: the other one breaks a promise. A store that is silent for longer and resets all channels on its return is still an outage.

Tests: the feeds' tests took 100 ms without the store for an outage; they now state an interval of 50 ms and keep the store away until leases may lapse. ExpiredLeasesTest has a case on either side of the limit.

--- a/Tests/LibFleet/TestFleet.cpp
+++ b/Tests/LibFleet/TestFleet.cpp
@@ -106,8 +106,11 @@
 
 struct LeaseCase {
     const char *name;
-    bool outage;
-    AK::Milliseconds afterRecovery;
+    /// Whether a call failed between two answers, and the time between these, in ms.
+    bool failed;
+    AK::Milliseconds silence;
+    /// Time from the second answer.
+    AK::Milliseconds afterAnswer;
     bool kept;
 };
 
@@ -115,24 +118,34 @@
 {
 };
 
-// Guards against removing every upstream because leases expired during a store outage, and against keeping one that has left.
+// Guards against removing every upstream because leases expired during a store outage, and against keeping one that has left: a watch that is cut is no outage,
+// and a cut after an outage does not begin the grace anew.
 TEST_P(ExpiredLeasesTest, KeepsMissingUpstreamsOnlyAfterAnOutage)
 {
-    ExpiredLeases expiredLeases;
-    if (GetParam().outage) {
-        expiredLeases.storeLost(1'000);
-        expiredLeases.storeRecovered(5'000);
+    constexpr AK::Milliseconds leaseRenewal = 1'200;
+    ExpiredLeases expiredLeases(leaseRenewal);
+    expiredLeases.callFailed();
+    EXPECT_TRUE(expiredLeases.storeAnswered(1'000)) << "nothing is known of the time before";
+    const AK::Milliseconds back = 10'000;
+    EXPECT_FALSE(expiredLeases.storeAnswered(back - GetParam().silence));
+    if (GetParam().failed) {
+        expiredLeases.callFailed();
+        EXPECT_TRUE(expiredLeases.awaitsAnswer());
     }
+    EXPECT_EQ(expiredLeases.storeAnswered(back), GetParam().failed && GetParam().silence >= 2 * leaseRenewal);
+    expiredLeases.callFailed();
+    EXPECT_FALSE(expiredLeases.storeAnswered(back + 50));
     AK::Milliseconds expiresAt = 0;
-    const auto merged = expiredLeases.merge({{"a", "1"}, {"b", "1"}}, {{"b", "2"}}, 5'000 + GetParam().afterRecovery, expiresAt);
+    const auto merged = expiredLeases.merge({{"a", "1"}, {"b", "1"}}, {{"b", "2"}}, back + GetParam().afterAnswer, expiresAt);
     EXPECT_EQ(merged.contains("a"), GetParam().kept);
     EXPECT_EQ(merged.at("b"), "2");
-    EXPECT_EQ(expiresAt, GetParam().kept ? 5'000 + expiredLeaseGrace : 0);
+    EXPECT_EQ(expiresAt, GetParam().kept ? back + expiredLeaseGrace : 0);
 }
 
 INSTANTIATE_TEST_SUITE_P(Table, ExpiredLeasesTest,
-                         testing::Values(LeaseCase{"no_outage", false, 100, false}, LeaseCase{"just_recovered", true, 100, true},
-                                         LeaseCase{"grace_over", true, expiredLeaseGrace, false}),
+                         testing::Values(LeaseCase{"no_failure", false, 4'000, 100, false}, LeaseCase{"just_recovered", true, 4'000, 100, true},
+                                         LeaseCase{"grace_over", true, 4'000, expiredLeaseGrace, false}, LeaseCase{"cut_watch", true, 2'399, 100, false},
+                                         LeaseCase{"shortest_outage", true, 2'400, 100, true}),
                          [](const auto &info) { return std::string(info.param.name); });
 
 // Guards against a request whose sends go to different services, and against shares that differ from the weights.
--- a/Tests/Platform/TestStoreChannels.cpp
+++ b/Tests/Platform/TestStoreChannels.cpp
@@ -8,6 +8,9 @@
 
 using LibFleet::ObjectKind;
 
+// Bound of the users' rules from the acknowledgement of a removal until it is in force.
+constexpr AK::Milliseconds drainBound = 2'000;
+
 class StoreChannelsTest : public testing::Test
 {
 protected:
@@ -34,9 +37,54 @@
         this->reader.loop.sleep(this->reader.loop.rootScope(), time);
     }
 
+    /// Time until the condition holds.
+    AK::Milliseconds timeUntil(const std::function<bool()> &condition)
+    {
+        const AK::Milliseconds before = this->reader.loop.clock().now();
+        EXPECT_TRUE(this->reader.waitFor(condition));
+        return this->reader.loop.clock().now() - before;
+    }
+
     StoreReader reader;
 };
 
+struct CutCase {
+    const char *name;
+    ChannelEnd end;
+    /// Time from the last answer until the first cut, between two cuts, and from the last one until the removal, in ms.
+    AK::Milliseconds quiet;
+    AK::Milliseconds between;
+    AK::Milliseconds removedAfter;
+    int cuts;
+};
+
+class CutWatchTest : public StoreChannelsTest, public testing::WithParamInterface<CutCase>
+{
+};
+
+// Guards against a cut watch that is taken for an outage of the store, after which upstreams whose leases lapsed are kept: a removed upstream got calls for
+// 2.1 s after one cut, and for 21 s while watches were cut every 2 s.
+TEST_P(CutWatchTest, RemovesAnUpstreamWithinTheBound)
+{
+    ASSERT_TRUE(this->waitUntilInForce());
+    this->sleep(GetParam().quiet);
+    for (int i = 0; i < GetParam().cuts; ++i) {
+        this->sleep(i > 0 ? GetParam().between : 0);
+        this->reader.store.cutWatches(GetParam().end);
+    }
+    this->sleep(GetParam().removedAfter);
+    this->reader.store.remove("servers", R"("a")");
+    EXPECT_LT(this->timeUntil([&] { return !this->reader.hasUpstream("a"); }), drainBound);
+    EXPECT_TRUE(this->reader.hasUpstream("b"));
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, CutWatchTest,
+                         testing::Values(CutCase{"reset", ChannelEnd::Reset, 0, 0, 300, 1}, CutCase{"closed", ChannelEnd::Closed, 0, 0, 300, 1},
+
+                                         CutCase{"reset_every_two_seconds", ChannelEnd::Reset, 0, 2'000, 300, 3},
+                                         CutCase{"reset_in_quick_succession", ChannelEnd::Reset, 0, 20, 0, 20}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 struct AwayCase {
     const char *name;
     ChannelEnd end;
--- a/Tests/Services/Fleet/TestObjectFeeds.cpp
+++ b/Tests/Services/Fleet/TestObjectFeeds.cpp
@@ -97,13 +97,16 @@
     std::vector<std::string> specs;
 };
 
+// A short interval of the leases, so that they lapse in short outages.
+const LibFleet::StoreTimes times{.leaseRenewal = 50};
+
 class ObjectFeedsTest : public testing::Test
 {
 protected:
     ObjectFeedsTest()
         : source(loop)
         , fleet(loop.clock())
-        , feeds(loop, source, decoder, fleet)
+        , feeds(loop, source, decoder, fleet, times)
     {
         this->source.all = {10, {{"a", "1", false}, {"b", "1", false}}};
     }
@@ -124,11 +127,12 @@
         return this->waitFor([&] { return this->decoder.names == names; });
     }
 
-    /// Makes the store unreachable and waits until the feeds have noticed.
+    /// Makes the store unreachable until the feeds have noticed and leases may have lapsed.
     bool loseStore()
     {
         this->source.down = true;
         const int before = this->source.lists;
+        this->loop.sleep(this->loop.rootScope(), LibFleet::shortestLapse(times.leaseRenewal));
         return this->waitFor([&] { return this->source.lists > before; });
     }
 
--- a/Userland/Libraries/LibFleet/ObjectFeed.cpp
+++ b/Userland/Libraries/LibFleet/ObjectFeed.cpp
@@ -46,17 +46,35 @@
     return true;
 }
 
-void ExpiredLeases::storeLost(AK::Milliseconds)
+ExpiredLeases::ExpiredLeases(AK::Milliseconds leaseRenewal)
+    : leaseRenewal(leaseRenewal)
 {
-    this->storeDown = true;
 }
 
-void ExpiredLeases::storeRecovered(AK::Milliseconds now)
+void ExpiredLeases::setLeaseRenewal(AK::Milliseconds interval)
 {
-    if (this->storeDown) {
-        this->storeDown = false;
+    this->leaseRenewal = interval;
+}
+
+void ExpiredLeases::callFailed()
+{
+    this->awaitingAnswer = true;
+}
+
+bool ExpiredLeases::storeAnswered(AK::Milliseconds now)
+{
+    const bool away = this->awaitingAnswer && (!this->lastAnswer || now - *this->lastAnswer >= shortestLapse(this->leaseRenewal));
+    this->awaitingAnswer = false;
+    this->lastAnswer = now;
+    if (away) {
         this->recoveredAt = now;
     }
+    return away;
+}
+
+bool ExpiredLeases::awaitsAnswer() const
+{
+    return this->awaitingAnswer;
 }
 
 std::map<std::string, std::string> ExpiredLeases::merge(const std::map<std::string, std::string> &previous, const std::map<std::string, std::string> &current,
@@ -64,13 +82,13 @@
 {
     std::map<std::string, std::string> merged = current;
     expiresAt = 0;
-    const bool withinGrace = this->storeDown || now < this->recoveredAt + expiredLeaseGrace;
+    const bool withinGrace = this->awaitingAnswer || now < this->recoveredAt + expiredLeaseGrace;
     if (!withinGrace) {
         return merged;
     }
     for (const auto &[name, spec] : previous) {
         if (merged.emplace(name, spec).second) {
-            expiresAt = this->storeDown ? 0 : this->recoveredAt + expiredLeaseGrace;
+            expiresAt = this->awaitingAnswer ? 0 : this->recoveredAt + expiredLeaseGrace;
         }
     }
     return merged;
--- a/Userland/Libraries/LibFleet/ObjectFeed.h
+++ b/Userland/Libraries/LibFleet/ObjectFeed.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -67,22 +68,40 @@
 /// Upstreams whose leases expired during a store outage register again within this time after the store has recovered, in ms; until then removals are ignored.
 inline constexpr AK::Milliseconds expiredLeaseGrace = 2'300;
 
+/// Shortest absence of the store in which a lease can lapse, in ms. A lease lapses after three intervals without a renewal; an upstream that is alive has
+/// renewed its lease within the last interval before the store went away.
+constexpr AK::Milliseconds shortestLapse(AK::Milliseconds leaseRenewal)
+{
+    constexpr AK::Milliseconds intervalsUntilLapse = 3;
+    return (intervalsUntilLapse - 1) * leaseRenewal;
+}
+
 /// Keeps upstreams whose leases expired during a store outage until expiredLeaseGrace after the store has recovered. Load pattern: all leases expire in an
-/// outage, and all upstreams would be removed at once.
+/// outage, and all upstreams would be removed at once. A failed call, or a watch that is cut, is no outage by itself: the store has been away only if nothing
+/// has been answered for as long as a lease takes to lapse.
 class ExpiredLeases
 {
 public:
-    /// Must be called when the store becomes unreachable and when it answers again.
-    void storeLost(AK::Milliseconds now);
-    void storeRecovered(AK::Milliseconds now);
+    /// `leaseRenewal`: interval at which upstreams renew their leases, in ms.
+    explicit ExpiredLeases(AK::Milliseconds leaseRenewal);
+    void setLeaseRenewal(AK::Milliseconds interval);
+
+    /// A call of any kind of objects failed, or its watch ended without an answer.
+    void callFailed();
+    /// A call of any kind of objects was answered. Returns whether leases may have lapsed since the last answer; the grace begins then.
+    bool storeAnswered(AK::Milliseconds now);
+    /// Whether the last call failed, so that it is not known yet whether the store is away.
+    bool awaitsAnswer() const;
 
-    /// Returns `current`, and during an outage and the grace period also the objects that only `previous` has. `expiresAt` is set to the time at which these
-    /// are to be removed, or 0 when there are none or the outage lasts.
+    /// Returns `current`, and while an answer is awaited and in the grace period also the objects that only `previous` has. `expiresAt` is set to the time at
+    /// which these are to be removed, or 0 when there are none or an answer is awaited.
     std::map<std::string, std::string> merge(const std::map<std::string, std::string> &previous, const std::map<std::string, std::string> &current,
                                              AK::Milliseconds now, AK::Milliseconds &expiresAt) const;
 
 private:
-    bool storeDown = false;
+    AK::Milliseconds leaseRenewal;
+    bool awaitingAnswer = false;
+    std::optional<AK::Milliseconds> lastAnswer;
     AK::Milliseconds recoveredAt = -expiredLeaseGrace;
 };
 
--- a/Userland/Services/Fleet/ObjectFeeds.cpp
+++ b/Userland/Services/Fleet/ObjectFeeds.cpp
@@ -21,6 +21,10 @@
 constexpr AK::Milliseconds burstWatchPause = 300;
 // A process that does not watch the store looks at this interval whether it has to.
 constexpr AK::Milliseconds standbyInterval = 50;
+// A process that waits for an answer of the store, to learn whether the store was away, looks at this interval.
+constexpr AK::Milliseconds awaitedAnswerInterval = 50;
+// A watch that is cut sooner after its begin is followed by a pause, so that a store which cuts every watch is not called without end.
+constexpr AK::Milliseconds shortWatch = 300;
 
 // Time for the watches of the other kinds to fail, which then list by themselves, before a kind is listed beside its watch.
 constexpr AK::Milliseconds newEraListDelay = 100;
@@ -37,15 +41,23 @@
 
 } // namespace
 
-ObjectFeeds::ObjectFeeds(LibFiber::Loop &loop, ObjectSource &source, ObjectDecoder &decoder, LibFleet::FleetState &state)
+ObjectFeeds::ObjectFeeds(LibFiber::Loop &loop, ObjectSource &source, ObjectDecoder &decoder, LibFleet::FleetState &state, const LibFleet::StoreTimes &times)
     : loop(loop)
     , source(source)
     , decoder(decoder)
     , state(state)
+    , times(times)
+    , expiredLeases(times.leaseRenewal)
 {
     this->source.observeEra([this](int64_t era) { this->noteEra(era); });
 }
 
+void ObjectFeeds::setTimes(const LibFleet::StoreTimes &changed)
+{
+    this->times = changed;
+    this->expiredLeases.setLeaseRenewal(changed.leaseRenewal);
+}
+
 ObjectFeeds::Feed &ObjectFeeds::feed(ObjectKind kind)
 {
     return this->feeds[static_cast<size_t>(kind)];
@@ -123,6 +135,7 @@
 {
     Feed &feed = this->feed(kind);
     const LibFleet::StorePosition since = feed.snapshot.position;
+    const AK::Milliseconds begin = this->loop.clock().now();
     const absl::StatusOr<LibFleet::ObjectPage> changes = this->source.watch(scope, kind, since.revision);
     if (absl::IsOutOfRange(changes.status())) {
         this->logger.info("history_gone", {{"kind", nameOf(kind)}, {"era", since.era}, {"since", since.revision}});
@@ -134,8 +147,9 @@
         return absl::OkStatus();
     }
     if (!changes.ok()) {
-        return changes.status();
+        return this->listAfterCut(scope, kind, changes.status(), this->loop.clock().now() - begin);
     }
+    this->noteAnswer();
     this->noteEra(changes->position.era);
     if (changes->position.era != since.era) {
         // The revision that was asked for is of another history. The kind is listed, unless that has been done while the watch waited.
@@ -158,6 +172,17 @@
     return absl::OkStatus();
 }
 
+absl::Status ObjectFeeds::listAfterCut(kj::WaitScope &scope, ObjectKind kind, const absl::Status &reason, AK::Milliseconds lasted)
+{
+    this->logger.info("watch_cut", {{"kind", nameOf(kind)}, {"after_ms", lasted}, {"reason", std::string(reason.message())}});
+    this->expiredLeases.callFailed();
+    CATKINLINK_TRY(this->listOnce(scope, kind));
+    if (lasted < shortWatch) {
+        this->loop.sleep(scope, shortWatch);
+    }
+    return absl::OkStatus();
+}
+
 absl::Status ObjectFeeds::listOnce(kj::WaitScope &scope, ObjectKind kind)
 {
     Feed &feed = this->feed(kind);
@@ -165,8 +190,10 @@
     const absl::StatusOr<LibFleet::ObjectPage> page = this->source.list(scope, kind);
     feed.listing = false;
     if (!page.ok()) {
+        this->expiredLeases.callFailed();
         return page.status();
     }
+    this->noteAnswer();
     this->noteEra(page->position.era);
     if (page->position.era < this->newestEra) {
         return absl::UnavailableError("store: response of an older era");
@@ -240,15 +267,14 @@
     } else {
         this->logger.warning("store_lost", {{"kind", nameOf(kind)}, {"revision", feed.snapshot.position.revision}, {"reason", std::string(status.message())}});
     }
-    if (kind != ObjectKind::Upstreams) {
-        return;
-    }
-    if (!status.ok()) {
-        this->expiredLeases.storeLost(this->loop.clock().now());
-        return;
+}
+
+void ObjectFeeds::noteAnswer()
+{
+    if (this->expiredLeases.storeAnswered(this->loop.clock().now())) {
+        this->logger.info("leases_may_have_lapsed", {{"grace_ms", LibFleet::expiredLeaseGrace}});
+        this->endGraceLater(ObjectKind::Upstreams);
     }
-    this->expiredLeases.storeRecovered(this->loop.clock().now());
-    this->endGraceLater(kind);
 }
 
 void ObjectFeeds::endGraceLater(ObjectKind kind)
@@ -259,6 +285,10 @@
         while (this->loop.clock().now() < graceEnd) {
             this->loop.sleep(scope, graceEnd - this->loop.clock().now());
         }
+        // Upstreams are kept as long as the store may be away, and nothing else would end that.
+        while (kind == ObjectKind::Upstreams && this->expiredLeases.awaitsAnswer()) {
+            this->loop.sleep(scope, awaitedAnswerInterval);
+        }
         this->publishFromStore(kind);
     });
 }
--- a/Userland/Services/Fleet/ObjectFeeds.h
+++ b/Userland/Services/Fleet/ObjectFeeds.h
@@ -3,6 +3,7 @@
 #include <Fleet/ObjectSource.h>
 #include <LibFleet/ObjectFeed.h>
 #include <LibFleet/RestoredCopy.h>
+#include <LibFleet/StoreTimes.h>
 #include <array>
 #include <functional>
 
@@ -14,7 +15,10 @@
 class ObjectFeeds
 {
 public:
-    ObjectFeeds(LibFiber::Loop &loop, ObjectSource &source, ObjectDecoder &decoder, LibFleet::FleetState &state);
+    ObjectFeeds(LibFiber::Loop &loop, ObjectSource &source, ObjectDecoder &decoder, LibFleet::FleetState &state, const LibFleet::StoreTimes &times = {});
+
+    /// Takes over changed times of the deployment.
+    void setTimes(const LibFleet::StoreTimes &changed);
 
     /// Starts one fiber for each kind of objects, which lists and watches them in the store.
     void watchStore();
@@ -86,12 +90,16 @@
     /// Publishes the objects again when the time is over in which those that the store has lost stay in force.
     void endGraceLater(LibFleet::ObjectKind kind);
     void logKeptObjects(LibFleet::ObjectKind kind) const;
+    /// Lists a kind whose watch ended without an answer `lasted` ms after it began.
+    absl::Status listAfterCut(kj::WaitScope &scope, LibFleet::ObjectKind kind, const absl::Status &reason, AK::Milliseconds lasted);
+    void noteAnswer();
     void noteStoreStatus(LibFleet::ObjectKind kind, const absl::Status &status);
 
     LibFiber::Loop &loop;
     ObjectSource &source;
     ObjectDecoder &decoder;
     LibFleet::FleetState &state;
+    LibFleet::StoreTimes times;
     std::array<Feed, LibFleet::objectKindCount> feeds;
     LibFleet::ExpiredLeases expiredLeases;
     /// Highest era that a response of the store or another process has shown.
--- a/Userland/Utilities/catkinlinkd/EntryProcess.cpp
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.cpp
@@ -87,6 +87,7 @@
     this->dispatcher.setBounds(dispatch.retries, dispatch.upstreams.weightsSwitchDelay);
     this->dispatcher.setRegions(changed.regionsByDomain);
     this->node.exchange.setSeeds(changed.seeds);
+    this->node.feeds.setTimes(changed.bounds.store);
 }
 
 void EntryProcess::drain()
--- a/Userland/Utilities/catkinlinkd/PlatformNode.cpp
+++ b/Userland/Utilities/catkinlinkd/PlatformNode.cpp
@@ -20,7 +20,7 @@
     , fleet(loop.clock())
     , decoder(loop.clock(), std::max<AK::Milliseconds>(0, weightsSwitchDelay(settings) - restartTolerance), metrics)
     , store(loop, settings.store)
-    , feeds(loop, this->store, this->decoder, this->fleet)
+    , feeds(loop, this->store, this->decoder, this->fleet, settings.bounds.store)
     , exchange(loop, {settings.name, settings.failureDomain, settings.region, rpcAddress, std::move(clientAddress), settings.seeds, settings.engineAddress},
                this->feeds, this->fleet)
 {
