LibFleet: Let watches wait no longer than a silent channel may go unnoticed

A watch of 10 s also proves nothing while it waits: after 3.5 s of quiet a cut counted as an outage.

Cause: an open channel without an answer was taken for a quiet store. Class: a dead channel is taken for something that the store says.

An overdue watch whose list is answered promptly is no outage, however late this process noticed it.

--- a/Tests/Platform/TestStoreChannels.cpp
+++ b/Tests/Platform/TestStoreChannels.cpp
@@ -8,8 +8,9 @@
 
 using LibFleet::ObjectKind;
 
-// Bound of the users' rules from the acknowledgement of a removal until it is in force.
+// Bounds of the users' rules: from the acknowledgement of a removal until it is in force, and from a fault of the channels until a process counts again.
 constexpr AK::Milliseconds drainBound = 2'000;
+constexpr AK::Milliseconds channelRecoveryBound = 3'000;
 
 class StoreChannelsTest : public testing::Test
 {
@@ -81,6 +82,7 @@
 INSTANTIATE_TEST_SUITE_P(Table, CutWatchTest,
                          testing::Values(CutCase{"reset", ChannelEnd::Reset, 0, 0, 300, 1}, CutCase{"closed", ChannelEnd::Closed, 0, 0, 300, 1},
 
+                                         CutCase{"reset_after_quiet_time", ChannelEnd::Reset, 3'500, 0, 300, 1},
                                          CutCase{"reset_every_two_seconds", ChannelEnd::Reset, 0, 2'000, 300, 3},
                                          CutCase{"reset_in_quick_succession", ChannelEnd::Reset, 0, 20, 0, 20}),
                          [](const auto &info) { return std::string(info.param.name); });
@@ -118,4 +120,48 @@
 INSTANTIATE_TEST_SUITE_P(Table, AwayStoreTest, testing::Values(AwayCase{"reset", ChannelEnd::Reset}, AwayCase{"closed", ChannelEnd::Closed}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+struct SilenceCase {
+    const char *name;
+    ObjectKind kind;
+    std::string path;
+    /// Time from the start of the watches until the channels fall silent, and from then until the change, in ms.
+    AK::Milliseconds silentAfter;
+    AK::Milliseconds changedAfter;
+    /// Latest time from the silence until the change is in force, in ms.
+    AK::Milliseconds bound;
+};
+
+class SilentChannelTest : public StoreChannelsTest, public testing::WithParamInterface<SilenceCase>
+{
+};
+
+// Guards against channels that fall silent without a reset and are taken for a quiet store: a removed route was served for 5.49 s after the silence began.
+TEST_P(SilentChannelTest, LearnsOfAChangeWithinTheBound)
+{
+    this->reader.store.put(GetParam().path, R"("x")", "{}");
+    ASSERT_TRUE(this->waitUntilInForce());
+    this->sleep(GetParam().silentAfter);
+    this->reader.store.silenceChannels();
+    const AK::Milliseconds silent = this->reader.loop.clock().now();
+    this->sleep(GetParam().changedAfter);
+    if (GetParam().kind == ObjectKind::Upstreams) {
+        this->reader.store.remove("servers", R"("a")");
+        this->timeUntil([&] { return !this->reader.hasUpstream("a"); });
+    } else {
+        const LibFleet::StorePosition before = this->reader.feeds.changedAt(GetParam().kind);
+        this->reader.store.remove(GetParam().path, R"("x")");
+        this->timeUntil([&] { return this->reader.feeds.changedAt(GetParam().kind) > before; });
+    }
+    EXPECT_LT(this->reader.loop.clock().now() - silent, GetParam().bound);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, SilentChannelTest,
+                         testing::Values(SilenceCase{"configuration", ObjectKind::Configuration, "config", 100, 600, channelRecoveryBound},
+                                         SilenceCase{"configuration_later", ObjectKind::Configuration, "config", 1'500, 0, channelRecoveryBound},
+                                         SilenceCase{"upstreams", ObjectKind::Upstreams, "servers", 100, 600, channelRecoveryBound},
+                                         SilenceCase{"upstreams_later", ObjectKind::Upstreams, "servers", 1'500, 0, channelRecoveryBound},
+                                         SilenceCase{"evacuations", ObjectKind::Evacuations, "evacuations", 100, 0, 5'000},
+                                         SilenceCase{"weights_targets", ObjectKind::WeightsTargets, "versions", 100, 0, 4'000}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
--- a/Tests/Services/Fleet/TestObjectFeeds.cpp
+++ b/Tests/Services/Fleet/TestObjectFeeds.cpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <gtest/gtest.h>
 #include <thread>
+#include <utility>
 
 namespace
 {
@@ -21,7 +22,7 @@
 
     absl::StatusOr<ObjectPage> list(kj::WaitScope &scope, ObjectKind kind) override
     {
-        this->loop.sleep(scope, 1);
+        this->loop.sleep(scope, this->answerTime);
         std::this_thread::sleep_for(std::chrono::milliseconds(this->listDuration));
         ++this->lists;
         if (this->down) {
@@ -30,13 +31,16 @@
         return kind == ObjectKind::Upstreams ? this->all : ObjectPage{this->all.position, {}};
     }
 
-    absl::StatusOr<ObjectPage> watch(kj::WaitScope &scope, ObjectKind kind, int64_t since) override
+    absl::StatusOr<ObjectPage> watch(kj::WaitScope &scope, ObjectKind kind, int64_t since, AK::Milliseconds) override
     {
         while (this->loop.clock().now() > 0) {
             this->loop.sleep(scope, 1);
             if (this->down) {
                 return absl::UnavailableError("down");
             }
+            if (!this->watchEnd.ok() && kind == ObjectKind::Upstreams) {
+                return std::exchange(this->watchEnd, absl::OkStatus());
+            }
             if (this->historyGone && kind == ObjectKind::Upstreams) {
                 this->historyGone = false;
                 return absl::OutOfRangeError("gone");
@@ -62,6 +66,10 @@
     LibFiber::Loop &loop;
     bool down = false;
     bool historyGone = false;
+    /// How the next watch of upstreams ends, unless that is kOk.
+    absl::Status watchEnd;
+    /// Time until a list is answered, in ms.
+    AK::Milliseconds answerTime = 1;
     /// Time for which each list blocks the thread, in ms.
     AK::Milliseconds listDuration = 0;
     int lists = 0;
@@ -212,6 +220,39 @@
     EXPECT_TRUE(this->waitForNames({"b"}));
 }
 
+struct WatchEndCase {
+    const char *name;
+    absl::Status watchEnd;
+    AK::Milliseconds answerTime;
+    /// Whether an upstream that the next list lacks stays in use for a grace time.
+    bool kept;
+};
+
+class WatchEndTest : public ObjectFeedsTest, public testing::WithParamInterface<WatchEndCase>
+{
+};
+
+// Guards against a connection that fell silent and is taken for an outage because this process noticed it late: a removed upstream was kept for 2.3 s more on a
+// busy host. A store that answers late was away.
+TEST_P(WatchEndTest, KeepsUpstreamsOnlyIfTheStoreMayHaveBeenAway)
+{
+    this->feeds.watchStore();
+    ASSERT_TRUE(this->waitForNames({"a", "b"}));
+    this->loop.sleep(this->loop.rootScope(), 2 * LibFleet::shortestLapse(times.leaseRenewal));
+    this->source.all = {30, {{"b", "1", false}, {"c", "1", false}}};
+    this->source.answerTime = GetParam().answerTime;
+    this->source.watchEnd = GetParam().watchEnd;
+    ASSERT_TRUE(this->waitFor([&] { return this->feeds.position(ObjectKind::Upstreams) == 30; }));
+    EXPECT_EQ(this->decoder.names, GetParam().kept ? (std::vector<std::string>{"a", "b", "c"}) : (std::vector<std::string>{"b", "c"}));
+    EXPECT_TRUE(this->waitForNames({"b", "c"}));
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, WatchEndTest,
+                         testing::Values(WatchEndCase{"overdue", absl::DeadlineExceededError("silent"), 1, false},
+                                         WatchEndCase{"overdue_before_a_late_answer", absl::DeadlineExceededError("silent"), 550, true},
+                                         WatchEndCase{"reset", absl::UnavailableError("reset"), 1, true}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 struct RestoreCase {
     const char *name;
     /// What the process knows when the store comes back, after `before` and then `after` were listed or watched.
--- a/Tests/Services/Fleet/TestPeerExchange.cpp
+++ b/Tests/Services/Fleet/TestPeerExchange.cpp
@@ -30,7 +30,7 @@
         this->loop.sleep(scope, this->listDuration);
         return this->reachable ? absl::StatusOr<LibFleet::ObjectPage>(LibFleet::ObjectPage{this->listRevision, {}}) : absl::UnavailableError("unreachable");
     }
-    absl::StatusOr<LibFleet::ObjectPage> watch(kj::WaitScope &scope, ObjectKind kind, int64_t since) override
+    absl::StatusOr<LibFleet::ObjectPage> watch(kj::WaitScope &scope, ObjectKind kind, int64_t since, AK::Milliseconds) override
     {
         this->loop.sleep(scope, storeDelay);
         const bool change = kind == ObjectKind::Configuration && since < newest;
--- a/Tests/Services/Gateway/TestPromptQuarantine.cpp
+++ b/Tests/Services/Gateway/TestPromptQuarantine.cpp
@@ -18,7 +18,7 @@
     {
         return LibFleet::ObjectPage{};
     }
-    absl::StatusOr<LibFleet::ObjectPage> watch(kj::WaitScope & /*scope*/, LibFleet::ObjectKind /*kind*/, int64_t /*since*/) override
+    absl::StatusOr<LibFleet::ObjectPage> watch(kj::WaitScope & /*scope*/, LibFleet::ObjectKind /*kind*/, int64_t /*since*/, AK::Milliseconds /*wait*/) override
     {
         return LibFleet::ObjectPage{};
     }
--- a/Tests/Services/WeightAgent/TestLoadCommand.cpp
+++ b/Tests/Services/WeightAgent/TestLoadCommand.cpp
@@ -27,7 +27,7 @@
     {
         return absl::UnavailableError("no store");
     }
-    absl::StatusOr<LibFleet::ObjectPage> watch(kj::WaitScope &, LibFleet::ObjectKind, int64_t) override
+    absl::StatusOr<LibFleet::ObjectPage> watch(kj::WaitScope &, LibFleet::ObjectKind, int64_t, AK::Milliseconds) override
     {
         return absl::UnavailableError("no store");
     }
--- a/Userland/Libraries/LibFleet/ObjectFeed.h
+++ b/Userland/Libraries/LibFleet/ObjectFeed.h
@@ -86,7 +86,7 @@
     explicit ExpiredLeases(AK::Milliseconds leaseRenewal);
     void setLeaseRenewal(AK::Milliseconds interval);
 
-    /// A call of any kind of objects failed, or its watch ended without an answer.
+    /// A call of any kind of objects failed, or was not answered promptly, or a watch was cut.
     void callFailed();
     /// A call of any kind of objects was answered. Returns whether leases may have lapsed since the last answer; the grace begins then.
     bool storeAnswered(AK::Milliseconds now);
--- a/Userland/Services/Fleet/ObjectFeeds.cpp
+++ b/Userland/Services/Fleet/ObjectFeeds.cpp
@@ -136,7 +136,7 @@
     Feed &feed = this->feed(kind);
     const LibFleet::StorePosition since = feed.snapshot.position;
     const AK::Milliseconds begin = this->loop.clock().now();
-    const absl::StatusOr<LibFleet::ObjectPage> changes = this->source.watch(scope, kind, since.revision);
+    const absl::StatusOr<LibFleet::ObjectPage> changes = this->source.watch(scope, kind, since.revision, LibFleet::watchWait(kind, this->times));
     if (absl::IsOutOfRange(changes.status())) {
         this->logger.info("history_gone", {{"kind", nameOf(kind)}, {"era", since.era}, {"since", since.revision}});
         CATKINLINK_TRY(this->listOnce(scope, kind));
@@ -174,8 +174,12 @@
 
 absl::Status ObjectFeeds::listAfterCut(kj::WaitScope &scope, ObjectKind kind, const absl::Status &reason, AK::Milliseconds lasted)
 {
-    this->logger.info("watch_cut", {{"kind", nameOf(kind)}, {"after_ms", lasted}, {"reason", std::string(reason.message())}});
-    this->expiredLeases.callFailed();
+    const bool overdue = absl::IsDeadlineExceeded(reason);
+    this->logger.info("watch_cut", {{"kind", nameOf(kind)}, {"after_ms", lasted}, {"overdue", overdue}, {"reason", std::string(reason.message())}});
+    // A watch that is overdue shows nothing but a silent connection, unless the list is not answered promptly either.
+    if (!overdue) {
+        this->expiredLeases.callFailed();
+    }
     CATKINLINK_TRY(this->listOnce(scope, kind));
     if (lasted < shortWatch) {
         this->loop.sleep(scope, shortWatch);
@@ -186,11 +190,14 @@
 absl::Status ObjectFeeds::listOnce(kj::WaitScope &scope, ObjectKind kind)
 {
     Feed &feed = this->feed(kind);
+    const AK::Milliseconds begin = this->loop.clock().now();
     feed.listing = true;
     const absl::StatusOr<LibFleet::ObjectPage> page = this->source.list(scope, kind);
     feed.listing = false;
-    if (!page.ok()) {
+    if (!page.ok() || this->loop.clock().now() - begin > LibFleet::watchOverdueAfter) {
         this->expiredLeases.callFailed();
+    }
+    if (!page.ok()) {
         return page.status();
     }
     this->noteAnswer();
--- a/Userland/Services/Fleet/ObjectSource.h
+++ b/Userland/Services/Fleet/ObjectSource.h
@@ -18,9 +18,9 @@
     /// Errors: kUnavailable, kDeadlineExceeded, kInvalidArgument for an answer that can't be read.
     virtual absl::StatusOr<LibFleet::ObjectPage> list(kj::WaitScope &scope, LibFleet::ObjectKind kind) = 0;
 
-    /// Waits for changes after a revision. Returns an empty page when none arrive within the wait time of the store.
+    /// Waits for changes after a revision for `wait` ms. Returns an empty page when none arrive. Gives up LibFleet::watchOverdueAfter later.
     /// Errors: as list(), and kOutOfRange when the store no longer has all changes since the revision.
-    virtual absl::StatusOr<LibFleet::ObjectPage> watch(kj::WaitScope &scope, LibFleet::ObjectKind kind, int64_t since) = 0;
+    virtual absl::StatusOr<LibFleet::ObjectPage> watch(kj::WaitScope &scope, LibFleet::ObjectKind kind, int64_t since, AK::Milliseconds wait) = 0;
 
     /// Creates or replaces an object that the system itself owns.
     virtual absl::Status put(kj::WaitScope &scope, LibFleet::ObjectKind kind, const std::string &name, const std::string &spec) = 0;
