LibWeights: Ask the holder of a chunk before the origin

Cause: one late answer was proof that an agent was gone, and time for which the reader itself stood still counted as silence of others. A chunk later than 0.5 s dropped the neighbour for 5 s; after 0.4 s of waiting for a chunk that an earlier agent holds, the agent read it from the origin. One poll without an answer, also the first of an agent that had not started, had the same effect at once.

Change: a chunk that an earlier agent holds is asked for at that agent; only after two failed requests, one after another, it counts as gone. An agent without answers is gone after three polls and designated_timeout_ms. A gap between two polls counts as idle time for 100 ms at most.

--- a/Tests/LibWeights/Fleet.cpp
+++ b/Tests/LibWeights/Fleet.cpp
@@ -113,13 +113,22 @@
 {
 }
 
+void FaultyChunkHandler::waitWhilePaused() const
+{
+    while (this->fault == PeerFault::Pause) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+}
+
 void FaultyChunkHandler::chunkMap(std::string_view root, bool wantManifest, Wire::Node::ChunkMapResults::Builder results)
 {
+    this->waitWhilePaused();
     this->inner.chunkMap(root, wantManifest, results);
 }
 
 void FaultyChunkHandler::fetchChunk(std::string_view root, uint32_t index, Wire::Node::FetchChunkResults::Builder results, kj::WaitScope &scope)
 {
+    this->waitWhilePaused();
     while (this->fault == PeerFault::Stall) {
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
     }
--- a/Tests/LibWeights/Fleet.h
+++ b/Tests/LibWeights/Fleet.h
@@ -62,7 +62,8 @@
     std::atomic<int> opened{0};
 };
 
-enum class PeerFault { None, Corrupt, Stall };
+/// Stall: chunks are not sent. Pause: nothing is answered, as on a host that stands still.
+enum class PeerFault { None, Corrupt, Stall, Pause };
 
 /// Serves the chunks of an agent, with an injected fault.
 class FaultyChunkHandler final : public LibWire::ChunkHandler
@@ -75,6 +76,8 @@
     std::atomic<PeerFault> fault{PeerFault::None};
 
 private:
+    void waitWhilePaused() const;
+
     LibWire::ChunkHandler &inner;
 };
 
--- a/Tests/LibWeights/TestFetch.cpp
+++ b/Tests/LibWeights/TestFetch.cpp
@@ -53,6 +53,44 @@
                                          DistributionCase{"two_regions_slow_origin", 6, 6, 512 << 10}),
                          [](const auto &info) { return info.param.name; });
 
+struct LateAnswersCase {
+    const char *name;
+    size_t agents;
+    /// Times for which the peers answer nothing and for which they answer in between, in ms.
+    AK::Milliseconds pause;
+    AK::Milliseconds between;
+    int pauses;
+    int64_t originBytesPerSecond;
+};
+
+class LateAnswersTest : public testing::TestWithParam<LateAnswersCase>
+{
+};
+
+// Guards against agents that take peers on busy hosts for dead because an answer came later than the RPC timeout, and read from the origin what peers hold.
+TEST_P(LateAnswersTest, OriginStillSendsEachChunkOnce)
+{
+    Fleet fleet({.regions = regionsOf(GetParam().agents, 0), .originBytesPerSecond = GetParam().originBytesPerSecond});
+    fleet.setTarget("1");
+    fleet.startAll();
+    ASSERT_TRUE(fleet.waitFor([&] { return fleet.metricSum("catkinlink_weights_chunks_held") > 0; }));
+    for (int i = 0; i < GetParam().pauses; ++i) {
+        for (const auto fault : {PeerFault::Pause, PeerFault::None}) {
+            for (auto &agent : fleet.agents) {
+                agent->chunks->fault = fault;
+            }
+            fleet.clock.sleep(fault == PeerFault::Pause ? GetParam().pause : GetParam().between);
+        }
+    }
+    ASSERT_TRUE(fleet.waitFor([&] { return fleet.allHold("1"); }));
+    EXPECT_LE(static_cast<double>(fleet.store->bytesServed()), 1.1 * static_cast<double>(fleet.versionBytes()));
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, LateAnswersTest,
+                         testing::Values(LateAnswersCase{"once", 16, 600, 0, 1, 0}, LateAnswersCase{"again_and_again", 16, 600, 60, 6, 0},
+                                         LateAnswersCase{"slow_origin", 12, 600, 200, 3, 512 << 10}),
+                         [](const auto &info) { return info.param.name; });
+
 struct FaultCase {
     const char *name;
     PeerFault fault;
--- a/Userland/Libraries/LibWeights/DesignatedFetch.cpp
+++ b/Userland/Libraries/LibWeights/DesignatedFetch.cpp
@@ -25,6 +25,11 @@
 constexpr int busyOriginFactor = 3;
 // Multiple of the replacement timeout to wait for a chunk that an earlier agent already holds; a chunk arrives over a few hops.
 constexpr int undeliveredFactor = 2;
+// Polls without an answer, one after another, after which an agent counts as gone. A busy host answers some late.
+constexpr int pollsUntilGone = 3;
+// Failed requests, one after another, after which an agent counts as one that holds chunks and does not send them, and time until it is asked again.
+constexpr int requestsUntilRefused = 2;
+constexpr AK::Milliseconds refusedRetryMs = 5'000;
 // Multiple of the store timeout for reading one chunk: a busy origin shares its link among all readers.
 constexpr int originDeadlineFactor = 3;
 
@@ -180,6 +185,29 @@
                        [&](const auto &chunk) { return this->active() && this->replaceForChunk(connections, directory, chunk.second); });
 }
 
+bool WeightFetch::hasRefusedToSend(const std::string &name) const
+{
+    const auto found = this->failedRequests.find(name);
+    return found != this->failedRequests.end() && found->second.count >= requestsUntilRefused
+        && this->context.clock.now() - found->second.lastAt < refusedRetryMs;
+}
+
+bool WeightFetch::fetchFromHolder(PeerConnections &connections, const std::string &name, const AK::Endpoint &endpoint, uint32_t index)
+{
+    if (!this->fetchProgress->reserve(index)) {
+        return false;
+    }
+    const FetchResult result = this->fetchFromPeer(connections, name, endpoint, index, "peer");
+    if (result == FetchResult::Stored) {
+        this->failedRequests.erase(name);
+    } else if (result == FetchResult::Drop) {
+        FailedRequests &failed = this->failedRequests[name];
+        ++failed.count;
+        failed.lastAt = this->context.clock.now();
+    }
+    return result == FetchResult::Stored;
+}
+
 bool WeightFetch::replaceForChunk(PeerConnections &connections, const PeerDirectory &directory, uint32_t index)
 {
     const auto ownRegion = directory.namesByRegion.find(this->context.settings.region);
@@ -197,17 +225,24 @@
         const AK::Endpoint &endpoint = directory.endpoints.at(name);
         const PeerConnections::PeerState &state =
             connections.peerState(name, endpoint, this->weightsTarget.root, this->context.settings.agent.chunkMapIntervalMs);
-        if (state.reachable && !this->isExcluded(name) && bitAt(state.bitmap, index)) {
-            // The agent holds the chunk, so the neighbours will offer it soon; fetching it from there would make all agents fetch from one. But an agent may
-            // hold chunks and never send them, because it is paused or its link stalls. After a while it is therefore treated as unreachable.
+        const bool excludedHere = this->isExcluded(name);
+        if (state.reachable && !excludedHere && bitAt(state.bitmap, index)) {
+            // The agent holds the chunk, so the neighbours will offer it soon; fetching it from there at once would make all agents fetch from one.
             const AK::Milliseconds offeredAt = this->offeredSince.try_emplace(index, now).first->second;
             if (now - offeredAt < static_cast<AK::Milliseconds>(predecessors.size() + 1) * undeliveredFactor * this->replacementTimeout()) {
                 return false;
             }
+            // The neighbours may have been dropped for a while, so the agent itself is asked. Only one that then does not send is treated as unreachable: it
+            // is paused, or its link stalls.
+            if (!this->hasRefusedToSend(name)) {
+                return this->fetchFromHolder(connections, name, endpoint, index);
+            }
             predecessors.push_back({false, 0});
             continue;
         }
-        predecessors.push_back({state.reachable && !this->isExcluded(name), state.lastProgressAt});
+        const bool gone =
+            !state.reachable && state.failedPolls >= pollsUntilGone && now - state.unreachableSince >= this->context.settings.agent.designatedTimeoutMs;
+        predecessors.push_back({!gone && !excludedHere, now - state.idleFor});
     }
     const auto rank = static_cast<AK::Milliseconds>(predecessors.size());
     if (!mayReplace(predecessors, now, rank * this->replacementTimeout())) {
--- a/Userland/Libraries/LibWeights/PeerConnections.cpp
+++ b/Userland/Libraries/LibWeights/PeerConnections.cpp
@@ -1,6 +1,7 @@
 #include <LibWeights/PeerConnections.h>
 
 #include <AK/StatusMacros.h>
+#include <algorithm>
 #include <bit>
 
 namespace LibWeights
@@ -11,6 +12,8 @@
 
 // Maximum number of open connections per instance; each occupies a thread of the peer.
 constexpr size_t maxOpenConnections = 12;
+// Longest part of a gap between two polls that counts as idle time of the peer.
+constexpr AK::Milliseconds maxCountedGap = 100;
 
 std::string textOf(capnp::Data::Reader data)
 {
@@ -26,6 +29,13 @@
     return count;
 }
 
+void noteFailedPoll(PeerConnections::PeerState &state)
+{
+    state.reachable = false;
+    state.unreachableSince = state.failedPolls == 0 ? state.polledAt : state.unreachableSince;
+    ++state.failedPolls;
+}
+
 } // namespace
 
 PeerConnections::PeerConnections(const AK::Clock &clock, LibWire::RpcIdentity identity, AK::Milliseconds rpcTimeout)
@@ -71,29 +81,30 @@
     if (record.polled && now - record.state.polledAt < maxAge) {
         return record.state;
     }
-    if (!record.polled) {
-        record.state.lastProgressAt = now;
-    }
+    const AK::Milliseconds gap = record.polled ? std::min(now - record.state.polledAt, maxCountedGap) : 0;
     record.polled = true;
     record.state.polledAt = now;
+    record.state.idleFor += gap;
     auto connection = this->connect(peer, endpoint);
-    record.state.reachable = connection.ok();
     if (!connection.ok()) {
+        noteFailedPoll(record.state);
         return record.state;
     }
     auto request = (*connection)->node().chunkMapRequest();
     request.setRoot(root);
     auto reply = (*connection)->call(std::move(request), this->rpcTimeout);
-    record.state.reachable = reply.ok();
     if (!reply.ok()) {
         this->close(peer, reply.status());
+        noteFailedPoll(record.state);
         return record.state;
     }
+    record.state.reachable = true;
+    record.state.failedPolls = 0;
     record.state.bitmap = textOf(reply->getBitmap());
     const size_t count = countBits(record.state.bitmap);
     if (count != record.state.count) {
         record.state.count = count;
-        record.state.lastProgressAt = now;
+        record.state.idleFor = 0;
     }
     return record.state;
 }
--- a/Userland/Libraries/LibWeights/PeerConnections.h
+++ b/Userland/Libraries/LibWeights/PeerConnections.h
@@ -17,13 +17,18 @@
 public:
     PeerConnections(const AK::Clock &clock, LibWire::RpcIdentity identity, AK::Milliseconds rpcTimeout);
 
-    /// Result of the last poll of a peer.
+    /// State of a peer as seen by the polls up to the last.
     struct PeerState {
         std::string bitmap;
         size_t count = 0;
+        /// Whether the last poll was answered. One poll proves little: an answer also comes late when a busy host stands still for a moment.
         bool reachable = true;
+        /// Number of polls without an answer since the last answer, and the time of the first of them.
+        int failedPolls = 0;
+        AK::Milliseconds unreachableSince = 0;
         AK::Milliseconds polledAt = 0;
-        AK::Milliseconds lastProgressAt = 0;
+        /// Time for which the peer has gained no chunk, in ms. A long gap between two polls counts in part only, because this host may have stood still.
+        AK::Milliseconds idleFor = 0;
     };
 
     /// The state of a peer, polled again when it is older than `maxAge` ms.
--- a/Userland/Libraries/LibWeights/WeightFetch.h
+++ b/Userland/Libraries/LibWeights/WeightFetch.h
@@ -62,6 +62,12 @@
         std::thread thread;
     };
 
+    /// Requests for chunks that failed one after another, and the time of the last.
+    struct FailedRequests {
+        int count = 0;
+        AK::Milliseconds lastAt = 0;
+    };
+
     enum class FetchResult { Stored, Retry, Drop, Exclude };
 
     void run();
@@ -84,6 +90,9 @@
     bool fetchAcrossRegions(PeerConnections &connections, const PeerDirectory &directory, uint32_t index);
     bool replacePredecessors(PeerConnections &connections, const PeerDirectory &directory, const std::vector<std::pair<size_t, uint32_t>> &nonDesignated);
     bool replaceForChunk(PeerConnections &connections, const PeerDirectory &directory, uint32_t index);
+    /// Asks an earlier agent that holds a chunk for it. True when the chunk was stored.
+    bool fetchFromHolder(PeerConnections &connections, const std::string &name, const AK::Endpoint &endpoint, uint32_t index);
+    bool hasRefusedToSend(const std::string &name) const;
     AK::Milliseconds replacementTimeout() const;
 
     void pause(AK::Milliseconds duration) const;
@@ -100,6 +109,8 @@
     AK::Milliseconds slowestOriginFetch = 0;
     /// Time at which an earlier agent in the fetch order was first seen to hold a chunk that has not arrived here, by chunk.
     std::map<uint32_t, AK::Milliseconds> offeredSince;
+    /// Earlier agents that did not send a chunk they hold when asked for it.
+    std::map<std::string, FailedRequests> failedRequests;
     std::atomic<bool> stopping{false};
     std::atomic<bool> ended{false};
     std::atomic<bool> completeReported{false};
