WeightAgent: Take a manifest only when two reads agree

Seen: ManifestProofTest, an origin whose manifest has one spoilt digest once (first_spoilt) or differently twice (spoilt_twice): the agent kept the first manifest for good, passed it on, and read the chunk of that digest from the origin each 0.3 s to the end of the test (8 s).

Cause: a manifest has no hash of its own on the platform, and any text that could be parsed counted.

Change: the agent that reads the manifest from the origin takes it when two reads agree in version, chunk size and digests. Reads are remembered over attempts, at most three follow one another. Until then there is no manifest to pass on and no chunk is read. All other agents get it from there, so the origin sends one manifest more a version. As proof takes two reads, the next agent reads after 250 ms instead of 200 ms.

Before: first_spoilt and spoilt_twice failed. After: 6 of 6 cases pass, with at most 2 manifests from a sound origin, and 3 or 4 from the others.

--- a/Tests/Services/WeightAgent/TestOriginConcurrency.cpp
+++ b/Tests/Services/WeightAgent/TestOriginConcurrency.cpp
@@ -26,15 +26,15 @@
         ++this->reading;
         this->loop.sleep(scope, readTime);
         --this->reading;
-        return std::string("manifest");
+        return std::string("3");
     }
     absl::StatusOr<std::string> chunk(kj::WaitScope &, const AK::Endpoint &, const std::string &, int64_t, uint32_t) override
     {
         return absl::UnimplementedError("not read here");
     }
-    absl::StatusOr<WeightsManifest> parseManifest(const std::string &) const override
+    absl::StatusOr<WeightsManifest> parseManifest(const std::string &text) const override
     {
-        return absl::UnimplementedError("not read here");
+        return WeightsManifest{std::stoll(text), 1, {}};
     }
 
     LibFiber::Loop &loop;
@@ -73,8 +73,9 @@
                     view.peers.push_back({{"a" + std::to_string(other), "lima"}, {"127.0.0.1", 2}});
                 }
             }
+            ManifestProof proof;
             while (loop.clock().now() - startedAt < testDuration) {
-                SwarmFetch fetch(loop, origin, {"a" + std::to_string(i), "lima"}, "m", 3, view, startedAt);
+                SwarmFetch fetch(loop, origin, proof, {"a" + std::to_string(i), "lima"}, "m", 3, view, startedAt);
                 if (fetch.readManifest(scope).ok()) {
                     ++manifestsRead;
                     return;
--- a/Userland/Services/WeightAgent/AgentService.cpp
+++ b/Userland/Services/WeightAgent/AgentService.cpp
@@ -191,7 +191,8 @@
     const AK::Milliseconds now = this->loop.clock().now();
     const AK::Milliseconds startedAt = this->fetchStartedAt.try_emplace(version, now).first->second;
     const SwarmView swarmView = this->swarmView();
-    SwarmFetch fetch(this->loop, this->origin, {this->settings.engineAddress.text(), this->settings.region}, spec.model, version, swarmView, startedAt);
+    SwarmFetch fetch(this->loop, this->origin, this->manifestProof, {this->settings.engineAddress.text(), this->settings.region}, spec.model, version,
+                     swarmView, startedAt);
     std::shared_ptr<HeldVersion> held = this->store.find(spec.model, version);
     if (!held) {
         const absl::StatusOr<std::string> text = fetch.readManifest(scope);
--- a/Userland/Services/WeightAgent/AgentService.h
+++ b/Userland/Services/WeightAgent/AgentService.h
@@ -69,6 +69,7 @@
     WeightsOrigin &origin;
     Fleet::PeerExchange &exchange;
     VersionStore store;
+    ManifestProof manifestProof;
     std::optional<EngineStatus> status;
     AK::Milliseconds statusReadAt = 0;
     bool switchPending = false;
--- a/Userland/Services/WeightAgent/FetchRules.cpp
+++ b/Userland/Services/WeightAgent/FetchRules.cpp
@@ -40,9 +40,9 @@
 
 bool mayReadManifestFromOrigin(bool inOriginRegion, size_t rank, AK::Milliseconds elapsed)
 {
-    // A manifest is read within 50 ms, even while chunks are transferred.
+    // A manifest is read within 50 ms, even while chunks are transferred; proof takes two reads or three.
     FetchRuleSettings rules;
-    rules.stallInterval = 200;
+    rules.stallInterval = 250;
     return allowedScope({inOriginRegion, rank, elapsed, 0}, rules) == FetchScope::Origin;
 }
 
--- a/Userland/Services/WeightAgent/SwarmFetch.cpp
+++ b/Userland/Services/WeightAgent/SwarmFetch.cpp
@@ -1,5 +1,6 @@
 #include "SwarmFetch.h"
 
+#include <AK/StatusMacros.h>
 #include <AK/Text.h>
 #include <LibWeights/ChunkChoice.h>
 #include <algorithm>
@@ -14,6 +15,8 @@
 constexpr AK::Milliseconds chunkTimeout = 1'500;
 constexpr AK::Milliseconds peerQueryTimeout = 600;
 constexpr AK::Milliseconds manifestTimeout = 800;
+// Reads of the manifest from the origin, one after another, before the peers are asked again.
+constexpr int maxManifestReads = 3;
 // Pause before a peer without needed chunks is asked again.
 constexpr AK::Milliseconds idlePollInterval = 60;
 constexpr AK::Milliseconds errorRetryDelay = 300;
@@ -37,10 +40,11 @@
 
 } // namespace
 
-SwarmFetch::SwarmFetch(LibFiber::Loop &loop, WeightsOrigin &origin, SwarmSelf self, std::string model, int64_t version, SwarmView view,
+SwarmFetch::SwarmFetch(LibFiber::Loop &loop, WeightsOrigin &origin, ManifestProof &proof, SwarmSelf self, std::string model, int64_t version, SwarmView view,
                        AK::Milliseconds startedAt)
     : loop(loop)
     , origin(origin)
+    , proof(proof)
     , self(std::move(self))
     , model(std::move(model))
     , version(version)
@@ -86,6 +90,21 @@
     return static_cast<size_t>(others) + 1;
 }
 
+absl::StatusOr<std::string> SwarmFetch::readManifestFromOrigin(kj::WaitScope &scope)
+{
+    for (int read = 0; read < maxManifestReads; ++read) {
+        CATKINLINK_ASSIGN(std::string text, this->origin.manifestText(scope, *this->view.origin, this->model, this->version));
+        CATKINLINK_ASSIGN(const WeightsManifest manifest, this->origin.parseManifest(text));
+        if (manifest.version != this->version) {
+            return absl::DataLossError(AK::concat("the origin sent a manifest of version ", manifest.version, " instead of ", this->version));
+        }
+        if (this->proof.confirm(this->model, manifest)) {
+            return text;
+        }
+    }
+    return absl::DataLossError(AK::concat(maxManifestReads, " reads of the manifest of version ", this->version, " differ"));
+}
+
 absl::StatusOr<std::string> SwarmFetch::readManifest(kj::WaitScope &scope)
 {
     const size_t rank = regionRank(this->self.name, this->self.region, this->members, AK::concat(this->model, "/", this->version), 0);
@@ -93,7 +112,7 @@
         return this->view.origin && mayReadManifestFromOrigin(this->inOriginRegion(), rank, this->loop.clock().now() - this->startedAt);
     };
     if (this->inOriginRegion() && rank == 0 && mayReadFromOrigin()) {
-        absl::StatusOr<std::string> text = this->origin.manifestText(scope, *this->view.origin, this->model, this->version);
+        absl::StatusOr<std::string> text = this->readManifestFromOrigin(scope);
         if (text.ok()) {
             return text;
         }
@@ -106,7 +125,7 @@
         }
     }
     if (mayReadFromOrigin()) {
-        return this->origin.manifestText(scope, *this->view.origin, this->model, this->version);
+        return this->readManifestFromOrigin(scope);
     }
     return absl::UnavailableError(AK::concat("no manifest of ", this->model, " version ", this->version, " from ", this->peers.size(), " peers"));
 }
--- a/Userland/Services/WeightAgent/SwarmFetch.h
+++ b/Userland/Services/WeightAgent/SwarmFetch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "FetchRules.h"
+#include "ManifestProof.h"
 #include "VersionStore.h"
 #include <AK/Random.h>
 #include <LibPeers/PeerClient.h>
@@ -38,10 +39,12 @@
 {
 public:
     /// `startedAt`: time at which this agent first looked for the version; the fetch itself is restarted when the set of peers changes.
-    SwarmFetch(LibFiber::Loop &loop, WeightsOrigin &origin, SwarmSelf self, std::string model, int64_t version, SwarmView view, AK::Milliseconds startedAt);
+    SwarmFetch(LibFiber::Loop &loop, WeightsOrigin &origin, ManifestProof &proof, SwarmSelf self, std::string model, int64_t version, SwarmView view,
+               AK::Milliseconds startedAt);
 
-    /// Reads the manifest from another agent or, when mayReadManifestFromOrigin() permits it, from the origin.
-    /// Errors: kUnavailable when no peer has it and the origin must not be read yet, and those of WeightsOrigin::manifestText().
+    /// Reads the manifest from another agent, which has proof of it, or, when mayReadManifestFromOrigin() permits it, from the origin until two reads agree.
+    /// Errors: kUnavailable when no peer has it and the origin must not be read yet, kDataLoss when the reads of the origin do not agree, and those of
+    /// WeightsOrigin::manifestText() and parseManifest().
     absl::StatusOr<std::string> readManifest(kj::WaitScope &scope);
 
     /// Returns when `held` is complete or `shouldContinue` returns false.
@@ -54,6 +57,7 @@
         bool excluded = false;
     };
 
+    absl::StatusOr<std::string> readManifestFromOrigin(kj::WaitScope &scope);
     bool inOriginRegion() const;
     /// Number of agents in this agent's region, including itself.
     size_t regionSize() const;
@@ -68,6 +72,7 @@
 
     LibFiber::Loop &loop;
     WeightsOrigin &origin;
+    ManifestProof &proof;
     SwarmSelf self;
     std::string model;
     int64_t version;
