AK: Count the time of a suspension in the age of a check

Seen: RecentCheckTest, a host that is suspended for 4 s after a comparison: the check was 10 ms old and held, so that an agent that wakes would have loaded chunks compared before.

Cause: AK::RecentCheck took its age from the monotonic clock, which does not count the time for which the host is suspended.

Change: AK::Clock::uninterruptedTime(), CLOCK_BOOTTIME of the operating system, is the clock of RecentCheck.

Before: "suspended" and "suspended_for_a_moment" failed. The host could not be suspended here: that CLOCK_BOOTTIME goes on is taken from its documentation, and the test compares the clock with it.

--- a/AK/RecentCheck.cpp
+++ b/AK/RecentCheck.cpp
@@ -5,7 +5,7 @@
 
 RecentCheck::RecentCheck(const Clock &clock, Milliseconds maxAge)
     : clock(&clock)
-    , startedAt(clock.now())
+    , startedAt(clock.uninterruptedTime())
     , maxAge(maxAge)
 {
 }
@@ -17,7 +17,7 @@
 
 Milliseconds RecentCheck::age() const
 {
-    return this->clock->now() - this->startedAt;
+    return this->clock->uninterruptedTime() - this->startedAt;
 }
 
 } // namespace AK
--- a/AK/RecentCheck.h
+++ b/AK/RecentCheck.h
@@ -6,7 +6,7 @@
 {
 
 /// The time of a check whose result may be acted on only for a while. The time between a check and the act that rests on it has no bound: a fiber waits, the
-/// process is stopped, or the host is suspended. The clock must go on meanwhile.
+/// process is stopped, or the host is suspended. It counts by the clock that goes on meanwhile.
 class RecentCheck
 {
 public:
