--- a/Tests/Services/Gateway/TestLeavingUpstreams.cpp
+++ b/Tests/Services/Gateway/TestLeavingUpstreams.cpp
@@ -1,6 +1,5 @@
-#include "GatewaySite.h"
+#include "LeavingSite.h"
 #include "SlotSite.h"
-#include <AK/Text.h>
 #include <gtest/gtest.h>
 
 namespace
@@ -8,128 +7,6 @@
 
 using LibFleet::RouteKind;
 
-constexpr AK::Milliseconds callTimeout = 1'500;
-constexpr AK::Milliseconds pollInterval = 10;
-constexpr AK::Milliseconds eventInterval = 60;
-constexpr int eventsOfStream = 8;
-constexpr int64_t firstStart = 1'000;
-/// Requests written before the response is read may still arrive.
-constexpr AK::Milliseconds inFlightTime = 100;
-
-/// The first upstream says that it is leaving in all responses from a given one on; the second one never does.
-struct LeavingSite {
-    struct Response {
-        int status = 200;
-        LibHttpStream::Headers more;
-        /// The response is a stream that goes on for long after its head.
-        bool stream = false;
-        AK::Milliseconds duration = 0;
-    };
-
-    LeavingSite(Response response, RouteKind kind, size_t leavesAt = 1)
-        : response(std::move(response))
-        , leavesAt(leavesAt)
-        , site({this->script(true), this->script(false)})
-    {
-        this->site.configure(kind, true, 2, callTimeout);
-        this->changeUpstream([](auto &record) { record.startTime = firstStart; });
-    }
-
-    UpstreamScript script(bool leaving)
-    {
-        return [this, leaving](kj::WaitScope &scope, LibFiber::ByteChannel &channel, const LibHttpStream::RequestHead &head, const std::string &) {
-            const std::string id = *LibHttpStream::findHeader(head.headers, "X-Attempt-Id");
-            this->site.loop.sleep(scope, this->response.duration);
-            if (leaving && ++this->responses >= this->leavesAt) {
-                this->leftAt = this->leftAt == 0 ? this->site.loop.clock().now() : this->leftAt;
-                LibHttpStream::Headers headers = this->response.more;
-                headers.push_back({"Server-Leaving", "1"});
-                return this->response.stream ? this->writeSlowStream(scope, channel, id) : this->write(scope, channel, id, this->response.status, headers);
-            }
-            return this->write(scope, channel, id, 200, {});
-        };
-    }
-
-    bool write(kj::WaitScope &scope, LibFiber::ByteChannel &channel, const std::string &id, int status, LibHttpStream::Headers headers)
-    {
-        const bool events = this->site.fleet.configuration()->routes[0].kind == RouteKind::Stream && status == 200;
-        const std::string body = events ? "id: 1\ndata: word\n\n" : "hello";
-        if (events) {
-            headers.push_back({"Content-Type", "text/event-stream"});
-        }
-        writeResponse(scope, channel, this->site.loop, id, status, body, body.size(), headers);
-        return true;
-    }
-
-    bool writeSlowStream(kj::WaitScope &scope, LibFiber::ByteChannel &channel, const std::string &id)
-    {
-        const std::string event = "id: 1\ndata: word\n\n";
-        writeResponse(scope, channel, this->site.loop, id, 200, event, event.size() * eventsOfStream,
-                      {{"Content-Type", "text/event-stream"}, {"Server-Leaving", "1"}});
-        for (int i = 1; i < eventsOfStream; ++i) {
-            this->site.loop.sleep(scope, eventInterval);
-            if (!channel.write(scope, event, this->site.loop.clock().now() + callTimeout).ok()) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    void changeUpstream(const std::function<void(LibFleet::UpstreamRecord &)> &change)
-    {
-        std::map<std::string, LibFleet::UpstreamRecord> records;
-        for (const auto &[id, record] : this->site.fleet.upstreams()) {
-            LibFleet::UpstreamRecord changed = record;
-            if (record.address == this->site.upstreamAddresses[0]) {
-                change(changed);
-            }
-            records[changed.id] = changed;
-        }
-        this->site.fleet.setUpstreams(records);
-    }
-
-    void startCall()
-    {
-        this->site.loop.spawn([this, id = AK::concat("a", ++this->calls)](kj::WaitScope &scope) {
-            const ClientResponse answer = this->site.callFrom(scope, {{"X-Attempt-Id", id}, {"X-Deadline-Ms", std::to_string(callTimeout)}});
-            this->served += answer.status == 200 && answer.complete ? 1 : 0;
-            ++this->ended;
-        });
-    }
-
-    void wait(const std::function<bool()> &done)
-    {
-        const AK::Milliseconds deadline = this->site.loop.clock().now() + 2 * callTimeout;
-        while (!done() && this->site.loop.clock().now() < deadline) {
-            this->site.loop.sleep(this->site.loop.rootScope(), pollInterval);
-        }
-    }
-
-    void callUntilLeaving()
-    {
-        while (this->leftAt == 0) {
-            const int before = this->ended;
-            this->startCall();
-            this->wait([&] { return this->ended > before || this->leftAt > 0; });
-        }
-        this->site.loop.sleep(this->site.loop.rootScope(), inFlightTime);
-    }
-
-    size_t requestsOfLeaving() const
-    {
-        return this->site.upstreams[0]->requests.size();
-    }
-
-    Response response;
-    size_t leavesAt;
-    size_t responses = 0;
-    AK::Milliseconds leftAt = 0;
-    int calls = 0;
-    int served = 0;
-    int ended = 0;
-    GatewaySite site;
-};
-
 struct LeavingCase {
     const char *name;
     RouteKind kind;
@@ -173,8 +50,8 @@
     for (int i = 0; i < load; ++i) {
         site.startCall();
     }
-    site.wait([&] { return site.leftAt > 0; });
-    site.site.loop.sleep(site.site.loop.rootScope(), inFlightTime);
+    site.wait([&] { return site.isQuiet(); });
+    ASSERT_TRUE(site.isQuiet());
     EXPECT_GT(site.site.dispatcher.waitingCalls(), 0U) << "the queue is not empty when the upstream leaves";
     const size_t before = site.requestsOfLeaving();
     site.wait([&] { return site.ended == site.calls; });
@@ -199,7 +76,7 @@
 {
     SlotSite site;
     LibFleet::UpstreamRecord record = engineRecord("i-2", "cusco-1", 2);
-    record.startTime = firstStart;
+    record.startTime = LeavingSite::firstStart;
     site.fleet.setUpstreams({{"i-2", record}});
     LibGateway::ResponseInfo response;
     response.leaving = true;
@@ -216,7 +93,7 @@
     site.second.addUpstreamNews(passedOn);
     EXPECT_EQ(passedOn.leavingUpstreams.size(), state.leavingUpstreams.size());
     // The successor is free at the entry that was told, too.
-    record.startTime = firstStart + 1;
+    record.startTime = LeavingSite::firstStart + 1;
     record.state = LibFleet::UpstreamState::Ready;
     site.fleet.setUpstreams({{"i-2", record}});
     EXPECT_EQ(upstreamOf(site.acquire(site.second, site.requirements())), "i-2");
@@ -257,12 +134,12 @@
 
 INSTANTIATE_TEST_SUITE_P(Table, LeavingRegistrationTest,
                          testing::Values(RegistrationCase{"written_again", [](auto &record) { record.weightsVersion = 9; }, false},
-                                         RegistrationCase{"of_an_earlier_start", [](auto &record) { record.startTime = firstStart - 1; }, false},
-                                         RegistrationCase{"restarted_under_its_id", [](auto &record) { record.startTime = firstStart + 1; }, true},
+                                         RegistrationCase{"of_an_earlier_start", [](auto &record) { record.startTime = LeavingSite::firstStart - 1; }, false},
+                                         RegistrationCase{"restarted_under_its_id", [](auto &record) { record.startTime = LeavingSite::firstStart + 1; }, true},
                                          RegistrationCase{"address_used_again",
                                                           [](auto &record) {
                                                               record.id = "i-9";
-                                                              record.startTime = firstStart + 1;
+                                                              record.startTime = LeavingSite::firstStart + 1;
                                                           },
                                                           true}),
                          [](const auto &info) { return std::string(info.param.name); });
