--- a/Tests/Services/Gateway/TestPausedUpstreams.cpp
+++ b/Tests/Services/Gateway/TestPausedUpstreams.cpp
@@ -1,5 +1,4 @@
-#include "GatewaySite.h"
-#include <AK/Text.h>
+#include "PauseSite.h"
 #include <gtest/gtest.h>
 
 namespace
@@ -7,102 +6,6 @@
 
 using LibFleet::RouteKind;
 
-constexpr AK::Milliseconds callTimeout = 1'500;
-constexpr AK::Milliseconds pollInterval = 10;
-/// Requests that are on their way when the upstream asks for a pause may arrive for this long.
-constexpr AK::Milliseconds settleTime = 500;
-constexpr size_t allowedInPause = 2;
-constexpr AK::Milliseconds millisecondsPerSecond = 1'000;
-
-/// Upstreams that refuse calls with a pause.
-struct PauseSite {
-    /// `seconds`: value of the header, one per upstream; empty for an upstream that takes all calls.
-    PauseSite(std::vector<std::string> seconds, RouteKind kind, bool notRun = true, AK::Milliseconds duration = 0)
-        : seconds(std::move(seconds))
-        , notRun(notRun)
-        , duration(duration)
-        , arrivals(this->seconds.size())
-        , refusals(this->seconds.size())
-        , site(this->scripts())
-    {
-        this->site.configure(kind, true, 2, callTimeout);
-    }
-
-    std::vector<UpstreamScript> scripts()
-    {
-        std::vector<UpstreamScript> result;
-        for (size_t index = 0; index < this->seconds.size(); ++index) {
-            result.push_back([this, index](kj::WaitScope &scope, LibFiber::ByteChannel &channel, const LibHttpStream::RequestHead &head, const std::string &) {
-                return this->answer(scope, channel, head, index);
-            });
-        }
-        return result;
-    }
-
-    bool answer(kj::WaitScope &scope, LibFiber::ByteChannel &channel, const LibHttpStream::RequestHead &head, size_t index)
-    {
-        this->arrivals[index].push_back(this->site.loop.clock().now());
-        const std::string id = *LibHttpStream::findHeader(head.headers, "X-Attempt-Id");
-        this->site.loop.sleep(scope, this->duration);
-        if (!this->seconds[index].empty() && this->refuses) {
-            this->refusals[index].push_back(this->site.loop.clock().now());
-            LibHttpStream::Headers headers{{"Retry-After", this->seconds[index]}};
-            if (this->notRun) {
-                headers.push_back({"X-Not-Executed", "1"});
-            }
-            writeResponse(scope, channel, this->site.loop, id, 503, "", 0, headers);
-            return true;
-        }
-        const bool events = this->site.fleet.configuration()->routes[0].kind == RouteKind::Stream;
-        const std::string body = events ? "id: 1\ndata: word\n\n" : "hello";
-        writeResponse(scope, channel, this->site.loop, id, 200, body, body.size(), {{"Content-Type", events ? "text/event-stream" : "text/plain"}});
-        return true;
-    }
-
-    void startCalls(int count)
-    {
-        for (int i = 0; i < count; ++i) {
-            this->site.loop.spawn([this, id = AK::concat("a", ++this->calls)](kj::WaitScope &scope) {
-                const ClientResponse response = this->site.callFrom(scope, {{"X-Attempt-Id", id}, {"X-Deadline-Ms", std::to_string(callTimeout)}});
-                this->served += response.status == 200 && response.complete ? 1 : 0;
-                ++this->ended;
-            });
-        }
-    }
-
-    void waitForAll()
-    {
-        const AK::Milliseconds deadline = this->site.loop.clock().now() + 2 * callTimeout;
-        while (this->ended < this->calls && this->site.loop.clock().now() < deadline) {
-            this->site.loop.sleep(this->site.loop.rootScope(), pollInterval);
-        }
-    }
-
-    /// The most requests that reached the upstream within one of its pauses, from settleTime on.
-    size_t mostInPause(size_t index) const
-    {
-        size_t most = 0;
-        const auto pause = static_cast<AK::Milliseconds>(std::stod(this->seconds[index]) * millisecondsPerSecond);
-        for (const AK::Milliseconds refusedAt : this->refusals[index]) {
-            const auto inside = std::count_if(this->arrivals[index].begin(), this->arrivals[index].end(),
-                                              [&](AK::Milliseconds arrival) { return arrival >= refusedAt + settleTime && arrival < refusedAt + pause; });
-            most = std::max(most, static_cast<size_t>(inside));
-        }
-        return most;
-    }
-
-    std::vector<std::string> seconds;
-    bool notRun;
-    AK::Milliseconds duration;
-    bool refuses = true;
-    std::vector<std::vector<AK::Milliseconds>> arrivals;
-    std::vector<std::vector<AK::Milliseconds>> refusals;
-    int calls = 0;
-    int served = 0;
-    int ended = 0;
-    GatewaySite site;
-};
-
 struct PauseCase {
     const char *name;
     RouteKind kind;
@@ -122,17 +25,11 @@
     constexpr int onTheirWay = 50;
     constexpr AK::Milliseconds span = 2'600;
     PauseSite site(GetParam().seconds, GetParam().kind, GetParam().notRun, GetParam().duration);
-    const AK::Milliseconds until = site.site.loop.clock().now() + span;
-    site.startCalls(onTheirWay);
-    while (site.site.loop.clock().now() < until) {
-        site.startCalls(1);
-        site.site.loop.sleep(site.site.loop.rootScope(), 2 * pollInterval);
-    }
-    site.waitForAll();
+    site.callFor(span, onTheirWay);
     for (size_t index = 0; index < GetParam().seconds.size(); ++index) {
         ASSERT_FALSE(site.arrivals[index].empty());
         if (!GetParam().seconds[index].empty()) {
-            EXPECT_LE(site.mostInPause(index), allowedInPause) << "upstream " << index;
+            EXPECT_LE(site.mostInPause(index), PauseSite::allowedInPause) << "upstream " << index;
         }
     }
     EXPECT_GE(site.served, site.calls * 9 / 10);
@@ -147,6 +44,40 @@
                                          PauseCase{"full_queue", RouteKind::Idempotent, {"1.5", ""}, true, 25}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+struct SeveralPausesCase {
+    const char *name;
+    /// What the upstream asks for in its first refusals, and from then on.
+    std::vector<std::string> first;
+    std::string later;
+    /// Time that a call takes until it is refused; calls that are at the upstream together are refused together.
+    AK::Milliseconds duration;
+};
+
+class SeveralPausesTest : public testing::TestWithParam<SeveralPausesCase>
+{
+};
+
+// Guards against a second pause that replaces the first one although it ends earlier, and against one that is not recorded because another is known.
+TEST_P(SeveralPausesTest, AreAllKept)
+{
+    constexpr int onTheirWay = 50;
+    constexpr AK::Milliseconds span = 2'600;
+    PauseSite site({GetParam().later, ""}, RouteKind::Idempotent, true, GetParam().duration);
+    site.firstPauses = GetParam().first;
+    site.callFor(span, onTheirWay);
+    ASSERT_GE(site.refusals[0].size(), GetParam().first.size());
+    EXPECT_LE(site.mostInPause(0), PauseSite::allowedInPause);
+    EXPECT_GE(site.served, site.calls * 9 / 10);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, SeveralPausesTest,
+                         testing::Values(SeveralPausesCase{"longer_then_shorter", {"2", "0.6", "0.1"}, "0.6", 25},
+                                         SeveralPausesCase{"shorter_then_longer", {"0.6", "2"}, "0.6", 25},
+                                         SeveralPausesCase{"longer_between_shorter_ones", {"0.1", "2", "0.2"}, "0.6", 25},
+                                         SeveralPausesCase{"longer_after_the_end_of_a_shorter_one", {"0.2", "0.2", "0.2", "0.2"}, "1.4", 0},
+                                         SeveralPausesCase{"zero_after_a_longer_one", {"2", "0", "0"}, "0.6", 25}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 // Guards against calls that wait until their deadline while all upstreams are paused, and against clients that return during the pause.
 TEST(Pause, OfAllUpstreamsIsARefusalAtOnce)
 {
@@ -161,9 +92,9 @@
     EXPECT_LE(endedAt - startedAt, quick);
     const std::string *retryAfter = LibHttpStream::findHeader(response.headers, "Retry-After");
     ASSERT_NE(retryAfter, nullptr);
-    const auto returnsAt = endedAt + static_cast<AK::Milliseconds>(std::stod(*retryAfter) * millisecondsPerSecond);
-    EXPECT_GE(returnsAt, site.refusals[0].back() + 3 * millisecondsPerSecond - quick);
-    EXPECT_LE(returnsAt, site.refusals[0].back() + 5 * millisecondsPerSecond);
+    const auto returnsAt = endedAt + static_cast<AK::Milliseconds>(std::stod(*retryAfter) * PauseSite::millisecondsPerSecond);
+    EXPECT_GE(returnsAt, site.refusals[0].back().at + 3 * PauseSite::millisecondsPerSecond - quick);
+    EXPECT_LE(returnsAt, site.refusals[0].back().at + 5 * PauseSite::millisecondsPerSecond);
 }
 
 // Guards against calls that stay in the queue until their deadline when all upstreams are paused meanwhile.
@@ -193,12 +124,12 @@
     site.refuses = false;
     const size_t before = site.arrivals[0].size();
     const AK::Milliseconds startedAt = site.site.loop.clock().now();
-    while (site.arrivals[0].size() == before && site.site.loop.clock().now() < startedAt + callTimeout) {
+    while (site.arrivals[0].size() == before && site.site.loop.clock().now() < startedAt + PauseSite::callTimeout) {
         site.startCalls(6);
         site.waitForAll();
     }
     ASSERT_GT(site.arrivals[0].size(), before);
-    EXPECT_LT(site.arrivals[0][before] - site.refusals[0].back(), LibGateway::PlacementSettings().suspension);
+    EXPECT_LT(site.arrivals[0][before] - site.refusals[0].back().at, LibGateway::PlacementSettings().suspension);
     EXPECT_EQ(site.served, site.calls);
 }
 
