Tests/Gateway: Hinder the upstreams that silent and resumed calls try next

A call beside a silent upstream and a stream that has broken off look for another one when most are known to leave or to pause. New rows of SilentUpstreamTest let all upstreams leave or pause meanwhile: only the first one may get a request, which the row with draining upstreams checks now as well. A silent upstream that tells its leaving in a late head, while another is tried beside it, is heard. HinderedResumptionTest resumes a stream where one or all of the others leave or pause.

--- a/Tests/Services/Gateway/TestResumedStreams.cpp
+++ b/Tests/Services/Gateway/TestResumedStreams.cpp
@@ -205,6 +205,56 @@
                                          EndingCase{"rest_until_closed", {breaksInsideEvent4, {eventStream, restOfStream, false}}, 2, events, true, 2}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+struct HinderedResumptionCase {
+    const char *name;
+    LibGateway::ResponseInfo notice;
+    /// Upstreams of the three that have given the notice; the stream breaks off at one of the others.
+    size_t hindered;
+    int lastEvent;
+};
+
+class HinderedResumptionTest : public testing::TestWithParam<HinderedResumptionCase>
+{
+};
+
+LibGateway::ResponseInfo leavingNotice()
+{
+    LibGateway::ResponseInfo notice;
+    notice.leaving = true;
+    return notice;
+}
+
+LibGateway::ResponseInfo pauseNotice()
+{
+    LibGateway::ResponseInfo notice;
+    notice.pause = 2 * callTimeout;
+    return notice;
+}
+
+// Guards against a stream that is resumed at an upstream that is leaving or has asked for a pause.
+TEST_P(HinderedResumptionTest, GoesOnlyToAnotherUpstream)
+{
+    const HinderedResumptionCase &row = GetParam();
+    ScriptedUpstreams upstreams({breaksInsideEvent4, sound});
+    GatewaySite &site = *upstreams.site;
+    site.configure(RouteKind::Stream, true, 3, callTimeout);
+    for (size_t i = 0; i < row.hindered; ++i) {
+        site.dispatcher.recordResponse(site.fleet.upstreams().at(AK::concat("i-", i + 1)), row.notice, 0);
+    }
+    expectStream(site.call(), row.lastEvent, row.lastEvent == events);
+    for (size_t i = 0; i < row.hindered; ++i) {
+        EXPECT_TRUE(site.upstreams[i]->requests.empty());
+    }
+    EXPECT_EQ(upstreams.requests, row.lastEvent == events ? 2U : 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, HinderedResumptionTest,
+                         testing::Values(HinderedResumptionCase{"one_leaving", leavingNotice(), 1, events},
+                                         HinderedResumptionCase{"all_others_leaving", leavingNotice(), 2, 3},
+                                         HinderedResumptionCase{"one_paused", pauseNotice(), 1, events},
+                                         HinderedResumptionCase{"all_others_paused", pauseNotice(), 2, 3}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 // Guards against a failure of the next upstream that is withheld although the client has nothing of the stream yet.
 TEST(ResumedStreams, PassesOnAFailureBeforeTheFirstEvent)
 {
--- a/Tests/Services/Gateway/TestSilentUpstreams.cpp
+++ b/Tests/Services/Gateway/TestSilentUpstreams.cpp
@@ -15,7 +15,7 @@
 enum class SilentAt { BeforeTheHead, AfterTheHead, AfterThreeEvents, InsideAnEvent };
 
 /// What else there is to try while the first upstream is silent.
-enum class Others { None, Rejecting, SoundWhileTheFirstFails, Resetting, Failing, Silent, Draining, Sound };
+enum class Others { None, Rejecting, SoundWhileTheFirstFails, Resetting, Failing, Silent, Draining, Leaving, Paused, Sound };
 
 std::string eventText(int id)
 {
@@ -113,6 +113,25 @@
     int &requests;
 };
 
+/// Whether the others get no request because of what they say, so that only the first upstream gets one.
+bool takesNothingNew(Others others)
+{
+    return others == Others::Draining || others == Others::Leaving || others == Others::Paused;
+}
+
+void hinderAll(GatewaySite &site, Others others)
+{
+    auto records = site.fleet.upstreams();
+    for (auto &[id, record] : records) {
+        LibGateway::ResponseInfo response;
+        response.leaving = others == Others::Leaving;
+        response.pause = others == Others::Paused ? std::optional(callTimeout) : std::nullopt;
+        site.dispatcher.recordResponse(record, response, 0);
+        record.state = others == Others::Draining ? LibFleet::UpstreamState::Draining : record.state;
+    }
+    site.fleet.setUpstreams(records);
+}
+
 class SilentUpstreamTest : public testing::TestWithParam<SilentCase>
 {
 };
@@ -131,15 +150,11 @@
     if (!row.retryBudget) {
         site.dispatcher.setBounds({0, 0, 10'000}, 0);
     }
-    if (row.others == Others::Draining) {
+    if (takesNothingNew(row.others)) {
         site.loop.spawn([&](kj::WaitScope &scope) {
-            // Both leave after the first request has been sent.
+            // After the first request has been sent.
             site.loop.sleep(scope, 500);
-            auto records = site.fleet.upstreams();
-            for (auto &[id, record] : records) {
-                record.state = LibFleet::UpstreamState::Draining;
-            }
-            site.fleet.setUpstreams(records);
+            hinderAll(site, row.others);
         });
     }
     const ClientResponse response = site.call({{"X-Deadline-Ms", std::to_string(callTimeout)}});
@@ -152,7 +167,7 @@
     if (row.status == 200) {
         EXPECT_EQ(response.body, expected);
     }
-    EXPECT_LE(requests, std::max(1, row.maxAttempts));
+    EXPECT_LE(requests, takesNothingNew(row.others) ? 1 : std::max(1, row.maxAttempts));
     EXPECT_EQ(site.dispatcher.callsInFlight(), 0);
 }
 
@@ -166,6 +181,8 @@
                     SilentCase{"stream_beside_one_that_resets", RouteKind::Stream, SilentAt::AfterThreeEvents, Others::Resetting, 2, true},
                     SilentCase{"stream_beside_one_that_is_silent", RouteKind::Stream, SilentAt::AfterThreeEvents, Others::Silent, 2, true},
                     SilentCase{"stream_beside_one_that_drains", RouteKind::Stream, SilentAt::AfterThreeEvents, Others::Draining, 2, true},
+                    SilentCase{"stream_beside_one_that_leaves", RouteKind::Stream, SilentAt::AfterThreeEvents, Others::Leaving, 2, true},
+                    SilentCase{"stream_beside_one_that_is_paused", RouteKind::Stream, SilentAt::InsideAnEvent, Others::Paused, 2, true},
                     SilentCase{"stream_beside_a_sound_one", RouteKind::Stream, SilentAt::AfterThreeEvents, Others::Sound, 2, true},
                     SilentCase{"stream_after_its_head", RouteKind::Stream, SilentAt::AfterTheHead, Others::Rejecting, 2, true, 502},
                     SilentCase{"stream_before_its_head", RouteKind::Stream, SilentAt::BeforeTheHead, Others::Rejecting, 2, true, 502},
@@ -177,10 +194,55 @@
                                true},
                     SilentCase{"response_beside_one_that_rejects", RouteKind::Idempotent, SilentAt::BeforeTheHead, Others::Rejecting, 2, true, 502},
                     SilentCase{"response_beside_one_that_resets", RouteKind::Idempotent, SilentAt::BeforeTheHead, Others::Resetting, 2, true, 502},
+                    SilentCase{"response_beside_one_that_leaves", RouteKind::Idempotent, SilentAt::BeforeTheHead, Others::Leaving, 2, true, 502},
+                    SilentCase{"response_beside_one_that_is_paused", RouteKind::Idempotent, SilentAt::BeforeTheHead, Others::Paused, 2, true, 502},
                     SilentCase{"response_beside_a_failure", RouteKind::Idempotent, SilentAt::BeforeTheHead, Others::Failing, 2, true, 500},
                     SilentCase{"response_beside_a_sound_one", RouteKind::Idempotent, SilentAt::BeforeTheHead, Others::Sound, 2, true}),
     [](const auto &info) { return std::string(info.param.name); });
 
+// Guards against a notice that is missed because the head with it comes from a silent upstream while another one is tried beside it.
+TEST(SilentUpstream, TellsItsLeavingInALateHead)
+{
+    constexpr int further = 6;
+    LibFiber::Loop *loop = nullptr;
+    int requests = 0;
+    const auto script = [&](kj::WaitScope &scope, LibFiber::ByteChannel &channel, const LibHttpStream::RequestHead &head, const std::string &) {
+        const std::string id = *LibHttpStream::findHeader(head.headers, "X-Attempt-Id");
+        const int number = ++requests;
+        const std::string start = AK::concat("HTTP/1.1 200 OK\r\nX-Attempt-Id: ", id, "\r\nX-Server-Seal: seal\r\nContent-Type: text/event-stream\r\n");
+        const std::string begin = LibHttpStream::encodeChunk(eventText(1));
+        if (number == 1) {
+            // The stream breaks off, so that the next upstream is asked to go on.
+            channel.write(scope, start + "Transfer-Encoding: chunked\r\n\r\n" + begin, loop->clock().now() + callTimeout).IgnoreError();
+            return false;
+        }
+        // The second upstream is silent before its head for longer than the limit, and the third one for longer still.
+        loop->sleep(scope, number == 2 ? streamPause : number == 3 ? 2 * streamPause : 0);
+        const std::string rest = LibHttpStream::findHeader(head.headers, "Last-Event-Id") == nullptr ? eventText(1) : eventText(2);
+        const std::string notice = number == 2 ? "Server-Leaving: 1\r\n" : "";
+        const std::string text =
+            start + notice + "Transfer-Encoding: chunked\r\n\r\n" + LibHttpStream::encodeChunk(rest) + std::string(LibHttpStream::lastChunk);
+        channel.write(scope, text, loop->clock().now() + callTimeout).IgnoreError();
+        return true;
+    };
+    GatewaySite site({script, script, script});
+    loop = &site.loop;
+    site.configure(RouteKind::Stream, true, 3, callTimeout);
+    const ClientResponse response = site.call({{"X-Deadline-Ms", std::to_string(callTimeout)}});
+    EXPECT_EQ(response.body, eventText(1) + eventText(2));
+    EXPECT_EQ(requests, 3) << "another upstream is tried beside the silent one";
+    const auto hindered = [&] {
+        site.dispatcher.exportMetrics(site.metrics);
+        return site.metrics.text();
+    };
+    EXPECT_NE(hindered().find("catkinlink_upstreams_hindered{reason=\"leaving\"} 1"), std::string::npos);
+    for (int i = 0; i < further; ++i) {
+        EXPECT_TRUE(site.call({{"X-Deadline-Ms", std::to_string(callTimeout)}}).complete);
+    }
+    const auto none = std::count_if(site.upstreams.begin(), site.upstreams.end(), [](const auto &upstream) { return upstream->requests.size() == 1; });
+    EXPECT_GE(none, 1) << "the one that leaves got no other request";
+}
+
 // Guards against work that continues at either upstream when the client leaves while another one is tried beside a silent one.
 TEST(SilentUpstream, IsAbandonedWithItsReplacementWhenTheClientLeaves)
 {
