Gateway: End an abandoned call with a reset

Cause, in part: a call that is given up closed its connection in order, which a host that stands still finds only behind the unread request.

Change: a call that ends before its response is complete resets the connection.

--- a/Userland/Services/Gateway/UpstreamCall.cpp
+++ b/Userland/Services/Gateway/UpstreamCall.cpp
@@ -185,11 +185,19 @@
     return this->connection.channel->whenReadable();
 }
 
+UpstreamCall::~UpstreamCall()
+{
+    this->close();
+}
+
 void UpstreamCall::close()
 {
     this->body = nullptr;
     this->writing = nullptr;
-    this->connection.channel = nullptr;
+    if (this->connection.channel.get() != nullptr) {
+        this->connection.channel->resetOnClose();
+        this->connection.channel = nullptr;
+    }
 }
 
 void UpstreamCall::finish()
--- a/Userland/Services/Gateway/UpstreamCall.h
+++ b/Userland/Services/Gateway/UpstreamCall.h
@@ -31,6 +31,9 @@
 {
 public:
     UpstreamCall(LibFiber::Loop &loop, UpstreamConnectionPool &connections, const LibGateway::CallCodec &codec);
+    ~UpstreamCall();
+    UpstreamCall(const UpstreamCall &) = delete;
+    UpstreamCall &operator=(const UpstreamCall &) = delete;
 
     /// Sets the function that gets what the upstream says of itself, as soon as the head of its response is there and whatever the response proves.
     void onHead(std::function<void(const LibGateway::ResponseInfo &)> observer);
@@ -69,7 +72,7 @@
     /// Resolves when more bytes arrive or the connection ends.
     kj::Promise<void> whenReadable();
 
-    /// Closes the connection, which stops the work at the upstream.
+    /// Resets the connection, which stops the work at the upstream; a request that a standing host has not read yet is dropped there.
     void close();
 
     /// Valid after SendOutcome::Answered.
