Gateway: Respond to a stream before its client leaves for want of an event

Cause: clients leave a stream after a gap that the users' pages state for each route, also before the first event. The entry knew only the deadline of the request. Class: a limit of the other side that is known and not taken into account. The time after which other upstreams are tried was a constant that fits some deployments alone.

Change: Route::clientGapLimit, from the route's objective and longest pause. A stream that has begun goes on as before.

--- a/Tests/Platform/TestCodec.cpp
+++ b/Tests/Platform/TestCodec.cpp
@@ -1,5 +1,6 @@
 #include "SettingsText.h"
 
+#include <AK/Text.h>
 #include <gtest/gtest.h>
 #include <platform/CallHeaders.h>
 #include <platform/Directory.h>
@@ -370,6 +371,34 @@
     EXPECT_EQ(configuration->accountsByKey.at("k2")->priority, 0);
 }
 
+struct GapLimitCase {
+    const char *name;
+    const char *kind;
+    int targetLatency;
+    int gapTarget;
+    AK::Milliseconds limit;
+};
+
+class GapLimitTest : public testing::TestWithParam<GapLimitCase>
+{
+};
+
+// Guards against streams that wait for longer than their clients do.
+TEST_P(GapLimitTest, FollowsTheRoute)
+{
+    const GapLimitCase &row = GetParam();
+    const auto configuration =
+        decodeConfiguration(AK::concat(R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/","kind":")", row.kind, R"(","targetLatencyMs":)",
+                                       row.targetLatency, R"(,"gapTargetMs":)", row.gapTarget, R"(,"service":"a"}],"services":[{"name":"a"}],"limits":{}})"));
+    ASSERT_TRUE(configuration.ok()) << configuration.status();
+    EXPECT_EQ(configuration->routes[0].clientGapLimit, row.limit);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, GapLimitTest,
+                         testing::Values(GapLimitCase{"shortest", "streaming", 300, 200, 2'000}, GapLimitCase{"latency", "streaming", 900, 400, 3'600},
+                                         GapLimitCase{"gap", "streaming", 400, 500, 4'000}, GapLimitCase{"no_stream", "safe", 900, 900, 0}),
+                         [](const auto &info) { return info.param.name; });
+
 TEST(Directory, ReadsTheFailureDomainAndWritesAddresses)
 {
     EXPECT_EQ(failureDomainOfClient({"GET", "/v1/resolve?name=a&region=lima&zone=lima-1", {}}), "lima-1");
--- a/Tests/Services/Gateway/GatewaySite.cpp
+++ b/Tests/Services/Gateway/GatewaySite.cpp
@@ -155,6 +155,14 @@
     this->fleet.setConfiguration(configuration);
 }
 
+void GatewaySite::setClientGapLimit(AK::Milliseconds limit)
+{
+    LibFleet::Configuration configuration = *this->fleet.configuration();
+    ++configuration.version;
+    configuration.routes.front().clientGapLimit = limit;
+    this->fleet.setConfiguration(configuration);
+}
+
 void GatewaySite::crashUpstream(size_t index, AK::Milliseconds downFor)
 {
     this->upstreams[index]->crash(downFor, [this, index] {
--- a/Tests/Services/Gateway/GatewaySite.h
+++ b/Tests/Services/Gateway/GatewaySite.h
@@ -62,6 +62,9 @@
     /// Sets a configuration with one route, for host "h" and prefix "/r/", and one account "acc" with the key "k".
     void configure(LibFleet::RouteKind kind, bool resumable, int maxAttempts, AK::Milliseconds timeout);
 
+    /// Changes the route that configure() has set; see LibFleet::Route::clientGapLimit.
+    void setClientGapLimit(AK::Milliseconds limit);
+
     ClientResponse call(const LibHttpStream::Headers &headers = {}, const std::string &path = "/r/1", const std::string &body = "ask");
     /// The same from a fiber.
     ClientResponse callFrom(kj::WaitScope &scope, const LibHttpStream::Headers &headers = {}, const std::string &path = "/r/1",
--- a/Tests/Services/Gateway/TestStandstill.cpp
+++ b/Tests/Services/Gateway/TestStandstill.cpp
@@ -20,6 +20,8 @@
     int status;
     /// Requests that were held back with this reason; empty for none.
     std::string withheldBy;
+    /// See LibFleet::Route::clientGapLimit.
+    AK::Milliseconds clientGapLimit = 0;
 };
 
 /// Grants of all slots that the site has.
@@ -59,6 +61,7 @@
     }});
     loop = &site.loop;
     site.configure(GetParam().kind, false, 2, GetParam().clientTimeout);
+    site.setClientGapLimit(GetParam().clientGapLimit);
     const AK::Milliseconds startedAt = loop->clock().now();
     std::list<kj::Own<Gateway::Grant>> held = holdAllSlots(site);
     ClientResponse response;
@@ -94,7 +97,8 @@
                                          StandstillCase{"short_may_not_be_repeated", RouteKind::AtMostOnce, 2'000, 700, 200, ""},
                                          StandstillCase{"beyond_the_deadline", RouteKind::Idempotent, 1'000, 1'200, 503, "deadline_passed"},
                                          StandstillCase{"beyond_the_deadline_may_not_be_repeated", RouteKind::AtMostOnce, 1'000, 1'200, 503, "deadline_passed"},
-                                         StandstillCase{"beyond_the_age_of_a_slot", RouteKind::Idempotent, 5'000, 1'800, 200, "slot_expired"}),
+                                         StandstillCase{"beyond_the_age_of_a_slot", RouteKind::Idempotent, 5'000, 1'800, 200, "slot_expired"},
+                                         StandstillCase{"beyond_the_wait_for_a_stream", RouteKind::Stream, 5'000, 1'200, 503, "deadline_passed", 1'000}),
                          [](const auto &info) { return std::string(info.param.name); });
 
 // Guards against a request that states the time that its client had left before the connection opened.
--- a/Userland/Libraries/LibFleet/Configuration.h
+++ b/Userland/Libraries/LibFleet/Configuration.h
@@ -47,6 +47,8 @@
     AK::Milliseconds targetLatency = 0;
     /// Longest pause between events that counts as on time, in ms.
     AK::Milliseconds gapTarget = 0;
+    /// Clients leave a stream that shows no event for this long, also before its first, in ms; 0 if unknown.
+    AK::Milliseconds clientGapLimit = 0;
     /// 0 is the most urgent.
     int priority = 0;
     std::vector<ServiceShare> services;
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -14,8 +14,6 @@
 {
 
 constexpr AK::Milliseconds defaultClientTimeout = 10'000;
-// Time left for the response to reach the client before the client's own deadline.
-constexpr AK::Milliseconds responseMargin = 20;
 // Responses are held until they are complete, so that one that is cut can be retried; some hundred calls share the memory of an entry.
 constexpr uint64_t maxResponseBodyBytes = 4UL << 20;
 constexpr AK::Milliseconds refusalRetryAfter = 500;
@@ -114,10 +112,10 @@
         return false;
     }
     const AK::Milliseconds clientTimeout = this->request.clientTimeout.value_or(defaultClientTimeout);
-    this->deadline = this->arrivedAt + std::min(clientTimeout, this->route->timeout > 0 ? this->route->timeout : clientTimeout) - responseMargin;
+    this->setTimeLimits(clientTimeout);
     this->requirements = requirementsFor(*this->route, this->account.get(), this->request, this->arrivedAt);
     this->context.dispatcher.setRankAndStartBy(this->requirements, *this->route, clientTimeout);
-    this->requirements.startBy = std::min(this->requirements.startBy, this->deadline);
+    this->requirements.startBy = std::min(this->requirements.startBy, this->responseBy);
     return true;
 }
 
@@ -128,13 +126,13 @@
 
 CallTask::NextStep CallTask::runAttempt(kj::WaitScope &scope)
 {
-    if (this->now() >= this->deadline) {
+    if (this->now() >= this->endsBy()) {
         this->giveUp(scope, "the deadline of the call has passed", refusalRetryAfter);
         return NextStep::Done;
     }
     // A retry has waited before, so it may only wait for the rest of that time or for half of the target latency, whichever is longer.
     if (this->report.sends > 0) {
-        this->requirements.startBy = std::min(this->deadline, std::max(this->requirements.startBy, this->now() + this->route->targetLatency / 2));
+        this->requirements.startBy = std::min(this->endsBy(), std::max(this->requirements.startBy, this->now() + this->route->targetLatency / 2));
     }
     const AK::Milliseconds requestedAt = this->now();
     GrantOrRefusal granted = this->context.dispatcher.acquire(scope, this->requirements);
@@ -167,7 +165,7 @@
             return NextStep::Done;
         }
         if (sent.outcome != SendOutcome::Answered) {
-            if (call.responseInfo().pause.value_or(0) <= 0) {
+            if (call.responseInfo().pause.value_or(0) <= 0 && !this->endsForItsClient()) {
                 this->context.dispatcher.recordOutcome(upstream, !sent.refusedByUpstream);
             }
             if (sent.unproven) {
@@ -197,7 +195,7 @@
 
 std::optional<LibGateway::Hindrance> CallTask::hindranceToSend(const Grant &grant) const
 {
-    if (this->now() >= this->deadline) {
+    if (this->now() >= this->endsBy()) {
         return LibGateway::Hindrance{LibGateway::Obstacle::DeadlinePassed, 0};
     }
     return this->context.dispatcher.hindranceToSend(grant, this->requirements);
@@ -223,7 +221,7 @@
     // A call that has not run can't have crashed the upstream.
     const bool suspected = this->mayHaveRun && this->context.quarantine.isSuspected(this->request);
     const bool allowed = !suspected && (!this->mayHaveRun || this->route->repeatable());
-    if (allowed && this->report.sends < this->route->maxAttempts && this->now() < this->deadline
+    if (allowed && this->report.sends < this->route->maxAttempts && this->now() < this->endsBy()
         && this->context.dispatcher.trySpendRetry(this->requirements.service)) {
         return NextStep::TryAnother;
     }
@@ -286,7 +284,7 @@
     if (!call.responseInfo().pause) {
         this->context.dispatcher.recordOutcome(upstream, failed);
     }
-    if (failed && this->route->repeatable() && this->report.sends < this->route->maxAttempts && this->now() < this->deadline
+    if (failed && this->route->repeatable() && this->report.sends < this->route->maxAttempts && this->now() < this->endsBy()
         && this->context.dispatcher.trySpendRetry(this->requirements.service)) {
         this->failedResponse.emplace(responseHead, std::move(responseBody));
         this->requirements.excluded.insert(upstream.id);
@@ -367,7 +365,7 @@
         this->refuse(scope, unavailable, reason, retryAfter);
         return;
     }
-    this->refuse(scope, this->now() >= this->deadline ? gatewayTimeout : badGateway, reason, 0);
+    this->refuse(scope, this->now() >= this->endsBy() ? gatewayTimeout : badGateway, reason, 0);
 }
 
 void CallTask::log() const
--- a/Userland/Services/Gateway/CallTask.h
+++ b/Userland/Services/Gateway/CallTask.h
@@ -66,7 +66,15 @@
     NextStep forwardStream(kj::WaitScope &scope, UpstreamCall &call, kj::Own<Grant> &grant);
     NextStep retryOrGiveUp(kj::WaitScope &scope, const LibFleet::UpstreamRecord &upstream, bool sendMayHaveRun, const std::string &reason);
 
-    /// Monotonic time at which an upstream counts as silent: other upstreams are then tried beside it. The deadline when there is nothing to try.
+    /// Sets the deadline and the time of the response.
+    void setTimeLimits(AK::Milliseconds clientTimeout);
+    /// Monotonic time at which the call ends: the deadline once the response has begun, before that the time after which no client waits for one.
+    AK::Milliseconds endsBy() const;
+    /// Whether the call ends because its client waits no longer for the response to begin, which is no failure of a busy upstream.
+    bool endsForItsClient() const;
+    /// Longest time without an event after which other upstreams are tried, in ms.
+    AK::Milliseconds streamSilenceLimit() const;
+    /// Monotonic time at which an upstream counts as silent: other upstreams are then tried beside it. The end of the call when there is nothing to try.
     AK::Milliseconds silentAfter(AK::Milliseconds lastSign) const;
     /// Tries other upstreams while `call` stays open. After SilentCall::End::Replaced the client's call is complete or has been given up.
     SilentCall::End tryOthers(kj::WaitScope &scope, UpstreamCall &call, kj::Own<Grant> &grant, const SilentCall::Probe &probe);
@@ -120,6 +128,8 @@
     AK::Milliseconds arrivedAt;
     /// Time at which the client gives up or the timeout of the route ends the call, less responseMargin.
     AK::Milliseconds deadline = 0;
+    /// Monotonic time by which the client gets a response; its stream may go on until the deadline.
+    AK::Milliseconds responseBy = 0;
     /// Time at which the request was last sent to an upstream.
     AK::Milliseconds sentAt = 0;
     /// Time of the first event of the last send, 0 before.
--- a/Userland/Services/Gateway/CallTaskStream.cpp
+++ b/Userland/Services/Gateway/CallTaskStream.cpp
@@ -11,24 +11,52 @@
 namespace
 {
 
-// Other upstreams are tried when a resumable stream has no event for this long, whatever other bytes come. Clients disconnect after 3.2 s.
-constexpr AK::Milliseconds streamSilenceLimit = 1'800;
+// Time left for the response to reach the client before the client's own deadline.
+constexpr AK::Milliseconds responseMargin = 20;
+// Other upstreams are tried when a resumable stream has no event, whatever other bytes come, within this share of the time for which clients wait for one.
+constexpr double streamSilenceShare = 0.5625;
+constexpr AK::Milliseconds defaultClientGapLimit = 3'200;
+// A sound upstream may fall silent for about a second.
+constexpr AK::Milliseconds shortestStreamSilence = 1'500;
 // Other upstreams are tried when a retriable call that is not a stream has no response within this share of its total time.
 constexpr double nonStreamSilenceShare = 0.4;
 
 } // namespace
 
+void CallTask::setTimeLimits(AK::Milliseconds clientTimeout)
+{
+    this->deadline = this->arrivedAt + std::min(clientTimeout, this->route->timeout > 0 ? this->route->timeout : clientTimeout) - responseMargin;
+    const AK::Milliseconds gapLimit = this->route->clientGapLimit;
+    this->responseBy = gapLimit > 0 ? std::min(this->deadline, this->arrivedAt + gapLimit - responseMargin) : this->deadline;
+}
+
+AK::Milliseconds CallTask::endsBy() const
+{
+    return this->client.begun() ? this->deadline : this->responseBy;
+}
+
+bool CallTask::endsForItsClient() const
+{
+    return !this->client.begun() && this->responseBy < this->deadline && this->now() >= this->responseBy;
+}
+
+AK::Milliseconds CallTask::streamSilenceLimit() const
+{
+    const AK::Milliseconds gapLimit = this->route->clientGapLimit > 0 ? this->route->clientGapLimit : defaultClientGapLimit;
+    return std::max(shortestStreamSilence, static_cast<AK::Milliseconds>(streamSilenceShare * static_cast<double>(gapLimit)));
+}
+
 AK::Milliseconds CallTask::silentAfter(AK::Milliseconds lastSign) const
 {
     // A call whose prompt may crash upstreams stays where it is.
     const bool mayTryAnother =
         this->route->repeatable() && this->report.sends < this->route->maxAttempts && !this->context.quarantine.isSuspected(this->request);
     if (!mayTryAnother) {
-        return this->deadline;
+        return this->endsBy();
     }
     const auto share = static_cast<AK::Milliseconds>(nonStreamSilenceShare * static_cast<double>(this->deadline - this->arrivedAt));
-    const AK::Milliseconds limit = this->route->kind == LibFleet::RouteKind::Stream ? streamSilenceLimit : share;
-    return std::min(this->deadline, std::max(lastSign, this->othersTriedAt) + limit);
+    const AK::Milliseconds limit = this->route->kind == LibFleet::RouteKind::Stream ? this->streamSilenceLimit() : share;
+    return std::min(this->endsBy(), std::max(lastSign, this->othersTriedAt) + limit);
 }
 
 SilentCall::End CallTask::tryOthers(kj::WaitScope &scope, UpstreamCall &call, kj::Own<Grant> &grant, const SilentCall::Probe &probe)
@@ -104,11 +132,11 @@
 {
     StreamPart part;
     while (true) {
-        const AK::Milliseconds until = this->route->resumable ? this->silentAfter(this->lastEventAt) : this->deadline;
-        const bool mayTryOthers = until < this->deadline;
+        const AK::Milliseconds until = this->route->resumable ? this->silentAfter(this->lastEventAt) : this->endsBy();
+        const bool mayTryOthers = until < this->endsBy();
         if (!mayTryOthers || this->now() < until) {
             part.take(call.read(scope, until));
-            if (!absl::IsDeadlineExceeded(part.status) || this->now() >= this->deadline) {
+            if (!absl::IsDeadlineExceeded(part.status) || this->now() >= this->endsBy()) {
                 return part;
             }
             continue;
@@ -172,7 +200,7 @@
         }
         const bool timedOut = absl::IsDeadlineExceeded(part.status);
         // read() returns buffered bytes also after its deadline.
-        const bool stalled = this->now() >= this->deadline && this->lastEventAt + streamSilenceLimit <= this->now();
+        const bool stalled = this->now() >= this->endsBy() && this->lastEventAt + this->streamSilenceLimit() <= this->now();
         if (splitter.partialBytes() > maxEventBytes || (part.status.ok() && !part.ended && stalled)) {
             this->context.dispatcher.recordOutcome(upstream, true);
             return this->retryOrGiveUp(scope, upstream, true, stalled ? "stream stalled: bytes without an event" : "stream cut: an event is too long");
@@ -182,7 +210,9 @@
         }
         const std::string_view unfinished = LibGateway::unfinishedReason({call.endsWithConnection(), this->firstEventAt > 0, splitter.partialBytes()});
         if (!part.status.ok() || !unfinished.empty()) {
-            this->context.dispatcher.recordOutcome(upstream, true);
+            if (!this->endsForItsClient()) {
+                this->context.dispatcher.recordOutcome(upstream, true);
+            }
             if (!timedOut) {
                 this->recordBrokenCall(upstream);
             }
