Measure: Add pauses, with half of the upstreams asking for them

Nothing showed what pauses of upstreams do under load. `measure pauses` drives four dispatchers and four emulated upstreams in one process, at 0.9 and 2 times the capacity, with streams and with other calls, while two of the upstreams refuse all calls for 0.5 to 5 s again and again. In the run beside it the entries are not told of the pauses; the upstreams' times are the same. It counts the requests inside pauses as the rule does.

--- a/Tests/Measure/Measurement.h
+++ b/Tests/Measure/Measurement.h
@@ -37,6 +37,7 @@
 nlohmann::json measureGossip(const MeasureContext &context);
 nlohmann::json measureConfig(const MeasureContext &context);
 nlohmann::json measureOverload(const MeasureContext &context);
+nlohmann::json measurePauses(const MeasureContext &context);
 nlohmann::json measureDomain(const MeasureContext &context);
 nlohmann::json measureOnce(const MeasureContext &context);
 nlohmann::json measureRollout(const MeasureContext &context);
--- a/Tests/Measure/main.cpp
+++ b/Tests/Measure/main.cpp
@@ -20,6 +20,8 @@
                      &measureGossip},
     NamedMeasurement{"config", "time until a change is in force everywhere, reversions and store calls [--sizes 12,24,48,96 --changes 10]", &measureConfig},
     NamedMeasurement{"overload", "goodput at 1, 2 and 4 times the capacity [--seconds 8]", &measureOverload},
+    NamedMeasurement{"pauses", "goodput and requests inside pauses while half of the upstreams pause, at 0.9 and 2 times the capacity [--seconds 20]",
+                     &measurePauses},
     NamedMeasurement{"domain", "completed calls while a failure domain is taken out of service and put back [--seconds 12 --rate 40]", &measureDomain},
     NamedMeasurement{"once", "outcomes of calls that may not be repeated, under faults [--seconds 20 --rate 20]", &measureOnce},
     NamedMeasurement{"rollout",
