WeightAgent: Read a corrupt chunk less and less often

Seen: CorruptChunkTest "for_a_while", one chunk is corrupt at the origin for 4 s: one agent read it 28 times.

Cause: an agent read a chunk that did not match the manifest again after 0.3 s, with each of its two readers; with time all agents replace those of lower rank and do the same. Each byte of the origin is priced.

Change: the time until such a chunk is read again doubles with each read, from 0.3 s to 9.6 s. Other chunks, and reads that failed, are not held back.

Before: 28 reads where 4 are allowed, failed.

--- a/Tests/Services/WeightAgent/TestManifestProof.cpp
+++ b/Tests/Services/WeightAgent/TestManifestProof.cpp
@@ -88,4 +88,58 @@
                                          ReadsCase{"failed_between", {Read::Sound, Read::Failed, Read::Failed}, 4}),
                          [](const auto &info) { return info.param.name; });
 
+struct CorruptChunkCase {
+    const char *name;
+    /// Reads of one chunk that are corrupt, and the time for which all are.
+    size_t corruptReads;
+    AK::Milliseconds corruptFor;
+    /// Reads of that chunk within corruptFor.
+    size_t mostReads;
+};
+
+class CorruptChunkOrigin final : public SoundOrigin
+{
+public:
+    CorruptChunkOrigin(const AK::Clock &clock, const CorruptChunkCase &plan)
+        : clock(clock)
+        , plan(plan)
+        , startedAt(clock.now())
+    {
+    }
+
+    absl::StatusOr<std::string> chunk(kj::WaitScope &scope, const AK::Endpoint &origin, const std::string &name, int64_t version, uint32_t index) override
+    {
+        if (index != 2) {
+            return SoundOrigin::chunk(scope, origin, name, version, index);
+        }
+        ++this->reads;
+        const bool corrupt = this->reads <= this->plan.corruptReads || this->clock.now() - this->startedAt < this->plan.corruptFor;
+        return corrupt ? absl::StatusOr<std::string>("corrupt") : SoundOrigin::chunk(scope, origin, name, version, index);
+    }
+
+    const AK::Clock &clock;
+    CorruptChunkCase plan;
+    AK::Milliseconds startedAt;
+    size_t reads = 0;
+};
+
+class CorruptChunkTest : public testing::TestWithParam<CorruptChunkCase>
+{
+};
+
+// Guards against agents that read a chunk that stays corrupt at the origin several times a second, each of them, for as long as it is.
+TEST_P(CorruptChunkTest, IsReadLessAndLessOften)
+{
+    LibFiber::Loop loop;
+    MemoryEngine engine;
+    CorruptChunkOrigin origin(loop.clock(), GetParam());
+    LoneAgent agent(loop, engine, origin);
+    agent.runUntil([] { return false; }, GetParam().corruptFor);
+    EXPECT_LE(origin.reads, GetParam().mostReads);
+    EXPECT_TRUE(agent.runUntil([&] { return engine.loads > 0; }));
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, CorruptChunkTest, testing::Values(CorruptChunkCase{"twice", 2, 0, 0}, CorruptChunkCase{"for_a_while", 0, 4'000, 4}),
+                         [](const auto &info) { return info.param.name; });
+
 } // namespace
--- a/Userland/Services/WeightAgent/FetchRules.cpp
+++ b/Userland/Services/WeightAgent/FetchRules.cpp
@@ -23,6 +23,13 @@
     return position.regionRank <= replaceableRanks ? FetchScope::AnyRegion : FetchScope::SameRegion;
 }
 
+AK::Milliseconds refusedReadDelay(int refused)
+{
+    constexpr AK::Milliseconds firstDelay = 300;
+    constexpr int maxDoublings = 5;
+    return refused <= 0 ? 0 : firstDelay << std::min(refused - 1, maxDoublings);
+}
+
 OriginConcurrency originConcurrency(size_t agentsInOriginRegion, int maxConnections)
 {
     constexpr size_t defaultReadsPerReader = 2;
--- a/Userland/Services/WeightAgent/FetchRules.h
+++ b/Userland/Services/WeightAgent/FetchRules.h
@@ -47,6 +47,10 @@
 /// fetch has stalled or is overdue. Load pattern: all agents of all regions fetch the same version at the same moment.
 FetchScope allowedScope(const FetchPosition &position, const FetchRuleSettings &settings);
 
+/// Time in ms until a chunk is read from the origin again after `refused` reads, one after another, that did not match the manifest. It doubles with each, so
+/// that a chunk that stays corrupt there costs few bytes. Load pattern: with time all agents replace those of lower rank and read the same corrupt chunk.
+AK::Milliseconds refusedReadDelay(int refused);
+
 /// Concurrency of reads from the origin.
 struct OriginConcurrency {
     /// Agents of the origin's region among which the chunks are distributed.
--- a/Userland/Services/WeightAgent/SwarmFetch.cpp
+++ b/Userland/Services/WeightAgent/SwarmFetch.cpp
@@ -172,6 +172,10 @@
         if (this->held->has(i) || this->inFlight.contains(i)) {
             continue;
         }
+        const HeldVersion::RefusedReads refused = this->held->refusedReads(i);
+        if (scope == FetchScope::Origin && refused.count > 0 && now - refused.lastAt < refusedReadDelay(refused.count)) {
+            continue;
+        }
         const FetchScope allowed = allowedScope({this->inOriginRegion(), this->ranks[i], stalled, now - this->startedAt}, settings);
         // From the origin an agent reads only the chunks that it is responsible for.
         result[i] = scope == FetchScope::Origin ? allowed == FetchScope::Origin : static_cast<int>(scope) <= static_cast<int>(allowed);
@@ -264,8 +268,10 @@
         if (data.ok()) {
             this->originBytes += data->size();
         }
-        if (!data.ok() || !this->storeChunk(*chunk, std::move(*data))) {
+        if (!data.ok()) {
             this->pause(scope, errorRetryDelay);
+        } else if (!this->storeChunk(*chunk, std::move(*data))) {
+            this->held->noteRefusedRead(*chunk, this->loop.clock().now());
         }
     }
 }
--- a/Userland/Services/WeightAgent/VersionStore.cpp
+++ b/Userland/Services/WeightAgent/VersionStore.cpp
@@ -57,6 +57,19 @@
     return *this->chunks[index];
 }
 
+HeldVersion::RefusedReads HeldVersion::refusedReads(uint32_t index) const
+{
+    const auto found = this->refused.find(index);
+    return found == this->refused.end() ? RefusedReads() : found->second;
+}
+
+void HeldVersion::noteRefusedRead(uint32_t index, AK::Milliseconds now)
+{
+    RefusedReads &reads = this->refused[index];
+    ++reads.count;
+    reads.lastAt = now;
+}
+
 absl::Status HeldVersion::put(uint32_t index, std::string data)
 {
     if (index >= this->chunks.size() || AK::sha256Hex(data) != this->parsedManifest.digests[index]) {
--- a/Userland/Services/WeightAgent/VersionStore.h
+++ b/Userland/Services/WeightAgent/VersionStore.h
@@ -24,6 +24,14 @@
     bool has(uint32_t index) const;
     const std::string &chunk(uint32_t index) const;
 
+    /// Reads of a chunk from the origin, one after another, that did not match the manifest.
+    struct RefusedReads {
+        int count = 0;
+        AK::Milliseconds lastAt = 0;
+    };
+    RefusedReads refusedReads(uint32_t index) const;
+    void noteRefusedRead(uint32_t index, AK::Milliseconds now);
+
     /// Stores a chunk if its SHA-256 matches the manifest.
     /// Errors: kDataLoss.
     absl::Status put(uint32_t index, std::string data);
@@ -32,6 +40,7 @@
     std::string text;
     WeightsManifest parsedManifest;
     std::vector<std::optional<std::string>> chunks;
+    std::map<uint32_t, RefusedReads> refused;
     size_t held = 0;
 };
 
