Tests/Platform: Let the fake store take writes, fail and come back from a copy

The soak needs a store that registers entries, answers on an address for each of them with faults of its own, cuts watches with a reset, silences the open connections, forgets its history and comes back from an older copy with a higher era. The stand-in only served lists and watches.

--- a/Tests/Platform/FakeStore.cpp
+++ b/Tests/Platform/FakeStore.cpp
@@ -7,7 +7,7 @@
 #include <LibJson/RawJson.h>
 #include <Loopback/ProcessHost.h>
 #include <kj/debug.h>
-#include <sys/socket.h>
+#include <nlohmann/json.hpp>
 
 namespace
 {
@@ -44,63 +44,70 @@
     return decoded;
 }
 
-/// Makes the socket send a reset when it is closed.
-void resetWhenClosed(kj::AsyncIoStream &stream)
-{
-    const linger atOnce{1, 0};
-    stream.setsockopt(SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
-}
-
 } // namespace
 
 FakeStore::FakeStore(LibFiber::Loop &loop)
+    : FakeStore(loop, {{Loopback::processHost(), nextPort()}})
+{
+}
+
+FakeStore::FakeStore(LibFiber::Loop &loop, std::vector<AK::Endpoint> endpoints)
     : loop(loop)
-    , endpoint{Loopback::processHost(), nextPort()}
 {
-    auto listener = LibFiber::listenOn(loop, this->endpoint);
+    for (AK::Endpoint &endpoint : endpoints) {
+        this->addresses.push_back({std::move(endpoint)});
+    }
+    for (size_t i = 0; i < this->addresses.size(); ++i) {
+        this->listen(i);
+    }
+}
+
+FakeStore::~FakeStore() = default;
+
+void FakeStore::listen(size_t index)
+{
+    auto listener = LibFiber::listenOn(this->loop, this->addresses[index].endpoint);
     KJ_ASSERT(listener.ok(), std::string(listener.status().message()).c_str());
-    LibFiber::acceptEach(loop, kj::mv(*listener), [this](kj::WaitScope &scope, kj::Own<kj::AsyncIoStream> stream) { this->serve(scope, kj::mv(stream)); });
+    LibFiber::acceptEach(this->loop, kj::mv(*listener), [this, index](kj::WaitScope &scope, kj::Own<kj::AsyncIoStream> stream) {
+        this->serve(scope, kj::mv(stream), this->addresses[index]);
+    });
 }
 
 const AK::Endpoint &FakeStore::address() const
 {
-    return this->endpoint;
+    return this->addresses.front().endpoint;
 }
 
-void FakeStore::put(const std::string &kind, const std::string &name, const std::string &spec)
+const AK::Endpoint &FakeStore::address(size_t index) const
 {
-    const std::string object = AK::concat(R"({"metadata":{"name":)", name, R"(,"revision":)", this->revision + 1, R"(},"spec":)", spec, R"(,"status":null})");
-    this->objects[kind][name] = object;
-    this->change(kind, object, false);
+    return this->addresses[index].endpoint;
 }
 
-void FakeStore::remove(const std::string &kind, const std::string &name)
+size_t FakeStore::addressCount() const
 {
-    const std::string object = this->objects[kind][name];
-    this->objects[kind].erase(name);
-    this->change(kind, object, true);
+    return this->addresses.size();
 }
 
-void FakeStore::putRaw(const std::string &kind, const std::string &text)
+void FakeStore::setFault(size_t index, StoreFault fault)
 {
-    this->objects[kind][text] = text;
-    this->changes.push_back({++this->revision, kind, text});
+    this->addresses[index].fault = fault;
+    ++this->addresses[index].faultNumber;
 }
 
-void FakeStore::change(const std::string &kind, const std::string &object, bool deleted)
+void FakeStore::resetWatches(const std::string &kind)
 {
-    this->changes.push_back({++this->revision, kind, AK::concat(R"({"object":)", object, R"(,"deleted":)", deleted ? "true" : "false", "}")});
+    ++this->watchResets[kind];
 }
 
-void FakeStore::cutWatches(ChannelEnd end)
+void FakeStore::silenceConnections()
 {
-    this->channelEnd = end;
-    ++this->cuts;
+    ++this->connectionAge;
 }
 
-void FakeStore::silenceChannels()
+void FakeStore::cutWatches(ChannelEnd end)
 {
-    ++this->silences;
+    this->channelEnd = end;
+    ++this->cuts;
 }
 
 void FakeStore::goAway()
@@ -121,13 +128,76 @@
     }
 }
 
+void FakeStore::forgetHistory()
+{
+    this->forgottenUpTo = this->content.revision;
+}
+
+FakeStore::Copy FakeStore::copy() const
+{
+    return this->content;
+}
+
+void FakeStore::restore(const Copy &older)
+{
+    this->content = older;
+    this->forgottenUpTo = 0;
+    ++this->era;
+}
+
+void FakeStore::put(const std::string &kind, const std::string &name, const std::string &spec)
+{
+    const std::string object =
+        AK::concat(R"({"metadata":{"name":)", name, R"(,"revision":)", this->content.revision + 1, R"(},"spec":)", spec, R"(,"status":null})");
+    this->content.objects[kind][name] = object;
+    this->change(kind, object, false);
+}
+
+void FakeStore::remove(const std::string &kind, const std::string &name)
+{
+    const std::string object = this->content.objects[kind][name];
+    this->content.objects[kind].erase(name);
+    this->change(kind, object, true);
+}
+
+std::optional<std::string> FakeStore::find(const std::string &kind, const std::string &name) const
+{
+    const auto objects = this->content.objects.find(kind);
+    if (objects == this->content.objects.end() || !objects->second.contains(name)) {
+        return std::nullopt;
+    }
+    return objects->second.at(name);
+}
+
+std::vector<std::string> FakeStore::names(const std::string &kind) const
+{
+    std::vector<std::string> names;
+    if (const auto objects = this->content.objects.find(kind); objects != this->content.objects.end()) {
+        for (const auto &[name, object] : objects->second) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+void FakeStore::putRaw(const std::string &kind, const std::string &text)
+{
+    this->content.objects[kind][text] = text;
+    this->content.changes.push_back({++this->content.revision, kind, text});
+}
+
+void FakeStore::change(const std::string &kind, const std::string &object, bool deleted)
+{
+    this->content.changes.push_back({++this->content.revision, kind, AK::concat(R"({"object":)", object, R"(,"deleted":)", deleted ? "true" : "false", "}")});
+}
+
 std::string FakeStore::listAnswer(const std::string &kind, const std::string &after)
 {
     ++this->lists;
     std::string items;
     size_t count = 0;
     bool truncated = false;
-    for (const auto &[name, object] : this->objects[kind]) {
+    for (const auto &[name, object] : this->content.objects[kind]) {
         // What is no object has no name and comes after the others.
         if (const auto decoded = LibJson::decodeText(name); decoded && *decoded <= after) {
             continue;
@@ -139,49 +209,94 @@
         items += AK::concat(count > 0 ? "," : "", object);
         ++count;
     }
-    return AK::concat(R"({"items":[)", items, R"(],"truncated":)", truncated ? "true" : "false", R"(,"currentRev":)", this->revision, "}");
+    return AK::concat(R"({"items":[)", items, R"(],"truncated":)", truncated ? "true" : "false", R"(,"currentRev":)", this->content.revision, "}");
 }
 
-std::optional<std::string> FakeStore::watchAnswer(kj::WaitScope &scope, const std::string &kind, int64_t since, AK::Milliseconds wait)
+std::optional<FakeStore::Answer> FakeStore::watchAnswer(kj::WaitScope &scope, const std::string &kind, int64_t since, AK::Milliseconds wait)
 {
     const AK::Milliseconds until = this->loop.clock().now() + wait;
+    const int resets = this->watchResets[kind];
+    const int64_t eraAtStart = this->era;
     const int cutsBefore = this->cuts;
     while (true) {
         this->awaitReturn(scope);
-        if (this->cuts != cutsBefore) {
+        if (resets != this->watchResets[kind] || eraAtStart != this->era || cutsBefore != this->cuts) {
             return std::nullopt;
         }
-        std::string events;
-        for (const Change &change : this->changes) {
-            if (change.revision > since && change.kind == kind) {
-                events += AK::concat(events.empty() ? "" : ",", change.text);
+        if (since > this->content.revision || since < this->forgottenUpTo) {
+            return Answer{410, "{}"};
+        }
+        std::vector<const std::string *> found;
+        for (auto it = this->content.changes.rbegin(); it != this->content.changes.rend() && it->revision > since; ++it) {
+            if (it->kind == kind) {
+                found.push_back(&it->text);
             }
         }
-        if (!events.empty() || this->loop.clock().now() >= until) {
-            return AK::concat(R"({"events":[)", events, R"(],"currentRev":)", this->revision, "}");
+        if (!found.empty() || this->loop.clock().now() >= until) {
+            std::string events;
+            for (auto it = found.rbegin(); it != found.rend(); ++it) {
+                events += AK::concat(events.empty() ? "" : ",", **it);
+            }
+            return Answer{200, AK::concat(R"({"events":[)", events, R"(],"currentRev":)", this->content.revision, "}")};
         }
         this->loop.sleep(scope, 2);
     }
 }
 
-std::optional<std::string> FakeStore::answer(kj::WaitScope &scope, const std::string &target)
+FakeStore::Answer FakeStore::write(const std::string &method, const std::string &kind, const std::string &name, const std::string &body)
 {
-    const std::string path = target.substr(0, target.find('?'));
-    const std::string kind = path.substr(path.rfind('/') + 1);
-    const std::string since = queryValue(target, "watch");
+    auto &known = this->content.objects[kind];
+    if (method == "DELETE") {
+        const std::string key = nlohmann::json(name).dump();
+        if (!known.contains(key)) {
+            return {404, "{}"};
+        }
+        this->remove(kind, key);
+        return {200, "{}"};
+    }
+    const nlohmann::json object = nlohmann::json::parse(body);
+    const std::string key = object["metadata"]["name"].dump();
+    const auto found = known.find(key);
+    if (method == "POST" && found != known.end()) {
+        return {409, found->second};
+    }
+    if (method == "PUT" && found == known.end()) {
+        return {404, "{}"};
+    }
+    const std::string spec = object["spec"].dump();
+    if (found == known.end() || found->second.find(AK::concat(R"("spec":)", spec, ",")) == std::string::npos) {
+        this->put(kind, key, spec);
+    }
+    return {method == "POST" ? 201 : 200, known[key]};
+}
+
+std::optional<FakeStore::Answer> FakeStore::answer(kj::WaitScope &scope, const LibHttpStream::RequestHead &head, const std::string &body)
+{
+    static constexpr std::string_view listPath = "/v1/objects/";
+    const int cutsBefore = this->cuts;
+    this->awaitReturn(scope);
+    if (this->cuts != cutsBefore) {
+        return std::nullopt;
+    }
+    const std::string path = head.target.substr(0, head.target.find('?'));
+    KJ_ASSERT(path.starts_with(listPath));
+    const std::string rest = path.substr(listPath.size());
+    const std::string kind = rest.substr(0, rest.find('/'));
+    if (head.method != "GET") {
+        return this->write(head.method, kind, kind.size() < rest.size() ? percentDecode(rest.substr(kind.size() + 1)) : "", body);
+    }
+    const std::string since = queryValue(head.target, "watch");
     if (since.empty()) {
-        const int cutsBefore = this->cuts;
-        this->awaitReturn(scope);
-        return this->cuts != cutsBefore ? std::nullopt : std::optional(this->listAnswer(kind, percentDecode(queryValue(target, "afterRev"))));
+        return Answer{200, this->listAnswer(kind, percentDecode(queryValue(head.target, "afterRev")))};
     }
-    return this->watchAnswer(scope, kind, AK::parseInteger(since).value_or(0), AK::parseInteger(queryValue(target, "waitMs")).value_or(0));
+    return this->watchAnswer(scope, kind, AK::parseInteger(since).value_or(0), AK::parseInteger(queryValue(head.target, "waitMs")).value_or(0));
 }
 
-void FakeStore::serve(kj::WaitScope &scope, kj::Own<kj::AsyncIoStream> stream)
+void FakeStore::serve(kj::WaitScope &scope, kj::Own<kj::AsyncIoStream> stream, Address &address)
 {
-    kj::AsyncIoStream &socket = *stream;
+    constexpr AK::Milliseconds slowness = 600;
     LibFiber::ByteChannel channel(this->loop, kj::mv(stream));
-    const int silencesBefore = this->silences;
+    const int age = this->connectionAge;
     while (true) {
         const auto text = LibHttpStream::readHeadText(channel, scope, 65'536, this->loop.clock().now() + testTimeout);
         if (!text.ok()) {
@@ -189,19 +304,35 @@
         }
         const auto head = LibHttpStream::parseRequestHead(*text);
         KJ_ASSERT(head.ok());
-        const std::optional<std::string> body = this->answer(scope, head->target);
-        if (this->silences != silencesBefore) {
+        LibHttpStream::BodyReader reader(channel, *LibHttpStream::requestBodyFraming(head->headers));
+        const auto body = LibHttpStream::readBody(reader, scope, 1 << 20, this->loop.clock().now() + testTimeout);
+        if (!body.ok()) {
+            return;
+        }
+        const int faultNumber = address.faultNumber;
+        auto result = address.fault == StoreFault::None || address.fault == StoreFault::Slow ? this->answer(scope, *head, *body) : Answer{503, "{}"};
+        if (address.fault == StoreFault::Slow) {
+            this->loop.sleep(scope, slowness);
+        }
+        if (age != this->connectionAge) {
             channel.whenClosed().wait(scope);
             return;
         }
-        if (!body) {
+        while (address.fault == StoreFault::Silent) {
+            this->loop.sleep(scope, 20);
+        }
+        const bool answers = address.fault == StoreFault::Refusing || address.faultNumber == faultNumber;
+        if (!result || !answers || address.fault == StoreFault::Away) {
             if (this->channelEnd == ChannelEnd::Reset) {
-                resetWhenClosed(socket);
+                channel.resetOnClose();
             }
             return;
         }
-        const LibHttpStream::ResponseHead response{200, "OK", {{"Content-Type", "application/json"}, {"Content-Length", std::to_string(body->size())}}};
-        if (!channel.write(scope, LibHttpStream::serializeResponseHead(response) + *body, this->loop.clock().now() + testTimeout).ok()) {
+        const LibHttpStream::ResponseHead response{
+            result->status,
+            std::string(LibHttpStream::reasonPhrase(result->status)),
+            {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(this->era)}, {"Content-Length", std::to_string(result->body.size())}}};
+        if (!channel.write(scope, LibHttpStream::serializeResponseHead(response) + result->body, this->loop.clock().now() + testTimeout).ok()) {
             return;
         }
     }
--- a/Tests/Platform/TestStoreChannels.cpp
+++ b/Tests/Platform/TestStoreChannels.cpp
@@ -141,7 +141,7 @@
     this->reader.store.put(GetParam().path, R"("x")", "{}");
     ASSERT_TRUE(this->waitUntilInForce());
     this->sleep(GetParam().silentAfter);
-    this->reader.store.silenceChannels();
+    this->reader.store.silenceConnections();
     const AK::Milliseconds silent = this->reader.loop.clock().now();
     this->sleep(GetParam().changedAfter);
     if (GetParam().kind == ObjectKind::Upstreams) {
