Kernel: Let a reload that arrives during the start wait

Seen by the soak: an entry that had just been started was ended by SIGHUP (status 129), before its line "started".

Cause: SIGTERM and SIGINT were blocked at the start of main(), SIGHUP kept its default action until the platform's daemon captured it. Class: a state in which the process does not handle yet what others may already send.

Change: SIGHUP is blocked with the others. A process that reads its settings only once leaves it pending.

--- a/Kernel/Daemon.cpp
+++ b/Kernel/Daemon.cpp
@@ -20,9 +20,10 @@
 
 } // namespace
 
-void blockShutdownSignals()
+void blockSignals()
 {
-    const sigset_t signals = shutdownSignals();
+    sigset_t signals = shutdownSignals();
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 }
--- a/Kernel/Daemon.h
+++ b/Kernel/Daemon.h
@@ -6,8 +6,9 @@
 namespace Kernel
 {
 
-/// Blocks SIGTERM and SIGINT in the calling thread and ignores SIGPIPE. Must run before any thread starts, so that every thread inherits the mask.
-void blockShutdownSignals();
+/// Blocks SIGTERM, SIGINT and SIGHUP in the calling thread, so that they wait until the daemon handles them, and ignores SIGPIPE. Must run before any thread
+/// starts, so that every thread inherits the mask.
+void blockSignals();
 
 /// Starts the services in order, waits for SIGTERM or SIGINT, drains and stops them in reverse order.
 class Daemon
--- a/Tests/Fakes/ObjectApi/main.cpp
+++ b/Tests/Fakes/ObjectApi/main.cpp
@@ -20,7 +20,7 @@
         std::cerr << endpoint.status() << "\n";
         return 2;
     }
-    Kernel::blockShutdownSignals();
+    Kernel::blockSignals();
     const AK::SystemClock clock;
     Fakes::ObjectApi api(clock);
     LibHttp::HttpServer server(*endpoint, {.threads = serverThreads, .bodyBytes = bodyLimitBytes},
--- a/Tests/Fakes/Plain/main.cpp
+++ b/Tests/Fakes/Plain/main.cpp
@@ -11,7 +11,7 @@
 
 int serve(const AK::Endpoint &endpoint, AK::Milliseconds delay)
 {
-    Kernel::blockShutdownSignals();
+    Kernel::blockSignals();
     const AK::SystemClock clock;
     Fakes::PlainService service(clock, delay);
     LibHttp::HttpServer server(endpoint, LibHttp::HttpServerLimits{64, 1 << 20}, [&service](LibHttp::HttpExchange &exchange) { service.handle(exchange); });
--- a/Userland/Utilities/catkinlinkd/main.cpp
+++ b/Userland/Utilities/catkinlinkd/main.cpp
@@ -59,7 +59,7 @@
 
 int main(int argc, char **argv)
 {
-    Kernel::blockShutdownSignals();
+    Kernel::blockSignals();
     mallopt(M_ARENA_MAX, mallocArenas);
     try {
         TCLAP::CmdLine command("Daemon of catkinlink. Its role, entry or agent, comes from its settings. SIGTERM starts a graceful shutdown.", ' ', version);
