LibFleet: Count close absences of the store as one

Found by a reviewer, by reading: a store that is away for 2.3 s, answers for 0.3 s and is away again for 2.3 s ends no absence of 2.4 s, the time from which leases may lapse; upstreams that could not renew in the 0.3 s would all go at once.

Cause: each absence was judged as if all upstreams had renewed right before it.

Change: absences of at least one interval of the renewals that are closer than that count as one. Watches that are cut, and answered at once, are none.

AbsencesTest: "close" fails with the judgement of before.

--- a/Tests/LibFleet/TestFleet.cpp
+++ b/Tests/LibFleet/TestFleet.cpp
@@ -148,6 +148,39 @@
                                          LeaseCase{"shortest_outage", true, 2'400, 100, true}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+struct AbsencesCase {
+    const char *name;
+    AK::Milliseconds firstAbsence;
+    AK::Milliseconds between;
+    AK::Milliseconds secondAbsence;
+    bool outage;
+};
+
+class AbsencesTest : public testing::TestWithParam<AbsencesCase>
+{
+};
+
+// Guards against removing every upstream after two short outages between which an upstream could not renew its lease.
+TEST_P(AbsencesTest, CloseOnesCountAsOneOutage)
+{
+    ExpiredLeases expiredLeases(1'200);
+    AK::Milliseconds now = 10'000;
+    expiredLeases.storeAnswered(now);
+    expiredLeases.callFailed();
+    now += GetParam().firstAbsence;
+    EXPECT_FALSE(expiredLeases.storeAnswered(now));
+    now += GetParam().between;
+    EXPECT_FALSE(expiredLeases.storeAnswered(now));
+    expiredLeases.callFailed();
+    now += GetParam().secondAbsence;
+    EXPECT_EQ(expiredLeases.storeAnswered(now), GetParam().outage);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, AbsencesTest,
+                         testing::Values(AbsencesCase{"close", 2'300, 300, 2'300, true}, AbsencesCase{"apart", 2'300, 1'200, 2'300, false},
+                                         AbsencesCase{"cut_watches", 50, 300, 50, false}, AbsencesCase{"one_of_them_a_cut", 2'300, 300, 50, false}),
+                         [](const auto &info) { return info.param.name; });
+
 // Guards against a request whose sends go to different services, and against shares that differ from the weights.
 TEST(ServiceFor, FollowsTheWeights)
 {
--- a/Userland/Libraries/LibFleet/ObjectFeed.cpp
+++ b/Userland/Libraries/LibFleet/ObjectFeed.cpp
@@ -63,7 +63,7 @@
 
 bool ExpiredLeases::storeAnswered(AK::Milliseconds now)
 {
-    const bool away = this->awaitingAnswer && (!this->lastAnswer || now - *this->lastAnswer >= shortestLapse(this->leaseRenewal));
+    const bool away = this->awaitingAnswer && this->mayHaveLapsed(now);
     this->awaitingAnswer = false;
     this->lastAnswer = now;
     if (away) {
@@ -72,6 +72,22 @@
     return away;
 }
 
+bool ExpiredLeases::mayHaveLapsed(AK::Milliseconds now)
+{
+    if (!this->lastAnswer) {
+        return true;
+    }
+    if (now - *this->lastAnswer < this->leaseRenewal) {
+        return false;
+    }
+    // Between two absences closer than the interval of the renewals, an upstream may have missed its renewal.
+    if (*this->lastAnswer - this->absence.end >= this->leaseRenewal) {
+        this->absence.begin = *this->lastAnswer;
+    }
+    this->absence.end = now;
+    return now - this->absence.begin >= shortestLapse(this->leaseRenewal);
+}
+
 bool ExpiredLeases::awaitsAnswer() const
 {
     return this->awaitingAnswer;
--- a/Userland/Libraries/LibFleet/ObjectFeed.h
+++ b/Userland/Libraries/LibFleet/ObjectFeed.h
@@ -99,9 +99,19 @@
                                              AK::Milliseconds now, AK::Milliseconds &expiresAt) const;
 
 private:
+    /// Whether leases may have lapsed unseen since the last answer, which is followed by one at `now`.
+    bool mayHaveLapsed(AK::Milliseconds now);
+
+    /// Time without an answer, at least one interval of the renewals; absences that are closer than that count as one.
+    struct Absence {
+        AK::Milliseconds begin = 0;
+        AK::Milliseconds end = 0;
+    };
+
     AK::Milliseconds leaseRenewal;
     bool awaitingAnswer = false;
     std::optional<AK::Milliseconds> lastAnswer;
+    Absence absence;
     AK::Milliseconds recoveredAt = -expiredLeaseGrace;
 };
 
