WeightAgent: Forget the oldest reads of manifests first

Found by a reviewer, by reading: the reads of the smallest model and version were forgotten. With two versions of one model remembered, each read of a model that comes before it was gone at once, and its manifest never counted.

ManifestProof.ForgetsTheOldestReads fails with the order of before.

--- a/Tests/Services/WeightAgent/TestManifestProof.cpp
+++ b/Tests/Services/WeightAgent/TestManifestProof.cpp
@@ -142,4 +142,19 @@
 INSTANTIATE_TEST_SUITE_P(Table, CorruptChunkTest, testing::Values(CorruptChunkCase{"twice", 2, 0, 0}, CorruptChunkCase{"for_a_while", 0, 4'000, 4}),
                          [](const auto &info) { return info.param.name; });
 
+// Guards against a manifest that never counts because its reads are forgotten in favour of those of other models and of higher versions.
+TEST(ManifestProof, ForgetsTheOldestReads)
+{
+    const auto manifestOf = [](int64_t version) {
+        return WeightAgent::WeightsManifest{version, 1, {"digest"}};
+    };
+    WeightAgent::ManifestProof proof;
+    EXPECT_FALSE(proof.confirm("z", manifestOf(2)));
+    EXPECT_FALSE(proof.confirm("z", manifestOf(3)));
+    EXPECT_FALSE(proof.confirm("a", manifestOf(1)));
+    EXPECT_TRUE(proof.confirm("a", manifestOf(1)));
+    EXPECT_TRUE(proof.confirm("z", manifestOf(3)));
+    EXPECT_FALSE(proof.confirm("z", manifestOf(2)));
+}
+
 } // namespace
--- a/Userland/Services/WeightAgent/ManifestProof.cpp
+++ b/Userland/Services/WeightAgent/ManifestProof.cpp
@@ -2,6 +2,7 @@
 
 #include <AK/Hash.h>
 #include <AK/Text.h>
+#include <algorithm>
 
 namespace WeightAgent
 {
@@ -25,11 +26,14 @@
 
 bool ManifestProof::confirm(const std::string &model, const WeightsManifest &manifest)
 {
-    const bool confirmed = !this->reads[{model, manifest.version}].insert(hashOf(manifest)).second;
-    while (this->reads.size() > maxVersions) {
-        this->reads.erase(this->reads.begin());
+    auto read = std::ranges::find_if(this->reads, [&](const Reads &other) { return other.model == model && other.version == manifest.version; });
+    if (read == this->reads.end()) {
+        if (this->reads.size() == maxVersions) {
+            this->reads.pop_front();
+        }
+        read = this->reads.insert(this->reads.end(), Reads{model, manifest.version, {}});
     }
-    return confirmed;
+    return !read->hashes.insert(hashOf(manifest)).second;
 }
 
 } // namespace WeightAgent
--- a/Userland/Services/WeightAgent/ManifestProof.h
+++ b/Userland/Services/WeightAgent/ManifestProof.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "EngineControl.h"
-#include <map>
+#include <deque>
 #include <set>
-#include <utility>
+#include <string>
 
 namespace WeightAgent
 {
@@ -17,8 +17,15 @@
     bool confirm(const std::string &model, const WeightsManifest &manifest);
 
 private:
-    /// Hashes of the manifests read, by model and version.
-    std::map<std::pair<std::string, int64_t>, std::set<std::string>> reads;
+    struct Reads {
+        std::string model;
+        int64_t version = 0;
+        /// Hashes of the manifests read.
+        std::set<std::string> hashes;
+    };
+
+    /// The oldest first.
+    std::deque<Reads> reads;
 };
 
 } // namespace WeightAgent
