LibWeights: Count each request that a holder of a chunk fails

Found by a reviewer, by reading: a request that a holder answers with an error of its own was not counted, so an agent that never sends a chunk it shows kept all later ones from reading it at the origin. Requests count now whatever their failure; two in a row make the holder count as one that does not send.

--- a/Userland/Libraries/LibWeights/DesignatedFetch.cpp
+++ b/Userland/Libraries/LibWeights/DesignatedFetch.cpp
@@ -200,7 +200,7 @@
     const FetchResult result = this->fetchFromPeer(connections, name, endpoint, index, "peer");
     if (result == FetchResult::Stored) {
         this->failedRequests.erase(name);
-    } else if (result == FetchResult::Drop) {
+    } else {
         FailedRequests &failed = this->failedRequests[name];
         ++failed.count;
         failed.lastAt = this->context.clock.now();
