Tests/Gateway: Make the head of the late obstacle test in a function

Seen: the linter refused the lambda of LateObstacleTest that returned a constant captured by reference (performance-no-automatic-move). The test's checks are the same; both cases pass.

--- a/Tests/Services/Gateway/TestCallPaths.cpp
+++ b/Tests/Services/Gateway/TestCallPaths.cpp
@@ -229,10 +229,12 @@
     }});
     loop = &site.loop;
     Gateway::UpstreamCall call(site.loop, site.connections, site.codec);
-    const LibHttpStream::RequestHead head{"POST", "/r/1", {{"X-Attempt-Id", "a1"}}};
+    const auto makeHead = [] {
+        return LibHttpStream::RequestHead{"POST", "/r/1", {{"X-Attempt-Id", "a1"}}};
+    };
     const AK::Milliseconds deadline = loop->clock().now() + shortWait;
-    const Gateway::UpstreamCall::Result result = call.send(
-        loop->rootScope(), site.fleet.upstreams().at("i-1"), [&] { return head; }, "", "a1", true, deadline, deadline, [] { return GetParam().hindrance; });
+    const Gateway::UpstreamCall::Result result =
+        call.send(loop->rootScope(), site.fleet.upstreams().at("i-1"), makeHead, "", "a1", true, deadline, deadline, [] { return GetParam().hindrance; });
     EXPECT_EQ(result.outcome, GetParam().hindrance ? Gateway::SendOutcome::NotRun : Gateway::SendOutcome::Answered);
     EXPECT_EQ(result.withheldBy.has_value(), GetParam().hindrance.has_value());
     loop->sleep(loop->rootScope(), shortWait / 4);
