Gateway: Withdraw calls that have not begun on older weights in time

Cause: a call was judged when it was written to an engine, and nothing looked at it again. One that was written before the switch began when its host woke or its engine went on. The weights were also settled with the slot, up to 1.9 s before the write.

A stream without an event is withdrawn from an engine with older weights 0.5 s before the bound: its connection is reset, and another engine is tried. The time is asked anew at each wake, so that weights named meanwhile count. The weights are asked again right before a request is written. Calls other than streams are left alone, since nothing shows whether they have begun.

--- /dev/null
+++ b/Tests/Services/Gateway/TestOldWeights.cpp
@@ -0,0 +1,197 @@
+#include "GatewaySite.h"
+#include <AK/Text.h>
+#include <gtest/gtest.h>
+
+namespace
+{
+
+using LibFleet::RouteKind;
+
+constexpr AK::Milliseconds callTimeout = 4'000;
+constexpr AK::Milliseconds switchDelay = 300;
+constexpr AK::Milliseconds beginLimit = 600;
+constexpr int events = 4;
+const std::string model = "m";
+const std::string newEngine = "i-3";
+
+/// What the engine with the older weights does with its request.
+enum class OldEngine {
+    SendsNothing,
+    SendsTheHead,
+    /// Sends two events and breaks off; the next request, which resumes the stream, gets nothing.
+    BreaksOffOnce,
+    /// Sends its events over a time that goes on beyond the limit.
+    SendsSlowly,
+    /// Sends nothing until after the limit, and has loaded the newer weights meanwhile.
+    LoadsMeanwhile,
+};
+
+struct OldWeightsCase {
+    const char *name;
+    OldEngine engine;
+    /// Time from the call until the new weights are named, in ms.
+    AK::Milliseconds namedAfter;
+    bool withdrawn;
+    int maxAttempts = 3;
+    int status = 200;
+    bool complete = true;
+};
+
+std::string eventTexts(int first, int last)
+{
+    std::string text;
+    for (int id = first; id <= last; ++id) {
+        text += AK::concat("id: ", id, "\ndata: word\n\n");
+    }
+    return text;
+}
+
+/// Two engines with the older weights, and one with the newer ones that is registered when the older ones get no more calls.
+class RolloutSite
+{
+public:
+    explicit RolloutSite(const OldWeightsCase &row)
+        : row(row)
+        , oldEngine([this](auto &scope, auto &channel, const auto &head, const auto &) { return this->respondFromOld(scope, channel, head); })
+        , site({this->oldEngine, this->oldEngine, [this](auto &scope, auto &channel, const auto &head, const auto &) {
+                    return this->send(scope, channel, this->streamHead(head) + this->chunks(firstEvent(head), events) + std::string(LibHttpStream::lastChunk));
+                }})
+    {
+        this->site.configure(RouteKind::Stream, true, row.maxAttempts, callTimeout);
+        LibFleet::Configuration configuration = *this->site.fleet.configuration();
+        ++configuration.version;
+        configuration.services["s"].engine = LibFleet::EngineSpec{};
+        configuration.services["s"].engine->model = model;
+        this->site.fleet.setConfiguration(configuration);
+        this->site.fleet.setWeightsTargets({{model, 1}}, 0);
+        this->site.dispatcher.setBounds({1, 100, 10'000}, switchDelay, beginLimit);
+        this->records = this->site.fleet.upstreams();
+        for (auto &[id, record] : this->records) {
+            record.isEngine = true;
+            record.weightsVersion = id == newEngine ? 2 : 1;
+        }
+        std::map<std::string, LibFleet::UpstreamRecord> oldEngines = this->records;
+        oldEngines.erase(newEngine);
+        this->site.fleet.setUpstreams(oldEngines);
+    }
+
+    ClientResponse call()
+    {
+        LibFiber::Loop &loop = this->site.loop;
+        // The first version is too old to count.
+        loop.sleep(loop.rootScope(), beginLimit);
+        loop.spawn([this, &loop](kj::WaitScope &scope) {
+            loop.sleep(scope, this->row.namedAfter);
+            this->site.fleet.setWeightsTargets({{model, 2}}, 0);
+            this->namedAt = loop.clock().now();
+            loop.sleep(scope, switchDelay);
+            if (this->row.engine == OldEngine::LoadsMeanwhile) {
+                for (auto &[id, record] : this->records) {
+                    record.weightsVersion = 2;
+                }
+            }
+            this->site.fleet.setUpstreams(this->records);
+        });
+        return this->site.call({{"X-Deadline-Ms", std::to_string(callTimeout)}});
+    }
+
+    /// Monotonic time at which the engine with the older weights saw the end of a call that it had not begun; 0 for never.
+    AK::Milliseconds withdrawnAt = 0;
+    bool wasReset = false;
+    AK::Milliseconds namedAt = 0;
+
+private:
+    bool respondFromOld(kj::WaitScope &scope, LibFiber::ByteChannel &channel, const LibHttpStream::RequestHead &head)
+    {
+        const bool resumes = firstEvent(head) > 1;
+        switch (this->row.engine) {
+        case OldEngine::SendsTheHead:
+            this->send(scope, channel, this->streamHead(head));
+            break;
+        case OldEngine::BreaksOffOnce:
+            if (!resumes) {
+                this->send(scope, channel, this->streamHead(head) + this->chunks(1, 2));
+                return false;
+            }
+            break;
+        case OldEngine::SendsSlowly:
+            this->send(scope, channel, this->streamHead(head));
+            for (int id = 1; id <= events; ++id) {
+                this->send(scope, channel, this->chunks(id, id));
+                this->site.loop.sleep(scope, beginLimit / 2);
+            }
+            return this->send(scope, channel, std::string(LibHttpStream::lastChunk));
+        case OldEngine::LoadsMeanwhile:
+            this->site.loop.sleep(scope, this->row.namedAfter + beginLimit + 200);
+            return this->send(scope, channel, this->streamHead(head) + this->chunks(1, events) + std::string(LibHttpStream::lastChunk));
+        case OldEngine::SendsNothing:
+            break;
+        }
+        const absl::Status end = channel.fill(scope, this->site.loop.clock().now() + callTimeout);
+        this->withdrawnAt = this->site.loop.clock().now();
+        this->wasReset = absl::IsUnavailable(end);
+        return false;
+    }
+
+    bool send(kj::WaitScope &scope, LibFiber::ByteChannel &channel, const std::string &text)
+    {
+        return channel.write(scope, text, this->site.loop.clock().now() + callTimeout).ok();
+    }
+
+    static int firstEvent(const LibHttpStream::RequestHead &head)
+    {
+        const std::string *last = LibHttpStream::findHeader(head.headers, "Last-Event-Id");
+        return last == nullptr ? 1 : std::stoi(*last) + 1;
+    }
+
+    static std::string streamHead(const LibHttpStream::RequestHead &head)
+    {
+        return AK::concat("HTTP/1.1 200 OK\r\nX-Attempt-Id: ", *LibHttpStream::findHeader(head.headers, "X-Attempt-Id"),
+                          "\r\nX-Server-Seal: seal\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    }
+
+    static std::string chunks(int first, int last)
+    {
+        return LibHttpStream::encodeChunk(eventTexts(first, last));
+    }
+
+    const OldWeightsCase &row;
+    UpstreamScript oldEngine;
+    std::map<std::string, LibFleet::UpstreamRecord> records;
+    GatewaySite site;
+};
+
+class OldWeightsTest : public testing::TestWithParam<OldWeightsCase>
+{
+};
+
+// Guards against a call that begins on older weights too late after new ones were named: it had been sent in time to an engine that hung or whose host stood
+// still.
+TEST_P(OldWeightsTest, WithdrawsACallThatHasNotBegun)
+{
+    // From the timer to the event at the engine.
+    constexpr AK::Milliseconds tolerance = 100;
+    const OldWeightsCase &row = GetParam();
+    RolloutSite rollout(row);
+    const ClientResponse response = rollout.call();
+    EXPECT_EQ(response.status, row.status) << response.body;
+    EXPECT_EQ(response.complete, row.complete);
+    EXPECT_TRUE(!row.complete || row.status != 200 || response.body == eventTexts(1, events)) << response.body;
+    ASSERT_EQ(rollout.withdrawnAt > 0, row.withdrawn);
+    if (row.withdrawn) {
+        EXPECT_TRUE(rollout.wasReset) << "a host that stands still holds the unread request, and only a reset drops it";
+        EXPECT_LE(rollout.withdrawnAt - rollout.namedAt, beginLimit + tolerance);
+        EXPECT_GE(rollout.withdrawnAt - rollout.namedAt, beginLimit - tolerance);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, OldWeightsTest,
+    testing::Values(OldWeightsCase{"nothing_sent", OldEngine::SendsNothing, 0, true}, OldWeightsCase{"named_later", OldEngine::SendsNothing, 500, true},
+                    OldWeightsCase{"head_without_event", OldEngine::SendsTheHead, 0, true}, OldWeightsCase{"resumed_stream", OldEngine::BreaksOffOnce, 0, true},
+                    OldWeightsCase{"last_attempt", OldEngine::SendsNothing, 0, true, 1, 502, true},
+                    OldWeightsCase{"last_attempt_of_a_stream", OldEngine::BreaksOffOnce, 0, true, 2, 200, false},
+                    OldWeightsCase{"begun", OldEngine::SendsSlowly, 0, false}, OldWeightsCase{"loaded_meanwhile", OldEngine::LoadsMeanwhile, 0, false}),
+    [](const auto &info) { return std::string(info.param.name); });
+
+} // namespace
--- a/Tests/Services/Gateway/TestSilentUpstreams.cpp
+++ b/Tests/Services/Gateway/TestSilentUpstreams.cpp
@@ -148,7 +148,7 @@
     loop = &site.loop;
     site.configure(row.kind, true, row.maxAttempts, callTimeout);
     if (!row.retryBudget) {
-        site.dispatcher.setBounds({0, 0, 10'000}, 0);
+        site.dispatcher.setBounds({0, 0, 10'000}, 0, 0);
     }
     if (takesNothingNew(row.others)) {
         site.loop.spawn([&](kj::WaitScope &scope) {
--- a/Tests/Services/Gateway/TestSlots.cpp
+++ b/Tests/Services/Gateway/TestSlots.cpp
@@ -124,7 +124,7 @@
     site.second.recordReport(report);
     kj::Maybe<kj::Own<Grant>> grant = site.acquire(site.first, site.requirements());
     ASSERT_EQ(upstreamOf(grant), "i-2");
-    EXPECT_EQ(KJ_ASSERT_NONNULL(grant)->weightsVersion(), 2);
+    EXPECT_EQ(site.first.weightsToExpect(*KJ_ASSERT_NONNULL(grant)), 2);
 }
 
 struct OpenSlotsCase {
--- a/Userland/Libraries/LibGateway/Placement.cpp
+++ b/Userland/Libraries/LibGateway/Placement.cpp
@@ -168,4 +168,17 @@
     return required;
 }
 
+AK::Milliseconds timeToBegin(const std::vector<LibFleet::WeightsTarget> &targets, int64_t held, AK::Milliseconds now, AK::Milliseconds beginLimit)
+{
+    // The least time after which it is looked again whether a version has been named.
+    constexpr AK::Milliseconds least = 100;
+    AK::Milliseconds left = std::max(least, beginLimit);
+    for (const LibFleet::WeightsTarget &target : targets) {
+        if (target.version > held) {
+            left = std::min(left, beginLimit - (now - target.learnedAt));
+        }
+    }
+    return left;
+}
+
 } // namespace LibGateway
--- a/Userland/Libraries/LibGateway/Placement.h
+++ b/Userland/Libraries/LibGateway/Placement.h
@@ -141,4 +141,9 @@
 /// a version is announced before its predecessor has arrived, and the predecessor's delay still counts.
 int64_t requiredWeightsVersion(const std::vector<LibFleet::WeightsTarget> &targets, AK::Milliseconds now, AK::Milliseconds weightsSwitchDelay);
 
+/// Time in ms from now within which a call must begin on weights of the version `held`, negative when it has passed: by then a newer version has been known for
+/// `beginLimit` ms. With no newer version the time is that after which one may limit the call. Load pattern: engines hang, or their hosts stand still, with
+/// calls that they have not begun while new weights are named.
+AK::Milliseconds timeToBegin(const std::vector<LibFleet::WeightsTarget> &targets, int64_t held, AK::Milliseconds now, AK::Milliseconds beginLimit);
+
 } // namespace LibGateway
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -147,6 +147,7 @@
         ++this->report.sends;
         this->sentAt = this->now();
         this->firstEventAt = 0;
+        this->streamBegun = false;
         UpstreamCall call(this->context.loop, this->context.connections, this->context.codec);
         call.onHead([this, upstream, requestSentAt = this->sentAt](const LibGateway::ResponseInfo &info) {
             this->context.dispatcher.recordResponse(upstream, info, requestSentAt);
@@ -154,7 +155,7 @@
         const bool repeatable = this->route->repeatable();
         UpstreamCall::Result sent = call.send(
             scope, upstream, [&] { return this->context.codec.encodeRequest(this->head, this->targetFor(**grant)); }, this->body, this->request.id, repeatable,
-            this->silentAfter(this->sentAt), this->deadline, [&] { return this->hindranceToSend(**grant); });
+            this->headDeadline(**grant), this->deadline, [&] { return this->hindranceToSend(**grant); });
         if (sent.withheldBy) {
             // The upstream got nothing, so this is no retry.
             --this->report.sends;
@@ -164,6 +165,9 @@
         if (!this->awaitHead(scope, call, *grant, sent)) {
             return NextStep::Done;
         }
+        if (sent.silent && (call.closed() || this->beginsTooLate(**grant))) {
+            return this->withdraw(scope, call, upstream);
+        }
         if (sent.outcome != SendOutcome::Answered) {
             if (call.responseInfo().pause.value_or(0) <= 0 && !this->endsForItsClient()) {
                 this->context.dispatcher.recordOutcome(upstream, !sent.refusedByUpstream);
@@ -208,11 +212,19 @@
     target.account = this->account ? this->account->name : "";
     target.timeLeft = std::max<AK::Milliseconds>(1, this->deadline - this->now());
     target.priority = this->requirements.rank.priority;
-    target.weightsVersion = grant.weightsVersion();
+    target.weightsVersion = this->context.dispatcher.weightsToExpect(grant);
     target.lastEventId = this->lastEventId;
     return target;
 }
 
+CallTask::NextStep CallTask::withdraw(kj::WaitScope &scope, UpstreamCall &call, const LibFleet::UpstreamRecord &upstream)
+{
+    // Before the wait for another slot, because the upstream may begin at any moment.
+    call.close();
+    this->context.metrics.add("catkinlink_calls_withdrawn_total");
+    return this->retryOrGiveUp(scope, upstream, true, "withdrawn: the weights of the upstream are too old to begin on");
+}
+
 CallTask::NextStep CallTask::retryOrGiveUp(kj::WaitScope &scope, const LibFleet::UpstreamRecord &upstream, bool sendMayHaveRun, const std::string &reason)
 {
     this->report.reason = reason;
@@ -321,6 +333,7 @@
         this->report.longestGap = std::max(this->report.longestGap, this->now() - this->report.lastPartAt);
     }
     this->report.lastPartAt = this->now();
+    this->streamBegun = true;
     const absl::Status written = begins ? this->client.beginStream(scope, call.responseHead(), batch.text) : this->client.writeStream(scope, batch.text);
     return written.ok() ? absl::StatusOr<ContinuationFault>(batch.fault) : written;
 }
--- a/Userland/Services/Gateway/CallTask.h
+++ b/Userland/Services/Gateway/CallTask.h
@@ -80,6 +80,14 @@
     SilentCall::End tryOthers(kj::WaitScope &scope, UpstreamCall &call, kj::Own<Grant> &grant, const SilentCall::Probe &probe);
     /// Must be called before anything is written to the client: from now on no silent call goes on.
     void takeOver();
+    /// Whether the call must begin on weights that are not too old. Only the events of a stream show when it begins.
+    bool mustBeginInTime() const;
+    /// Whether the call has not begun at the upstream of its grant and must not begin there any more.
+    bool beginsTooLate(const Grant &grant) const;
+    /// Monotonic time until which the call may wait for the head of a response: the upstream counts as silent then, or must not begin any more.
+    AK::Milliseconds headDeadline(const Grant &grant) const;
+    /// Ends a call that must not begin at its upstream any more, and tries another one.
+    NextStep withdraw(kj::WaitScope &scope, UpstreamCall &call, const LibFleet::UpstreamRecord &upstream);
     /// Waits for the head of a silent call. Returns false when another upstream has replaced it.
     bool awaitHead(kj::WaitScope &scope, UpstreamCall &call, kj::Own<Grant> &grant, UpstreamCall::Result &sent);
 
@@ -89,6 +97,8 @@
         std::string newest;
         absl::Status status;
         bool ended = false;
+        /// The stream has not begun in time for the weights of its upstream.
+        bool overdue = false;
         /// Another upstream has replaced the silent one.
         bool replaced = false;
 
@@ -134,6 +144,8 @@
     AK::Milliseconds sentAt = 0;
     /// Time of the first event of the last send, 0 before.
     AK::Milliseconds firstEventAt = 0;
+    /// The upstream has sent a part of its stream since the last send.
+    bool streamBegun = false;
     /// The prompt has been recorded as sound.
     bool soundNoted = false;
     /// An upstream may have run the request.
--- a/Userland/Services/Gateway/CallTaskStream.cpp
+++ b/Userland/Services/Gateway/CallTaskStream.cpp
@@ -59,6 +59,22 @@
     return std::min(this->endsBy(), std::max(lastSign, this->othersTriedAt) + limit);
 }
 
+bool CallTask::mustBeginInTime() const
+{
+    return this->route->kind == LibFleet::RouteKind::Stream && !this->streamBegun;
+}
+
+bool CallTask::beginsTooLate(const Grant &grant) const
+{
+    return this->mustBeginInTime() && this->context.dispatcher.timeToBegin(grant) <= 0;
+}
+
+AK::Milliseconds CallTask::headDeadline(const Grant &grant) const
+{
+    const AK::Milliseconds silentAt = this->silentAfter(this->sentAt);
+    return this->mustBeginInTime() ? std::min(silentAt, this->now() + this->context.dispatcher.timeToBegin(grant)) : silentAt;
+}
+
 SilentCall::End CallTask::tryOthers(kj::WaitScope &scope, UpstreamCall &call, kj::Own<Grant> &grant, const SilentCall::Probe &probe)
 {
     const AK::Milliseconds startedAt = this->now();
@@ -74,17 +90,25 @@
     if (this->context.dispatcher.trySpendRetry(this->requirements.service)) {
         const AK::Milliseconds sentBefore = this->sentAt;
         const AK::Milliseconds firstEventBefore = this->firstEventAt;
+        const bool begunBefore = this->streamBegun;
         SilentCall silent(this->context.loop, this->silentCall);
         this->silentCall = &silent;
         const auto giveUp = [&] {
             call.close();
             grant = nullptr;
         };
-        end = silent.await(scope, call, probe, giveUp, this->context.loop.fiber([this](kj::WaitScope &inner) { this->runAttempts(inner); }), this->deadline);
+        // The attempt beside the silent call changes what the call knows of its own.
+        const bool mustBegin = this->mustBeginInTime();
+        const auto beginBy = [&] {
+            return mustBegin ? this->now() + this->context.dispatcher.timeToBegin(*grant) : this->deadline;
+        };
+        kj::Promise<void> others = this->context.loop.fiber([this](kj::WaitScope &inner) { this->runAttempts(inner); });
+        end = silent.await(scope, call, probe, giveUp, kj::mv(others), {this->deadline, beginBy});
         if (end != SilentCall::End::Replaced) {
             this->silentCall = silent.outerCall();
             this->sentAt = sentBefore;
             this->firstEventAt = firstEventBefore;
+            this->streamBegun = begunBefore;
             this->report.upstream = upstream;
         }
     }
@@ -105,14 +129,16 @@
 
 bool CallTask::awaitHead(kj::WaitScope &scope, UpstreamCall &call, kj::Own<Grant> &grant, UpstreamCall::Result &sent)
 {
-    // A client that has nothing yet is served better by another attempt or an error that lets it retry: a silent upstream may run the request after it has
-    // left.
-    while (sent.silent && this->client.begun() && this->now() < this->deadline) {
-        const AK::Milliseconds until = this->silentAfter(this->sentAt);
-        if (this->now() < until) {
-            sent = call.receiveHead(scope, until);
+    while (sent.silent && this->now() < this->deadline && !this->beginsTooLate(*grant)) {
+        if (this->now() < this->silentAfter(this->sentAt)) {
+            sent = call.receiveHead(scope, this->headDeadline(*grant));
             continue;
         }
+        // A client that has nothing yet is served better by another attempt or an error that lets it retry: a silent upstream may run the request after it has
+        // left.
+        if (!this->client.begun()) {
+            return true;
+        }
         const auto probe = [&] {
             sent = call.receiveHead(scope, this->now());
             if (sent.silent) {
@@ -124,6 +150,9 @@
         if (this->tryOthers(scope, call, grant, probe) == SilentCall::End::Replaced) {
             return false;
         }
+        if (call.closed()) {
+            return true;
+        }
     }
     return true;
 }
@@ -132,10 +161,16 @@
 {
     StreamPart part;
     while (true) {
-        const AK::Milliseconds until = this->route->resumable ? this->silentAfter(this->lastEventAt) : this->endsBy();
-        const bool mayTryOthers = until < this->endsBy();
-        if (!mayTryOthers || this->now() < until) {
-            part.take(call.read(scope, until));
+        part.overdue = this->beginsTooLate(*grant);
+        if (part.overdue) {
+            part.status = absl::DeadlineExceededError("not begun in time");
+            return part;
+        }
+        const AK::Milliseconds silentAt = this->route->resumable ? this->silentAfter(this->lastEventAt) : this->endsBy();
+        const bool mayTryOthers = silentAt < this->endsBy();
+        if (!mayTryOthers || this->now() < silentAt) {
+            const AK::Milliseconds left = this->mustBeginInTime() ? this->context.dispatcher.timeToBegin(*grant) : silentAt - this->now();
+            part.take(call.read(scope, std::min(silentAt, this->now() + left)));
             if (!absl::IsDeadlineExceeded(part.status) || this->now() >= this->endsBy()) {
                 return part;
             }
@@ -162,7 +197,8 @@
             return part.ended && ahead.partialBytes() == 0 ? SilentCall::Sign::Answer : SilentCall::Sign::Failure;
         };
         part.replaced = this->tryOthers(scope, call, grant, probe) == SilentCall::End::Replaced;
-        if (part.replaced || !part.text.empty() || !absl::IsDeadlineExceeded(part.status)) {
+        part.overdue = !part.replaced && call.closed();
+        if (part.replaced || part.overdue || !part.text.empty() || !absl::IsDeadlineExceeded(part.status)) {
             return part;
         }
     }
@@ -198,6 +234,9 @@
                 return forwarded.ok() ? this->rejectContinuation(scope, call, upstream, *forwarded) : NextStep::Done;
             }
         }
+        if (part.overdue) {
+            return this->withdraw(scope, call, upstream);
+        }
         const bool timedOut = absl::IsDeadlineExceeded(part.status);
         // read() returns buffered bytes also after its deadline.
         const bool stalled = this->now() >= this->endsBy() && this->lastEventAt + this->streamSilenceLimit() <= this->now();
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -33,10 +33,10 @@
 {
 }
 
-void Dispatcher::setBounds(const LibGateway::RetryBudgetSettings &retries, AK::Milliseconds weightsSwitchDelay)
+void Dispatcher::setBounds(const LibGateway::RetryBudgetSettings &retries, AK::Milliseconds weightsSwitchDelay, AK::Milliseconds weightsBeginLimit)
 {
     this->settings.retries = retries;
-    this->table.setWeightsSwitchDelay(weightsSwitchDelay);
+    this->table.setWeightsTimes(weightsSwitchDelay, weightsBeginLimit);
     for (const auto &[service, queue] : this->queues) {
         queue->budget.reconfigure(retries, this->loop.clock().now());
     }
@@ -102,8 +102,7 @@
     load.pendingPromptTokens += requirements.promptTokens;
     this->table.takeRateToken(record);
     this->callsForPeers += kind == GrantKind::ForPeer ? 1 : 0;
-    grant = kj::heap<Grant>(*this, kind, record, this->table.expectedWeightsVersion(record, this->table.heldWeightsVersion(record)), requirements.promptTokens,
-                            choice.load, check);
+    grant = kj::heap<Grant>(*this, kind, record, this->table.heldWeightsVersion(record), requirements.promptTokens, choice.load, check);
     return Availability::Granted;
 }
 
@@ -116,8 +115,8 @@
         const double estimated = LibGateway::estimatedLoad(load, this->loop.clock().now(), this->settings.upstreams.placement);
         ++load.ownInFlight;
         load.pendingPromptTokens += requirements.promptTokens;
-        const int64_t version = this->table.expectedWeightsVersion(slot->upstream, slot->weightsVersion);
-        return kj::heap<Grant>(*this, GrantKind::FromPeer, slot->upstream, version, requirements.promptTokens, estimated, check, kj::mv(slot->slot));
+        return kj::heap<Grant>(*this, GrantKind::FromPeer, slot->upstream, slot->weightsVersion, requirements.promptTokens, estimated, check,
+                               kj::mv(slot->slot));
     }
     return nullptr;
 }
@@ -127,7 +126,23 @@
     if (!grant.isRecent()) {
         return LibGateway::Hindrance{LibGateway::Obstacle::SlotExpired, 0};
     }
-    return this->table.hindranceToSend(grant.upstream(), requirements);
+    // The required version may have changed since the slot was granted.
+    const LibFleet::UpstreamRecord &upstream = grant.upstream();
+    const int64_t held = std::max(grant.heldWeights(), this->table.heldWeightsVersion(upstream));
+    if (upstream.isEngine && !this->table.allowsWeights(upstream.service, held)) {
+        return LibGateway::Hindrance{LibGateway::Obstacle::Weights, 0};
+    }
+    return this->table.hindranceToSend(upstream, requirements);
+}
+
+int64_t Dispatcher::weightsToExpect(const Grant &grant) const
+{
+    return this->table.expectedWeightsVersion(grant.upstream(), grant.heldWeights());
+}
+
+AK::Milliseconds Dispatcher::timeToBegin(const Grant &grant) const
+{
+    return this->table.timeToBegin(grant.upstream(), grant.heldWeights());
 }
 
 kj::Maybe<LibPeers::OfferedSlot> Dispatcher::offerSlot(const LibPeers::SlotRequest &request)
--- a/Userland/Services/Gateway/Dispatcher.h
+++ b/Userland/Services/Gateway/Dispatcher.h
@@ -49,7 +49,7 @@
     Dispatcher(LibFiber::Loop &loop, const LibFleet::FleetState &fleet, DispatchSettings settings, SlotSource *slotSource);
 
     /// Applies changed settings; calls and retries counted so far still count.
-    void setBounds(const LibGateway::RetryBudgetSettings &retries, AK::Milliseconds weightsSwitchDelay);
+    void setBounds(const LibGateway::RetryBudgetSettings &retries, AK::Milliseconds weightsSwitchDelay, AK::Milliseconds weightsBeginLimit);
 
     /// Sets the region of each failure domain.
     void setRegions(std::map<std::string, std::string> regionsByDomain);
@@ -68,6 +68,12 @@
     /// What keeps a call from the upstream of its grant by now; to be asked right before the request is written. See UpstreamTable::hindranceToSend().
     std::optional<LibGateway::Hindrance> hindranceToSend(const Grant &grant, const CallRequirements &requirements);
 
+    /// Version of the weights that a call must require of the upstream of its grant, 0 for any.
+    int64_t weightsToExpect(const Grant &grant) const;
+
+    /// Time in ms from now within which the call of a grant must begin; see UpstreamTable::timeToBegin().
+    AK::Milliseconds timeToBegin(const Grant &grant) const;
+
     /// Time after which a refused client should retry, in ms, when all upstreams that the call may use, those tried before included, are paused.
     std::optional<AK::Milliseconds> retryAfterPause(CallRequirements requirements);
 
--- a/Userland/Services/Gateway/Grant.cpp
+++ b/Userland/Services/Gateway/Grant.cpp
@@ -5,12 +5,12 @@
 namespace Gateway
 {
 
-Grant::Grant(Dispatcher &dispatcher, GrantKind kind, LibFleet::UpstreamRecord upstream, int64_t weightsVersion, int64_t promptTokens, double load,
+Grant::Grant(Dispatcher &dispatcher, GrantKind kind, LibFleet::UpstreamRecord upstream, int64_t heldWeights, int64_t promptTokens, double load,
              AK::RecentCheck check, kj::Maybe<kj::Own<LibPeers::HeldSlot>> heldByOwner)
     : dispatcher(dispatcher)
     , kind(kind)
     , record(std::move(upstream))
-    , version(weightsVersion)
+    , weights(heldWeights)
     , pendingPromptTokens(promptTokens)
     , load(load)
     , check(check)
@@ -50,9 +50,9 @@
     return this->record;
 }
 
-int64_t Grant::weightsVersion() const
+int64_t Grant::heldWeights() const
 {
-    return this->version;
+    return this->weights;
 }
 
 double Grant::loadAtChoice() const
--- a/Userland/Services/Gateway/Grant.h
+++ b/Userland/Services/Gateway/Grant.h
@@ -24,15 +24,16 @@
 class Grant final : public LibPeers::HeldSlot
 {
 public:
-    /// `check`: begun before the slot was looked for. `heldByOwner`: the slot that the owner of the upstream holds, for GrantKind::FromPeer.
-    Grant(Dispatcher &dispatcher, GrantKind kind, LibFleet::UpstreamRecord upstream, int64_t weightsVersion, int64_t promptTokens, double load,
+    /// `heldWeights`: version of the weights that the upstream holds, 0 when unknown. `check`: begun before the slot was looked for. `heldByOwner`: the slot
+    /// that the owner of the upstream holds, for GrantKind::FromPeer.
+    Grant(Dispatcher &dispatcher, GrantKind kind, LibFleet::UpstreamRecord upstream, int64_t heldWeights, int64_t promptTokens, double load,
           AK::RecentCheck check, kj::Maybe<kj::Own<LibPeers::HeldSlot>> heldByOwner = nullptr);
     ~Grant() noexcept(false) override;
     KJ_DISALLOW_COPY(Grant);
 
     const LibFleet::UpstreamRecord &upstream() const;
-    /// Version of the weights that must be used, 0 for any.
-    int64_t weightsVersion() const;
+    /// Version of the weights that the upstream held when it was chosen, 0 when unknown.
+    int64_t heldWeights() const;
     /// Estimated calls at the upstream when it was chosen.
     double loadAtChoice() const;
     /// Whether the call may still be sent in this slot.
@@ -47,7 +48,7 @@
     Dispatcher &dispatcher;
     GrantKind kind;
     LibFleet::UpstreamRecord record;
-    int64_t version;
+    int64_t weights;
     int64_t pendingPromptTokens;
     double load;
     AK::RecentCheck check;
--- a/Userland/Services/Gateway/SilentCall.cpp
+++ b/Userland/Services/Gateway/SilentCall.cpp
@@ -1,5 +1,7 @@
 #include "SilentCall.h"
 
+#include <algorithm>
+
 namespace Gateway
 {
 
@@ -27,18 +29,24 @@
 }
 
 SilentCall::End SilentCall::await(kj::WaitScope &scope, UpstreamCall &call, const Probe &probe, const std::function<void()> &giveUp, kj::Promise<void> others,
-                                  AK::Milliseconds deadline)
+                                  const Limits &limits)
 {
     kj::ForkedPromise<void> ended = others.then([this] { this->othersEnded = true; }).fork();
     Sign sign = Sign::None;
     while (true) {
-        kj::Promise<void> signOfUpstream = sign == Sign::Failure ? kj::Promise<void>(kj::NEVER_DONE) : call.whenReadable();
+        const bool mayAnswer = sign != Sign::Failure;
+        kj::Promise<void> signOfUpstream = mayAnswer ? call.whenReadable() : kj::Promise<void>(kj::NEVER_DONE);
+        const AK::Milliseconds until = mayAnswer ? std::min(limits.deadline, limits.beginBy()) : limits.deadline;
         signOfUpstream.exclusiveJoin(ended.addBranch())
             .exclusiveJoin(this->whenReplaced.addBranch())
-            .exclusiveJoin(this->loop.after(deadline - this->loop.clock().now()))
+            .exclusiveJoin(this->loop.after(until - this->loop.clock().now()))
             .wait(scope);
-        if (!this->replaced && sign != Sign::Failure) {
+        if (!this->replaced && mayAnswer) {
             sign = probe();
+            if (sign == Sign::None && this->loop.clock().now() >= limits.beginBy()) {
+                call.close();
+                sign = Sign::Failure;
+            }
         }
         // The probe suspends this fiber, so another upstream may have answered meanwhile.
         if (this->replaced) {
@@ -52,7 +60,7 @@
         if (this->othersEnded) {
             return End::OthersFailed;
         }
-        if (this->loop.clock().now() >= deadline) {
+        if (this->loop.clock().now() >= limits.deadline) {
             return End::DeadlinePassed;
         }
     }
--- a/Userland/Services/Gateway/SilentCall.h
+++ b/Userland/Services/Gateway/SilentCall.h
@@ -32,11 +32,18 @@
     void replace();
     SilentCall *outerCall() const;
 
+    struct Limits {
+        /// Monotonic time at which the client's call ends.
+        AK::Milliseconds deadline = 0;
+        /// Monotonic time, as known now, by which the silent upstream must show a sign; the call to it is then closed, and only the others are left.
+        std::function<AK::Milliseconds()> beginBy;
+    };
+
     /// Runs `others`, the attempts at other upstreams, until one side answers. `probe` reads what the silent upstream has sent; after Sign::Failure it is not
     /// called any more, and only the others are left. `giveUp` ends the silent call when another upstream answers; `others` then runs to its end. In all other
     /// cases `others` is cancelled.
     End await(kj::WaitScope &scope, UpstreamCall &call, const Probe &probe, const std::function<void()> &giveUp, kj::Promise<void> others,
-              AK::Milliseconds deadline);
+              const Limits &limits);
 
 private:
     LibFiber::Loop &loop;
--- a/Userland/Services/Gateway/UpstreamCall.cpp
+++ b/Userland/Services/Gateway/UpstreamCall.cpp
@@ -200,6 +200,11 @@
     }
 }
 
+bool UpstreamCall::closed() const
+{
+    return this->connection.channel.get() == nullptr;
+}
+
 void UpstreamCall::finish()
 {
     KJ_IF_MAYBE (reader, this->body) {
--- a/Userland/Services/Gateway/UpstreamCall.h
+++ b/Userland/Services/Gateway/UpstreamCall.h
@@ -74,6 +74,7 @@
 
     /// Resets the connection, which stops the work at the upstream; a request that a standing host has not read yet is dropped there.
     void close();
+    bool closed() const;
 
     /// Valid after SendOutcome::Answered.
     const LibHttpStream::ResponseHead &responseHead() const;
--- a/Userland/Services/Gateway/UpstreamTable.cpp
+++ b/Userland/Services/Gateway/UpstreamTable.cpp
@@ -24,9 +24,10 @@
 {
 }
 
-void UpstreamTable::setWeightsSwitchDelay(AK::Milliseconds weightsSwitchDelay)
+void UpstreamTable::setWeightsTimes(AK::Milliseconds weightsSwitchDelay, AK::Milliseconds weightsBeginLimit)
 {
     this->settings.weightsSwitchDelay = weightsSwitchDelay;
+    this->settings.weightsBeginLimit = weightsBeginLimit;
 }
 
 void UpstreamTable::setRegions(std::map<std::string, std::string> regionsByDomain)
@@ -352,11 +353,23 @@
 
 int64_t UpstreamTable::requiredWeightsVersion(const std::string &service) const
 {
+    return LibGateway::requiredWeightsVersion(this->weightsTargets(service), this->clock.now(), this->settings.weightsSwitchDelay);
+}
+
+const std::vector<LibFleet::WeightsTarget> &UpstreamTable::weightsTargets(const std::string &service) const
+{
+    static const std::vector<LibFleet::WeightsTarget> none;
     const LibFleet::ServiceSpec *spec = this->serviceSpec(service);
-    if (spec == nullptr || !spec->engine) {
-        return 0;
-    }
-    return LibGateway::requiredWeightsVersion(this->fleet.weightsTargets(spec->engine->model), this->clock.now(), this->settings.weightsSwitchDelay);
+    return spec == nullptr || !spec->engine ? none : this->fleet.weightsTargets(spec->engine->model);
+}
+
+AK::Milliseconds UpstreamTable::timeToBegin(const LibFleet::UpstreamRecord &record, int64_t granted) const
+{
+    static const std::vector<LibFleet::WeightsTarget> none;
+    const int64_t held = this->heldWeightsVersion(record);
+    // An engine without weights is loading, so a call that has not begun yet begins on the newer ones.
+    const std::vector<LibFleet::WeightsTarget> &targets = record.isEngine && held != 0 ? this->weightsTargets(record.service) : none;
+    return LibGateway::timeToBegin(targets, std::max(held, granted), this->clock.now(), this->settings.weightsBeginLimit);
 }
 
 int64_t UpstreamTable::heldWeightsVersion(const LibFleet::UpstreamRecord &record) const
--- a/Userland/Services/Gateway/UpstreamTable.h
+++ b/Userland/Services/Gateway/UpstreamTable.h
@@ -21,6 +21,8 @@
     LibGateway::PlacementSettings placement;
     /// Upstreams with an older version of the weights get no more calls this long after a new version became known, in ms.
     AK::Milliseconds weightsSwitchDelay = 6'000;
+    /// Calls that have not begun at such an upstream are withdrawn this long after a new version became known, in ms.
+    AK::Milliseconds weightsBeginLimit = 7'000;
 };
 
 /// Who decides at which point of a call whether an upstream may get it.
@@ -40,7 +42,8 @@
     /// `ownersDecide`: other entries can be asked for slots at the upstreams that they own.
     UpstreamTable(const AK::Clock &clock, const LibFleet::FleetState &fleet, TableSettings settings, bool ownersDecide);
 
-    void setWeightsSwitchDelay(AK::Milliseconds weightsSwitchDelay);
+    /// See TableSettings.
+    void setWeightsTimes(AK::Milliseconds weightsSwitchDelay, AK::Milliseconds weightsBeginLimit);
 
     /// Sets the region of each failure domain.
     void setRegions(std::map<std::string, std::string> regionsByDomain);
@@ -55,6 +58,9 @@
     /// The same right before the request is written, for the record that was granted. `granted` may differ from what is registered by now.
     std::optional<LibGateway::Hindrance> hindranceToSend(const LibFleet::UpstreamRecord &granted, const CallRequirements &requirements);
 
+    /// Time in ms from now within which a call must begin at an engine that held the version `granted` when it got the call; see LibGateway::timeToBegin().
+    AK::Milliseconds timeToBegin(const LibFleet::UpstreamRecord &record, int64_t granted) const;
+
     /// Whether calls may use a version of the weights of a service.
     bool allowsWeights(const std::string &service, int64_t version) const;
 
@@ -127,6 +133,8 @@
     /// Engines of each owner.
     size_t enginesOf(const std::string &owner);
     int64_t requiredWeightsVersion(const std::string &service) const;
+    /// Versions of the weights that the operator has named for the model of a service; empty when it has none.
+    const std::vector<LibFleet::WeightsTarget> &weightsTargets(const std::string &service) const;
     std::string regionOf(const std::string &failureDomain) const;
 
     const AK::Clock &clock;
--- a/Userland/Utilities/catkinlinkd/EntryProcess.cpp
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.cpp
@@ -84,7 +84,7 @@
 {
     this->settings = changed;
     const Gateway::DispatchSettings dispatch = dispatchSettings(changed);
-    this->dispatcher.setBounds(dispatch.retries, dispatch.upstreams.weightsSwitchDelay);
+    this->dispatcher.setBounds(dispatch.retries, dispatch.upstreams.weightsSwitchDelay, dispatch.upstreams.weightsBeginLimit);
     this->dispatcher.setRegions(changed.regionsByDomain);
     this->node.exchange.setSeeds(changed.seeds);
     this->node.feeds.setTimes(changed.bounds.store);
@@ -118,6 +118,7 @@
     result.upstreams.region = settings.region;
     result.retries = {settings.bounds.retryRatio, settings.bounds.retryExtra, settings.bounds.retryWindow};
     result.upstreams.weightsSwitchDelay = weightsSwitchDelay(settings);
+    result.upstreams.weightsBeginLimit = weightsBeginLimit(settings);
     return result;
 }
 
--- a/Userland/Utilities/catkinlinkd/PlatformNode.cpp
+++ b/Userland/Utilities/catkinlinkd/PlatformNode.cpp
@@ -45,6 +45,13 @@
     return std::max<AK::Milliseconds>(0, settings.bounds.maxWeightsRolloutTime - queueTime);
 }
 
+AK::Milliseconds weightsBeginLimit(const Platform::NodeSettings &settings)
+{
+    // From the naming until entries know of it, and from a withdrawal until the engine has dropped the call.
+    constexpr AK::Milliseconds noticeTime = 500;
+    return std::max<AK::Milliseconds>(0, settings.bounds.maxWeightsRolloutTime - noticeTime);
+}
+
 void waitForStopSignal(LibFiber::Loop &loop)
 {
     loop.events().onSignal(SIGTERM).ignoreResult().exclusiveJoin(loop.events().onSignal(SIGINT).ignoreResult()).wait(loop.rootScope());
--- a/Userland/Utilities/catkinlinkd/PlatformNode.h
+++ b/Userland/Utilities/catkinlinkd/PlatformNode.h
@@ -28,5 +28,8 @@
 /// Time after new weights were named from which no call is sent to an engine with older ones, in ms.
 AK::Milliseconds weightsSwitchDelay(const Platform::NodeSettings &settings);
 
+/// Time after new weights were named from which calls that have not begun at an engine with older ones are withdrawn from it, in ms.
+AK::Milliseconds weightsBeginLimit(const Platform::NodeSettings &settings);
+
 /// Returns after SIGTERM or SIGINT.
 void waitForStopSignal(LibFiber::Loop &loop);
