Gateway, WeightAgent: Count the age of weights while the host is suspended

After a suspension of its host an entry would use older weights for as much longer as that took (VERSION): the age of a naming came from the monotonic clock, which stands still meanwhile. The age now comes from AK::Clock::uninterruptedTime(), at entries and agents.

--- a/Tests/Services/Gateway/TestOldWeights.cpp
+++ b/Tests/Services/Gateway/TestOldWeights.cpp
@@ -194,4 +194,74 @@
                     OldWeightsCase{"begun", OldEngine::SendsSlowly, 0, false}, OldWeightsCase{"loaded_meanwhile", OldEngine::LoadsMeanwhile, 0, false}),
     [](const auto &info) { return std::string(info.param.name); });
 
+/// The clocks of a host that was suspended for a part of the time.
+class SuspendedClock final : public AK::Clock
+{
+public:
+    AK::Milliseconds now() const override
+    {
+        return this->running;
+    }
+    AK::Milliseconds uninterruptedTime() const override
+    {
+        return this->running + this->suspended;
+    }
+    AK::Milliseconds wallTime() const override
+    {
+        return this->uninterruptedTime();
+    }
+    void sleep(AK::Milliseconds) const override
+    {
+    }
+
+    AK::Milliseconds running = 1'000;
+    AK::Milliseconds suspended = 0;
+};
+
+struct SuspensionCase {
+    const char *name;
+    AK::Milliseconds running;
+    AK::Milliseconds suspended;
+    bool oldAllowed;
+    bool mayBegin;
+};
+
+class SuspendedEntryTest : public testing::TestWithParam<SuspensionCase>
+{
+};
+
+// Guards against calls on older weights after the host of the entry was suspended, for which the monotonic clock does not count the age of the new ones.
+TEST_P(SuspendedEntryTest, CountsTheAgeOfNewWeights)
+{
+    SuspendedClock clock;
+    LibFleet::FleetState fleet(clock);
+    LibFleet::Configuration configuration;
+    configuration.version = 1;
+    configuration.services["s"].engine = LibFleet::EngineSpec{};
+    configuration.services["s"].engine->model = model;
+    fleet.setConfiguration(configuration);
+    fleet.setWeightsTargets({{model, 1}}, 0);
+    Gateway::TableSettings settings;
+    settings.weightsSwitchDelay = switchDelay;
+    settings.weightsBeginLimit = beginLimit;
+    const Gateway::UpstreamTable table(clock, fleet, settings, false);
+    clock.running += beginLimit;
+    fleet.setWeightsTargets({{model, 2}}, 0);
+    LibFleet::UpstreamRecord engine;
+    engine.service = "s";
+    engine.isEngine = true;
+    engine.weightsVersion = 1;
+    clock.running += GetParam().running;
+    clock.suspended += GetParam().suspended;
+    EXPECT_EQ(table.allowsWeights("s", 1), GetParam().oldAllowed);
+    EXPECT_EQ(table.timeToBegin(engine, 1) > 0, GetParam().mayBegin);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, SuspendedEntryTest,
+                         testing::Values(SuspensionCase{"awake", switchDelay - 1, 0, true, true}, SuspensionCase{"awake_for_long", switchDelay, 0, false, true},
+                                         SuspensionCase{"suspended_for_a_moment", 100, 100, true, true},
+                                         SuspensionCase{"suspended_to_the_switch", 100, switchDelay, false, true},
+                                         SuspensionCase{"suspended_beyond_the_limit", 100, beginLimit, false, false}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
--- a/Userland/Libraries/LibFleet/FleetState.cpp
+++ b/Userland/Libraries/LibFleet/FleetState.cpp
@@ -134,7 +134,7 @@
 void FleetState::setWeightsTargets(const std::map<std::string, int64_t> &versions, AK::Milliseconds initialAge)
 {
     bool added = false;
-    const AK::Milliseconds learnedAt = this->clock.now() - (this->targetsKnown ? 0 : initialAge);
+    const AK::Milliseconds learnedAt = this->clock.uninterruptedTime() - (this->targetsKnown ? 0 : initialAge);
     this->targetsKnown = true;
     for (const auto &[model, version] : versions) {
         std::vector<WeightsTarget> &known = this->targetsByModel[model];
--- a/Userland/Libraries/LibFleet/FleetState.h
+++ b/Userland/Libraries/LibFleet/FleetState.h
@@ -39,7 +39,7 @@
 /// A version of a model's weights that the operator named as the target, and when this process learned of it.
 struct WeightsTarget {
     int64_t version = 0;
-    /// Monotonic time.
+    /// Time by AK::Clock::uninterruptedTime().
     AK::Milliseconds learnedAt = 0;
 };
 
--- a/Userland/Services/Gateway/UpstreamTable.cpp
+++ b/Userland/Services/Gateway/UpstreamTable.cpp
@@ -353,7 +353,7 @@
 
 int64_t UpstreamTable::requiredWeightsVersion(const std::string &service) const
 {
-    return LibGateway::requiredWeightsVersion(this->weightsTargets(service), this->clock.now(), this->settings.weightsSwitchDelay);
+    return LibGateway::requiredWeightsVersion(this->weightsTargets(service), this->clock.uninterruptedTime(), this->settings.weightsSwitchDelay);
 }
 
 const std::vector<LibFleet::WeightsTarget> &UpstreamTable::weightsTargets(const std::string &service) const
@@ -369,7 +369,7 @@
     const int64_t held = this->heldWeightsVersion(record);
     // An engine without weights is loading, so a call that has not begun yet begins on the newer ones.
     const std::vector<LibFleet::WeightsTarget> &targets = record.isEngine && held != 0 ? this->weightsTargets(record.service) : none;
-    return LibGateway::timeToBegin(targets, std::max(held, granted), this->clock.now(), this->settings.weightsBeginLimit);
+    return LibGateway::timeToBegin(targets, std::max(held, granted), this->clock.uninterruptedTime(), this->settings.weightsBeginLimit);
 }
 
 int64_t UpstreamTable::heldWeightsVersion(const LibFleet::UpstreamRecord &record) const
--- a/Userland/Services/WeightAgent/AgentService.cpp
+++ b/Userland/Services/WeightAgent/AgentService.cpp
@@ -121,7 +121,7 @@
     AK::Milliseconds left = this->settings.switchTimeLimit;
     for (const LibFleet::WeightsTarget &target : this->fleet.weightsTargets(model)) {
         if (target.version > this->status->report.weightsVersion && target.version <= version) {
-            left = std::min(left, this->settings.switchTimeLimit - (this->loop.clock().now() - target.learnedAt));
+            left = std::min(left, this->settings.switchTimeLimit - (this->loop.clock().uninterruptedTime() - target.learnedAt));
         }
     }
     return left;
@@ -144,7 +144,8 @@
     for (const LibFleet::WeightsTarget &target : targets) {
         // The newest version is fetched even when the engine has it, so that other agents can get it from here.
         if (target.version > this->status->report.weightsVersion || target.version == targets.back().version) {
-            candidates.push_back({target.version, this->settings.switchTimeLimit - (this->loop.clock().now() - target.learnedAt), heldShare(target.version)});
+            candidates.push_back(
+                {target.version, this->settings.switchTimeLimit - (this->loop.clock().uninterruptedTime() - target.learnedAt), heldShare(target.version)});
         }
     }
     return chooseVersionToFetch(candidates, DurationEstimates{});
