Fleet: Tell others how long ago weights were named

An entry that stood still while weights were named learned of them when it woke, counted their age from then, and sent calls to older ones for as long beyond the bound (VERSION). An entry that is cut off learns late in the same way, and one that restarts assumes an age.

Processes state the age of each version for 60 s after its naming in the exchange that they have anyway, and the earliest time counts. An assumed age is not passed on, and gives way to the first that is told. The new field is left out by earlier builds, and they ignore it.

--- a/Tests/LibFleet/TestFleet.cpp
+++ b/Tests/LibFleet/TestFleet.cpp
@@ -88,6 +88,47 @@
     EXPECT_EQ(state.weightsTarget("m").version, 2);
 }
 
+struct TargetAgeCase {
+    const char *name;
+    /// Time in ms for which this process has known the target by its own clock; nothing when it was named before this process started.
+    std::optional<AK::Milliseconds> known;
+    WeightsTargetAge told;
+    AK::Milliseconds age;
+    bool tellsOthers;
+};
+
+class TargetAgeTest : public testing::TestWithParam<TargetAgeCase>
+{
+};
+
+// Guards against calls that begin on older weights too late: an entry that stood still when new ones were named counted their age from the moment at which it
+// learned of them.
+TEST_P(TargetAgeTest, CountsFromTheProcessThatLearnedFirst)
+{
+    constexpr AK::Milliseconds assumedAge = 5'000;
+    constexpr AK::Milliseconds newsTime = 60'000;
+    const ManualClock clock;
+    FleetState state(clock);
+    if (GetParam().known) {
+        state.setWeightsTargets({}, assumedAge);
+    }
+    state.setWeightsTargets({{"m", 2}}, assumedAge);
+    clock.time += GetParam().known.value_or(0);
+    state.adoptWeightsTargetAge(GetParam().told);
+    EXPECT_EQ(clock.time - state.weightsTargets("m").back().learnedAt, GetParam().age);
+    EXPECT_EQ(!state.weightsTargetAges(newsTime).empty(), GetParam().tellsOthers);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, TargetAgeTest,
+                         testing::Values(TargetAgeCase{"learned_late", 1'000, {"m", 2, 4'000}, 4'000, true},
+                                         TargetAgeCase{"learned_first", 4'000, {"m", 2, 1'000}, 4'000, true},
+                                         TargetAgeCase{"started_late", std::nullopt, {"m", 2, 1'000}, 1'000, true},
+                                         TargetAgeCase{"nobody_knows", std::nullopt, {"m", 1, 9'000}, 5'000, false},
+                                         TargetAgeCase{"another_version", 1'000, {"m", 1, 4'000}, 1'000, true},
+                                         TargetAgeCase{"another_model", 1'000, {"n", 2, 4'000}, 1'000, true},
+                                         TargetAgeCase{"no_news_any_more", 61'000, {"m", 2, 1'000}, 61'000, false}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 // Guards against revisions that decrease, and against changes applied to objects of another revision.
 TEST(ObjectSnapshot, OnlyMovesForward)
 {
--- a/Tests/LibPeers/TestWireCodec.cpp
+++ b/Tests/LibPeers/TestWireCodec.cpp
@@ -102,6 +102,21 @@
     EXPECT_EQ(decoded.leavingUpstreams[1].startTime, 0);
 }
 
+// Guards against the age of a version of the weights that is taken for another one's on the way to another entry.
+TEST(WeightsTargetCodec, ReturnsWhatWasSent)
+{
+    NodeState state;
+    state.weightsTargets = {{"m", 3, 1'250}, {"n", 1, 0}};
+    capnp::MallocMessageBuilder message;
+    encode(state, message.initRoot<PeerWire::NodeState>());
+    const NodeState decoded = decode(message.getRoot<PeerWire::NodeState>().asReader());
+    ASSERT_EQ(decoded.weightsTargets.size(), 2U);
+    EXPECT_EQ(decoded.weightsTargets[0].model, "m");
+    EXPECT_EQ(decoded.weightsTargets[0].version, 3);
+    EXPECT_EQ(decoded.weightsTargets[0].age, 1'250);
+    EXPECT_EQ(decoded.weightsTargets[1].model, "n");
+}
+
 // Guards against crashes whose suspects or times are changed on the way to another entry.
 TEST(CrashCodec, ReturnsWhatWasSent)
 {
--- a/Tests/Services/Fleet/TestPeerExchange.cpp
+++ b/Tests/Services/Fleet/TestPeerExchange.cpp
@@ -96,6 +96,7 @@
         state.rpcAddress = this->address.text();
         state.clientAddress = "127.0.0.1:1";
         state.revisions[static_cast<size_t>(ObjectKind::Configuration)] = this->hasNewest ? newest : 0;
+        state.weightsTargets = this->weightsTargets;
         return state;
     }
 
@@ -109,6 +110,7 @@
     std::string name;
     AK::Endpoint address;
     bool hasNewest;
+    std::vector<LibFleet::WeightsTargetAge> weightsTargets;
     LibPeers::PeerServer server;
     int exchanges = 0;
     int reads = 0;
@@ -224,6 +226,40 @@
     loop.cancelSpawned();
 }
 
+// Guards against an entry that counts the age of new weights from the end of its standstill, and so uses the older ones for too long.
+TEST(PeerExchange, TakesTheAgeOfWeightsFromAnEntryThatLearnedFirst)
+{
+    constexpr uint16_t otherPort = 17'695;
+    constexpr uint16_t ownPort = 17'696;
+    constexpr AK::Milliseconds toldAge = 3'000;
+    constexpr AK::Milliseconds limit = 2'000;
+    LibFiber::Loop loop;
+    LibFleet::FleetState fleet(loop.clock());
+    RecordingDecoder decoder;
+    SlowSource source(loop, false);
+    Fleet::ObjectFeeds feeds(loop, source, decoder, fleet);
+    OtherEntry other(loop, "e1", {Loopback::processHost(), otherPort}, false);
+    other.weightsTargets = {{"m", 2, toldAge}};
+    fleet.setEntries({{"e1", {"e1", other.address, {Loopback::processHost(), 1}, "lima", "lima-1"}}});
+    fleet.setWeightsTargets({}, 0);
+    fleet.setWeightsTargets({{"m", 2}}, 0);
+    Fleet::PeerExchange exchange(loop, {"self", "lima-1", "lima", {Loopback::processHost(), ownPort}, AK::Endpoint{Loopback::processHost(), 2}, {}}, feeds,
+                                 fleet);
+    exchange.start();
+    const auto age = [&] {
+        return loop.clock().uninterruptedTime() - fleet.weightsTargets("m").back().learnedAt;
+    };
+    const AK::Milliseconds until = loop.clock().now() + limit;
+    while (age() < toldAge && loop.clock().now() < until) {
+        loop.sleep(loop.rootScope(), 1);
+    }
+    EXPECT_GE(age(), toldAge);
+    const LibPeers::NodeState told = exchange.exchange({});
+    ASSERT_EQ(told.weightsTargets.size(), 1U) << "it tells the others";
+    EXPECT_GE(told.weightsTargets[0].age, toldAge);
+    loop.cancelSpawned();
+}
+
 // Guards against an owner that gets no reports of its engine after its restart: its agent knew only the entries that it exchanged with, and found the others
 // again by chance, one a second.
 TEST(PeerExchange, AgentsComeBackToAnOwnerThatHasRestarted)
--- a/Userland/Libraries/LibFleet/FleetState.cpp
+++ b/Userland/Libraries/LibFleet/FleetState.cpp
@@ -134,14 +134,15 @@
 void FleetState::setWeightsTargets(const std::map<std::string, int64_t> &versions, AK::Milliseconds initialAge)
 {
     bool added = false;
-    const AK::Milliseconds learnedAt = this->clock.uninterruptedTime() - (this->targetsKnown ? 0 : initialAge);
+    const bool ageAssumed = !this->targetsKnown;
+    const AK::Milliseconds learnedAt = this->clock.uninterruptedTime() - (ageAssumed ? initialAge : 0);
     this->targetsKnown = true;
     for (const auto &[model, version] : versions) {
         std::vector<WeightsTarget> &known = this->targetsByModel[model];
         const int64_t previous = known.empty() ? 0 : known.back().version;
         if (version > previous) {
             this->logger.info("weights_named", {{"model", model}, {"version", version}, {"previous", previous}});
-            known.push_back({version, learnedAt});
+            known.push_back({version, learnedAt, ageAssumed});
             known.erase(known.begin(), known.end() - static_cast<std::ptrdiff_t>(std::min(known.size(), maxTargetsPerModel)));
             added = true;
         }
@@ -151,6 +152,46 @@
     }
 }
 
+void FleetState::adoptWeightsTargetAge(const WeightsTargetAge &told)
+{
+    const auto known = this->targetsByModel.find(told.model);
+    if (known == this->targetsByModel.end()) {
+        return;
+    }
+    for (WeightsTarget &target : known->second) {
+        const AK::Milliseconds learnedAt = this->clock.uninterruptedTime() - told.age;
+        if (target.version != told.version || (!target.ageAssumed && target.learnedAt <= learnedAt)) {
+            continue;
+        }
+        // Reports of one moment differ by the time that they take; only a process that learned late says so.
+        constexpr AK::Milliseconds notableDifference = 500;
+        if (target.ageAssumed || target.learnedAt - learnedAt > notableDifference) {
+            this->logger.info("weights_age_adopted",
+                              {{"model", told.model},
+                               {"version", told.version},
+                               {"age_ms", told.age},
+                               {"assumed", target.ageAssumed},
+                               {"previous_age_ms", this->clock.uninterruptedTime() - target.learnedAt}});
+        }
+        target.learnedAt = learnedAt;
+        target.ageAssumed = false;
+    }
+}
+
+std::vector<WeightsTargetAge> FleetState::weightsTargetAges(AK::Milliseconds maxAge) const
+{
+    std::vector<WeightsTargetAge> ages;
+    for (const auto &[model, targets] : this->targetsByModel) {
+        for (const WeightsTarget &target : targets) {
+            const AK::Milliseconds age = this->clock.uninterruptedTime() - target.learnedAt;
+            if (!target.ageAssumed && age <= maxAge) {
+                ages.push_back({model, target.version, age});
+            }
+        }
+    }
+    return ages;
+}
+
 void FleetState::observe(std::function<void()> observer)
 {
     this->observers.push_back(std::move(observer));
--- a/Userland/Libraries/LibFleet/FleetState.h
+++ b/Userland/Libraries/LibFleet/FleetState.h
@@ -36,11 +36,21 @@
     std::string failureDomain;
 };
 
-/// A version of a model's weights that the operator named as the target, and when this process learned of it.
+/// A version of a model's weights that the operator named as the target, and when this process or another one first learned of it.
 struct WeightsTarget {
     int64_t version = 0;
     /// Time by AK::Clock::uninterruptedTime().
     AK::Milliseconds learnedAt = 0;
+    /// The version was named before this process started, and no other one has told how long ago.
+    bool ageAssumed = false;
+};
+
+/// What a process tells others of a target.
+struct WeightsTargetAge {
+    std::string model;
+    int64_t version = 0;
+    /// Time in ms since a process first learned of it.
+    AK::Milliseconds age = 0;
 };
 
 /// The state of the deployment as this process knows it. Updated from the object feeds; read by the services.
@@ -73,6 +83,13 @@
     /// Adds targets that are newer than the known ones. `initialAge` is the assumed age, in ms, of targets that were named before this process started.
     void setWeightsTargets(const std::map<std::string, int64_t> &versions, AK::Milliseconds initialAge);
 
+    /// Takes over how long ago another process learned of a target that this one knows. The first to learn of it is closest to the operator; a process that
+    /// stood still, was cut off or has been restarted learns late.
+    void adoptWeightsTargetAge(const WeightsTargetAge &told);
+
+    /// The targets of all models that became known within `maxAge` ms, but for those whose age is assumed.
+    std::vector<WeightsTargetAge> weightsTargetAges(AK::Milliseconds maxAge) const;
+
     /// Registers a function that is called after each change.
     void observe(std::function<void()> observer);
 
--- a/Userland/Libraries/LibPeers/PeerRecords.h
+++ b/Userland/Libraries/LibPeers/PeerRecords.h
@@ -2,6 +2,7 @@
 
 #include <AK/Clock.h>
 #include <AK/Endpoint.h>
+#include <LibFleet/FleetState.h>
 #include <LibFleet/ObjectFeed.h>
 #include <array>
 #include <kj/memory.h>
@@ -121,6 +122,8 @@
     std::vector<RateLimitReport> rateLimits;
     /// Between entries: upstreams on their way out of which others may not know yet.
     std::vector<LeavingUpstreamReport> leavingUpstreams;
+    /// Weights named lately, of whose age the sender is sure.
+    std::vector<LibFleet::WeightsTargetAge> weightsTargets;
 };
 
 /// Asks for a slot at an upstream that another entry owns.
--- a/Userland/Libraries/LibPeers/WireCodec.cpp
+++ b/Userland/Libraries/LibPeers/WireCodec.cpp
@@ -128,6 +128,16 @@
     }
 }
 
+void encodeWeightsTargets(const NodeState &state, PeerWire::NodeState::Builder builder)
+{
+    auto targets = builder.initWeightsTargets(static_cast<capnp::uint>(state.weightsTargets.size()));
+    for (capnp::uint i = 0; i < targets.size(); ++i) {
+        targets[i].setModel(state.weightsTargets[i].model.c_str());
+        targets[i].setVersion(state.weightsTargets[i].version);
+        targets[i].setAgeMs(toUnsigned(state.weightsTargets[i].age));
+    }
+}
+
 void encodeCrashes(const NodeState &state, PeerWire::NodeState::Builder builder)
 {
     auto crashes = builder.initCrashes(static_cast<capnp::uint>(state.crashes.size()));
@@ -187,6 +197,9 @@
     if (!state.leavingUpstreams.empty()) {
         encodeLeavingUpstreams(state, builder);
     }
+    if (!state.weightsTargets.empty()) {
+        encodeWeightsTargets(state, builder);
+    }
 }
 
 NodeState decode(PeerWire::NodeState::Reader reader)
@@ -223,6 +236,9 @@
     for (const auto leaving : reader.getLeavingUpstreams()) {
         state.leavingUpstreams.push_back({toText(leaving.getUpstream()), leaving.getStartTime()});
     }
+    for (const auto target : reader.getWeightsTargets()) {
+        state.weightsTargets.push_back({toText(target.getModel()), target.getVersion(), target.getAgeMs()});
+    }
     for (const auto sound : reader.getSoundParts()) {
         state.soundParts.push_back({toText(sound.getPart()), sound.getAgeMs()});
     }
--- a/Userland/Libraries/LibPeers/peers.capnp
+++ b/Userland/Libraries/LibPeers/peers.capnp
@@ -40,6 +40,7 @@
   rateLimits @18 :List(RateLimitReport);  # between entries: limits of which the sender had news lately
   eras @19 :List(Int64);      # era of the store to which each of `revisions` belongs; missing ones are 0
   leavingUpstreams @20 :List(LeavingUpstream);  # between entries: those of which others may not know yet
+  weightsTargets @21 :List(WeightsTargetReport);  # weights named lately, of whose age the sender is sure
 }
 
 struct CrashReport {
@@ -68,6 +69,13 @@
   startTime @1 :Int64;        # wall time in ms of the start of the incarnation that leaves, 0 when unknown
 }
 
+# A version of a model's weights that the operator has named.
+struct WeightsTargetReport {
+  model @0 :Text;
+  version @1 :Int64;
+  ageMs @2 :UInt32;           # since the sender learned of it
+}
+
 # A part of a prompt with which an upstream has written a response.
 struct SoundPartReport {
   part @0 :Text;
--- a/Userland/Services/Fleet/PeerExchange.cpp
+++ b/Userland/Services/Fleet/PeerExchange.cpp
@@ -35,6 +35,8 @@
 constexpr AK::Milliseconds agentListInterval = 1'000;
 // Connections that stay open for reading announced objects; about as many entries exchange with this one.
 constexpr size_t maxPullLinks = 16;
+// Longer than the bounds on the rollout of a version, which count from its naming.
+constexpr AK::Milliseconds weightsNewsTime = 60'000;
 
 } // namespace
 
@@ -136,6 +138,7 @@
     own.rpcAddress = this->settings.rpcAddress.text();
     own.clientAddress = this->settings.clientAddress ? this->settings.clientAddress->text() : "";
     own.revisions = this->ownRevisions();
+    own.weightsTargets = this->state.weightsTargetAges(weightsNewsTime);
     if (this->completeState) {
         this->completeState(own);
     }
@@ -157,6 +160,9 @@
 void PeerExchange::record(const LibPeers::NodeState &peer)
 {
     const bool stopped = this->views.record(peer);
+    for (const LibFleet::WeightsTargetAge &told : peer.weightsTargets) {
+        this->state.adoptWeightsTargetAge(told);
+    }
     this->feeds.noteEra(std::max_element(peer.revisions.begin(), peer.revisions.end())->era);
     if (peer.engine && this->reportObserver) {
         this->reportObserver(*peer.engine);
