Gateway: Answer every call that a planned stop has taken

In a planned stop the entry took calls for 2.5 s whatever its grace period, and at its end closed the connections of those that had not ended, without an answer (LOST): with a grace period of 3 s or less calls were taken until the process ended; with any, a call that waited for a slot or lasted longer than the stop was left without one.

LibGateway::planDrain() derives the steps of a stop from the grace period (the same times as before at 8 s). 0.4 s before the end each call whose response has not begun gets its answer: 503 if it was not sent to an upstream, else 502 or 504. Streams that have begun go on to the end.

--- a/Tests/Services/Gateway/GatewaySite.cpp
+++ b/Tests/Services/Gateway/GatewaySite.cpp
@@ -225,6 +225,23 @@
     }
 }
 
+std::list<kj::Own<Gateway::Grant>> holdAllSlots(GatewaySite &site)
+{
+    std::list<kj::Own<Gateway::Grant>> held;
+    while (true) {
+        Gateway::CallRequirements requirements;
+        requirements.service = "s";
+        requirements.arrivedAt = site.loop.clock().now();
+        requirements.startBy = requirements.arrivedAt;
+        Gateway::GrantOrRefusal result = site.dispatcher.acquire(site.loop.rootScope(), requirements);
+        KJ_IF_MAYBE (grant, result.grant) {
+            held.push_back(kj::mv(*grant));
+        } else {
+            return held;
+        }
+    }
+}
+
 void writeResponse(kj::WaitScope &scope, LibFiber::ByteChannel &channel, LibFiber::Loop &loop, const std::string &id, int status, const std::string &body,
                    size_t declaredLength, const LibHttpStream::Headers &moreHeaders)
 {
--- a/Tests/Services/Gateway/GatewaySite.h
+++ b/Tests/Services/Gateway/GatewaySite.h
@@ -88,6 +88,9 @@
     LibFiber::SpawnedFibersGuard fibersGuard{this->loop};
 };
 
+/// Grants of all slots that the site has.
+std::list<kj::Own<Gateway::Grant>> holdAllSlots(GatewaySite &site);
+
 /// Writes a response whose declared length may differ from the length of the body.
 void writeResponse(kj::WaitScope &scope, LibFiber::ByteChannel &channel, LibFiber::Loop &loop, const std::string &id, int status, const std::string &body,
                    size_t declaredLength, const LibHttpStream::Headers &moreHeaders = {});
--- a/Tests/Services/Gateway/TestStandstill.cpp
+++ b/Tests/Services/Gateway/TestStandstill.cpp
@@ -24,24 +24,6 @@
     AK::Milliseconds clientGapLimit = 0;
 };
 
-/// Grants of all slots that the site has.
-std::list<kj::Own<Gateway::Grant>> holdAllSlots(GatewaySite &site)
-{
-    std::list<kj::Own<Gateway::Grant>> held;
-    while (true) {
-        Gateway::CallRequirements requirements;
-        requirements.service = "s";
-        requirements.arrivedAt = site.loop.clock().now();
-        requirements.startBy = requirements.arrivedAt;
-        Gateway::GrantOrRefusal result = site.dispatcher.acquire(site.loop.rootScope(), requirements);
-        KJ_IF_MAYBE (grant, result.grant) {
-            held.push_back(kj::mv(*grant));
-        } else {
-            return held;
-        }
-    }
-}
-
 class StandstillTest : public testing::TestWithParam<StandstillCase>
 {
 };
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -74,13 +74,23 @@
 {
     this->context.metrics.add("catkinlink_call_exceptions_total");
     this->logger.error("call_exception", {{"request", this->request.id}, {"reason", failure}});
-    this->silentCall = nullptr;
-    this->mayHaveRun = this->mayHaveRun || this->report.sends > 0;
     if (!this->client.complete()) {
-        this->giveUp(scope, "internal error", refusalRetryAfter);
+        this->giveUpInterrupted(scope, "internal error", refusalRetryAfter);
     }
 }
 
+void CallTask::endBeforeStop(kj::WaitScope &scope, AK::Milliseconds retryAfter)
+{
+    this->giveUpInterrupted(scope, "this entry is about to stop", retryAfter);
+}
+
+void CallTask::giveUpInterrupted(kj::WaitScope &scope, const std::string &reason, AK::Milliseconds retryAfter)
+{
+    this->silentCall = nullptr;
+    this->mayHaveRun = this->mayHaveRun || this->report.sends > 0;
+    this->giveUp(scope, reason, retryAfter);
+}
+
 bool CallTask::prepare(kj::WaitScope &scope)
 {
     absl::StatusOr<LibGateway::CallRequest> decoded = this->context.codec.decodeRequest(this->head);
--- a/Userland/Services/Gateway/CallTask.h
+++ b/Userland/Services/Gateway/CallTask.h
@@ -50,6 +50,9 @@
 
     void run(kj::WaitScope &scope);
 
+    /// Answers a call whose response has not begun, because the process is about to stop. Must be called after the fiber of run() has been dropped.
+    void endBeforeStop(kj::WaitScope &scope, AK::Milliseconds retryAfter);
+
 private:
     // Far above the text of the few tokens in an event.
     static constexpr size_t maxEventBytes = 256UL << 10;
@@ -58,6 +61,8 @@
 
     /// Answers a call in which an exception was thrown, unless its response has begun.
     void endAfterException(kj::WaitScope &scope, const std::string &failure);
+    /// Gives up a call whose attempts have been interrupted.
+    void giveUpInterrupted(kj::WaitScope &scope, const std::string &reason, AK::Milliseconds retryAfter);
     /// Decodes and authorizes the call. Returns false after refusing it.
     bool prepare(kj::WaitScope &scope);
     void runAttempts(kj::WaitScope &scope);
--- a/Userland/Services/Gateway/GatewayService.cpp
+++ b/Userland/Services/Gateway/GatewayService.cpp
@@ -35,7 +35,11 @@
 GatewayService::GatewayService(const CallContext &context, AK::Endpoint address)
     : context(context)
     , address(std::move(address))
+    , answersDue(nullptr)
 {
+    auto paf = kj::newPromiseAndFulfiller<void>();
+    this->answerNow = kj::mv(paf.fulfiller);
+    this->answersDue = paf.promise.fork();
 }
 
 absl::Status GatewayService::start()
@@ -150,13 +154,7 @@
         }
         return false;
     }
-    bool clientGone = false;
-    kj::Promise<void> call = this->context.loop.fiber([&](kj::WaitScope &inner) {
-        CallTask task(this->context, std::move(head), std::move(body), client);
-        task.run(inner);
-    });
-    kj::Promise<void> gone = channel.whenClosed().then([&clientGone] { clientGone = true; });
-    call.exclusiveJoin(kj::mv(gone)).wait(scope);
+    const bool clientGone = this->runCall(scope, channel, client, std::move(head), std::move(body));
     if (clientGone || !client.complete()) {
         channel.resetOnClose();
         return false;
@@ -168,12 +166,36 @@
     return true;
 }
 
+bool GatewayService::runCall(kj::WaitScope &scope, LibFiber::ByteChannel &channel, ClientChannel &client, LibHttpStream::RequestHead head, std::string body)
+{
+    bool clientGone = false;
+    bool answerDue = false;
+    CallTask task(this->context, std::move(head), std::move(body), client);
+    kj::Promise<void> gone = channel.whenClosed().then([&clientGone] { clientGone = true; });
+    kj::ForkedPromise<void> ended = this->context.loop.fiber([&task](kj::WaitScope &inner) { task.run(inner); }).exclusiveJoin(kj::mv(gone)).fork();
+    ended.addBranch().exclusiveJoin(this->answersDue.addBranch().then([&answerDue] { answerDue = true; })).wait(scope);
+    if (answerDue && client.begun() && !client.complete()) {
+        ended.addBranch().wait(scope);
+    } else if (answerDue && !clientGone && !client.begun()) {
+        // Cancels the call.
+        ended = nullptr;
+        client.requestClose();
+        task.endBeforeStop(scope, drainRetryAfter);
+    }
+    return clientGone;
+}
+
 void GatewayService::beginDrain(AK::Milliseconds acceptFor)
 {
     this->draining = true;
     this->acceptUntil = this->context.loop.clock().now() + acceptFor;
 }
 
+void GatewayService::answerCalls()
+{
+    this->answerNow->fulfill();
+}
+
 void GatewayService::closeIdle()
 {
     for (Connection *connection : this->connections) {
--- a/Userland/Services/Gateway/GatewayService.h
+++ b/Userland/Services/Gateway/GatewayService.h
@@ -19,6 +19,9 @@
     /// `acceptFor` ms calls are refused, because a stream might not end before the process must stop.
     void beginDrain(AK::Milliseconds acceptFor);
 
+    /// Gives each call whose response has not begun its final answer now: "not run" if it was not sent to an upstream. Streams that have begun go on.
+    void answerCalls();
+
     /// Closes the connections that have no call in progress.
     void closeIdle();
 
@@ -39,6 +42,8 @@
     void closeGracefully(kj::WaitScope &scope, LibFiber::ByteChannel &channel);
     /// Returns whether the connection may carry another call.
     bool serveCall(kj::WaitScope &scope, LibFiber::ByteChannel &channel, LibHttpStream::RequestHead head, std::string body);
+    /// Runs a call until its response is complete or has to end. Returns whether the client has left.
+    bool runCall(kj::WaitScope &scope, LibFiber::ByteChannel &channel, ClientChannel &client, LibHttpStream::RequestHead head, std::string body);
     void refuseUnreadableRequest(kj::WaitScope &scope, LibFiber::ByteChannel &channel, const absl::Status &status);
     LibFleet::ClientLimits limits() const;
 
@@ -48,6 +53,8 @@
     size_t calls = 0;
     bool draining = false;
     AK::Milliseconds acceptUntil = 0;
+    kj::Own<kj::PromiseFulfiller<void>> answerNow;
+    kj::ForkedPromise<void> answersDue;
     LibLog::Logger logger{"gateway"};
 };
 
--- a/Userland/Utilities/catkinlinkd/EntryProcess.cpp
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.cpp
@@ -1,6 +1,7 @@
 #include "EntryProcess.h"
 
 #include <Gateway/AddressChoice.h>
+#include <LibGateway/DrainPlan.h>
 #include <algorithm>
 #include <platform/Directory.h>
 
@@ -18,13 +19,7 @@
 // Entries that were silent for this long are removed from the store. A restart takes only seconds.
 constexpr AK::Milliseconds removeAfter = 60'000;
 constexpr AK::Milliseconds removeInterval = 5'000;
-// Time from SIGTERM until idle connections are closed. By then clients have fetched new addresses.
-constexpr AK::Milliseconds idleCloseAfter = 3'500;
 constexpr AK::Milliseconds drainPoll = 50;
-// Calls that arrive later might not finish within the grace period. Clients have had new addresses for a second by then.
-constexpr AK::Milliseconds acceptCallsFor = 2'500;
-// Part of the grace period that is left for the exit of the process.
-constexpr AK::Milliseconds processExitTime = 700;
 
 } // namespace
 
@@ -93,22 +88,32 @@
 void EntryProcess::drain()
 {
     const AK::Milliseconds startTime = this->loop.clock().now();
-    const AK::Milliseconds limit = startTime + this->settings.bounds.shutdownGracePeriod - processExitTime;
+    const LibGateway::DrainPlan plan = LibGateway::planDrain(this->settings.bounds.shutdownGracePeriod);
+    const auto elapsed = [&] {
+        return this->loop.clock().now() - startTime;
+    };
     this->leaving = true;
-    this->gateway.beginDrain(acceptCallsFor);
+    this->gateway.beginDrain(plan.acceptUntil);
     this->node.exchange.pushNow();
     this->loop.spawn([this](kj::WaitScope &scope) { this->unregisterSelf(scope); });
     kj::WaitScope &scope = this->loop.rootScope();
-    while (this->loop.clock().now() < limit) {
+    size_t callsAtAnswer = 0;
+    bool answered = false;
+    while (elapsed() < plan.endAt) {
         this->loop.sleep(scope, drainPoll);
-        if (this->loop.clock().now() - startTime >= idleCloseAfter) {
+        if (elapsed() >= plan.closeIdleAt) {
             this->gateway.closeIdle();
             if (this->gateway.openConnections() == 0) {
                 break;
             }
         }
+        if (!answered && elapsed() >= plan.answerAt) {
+            answered = true;
+            callsAtAnswer = this->gateway.callsInProgress();
+            this->gateway.answerCalls();
+        }
     }
-    this->logger.info("drained", {{"took_ms", this->loop.clock().now() - startTime}, {"calls_left", this->gateway.callsInProgress()}});
+    this->logger.info("drained", {{"took_ms", elapsed()}, {"calls_ended", callsAtAnswer}, {"calls_left", this->gateway.callsInProgress()}});
 }
 
 Gateway::DispatchSettings EntryProcess::dispatchSettings(const Platform::NodeSettings &settings)
