Http: Reject calls that come after the drain time of an entry

Once clients may not use its address any more it now rejects calls with 503 and the outcome not_run.

GracefulStop.RejectsCallsThatComeTooLate: six clients keep sending to the entry from its SIGTERM on; it exits, and as many shipments were executed as answered.

--- a/Tests/Processes/TestGracefulStop.cpp
+++ b/Tests/Processes/TestGracefulStop.cpp
@@ -1,8 +1,11 @@
 #include "ProcessTest.h"
 
 #include <AK/Text.h>
+#include <LibHttp/HttpClient.h>
 #include <algorithm>
+#include <atomic>
 #include <csignal>
+#include <thread>
 
 namespace
 {
@@ -62,4 +65,54 @@
     return name;
 });
 
+// Guards against an entry that goes on taking calls of clients which keep its address: it never became idle, and the calls that came last were cut off when it
+// stopped.
+TEST(GracefulStop, RejectsCallsThatComeTooLate)
+{
+    constexpr int clients = 6;
+    constexpr AK::Milliseconds callTimeout = 5'000;
+    Harness::SitePlan plan = smallPlan({orderDesk(3)});
+    plan.plainFlags = {"--delay-ms", "300"};
+    Harness::Site site(plan);
+    startSite(site);
+    ASSERT_FALSE(testing::Test::HasFatalFailure());
+    const AK::Endpoint entry = site.entryAddress(1);
+    std::atomic<bool> ended{false};
+    std::atomic<int> answered{0};
+    std::atomic<int> rejected{0};
+    std::atomic<int> unanswered{0};
+    std::vector<std::thread> threads;
+    for (int client = 0; client < clients; ++client) {
+        threads.emplace_back([&, client] {
+            for (int sequence = 0; !ended; ++sequence) {
+                Harness::CallPlan call = mixedCall(1);
+                call.request.headers["idempotency-key"] = AK::concat("late-", client, "-", sequence);
+                call.request.headers["authorization"] = "Bearer " + site.accountKey(1);
+                call.request.headers["x-deadline-ms"] = std::to_string(callTimeout);
+                const auto response = LibHttp::httpCall(entry, call.request, callTimeout, 100'000);
+                const bool notRun = response.ok() && response->status == 503 && LibHttp::headerOr(response->headers, "x-catkinlink-outcome") == "not_run";
+                answered += response.ok() && response->status == 200 ? 1 : 0;
+                rejected += notRun ? 1 : 0;
+                const bool notSent = !response.ok() && LibHttp::sendStateOf(response.status()) == LibHttp::SendState::NotSent;
+                unanswered += !response.ok() && !notSent ? 1 : 0;
+                AK::SystemClock().sleep(response.ok() ? 0 : 20);
+            }
+        });
+    }
+    while (answered < clients) {
+        AK::SystemClock().sleep(10);
+    }
+    site.process("entry-1").signal(SIGTERM);
+    const std::optional<int> status = site.process("entry-1").wait(waitLimitMs);
+    ended = true;
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    ASSERT_TRUE(status.has_value()) << "the entry did not exit";
+    EXPECT_EQ(*status, 0);
+    EXPECT_GT(rejected, 0);
+    // A connection that the server accepts as it stops is closed without having been read; no upstream has the request.
+    EXPECT_EQ(sumOfStat(site, site.agents(orderDeskName), "executions"), answered) << unanswered << " calls without an answer";
+}
+
 } // namespace
--- a/Userland/Services/Http/HttpFrontService.cpp
+++ b/Userland/Services/Http/HttpFrontService.cpp
@@ -44,7 +44,7 @@
 
 void HttpFrontService::serve(LibHttp::HttpExchange &exchange)
 {
-    if (this->serveHealth(exchange)) {
+    if (this->serveHealth(exchange) || this->rejectBeforeStop(exchange)) {
         return;
     }
     for (LibHttp::RequestHandler *handler : this->handlers) {
@@ -75,6 +75,18 @@
     return false;
 }
 
+bool HttpFrontService::rejectBeforeStop(LibHttp::HttpExchange &exchange)
+{
+    if (!this->rejecting) {
+        return false;
+    }
+    LibHttp::HttpResponse response = LibHttp::jsonResponse(503, R"({"error":{"reason":"stopping","message":"this process is about to stop"}})");
+    response.headers["x-catkinlink-outcome"] = "not_run";
+    response.headers["retry-after"] = "1";
+    exchange.respond(response);
+    return true;
+}
+
 void HttpFrontService::drain()
 {
     this->draining = true;
@@ -82,6 +94,7 @@
         const AK::Milliseconds grace = this->settings.entry.addressTtlMs + this->settings.entry.propagationMs;
         this->logger.info("drain_started", {{"grace_ms", grace}, {"in_flight", this->server.inFlight()}});
         this->clock.sleep(grace);
+        this->rejecting = true;
     }
     const bool idle = this->server.waitIdle(this->clock, drainLimitMs);
     this->logger.info("drain_finished", {{"idle", idle}, {"in_flight", this->server.inFlight()}});
--- a/Userland/Services/Http/HttpFrontService.h
+++ b/Userland/Services/Http/HttpFrontService.h
@@ -25,13 +25,15 @@
     std::string_view name() const override;
     absl::Status start() override;
 
-    /// An entry keeps serving for as long as clients may use its cached address, then waits until no request is in flight.
+    /// An entry keeps serving for as long as clients may use its cached address, then rejects new requests and waits until none is in flight.
     void drain() override;
     void stop() override;
 
 private:
     void serve(LibHttp::HttpExchange &exchange);
     bool serveHealth(LibHttp::HttpExchange &exchange);
+    /// Rejects a request that arrives when the process is about to stop. Returns whether it did.
+    bool rejectBeforeStop(LibHttp::HttpExchange &exchange);
 
     const LibSettings::ProcessSettings &settings;
     const AK::Clock &clock;
@@ -41,6 +43,8 @@
     std::function<void()> refreshMetrics;
     LibLog::Logger logger{"http"};
     std::atomic<bool> draining{false};
+    /// The time in which clients may use the cached address of a draining entry is over.
+    std::atomic<bool> rejecting{false};
     LibHttp::HttpServer server;
 };
 
