--- a/Tests/Processes/TestGracefulStop.cpp
+++ b/Tests/Processes/TestGracefulStop.cpp
@@ -82,6 +82,7 @@
     std::atomic<int> rejected{0};
     std::atomic<int> unanswered{0};
     std::vector<std::thread> threads;
+    threads.reserve(clients);
     for (int client = 0; client < clients; ++client) {
         threads.emplace_back([&, client] {
             for (int sequence = 0; !ended; ++sequence) {
