--- a/Userland/Libraries/LibGateway/DrainPlan.cpp
+++ b/Userland/Libraries/LibGateway/DrainPlan.cpp
@@ -17,8 +17,8 @@
 // For the exit of the process, and for clients to read the last answers; at most these shares of the grace period.
 constexpr AK::Milliseconds maxExitTime = 700;
 constexpr AK::Milliseconds maxReadTime = 400;
-constexpr AK::Milliseconds exitShare = 8;
-constexpr AK::Milliseconds readShare = 10;
+constexpr double exitShare = 0.125;
+constexpr double readShare = 0.1;
 
 AK::Milliseconds shareOf(AK::Milliseconds time, double share)
 {
@@ -30,8 +30,8 @@
 DrainPlan planDrain(AK::Milliseconds gracePeriod)
 {
     DrainPlan plan;
-    plan.endAt = gracePeriod - std::min(maxExitTime, gracePeriod / exitShare);
-    plan.answerAt = plan.endAt - std::min(maxReadTime, gracePeriod / readShare);
+    plan.endAt = gracePeriod - std::min(maxExitTime, shareOf(gracePeriod, exitShare));
+    plan.answerAt = plan.endAt - std::min(maxReadTime, shareOf(gracePeriod, readShare));
     plan.acceptUntil = std::min(maxAcceptTime, shareOf(plan.answerAt, acceptShare));
     plan.closeIdleAt = std::min(maxIdleTime, shareOf(plan.answerAt, idleShare));
     return plan;
--- a/Userland/Services/Gateway/CallTask.h
+++ b/Userland/Services/Gateway/CallTask.h
@@ -54,6 +54,7 @@
     void endBeforeStop(kj::WaitScope &scope, AK::Milliseconds retryAfter);
 
 private:
+    static constexpr AK::Milliseconds refusalRetryAfter = 500;
     // Far above the text of the few tokens in an event.
     static constexpr size_t maxEventBytes = 256UL << 10;
 
