Entry: Hold the end marker of a stream until the outcome is known

The entry passed the marker on as it came. It is held now and sent with the final chunk in one write, or never.

--- a/Userland/Libraries/LibHttp/HttpServer.cpp
+++ b/Userland/Libraries/LibHttp/HttpServer.cpp
@@ -2,7 +2,9 @@
 
 #include <AK/Text.h>
 #include <LibHttp/CivetWebLibrary.h>
+#include <array>
 #include <civetweb.h>
+#include <cstdio>
 #include <optional>
 
 namespace LibHttp
@@ -48,6 +50,13 @@
     }
 }
 
+std::string chunkOf(std::string_view data)
+{
+    std::array<char, 17> size{};
+    std::snprintf(size.data(), size.size(), "%zx", data.size());
+    return AK::concat(size.data(), "\r\n", data, "\r\n");
+}
+
 class CountGuard
 {
 public:
@@ -109,9 +118,10 @@
     return data.empty() || mg_send_chunk(this->connection, data.data(), static_cast<unsigned int>(data.size())) > 0;
 }
 
-void HttpExchange::endStream()
+void HttpExchange::endStream(std::string_view lastData)
 {
-    mg_send_chunk(this->connection, "", 0);
+    const std::string text = AK::concat(lastData.empty() ? "" : chunkOf(lastData), "0\r\n\r\n");
+    mg_write(this->connection, text.data(), text.size());
 }
 
 void HttpExchange::abandon()
--- a/Userland/Libraries/LibHttp/HttpServer.h
+++ b/Userland/Libraries/LibHttp/HttpServer.h
@@ -32,8 +32,9 @@
     /// Sends one chunk without buffering. Returns false when the peer has closed the connection, which CivetWeb detects only when it writes.
     bool writeChunk(std::string_view data);
 
-    /// Sends the final chunk. When the handler returns without this call, the peer sees an incomplete response.
-    void endStream();
+    /// Sends `lastData`, unless it is empty, and the final chunk in one write, so that no process ends between them. When the handler returns without this
+    /// call, the peer sees an incomplete response.
+    void endStream(std::string_view lastData = {});
 
     /// Closes the connection without a response once the handler returns.
     void abandon();
--- a/Userland/Services/Entry/CallerResponse.cpp
+++ b/Userland/Services/Entry/CallerResponse.cpp
@@ -9,6 +9,8 @@
 {
 
 constexpr size_t responseLimitBytes = size_t{8} << 20;
+// Last event of a completion stream.
+constexpr std::string_view endMarker = "data: [DONE]\n\n";
 
 // Headers that are not forwarded to the caller: those of one connection, and those that only an entry may set.
 bool isStrippedHeader(std::string_view name)
@@ -52,6 +54,11 @@
         this->buffered.body += data;
         return this->buffered.body.size() <= responseLimitBytes;
     }
+    if (data.ends_with(endMarker)) {
+        // Not sent before the outcome is known: a caller takes it for the end of a whole response.
+        this->heldEnd += data;
+        return !this->disconnected;
+    }
     if (!this->disconnected && (!this->beginStream() || !this->exchange.writeChunk(data))) {
         this->disconnected = true;
     }
@@ -106,7 +113,7 @@
 void CallerResponse::finishStream()
 {
     if (this->beginStream()) {
-        this->exchange.endStream();
+        this->exchange.endStream(this->heldEnd);
     }
 }
 
--- a/Userland/Services/Entry/CallerResponse.h
+++ b/Userland/Services/Entry/CallerResponse.h
@@ -21,7 +21,7 @@
     /// Begins the response of an attempt and discards what an earlier attempt has buffered.
     void begin(int status, const LibHttp::HttpHeaders &headers);
 
-    /// Returns false when the caller has disconnected or the response is too large to buffer (8 MiB).
+    /// Returns false when the caller has disconnected or the response is too large to buffer (8 MiB). The end marker of a stream is held until finishStream().
     bool append(std::string_view data);
 
     /// A part of the response was sent to the caller, so no other attempt can be made.
@@ -49,6 +49,8 @@
     LibHttp::HttpResponse buffered;
     bool streaming = false;
     bool streamStarted = false;
+    /// End of the stream, which is sent with the final chunk.
+    std::string heldEnd;
     bool disconnected = false;
     AK::Milliseconds lastPartAt = 0;
 };
