--- /dev/null
+++ b/Userland/Services/Fleet/ObjectFeedsContent.cpp
@@ -0,0 +1,110 @@
+#include <Fleet/ObjectFeeds.h>
+
+#include <set>
+
+namespace Fleet
+{
+
+using LibFleet::ObjectKind;
+
+void ObjectFeeds::logKeptObjects(ObjectKind kind) const
+{
+    const Feed &feed = this->feed(kind);
+    std::set<std::string> kept;
+    std::set<std::string> unused;
+    for (const auto &[name, spec] : feed.inForce) {
+        if (!this->isStored(kind, name)) {
+            kept.insert(name);
+        }
+    }
+    for (const auto &[name, spec] : feed.snapshot.specs) {
+        if (!feed.inForce.contains(name)) {
+            unused.insert(name);
+        }
+    }
+    if (!kept.empty() || !unused.empty()) {
+        this->logger.info("kept_against_store", {{"kind", AK::nameOf(LibFleet::objectKindNames, kind)}, {"kept", kept}, {"unused", unused}});
+    }
+}
+
+void ObjectFeeds::publishFromStore(ObjectKind kind)
+{
+    Feed &feed = this->feed(kind);
+    const AK::Milliseconds now = this->loop.clock().now();
+    std::map<std::string, std::string> inForce = feed.restored.merge(feed.snapshot, now);
+    if (kind == ObjectKind::Upstreams) {
+        AK::Milliseconds expiresAt = 0;
+        inForce = this->expiredLeases.merge(feed.inForce, inForce, now, expiresAt);
+    }
+    this->publish(kind, std::move(inForce));
+}
+
+void ObjectFeeds::publish(ObjectKind kind, std::map<std::string, std::string> inForce)
+{
+    Feed &feed = this->feed(kind);
+    feed.inForce = std::move(inForce);
+    feed.agentParts.clear();
+    for (const auto &[name, spec] : feed.inForce) {
+        feed.agentParts[name] = this->decoder.agentPart(kind, spec);
+    }
+    this->decoder.decode(kind, feed.inForce, this->state);
+    if (kind == ObjectKind::Configuration) {
+        // Decoding upstreams depends on the configuration.
+        this->decoder.decode(ObjectKind::Upstreams, this->feed(ObjectKind::Upstreams).inForce, this->state);
+    }
+    if (this->changeObserver) {
+        this->changeObserver();
+    }
+}
+
+bool ObjectFeeds::watchesStore(ObjectKind kind) const
+{
+    return this->started && this->watchActive && this->feed(kind).storeReached && this->position(kind) > 0;
+}
+
+bool ObjectFeeds::awaitsFirstList(ObjectKind kind) const
+{
+    return this->started && this->feed(kind).storeReached && this->position(kind) == 0;
+}
+
+LibFleet::StorePosition ObjectFeeds::position(ObjectKind kind) const
+{
+    return this->feed(kind).snapshot.position;
+}
+
+LibFleet::StorePosition ObjectFeeds::changedAt(ObjectKind kind) const
+{
+    return this->feed(kind).snapshot.changedAt;
+}
+
+bool ObjectFeeds::isStored(ObjectKind kind, const std::string &name) const
+{
+    const Feed &feed = this->feed(kind);
+    const auto used = feed.inForce.find(name);
+    const auto stored = feed.snapshot.specs.find(name);
+    return used != feed.inForce.end() && stored != feed.snapshot.specs.end() && used->second == stored->second;
+}
+
+LibFleet::ObjectPage ObjectFeeds::objects(ObjectKind kind, LibFleet::StorePosition newerThan, bool agentPart) const
+{
+    const Feed &feed = this->feed(kind);
+    if (feed.snapshot.changedAt <= newerThan) {
+        return {};
+    }
+    LibFleet::ObjectPage page{feed.snapshot.changedAt, {}};
+    const auto revisionOf = [&feed](const std::string &name) {
+        return feed.snapshot.revisions.at(name);
+    };
+    for (const auto &[name, spec] : agentPart ? feed.agentParts : feed.inForce) {
+        const bool stored = this->isStored(kind, name);
+        page.objects.push_back({name, spec, false, !stored, stored ? revisionOf(name) : 0});
+    }
+    for (const auto &[name, spec] : feed.snapshot.specs) {
+        if (!this->isStored(kind, name)) {
+            page.objects.push_back({name, agentPart ? this->decoder.agentPart(kind, spec) : spec, false, false, revisionOf(name), true});
+        }
+    }
+    return page;
+}
+
+} // namespace Fleet
--- a/Userland/Services/Fleet/PeerExchange.h
+++ b/Userland/Services/Fleet/PeerExchange.h
@@ -71,6 +71,13 @@
     LibFleet::ObjectPage objects(LibFleet::ObjectKind kind, LibFleet::StorePosition newerThan, bool agentPart) override;
 
 private:
+    // For a process that does not answer yet. It may be starting, as all are after a power loss; a host without power never answers a connection attempt.
+    static constexpr AK::Milliseconds unreachedTimeout = 250;
+    // Entries without news for this long are not taken for partners.
+    static constexpr AK::Milliseconds liveMaxAge = 1'000;
+    // An agent turns to other entries in place of one that has not answered for liveMaxAge, and comes back to it after this time.
+    static constexpr AK::Milliseconds silentTime = 2'000;
+
     struct Partner {
         /// Empty for a seed.
         std::string name;
