--- a/Tests/AK/TestRecentCheck.cpp
+++ b/Tests/AK/TestRecentCheck.cpp
@@ -1,35 +1,12 @@
 #include <AK/RecentCheck.h>
 
+#include <Clocks/SuspendedClock.h>
 #include <ctime>
 #include <gtest/gtest.h>
 
 namespace
 {
 
-/// The clocks of a host that was suspended for a part of the time.
-class SuspendedClock final : public AK::Clock
-{
-public:
-    AK::Milliseconds now() const override
-    {
-        return this->running;
-    }
-    AK::Milliseconds uninterruptedTime() const override
-    {
-        return this->running + this->suspended;
-    }
-    AK::Milliseconds wallTime() const override
-    {
-        return this->uninterruptedTime();
-    }
-    void sleep(AK::Milliseconds /*duration*/) const override
-    {
-    }
-
-    AK::Milliseconds running = 500;
-    AK::Milliseconds suspended = 0;
-};
-
 struct AgeCase {
     const char *name;
     AK::Milliseconds running;
--- a/Tests/Services/Gateway/TestOldWeights.cpp
+++ b/Tests/Services/Gateway/TestOldWeights.cpp
@@ -1,5 +1,6 @@
 #include "GatewaySite.h"
 #include <AK/Text.h>
+#include <Clocks/SuspendedClock.h>
 #include <gtest/gtest.h>
 
 namespace
@@ -194,30 +195,6 @@
                     OldWeightsCase{"begun", OldEngine::SendsSlowly, 0, false}, OldWeightsCase{"loaded_meanwhile", OldEngine::LoadsMeanwhile, 0, false}),
     [](const auto &info) { return std::string(info.param.name); });
 
-/// The clocks of a host that was suspended for a part of the time.
-class SuspendedClock final : public AK::Clock
-{
-public:
-    AK::Milliseconds now() const override
-    {
-        return this->running;
-    }
-    AK::Milliseconds uninterruptedTime() const override
-    {
-        return this->running + this->suspended;
-    }
-    AK::Milliseconds wallTime() const override
-    {
-        return this->uninterruptedTime();
-    }
-    void sleep(AK::Milliseconds) const override
-    {
-    }
-
-    AK::Milliseconds running = 1'000;
-    AK::Milliseconds suspended = 0;
-};
-
 struct SuspensionCase {
     const char *name;
     AK::Milliseconds running;
