--- a/Userland/Libraries/LibGateway/Placement.cpp
+++ b/Userland/Libraries/LibGateway/Placement.cpp
@@ -170,9 +170,9 @@
 
 AK::Milliseconds timeToBegin(const std::vector<LibFleet::WeightsTarget> &targets, int64_t held, AK::Milliseconds now, AK::Milliseconds beginLimit)
 {
-    // The least time after which it is looked again whether a version has been named.
-    constexpr AK::Milliseconds least = 100;
-    AK::Milliseconds left = std::max(least, beginLimit);
+    // Keeps callers from asking without pause where the limit is shorter.
+    constexpr AK::Milliseconds shortestRecheck = 100;
+    AK::Milliseconds left = std::max(shortestRecheck, beginLimit);
     for (const LibFleet::WeightsTarget &target : targets) {
         if (target.version > held) {
             left = std::min(left, beginLimit - (now - target.learnedAt));
