Gateway, WeightAgent: Show the required weights, the age of each naming and a lost origin

Entries export catkinlink_weights_required_version, catkinlink_weights_target_age_ms and catkinlink_weights_target_age_assumed at each scrape; agents log origin_lost and origin_reached when reads begin to fail and when they succeed again. No decision is changed.

--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "Dispatcher.h"
 
 #include "HindranceOverview.h"
+#include "WeightsOverview.h"
 #include "UpstreamChoice.h"
 
 #include <algorithm>
@@ -336,6 +337,7 @@
 {
     this->table.notices().exportTo(metrics);
     exportHindrances(this->table, this->fleet, metrics);
+    exportWeights(this->table, this->fleet, this->loop.clock(), metrics);
 }
 
 void Dispatcher::recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting)
--- a/Userland/Services/Gateway/UpstreamTable.h
+++ b/Userland/Services/Gateway/UpstreamTable.h
@@ -95,6 +95,9 @@
     /// Version of the weights that an upstream holds by the newest report, or by its registration without one.
     int64_t heldWeightsVersion(const LibFleet::UpstreamRecord &record) const;
 
+    /// The oldest version of the weights on which calls of a service may begin now, 0 for any.
+    int64_t requiredWeightsVersion(const std::string &service) const;
+
     /// Prefill time of a prompt at an engine of a service, in ms; 0 when unknown.
     double prefillMs(const std::string &service, int64_t promptTokens) const;
 
@@ -132,7 +135,6 @@
     bool hasFreshReport(const LibFleet::UpstreamRecord &record) const;
     /// Engines of each owner.
     size_t enginesOf(const std::string &owner);
-    int64_t requiredWeightsVersion(const std::string &service) const;
     /// Versions of the weights that the operator has named for the model of a service; empty when it has none.
     const std::vector<LibFleet::WeightsTarget> &weightsTargets(const std::string &service) const;
     std::string regionOf(const std::string &failureDomain) const;
--- a/Userland/Services/WeightAgent/SwarmFetch.cpp
+++ b/Userland/Services/WeightAgent/SwarmFetch.cpp
@@ -268,6 +268,11 @@
         if (data.ok()) {
             this->originBytes += data->size();
         }
+        if (data.ok() != this->originReached) {
+            this->originReached = data.ok();
+            this->logger.info(data.ok() ? "origin_reached" : "origin_lost",
+                              {{"version", this->version}, {"chunks", this->held->heldCount()}, {"reason", std::string(data.status().message())}});
+        }
         if (!data.ok()) {
             this->pause(scope, errorRetryDelay);
         } else if (!this->storeChunk(*chunk, std::move(*data))) {
--- a/Userland/Services/WeightAgent/SwarmFetch.h
+++ b/Userland/Services/WeightAgent/SwarmFetch.h
@@ -89,6 +89,7 @@
     std::function<bool()> shouldContinue;
     AK::Milliseconds lastProgressAt = 0;
     uint64_t originBytes = 0;
+    bool originReached = true;
     AK::Random random;
     LibLog::Logger logger{"swarm"};
 };
