--- a/Tests/Services/Fleet/TestPeerExchange.cpp
+++ b/Tests/Services/Fleet/TestPeerExchange.cpp
@@ -260,6 +260,36 @@
     loop.cancelSpawned();
 }
 
+// Guards against an entry that starts after two namings and learns of the second one alone, so that it uses the weights before the first for too long.
+TEST(PeerExchange, LearnsOfSupersededWeightsFromAnotherProcess)
+{
+    constexpr uint16_t otherPort = 17'697;
+    constexpr uint16_t ownPort = 17'698;
+    constexpr AK::Milliseconds firstAge = 5'000;
+    constexpr AK::Milliseconds secondAge = 2'900;
+    constexpr AK::Milliseconds limit = 2'000;
+    LibFiber::Loop loop;
+    LibFleet::FleetState fleet(loop.clock());
+    RecordingDecoder decoder;
+    SlowSource source(loop, false);
+    Fleet::ObjectFeeds feeds(loop, source, decoder, fleet);
+    OtherEntry other(loop, "e1", {Loopback::processHost(), otherPort}, false);
+    other.weightsTargets = {{"m", 2, firstAge}, {"m", 3, secondAge}};
+    fleet.setEntries({{"e1", {"e1", other.address, {Loopback::processHost(), 1}, "lima", "lima-1"}}});
+    fleet.setWeightsTargets({{"m", 3}}, 0);
+    Fleet::PeerExchange exchange(loop, {"self", "lima-1", "lima", {Loopback::processHost(), ownPort}, AK::Endpoint{Loopback::processHost(), 2}, {}}, feeds,
+                                 fleet);
+    exchange.start();
+    const AK::Milliseconds until = loop.clock().now() + limit;
+    while (fleet.weightsTargets("m").size() < 2 && loop.clock().now() < until) {
+        loop.sleep(loop.rootScope(), 1);
+    }
+    ASSERT_EQ(fleet.weightsTargets("m").size(), 2U);
+    EXPECT_EQ(fleet.weightsTargets("m").front().version, 2);
+    EXPECT_GE(loop.clock().uninterruptedTime() - fleet.weightsTargets("m").front().learnedAt, firstAge);
+    loop.cancelSpawned();
+}
+
 // Guards against an owner that gets no reports of its engine after its restart: its agent knew only the entries that it exchanged with, and found the others
 // again by chance, one a second.
 TEST(PeerExchange, AgentsComeBackToAnOwnerThatHasRestarted)
