LibFleet, LibPeers: Tell others of weights that a newer naming has replaced

Cause: an entry that starts learns the newest target from the store, which lists no other, and counts the time of all older versions from its naming. Since processes tell each other the age of targets, the entry replaced its own cautious assumption (4.7 s) by the real age of version 3 (2.7 s) and dropped what it was told of version 2, because it did not know that target: version 1 was allowed for 3.8 s after the start instead of 1.7 s.

A process now takes over targets that it does not know, in the order of their versions, and tells assumed ages too, marked as such, so that a target that everybody has learned at its start survives another restart. What somebody knows goes before an assumption.

--- a/Tests/LibFleet/TestFleet.cpp
+++ b/Tests/LibFleet/TestFleet.cpp
@@ -1,5 +1,6 @@
 #include <LibFleet/FleetState.h>
 #include <LibFleet/ObjectFeed.h>
+#include <algorithm>
 #include <gtest/gtest.h>
 
 namespace
@@ -94,7 +95,9 @@
     std::optional<AK::Milliseconds> known;
     WeightsTargetAge told;
     AK::Milliseconds age;
+    /// What the process tells others of the target.
     bool tellsOthers;
+    bool tellsAsAssumed = false;
 };
 
 class TargetAgeTest : public testing::TestWithParam<TargetAgeCase>
@@ -114,16 +117,25 @@
     }
     state.setWeightsTargets({{"m", 2}}, assumedAge);
     clock.time += GetParam().known.value_or(0);
-    state.adoptWeightsTargetAge(GetParam().told);
+    state.adoptWeightsTarget(GetParam().told);
     EXPECT_EQ(clock.time - state.weightsTargets("m").back().learnedAt, GetParam().age);
-    EXPECT_EQ(!state.weightsTargetAges(newsTime).empty(), GetParam().tellsOthers);
+    const std::vector<WeightsTargetAge> told = state.weightsTargetAges(newsTime);
+    const auto target = std::find_if(told.begin(), told.end(), [](const WeightsTargetAge &other) { return other.model == "m" && other.version == 2; });
+    ASSERT_EQ(target != told.end(), GetParam().tellsOthers);
+    if (target != told.end()) {
+        EXPECT_EQ(target->age, GetParam().age);
+        EXPECT_EQ(target->assumed, GetParam().tellsAsAssumed);
+    }
 }
 
 INSTANTIATE_TEST_SUITE_P(Table, TargetAgeTest,
                          testing::Values(TargetAgeCase{"learned_late", 1'000, {"m", 2, 4'000}, 4'000, true},
                                          TargetAgeCase{"learned_first", 4'000, {"m", 2, 1'000}, 4'000, true},
                                          TargetAgeCase{"started_late", std::nullopt, {"m", 2, 1'000}, 1'000, true},
-                                         TargetAgeCase{"nobody_knows", std::nullopt, {"m", 1, 9'000}, 5'000, false},
+                                         TargetAgeCase{"nobody_knows", std::nullopt, {"m", 1, 9'000}, 5'000, true, true},
+                                         TargetAgeCase{"assumed_by_both", std::nullopt, {"m", 2, 6'000, true}, 6'000, true, true},
+                                         TargetAgeCase{"assumed_by_both_later", std::nullopt, {"m", 2, 1'000, true}, 5'000, true, true},
+                                         TargetAgeCase{"assumed_by_the_other", 1'000, {"m", 2, 6'000, true}, 1'000, true},
                                          TargetAgeCase{"another_version", 1'000, {"m", 1, 4'000}, 1'000, true},
                                          TargetAgeCase{"another_model", 1'000, {"n", 2, 4'000}, 1'000, true},
                                          TargetAgeCase{"no_news_any_more", 61'000, {"m", 2, 1'000}, 61'000, false}),
--- a/Tests/LibPeers/TestWireCodec.cpp
+++ b/Tests/LibPeers/TestWireCodec.cpp
@@ -106,7 +106,7 @@
 TEST(WeightsTargetCodec, ReturnsWhatWasSent)
 {
     NodeState state;
-    state.weightsTargets = {{"m", 3, 1'250}, {"n", 1, 0}};
+    state.weightsTargets = {{"m", 3, 1'250}, {"n", 1, 0, true}};
     capnp::MallocMessageBuilder message;
     encode(state, message.initRoot<PeerWire::NodeState>());
     const NodeState decoded = decode(message.getRoot<PeerWire::NodeState>().asReader());
@@ -114,7 +114,9 @@
     EXPECT_EQ(decoded.weightsTargets[0].model, "m");
     EXPECT_EQ(decoded.weightsTargets[0].version, 3);
     EXPECT_EQ(decoded.weightsTargets[0].age, 1'250);
+    EXPECT_FALSE(decoded.weightsTargets[0].assumed);
     EXPECT_EQ(decoded.weightsTargets[1].model, "n");
+    EXPECT_TRUE(decoded.weightsTargets[1].assumed);
 }
 
 // Guards against crashes whose suspects or times are changed on the way to another entry.
--- a/Tests/Services/Gateway/TestSupersededWeights.cpp
+++ b/Tests/Services/Gateway/TestSupersededWeights.cpp
@@ -38,11 +38,11 @@
     settings.weightsSwitchDelay = switchDelay;
     const Gateway::UpstreamTable table(clock, fleet, settings, false);
     for (const LibFleet::WeightsTargetAge &told : GetParam().toldBefore) {
-        fleet.adoptWeightsTargetAge(told);
+        fleet.adoptWeightsTarget(told);
     }
     fleet.setWeightsTargets({{model, 3}}, assumedAge);
     for (const LibFleet::WeightsTargetAge &told : GetParam().toldAfter) {
-        fleet.adoptWeightsTargetAge(told);
+        fleet.adoptWeightsTarget(told);
     }
     const AK::Milliseconds startedAt = clock.running;
     std::map<int64_t, AK::Milliseconds> endsAfter;
@@ -58,12 +58,19 @@
     EXPECT_TRUE(table.allowsWeights("s", 3));
 }
 
-INSTANTIATE_TEST_SUITE_P(Table, SupersededWeightsTest,
-                         testing::Values(SupersededCase{"nobody_tells", {}, {}, 2'000, 2'000},
-                                         SupersededCase{"newest_first", {}, {{model, 3, 2'900}, {model, 2, 5'000}}, 1'700, 3'800},
-                                         SupersededCase{"newest_last", {}, {{model, 2, 5'000}, {model, 3, 2'900}}, 1'700, 3'800},
-                                         SupersededCase{"before_the_store", {{model, 2, 5'000}, {model, 3, 2'900}}, {}, 1'700, 3'800},
-                                         SupersededCase{"superseded_alone", {}, {{model, 2, 5'000}}, 1'700, 2'000}),
-                         [](const auto &info) { return std::string(info.param.name); });
+INSTANTIATE_TEST_SUITE_P(
+    Table, SupersededWeightsTest,
+    testing::Values(SupersededCase{"nobody_tells", {}, {}, 2'000, 2'000},
+                    SupersededCase{"newest_first", {}, {{model, 3, 2'900}, {model, 2, 5'000}}, 1'700, 3'800},
+                    SupersededCase{"newest_last", {}, {{model, 2, 5'000}, {model, 3, 2'900}}, 1'700, 3'800},
+                    SupersededCase{"before_the_store", {{model, 2, 5'000}, {model, 3, 2'900}}, {}, 1'700, 3'800},
+                    // The other process has started between the two namings.
+                    SupersededCase{"assumed_by_the_other", {}, {{model, 3, 2'900}, {model, 2, 6'200, true}}, 500, 3'800},
+                    SupersededCase{"sure_after_assumed", {}, {{model, 3, 2'900}, {model, 2, 6'200, true}, {model, 2, 5'000}}, 1'700, 3'800},
+                    SupersededCase{"assumed_after_sure", {}, {{model, 3, 2'900}, {model, 2, 5'000}, {model, 2, 6'200, true}}, 1'700, 3'800},
+                    // Of a version that the store doesn't list yet; it takes nothing away from the older ones.
+                    SupersededCase{"newer_than_the_store", {}, {{model, 4, 100}}, 2'000, 2'000},
+                    SupersededCase{"superseded_alone", {}, {{model, 2, 5'000}}, 1'700, 2'000}),
+    [](const auto &info) { return std::string(info.param.name); });
 
 } // namespace
--- a/Userland/Libraries/LibFleet/FleetState.cpp
+++ b/Userland/Libraries/LibFleet/FleetState.cpp
@@ -138,12 +138,8 @@
     const AK::Milliseconds learnedAt = this->clock.uninterruptedTime() - (ageAssumed ? initialAge : 0);
     this->targetsKnown = true;
     for (const auto &[model, version] : versions) {
-        std::vector<WeightsTarget> &known = this->targetsByModel[model];
-        const int64_t previous = known.empty() ? 0 : known.back().version;
-        if (version > previous) {
-            this->logger.info("weights_named", {{"model", model}, {"version", version}, {"previous", previous}});
-            known.push_back({version, learnedAt, ageAssumed});
-            known.erase(known.begin(), known.end() - static_cast<std::ptrdiff_t>(std::min(known.size(), maxTargetsPerModel)));
+        if (version > this->weightsTarget(model).version) {
+            this->addWeightsTarget(model, {version, learnedAt, ageAssumed});
             added = true;
         }
     }
@@ -152,30 +148,47 @@
     }
 }
 
-void FleetState::adoptWeightsTargetAge(const WeightsTargetAge &told)
+void FleetState::addWeightsTarget(const std::string &model, const WeightsTarget &target)
 {
-    const auto known = this->targetsByModel.find(told.model);
-    if (known == this->targetsByModel.end()) {
+    std::vector<WeightsTarget> &known = this->targetsByModel[model];
+    const auto next = std::find_if(known.begin(), known.end(), [&](const WeightsTarget &other) { return other.version > target.version; });
+    const int64_t previous = next == known.begin() ? 0 : std::prev(next)->version;
+    this->logger.info("weights_named",
+                      {{"model", model},
+                       {"version", target.version},
+                       {"previous", previous},
+                       {"superseded", next != known.end()},
+                       {"age_ms", this->clock.uninterruptedTime() - target.learnedAt}});
+    known.insert(next, target);
+    known.erase(known.begin(), known.end() - static_cast<std::ptrdiff_t>(std::min(known.size(), maxTargetsPerModel)));
+}
+
+void FleetState::adoptWeightsTarget(const WeightsTargetAge &told)
+{
+    const WeightsTarget adopted{told.version, this->clock.uninterruptedTime() - told.age, told.assumed};
+    std::vector<WeightsTarget> &known = this->targetsByModel[told.model];
+    const auto target = std::find_if(known.begin(), known.end(), [&](const WeightsTarget &other) { return other.version == told.version; });
+    if (target == known.end()) {
+        this->addWeightsTarget(told.model, adopted);
+        this->notifyObservers();
         return;
     }
-    for (WeightsTarget &target : known->second) {
-        const AK::Milliseconds learnedAt = this->clock.uninterruptedTime() - told.age;
-        if (target.version != told.version || (!target.ageAssumed && target.learnedAt <= learnedAt)) {
-            continue;
-        }
-        // Reports of one moment differ by the time that they take; only a process that learned late says so.
-        constexpr AK::Milliseconds notableDifference = 500;
-        if (target.ageAssumed || target.learnedAt - learnedAt > notableDifference) {
-            this->logger.info("weights_age_adopted",
-                              {{"model", told.model},
-                               {"version", told.version},
-                               {"age_ms", told.age},
-                               {"assumed", target.ageAssumed},
-                               {"previous_age_ms", this->clock.uninterruptedTime() - target.learnedAt}});
-        }
-        target.learnedAt = learnedAt;
-        target.ageAssumed = false;
+    const bool moreCertain = target->ageAssumed && !told.assumed;
+    const bool lessCertain = !target->ageAssumed && told.assumed;
+    if (lessCertain || (!moreCertain && target->learnedAt <= adopted.learnedAt)) {
+        return;
+    }
+    // Reports of one moment differ by the time that they take; only a process that learned late says so.
+    constexpr AK::Milliseconds notableDifference = 500;
+    if (moreCertain || target->learnedAt - adopted.learnedAt > notableDifference) {
+        this->logger.info("weights_age_adopted",
+                          {{"model", told.model},
+                           {"version", told.version},
+                           {"age_ms", told.age},
+                           {"assumed", target->ageAssumed},
+                           {"previous_age_ms", this->clock.uninterruptedTime() - target->learnedAt}});
     }
+    *target = adopted;
 }
 
 std::vector<WeightsTargetAge> FleetState::weightsTargetAges(AK::Milliseconds maxAge) const
@@ -184,8 +197,8 @@
     for (const auto &[model, targets] : this->targetsByModel) {
         for (const WeightsTarget &target : targets) {
             const AK::Milliseconds age = this->clock.uninterruptedTime() - target.learnedAt;
-            if (!target.ageAssumed && age <= maxAge) {
-                ages.push_back({model, target.version, age});
+            if (age <= maxAge) {
+                ages.push_back({model, target.version, age, target.ageAssumed});
             }
         }
     }
--- a/Userland/Libraries/LibFleet/FleetState.h
+++ b/Userland/Libraries/LibFleet/FleetState.h
@@ -51,6 +51,8 @@
     int64_t version = 0;
     /// Time in ms since a process first learned of it.
     AK::Milliseconds age = 0;
+    /// See WeightsTarget::ageAssumed.
+    bool assumed = false;
 };
 
 /// The state of the deployment as this process knows it. Updated from the object feeds; read by the services.
@@ -83,17 +85,18 @@
     /// Adds targets that are newer than the known ones. `initialAge` is the assumed age, in ms, of targets that were named before this process started.
     void setWeightsTargets(const std::map<std::string, int64_t> &versions, AK::Milliseconds initialAge);
 
-    /// Takes over how long ago another process learned of a target that this one knows. The first to learn of it is closest to the operator; a process that
-    /// stood still, was cut off or has been restarted learns late.
-    void adoptWeightsTargetAge(const WeightsTargetAge &told);
+    /// Takes over what another process knows of a target. The first to learn of it is closest to the operator; a process that stood still, was cut off or has
+    /// been restarted learns late, and never of a target that a newer one had replaced by then, because the store lists the newest alone.
+    void adoptWeightsTarget(const WeightsTargetAge &told);
 
-    /// The targets of all models that became known within `maxAge` ms, but for those whose age is assumed.
+    /// The targets of all models that became known within `maxAge` ms.
     std::vector<WeightsTargetAge> weightsTargetAges(AK::Milliseconds maxAge) const;
 
     /// Registers a function that is called after each change.
     void observe(std::function<void()> observer);
 
 private:
+    void addWeightsTarget(const std::string &model, const WeightsTarget &target);
     void notifyObservers();
 
     const AK::Clock &clock;
--- a/Userland/Libraries/LibPeers/PeerRecords.h
+++ b/Userland/Libraries/LibPeers/PeerRecords.h
@@ -122,7 +122,7 @@
     std::vector<RateLimitReport> rateLimits;
     /// Between entries: upstreams on their way out of which others may not know yet.
     std::vector<LeavingUpstreamReport> leavingUpstreams;
-    /// Weights named lately, of whose age the sender is sure.
+    /// Weights named lately, also those that newer ones have replaced.
     std::vector<LibFleet::WeightsTargetAge> weightsTargets;
 };
 
--- a/Userland/Libraries/LibPeers/WireCodec.cpp
+++ b/Userland/Libraries/LibPeers/WireCodec.cpp
@@ -135,6 +135,7 @@
         targets[i].setModel(state.weightsTargets[i].model.c_str());
         targets[i].setVersion(state.weightsTargets[i].version);
         targets[i].setAgeMs(toUnsigned(state.weightsTargets[i].age));
+        targets[i].setAssumed(state.weightsTargets[i].assumed);
     }
 }
 
@@ -237,7 +238,7 @@
         state.leavingUpstreams.push_back({toText(leaving.getUpstream()), leaving.getStartTime()});
     }
     for (const auto target : reader.getWeightsTargets()) {
-        state.weightsTargets.push_back({toText(target.getModel()), target.getVersion(), target.getAgeMs()});
+        state.weightsTargets.push_back({toText(target.getModel()), target.getVersion(), target.getAgeMs(), target.getAssumed()});
     }
     for (const auto sound : reader.getSoundParts()) {
         state.soundParts.push_back({toText(sound.getPart()), sound.getAgeMs()});
--- a/Userland/Libraries/LibPeers/peers.capnp
+++ b/Userland/Libraries/LibPeers/peers.capnp
@@ -40,7 +40,7 @@
   rateLimits @18 :List(RateLimitReport);  # between entries: limits of which the sender had news lately
   eras @19 :List(Int64);      # era of the store to which each of `revisions` belongs; missing ones are 0
   leavingUpstreams @20 :List(LeavingUpstream);  # between entries: those of which others may not know yet
-  weightsTargets @21 :List(WeightsTargetReport);  # weights named lately, of whose age the sender is sure
+  weightsTargets @21 :List(WeightsTargetReport);  # weights named lately, also those that newer ones have replaced
 }
 
 struct CrashReport {
@@ -74,6 +74,7 @@
   model @0 :Text;
   version @1 :Int64;
   ageMs @2 :UInt32;           # since the sender learned of it
+  assumed @3 :Bool;           # named before the sender started, and nobody has told it how long ago
 }
 
 # A part of a prompt with which an upstream has written a response.
--- a/Userland/Services/Fleet/PeerExchange.cpp
+++ b/Userland/Services/Fleet/PeerExchange.cpp
@@ -149,7 +149,7 @@
 {
     const bool stopped = this->views.record(peer);
     for (const LibFleet::WeightsTargetAge &told : peer.weightsTargets) {
-        this->state.adoptWeightsTargetAge(told);
+        this->state.adoptWeightsTarget(told);
     }
     this->feeds.noteEra(std::max_element(peer.revisions.begin(), peer.revisions.end())->era);
     if (peer.engine && this->reportObserver) {
