Fleet: Count the age of weights from the last answer of the store

Connections to the store can fall silent without a reset. An entry finds that out within 3.5 s by its overdue watch of the named weights, lists them again, and counted the age of what it found from that moment, as certain knowledge. When all entries' connections are silent, nobody knows better, and calls may begin on the older weights up to 11.0 s after the naming (8.0 s allowed).

What a list finds that a watch has not delivered counts from the last answer before it, up to the age that a process assumes at its start, and is marked as assumed, so that a process that learned at once puts it right.

Failed before: LateNamingTest silent and silent_for_long (learned 2,799 and 1,399 ms after the naming, as certain). The stand-in's reader assumes 4.7 s at its start, as the daemon does on the small sites.

--- a/Tests/Platform/StoreReader.h
+++ b/Tests/Platform/StoreReader.h
@@ -24,7 +24,7 @@
     FakeStore store{this->loop};
     LibFleet::FleetState state{this->loop.clock()};
     LibMetrics::MetricRegistry metrics;
-    Platform::ObjectCodec codec{this->loop.clock(), 0, this->metrics};
+    Platform::ObjectCodec codec{this->loop.clock(), 4'700, this->metrics};
     Platform::StoreClient client{this->loop, this->store.address()};
     Fleet::ObjectFeeds feeds{this->loop, this->client, this->codec, this->state};
     LibFiber::SpawnedFibersGuard fibersGuard{this->loop};
--- a/Tests/Platform/TestCodec.cpp
+++ b/Tests/Platform/TestCodec.cpp
@@ -107,15 +107,15 @@
     LibMetrics::MetricRegistry metrics;
     ObjectCodec codec(clock, 0, metrics);
     LibFleet::FleetState state(clock);
-    codec.decode(LibFleet::ObjectKind::Upstreams, {{"a", upstreamStart + "}"}, {"b", "rubbish"}}, state);
+    codec.decode(LibFleet::ObjectKind::Upstreams, {{"a", upstreamStart + "}"}, {"b", "rubbish"}}, 0, state);
     EXPECT_EQ(state.upstreams().size(), 1U);
-    codec.decode(LibFleet::ObjectKind::Configuration, {{"main", R"({"version":3,"routes":[],"services":[{"name":"s"}],"limits":{}})"}}, state);
-    codec.decode(LibFleet::ObjectKind::Configuration, {{"main", R"({"version":4,"routes":[{"host":"h"}]})"}}, state);
+    codec.decode(LibFleet::ObjectKind::Configuration, {{"main", R"({"version":3,"routes":[],"services":[{"name":"s"}],"limits":{}})"}}, 0, state);
+    codec.decode(LibFleet::ObjectKind::Configuration, {{"main", R"({"version":4,"routes":[{"host":"h"}]})"}}, 0, state);
     EXPECT_EQ(state.configuration()->version, 3) << "a malformed configuration changes nothing";
     codec.decode(
         LibFleet::ObjectKind::Upstreams,
         {{"a", upstreamStart + "}"}, {"c", R"({"service":"t","addr":"1.2.3.4:5","zone":"z","version":"v1","slots":1,"state":"ready","coldLeftMs":0,"seq":3})"}},
-        state);
+        0, state);
     EXPECT_EQ(state.upstreams().size(), 1U) << "an upstream of an unknown service is skipped";
 }
 
@@ -126,9 +126,9 @@
     LibFleet::FleetState state(clock);
     LibMetrics::MetricRegistry metrics;
     ObjectCodec codec(clock, 0, metrics);
-    codec.decode(LibFleet::ObjectKind::QuarantinedParts, {{"5c1e07a2", R"({"reason":"crashes upstreams"})"}, {"91bd3f06", "null"}}, state);
+    codec.decode(LibFleet::ObjectKind::QuarantinedParts, {{"5c1e07a2", R"({"reason":"crashes upstreams"})"}, {"91bd3f06", "null"}}, 0, state);
     EXPECT_EQ(state.quarantinedParts(), (std::set<std::string>{"5c1e07a2", "91bd3f06"}));
-    codec.decode(LibFleet::ObjectKind::QuarantinedParts, {{"91bd3f06", "null"}}, state);
+    codec.decode(LibFleet::ObjectKind::QuarantinedParts, {{"91bd3f06", "null"}}, 0, state);
     EXPECT_EQ(state.quarantinedParts(), (std::set<std::string>{"91bd3f06"}));
 }
 
--- a/Tests/Platform/TestStoreChannels.cpp
+++ b/Tests/Platform/TestStoreChannels.cpp
@@ -164,4 +164,42 @@
                                          SilenceCase{"weights_targets", ObjectKind::WeightsTargets, "versions", 100, 0, 4'000}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+struct LateNamingCase {
+    const char *name;
+    /// Whether the channels fall silent before the naming, and the time from then until it, in ms.
+    bool silent;
+    AK::Milliseconds namedAfter;
+};
+
+class LateNamingTest : public StoreChannelsTest, public testing::WithParamInterface<LateNamingCase>
+{
+};
+
+// Guards against calls that begin on older weights too late, because an entry whose channels had fallen silent counted the age of new ones from the moment at
+// which it learned of them.
+TEST_P(LateNamingTest, CountsFromTheLastAnswerOfTheStore)
+{
+    constexpr AK::Milliseconds promptly = 500;
+    this->reader.store.put("versions", R"("m")", R"({"model":"m","version":1})");
+    ASSERT_TRUE(this->waitUntilInForce());
+    this->sleep(100);
+    const AK::Milliseconds silent = this->reader.loop.clock().uninterruptedTime();
+    if (GetParam().silent) {
+        this->reader.store.silenceConnections();
+    }
+    this->sleep(GetParam().namedAfter);
+    this->reader.store.put("versions", R"("m")", R"({"model":"m","version":2})");
+    const AK::Milliseconds named = this->reader.loop.clock().uninterruptedTime();
+    ASSERT_TRUE(this->reader.waitFor([&] { return this->reader.state.weightsTarget("m").version == 2; }));
+    const LibFleet::WeightsTarget target = this->reader.state.weightsTarget("m");
+    EXPECT_LE(target.learnedAt, named + (GetParam().silent ? 0 : promptly));
+    EXPECT_GE(target.learnedAt, silent - promptly) << "the last answer of the store";
+    EXPECT_EQ(target.ageAssumed, GetParam().silent) << "a process that knows better may say so";
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, LateNamingTest,
+                         testing::Values(LateNamingCase{"sound", false, 600}, LateNamingCase{"silent", true, 600},
+                                         LateNamingCase{"silent_for_long", true, 2'000}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
--- a/Tests/Services/Fleet/ObjectFeedsSite.h
+++ b/Tests/Services/Fleet/ObjectFeedsSite.h
@@ -77,7 +77,7 @@
 class NameDecoder final : public Fleet::ObjectDecoder
 {
 public:
-    void decode(LibFleet::ObjectKind kind, const std::map<std::string, std::string> &specs, LibFleet::FleetState &) override
+    void decode(LibFleet::ObjectKind kind, const std::map<std::string, std::string> &specs, AK::Milliseconds, LibFleet::FleetState &) override
     {
         if (kind == LibFleet::ObjectKind::Upstreams) {
             this->names.clear();
--- a/Tests/Services/Fleet/TestPeerExchange.cpp
+++ b/Tests/Services/Fleet/TestPeerExchange.cpp
@@ -55,7 +55,7 @@
 class RecordingDecoder final : public Fleet::ObjectDecoder
 {
 public:
-    void decode(ObjectKind kind, const std::map<std::string, std::string> &specs, LibFleet::FleetState &) override
+    void decode(ObjectKind kind, const std::map<std::string, std::string> &specs, AK::Milliseconds, LibFleet::FleetState &) override
     {
         if (kind == ObjectKind::Configuration) {
             this->specs = specs;
--- a/Tests/Services/WeightAgent/LoneAgent.h
+++ b/Tests/Services/WeightAgent/LoneAgent.h
@@ -28,7 +28,7 @@
 class NoDecoder final : public Fleet::ObjectDecoder
 {
 public:
-    void decode(LibFleet::ObjectKind kind, const std::map<std::string, std::string> &specs, LibFleet::FleetState &state) override;
+    void decode(LibFleet::ObjectKind kind, const std::map<std::string, std::string> &specs, AK::Milliseconds, LibFleet::FleetState &state) override;
     std::string agentPart(LibFleet::ObjectKind kind, const std::string &spec) const override;
     std::string encodeEntry(const LibFleet::EntryRecord &entry) const override;
 };
--- a/Userland/Libraries/LibFleet/FleetState.cpp
+++ b/Userland/Libraries/LibFleet/FleetState.cpp
@@ -131,11 +131,12 @@
     this->notifyObservers();
 }
 
-void FleetState::setWeightsTargets(const std::map<std::string, int64_t> &versions, AK::Milliseconds initialAge)
+void FleetState::setWeightsTargets(const std::map<std::string, int64_t> &versions, AK::Milliseconds initialAge, AK::Milliseconds unnoticed)
 {
     bool added = false;
-    const bool ageAssumed = !this->targetsKnown;
-    const AK::Milliseconds learnedAt = this->clock.uninterruptedTime() - (ageAssumed ? initialAge : 0);
+    const AK::Milliseconds age = this->targetsKnown ? std::min(unnoticed, initialAge) : initialAge;
+    const bool ageAssumed = !this->targetsKnown || age > 0;
+    const AK::Milliseconds learnedAt = this->clock.uninterruptedTime() - age;
     this->targetsKnown = true;
     for (const auto &[model, version] : versions) {
         if (version > this->weightsTarget(model).version) {
--- a/Userland/Libraries/LibFleet/FleetState.h
+++ b/Userland/Libraries/LibFleet/FleetState.h
@@ -41,7 +41,7 @@
     int64_t version = 0;
     /// Time by AK::Clock::uninterruptedTime().
     AK::Milliseconds learnedAt = 0;
-    /// The version was named before this process started, and no other one has told how long ago.
+    /// The version was named before this process started or while it heard nothing of the store, and no other one has told how long ago.
     bool ageAssumed = false;
 };
 
@@ -83,7 +83,8 @@
     void setEvacuations(std::set<std::string> failureDomains);
     void setQuarantinedParts(std::set<std::string> parts);
     /// Adds targets that are newer than the known ones. `initialAge` is the assumed age, in ms, of targets that were named before this process started.
-    void setWeightsTargets(const std::map<std::string, int64_t> &versions, AK::Milliseconds initialAge);
+    /// `unnoticed`: time in ms for which a naming may have gone unnoticed; it is taken for the age of the new targets, up to `initialAge`.
+    void setWeightsTargets(const std::map<std::string, int64_t> &versions, AK::Milliseconds initialAge, AK::Milliseconds unnoticed = 0);
 
     /// Takes over what another process knows of a target. The first to learn of it is closest to the operator; a process that stood still, was cut off or has
     /// been restarted learns late, and never of a target that a newer one had replaced by then, because the store lists the newest alone.
--- a/Userland/Services/Fleet/ObjectFeeds.cpp
+++ b/Userland/Services/Fleet/ObjectFeeds.cpp
@@ -2,6 +2,7 @@
 
 #include <AK/StatusMacros.h>
 #include <algorithm>
+#include <utility>
 
 namespace Fleet
 {
@@ -148,6 +149,7 @@
     if (!changes.ok()) {
         return this->listAfterCut(scope, kind, changes.status(), this->loop.clock().now() - begin);
     }
+    feed.answeredAt = this->loop.clock().uninterruptedTime();
     this->noteAnswer();
     this->noteEra(changes->position.era);
     if (changes->position.era != since.era) {
@@ -190,6 +192,7 @@
 {
     Feed &feed = this->feed(kind);
     const AK::Milliseconds begin = this->loop.clock().now();
+    const AK::Milliseconds askedAt = this->loop.clock().uninterruptedTime();
     feed.listing = true;
     const absl::StatusOr<LibFleet::ObjectPage> page = this->source.list(scope, kind);
     feed.listing = false;
@@ -204,8 +207,9 @@
     if (page->position.era < this->newestEra) {
         return absl::UnavailableError("store: response of an older era");
     }
+    const AK::Milliseconds answeredBefore = std::exchange(feed.answeredAt, askedAt);
     if (this->replaceAll(kind, *page)) {
-        this->publishFromStore(kind);
+        this->publishFromStore(kind, this->loop.clock().uninterruptedTime() - answeredBefore);
         this->logKeptObjects(kind);
     }
     return absl::OkStatus();
@@ -308,7 +312,7 @@
     const AK::Milliseconds now = this->loop.clock().now();
     this->logger.info("objects_from_peer", {{"kind", nameOf(kind)}, {"era", page.position.era}, {"revision", page.position.revision}, {"peer", from}});
     feed.restored.adopt(page, now, graceFor(kind));
-    this->publish(kind, feed.restored.merge(feed.snapshot, now));
+    this->publish(kind, feed.restored.merge(feed.snapshot, now), 0);
     if (std::any_of(page.objects.begin(), page.objects.end(), [](const auto &object) { return object.lapsed || object.outOfDate; })) {
         this->endGraceLater(kind);
     }
--- a/Userland/Services/Fleet/ObjectFeeds.h
+++ b/Userland/Services/Fleet/ObjectFeeds.h
@@ -68,6 +68,8 @@
         /// The parts of `inForce` that agents get.
         std::map<std::string, std::string> agentParts;
         bool storeReached = true;
+        /// Time, by AK::Clock::uninterruptedTime(), of the last answer of the store after which the kind was watched.
+        AK::Milliseconds answeredAt = 0;
         /// What stays in force, or out of force, against a restored copy.
         LibFleet::RestoredCopy restored;
         /// A list is under way.
@@ -84,9 +86,10 @@
     void listNewEra(kj::WaitScope &scope, LibFleet::ObjectKind kind);
     /// Takes over all objects of a kind. Returns false when they are not newer.
     bool replaceAll(LibFleet::ObjectKind kind, const LibFleet::ObjectPage &page);
-    void publish(LibFleet::ObjectKind kind, std::map<std::string, std::string> inForce);
+    /// `unnoticed`: see ObjectDecoder::decode().
+    void publish(LibFleet::ObjectKind kind, std::map<std::string, std::string> inForce, AK::Milliseconds unnoticed);
     /// Publishes the objects of the store, with upstreams whose leases expired in an outage.
-    void publishFromStore(LibFleet::ObjectKind kind);
+    void publishFromStore(LibFleet::ObjectKind kind, AK::Milliseconds unnoticed = 0);
     /// Publishes the objects again when the time is over in which those that the store has lost stay in force.
     void endGraceLater(LibFleet::ObjectKind kind);
     void logKeptObjects(LibFleet::ObjectKind kind) const;
--- a/Userland/Services/Fleet/ObjectFeedsContent.cpp
+++ b/Userland/Services/Fleet/ObjectFeedsContent.cpp
@@ -27,7 +27,7 @@
     }
 }
 
-void ObjectFeeds::publishFromStore(ObjectKind kind)
+void ObjectFeeds::publishFromStore(ObjectKind kind, AK::Milliseconds unnoticed)
 {
     Feed &feed = this->feed(kind);
     const AK::Milliseconds now = this->loop.clock().now();
@@ -36,10 +36,10 @@
         AK::Milliseconds expiresAt = 0;
         inForce = this->expiredLeases.merge(feed.inForce, inForce, now, expiresAt);
     }
-    this->publish(kind, std::move(inForce));
+    this->publish(kind, std::move(inForce), unnoticed);
 }
 
-void ObjectFeeds::publish(ObjectKind kind, std::map<std::string, std::string> inForce)
+void ObjectFeeds::publish(ObjectKind kind, std::map<std::string, std::string> inForce, AK::Milliseconds unnoticed)
 {
     Feed &feed = this->feed(kind);
     feed.inForce = std::move(inForce);
@@ -47,10 +47,10 @@
     for (const auto &[name, spec] : feed.inForce) {
         feed.agentParts[name] = this->decoder.agentPart(kind, spec);
     }
-    this->decoder.decode(kind, feed.inForce, this->state);
+    this->decoder.decode(kind, feed.inForce, unnoticed, this->state);
     if (kind == ObjectKind::Configuration) {
         // Decoding upstreams depends on the configuration.
-        this->decoder.decode(ObjectKind::Upstreams, this->feed(ObjectKind::Upstreams).inForce, this->state);
+        this->decoder.decode(ObjectKind::Upstreams, this->feed(ObjectKind::Upstreams).inForce, unnoticed, this->state);
     }
     if (this->changeObserver) {
         this->changeObserver();
--- a/Userland/Services/Fleet/ObjectSource.h
+++ b/Userland/Services/Fleet/ObjectSource.h
@@ -38,7 +38,9 @@
 public:
     virtual ~ObjectDecoder() = default;
 
-    virtual void decode(LibFleet::ObjectKind kind, const std::map<std::string, std::string> &specs, LibFleet::FleetState &state) = 0;
+    /// `unnoticed`: time in ms for which changes among the objects may have gone unnoticed, 0 when they arrived at once.
+    virtual void decode(LibFleet::ObjectKind kind, const std::map<std::string, std::string> &specs, AK::Milliseconds unnoticed,
+                        LibFleet::FleetState &state) = 0;
     /// Returns the part of an object that agents need: the object itself or a smaller one, which decode() must accept as well.
     virtual std::string agentPart(LibFleet::ObjectKind kind, const std::string &spec) const = 0;
     virtual std::string encodeEntry(const LibFleet::EntryRecord &entry) const = 0;
