AK, Fleet: Count the time of a standstill to the age of weights that are named in it

An entry that stands still while new weights are named reads of them when it goes on, and counted their age from then, as certain knowledge. Another process that ran meanwhile puts it right; when all entries stood still, none can: agents learn from entries. Calls may then begin on the older weights later than allowed by the length of the standstill.

StandstillWatch tells for how long news may have waited. What a watch delivers right after a standstill counts from its begin, up to the age that a process assumes at its start, and is marked as assumed.

Failed before: WaitingChangeTest stood_still and stood_still_for_long (with the standstill left out: 0 ms instead of 900 and 2,500).

--- a/Tests/Services/Fleet/ObjectFeedsSite.h
+++ b/Tests/Services/Fleet/ObjectFeedsSite.h
@@ -77,9 +77,10 @@
 class NameDecoder final : public Fleet::ObjectDecoder
 {
 public:
-    void decode(LibFleet::ObjectKind kind, const std::map<std::string, std::string> &specs, AK::Milliseconds, LibFleet::FleetState &) override
+    void decode(LibFleet::ObjectKind kind, const std::map<std::string, std::string> &specs, AK::Milliseconds unnoticed, LibFleet::FleetState &) override
     {
         if (kind == LibFleet::ObjectKind::Upstreams) {
+            this->unnoticed = unnoticed;
             this->names.clear();
             this->specs.clear();
             for (const auto &[name, spec] : specs) {
@@ -96,6 +97,8 @@
     {
         return "{}";
     }
+    /// Time in ms for which the newest change may have gone unnoticed.
+    AK::Milliseconds unnoticed = 0;
     std::vector<std::string> names;
     /// Names and specs.
     std::vector<std::string> specs;
--- a/Tests/Services/Fleet/TestObjectFeeds.cpp
+++ b/Tests/Services/Fleet/TestObjectFeeds.cpp
@@ -73,6 +73,38 @@
     EXPECT_TRUE(this->waitForNames({"b"}));
 }
 
+struct WaitingChangeCase {
+    const char *name;
+    /// Time in ms for which the process stands still after the change.
+    AK::Milliseconds standstill;
+    /// Least and greatest time for which the change is said to have gone unnoticed.
+    AK::Milliseconds least;
+    AK::Milliseconds greatest;
+};
+
+class WaitingChangeTest : public ObjectFeedsTest, public testing::WithParamInterface<WaitingChangeCase>
+{
+};
+
+// Guards against calls that begin on older weights too late: an entry took a naming that had waited while it stood still for one of the moment at which it went
+// on.
+TEST_P(WaitingChangeTest, CountsAsUnnoticedForTheStandstill)
+{
+    this->feeds.watchStore();
+    ASSERT_TRUE(this->waitForNames({"a", "b"}));
+    this->loop.sleep(this->loop.rootScope(), 300);
+    this->source.change = {20, {{"a", "", true}}};
+    std::this_thread::sleep_for(std::chrono::milliseconds(GetParam().standstill));
+    ASSERT_TRUE(this->waitForNames({"b"}));
+    EXPECT_GE(this->decoder.unnoticed, GetParam().least);
+    EXPECT_LE(this->decoder.unnoticed, GetParam().greatest);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, WaitingChangeTest,
+                         testing::Values(WaitingChangeCase{"running", 0, 0, 0}, WaitingChangeCase{"stood_still", 900, 900, 1'900},
+                                         WaitingChangeCase{"stood_still_for_long", 2'500, 2'500, 3'500}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 struct WatchEndCase {
     const char *name;
     absl::Status watchEnd;
--- a/Userland/Services/Fleet/ObjectFeeds.cpp
+++ b/Userland/Services/Fleet/ObjectFeeds.cpp
@@ -26,6 +26,9 @@
 // A watch that is cut sooner after its begin is followed by a pause, so that a store which cuts every watch is not called without end.
 constexpr AK::Milliseconds shortWatch = 300;
 
+// Between two beats of the watch for standstills.
+constexpr AK::Milliseconds beatInterval = 200;
+
 // Time for the watches of the other kinds to fail, which then list by themselves, before a kind is listed beside its watch.
 constexpr AK::Milliseconds newEraListDelay = 100;
 
@@ -48,6 +51,7 @@
     , state(state)
     , times(times)
     , expiredLeases(times.leaseRenewal)
+    , standstill(loop.clock())
 {
     this->source.observeEra([this](int64_t era) { this->noteEra(era); });
 }
@@ -71,6 +75,12 @@
 void ObjectFeeds::watchStore()
 {
     this->started = true;
+    this->loop.spawn([this](kj::WaitScope &scope) {
+        while (true) {
+            this->standstill.beat();
+            this->loop.sleep(scope, beatInterval);
+        }
+    });
     for (const auto &row : LibFleet::objectKindNames) {
         this->loop.spawn([this, kind = row.value](kj::WaitScope &scope) { this->followStore(scope, kind); });
     }
@@ -165,7 +175,7 @@
         }
     }
     if (feed.snapshot.apply(*changes, since) && !changes->objects.empty()) {
-        this->publishFromStore(kind);
+        this->publishFromStore(kind, this->standstill.unnoticed());
     }
     if ((kind == ObjectKind::Upstreams || kind == ObjectKind::Entries) && !changes->objects.empty()) {
         this->loop.sleep(scope, burstWatchPause);
--- a/Userland/Services/Fleet/ObjectFeeds.h
+++ b/Userland/Services/Fleet/ObjectFeeds.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <AK/StandstillWatch.h>
 #include <Fleet/ObjectSource.h>
 #include <LibFleet/ObjectFeed.h>
 #include <LibFleet/RestoredCopy.h>
@@ -105,6 +106,7 @@
     LibFleet::StoreTimes times;
     std::array<Feed, LibFleet::objectKindCount> feeds;
     LibFleet::ExpiredLeases expiredLeases;
+    AK::StandstillWatch standstill;
     /// Highest era that a response of the store or another process has shown.
     int64_t newestEra = 0;
     bool started = false;
