Fleet: Count a watch that is overdue after a standstill from the standstill

A watch that waits while the process stands still is overdue when it goes on, and its kind is listed. The watch was sound until the process stopped, so that the standstill bounds the age.

--- a/Tests/Services/Fleet/TestObjectFeeds.cpp
+++ b/Tests/Services/Fleet/TestObjectFeeds.cpp
@@ -77,6 +77,8 @@
     const char *name;
     /// Time in ms for which the process stands still after the change.
     AK::Milliseconds standstill;
+    /// The watch is overdue when the process goes on, and the change is found by a list.
+    bool overdue;
     /// Least and greatest time for which the change is said to have gone unnoticed.
     AK::Milliseconds least;
     AK::Milliseconds greatest;
@@ -92,8 +94,14 @@
 {
     this->feeds.watchStore();
     ASSERT_TRUE(this->waitForNames({"a", "b"}));
-    this->loop.sleep(this->loop.rootScope(), 300);
-    this->source.change = {20, {{"a", "", true}}};
+    constexpr AK::Milliseconds quietTime = 1'200;
+    this->loop.sleep(this->loop.rootScope(), quietTime);
+    if (GetParam().overdue) {
+        this->source.watchEnd = absl::DeadlineExceededError("overdue");
+        this->source.all = {20, {{"b", "1", false}}};
+    } else {
+        this->source.change = {20, {{"a", "", true}}};
+    }
     std::this_thread::sleep_for(std::chrono::milliseconds(GetParam().standstill));
     ASSERT_TRUE(this->waitForNames({"b"}));
     EXPECT_GE(this->decoder.unnoticed, GetParam().least);
@@ -101,8 +109,10 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Table, WaitingChangeTest,
-                         testing::Values(WaitingChangeCase{"running", 0, 0, 0}, WaitingChangeCase{"stood_still", 900, 900, 1'900},
-                                         WaitingChangeCase{"stood_still_for_long", 2'500, 2'500, 3'500}),
+                         testing::Values(WaitingChangeCase{"running", 0, false, 0, 0}, WaitingChangeCase{"stood_still", 900, false, 900, 1'900},
+                                         WaitingChangeCase{"overdue", 0, true, 1'200, 1'500},
+                                         WaitingChangeCase{"overdue_in_a_standstill", 900, true, 900, 1'500},
+                                         WaitingChangeCase{"stood_still_for_long", 2'500, false, 2'500, 3'500}),
                          [](const auto &info) { return std::string(info.param.name); });
 
 struct WatchEndCase {
--- a/Userland/Services/Fleet/ObjectFeeds.cpp
+++ b/Userland/Services/Fleet/ObjectFeeds.cpp
@@ -219,7 +219,10 @@
     }
     const AK::Milliseconds answeredBefore = std::exchange(feed.answeredAt, askedAt);
     if (this->replaceAll(kind, *page)) {
-        this->publishFromStore(kind, this->loop.clock().uninterruptedTime() - answeredBefore);
+        // A watch that is overdue after a standstill was sound before it.
+        const AK::Milliseconds stoodStill = this->standstill.unnoticed();
+        const AK::Milliseconds unanswered = this->loop.clock().uninterruptedTime() - answeredBefore;
+        this->publishFromStore(kind, stoodStill > 0 ? std::min(stoodStill, unanswered) : unanswered);
         this->logKeptObjects(kind);
     }
     return absl::OkStatus();
