--- a/Userland/Services/Fleet/ObjectFeeds.cpp
+++ b/Userland/Services/Fleet/ObjectFeeds.cpp
@@ -2,6 +2,7 @@
 
 #include <AK/StatusMacros.h>
 #include <algorithm>
+#include <utility>
 
 namespace Fleet
 {
@@ -25,6 +26,9 @@
 // A watch that is cut sooner after its begin is followed by a pause, so that a store which cuts every watch is not called without end.
 constexpr AK::Milliseconds shortWatch = 300;
 
+// Between two beats of the watch for standstills.
+constexpr AK::Milliseconds beatInterval = 200;
+
 // Time for the watches of the other kinds to fail, which then list by themselves, before a kind is listed beside its watch.
 constexpr AK::Milliseconds newEraListDelay = 100;
 
@@ -47,6 +51,7 @@
     , state(state)
     , times(times)
     , expiredLeases(times.leaseRenewal)
+    , standstill(loop.clock())
 {
     this->source.observeEra([this](int64_t era) { this->noteEra(era); });
 }
@@ -70,6 +75,12 @@
 void ObjectFeeds::watchStore()
 {
     this->started = true;
+    this->loop.spawn([this](kj::WaitScope &scope) {
+        while (true) {
+            this->standstill.beat();
+            this->loop.sleep(scope, beatInterval);
+        }
+    });
     for (const auto &row : LibFleet::objectKindNames) {
         this->loop.spawn([this, kind = row.value](kj::WaitScope &scope) { this->followStore(scope, kind); });
     }
@@ -148,6 +159,7 @@
     if (!changes.ok()) {
         return this->listAfterCut(scope, kind, changes.status(), this->loop.clock().now() - begin);
     }
+    feed.answeredAt = this->loop.clock().uninterruptedTime();
     this->noteAnswer();
     this->noteEra(changes->position.era);
     if (changes->position.era != since.era) {
@@ -163,7 +175,7 @@
         }
     }
     if (feed.snapshot.apply(*changes, since) && !changes->objects.empty()) {
-        this->publishFromStore(kind);
+        this->publishFromStore(kind, this->standstill.unnoticed());
     }
     if ((kind == ObjectKind::Upstreams || kind == ObjectKind::Entries) && !changes->objects.empty()) {
         this->loop.sleep(scope, burstWatchPause);
@@ -190,6 +202,7 @@
 {
     Feed &feed = this->feed(kind);
     const AK::Milliseconds begin = this->loop.clock().now();
+    const AK::Milliseconds askedAt = this->loop.clock().uninterruptedTime();
     feed.listing = true;
     const absl::StatusOr<LibFleet::ObjectPage> page = this->source.list(scope, kind);
     feed.listing = false;
@@ -204,8 +217,12 @@
     if (page->position.era < this->newestEra) {
         return absl::UnavailableError("store: response of an older era");
     }
+    const AK::Milliseconds answeredBefore = std::exchange(feed.answeredAt, askedAt);
     if (this->replaceAll(kind, *page)) {
-        this->publishFromStore(kind);
+        // A watch that is overdue after a standstill was sound before it.
+        const AK::Milliseconds stoodStill = this->standstill.unnoticed();
+        const AK::Milliseconds unanswered = this->loop.clock().uninterruptedTime() - answeredBefore;
+        this->publishFromStore(kind, stoodStill > 0 ? std::min(stoodStill, unanswered) : unanswered);
         this->logKeptObjects(kind);
     }
     return absl::OkStatus();
@@ -308,7 +325,7 @@
     const AK::Milliseconds now = this->loop.clock().now();
     this->logger.info("objects_from_peer", {{"kind", nameOf(kind)}, {"era", page.position.era}, {"revision", page.position.revision}, {"peer", from}});
     feed.restored.adopt(page, now, graceFor(kind));
-    this->publish(kind, feed.restored.merge(feed.snapshot, now));
+    this->publish(kind, feed.restored.merge(feed.snapshot, now), 0);
     if (std::any_of(page.objects.begin(), page.objects.end(), [](const auto &object) { return object.lapsed || object.outOfDate; })) {
         this->endGraceLater(kind);
     }
