Tests/Services/Fleet: Add failing tests of changes that have waited

Four ways in which new weights are counted from the moment at which a process reads of them, as certain knowledge or as an assumption of a few ms:

- a list right after a standstill counts from an empty answer that had waited;
- TCP sends the answer of a watch again more than 500 ms after a suspension;
- an entry begins to watch after standby, because those that watched have ended;
- a page of another process brings a version whose age nobody has told.

Not fixed here.

--- a/Tests/Services/Fleet/TestObjectFeeds.cpp
+++ b/Tests/Services/Fleet/TestObjectFeeds.cpp
@@ -115,6 +115,70 @@
                                          WaitingChangeCase{"stood_still_for_long", 2'500, false, 2'500, 3'500}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+// Guards against a list right after a standstill that counts from an empty answer which had waited while the process stood still.
+TEST_F(ObjectFeedsTest, CountsTheStandstillToAListAfterAnAnswerThatWaited)
+{
+    constexpr AK::Milliseconds stoodStill = 900;
+    this->feeds.watchStore();
+    ASSERT_TRUE(this->waitForNames({"a", "b"}));
+    this->loop.sleep(this->loop.rootScope(), 300);
+    // The wait of the watch ended without a change; the naming comes after that answer, still in the standstill.
+    this->source.change = {15, {}};
+    std::this_thread::sleep_for(std::chrono::milliseconds(stoodStill));
+    ASSERT_TRUE(this->waitFor([&] { return this->feeds.position(ObjectKind::Upstreams).revision == 15; }));
+    this->source.all = {20, {{"b", "1", false}}};
+    this->source.watchEnd = absl::UnavailableError("reset");
+    ASSERT_TRUE(this->waitForNames({"b"}));
+    EXPECT_GE(this->decoder.unnoticed, stoodStill);
+}
+
+// Guards against a change that the store sends again after a pause of TCP, because the host was suspended when it came first, and that is taken for a new one:
+// the watch that delivers it began before the standstill.
+TEST_F(ObjectFeedsTest, CountsTheStandstillToAChangeThatIsSentAgain)
+{
+    constexpr AK::Milliseconds stoodStill = 900;
+    constexpr AK::Milliseconds sentAgainAfter = 700;
+    this->feeds.watchStore();
+    ASSERT_TRUE(this->waitForNames({"a", "b"}));
+    this->loop.sleep(this->loop.rootScope(), 300);
+    std::this_thread::sleep_for(std::chrono::milliseconds(stoodStill));
+    this->loop.sleep(this->loop.rootScope(), sentAgainAfter);
+    this->source.all = {20, {{"b", "1", false}}};
+    this->source.change = {20, {{"a", "", true}}};
+    ASSERT_TRUE(this->waitForNames({"b"}));
+    EXPECT_GE(this->decoder.unnoticed, stoodStill);
+}
+
+// Guards against a change that is taken for one of this moment by an entry which has just begun to watch the store, because those that did have ended.
+TEST_F(ObjectFeedsTest, CountsTheTimeOnStandbyToTheFirstChangeAfterIt)
+{
+    constexpr AK::Milliseconds nobodyWatches = 1'200;
+    this->feeds.watchStore();
+    ASSERT_TRUE(this->waitForNames({"a", "b"}));
+    this->feeds.setWatching(false);
+    // Ends the watch that is waiting.
+    this->source.change = {15, {}};
+    this->loop.sleep(this->loop.rootScope(), 400);
+    this->source.change = {20, {{"a", "", true}}};
+    this->loop.sleep(this->loop.rootScope(), nobodyWatches);
+    ASSERT_EQ(this->decoder.names, (std::vector<std::string>{"a", "b"}));
+    this->feeds.setWatching(true);
+    ASSERT_TRUE(this->waitForNames({"b"}));
+    EXPECT_GE(this->decoder.unnoticed, nobodyWatches);
+}
+
+// Guards against objects of another process that count as learned at this moment and for certain, although nothing tells how long that process has had them.
+TEST_F(ObjectFeedsTest, CountsObjectsOfAnotherProcessFromTheLastAnswerOfTheStore)
+{
+    constexpr AK::Milliseconds sinceAnswer = 400;
+    this->feeds.watchStore();
+    ASSERT_TRUE(this->waitForNames({"a", "b"}));
+    this->loop.sleep(this->loop.rootScope(), sinceAnswer);
+    this->feeds.accept(ObjectKind::Upstreams, {20, {{"b", "1", false}}}, "peer");
+    ASSERT_EQ(this->decoder.names, (std::vector<std::string>{"b"}));
+    EXPECT_GE(this->decoder.unnoticed, sinceAnswer);
+}
+
 struct WatchEndCase {
     const char *name;
     absl::Status watchEnd;
