Tests/Services/Gateway: Add a failing test of a naming older than the news

An entry that starts is told of namings of the last 60 s. The age of the newest one replaces its own cautious assumption, which also stood for an older one that nobody tells: weights before both are allowed for 4.7 s after the start instead of 2 s at most.

Not fixed here.

Not listed in KNOWN-RED.txt yet; whoever lands it without a fix lists it.

--- a/Tests/Services/Gateway/TestSupersededWeights.cpp
+++ b/Tests/Services/Gateway/TestSupersededWeights.cpp
@@ -73,4 +73,50 @@
                     SupersededCase{"superseded_alone", {}, {{model, 2, 5'000}}, 1'700, 2'000}),
     [](const auto &info) { return std::string(info.param.name); });
 
+struct OldNamingCase {
+    const char *name;
+    /// Age in ms of the first of two namings when another entry starts, and the limit for calls on the weights before it, in ms after the start.
+    AK::Milliseconds firstAge;
+    AK::Milliseconds limit;
+};
+
+class OldNamingTest : public testing::TestWithParam<OldNamingCase>
+{
+};
+
+// Guards against weights before the last naming but one that are used again by an entry which starts: it is told of the newest naming, whose age replaces its
+// own cautious assumption, and not of the one that has been in force for longer than the news last.
+TEST_P(OldNamingTest, StaysInForceForAnEntryThatStarts)
+{
+    constexpr AK::Milliseconds newsTime = 60'000;
+    constexpr AK::Milliseconds secondAge = 2'000;
+    SuspendedClock clock;
+    LibFleet::FleetState running(clock);
+    running.setWeightsTargets({{model, 1}}, assumedAge);
+    running.setWeightsTargets({{model, 2}}, assumedAge);
+    clock.running += GetParam().firstAge - secondAge;
+    running.setWeightsTargets({{model, 3}}, assumedAge);
+    clock.running += secondAge;
+    LibFleet::FleetState started(clock);
+    LibFleet::Configuration configuration;
+    configuration.version = 1;
+    configuration.services["s"].engine = LibFleet::EngineSpec{};
+    configuration.services["s"].engine->model = model;
+    started.setConfiguration(configuration);
+    Gateway::TableSettings settings;
+    settings.weightsSwitchDelay = switchDelay;
+    const Gateway::UpstreamTable table(clock, started, settings, false);
+    started.setWeightsTargets({{model, 3}}, assumedAge);
+    for (const LibFleet::WeightsTargetAge &told : running.weightsTargetAges(newsTime)) {
+        started.adoptWeightsTarget(told);
+    }
+    clock.running += GetParam().limit;
+    EXPECT_FALSE(table.allowsWeights("s", 1));
+    EXPECT_TRUE(table.allowsWeights("s", 2));
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, OldNamingTest,
+                         testing::Values(OldNamingCase{"recent", 30'000, 0}, OldNamingCase{"older_than_the_news", 61'000, 2'000}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
