AK, Fleet: Count what arrives after a standstill or a time on standby from its begin

Found by the review of the late namings: three ways in which weights named long ago still counted as named at this moment, for certain.

- The store sends a change again after a pause of TCP when the host was suspended, more than 0.5 s after the process goes on.
- The empty answer of a watch that waited in a standstill was taken for news of the moment at which it was read; a list right after it counted from there.
- An entry that begins to watch the store because those that did have ended gets the missed change at once and took it for a new one.

A watch whose time overlaps a standstill counts from the begin of the standstill, whenever its answer arrives, and an answer within 0.3 s of the begin of a watch counts from the last time at which the objects were known to be the newest.

StandstillWatchTest asks by the begin of a call instead of the time since the standstill.

--- a/AK/StandstillWatch.cpp
+++ b/AK/StandstillWatch.cpp
@@ -19,15 +19,14 @@
     this->lastBeat = now;
 }
 
-Milliseconds StandstillWatch::unnoticed() const
+Milliseconds StandstillWatch::unnoticedSince(Milliseconds begin) const
 {
     const Milliseconds now = this->clock.uninterruptedTime();
     // The first beat after a standstill may come later than what has arrived.
-    if (now - this->lastBeat > longestGap) {
+    if (now - this->lastBeat > longestGap && begin - this->lastBeat <= longestGap) {
         return now - this->lastBeat;
     }
-    const bool justResumed = this->resumedAt > this->stoppedAt && now - this->resumedAt <= catchUpTime;
-    return justResumed ? now - this->stoppedAt : 0;
+    return this->resumedAt > this->stoppedAt && begin < this->resumedAt ? now - this->stoppedAt : 0;
 }
 
 } // namespace AK
--- a/AK/StandstillWatch.h
+++ b/AK/StandstillWatch.h
@@ -5,22 +5,21 @@
 namespace AK
 {
 
-/// Tells whether the process has just stood still, because it was stopped or its host was frozen or suspended, so that what arrives now may have waited.
+/// Tells whether the process has stood still, because it was stopped or its host was frozen or suspended, so that what has arrived since may have waited.
 class StandstillWatch
 {
 public:
     /// A gap between two beats above this, in ms, counts as a standstill.
     static constexpr Milliseconds longestGap = 500;
-    /// Time in ms in which a process that goes on has read what arrived meanwhile.
-    static constexpr Milliseconds catchUpTime = 500;
 
     explicit StandstillWatch(const Clock &clock);
 
     /// Must be called several times within longestGap while the process runs.
     void beat();
 
-    /// Time in ms since this process last ran before a standstill that has ended within catchUpTime; 0 without one.
-    Milliseconds unnoticed() const;
+    /// Time in ms for which the answer to a call that began at `begin`, by Clock::uninterruptedTime(), may have waited: since this process last ran before a
+    /// standstill in the call; 0 without one.
+    Milliseconds unnoticedSince(Milliseconds begin) const;
 
 private:
     const Clock &clock;
--- a/Tests/AK/TestStandstillWatch.cpp
+++ b/Tests/AK/TestStandstillWatch.cpp
@@ -15,6 +15,8 @@
     /// Beats after it, and the time since the last of them, in ms.
     int beats;
     AK::Milliseconds sinceBeat;
+    /// The call began after the standstill.
+    bool begunAfter;
     AK::Milliseconds unnoticed;
 };
 
@@ -29,21 +31,24 @@
     AK::StandstillWatch watch(clock);
     clock.running += beatInterval;
     watch.beat();
+    const AK::Milliseconds begunBefore = clock.uninterruptedTime();
     clock.running += GetParam().stopped;
     clock.suspended += GetParam().suspended;
+    const AK::Milliseconds begin = GetParam().begunAfter ? clock.uninterruptedTime() : begunBefore;
     for (int i = 0; i < GetParam().beats; ++i) {
         clock.running += i > 0 ? beatInterval : 0;
         watch.beat();
     }
     clock.running += GetParam().sinceBeat;
-    EXPECT_EQ(watch.unnoticed(), GetParam().unnoticed);
+    EXPECT_EQ(watch.unnoticedSince(begin), GetParam().unnoticed);
 }
 
-INSTANTIATE_TEST_SUITE_P(Table, StandstillWatchTest,
-                         testing::Values(StandstillCase{"running", beatInterval, 0, 1, 10, 0}, StandstillCase{"before_the_next_beat", 3'000, 0, 0, 0, 3'000},
-                                         StandstillCase{"suspended", 0, 3'000, 0, 0, 3'000}, StandstillCase{"after_a_beat", 3'000, 0, 1, 100, 3'100},
-                                         StandstillCase{"after_three_beats", 3'000, 0, 3, 50, 3'450}, StandstillCase{"caught_up", 3'000, 0, 4, 0, 0},
-                                         StandstillCase{"never_stopped", 0, 0, 0, 0, 0}),
-                         [](const auto &info) { return std::string(info.param.name); });
+INSTANTIATE_TEST_SUITE_P(
+    Table, StandstillWatchTest,
+    testing::Values(StandstillCase{"running", beatInterval, 0, 1, 10, false, 0}, StandstillCase{"before_the_next_beat", 3'000, 0, 0, 0, false, 3'000},
+                    StandstillCase{"suspended", 0, 3'000, 0, 0, false, 3'000}, StandstillCase{"after_a_beat", 3'000, 0, 1, 100, false, 3'100},
+                    StandstillCase{"after_six_beats", 3'000, 0, 6, 50, false, 4'050}, StandstillCase{"begun_after_it", 3'000, 0, 1, 100, true, 0},
+                    StandstillCase{"begun_before_the_next_beat", 3'000, 0, 0, 0, true, 0}, StandstillCase{"never_stopped", 0, 0, 0, 0, false, 0}),
+    [](const auto &info) { return std::string(info.param.name); });
 
 } // namespace
--- a/Userland/Services/Fleet/ObjectFeeds.cpp
+++ b/Userland/Services/Fleet/ObjectFeeds.cpp
@@ -29,6 +29,11 @@
 // Between two beats of the watch for standstills.
 constexpr AK::Milliseconds beatInterval = 200;
 
+// A watch that is answered sooner may return a change that was made before it began.
+constexpr AK::Milliseconds promptAnswer = 300;
+// What arrives within this time has arrived at once.
+constexpr AK::Milliseconds usualDelay = 200;
+
 // Time for the watches of the other kinds to fail, which then list by themselves, before a kind is listed beside its watch.
 constexpr AK::Milliseconds newEraListDelay = 100;
 
@@ -145,7 +150,7 @@
 {
     Feed &feed = this->feed(kind);
     const LibFleet::StorePosition since = feed.snapshot.position;
-    const AK::Milliseconds begin = this->loop.clock().now();
+    const AK::Milliseconds askedAt = this->loop.clock().uninterruptedTime();
     const absl::StatusOr<LibFleet::ObjectPage> changes = this->source.watch(scope, kind, since.revision, LibFleet::watchWait(kind, this->times));
     if (absl::IsOutOfRange(changes.status())) {
         this->logger.info("history_gone", {{"kind", nameOf(kind)}, {"era", since.era}, {"since", since.revision}});
@@ -157,9 +162,9 @@
         return absl::OkStatus();
     }
     if (!changes.ok()) {
-        return this->listAfterCut(scope, kind, changes.status(), this->loop.clock().now() - begin);
+        return this->listAfterCut(scope, kind, changes.status(), askedAt);
     }
-    feed.answeredAt = this->loop.clock().uninterruptedTime();
+    const AK::Milliseconds unnoticed = this->noteWatchAnswer(feed, askedAt);
     this->noteAnswer();
     this->noteEra(changes->position.era);
     if (changes->position.era != since.era) {
@@ -175,7 +180,7 @@
         }
     }
     if (feed.snapshot.apply(*changes, since) && !changes->objects.empty()) {
-        this->publishFromStore(kind, this->standstill.unnoticed());
+        this->publishFromStore(kind, unnoticed);
     }
     if ((kind == ObjectKind::Upstreams || kind == ObjectKind::Entries) && !changes->objects.empty()) {
         this->loop.sleep(scope, burstWatchPause);
@@ -183,14 +188,29 @@
     return absl::OkStatus();
 }
 
-absl::Status ObjectFeeds::listAfterCut(kj::WaitScope &scope, ObjectKind kind, const absl::Status &reason, AK::Milliseconds lasted)
+AK::Milliseconds ObjectFeeds::noteWatchAnswer(Feed &feed, AK::Milliseconds askedAt) const
+{
+    const AK::Milliseconds now = this->loop.clock().uninterruptedTime();
+    const AK::Milliseconds waited = this->standstill.unnoticedSince(askedAt);
+    const AK::Milliseconds currentBefore = std::exchange(feed.currentAt, now - waited);
+    const AK::Milliseconds unnoticed = std::max(waited, now - askedAt < promptAnswer ? now - currentBefore : 0);
+    return unnoticed > usualDelay ? unnoticed : 0;
+}
+
+absl::Status ObjectFeeds::listAfterCut(kj::WaitScope &scope, ObjectKind kind, const absl::Status &reason, AK::Milliseconds askedAt)
 {
+    Feed &feed = this->feed(kind);
     const bool overdue = absl::IsDeadlineExceeded(reason);
+    const AK::Milliseconds lasted = this->loop.clock().uninterruptedTime() - askedAt;
     this->logger.info("watch_cut", {{"kind", nameOf(kind)}, {"after_ms", lasted}, {"overdue", overdue}, {"reason", std::string(reason.message())}});
     // A watch that is overdue shows nothing but a silent connection, unless the list is not answered promptly either.
     if (!overdue) {
         this->expiredLeases.callFailed();
     }
+    // A watch that is overdue after a standstill was sound before it.
+    if (const AK::Milliseconds stoodStill = this->standstill.unnoticedSince(askedAt); overdue && stoodStill > 0) {
+        feed.currentAt = std::max(feed.currentAt, this->loop.clock().uninterruptedTime() - stoodStill);
+    }
     CATKINLINK_TRY(this->listOnce(scope, kind));
     if (lasted < shortWatch) {
         this->loop.sleep(scope, shortWatch);
@@ -217,12 +237,9 @@
     if (page->position.era < this->newestEra) {
         return absl::UnavailableError("store: response of an older era");
     }
-    const AK::Milliseconds answeredBefore = std::exchange(feed.answeredAt, askedAt);
+    const AK::Milliseconds currentBefore = std::exchange(feed.currentAt, askedAt);
     if (this->replaceAll(kind, *page)) {
-        // A watch that is overdue after a standstill was sound before it.
-        const AK::Milliseconds stoodStill = this->standstill.unnoticed();
-        const AK::Milliseconds unanswered = this->loop.clock().uninterruptedTime() - answeredBefore;
-        this->publishFromStore(kind, stoodStill > 0 ? std::min(stoodStill, unanswered) : unanswered);
+        this->publishFromStore(kind, this->loop.clock().uninterruptedTime() - currentBefore);
         this->logKeptObjects(kind);
     }
     return absl::OkStatus();
--- a/Userland/Services/Fleet/ObjectFeeds.h
+++ b/Userland/Services/Fleet/ObjectFeeds.h
@@ -69,8 +69,8 @@
         /// The parts of `inForce` that agents get.
         std::map<std::string, std::string> agentParts;
         bool storeReached = true;
-        /// Time, by AK::Clock::uninterruptedTime(), of the last answer of the store after which the kind was watched.
-        AK::Milliseconds answeredAt = 0;
+        /// Time, by AK::Clock::uninterruptedTime(), at which the objects were last known to be the newest.
+        AK::Milliseconds currentAt = 0;
         /// What stays in force, or out of force, against a restored copy.
         LibFleet::RestoredCopy restored;
         /// A list is under way.
@@ -82,6 +82,9 @@
     void followStore(kj::WaitScope &scope, LibFleet::ObjectKind kind);
     absl::Status readOnce(kj::WaitScope &scope, LibFleet::ObjectKind kind);
     absl::Status watchOnce(kj::WaitScope &scope, LibFleet::ObjectKind kind);
+    /// Notes the answer to a watch that began at `askedAt`, by AK::Clock::uninterruptedTime(). Returns the time in ms for which its changes may have gone
+    /// unnoticed.
+    AK::Milliseconds noteWatchAnswer(Feed &feed, AK::Milliseconds askedAt) const;
     absl::Status listOnce(kj::WaitScope &scope, LibFleet::ObjectKind kind);
     /// Lists a kind that is known only up to an older era while its watch waits.
     void listNewEra(kj::WaitScope &scope, LibFleet::ObjectKind kind);
@@ -94,8 +97,8 @@
     /// Publishes the objects again when the time is over in which those that the store has lost stay in force.
     void endGraceLater(LibFleet::ObjectKind kind);
     void logKeptObjects(LibFleet::ObjectKind kind) const;
-    /// Lists a kind whose watch ended without an answer `lasted` ms after it began.
-    absl::Status listAfterCut(kj::WaitScope &scope, LibFleet::ObjectKind kind, const absl::Status &reason, AK::Milliseconds lasted);
+    /// Lists a kind whose watch ended without an answer. `askedAt`: when it began, by AK::Clock::uninterruptedTime().
+    absl::Status listAfterCut(kj::WaitScope &scope, LibFleet::ObjectKind kind, const absl::Status &reason, AK::Milliseconds askedAt);
     void noteAnswer();
     void noteStoreStatus(LibFleet::ObjectKind kind, const absl::Status &status);
 
