Fleet: Take objects of other processes for changes of an unknown time

Found by the review: a naming that a process learned from the objects of another one, before that one had told its age, counted as named at this moment, for certain, and could replace a better assumption elsewhere. It counts from the last time at which the objects were known to be the newest, as an assumption that the next exchange puts right.

For an agent, which gets its news from entries, that is its last exchange. An agent that has heard no entry for 2.5 s lists the objects itself and used to take them for changes of up to 4.7 s, which it told the entries: they ended the use of older weights too early.

Failed before: ObjectFeedsTest CountsObjectsOfAnotherProcessFromTheLastAnswerOfTheStore (0 ms instead of 400). New with the change: CountsAListOfAnAgentFromItsLastExchange.

--- a/Tests/Services/Fleet/TestObjectFeeds.cpp
+++ b/Tests/Services/Fleet/TestObjectFeeds.cpp
@@ -73,6 +73,19 @@
     EXPECT_TRUE(this->waitForNames({"b"}));
 }
 
+// Guards against an agent that has heard no entry for a while, lists the objects itself and takes all of them for changes of an unknown time: its assumption
+// ended the use of older weights at all entries too early.
+TEST_F(ObjectFeedsTest, CountsAListOfAnAgentFromItsLastExchange)
+{
+    constexpr AK::Milliseconds silence = 300;
+    this->feeds.accept(ObjectKind::Upstreams, {5, {{"a", "1", false}}}, "peer");
+    this->feeds.noteExchange();
+    this->loop.sleep(this->loop.rootScope(), silence);
+    this->feeds.refreshFromStore(this->loop.rootScope());
+    EXPECT_GE(this->decoder.unnoticed, silence);
+    EXPECT_LE(this->decoder.unnoticed, 2 * silence);
+}
+
 struct WaitingChangeCase {
     const char *name;
     /// Time in ms for which the process stands still after the change.
--- a/Userland/Services/Fleet/ObjectFeeds.cpp
+++ b/Userland/Services/Fleet/ObjectFeeds.cpp
@@ -342,7 +342,7 @@
     const AK::Milliseconds now = this->loop.clock().now();
     this->logger.info("objects_from_peer", {{"kind", nameOf(kind)}, {"era", page.position.era}, {"revision", page.position.revision}, {"peer", from}});
     feed.restored.adopt(page, now, graceFor(kind));
-    this->publish(kind, feed.restored.merge(feed.snapshot, now), 0);
+    this->publish(kind, feed.restored.merge(feed.snapshot, now), this->loop.clock().uninterruptedTime() - feed.currentAt);
     if (std::any_of(page.objects.begin(), page.objects.end(), [](const auto &object) { return object.lapsed || object.outOfDate; })) {
         this->endGraceLater(kind);
     }
--- a/Userland/Services/Fleet/ObjectFeeds.h
+++ b/Userland/Services/Fleet/ObjectFeeds.h
@@ -34,6 +34,9 @@
     /// Registers a function that is called when the objects of a kind have changed.
     void onChange(std::function<void()> observer);
 
+    /// Notes that another process has just told what it has. For a process that gets all its news from others.
+    void noteExchange();
+
     /// Lists every kind once. For a process that reaches no other process.
     void refreshFromStore(kj::WaitScope &scope);
 
--- a/Userland/Services/Fleet/ObjectFeedsContent.cpp
+++ b/Userland/Services/Fleet/ObjectFeedsContent.cpp
@@ -57,6 +57,13 @@
     }
 }
 
+void ObjectFeeds::noteExchange()
+{
+    for (Feed &feed : this->feeds) {
+        feed.currentAt = this->loop.clock().uninterruptedTime();
+    }
+}
+
 bool ObjectFeeds::watchesStore(ObjectKind kind) const
 {
     return this->started && this->watchActive && this->feed(kind).storeReached && this->position(kind) > 0;
--- a/Userland/Services/Fleet/PeerExchange.cpp
+++ b/Userland/Services/Fleet/PeerExchange.cpp
@@ -208,6 +208,9 @@
     if (peer.ok()) {
         this->record(*peer);
         this->pullNewer(scope, link, *peer, partner.inOtherRegion);
+        if (!this->settings.clientAddress) {
+            this->feeds.noteExchange();
+        }
     }
     return peer.status();
 }
