LibFleet: Tell others of the newest weights of long ago too

Found by the review: processes tell each other the namings of the last 60 s. An entry that starts seconds after a new naming was told of that one alone when the one before was older, and the certain age replaced the assumption that stood for both: weights before the older naming were allowed again for 4.7 s. The same gap, for a process that hears from others again after more than 60 s, let a naming count from that moment.

Of each model, the newest target older than the news is told with them.

Failed before: OldNamingTest older_than_the_news. TargetAgeTest no_news_any_more demanded that nothing is told after 61 s; that was the fault, and its row now demands the age (named_long_ago). TellsOneOldTargetOfEachModel keeps what is told bounded.

--- a/Tests/LibFleet/TestFleet.cpp
+++ b/Tests/LibFleet/TestFleet.cpp
@@ -89,6 +89,24 @@
     EXPECT_EQ(state.weightsTarget("m").version, 2);
 }
 
+// Guards against news without end: of what was named long ago, only the newest version matters.
+TEST(FleetState, TellsOneOldTargetOfEachModel)
+{
+    constexpr AK::Milliseconds newsTime = 60'000;
+    ManualClock clock;
+    FleetState state(clock);
+    state.setWeightsTargets({}, 0);
+    std::vector<int64_t> told;
+    for (const int64_t version : {1, 2, 3, 4}) {
+        state.setWeightsTargets({{"m", version}}, 0);
+        clock.time += version < 3 ? newsTime : 1'000;
+    }
+    for (const WeightsTargetAge &target : state.weightsTargetAges(newsTime)) {
+        told.push_back(target.version);
+    }
+    EXPECT_EQ(told, (std::vector<int64_t>{4, 3, 2}));
+}
+
 struct TargetAgeCase {
     const char *name;
     /// Time in ms for which this process has known the target by its own clock; nothing when it was named before this process started.
@@ -138,7 +156,7 @@
                                          TargetAgeCase{"assumed_by_the_other", 1'000, {"m", 2, 6'000, true}, 1'000, true},
                                          TargetAgeCase{"another_version", 1'000, {"m", 1, 4'000}, 1'000, true},
                                          TargetAgeCase{"another_model", 1'000, {"n", 2, 4'000}, 1'000, true},
-                                         TargetAgeCase{"no_news_any_more", 61'000, {"m", 2, 1'000}, 61'000, false}),
+                                         TargetAgeCase{"named_long_ago", 61'000, {"m", 2, 1'000}, 61'000, true}),
                          [](const auto &info) { return std::string(info.param.name); });
 
 // Guards against revisions that decrease, and against changes applied to objects of another revision.
--- a/Userland/Libraries/LibFleet/FleetState.cpp
+++ b/Userland/Libraries/LibFleet/FleetState.cpp
@@ -196,10 +196,11 @@
 {
     std::vector<WeightsTargetAge> ages;
     for (const auto &[model, targets] : this->targetsByModel) {
-        for (const WeightsTarget &target : targets) {
-            const AK::Milliseconds age = this->clock.uninterruptedTime() - target.learnedAt;
-            if (age <= maxAge) {
-                ages.push_back({model, target.version, age, target.ageAssumed});
+        for (auto target = targets.rbegin(); target != targets.rend(); ++target) {
+            const AK::Milliseconds age = this->clock.uninterruptedTime() - target->learnedAt;
+            ages.push_back({model, target->version, age, target->ageAssumed});
+            if (age > maxAge) {
+                break;
             }
         }
     }
--- a/Userland/Libraries/LibFleet/FleetState.h
+++ b/Userland/Libraries/LibFleet/FleetState.h
@@ -90,7 +90,8 @@
     /// been restarted learns late, and never of a target that a newer one had replaced by then, because the store lists the newest alone.
     void adoptWeightsTarget(const WeightsTargetAge &told);
 
-    /// The targets of all models that became known within `maxAge` ms.
+    /// The targets of all models that became known within `maxAge` ms, and of each model the newest one before those: a process that starts must not take the
+    /// weights before it for usable.
     std::vector<WeightsTargetAge> weightsTargetAges(AK::Milliseconds maxAge) const;
 
     /// Registers a function that is called after each change.
