LibFleet: Count the assumed age of weights from the start of the process

Found by the review: a process that starts assumes an age for the weights that it finds named, small enough that it may use older ones for 2 s, less than the 3 s for which a machine that has started is not held to the bounds. The 2 s counted from the answer of the store instead of the start, so that a start of more than a second with nobody to tell the age took it beyond them.

Failed before, by the old formula: AssumedAgeCountsFromTheStart (5,000 ms instead of 6,200).

--- a/Tests/LibFleet/TestFleet.cpp
+++ b/Tests/LibFleet/TestFleet.cpp
@@ -89,6 +89,19 @@
     EXPECT_EQ(state.weightsTarget("m").version, 2);
 }
 
+// Guards against older weights that a process which has been starting for a second uses for that second longer.
+TEST(FleetState, AssumedAgeCountsFromTheStart)
+{
+    ManualClock clock;
+    FleetState state(clock);
+    clock.time += 1'200;
+    state.setWeightsTargets({{"m", 2}}, 5'000);
+    EXPECT_EQ(clock.time - state.weightsTargets("m").back().learnedAt, 6'200);
+    clock.time += 100;
+    state.setWeightsTargets({{"m", 3}}, 5'000);
+    EXPECT_EQ(state.weightsTargets("m").back().learnedAt, clock.time) << "named while it runs";
+}
+
 // Guards against news without end: of what was named long ago, only the newest version matters.
 TEST(FleetState, TellsOneOldTargetOfEachModel)
 {
--- a/Userland/Libraries/LibFleet/FleetState.cpp
+++ b/Userland/Libraries/LibFleet/FleetState.cpp
@@ -15,6 +15,7 @@
 
 FleetState::FleetState(const AK::Clock &clock)
     : clock(clock)
+    , startedAt(clock.uninterruptedTime())
 {
 }
 
@@ -134,7 +135,8 @@
 void FleetState::setWeightsTargets(const std::map<std::string, int64_t> &versions, AK::Milliseconds initialAge, AK::Milliseconds unnoticed)
 {
     bool added = false;
-    const AK::Milliseconds age = this->targetsKnown ? std::min(unnoticed, initialAge) : initialAge;
+    const AK::Milliseconds sinceStart = this->clock.uninterruptedTime() - this->startedAt;
+    const AK::Milliseconds age = this->targetsKnown ? std::min(unnoticed, initialAge) : initialAge + sinceStart;
     const bool ageAssumed = !this->targetsKnown || age > 0;
     const AK::Milliseconds learnedAt = this->clock.uninterruptedTime() - age;
     this->targetsKnown = true;
--- a/Userland/Libraries/LibFleet/FleetState.h
+++ b/Userland/Libraries/LibFleet/FleetState.h
@@ -82,7 +82,7 @@
     void setEntries(std::map<std::string, EntryRecord> entries);
     void setEvacuations(std::set<std::string> failureDomains);
     void setQuarantinedParts(std::set<std::string> parts);
-    /// Adds targets that are newer than the known ones. `initialAge` is the assumed age, in ms, of targets that were named before this process started.
+    /// Adds targets that are newer than the known ones. `initialAge` is the assumed age at the start of this process, in ms, of targets that it finds first.
     /// `unnoticed`: time in ms for which a naming may have gone unnoticed; it is taken for the age of the new targets, up to `initialAge`.
     void setWeightsTargets(const std::map<std::string, int64_t> &versions, AK::Milliseconds initialAge, AK::Milliseconds unnoticed = 0);
 
@@ -102,6 +102,7 @@
     void notifyObservers();
 
     const AK::Clock &clock;
+    AK::Milliseconds startedAt;
     std::shared_ptr<const Configuration> current;
     std::unique_ptr<RouteTable> table;
     std::map<std::string, UpstreamRecord> upstreamsById;
