LibGateway: Ask again at short intervals within which time a call must begin

A call that had been sent before newer weights were named waited up to 7.5 s before it asked again, so that an earlier naming that another process told meanwhile did not shorten its wait: it was withdrawn later than the bound allows.

It asks every 300 ms.

--- a/Userland/Libraries/LibGateway/Placement.cpp
+++ b/Userland/Libraries/LibGateway/Placement.cpp
@@ -170,9 +170,9 @@
 
 AK::Milliseconds timeToBegin(const std::vector<LibFleet::WeightsTarget> &targets, int64_t held, AK::Milliseconds now, AK::Milliseconds beginLimit)
 {
-    // Keeps callers from asking without pause where the limit is shorter.
-    constexpr AK::Milliseconds shortestRecheck = 100;
-    AK::Milliseconds left = std::max(shortestRecheck, beginLimit);
+    // A version may be named meanwhile, or another process may tell that one was named earlier than this one knows.
+    constexpr AK::Milliseconds recheckInterval = 300;
+    AK::Milliseconds left = recheckInterval;
     for (const LibFleet::WeightsTarget &target : targets) {
         if (target.version > held) {
             left = std::min(left, beginLimit - (now - target.learnedAt));
--- a/Userland/Libraries/LibGateway/Placement.h
+++ b/Userland/Libraries/LibGateway/Placement.h
@@ -142,7 +142,7 @@
 int64_t requiredWeightsVersion(const std::vector<LibFleet::WeightsTarget> &targets, AK::Milliseconds now, AK::Milliseconds weightsSwitchDelay);
 
 /// Time in ms from now within which a call must begin on weights of the version `held`, negative when it has passed: by then a newer version has been known for
-/// `beginLimit` ms. Without a newer version it is the time after which to ask again, because one may have been named. Load pattern: engines hang, or their
+/// `beginLimit` ms. When that is later, it is the time after which to ask again. Load pattern: engines hang, or their
 /// hosts stand still, with calls that they have not begun while new weights are named.
 AK::Milliseconds timeToBegin(const std::vector<LibFleet::WeightsTarget> &targets, int64_t held, AK::Milliseconds now, AK::Milliseconds beginLimit);
 
