Gateway: Withdraw calls that are no streams from engines on which they still wait

Only streams were withdrawn from an engine that had not begun them when its weights became too old; any other call to an engine whose host stood still began when it woke, after the bound (VERSION). Nothing shows that such a call has begun before it ends, and a sound one must not be cut.

The reports of the engine show it: one that arrives 0.5 s after the call was sent, and says that nothing waits there, means that the call runs. Without one, a call that may be repeated is withdrawn at the same limit as a stream. A call that may run once only stays, because nothing that its caller could be told would be true.

--- a/Tests/Services/Gateway/TestOldWeights.cpp
+++ b/Tests/Services/Gateway/TestOldWeights.cpp
@@ -1,6 +1,7 @@
 #include "GatewaySite.h"
 #include <AK/Text.h>
 #include <Clocks/SuspendedClock.h>
+#include <algorithm>
 #include <gtest/gtest.h>
 
 namespace
@@ -25,6 +26,8 @@
     SendsSlowly,
     /// Sends nothing until after the limit, and has loaded the newer weights meanwhile.
     LoadsMeanwhile,
+    /// Sends its whole response after the limit.
+    RespondsLate,
 };
 
 struct OldWeightsCase {
@@ -36,6 +39,11 @@
     int maxAttempts = 3;
     int status = 200;
     bool complete = true;
+    RouteKind kind = RouteKind::Stream;
+    /// Reports of the engine with the older weights show that nothing waits there.
+    bool reportsRunning = false;
+    /// Another process tells, while the call waits, that the naming was so much earlier, in ms.
+    AK::Milliseconds namedEarlierBy = 0;
 };
 
 std::string eventTexts(int first, int last)
@@ -58,7 +66,7 @@
                     return this->send(scope, channel, this->streamHead(head) + this->chunks(firstEvent(head), events) + std::string(LibHttpStream::lastChunk));
                 }})
     {
-        this->site.configure(RouteKind::Stream, true, row.maxAttempts, callTimeout);
+        this->site.configure(row.kind, true, row.maxAttempts, callTimeout);
         LibFleet::Configuration configuration = *this->site.fleet.configuration();
         ++configuration.version;
         configuration.services["s"].engine = LibFleet::EngineSpec{};
@@ -85,7 +93,15 @@
             loop.sleep(scope, this->row.namedAfter);
             this->site.fleet.setWeightsTargets({{model, 2}}, 0);
             this->namedAt = loop.clock().now();
-            loop.sleep(scope, switchDelay);
+            this->site.fleet.adoptWeightsTarget({model, 2, this->row.namedEarlierBy});
+            loop.sleep(scope, std::max<AK::Milliseconds>(0, switchDelay - this->row.namedEarlierBy));
+            // Later than what a report may lag behind.
+            loop.sleep(scope, this->row.reportsRunning ? beginLimit - switchDelay - 50 : 0);
+            for (const auto &[id, record] : this->records) {
+                if (this->row.reportsRunning && record.weightsVersion == 1) {
+                    this->site.dispatcher.recordReport({record.address.text(), 1, 1, 0});
+                }
+            }
             if (this->row.engine == OldEngine::LoadsMeanwhile) {
                 for (auto &[id, record] : this->records) {
                     record.weightsVersion = 2;
@@ -122,6 +138,7 @@
                 this->site.loop.sleep(scope, beginLimit / 2);
             }
             return this->send(scope, channel, std::string(LibHttpStream::lastChunk));
+        case OldEngine::RespondsLate:
         case OldEngine::LoadsMeanwhile:
             this->site.loop.sleep(scope, this->row.namedAfter + beginLimit + 200);
             return this->send(scope, channel, this->streamHead(head) + this->chunks(1, events) + std::string(LibHttpStream::lastChunk));
@@ -181,8 +198,9 @@
     ASSERT_EQ(rollout.withdrawnAt > 0, row.withdrawn);
     if (row.withdrawn) {
         EXPECT_TRUE(rollout.wasReset) << "a host that stands still holds the unread request, and only a reset drops it";
-        EXPECT_LE(rollout.withdrawnAt - rollout.namedAt, beginLimit + tolerance);
-        EXPECT_GE(rollout.withdrawnAt - rollout.namedAt, beginLimit - tolerance);
+        const AK::Milliseconds limit = beginLimit - row.namedEarlierBy;
+        EXPECT_LE(rollout.withdrawnAt - rollout.namedAt, limit + tolerance);
+        EXPECT_GE(rollout.withdrawnAt - rollout.namedAt, limit - tolerance);
     }
 }
 
@@ -192,7 +210,11 @@
                     OldWeightsCase{"head_without_event", OldEngine::SendsTheHead, 0, true}, OldWeightsCase{"resumed_stream", OldEngine::BreaksOffOnce, 0, true},
                     OldWeightsCase{"last_attempt", OldEngine::SendsNothing, 0, true, 1, 502, true},
                     OldWeightsCase{"last_attempt_of_a_stream", OldEngine::BreaksOffOnce, 0, true, 2, 200, false},
-                    OldWeightsCase{"begun", OldEngine::SendsSlowly, 0, false}, OldWeightsCase{"loaded_meanwhile", OldEngine::LoadsMeanwhile, 0, false}),
+                    OldWeightsCase{"begun", OldEngine::SendsSlowly, 0, false}, OldWeightsCase{"loaded_meanwhile", OldEngine::LoadsMeanwhile, 0, false},
+                    OldWeightsCase{"named_earlier", OldEngine::SendsNothing, 100, true, 3, 200, true, RouteKind::Stream, false, 400},
+                    OldWeightsCase{"no_stream", OldEngine::SendsNothing, 0, true, 3, 200, true, RouteKind::Idempotent},
+                    OldWeightsCase{"no_stream_that_runs", OldEngine::RespondsLate, 0, false, 3, 200, true, RouteKind::Idempotent, true},
+                    OldWeightsCase{"no_stream_that_runs_once", OldEngine::RespondsLate, 0, false, 3, 200, true, RouteKind::AtMostOnce}),
     [](const auto &info) { return std::string(info.param.name); });
 
 struct SuspensionCase {
--- a/Userland/Services/Gateway/CallTask.h
+++ b/Userland/Services/Gateway/CallTask.h
@@ -86,8 +86,9 @@
     SilentCall::End tryOthers(kj::WaitScope &scope, UpstreamCall &call, kj::Own<Grant> &grant, const SilentCall::Probe &probe);
     /// Must be called before anything is written to the client: from now on no silent call goes on.
     void takeOver();
-    /// Whether the call must begin on weights that are not too old. Only the events of a stream show when it begins.
-    bool mustBeginInTime() const;
+    /// Whether the call must still begin on weights that are not too old. The events of a stream show when it has begun; for other calls, reports of the engine
+    /// do.
+    bool mustBeginInTime(const Grant &grant) const;
     /// Whether the call has not begun at the upstream of its grant and must not begin there any more.
     bool beginsTooLate(const Grant &grant) const;
     /// Monotonic time until which the call may wait for the head of a response: the upstream counts as silent then, or must not begin any more.
--- a/Userland/Services/Gateway/CallTaskStream.cpp
+++ b/Userland/Services/Gateway/CallTaskStream.cpp
@@ -59,20 +59,24 @@
     return std::min(this->endsBy(), std::max(lastSign, this->othersTriedAt) + limit);
 }
 
-bool CallTask::mustBeginInTime() const
+bool CallTask::mustBeginInTime(const Grant &grant) const
 {
-    return this->route->kind == LibFleet::RouteKind::Stream && !this->streamBegun;
+    if (this->route->kind == LibFleet::RouteKind::Stream) {
+        return !this->streamBegun;
+    }
+    // A call that is no stream shows nothing until it ends. One that may run once only stays where it is.
+    return this->route->repeatable() && this->context.dispatcher.mayStillWait(grant, this->sentAt);
 }
 
 bool CallTask::beginsTooLate(const Grant &grant) const
 {
-    return this->mustBeginInTime() && this->context.dispatcher.timeToBegin(grant) <= 0;
+    return this->mustBeginInTime(grant) && this->context.dispatcher.timeToBegin(grant) <= 0;
 }
 
 AK::Milliseconds CallTask::headDeadline(const Grant &grant) const
 {
     const AK::Milliseconds silentAt = this->silentAfter(this->sentAt);
-    return this->mustBeginInTime() ? std::min(silentAt, this->now() + this->context.dispatcher.timeToBegin(grant)) : silentAt;
+    return this->mustBeginInTime(grant) ? std::min(silentAt, this->now() + this->context.dispatcher.timeToBegin(grant)) : silentAt;
 }
 
 SilentCall::End CallTask::tryOthers(kj::WaitScope &scope, UpstreamCall &call, kj::Own<Grant> &grant, const SilentCall::Probe &probe)
@@ -98,7 +102,7 @@
             grant = nullptr;
         };
         // The attempt beside the silent call changes what the call knows of its own.
-        const bool mustBegin = this->mustBeginInTime();
+        const bool mustBegin = this->mustBeginInTime(*grant);
         const auto beginBy = [&] {
             return mustBegin ? this->now() + this->context.dispatcher.timeToBegin(*grant) : this->deadline;
         };
@@ -169,7 +173,7 @@
         const AK::Milliseconds silentAt = this->route->resumable ? this->silentAfter(this->lastEventAt) : this->endsBy();
         const bool mayTryOthers = silentAt < this->endsBy();
         if (!mayTryOthers || this->now() < silentAt) {
-            const AK::Milliseconds left = this->mustBeginInTime() ? this->context.dispatcher.timeToBegin(*grant) : silentAt - this->now();
+            const AK::Milliseconds left = this->mustBeginInTime(*grant) ? this->context.dispatcher.timeToBegin(*grant) : silentAt - this->now();
             part.take(call.read(scope, std::min(silentAt, this->now() + left)));
             if (!absl::IsDeadlineExceeded(part.status) || this->now() >= this->endsBy()) {
                 return part;
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -1,8 +1,8 @@
 #include "Dispatcher.h"
 
 #include "HindranceOverview.h"
-#include "WeightsOverview.h"
 #include "UpstreamChoice.h"
+#include "WeightsOverview.h"
 
 #include <algorithm>
 #include <kj/debug.h>
@@ -146,6 +146,11 @@
     return this->table.timeToBegin(grant.upstream(), grant.heldWeights());
 }
 
+bool Dispatcher::mayStillWait(const Grant &grant, AK::Milliseconds sentAt) const
+{
+    return grant.upstream().isEngine && this->table.mayStillWait(grant.upstream(), sentAt);
+}
+
 kj::Maybe<LibPeers::OfferedSlot> Dispatcher::offerSlot(const LibPeers::SlotRequest &request)
 {
     CallRequirements requirements;
--- a/Userland/Services/Gateway/Dispatcher.h
+++ b/Userland/Services/Gateway/Dispatcher.h
@@ -74,6 +74,9 @@
     /// Time in ms from now within which the call of a grant must begin; see UpstreamTable::timeToBegin().
     AK::Milliseconds timeToBegin(const Grant &grant) const;
 
+    /// Whether the call of a grant that was sent at `sentAt` (monotonic ms) may still wait at its engine. False for an upstream that is no engine.
+    bool mayStillWait(const Grant &grant, AK::Milliseconds sentAt) const;
+
     /// Time after which a refused client should retry, in ms, when all upstreams that the call may use, those tried before included, are paused.
     std::optional<AK::Milliseconds> retryAfterPause(CallRequirements requirements);
 
--- a/Userland/Services/Gateway/UpstreamTable.cpp
+++ b/Userland/Services/Gateway/UpstreamTable.cpp
@@ -372,6 +372,17 @@
     return LibGateway::timeToBegin(targets, std::max(held, granted), this->clock.uninterruptedTime(), this->settings.weightsBeginLimit);
 }
 
+bool UpstreamTable::mayStillWait(const LibFleet::UpstreamRecord &record, AK::Milliseconds sentAt) const
+{
+    // What a report says was read up to this long before it arrives.
+    constexpr AK::Milliseconds reportDelay = 500;
+    const auto load = this->loads.find(record.address.text());
+    if (load == this->loads.end() || !load->second.report) {
+        return true;
+    }
+    return load->second.reportAt < sentAt + reportDelay || load->second.report->waiting > 0;
+}
+
 int64_t UpstreamTable::heldWeightsVersion(const LibFleet::UpstreamRecord &record) const
 {
     const auto load = this->loads.find(record.address.text());
--- a/Userland/Services/Gateway/UpstreamTable.h
+++ b/Userland/Services/Gateway/UpstreamTable.h
@@ -61,6 +61,9 @@
     /// Time in ms from now within which a call must begin at an engine that held the version `granted` when it got the call; see LibGateway::timeToBegin().
     AK::Milliseconds timeToBegin(const LibFleet::UpstreamRecord &record, int64_t granted) const;
 
+    /// Whether a call that was sent at `sentAt` (monotonic ms) may still wait at its engine: no report that has arrived since shows that nothing waits there.
+    bool mayStillWait(const LibFleet::UpstreamRecord &record, AK::Milliseconds sentAt) const;
+
     /// Whether calls may use a version of the weights of a service.
     bool allowsWeights(const std::string &service, int64_t version) const;
 
