LibMembership: Keep a leaving member leaving when a probe fails

Cause: leaving and suspect were two values of one field, ordered alive, leaving, suspect, dead. A process that had received the leaving and got no answer any more made the record suspect, which counts as live, and others took that over. Class: a statement of the owner that is overwritten by a guess of others.

Change: the heavier of two statuses of one record stays, in the order alive, suspect, leaving, dead. A failed probe of a leaving member begins a suspicion that is kept beside the status; a second one and the time limit make it dead as before, a response or a newer record ends it. The mark of the host list takes effect on a suspect. A leaving process contradicts a record that calls it suspect. The numbers on the wire are the same.

On the code before, with noteProbeAnswered() added empty, three runs of TestLibMembership failed alike, in FailedProbeTest/leaving, ReportTest/suspected_when_leaving and leaving_when_suspected, three of SuspicionTest, and, among eight nodes, MembershipServiceTest.MemberThatHasLeftIsNeverLiveAgain. RolloutTest.StatusListsLiveHostsOnly passed before too; it pins what rollout status takes for live.

--- a/Tests/Catkinlink/TestRollouts.cpp
+++ b/Tests/Catkinlink/TestRollouts.cpp
@@ -77,6 +77,17 @@
     EXPECT_EQ(this->run("rollout status order-desk"), ExitCode::InvalidSettings);
 }
 
+// Guards against a host that is leaving or dead being listed as live.
+TEST_F(RolloutTest, StatusListsLiveHostsOnly)
+{
+    for (const auto &[status, live] : std::map<std::string, bool>{{"alive", true}, {"suspect", true}, {"leaving", false}, {"dead", false}}) {
+        this->beginRollout(2);
+        this->first.setMembers({host(1, "serving", newRoot), host(2, "serving", newRoot, 0, status.c_str())});
+        EXPECT_EQ(this->run("rollout status bench-assistant"), ExitCode::Done) << this->text();
+        EXPECT_NE(this->text().find(live ? "2 of 2 live hosts" : "bench-2 has no live process"), std::string::npos) << status << this->text();
+    }
+}
+
 struct WatchCase {
     const char *name;
     bool paused;
--- a/Tests/LibMembership/TestMembershipService.cpp
+++ b/Tests/LibMembership/TestMembershipService.cpp
@@ -169,6 +169,25 @@
     EXPECT_TRUE(eventually([this] { return this->converged(); }));
 }
 
+// Guards against a member that has left being listed as live again, on any other host, until it is declared dead.
+TEST_F(MembershipServiceTest, MemberThatHasLeftIsNeverLiveAgain)
+{
+    this->startNodes(8);
+    ASSERT_TRUE(eventually([this] { return this->converged(); }));
+    this->nodes[5]->service->updateSelf([](Member &own) { own.status = MemberStatus::Leaving; });
+    ASSERT_TRUE(eventually([this] { return this->everyNodeSees(5, [](const Member &member) { return member.status == MemberStatus::Leaving; }); }));
+    this->nodes.erase(5);
+    const auto neverLive = [this] {
+        return this->everyNodeSees(5, [](const Member &member) { return member.status == MemberStatus::Leaving || member.status == MemberStatus::Dead; });
+    };
+    bool live = false;
+    EXPECT_TRUE(eventually([&] {
+        live = live || !neverLive();
+        return this->everyNodeSees(5, [](const Member &member) { return member.status == MemberStatus::Dead; });
+    }));
+    EXPECT_FALSE(live);
+}
+
 // Guards against a restart that is faster than the suspicion being missed, so that others act on the old instance's record.
 TEST_F(MembershipServiceTest, FastRestartReplacesTheInstance)
 {
--- a/Userland/Libraries/LibMembership/MemberTable.cpp
+++ b/Userland/Libraries/LibMembership/MemberTable.cpp
@@ -16,11 +16,42 @@
 // a second.
 constexpr uint64_t exchangesPerDeadPartner = 16;
 
+// How much a status outweighs another one of the same record; the order on the wire is another.
+int weightOf(MemberStatus status)
+{
+    switch (status) {
+    case MemberStatus::Alive:
+        return 0;
+    case MemberStatus::Suspect:
+        return 1;
+    case MemberStatus::Leaving:
+        return 2;
+    case MemberStatus::Dead:
+        break;
+    }
+    return 3;
+}
+
 bool isUp(MemberStatus status)
 {
     return status == MemberStatus::Alive || status == MemberStatus::Leaving;
 }
 
+void endSuspicion(TableEntry &entry)
+{
+    entry.suspectedSince.reset();
+    entry.probeFailed = false;
+    entry.confirmed = false;
+}
+
+// Whether a record about this process must be answered by a greater sequence. A leaving process contradicts a suspicion too, although its own status outweighs
+// it: whoever suspects it has not received that it is leaving.
+bool contradicts(const Member &incoming, const Member &own)
+{
+    const bool otherStatus = incoming.status != own.status && incoming.status != MemberStatus::Alive;
+    return incoming.instance == own.instance && (incoming.sequence > own.sequence || (incoming.sequence == own.sequence && otherStatus));
+}
+
 uint64_t hashShareOf(const Member &member)
 {
     if (member.status == MemberStatus::Dead) {
@@ -38,8 +69,7 @@
 
 bool supersedes(const Member &incoming, const Member &known)
 {
-    return std::tuple(incoming.instance, incoming.sequence, static_cast<int>(incoming.status))
-        > std::tuple(known.instance, known.sequence, static_cast<int>(known.status));
+    return std::tuple(incoming.instance, incoming.sequence, weightOf(incoming.status)) > std::tuple(known.instance, known.sequence, weightOf(known.status));
 }
 
 void touch(MemberTable &table, TableEntry &entry)
@@ -56,9 +86,7 @@
 {
     const auto found = table.entries.find(incoming.name);
     if (incoming.name == table.self) {
-        const bool contradicted =
-            found != table.entries.end() && incoming.instance == found->second.member.instance && supersedes(incoming, found->second.member);
-        return contradicted ? MergeResult::SelfContradicted : MergeResult::Unchanged;
+        return found != table.entries.end() && contradicts(incoming, found->second.member) ? MergeResult::SelfContradicted : MergeResult::Unchanged;
     }
     if (found == table.entries.end()) {
         // A dead record that was removed here must not come back from a process that removes it later.
@@ -70,13 +98,16 @@
     }
     TableEntry &entry = table.entries[incoming.name];
     const bool sameStatus = entry.changedAt != 0 && entry.member.status == incoming.status && entry.member.instance == incoming.instance;
+    // A status that others observed leaves the sequence as it was and is no sign of life.
+    if (incoming.instance != entry.member.instance || incoming.sequence != entry.member.sequence) {
+        endSuspicion(entry);
+    }
     entry.member = incoming;
     if (!sameStatus) {
         entry.statusSince = now;
     }
-    if (isUp(incoming.status)) {
-        entry.probeFailed = false;
-        entry.confirmed = false;
+    if (incoming.status == MemberStatus::Suspect && !entry.suspectedSince) {
+        entry.suspectedSince = now;
     }
     touch(table, entry);
     return MergeResult::Changed;
@@ -85,11 +116,14 @@
 bool setObservedStatus(MemberTable &table, const std::string &name, MemberStatus status, AK::Milliseconds now)
 {
     const auto found = table.entries.find(name);
-    if (found == table.entries.end() || name == table.self || static_cast<int>(status) <= static_cast<int>(found->second.member.status)) {
+    if (found == table.entries.end() || name == table.self || weightOf(status) <= weightOf(found->second.member.status)) {
         return false;
     }
     found->second.member.status = status;
     found->second.statusSince = now;
+    if (status == MemberStatus::Suspect) {
+        found->second.suspectedSince = now;
+    }
     touch(table, found->second);
     return true;
 }
@@ -158,20 +192,44 @@
 {
     for (const auto &[name, entry] : table.entries) {
         const AK::Milliseconds wait = entry.probeFailed ? suspectTimeout / 2 : 3 * suspectTimeout;
-        if (entry.member.status == MemberStatus::Suspect && !entry.confirmed && now - entry.statusSince >= wait) {
+        if (entry.member.status != MemberStatus::Dead && entry.suspectedSince && !entry.confirmed && now - *entry.suspectedSince >= wait) {
             return entry.member;
         }
     }
     return std::nullopt;
 }
 
+bool noteFailedProbe(MemberTable &table, const std::string &name, AK::Milliseconds now)
+{
+    const auto found = table.entries.find(name);
+    if (found == table.entries.end() || found->second.member.status == MemberStatus::Dead) {
+        return false;
+    }
+    TableEntry &entry = found->second;
+    const bool first = !entry.suspectedSince;
+    if (first && !setObservedStatus(table, name, MemberStatus::Suspect, now)) {
+        entry.suspectedSince = now;
+    }
+    entry.confirmed = !first;
+    entry.probeFailed = true;
+    return first;
+}
+
+void noteAnsweredProbe(MemberTable &table, const std::string &name)
+{
+    const auto found = table.entries.find(name);
+    if (found != table.entries.end() && found->second.member.status == MemberStatus::Leaving) {
+        endSuspicion(found->second);
+    }
+}
+
 std::vector<std::string> expireSuspects(MemberTable &table, AK::Milliseconds now, AK::Milliseconds suspectTimeout, AK::Milliseconds forgetAfter)
 {
     std::vector<std::string> newlyDead;
     for (auto entry = table.entries.begin(); entry != table.entries.end();) {
         TableEntry &value = entry->second;
         const AK::Milliseconds age = now - value.statusSince;
-        if (value.member.status == MemberStatus::Suspect && value.confirmed && age >= suspectTimeout) {
+        if (value.member.status != MemberStatus::Dead && value.confirmed && now - value.suspectedSince.value_or(now) >= suspectTimeout) {
             setObservedStatus(table, entry->first, MemberStatus::Dead, now);
             newlyDead.push_back(entry->first);
         } else if (value.member.status == MemberStatus::Dead && age >= forgetAfter) {
--- a/Userland/Libraries/LibMembership/MemberTable.h
+++ b/Userland/Libraries/LibMembership/MemberTable.h
@@ -19,6 +19,8 @@
     uint64_t changedAt = 0;
     /// Time of Clock::now() at which this process learned of the current status.
     AK::Milliseconds statusSince = 0;
+    /// Time of Clock::now() since which the member is suspected: its status is suspect, or it is leaving and did not answer this process.
+    std::optional<AK::Milliseconds> suspectedSince;
     /// This process probed the member itself and got no response.
     bool probeFailed = false;
     /// A later probe of a suspect by this process failed too.
@@ -42,13 +44,14 @@
     SelfContradicted,
 };
 
-/// Whether a record replaces another of the same name: greater instance, then greater sequence, then the worse status.
+/// Whether a record replaces another of the same name: greater instance, then greater sequence, then the status that outweighs the other: suspect outweighs
+/// alive, leaving outweighs suspect, because a member that announced its leaving does not come back under the same record, and dead outweighs all.
 bool supersedes(const Member &incoming, const Member &known);
 
 MergeResult mergeRecord(MemberTable &table, const Member &incoming, AK::Milliseconds now);
 
-/// Sets a status that this process observed and the member itself has not published, under the member's last sequence. Only a worse status replaces the
-/// known one. Returns false when nothing changed.
+/// Sets a status that this process observed and the member itself has not published, under the member's last sequence. Only a status that outweighs the known
+/// one replaces it, see supersedes(). Returns false when nothing changed.
 bool setObservedStatus(MemberTable &table, const std::string &name, MemberStatus status, AK::Milliseconds now);
 
 /// Marks a record as changed, so that it is spread again, and brings the table's hash up to date. Must follow each change of a record.
@@ -69,9 +72,17 @@
 /// Returns at most `count` random members that are alive or leaving, this process excluded.
 std::vector<Member> chooseMembers(const std::vector<Member> &members, const std::string &self, size_t count, AK::Random &random);
 
-/// Returns a suspect that this process must probe again now: after half of `suspectTimeout` if its own probe failed, else after three times `suspectTimeout`.
+/// Returns a suspected member that this process must probe again now: after half of `suspectTimeout` if its own probe failed, else after three times
+/// `suspectTimeout`.
 std::optional<Member> suspectToProbe(const MemberTable &table, AK::Milliseconds now, AK::Milliseconds suspectTimeout);
 
+/// Notes that a probe by this process failed. Returns whether the member was not suspected before. A leaving member stays leaving and is suspected by this
+/// process alone.
+bool noteFailedProbe(MemberTable &table, const std::string &name, AK::Milliseconds now);
+
+/// Ends the suspicion of a leaving member that answered. One that has become suspect ends it itself, by a greater sequence.
+void noteAnsweredProbe(MemberTable &table, const std::string &name);
+
 /// Declares confirmed suspects dead after `suspectTimeout` ms and removes dead members after `forgetAfter` ms. Returns the names of those declared dead.
 std::vector<std::string> expireSuspects(MemberTable &table, AK::Milliseconds now, AK::Milliseconds suspectTimeout, AK::Milliseconds forgetAfter);
 
--- a/Userland/Libraries/LibMembership/MembershipService.cpp
+++ b/Userland/Libraries/LibMembership/MembershipService.cpp
@@ -108,7 +108,9 @@
         this->join();
     }
     for (const Member &target : targets) {
-        if (!this->exchanges.exchangeWith(target.rpcAddress, target.name, this->table.wholeTableDue(), timeout)) {
+        if (this->exchanges.exchangeWith(target.rpcAddress, target.name, this->table.wholeTableDue(), timeout)) {
+            this->table.noteProbeAnswered(target.name);
+        } else {
             this->table.noteProbeFailed(target.name);
         }
     }
--- a/Userland/Libraries/LibMembership/SharedTable.cpp
+++ b/Userland/Libraries/LibMembership/SharedTable.cpp
@@ -124,8 +124,8 @@
 {
     const std::lock_guard lock(this->mutex);
     const auto found = this->table.entries.find(name);
-    // A member that is suspect already is probed on the schedule of suspects; more reports would only repeat the probe.
-    if (found != this->table.entries.end() && (found->second.member.status == MemberStatus::Alive || found->second.member.status == MemberStatus::Leaving)) {
+    // A member that is suspected already is probed on the schedule of suspects; more reports would only repeat the probe.
+    if (found != this->table.entries.end() && found->second.member.status != MemberStatus::Dead && !found->second.suspectedSince) {
         this->unreachable.insert(name);
         this->changed.notify_all();
     }
@@ -134,18 +134,15 @@
 void SharedTable::noteProbeFailed(const std::string &name)
 {
     const std::lock_guard lock(this->mutex);
-    const auto found = this->table.entries.find(name);
-    if (found == this->table.entries.end() || found->second.member.status == MemberStatus::Dead) {
-        return;
-    }
-    TableEntry &entry = found->second;
-    if (entry.member.status == MemberStatus::Suspect) {
-        entry.confirmed = true;
-    } else {
-        setObservedStatus(this->table, name, MemberStatus::Suspect, this->clock.now());
+    if (noteFailedProbe(this->table, name, this->clock.now())) {
         this->logger.info("member_suspect", {{"member", name}});
     }
-    entry.probeFailed = true;
+}
+
+void SharedTable::noteProbeAnswered(const std::string &name)
+{
+    const std::lock_guard lock(this->mutex);
+    noteAnsweredProbe(this->table, name);
 }
 
 void SharedTable::requestPushLocked(bool toAll)
--- a/Userland/Libraries/LibMembership/SharedTable.h
+++ b/Userland/Libraries/LibMembership/SharedTable.h
@@ -40,6 +40,7 @@
     /// Has a member probed in the next round, which starts at once.
     void reportUnreachable(const std::string &name);
     void noteProbeFailed(const std::string &name);
+    void noteProbeAnswered(const std::string &name);
 
     /// Returns the own record with at most 16 changed records, or with the whole table.
     Outgoing outgoing(const std::string &peer, bool wholeTable);
