LibMembership: Keep an announced leaving when the host list says live

A process that the host list had marked as leaving and that was then stopped published nothing new, because its status was leaving already, and the mark stayed one of the list. A later reading that said live withdrew it: the process drained, and was listed as alive.

Change: SharedTable::announceLeaving() makes the leaving the process's own, whatever made it leaving before.

WithdrawalTest/marked_then_announced fails with announceLeaving() as the change of the status alone (alive instead of leaving) and passes with the change; "marked" and "announced" pass on both.

--- a/Tests/LibMembership/TestMembershipService.cpp
+++ b/Tests/LibMembership/TestMembershipService.cpp
@@ -174,7 +174,7 @@
 {
     this->startNodes(8);
     ASSERT_TRUE(eventually([this] { return this->converged(); }));
-    this->nodes[5]->service->updateSelf([](Member &own) { own.status = MemberStatus::Leaving; });
+    this->nodes[5]->service->announceLeaving();
     ASSERT_TRUE(eventually([this] { return this->everyNodeSees(5, [](const Member &member) { return member.status == MemberStatus::Leaving; }); }));
     this->nodes.erase(5);
     const auto neverLive = [this] {
--- a/Tests/LibMembership/TestSharedTable.cpp
+++ b/Tests/LibMembership/TestSharedTable.cpp
@@ -170,7 +170,7 @@
 // Guards against a leaving process that does not contradict those who took it for a suspect, so that they keep listing it as live.
 TEST_F(SuspicionTest, ContradictsASuspicion)
 {
-    this->table->updateSelf([](Member &own) { own.status = MemberStatus::Leaving; });
+    this->table->announceLeaving();
     Member report = *this->table->find("self");
     report.status = MemberStatus::Suspect;
     this->table->merge({report});
@@ -178,4 +178,34 @@
     EXPECT_GT(this->table->find("self")->sequence, report.sequence);
 }
 
+struct LeavingCase {
+    const char *name;
+    bool markedBefore;
+    bool announced;
+    MemberStatus result;
+};
+
+class WithdrawalTest : public testing::TestWithParam<LeavingCase>, public SharedTableTest
+{
+};
+
+// Guards against a process that stops being listed as live again because the host list, which had marked it as leaving too, says live.
+TEST_P(WithdrawalTest, HostListWithdrawsItsOwnMarkOnly)
+{
+    if (GetParam().markedBefore) {
+        this->listHost("127.0.0.1", LibObjectStore::HostState::Leaving);
+        EXPECT_EQ(this->statusOf("self"), MemberStatus::Leaving);
+    }
+    if (GetParam().announced) {
+        this->table->announceLeaving();
+    }
+    this->listHost("127.0.0.1", LibObjectStore::HostState::Live);
+    EXPECT_EQ(this->statusOf("self"), GetParam().result);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, WithdrawalTest,
+                         testing::Values(LeavingCase{"marked", true, false, MemberStatus::Alive}, LeavingCase{"announced", false, true, MemberStatus::Leaving},
+                                         LeavingCase{"marked_then_announced", true, true, MemberStatus::Leaving}),
+                         [](const auto &info) { return info.param.name; });
+
 } // namespace
--- a/Userland/Libraries/LibMembership/MembershipService.cpp
+++ b/Userland/Libraries/LibMembership/MembershipService.cpp
@@ -74,6 +74,11 @@
     this->table.updateSelf(change);
 }
 
+void MembershipService::announceLeaving()
+{
+    this->table.announceLeaving();
+}
+
 void MembershipService::reportUnreachable(const std::string &name)
 {
     this->table.reportUnreachable(name);
--- a/Userland/Libraries/LibMembership/MembershipService.h
+++ b/Userland/Libraries/LibMembership/MembershipService.h
@@ -33,6 +33,8 @@
     std::optional<Member> find(const std::string &name) const override;
     uint64_t changeCount() const override;
     void updateSelf(const std::function<void(Member &)> &change) override;
+    /// Publishes that this process leaves. The host list does not withdraw this.
+    void announceLeaving();
     void reportUnreachable(const std::string &name) override;
     size_t exchangeWithAll(AK::Milliseconds timeout) override;
 
--- a/Userland/Libraries/LibMembership/SharedTable.cpp
+++ b/Userland/Libraries/LibMembership/SharedTable.cpp
@@ -120,6 +120,19 @@
     }
 }
 
+void SharedTable::announceLeaving()
+{
+    const std::lock_guard lock(this->mutex);
+    this->leavingByHostList = false;
+    TableEntry &entry = this->table.entries.at(this->table.self);
+    if (entry.member.status != MemberStatus::Leaving) {
+        entry.member.status = MemberStatus::Leaving;
+        ++entry.member.sequence;
+        touch(this->table, entry);
+        this->requestPushLocked(true);
+    }
+}
+
 void SharedTable::reportUnreachable(const std::string &name)
 {
     const std::lock_guard lock(this->mutex);
--- a/Userland/Libraries/LibMembership/SharedTable.h
+++ b/Userland/Libraries/LibMembership/SharedTable.h
@@ -37,6 +37,8 @@
 
     /// Changes the own record, raises its sequence and requests a push when others must know at once.
     void updateSelf(const std::function<void(Member &)> &change);
+    /// Publishes that this process leaves. The host list does not withdraw this.
+    void announceLeaving();
     /// Has a member probed in the next round, which starts at once.
     void reportUnreachable(const std::string &name);
     void noteProbeFailed(const std::string &name);
--- a/Userland/Utilities/catkinlinkd/Composition.cpp
+++ b/Userland/Utilities/catkinlinkd/Composition.cpp
@@ -118,9 +118,7 @@
 
 void Composition::announceLeaving()
 {
-    this->require<LibMembership::MembershipService>("membership").updateSelf([](LibMembership::Member &self) {
-        self.status = LibMembership::MemberStatus::Leaving;
-    });
+    this->require<LibMembership::MembershipService>("membership").announceLeaving();
 }
 
 void Composition::refreshMetrics()
