--- a/Userland/Libraries/LibMembership/MembershipService.cpp
+++ b/Userland/Libraries/LibMembership/MembershipService.cpp
@@ -74,6 +74,11 @@
     this->table.updateSelf(change);
 }
 
+void MembershipService::announceLeaving()
+{
+    this->table.announceLeaving();
+}
+
 void MembershipService::reportUnreachable(const std::string &name)
 {
     this->table.reportUnreachable(name);
@@ -108,7 +113,9 @@
         this->join();
     }
     for (const Member &target : targets) {
-        if (!this->exchanges.exchangeWith(target.rpcAddress, target.name, this->table.wholeTableDue(), timeout)) {
+        if (this->exchanges.exchangeWith(target.rpcAddress, target.name, this->table.wholeTableDue(), timeout)) {
+            this->table.noteProbeAnswered(target.name);
+        } else {
             this->table.noteProbeFailed(target.name);
         }
     }
