LibFiber: Look at timers and other connections while one is always ready

kj polls for input and timers only when no event is left to run. A read whose bytes have arrived already makes the next event at once, so a peer that sends faster than it is read kept the event loop: no deadline passed, its own included, and no other connection was served until it stopped. The loop now polls after 64 events.

--- a/Userland/Libraries/LibFiber/Loop.cpp
+++ b/Userland/Libraries/LibFiber/Loop.cpp
@@ -14,6 +14,8 @@
 constexpr size_t fiberStackBytes = 256UL * 1024;
 // Stacks kept for reuse; an entry runs about one fiber per connection and call.
 constexpr size_t pooledFiberStacks = 256;
+// Events that run in a row before timers and all other connections are looked at. A peer whose bytes are always there already would keep the loop from them.
+constexpr kj::uint eventsBeforePoll = 64;
 
 } // namespace
 
@@ -37,6 +39,7 @@
     , tasks(kj::heap<kj::TaskSet>(static_cast<kj::TaskSet::ErrorHandler &>(*this)))
 {
     this->fibers.setMaxFreelist(pooledFiberStacks);
+    this->io.waitScope.setBusyPollInterval(eventsBeforePoll);
 }
 
 Loop::~Loop() = default;
