LibHttpStream: Limit the extensions and trailers of a body together

Each line before a chunk and each trailer had a limit, but nothing counted them together, so a body of no or few bytes went on until the deadline of the call. Trailers of a body are limited to 16 KB, extensions of its chunks to 16 KB beyond the bytes of the body.

--- a/Tests/Services/Gateway/TestEndlessClients.cpp
+++ b/Tests/Services/Gateway/TestEndlessClients.cpp
@@ -55,6 +55,8 @@
         {"empty_lines", {"", repeated("\r\n", 8'000)}, true, connectionBytes},
         {"chunk_size", {chunkedHead, std::string(blockBytes, '0')}, true, connectionBytes},
         {"chunk_extension", {chunkedHead + "1;", block}, true, connectionBytes},
+        {"chunk_extensions", {chunkedHead, repeated("1;e=" + std::string(1'000, 'y') + "\r\nx\r\n", 16)}, true, connectionBytes},
+        {"trailers", {chunkedHead + "0\r\n", repeated("X-More: y\r\n", 1'000)}, true, connectionBytes},
         {"body", {chunkedHead, LibHttpStream::encodeChunk(block)}, true, body},
         {"body_in_small_chunks", {chunkedHead, repeated("1\r\nx\r\n", 2'000)}, true, body},
         {"body_in_padded_chunks", {chunkedHead, repeated("1               \r\nx\r\n", 800)}, true, body},
--- a/Userland/Libraries/LibHttpStream/MessageReader.cpp
+++ b/Userland/Libraries/LibHttpStream/MessageReader.cpp
@@ -13,6 +13,12 @@
 constexpr std::string_view headEnd = "\r\n\r\n";
 // Longest line before a chunk or in the trailers, in bytes, chunk extensions included.
 constexpr size_t chunkLineLimitBytes = 1024;
+// Bytes of the line before a chunk that hold its size and the padding that some senders write; the rest of it counts as extensions.
+constexpr size_t chunkSizeBytes = 16;
+// Extensions of all chunks of a body together, in bytes, beyond as many as the body has.
+constexpr uint64_t extensionsLimitBytes = 16'384;
+// All trailers of a body together, in bytes.
+constexpr size_t trailersLimitBytes = 16'384;
 
 std::optional<uint64_t> parseChunkSize(std::string_view line)
 {
@@ -154,11 +160,19 @@
         if (!size) {
             return absl::InvalidArgumentError("invalid chunk size");
         }
+        this->extensionBytes += line.size() - std::min(line.size(), chunkSizeBytes);
+        if (this->extensionBytes > extensionsLimitBytes + this->dataBytes) {
+            return absl::InvalidArgumentError(absl::StrCat("the chunk extensions exceed ", extensionsLimitBytes, " bytes"));
+        }
         this->remaining = *size;
         this->chunkPart = *size == 0 ? ChunkPart::Trailers : ChunkPart::Data;
     }
     while (this->chunkPart == ChunkPart::Trailers && !this->done) {
         CATKINLINK_ASSIGN(const std::string trailer, this->readLine(scope, deadline));
+        this->trailerBytes += trailer.size() + lineEnd.size();
+        if (this->trailerBytes > trailersLimitBytes) {
+            return absl::InvalidArgumentError(absl::StrCat("the trailers exceed ", trailersLimitBytes, " bytes"));
+        }
         this->done = trailer.empty();
     }
     return absl::OkStatus();
@@ -172,6 +186,7 @@
     }
     CATKINLINK_ASSIGN(std::string data, this->takeBuffered(scope, this->remaining, deadline));
     this->remaining -= data.size();
+    this->dataBytes += data.size();
     this->chunkPart = this->remaining == 0 ? ChunkPart::DataEnd : ChunkPart::Data;
     return std::optional<std::string>(std::move(data));
 }
--- a/Userland/Libraries/LibHttpStream/MessageReader.h
+++ b/Userland/Libraries/LibHttpStream/MessageReader.h
@@ -53,6 +53,10 @@
     LibFiber::ByteChannel &channel;
     BodyFraming framing;
     uint64_t remaining = 0;
+    /// Of a chunked body: bytes of its content, of the extensions of its chunks and of its trailers so far.
+    uint64_t dataBytes = 0;
+    uint64_t extensionBytes = 0;
+    size_t trailerBytes = 0;
     ChunkPart chunkPart = ChunkPart::Size;
     bool done = false;
 };
