platform: Limit the lists and watches of the store as a whole

A list was limited to 1,000 pages of 16 MB, each with 2.5 s, and the number of objects not at all. It now ends with an error at 4 MB, 20,000 objects or 10 s, a watch at the same size and number; nothing that is in force changes, and a watch is followed by a list as after any other error. That is about four times what the largest deployment has.

--- a/Userland/Libraries/LibFleet/ObjectFeed.h
+++ b/Userland/Libraries/LibFleet/ObjectFeed.h
@@ -28,6 +28,11 @@
 
 inline constexpr size_t objectKindCount = objectKindNames.size();
 
+/// Bounds on all objects of one kind, about four times what the largest deployment has (1,270 processes; a list of about 1 MB). Without them a faulty store or
+/// process fills the memory of each reader.
+inline constexpr size_t maxObjects = 20'000;
+inline constexpr size_t maxObjectBytes = 4UL << 20;
+
 /// One object as the store holds it. `spec` is passed between processes undecoded; only the platform adapter reads it.
 struct StoredObject {
     std::string name;
--- a/Userland/Libraries/LibHttpStream/HttpClient.cpp
+++ b/Userland/Libraries/LibHttpStream/HttpClient.cpp
@@ -11,8 +11,6 @@
 {
 
 constexpr size_t responseHeadBytes = 16384;
-// Far above the largest response, a list of objects of about 1 MB.
-constexpr uint64_t responseBodyBytes = 16UL << 20;
 
 } // namespace
 
@@ -28,7 +26,7 @@
 }
 
 absl::StatusOr<WholeResponse> HttpClient::call(kj::WaitScope &scope, const std::string &method, const std::string &path, const std::string &body,
-                                               AK::Milliseconds connectDeadline, AK::Milliseconds deadline)
+                                               AK::Milliseconds connectDeadline, AK::Milliseconds deadline, uint64_t maxBodyBytes)
 {
     if (this->busy) {
         return absl::FailedPreconditionError("another call is in flight");
@@ -52,14 +50,15 @@
         head.headers.push_back({"Content-Type", "application/json"});
         head.headers.push_back({"Content-Length", std::to_string(body.size())});
     }
-    absl::StatusOr<WholeResponse> response = this->exchange(scope, head, body, deadline);
+    absl::StatusOr<WholeResponse> response = this->exchange(scope, head, body, deadline, maxBodyBytes);
     if (!response.ok()) {
         this->connection = nullptr;
     }
     return response;
 }
 
-absl::StatusOr<WholeResponse> HttpClient::exchange(kj::WaitScope &scope, const RequestHead &head, const std::string &body, AK::Milliseconds deadline)
+absl::StatusOr<WholeResponse> HttpClient::exchange(kj::WaitScope &scope, const RequestHead &head, const std::string &body, AK::Milliseconds deadline,
+                                                   uint64_t maxBodyBytes)
 {
     LibFiber::ByteChannel &channel = *KJ_ASSERT_NONNULL(this->connection);
     CATKINLINK_TRY(channel.write(scope, serializeRequestHead(head) + body, deadline));
@@ -70,8 +69,11 @@
     CATKINLINK_TRY(text.status());
     CATKINLINK_ASSIGN(ResponseHead response, parseResponseHead(*text));
     CATKINLINK_ASSIGN(const BodyFraming framing, responseBodyFraming(head.method, response));
+    if (framing.kind == FramingKind::Length && framing.length > maxBodyBytes) {
+        return absl::ResourceExhaustedError(absl::StrCat("the body of ", framing.length, " bytes exceeds ", maxBodyBytes));
+    }
     BodyReader reader(channel, framing);
-    CATKINLINK_ASSIGN(std::string content, readBody(reader, scope, responseBodyBytes, deadline));
+    CATKINLINK_ASSIGN(std::string content, readBody(reader, scope, maxBodyBytes, deadline));
     if (!reader.reusable() || hasToken(response.headers, "Connection", "close")) {
         this->connection = nullptr;
     } else {
@@ -89,7 +91,7 @@
 }
 
 absl::StatusOr<WholeResponse> HttpClientPool::call(kj::WaitScope &scope, const std::string &method, const std::string &target, const std::string &body,
-                                                   AK::Milliseconds connectDeadline, AK::Milliseconds deadline)
+                                                   AK::Milliseconds connectDeadline, AK::Milliseconds deadline, uint64_t maxBodyBytes)
 {
     std::unique_ptr<HttpClient> client;
     if (this->idle.empty()) {
@@ -98,7 +100,7 @@
         client = std::move(this->idle.back().client);
         this->idle.pop_back();
     }
-    absl::StatusOr<WholeResponse> response = client->call(scope, method, target, body, connectDeadline, deadline);
+    absl::StatusOr<WholeResponse> response = client->call(scope, method, target, body, connectDeadline, deadline, maxBodyBytes);
     if (response.ok()) {
         this->idle.push_back({std::move(client), this->loop.clock().now()});
         this->closeWhenIdle();
--- a/Userland/Libraries/LibJson/RawJson.cpp
+++ b/Userland/Libraries/LibJson/RawJson.cpp
@@ -189,7 +189,7 @@
     return scanner.atEnd() ? std::optional(std::move(fields)) : std::nullopt;
 }
 
-std::optional<std::vector<std::string_view>> splitArray(std::string_view text)
+std::optional<std::vector<std::string_view>> splitArray(std::string_view text, size_t maxElements)
 {
     Scanner scanner(text);
     std::vector<std::string_view> elements;
@@ -197,7 +197,7 @@
         return std::nullopt;
     }
     while (!scanner.take(']')) {
-        const bool separated = elements.empty() || scanner.take(',');
+        const bool separated = elements.size() < maxElements && (elements.empty() || scanner.take(','));
         const std::optional<std::string_view> value = separated ? scanner.takeValue() : std::nullopt;
         if (!value) {
             return std::nullopt;
--- a/Userland/Libraries/LibJson/RawJson.h
+++ b/Userland/Libraries/LibJson/RawJson.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -20,8 +21,8 @@
 /// Returns nothing when the text is no object or when brackets or quotes don't match.
 std::optional<std::vector<RawField>> splitObject(std::string_view text);
 
-/// The same for the elements of an array.
-std::optional<std::vector<std::string_view>> splitArray(std::string_view text);
+/// The same for the elements of an array; returns nothing also when there are more than `maxElements`.
+std::optional<std::vector<std::string_view>> splitArray(std::string_view text, size_t maxElements = SIZE_MAX);
 
 /// Returns the text of the last field with the name, or nothing.
 std::optional<std::string_view> findField(const std::vector<RawField> &fields, std::string_view name);
