LibPeers: Limit messages, rows and unread responses

Messages had the limits of Cap'n Proto, 64 MB each, which are allocated when the head of a message announces them; responses to a caller that doesn't read them waited without a bound; and rows of a list take no byte in a message but hundreds in memory. Responses are now limited to 17 MB and calls to 4 MB, lists to 4,096 rows and 20,000 objects, states of others to one level, and a caller with 8 MB or 500 unread responses loses its connection.

RowsTest fails without the limit. Garbage, empty messages and many segments ended the connection before too.

--- a/Tests/LibPeers/TestWireCodec.cpp
+++ b/Tests/LibPeers/TestWireCodec.cpp
@@ -1,3 +1,4 @@
+#include <LibPeers/MessageLimits.h>
 #include <LibPeers/WireCodec.h>
 #include <capnp/message.h>
 #include <gtest/gtest.h>
@@ -57,6 +58,38 @@
     EXPECT_EQ(decode(builder.asReader()).sightings.size(), 1U);
 }
 
+struct RowsCase {
+    const char *name;
+    size_t rows;
+    bool accepted;
+};
+
+class RowsTest : public testing::TestWithParam<RowsCase>
+{
+};
+
+// Guards against a list of rows without content, which takes a few bytes in a message and hundreds of bytes for each row in memory.
+TEST_P(RowsTest, AreLimited)
+{
+    capnp::MallocMessageBuilder message;
+    message.initRoot<PeerWire::NodeState>().initIntroduced(static_cast<capnp::uint>(GetParam().rows));
+    const auto failure = kj::runCatchingExceptions([&] { EXPECT_EQ(decode(message.getRoot<PeerWire::NodeState>()).introduced.size(), GetParam().rows); });
+    EXPECT_EQ(failure == nullptr, GetParam().accepted);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, RowsTest, testing::Values(RowsCase{"largest", maxRows, true}, RowsCase{"too_many", maxRows + 1, false}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+// Guards against a process whose state tells of others that tell of others without end.
+TEST(RowsCodec, KeepsOneLevelOfOthers)
+{
+    capnp::MallocMessageBuilder message;
+    message.initRoot<PeerWire::NodeState>().initIntroduced(1)[0].initIntroduced(1);
+    const NodeState decoded = decode(message.getRoot<PeerWire::NodeState>());
+    ASSERT_EQ(decoded.introduced.size(), 1U);
+    EXPECT_TRUE(decoded.introduced.front().introduced.empty());
+}
+
 // Guards against revisions of different eras that are compared with each other, and against a process that sends no eras.
 TEST(PositionCodec, KeepsTheEraOfEachRevision)
 {
--- a/Userland/Libraries/LibPeers/PeerClient.cpp
+++ b/Userland/Libraries/LibPeers/PeerClient.cpp
@@ -2,6 +2,7 @@
 
 #include <AK/StatusMacros.h>
 #include <LibPeers/KeepAlive.h>
+#include <LibPeers/MessageLimits.h>
 #include <LibPeers/WireCodec.h>
 #include <kj/debug.h>
 #include <netinet/in.h>
@@ -23,6 +24,14 @@
     }
 }
 
+capnp::Capability::Client serverInterface(capnp::RpcSystem<capnp::rpc::twoparty::VatId> &rpc)
+{
+    capnp::MallocMessageBuilder message;
+    auto server = message.initRoot<capnp::rpc::twoparty::VatId>();
+    server.setSide(capnp::rpc::twoparty::Side::SERVER);
+    return rpc.bootstrap(server);
+}
+
 std::string toBytes(capnp::Data::Reader data)
 {
     return {reinterpret_cast<const char *>(data.begin()), data.size()};
@@ -67,9 +76,10 @@
 PeerClient::Connection::Connection(LibFiber::Loop &loop, kj::Own<kj::AsyncIoStream> stream)
     : loop(loop)
     , stream(kj::mv(stream))
-    , client(*this->stream)
-    , peer(this->client.bootstrap().castAs<PeerWire::FleetPeer>())
-    , watch(this->client.onDisconnect().then([this] { this->ended = true; }).eagerlyEvaluate(nullptr))
+    , network(*this->stream, capnp::rpc::twoparty::Side::CLIENT, readerOptions(maxResponseBytes))
+    , rpc(capnp::makeRpcClient(this->network))
+    , peer(serverInterface(this->rpc).castAs<PeerWire::FleetPeer>())
+    , watch(this->network.onDisconnect().then([this] { this->ended = true; }).eagerlyEvaluate(nullptr))
 {
 }
 
@@ -215,6 +225,7 @@
         [](auto &&response) {
             LibFleet::ObjectPage page;
             page.position = {response.getRevision(), response.getEra()};
+            requireRows(response.getObjects().size(), LibFleet::maxObjects);
             for (const auto object : response.getObjects()) {
                 page.objects.push_back(
                     {std::string(object.getName().cStr()), toBytes(object.getSpec()), false, object.getLapsed(), object.getRevision(), object.getOutOfDate()});
--- a/Userland/Libraries/LibPeers/PeerClient.h
+++ b/Userland/Libraries/LibPeers/PeerClient.h
@@ -40,7 +40,8 @@
 
         LibFiber::Loop &loop;
         kj::Own<kj::AsyncIoStream> stream;
-        capnp::TwoPartyClient client;
+        capnp::TwoPartyVatNetwork network;
+        capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
         /// Asked for once: bootstrap() of a connection that has just been reset throws while it unwinds, which ends the process.
         PeerWire::FleetPeer::Client peer;
         bool ended = false;
--- a/Userland/Libraries/LibPeers/PeerServer.cpp
+++ b/Userland/Libraries/LibPeers/PeerServer.cpp
@@ -2,6 +2,7 @@
 
 #include <LibFiber/SocketOptions.h>
 #include <LibPeers/KeepAlive.h>
+#include <LibPeers/MessageLimits.h>
 #include <LibPeers/WireCodec.h>
 #include <LibPeers/generated/peers.capnp.h>
 #include <capnp/rpc-twoparty.h>
@@ -26,6 +27,15 @@
     bool keepsAlive = false;
     /// Checks since a call has arrived. Checks are counted instead of time, so that a pause of this process does not count against the caller.
     int silentChecks = 0;
+    /// Its connection; set while calls can arrive over it.
+    capnp::TwoPartyVatNetwork *network = nullptr;
+    /// Fulfilled when the connection must be closed, because it doesn't read the responses to its calls.
+    kj::Own<kj::PromiseFulfiller<void>> overrun;
+
+    bool isOverrun() const
+    {
+        return this->network->getCurrentQueueSize() > maxUnreadBytes || this->network->getCurrentQueueCount() > maxUnreadResponses;
+    }
 };
 
 class SlotImplementation final : public PeerWire::Place::Server
@@ -78,6 +88,15 @@
     {
     }
 
+    DispatchCallResult dispatchCall(uint64_t interfaceId, uint16_t methodId, capnp::CallContext<capnp::AnyPointer, capnp::AnyPointer> context) override
+    {
+        if (this->caller->isOverrun()) {
+            this->caller->overrun->fulfill();
+            return {KJ_EXCEPTION(OVERLOADED, "too many responses have not been read"), false};
+        }
+        return PeerWire::FleetPeer::Server::dispatchCall(interfaceId, methodId, context);
+    }
+
     kj::Promise<void> exchange(ExchangeContext context) override
     {
         this->caller->silentChecks = 0;
@@ -174,12 +193,23 @@
 } // namespace
 
 struct PeerServer::Connection {
-    Connection(kj::Own<kj::AsyncIoStream> accepted, kj::Own<FleetPeerImplementation> implementation, std::shared_ptr<CallerState> caller)
+    Connection(kj::Own<kj::AsyncIoStream> accepted, kj::Own<FleetPeerImplementation> implementation, std::shared_ptr<CallerState> caller,
+               const std::function<void()> &closeEnded)
         : caller(std::move(caller))
         , stream(kj::mv(accepted))
-        , rpc(*this->stream, kj::mv(implementation), capnp::rpc::twoparty::Side::SERVER)
-        , watch(this->rpc.onDisconnect().then([this] { this->ended = true; }).eagerlyEvaluate(nullptr))
+        , network(*this->stream, capnp::rpc::twoparty::Side::SERVER, readerOptions(maxRequestBytes))
+        , rpc(capnp::makeRpcServer(this->network, kj::mv(implementation)))
+        , watch(this->network.onDisconnect().then([this] { this->ended = true; }).eagerlyEvaluate(nullptr))
     {
+        auto paf = kj::newPromiseAndFulfiller<void>();
+        this->caller->network = &this->network;
+        this->caller->overrun = kj::mv(paf.fulfiller);
+        this->overrun = paf.promise
+                            .then([this, closeEnded] {
+                                this->ended = true;
+                                closeEnded();
+                            })
+                            .eagerlyEvaluate(nullptr);
     }
 
     bool isSilent() const
@@ -189,9 +219,11 @@
 
     std::shared_ptr<CallerState> caller;
     kj::Own<kj::AsyncIoStream> stream;
-    capnp::TwoPartyClient rpc;
+    capnp::TwoPartyVatNetwork network;
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
     bool ended = false;
     kj::Promise<void> watch;
+    kj::Promise<void> overrun = nullptr;
 };
 
 PeerServer::PeerServer(LibFiber::Loop &loop, PeerHandler &handler, ChunkProvider *chunks, SlotProvider *slots)
@@ -227,7 +259,23 @@
         LibFiber::setLossDetection(*stream);
         auto caller = std::make_shared<CallerState>();
         auto implementation = kj::heap<FleetPeerImplementation>(this->loop, this->handler, this->chunks, this->slots, caller);
-        this->connections.push_back(kj::heap<Connection>(kj::mv(stream), kj::mv(implementation), std::move(caller)));
+        // In a fiber of its own, because it destroys the connection that asks for it.
+        const auto closeEnded = [this] {
+            this->loop.spawn([this](kj::WaitScope &) { this->closeEndedConnections(); });
+        };
+        this->connections.push_back(kj::heap<Connection>(kj::mv(stream), kj::mv(implementation), std::move(caller), closeEnded));
+    }
+}
+
+void PeerServer::closeEndedConnections()
+{
+    std::list<kj::Own<Connection>> closed;
+    for (auto it = this->connections.begin(); it != this->connections.end();) {
+        const auto next = std::next(it);
+        if ((*it)->ended) {
+            closed.splice(closed.end(), this->connections, it);
+        }
+        it = next;
     }
 }
 
--- a/Userland/Libraries/LibPeers/PeerServer.h
+++ b/Userland/Libraries/LibPeers/PeerServer.h
@@ -9,7 +9,7 @@
 {
 
 /// Serves the calls of other processes on one address. Slots that a caller holds are released when its connection ends, or when it has sent keep-alives over it
-/// and then nothing for maxSilentIntervals.
+/// and then nothing for maxSilentIntervals. A connection over which the responses to many calls have not been read is closed.
 class PeerServer
 {
 public:
@@ -28,6 +28,7 @@
     void accept(kj::ConnectionReceiver &receiver, kj::WaitScope &scope);
     /// Closes the connections that have ended or fallen silent.
     void closeLostConnections();
+    void closeEndedConnections();
 
     LibFiber::Loop &loop;
     PeerHandler &handler;
--- a/Userland/Libraries/LibPeers/WireCodec.cpp
+++ b/Userland/Libraries/LibPeers/WireCodec.cpp
@@ -1,6 +1,7 @@
 #include <LibPeers/WireCodec.h>
 
 #include <AK/Hash.h>
+#include <LibPeers/MessageLimits.h>
 #include <algorithm>
 
 namespace LibPeers
@@ -9,6 +10,14 @@
 namespace
 {
 
+/// The rows of a list that another process has sent.
+template <typename List>
+List rowsOf(List list)
+{
+    requireRows(list.size(), maxRows);
+    return list;
+}
+
 std::string toText(capnp::Text::Reader text)
 {
     return {text.cStr(), text.size()};
@@ -65,6 +74,7 @@
     const auto states = reader.getSightedStates();
     std::vector<EntrySighting> sightings;
     const capnp::uint count = std::min({entries.size(), heartbeats.size(), states.size()});
+    requireRows(count, maxRows);
     sightings.reserve(count);
     for (capnp::uint i = 0; i < count; ++i) {
         const uint16_t state = states[i];
@@ -98,11 +108,11 @@
 CrashReport decodeCrash(PeerWire::CrashReport::Reader reader)
 {
     CrashReport crash{toText(reader.getUpstream()), reader.getAgeMs(), {}};
-    for (const auto suspect : reader.getSuspects()) {
+    for (const auto suspect : rowsOf(reader.getSuspects())) {
         SuspectReport &decoded = crash.suspects.emplace_back();
         decoded.prompt = suspect.getPrompt();
         decoded.sentBefore = suspect.getSentBeforeMs();
-        for (const auto part : suspect.getParts()) {
+        for (const auto part : rowsOf(suspect.getParts())) {
             decoded.parts.push_back(toText(part));
         }
     }
@@ -203,7 +213,11 @@
     }
 }
 
-NodeState decode(PeerWire::NodeState::Reader reader)
+namespace
+{
+
+// Decodes what a process tells about itself; what it tells about others is decoded for the process that sends it only.
+NodeState decodeOwn(PeerWire::NodeState::Reader reader)
 {
     NodeState state;
     state.name = toText(reader.getName());
@@ -223,24 +237,32 @@
     state.heartbeat = reader.getHeartbeat();
     state.openSlots = reader.getOpenSlots();
     state.storeLost = reader.getStoreLost();
+    return state;
+}
+
+} // namespace
+
+NodeState decode(PeerWire::NodeState::Reader reader)
+{
+    NodeState state = decodeOwn(reader);
     state.sightings = decodeSightings(reader);
-    for (const auto introduced : reader.getIntroduced()) {
-        state.introduced.push_back(decode(introduced));
+    for (const auto introduced : rowsOf(reader.getIntroduced())) {
+        state.introduced.push_back(decodeOwn(introduced));
     }
-    for (const auto crash : reader.getCrashes()) {
+    for (const auto crash : rowsOf(reader.getCrashes())) {
         state.crashes.push_back(decodeCrash(crash));
     }
-    for (const auto limit : reader.getRateLimits()) {
+    for (const auto limit : rowsOf(reader.getRateLimits())) {
         const double rate = limit.getCallsPerSecond();
         state.rateLimits.push_back({toText(limit.getUpstream()), rate >= 0 ? std::optional(rate) : std::nullopt, limit.getAgeMs()});
     }
-    for (const auto leaving : reader.getLeavingUpstreams()) {
+    for (const auto leaving : rowsOf(reader.getLeavingUpstreams())) {
         state.leavingUpstreams.push_back({toText(leaving.getUpstream()), leaving.getStartTime()});
     }
-    for (const auto target : reader.getWeightsTargets()) {
+    for (const auto target : rowsOf(reader.getWeightsTargets())) {
         state.weightsTargets.push_back({toText(target.getModel()), target.getVersion(), target.getAgeMs(), target.getAssumed()});
     }
-    for (const auto sound : reader.getSoundParts()) {
+    for (const auto sound : rowsOf(reader.getSoundParts())) {
         state.soundParts.push_back({toText(sound.getPart()), sound.getAgeMs()});
     }
     return state;
