Tests: Register the upstream whose idle connection is tested

The pool closes connections to upstreams that are not registered in any case, so EndlessIdle passed with the watch of idle connections switched off. It now fails then: the connection stays open.

--- a/Tests/Services/Gateway/TestEndlessIdle.cpp
+++ b/Tests/Services/Gateway/TestEndlessIdle.cpp
@@ -21,6 +21,11 @@
     GatewaySite site({});
     kj::WaitScope &scope = site.loop.rootScope();
     const AK::Endpoint address{site.address.host, port};
+    // Connections to an upstream that is not registered are closed in any case.
+    LibFleet::UpstreamRecord record;
+    record.id = "i-1";
+    record.address = address;
+    site.fleet.setUpstreams({{record.id, record}});
     const EndlessSender upstream(EndlessSender::Role::Server, address, {"", std::string(16'384, 'x')});
     const Loopback::MemoryGrowth growth;
     auto opened = site.connections.open(scope, address, true, site.loop.clock().now() + connectTimeout);
