LibHttp: Bound a response by one deadline, from the connection to its last byte

Cause: the timeout of httpCall() and HttpStream bounded the wait for the head alone. CivetWeb's client has no deadline for a body: it gives up after 30 s without any byte, and with a chunked body it waits until the buffer of its caller is full. A server that sent a byte now and then held the calling thread for as long as it liked: the thread that watches the configuration or the host list, one that claims a call, one that polls the engine. Reads of the origin left one more reader thread behind at each try. An informational response was taken for the response itself.

Change: the client reads from a socket of its own with one deadline for the whole exchange, keeps at most one buffer of 64 KiB beside what it returns, and limits the head with what comes before it, lines of chunks and trailers. It reads lines as they arrive instead of byte by byte. The manifest from the origin gets the time that its largest size takes at the rate of the host, as the store timeout bounds the body now too. An agent keeps the slot of a call whose deadline has passed until its upstream sends something, closes or has been silent for 30 s, as before.

Tests: servers that send without end, fast and in single bytes, in each part of a response. TestFirstUse gets a case with two servers, because clients use CivetWeb no longer.

--- a/Tests/LibHttp/TestFirstUse.cpp
+++ b/Tests/LibHttp/TestFirstUse.cpp
@@ -107,7 +107,8 @@
 
 INSTANTIATE_TEST_SUITE_P(Table, FirstUseTest,
                          testing::Values(FirstUseCase{"client_and_server", {User::Client, User::Server}},
-                                         FirstUseCase{"clients_and_server", {User::Client, User::Client, User::Server}}),
+                                         FirstUseCase{"clients_and_server", {User::Client, User::Client, User::Server}},
+                                         FirstUseCase{"servers", {User::Server, User::Server}}),
                          [](const auto &info) { return info.param.name; });
 
 } // namespace
--- a/Userland/Libraries/LibEngine/Engine.h
+++ b/Userland/Libraries/LibEngine/Engine.h
@@ -69,7 +69,7 @@
     /// Sends a load command. The result does not tell which weights are loaded; only a later status() does.
     virtual absl::Status load(const LoadCommand &command, AK::Milliseconds timeout) = 0;
 
-    /// Starts a completion and waits up to `timeout` ms for the status line and headers of the response.
+    /// Starts a completion and waits for the status line and headers of the response. `timeout` ms bound the whole response.
     /// Errors: kUnavailable (LibHttp::sendStateOf tells whether it may have run), kDeadlineExceeded.
     virtual absl::StatusOr<std::unique_ptr<Completion>> complete(const LibHttp::HttpRequest &request, bool stream, AK::Milliseconds timeout) = 0;
 };
--- a/Userland/Libraries/LibEngine/HttpEngine.h
+++ b/Userland/Libraries/LibEngine/HttpEngine.h
@@ -6,8 +6,8 @@
 namespace LibEngine
 {
 
-/// An engine reached over HTTP. A completion is read by a thread of its own into a queue, because a blocking body read lasts up to 30 s (CivetWeb's limit)
-/// whatever the deadline of the call is. A reader that is abandoned ends with its connection, at the latest after those 30 s.
+/// An engine reached over HTTP. A completion is read by a thread of its own into a queue, because a body read blocks. A reader that is abandoned ends
+/// with its connection, at the latest when the timeout of the completion has passed or the engine has sent nothing for 30 s.
 class HttpEngine final : public Engine
 {
 public:
--- a/Userland/Libraries/LibHttp/HttpClient.cpp
+++ b/Userland/Libraries/LibHttp/HttpClient.cpp
@@ -1,11 +1,8 @@
 #include <LibHttp/HttpClient.h>
 
+#include <AK/StatusMacros.h>
 #include <AK/Text.h>
-#include <LibHttp/CivetWebLibrary.h>
 #include <absl/strings/cord.h>
-#include <array>
-#include <civetweb.h>
-#include <cstring>
 
 namespace LibHttp
 {
@@ -14,8 +11,6 @@
 {
 
 constexpr size_t lineLimitBytes = 1 << 20;
-constexpr int lowestStatus = 100;
-constexpr int highestStatus = 599;
 constexpr const char *notSentPayload = "catkinlink.not_sent";
 
 absl::Status notSent(const std::string &message)
@@ -42,18 +37,13 @@
     return status.GetPayload(notSentPayload) ? SendState::NotSent : SendState::Sent;
 }
 
-HttpStream::HttpStream(mg_connection *connection, int status, HttpHeaders headers, long long contentLength)
-    : connection(connection)
-    , code(status)
-    , head(std::move(headers))
-    , contentLength(contentLength)
-    , chunked(AK::toLower(headerOr(this->head, "transfer-encoding")) == "chunked")
+HttpStream::HttpStream(ResponseReader reader, const LibHttpStream::ResponseHead &head)
+    : reader(std::move(reader))
+    , code(head.status)
 {
-}
-
-HttpStream::~HttpStream()
-{
-    mg_close_connection(this->connection);
+    for (const auto &[name, value] : head.headers) {
+        this->head[AK::toLower(name)] = value;
+    }
 }
 
 int HttpStream::status() const
@@ -66,86 +56,77 @@
     return this->head;
 }
 
-absl::StatusOr<std::unique_ptr<HttpStream>> HttpStream::open(const AK::Endpoint &target, const HttpRequest &request, AK::Milliseconds headTimeout)
+absl::StatusOr<std::unique_ptr<HttpStream>> HttpStream::open(const AK::Endpoint &target, const HttpRequest &request, AK::Milliseconds timeout)
 {
-    initializeCivetWeb();
-    std::array<char, 256> reason{};
-    mg_connection *connection = mg_connect_client(target.host.c_str(), target.port, 0, reason.data(), reason.size());
-    if (connection == nullptr) {
-        return notSent(AK::concat("cannot connect to ", target.text(), ": ", reason.data()));
+    const AK::Milliseconds deadline = AK::SystemClock().now() + std::max<AK::Milliseconds>(1, timeout);
+    auto connection = ClientSocket::connect(target, deadline);
+    if (!connection.ok()) {
+        return notSent(AK::concat("cannot connect to ", target.text(), ": ", connection.status().message()));
     }
     const std::string text = serialize(target, request);
-    if (mg_write(connection, text.data(), text.size()) != static_cast<int>(text.size())) {
-        mg_close_connection(connection);
-        return absl::UnavailableError(AK::concat("connection to ", target.text(), " broke while sending ", request.method, " ", request.path));
-    }
-    if (mg_get_response(connection, reason.data(), reason.size(), static_cast<int>(std::max<AK::Milliseconds>(1, headTimeout))) < 0) {
-        mg_close_connection(connection);
-        return absl::DeadlineExceededError(
-            AK::concat("no response from ", target.text(), " to ", request.method, " ", request.path, " within ", headTimeout, " ms: ", reason.data()));
-    }
-    const mg_response_info *info = mg_get_response_info(connection);
-    if (info->status_code < lowestStatus || info->status_code > highestStatus) {
-        const int status = info->status_code;
-        mg_close_connection(connection);
-        return absl::DataLossError(AK::concat("response from ", target.text(), " to ", request.method, " ", request.path, " has status ", status));
+    if (const absl::Status written = (*connection)->write(text, deadline); !written.ok()) {
+        return absl::Status(written.code(),
+                            AK::concat("connection to ", target.text(), " broke while sending ", request.method, " ", request.path, ": ", written.message()));
     }
-    HttpHeaders headers;
-    for (int i = 0; i < info->num_headers; ++i) {
-        headers[AK::toLower(info->http_headers[i].name)] = info->http_headers[i].value;
+    ResponseReader reader(std::move(*connection), deadline);
+    auto head = reader.readHead(request.method);
+    if (!head.ok()) {
+        return absl::Status(
+            head.status().code(),
+            AK::concat("no response from ", target.text(), " to ", request.method, " ", request.path, " within ", timeout, " ms: ", head.status().message()));
     }
-    return std::unique_ptr<HttpStream>(new HttpStream(connection, info->status_code, std::move(headers), info->content_length));
+    return std::unique_ptr<HttpStream>(new HttpStream(std::move(reader), *head));
 }
 
 absl::StatusOr<std::optional<std::string>> HttpStream::readLine()
 {
     std::string line;
-    while (line.size() < lineLimitBytes) {
-        if (this->contentLength >= 0 && this->received == this->contentLength) {
+    while (true) {
+        CATKINLINK_ASSIGN(const std::string_view arrived, this->reader.peek());
+        if (arrived.empty()) {
             return line.empty() ? std::optional<std::string>() : std::optional(std::move(line));
         }
-        // A larger buffer would block until it is full, because mg_read waits for all of it on a chunked body.
-        // FIXME: One byte per call costs about two system calls per byte; a stream parser on the socket would be cheaper.
-        char byte = 0;
-        const int size = mg_read(this->connection, &byte, 1);
-        if (size < 0 || (size == 0 && this->contentLength >= 0)) {
-            return absl::DataLossError("response body was cut");
+        const size_t size = std::min(arrived.find('\n'), arrived.size());
+        if (line.size() + size > lineLimitBytes) {
+            return absl::DataLossError(AK::concat("a line of the response body exceeds ", lineLimitBytes, " bytes"));
         }
-        if (size == 0) {
-            return line.empty() ? std::optional<std::string>() : std::optional(std::move(line));
-        }
-        ++this->received;
-        if (byte == '\n') {
-            if (!line.empty() && line.back() == '\r') {
+        line.append(arrived.substr(0, size));
+        const bool ended = size < arrived.size();
+        this->reader.consume(ended ? size + 1 : size);
+        if (ended) {
+            if (line.ends_with('\r')) {
                 line.pop_back();
             }
             return std::optional(std::move(line));
         }
-        line += byte;
     }
-    return absl::DataLossError(AK::concat("a line of the response body exceeds ", lineLimitBytes, " bytes"));
 }
 
 absl::StatusOr<std::string> HttpStream::readAll(size_t limit)
 {
     std::string body;
-    std::string buffer(size_t{64} << 10, '\0');
-    while (this->contentLength < 0 || this->received < this->contentLength) {
-        const size_t wanted = this->contentLength < 0 ? buffer.size() : std::min(buffer.size(), static_cast<size_t>(this->contentLength - this->received));
-        const int size = mg_read(this->connection, buffer.data(), wanted);
-        if (size < 0 || (size == 0 && this->contentLength >= 0)) {
-            return absl::DataLossError(AK::concat("response body was cut after ", this->received, " bytes"));
+    if (this->reader.framing().kind == LibHttpStream::FramingKind::Length && this->reader.framing().length > limit) {
+        return absl::DataLossError(AK::concat("response body of ", this->reader.framing().length, " bytes exceeds ", limit, " bytes"));
+    }
+    while (true) {
+        const absl::StatusOr<std::string_view> arrived = this->reader.peek();
+        if (!arrived.ok()) {
+            return absl::Status(arrived.status().code(), AK::concat("response body after ", body.size(), " bytes: ", arrived.status().message()));
         }
-        if (size == 0) {
-            break;
+        if (arrived->empty()) {
+            return body;
         }
-        this->received += size;
-        body.append(buffer, 0, static_cast<size_t>(size));
-        if (body.size() > limit) {
+        if (body.size() + arrived->size() > limit) {
             return absl::DataLossError(AK::concat("response body exceeds ", limit, " bytes"));
         }
+        body.append(*arrived);
+        this->reader.consume(arrived->size());
     }
-    return body;
+}
+
+void HttpStream::waitForActivity()
+{
+    this->reader.waitForActivity();
 }
 
 absl::StatusOr<HttpResponse> httpCall(const AK::Endpoint &target, const HttpRequest &request, AK::Milliseconds timeout, size_t bodyLimit)
--- a/Userland/Libraries/LibHttp/HttpClient.h
+++ b/Userland/Libraries/LibHttp/HttpClient.h
@@ -1,14 +1,11 @@
 #pragma once
 
-#include <AK/Clock.h>
-#include <AK/Endpoint.h>
 #include <LibHttp/HttpMessage.h>
+#include <LibHttp/ResponseReader.h>
 #include <absl/status/statusor.h>
 #include <memory>
 #include <optional>
 
-struct mg_connection;
-
 namespace LibHttp
 {
 
@@ -27,11 +24,10 @@
 class HttpStream
 {
 public:
-    /// Connects, sends the request and waits up to `headTimeout` ms for the response head.
-    /// Errors: kUnavailable (with SendState), kDeadlineExceeded.
-    static absl::StatusOr<std::unique_ptr<HttpStream>> open(const AK::Endpoint &target, const HttpRequest &request, AK::Milliseconds headTimeout);
+    /// Connects, sends the request and waits for the response head. `timeout` ms bound the whole exchange, from the connection to the last byte of the body.
+    /// Errors: kUnavailable (with SendState), kDeadlineExceeded, kDataLoss when the head is malformed or exceeds 16 KiB.
+    static absl::StatusOr<std::unique_ptr<HttpStream>> open(const AK::Endpoint &target, const HttpRequest &request, AK::Milliseconds timeout);
 
-    ~HttpStream();
     HttpStream(const HttpStream &) = delete;
     HttpStream &operator=(const HttpStream &) = delete;
 
@@ -39,26 +35,26 @@
     const HttpHeaders &headers() const;
 
     /// The next line without its line end, or std::nullopt at the end of the body.
-    /// Blocks until a line is complete or the peer has sent nothing for 30 s (CivetWeb's limit for reading a body).
-    /// Errors: kDataLoss when the body ends before its Content-Length or final chunk, or a line exceeds 1 MiB.
+    /// Blocks until a line is complete, the timeout of the exchange has passed or the peer has sent nothing for 30 s.
+    /// Errors: kDataLoss when the body ends before its Content-Length or final chunk, or a line exceeds 1 MiB, kDeadlineExceeded, kUnavailable.
     absl::StatusOr<std::optional<std::string>> readLine();
 
-    /// The rest of the body. Errors: kDataLoss as in readLine() and above `limit` bytes.
+    /// The rest of the body. Errors: as readLine(), and kDataLoss above `limit` bytes.
     absl::StatusOr<std::string> readAll(size_t limit);
 
+    /// Waits, also beyond the timeout, until the server sends more, ends the connection or has sent nothing for 30 s.
+    void waitForActivity();
+
 private:
-    HttpStream(mg_connection *connection, int status, HttpHeaders headers, long long contentLength);
+    HttpStream(ResponseReader reader, const LibHttpStream::ResponseHead &head);
 
-    mg_connection *connection;
+    ResponseReader reader;
     int code;
     HttpHeaders head;
-    long long contentLength;
-    long long received = 0;
-    bool chunked;
 };
 
-/// Sends a request and reads its whole response. `timeout` (ms) bounds the wait for the response head.
-/// Errors: kUnavailable (with SendState), kDeadlineExceeded, kDataLoss when the body is truncated or larger than `bodyLimit` bytes.
+/// Sends a request and reads its whole response. `timeout` (ms) bounds the whole exchange.
+/// Errors: kUnavailable (with SendState), kDeadlineExceeded, kDataLoss when the response is malformed, truncated or larger than `bodyLimit` bytes.
 absl::StatusOr<HttpResponse> httpCall(const AK::Endpoint &target, const HttpRequest &request, AK::Milliseconds timeout, size_t bodyLimit = 64 << 20);
 
 } // namespace LibHttp
--- a/Userland/Libraries/LibWeights/WeightFetch.cpp
+++ b/Userland/Libraries/LibWeights/WeightFetch.cpp
@@ -134,8 +134,10 @@
 {
     LibHttp::HttpRequest request;
     request.path = weightsPath(this->weightsTarget.model, this->weightsTarget.adapter, this->weightsTarget.version) + "/manifest.json";
-    CATKINLINK_ASSIGN(LibHttp::HttpResponse response,
-                      LibHttp::httpCall(this->context.settings.agent.weightStore, request, this->context.settings.timing.storeTimeoutMs, maxManifestBytes));
+    // The store timeout for the head, and the time that the largest manifest takes at this host's rate.
+    const AK::Milliseconds timeout = this->context.settings.timing.storeTimeoutMs
+        + static_cast<AK::Milliseconds>(static_cast<double>(maxManifestBytes) * 1000 / std::max(1.0, this->context.downlink.rate()));
+    CATKINLINK_ASSIGN(LibHttp::HttpResponse response, LibHttp::httpCall(this->context.settings.agent.weightStore, request, timeout, maxManifestBytes));
     if (response.status != 200) {
         return absl::UnavailableError(
             AK::concat("origin ", this->context.settings.agent.weightStore.text(), " answered GET ", request.path, " with status ", response.status));
--- a/Userland/Libraries/LibWire/RpcServer.cpp
+++ b/Userland/Libraries/LibWire/RpcServer.cpp
@@ -18,7 +18,7 @@
 {
 
 constexpr int listenBacklog = 512;
-// Handlers may call CivetWeb's client, which keeps buffers of several KiB on the stack.
+// Handlers keep buffers of several KiB on the stack.
 constexpr size_t fiberStackBytes = size_t{256} << 10;
 // Larger messages are refused before they are decoded. A chunk is at most 4 MiB and a configuration 1 MiB.
 constexpr uint64_t messageLimitWords = (uint64_t{16} << 20) / sizeof(capnp::word);
--- a/Userland/Services/Agent/CallService.cpp
+++ b/Userland/Services/Agent/CallService.cpp
@@ -142,7 +142,7 @@
     if (this->tickThread.joinable()) {
         this->tickThread.join();
     }
-    // FIXME: A reader whose upstream sends nothing ends only at CivetWeb's limit of 30 s; LibHttp has no way to close its connection from another thread.
+    // FIXME: A reader whose upstream sends nothing ends only after LibHttp's limit of 30 s, or at the deadline of its call while it waits for the head.
     std::unique_lock lock(this->mutex);
     this->changed.wait(lock, [this] { return this->readerCount == 0; });
 }
@@ -246,7 +246,7 @@
     upstreamRequest.engine = call.engine;
     upstreamRequest.stream = call.stream;
     upstreamRequest.fingerprint = upstreamCheck.fingerprint;
-    upstreamRequest.headTimeout = std::max<AK::Milliseconds>(1, call.deadline - this->clock.now());
+    upstreamRequest.timeout = std::max<AK::Milliseconds>(1, call.deadline - this->clock.now());
     upstreamRequest.onMismatch = [this, requestId = call.requestId, expected = upstreamCheck.fingerprint] {
         this->logger.warning("fingerprint_mismatch", {{"request_id", requestId}, {"expected", expected}});
         this->engine.markUnverified();
--- a/Userland/Services/Agent/HttpUpstream.cpp
+++ b/Userland/Services/Agent/HttpUpstream.cpp
@@ -36,6 +36,11 @@
         return this->stream->readAll(limit);
     }
 
+    void waitForActivity() override
+    {
+        this->stream->waitForActivity();
+    }
+
 private:
     std::unique_ptr<LibHttp::HttpStream> stream;
 };
@@ -47,9 +52,9 @@
 {
 }
 
-absl::StatusOr<std::unique_ptr<UpstreamResponse>> HttpUpstream::open(const LibHttp::HttpRequest &request, AK::Milliseconds headTimeout)
+absl::StatusOr<std::unique_ptr<UpstreamResponse>> HttpUpstream::open(const LibHttp::HttpRequest &request, AK::Milliseconds timeout)
 {
-    CATKINLINK_ASSIGN(auto stream, LibHttp::HttpStream::open(this->address, request, headTimeout));
+    CATKINLINK_ASSIGN(auto stream, LibHttp::HttpStream::open(this->address, request, timeout));
     return std::unique_ptr<UpstreamResponse>(new HttpUpstreamResponse(std::move(stream)));
 }
 
--- a/Userland/Services/Agent/HttpUpstream.h
+++ b/Userland/Services/Agent/HttpUpstream.h
@@ -11,7 +11,7 @@
 public:
     explicit HttpUpstream(AK::Endpoint address);
 
-    absl::StatusOr<std::unique_ptr<UpstreamResponse>> open(const LibHttp::HttpRequest &request, AK::Milliseconds headTimeout) override;
+    absl::StatusOr<std::unique_ptr<UpstreamResponse>> open(const LibHttp::HttpRequest &request, AK::Milliseconds timeout) override;
 
 private:
     AK::Endpoint address;
--- a/Userland/Services/Agent/Upstream.h
+++ b/Userland/Services/Agent/Upstream.h
@@ -17,6 +17,8 @@
     virtual absl::StatusOr<std::optional<std::string>> readLine() = 0;
     /// Blocks and fails as LibHttp::HttpStream::readAll().
     virtual absl::StatusOr<std::string> readAll(size_t limit) = 0;
+    /// Waits as LibHttp::HttpStream::waitForActivity().
+    virtual void waitForActivity() = 0;
 };
 
 /// The engine or plain service on this host. Thread-safe.
@@ -24,8 +26,8 @@
 {
 public:
     virtual ~Upstream() = default;
-    /// Sends the request and waits for the head of the response. Fails as LibHttp::HttpStream::open(), with a SendState.
-    virtual absl::StatusOr<std::unique_ptr<UpstreamResponse>> open(const LibHttp::HttpRequest &request, AK::Milliseconds headTimeout) = 0;
+    /// Sends the request and waits for the head of the response. `timeout` ms bound the whole response. Fails as LibHttp::HttpStream::open(), with a SendState.
+    virtual absl::StatusOr<std::unique_ptr<UpstreamResponse>> open(const LibHttp::HttpRequest &request, AK::Milliseconds timeout) = 0;
 };
 
 } // namespace Agent
--- a/Userland/Services/Agent/UpstreamCall.cpp
+++ b/Userland/Services/Agent/UpstreamCall.cpp
@@ -26,6 +26,13 @@
     return part;
 }
 
+ResponsePart failedPart(const absl::Status &status)
+{
+    ResponsePart part = failedPart(std::string(status.message()));
+    part.deadlinePassed = absl::IsDeadlineExceeded(status);
+    return part;
+}
+
 ResponsePart dataPart(std::string text)
 {
     ResponsePart part;
@@ -76,17 +83,27 @@
 
 ResponsePart UpstreamCall::read()
 {
-    absl::StatusOr<std::unique_ptr<UpstreamResponse>> response = this->upstream.open(this->request.http, this->request.headTimeout);
+    absl::StatusOr<std::unique_ptr<UpstreamResponse>> response = this->upstream.open(this->request.http, this->request.timeout);
     if (!response.ok()) {
         return failedPart(std::string(response.status().message()), LibHttp::sendStateOf(response.status()) == LibHttp::SendState::NotSent);
     }
-    if (this->request.engine && (*response)->status() >= 500) {
-        return failedPart(AK::concat("engine answered with status ", (*response)->status()));
+    ResponsePart last = this->readResponse(**response);
+    if (last.deadlinePassed) {
+        // An upstream that has not noticed the end of the call would get the next one besides it.
+        (*response)->waitForActivity();
+    }
+    return last;
+}
+
+ResponsePart UpstreamCall::readResponse(UpstreamResponse &response)
+{
+    if (this->request.engine && response.status() >= 500) {
+        return failedPart(AK::concat("engine answered with status ", response.status()));
     }
-    if (this->request.engine && this->request.stream && (*response)->status() == 200) {
-        return this->readStream(**response);
+    if (this->request.engine && this->request.stream && response.status() == 200) {
+        return this->readStream(response);
     }
-    return this->readWhole(**response);
+    return this->readWhole(response);
 }
 
 ResponsePart UpstreamCall::readStream(UpstreamResponse &response)
@@ -99,7 +116,7 @@
     while (true) {
         absl::StatusOr<std::optional<std::string>> line = response.readLine();
         if (!line.ok() || !line->has_value()) {
-            return failedPart(line.ok() ? "stream ended without the end marker" : std::string(line.status().message()));
+            return line.ok() ? failedPart("stream ended without the end marker") : failedPart(line.status());
         }
         if (!(*line)->starts_with(dataPrefix)) {
             if (matched && (*line)->empty() && !this->push(dataPart("\n"))) {
@@ -137,7 +154,7 @@
     }
     absl::StatusOr<std::string> body = response.readAll(responseLimitBytes);
     if (!body.ok()) {
-        return failedPart(std::string(body.status().message()));
+        return failedPart(body.status());
     }
     if (this->request.engine && response.status() < 300) {
         const ResponseMatch match = checkResponse(*body, this->request.fingerprint);
--- a/Userland/Services/Agent/UpstreamCall.h
+++ b/Userland/Services/Agent/UpstreamCall.h
@@ -18,6 +18,8 @@
     std::string data;
     /// Reason of a failure.
     std::string reason;
+    /// The deadline passed while the upstream was silent and may still work on the call.
+    bool deadlinePassed = false;
     /// The call failed before the request can have reached the upstream.
     bool notSent = false;
 };
@@ -29,13 +31,13 @@
     bool stream = false;
     /// Engines: fingerprint that every part of the response must carry.
     std::string fingerprint;
-    /// Time limit for the head of the response.
-    AK::Milliseconds headTimeout = 0;
+    /// Time limit for the whole response.
+    AK::Milliseconds timeout = 0;
     /// Called once when a part carries another fingerprint, before next() returns the failure.
     std::function<void()> onMismatch;
 };
 
-/// One call to the upstream. The response is read by a separate thread, because a read may block for 30 s regardless of the call's deadline.
+/// One call to the upstream. The response is read by a separate thread, because a read blocks.
 /// Parts are checked before they are queued for next(). The slot is held until the connection to the upstream is closed.
 class UpstreamCall
 {
@@ -53,6 +55,7 @@
 
 private:
     ResponsePart read();
+    ResponsePart readResponse(UpstreamResponse &response);
     ResponsePart readStream(UpstreamResponse &response);
     ResponsePart readWhole(UpstreamResponse &response);
     ResponsePart reportMismatch();
