Agent: Close an upstream that goes on sending after its call was cancelled

Cause: the reader of an upstream saw that its call was cancelled only when it had a part to queue. Comments of an event stream, a line without end and a body that is read whole are not queued, so an upstream that sent such bytes without end, or one now and then, held a thread and a slot until the deadline of the call, up to an hour, after the entry had gone.

Change: cancel() marks the connection, and the read that receives the next bytes fails. A silent upstream may still work on the call and keeps its slot as before.

--- a/Userland/Libraries/LibHttp/ClientSocket.cpp
+++ b/Userland/Libraries/LibHttp/ClientSocket.cpp
@@ -112,6 +112,9 @@
         CATKINLINK_TRY(this->waitReadable(deadline));
         const ssize_t received = ::recv(this->socket, buffer, size, 0);
         if (received >= 0) {
+            if (this->cancelled) {
+                return absl::CancelledError("the call was cancelled");
+            }
             // A peer that never pauses keeps the socket readable, so the wait alone would not end at the deadline.
             if (received > 0 && AK::SystemClock().now() >= deadline) {
                 return absl::DeadlineExceededError("the deadline has passed");
@@ -124,6 +127,11 @@
     }
 }
 
+void ClientSocket::cancel()
+{
+    this->cancelled = true;
+}
+
 absl::Status ClientSocket::waitReadable(AK::Milliseconds deadline)
 {
     return waitFor(this->socket, POLLIN, deadline);
--- a/Userland/Libraries/LibHttp/ClientSocket.h
+++ b/Userland/Libraries/LibHttp/ClientSocket.h
@@ -3,6 +3,7 @@
 #include <AK/Clock.h>
 #include <AK/Endpoint.h>
 #include <absl/status/statusor.h>
+#include <atomic>
 #include <memory>
 #include <string_view>
 
@@ -30,10 +31,14 @@
     /// Waits until there are bytes to read or the connection has ended. Errors: as read().
     absl::Status waitReadable(AK::Milliseconds deadline);
 
+    /// Makes read() fail with kCancelled as soon as it has received something. May be called from any thread.
+    void cancel();
+
 private:
     explicit ClientSocket(int socket);
 
     int socket;
+    std::atomic<bool> cancelled{false};
 };
 
 } // namespace LibHttp
--- a/Userland/Libraries/LibHttp/HttpClient.cpp
+++ b/Userland/Libraries/LibHttp/HttpClient.cpp
@@ -129,6 +129,11 @@
     this->reader.waitForActivity();
 }
 
+void HttpStream::cancel()
+{
+    this->reader.cancel();
+}
+
 absl::StatusOr<HttpResponse> httpCall(const AK::Endpoint &target, const HttpRequest &request, AK::Milliseconds timeout, size_t bodyLimit)
 {
     absl::StatusOr<std::unique_ptr<HttpStream>> stream = HttpStream::open(target, request, timeout);
--- a/Userland/Libraries/LibHttp/HttpClient.h
+++ b/Userland/Libraries/LibHttp/HttpClient.h
@@ -45,6 +45,10 @@
     /// Waits, also beyond the timeout, until the server sends more, ends the connection or has sent nothing for 30 s.
     void waitForActivity();
 
+    /// Makes a read on another thread fail as soon as the server sends something more. A server that is silent may still work on the request, so that its
+    /// connection stays open. May be called from any thread while the stream exists.
+    void cancel();
+
 private:
     HttpStream(ResponseReader reader, const LibHttpStream::ResponseHead &head);
 
--- a/Userland/Libraries/LibHttp/ResponseReader.cpp
+++ b/Userland/Libraries/LibHttp/ResponseReader.cpp
@@ -125,6 +125,11 @@
     (void)this->socket->waitReadable(this->lastReceivedAt + silenceLimitMs);
 }
 
+void ResponseReader::cancel()
+{
+    this->socket->cancel();
+}
+
 std::string_view ResponseReader::buffered() const
 {
     return std::string_view(this->buffer).substr(this->begin, this->end - this->begin);
--- a/Userland/Libraries/LibHttp/ResponseReader.h
+++ b/Userland/Libraries/LibHttp/ResponseReader.h
@@ -32,6 +32,9 @@
     /// Waits, also beyond the deadline, until the server sends more, ends the connection or has sent nothing for 30 s.
     void waitForActivity();
 
+    /// As ClientSocket::cancel().
+    void cancel();
+
 private:
     /// What follows next in a chunked body.
     enum class ChunkPart { Size, Data, DataEnd, Trailers, End };
--- a/Userland/Services/Agent/CallService.cpp
+++ b/Userland/Services/Agent/CallService.cpp
@@ -142,7 +142,7 @@
     if (this->tickThread.joinable()) {
         this->tickThread.join();
     }
-    // FIXME: A reader whose upstream sends nothing ends only after LibHttp's limit of 30 s, or at the deadline of its call while it waits for the head.
+    // FIXME: A reader whose upstream is silent ends only after LibHttp's limit of 30 s, or at the deadline of its call while it waits for the head.
     std::unique_lock lock(this->mutex);
     this->changed.wait(lock, [this] { return this->readerCount == 0; });
 }
--- a/Userland/Services/Agent/HttpUpstream.cpp
+++ b/Userland/Services/Agent/HttpUpstream.cpp
@@ -41,6 +41,11 @@
         this->stream->waitForActivity();
     }
 
+    void cancel() override
+    {
+        this->stream->cancel();
+    }
+
 private:
     std::unique_ptr<LibHttp::HttpStream> stream;
 };
--- a/Userland/Services/Agent/Upstream.h
+++ b/Userland/Services/Agent/Upstream.h
@@ -19,6 +19,8 @@
     virtual absl::StatusOr<std::string> readAll(size_t limit) = 0;
     /// Waits as LibHttp::HttpStream::waitForActivity().
     virtual void waitForActivity() = 0;
+    /// As LibHttp::HttpStream::cancel().
+    virtual void cancel() = 0;
 };
 
 /// The engine or plain service on this host. Thread-safe.
--- a/Userland/Services/Agent/UpstreamCall.cpp
+++ b/Userland/Services/Agent/UpstreamCall.cpp
@@ -87,11 +87,15 @@
     if (!response.ok()) {
         return failedPart(std::string(response.status().message()), LibHttp::sendStateOf(response.status()) == LibHttp::SendState::NotSent);
     }
+    if (!this->setOpenResponse(response->get())) {
+        return failedPart("call was cancelled");
+    }
     ResponsePart last = this->readResponse(**response);
     if (last.deadlinePassed) {
         // An upstream that has not noticed the end of the call would get the next one besides it.
         (*response)->waitForActivity();
     }
+    this->setOpenResponse(nullptr);
     return last;
 }
 
@@ -174,6 +178,13 @@
     return partOfKind(ResponsePart::Kind::End);
 }
 
+bool UpstreamCall::setOpenResponse(UpstreamResponse *response)
+{
+    const std::lock_guard lock(this->mutex);
+    this->openResponse = this->cancelled ? nullptr : response;
+    return !this->cancelled;
+}
+
 ResponsePart UpstreamCall::reportMismatch()
 {
     this->request.onMismatch();
@@ -232,6 +243,9 @@
 {
     const std::lock_guard lock(this->mutex);
     this->cancelled = true;
+    if (this->openResponse != nullptr) {
+        this->openResponse->cancel();
+    }
     this->wake = nullptr;
     this->spaceFreed.notify_all();
 }
--- a/Userland/Services/Agent/UpstreamCall.h
+++ b/Userland/Services/Agent/UpstreamCall.h
@@ -50,12 +50,14 @@
     /// The next part, or std::nullopt after `timeout` ms. Runs in the fiber of the RPC connection.
     std::optional<ResponsePart> next(AK::Milliseconds timeout, kj::WaitScope &scope);
 
-    /// Discards further parts. The reader closes the connection as soon as its current read returns.
+    /// Discards further parts. The reader closes the connection as soon as the upstream sends something more.
     void cancel();
 
 private:
     ResponsePart read();
     ResponsePart readResponse(UpstreamResponse &response);
+    // The response that cancel() ends, or nullptr. False when the call was cancelled before.
+    bool setOpenResponse(UpstreamResponse *response);
     ResponsePart readStream(UpstreamResponse &response);
     ResponsePart readWhole(UpstreamResponse &response);
     ResponsePart reportMismatch();
@@ -69,6 +71,7 @@
     std::deque<ResponsePart> parts;
     size_t bufferedBytes = 0;
     bool cancelled = false;
+    UpstreamResponse *openResponse = nullptr;
     kj::Maybe<kj::Own<kj::CrossThreadPromiseFulfiller<bool>>> wake;
 };
 
