LibHttp: Read a bounded part of a body that is not wanted

Cause: once the handler of a request had returned, CivetWeb went on reading what the client still sent of the body, without end: a body beyond the limit after its 413, and the body of a GET. Nothing was kept, but a client held a thread of the server and a core for as long as it sent.

Change: the server tells CivetWeb not to read on and reads itself, at most 32 MiB, so that a client that is still sending sees its response. The time for the head of a request is a limit of the server now, 30 s as before.

--- a/Userland/Libraries/LibHttp/HttpServer.cpp
+++ b/Userland/Libraries/LibHttp/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include <AK/Text.h>
 #include <LibHttp/CivetWebLibrary.h>
+#include <algorithm>
 #include <array>
 #include <civetweb.h>
 #include <cstdio>
@@ -50,6 +51,17 @@
     }
 }
 
+void discardBody(mg_connection *connection, size_t limit)
+{
+    std::string buffer(8192, '\0');
+    size_t discarded = 0;
+    int size = 0;
+    do {
+        size = mg_read(connection, buffer.data(), buffer.size());
+        discarded += static_cast<size_t>(std::max(0, size));
+    } while (size > 0 && discarded < limit);
+}
+
 std::string chunkOf(std::string_view data)
 {
     std::array<char, 17> size{};
@@ -152,6 +164,7 @@
     const std::string address = this->endpoint.text();
     const std::string threads = std::to_string(this->limits.threads);
     const std::string queue = std::to_string(std::max(64, this->limits.threads));
+    const std::string requestTimeout = std::to_string(this->limits.requestTimeout);
     const char *options[] = {
         "listening_ports",
         address.c_str(),
@@ -166,7 +179,7 @@
         "enable_keep_alive",
         "no",
         "request_timeout_ms",
-        "30000",
+        requestTimeout.c_str(),
         nullptr,
     };
     mg_callbacks callbacks{};
@@ -188,6 +201,14 @@
 void HttpServer::serve(mg_connection *connection)
 {
     const CountGuard guard(this->active);
+    // Otherwise CivetWeb reads what the client has not sent yet of the body once the handler returns, however long that is.
+    mg_disable_connection_keep_alive(connection);
+    this->respondTo(connection);
+    discardBody(connection, this->limits.discardBytes);
+}
+
+void HttpServer::respondTo(mg_connection *connection)
+{
     HttpRequest request = readHead(connection);
     const bool hasBody = request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
     std::optional<std::string> body = hasBody ? readBody(connection, this->limits.bodyBytes) : std::string();
--- a/Userland/Libraries/LibHttp/HttpServer.h
+++ b/Userland/Libraries/LibHttp/HttpServer.h
@@ -55,6 +55,10 @@
     int threads = 16;
     /// Requests with larger bodies are refused with 413.
     size_t bodyBytes = 1 << 20;
+    /// What is read of a body beyond that, so that a client which still sends it sees the response.
+    size_t discardBytes = 32 << 20;
+    /// Requests whose head takes longer (ms) are broken off, as are bodies that pause for longer.
+    AK::Milliseconds requestTimeout = 30'000;
 };
 
 /// An HTTP/1.1 server over CivetWeb: one thread per connection, no keep-alive, so that a drain leaves no idle connections to close.
@@ -84,6 +88,7 @@
 private:
     static int beginRequest(mg_connection *connection);
     void serve(mg_connection *connection);
+    void respondTo(mg_connection *connection);
 
     AK::Endpoint endpoint;
     HttpServerLimits limits;
