--- a/Userland/Services/Agent/UpstreamCall.cpp
+++ b/Userland/Services/Agent/UpstreamCall.cpp
@@ -26,6 +26,13 @@
     return part;
 }
 
+ResponsePart failedPart(const absl::Status &status)
+{
+    ResponsePart part = failedPart(std::string(status.message()));
+    part.deadlinePassed = absl::IsDeadlineExceeded(status);
+    return part;
+}
+
 ResponsePart dataPart(std::string text)
 {
     ResponsePart part;
@@ -76,17 +83,31 @@
 
 ResponsePart UpstreamCall::read()
 {
-    absl::StatusOr<std::unique_ptr<UpstreamResponse>> response = this->upstream.open(this->request.http, this->request.headTimeout);
+    absl::StatusOr<std::unique_ptr<UpstreamResponse>> response = this->upstream.open(this->request.http, this->request.timeout);
     if (!response.ok()) {
         return failedPart(std::string(response.status().message()), LibHttp::sendStateOf(response.status()) == LibHttp::SendState::NotSent);
     }
-    if (this->request.engine && (*response)->status() >= 500) {
-        return failedPart(AK::concat("engine answered with status ", (*response)->status()));
+    if (!this->setOpenResponse(response->get())) {
+        return failedPart("call was cancelled");
+    }
+    ResponsePart last = this->readResponse(**response);
+    if (last.deadlinePassed) {
+        // An upstream that has not noticed the end of the call would get the next one besides it.
+        (*response)->waitForActivity();
+    }
+    this->setOpenResponse(nullptr);
+    return last;
+}
+
+ResponsePart UpstreamCall::readResponse(UpstreamResponse &response)
+{
+    if (this->request.engine && response.status() >= 500) {
+        return failedPart(AK::concat("engine answered with status ", response.status()));
     }
-    if (this->request.engine && this->request.stream && (*response)->status() == 200) {
-        return this->readStream(**response);
+    if (this->request.engine && this->request.stream && response.status() == 200) {
+        return this->readStream(response);
     }
-    return this->readWhole(**response);
+    return this->readWhole(response);
 }
 
 ResponsePart UpstreamCall::readStream(UpstreamResponse &response)
@@ -99,7 +120,7 @@
     while (true) {
         absl::StatusOr<std::optional<std::string>> line = response.readLine();
         if (!line.ok() || !line->has_value()) {
-            return failedPart(line.ok() ? "stream ended without the end marker" : std::string(line.status().message()));
+            return line.ok() ? failedPart("stream ended without the end marker") : failedPart(line.status());
         }
         if (!(*line)->starts_with(dataPrefix)) {
             if (matched && (*line)->empty() && !this->push(dataPart("\n"))) {
@@ -137,7 +158,7 @@
     }
     absl::StatusOr<std::string> body = response.readAll(responseLimitBytes);
     if (!body.ok()) {
-        return failedPart(std::string(body.status().message()));
+        return failedPart(body.status());
     }
     if (this->request.engine && response.status() < 300) {
         const ResponseMatch match = checkResponse(*body, this->request.fingerprint);
@@ -157,6 +178,13 @@
     return partOfKind(ResponsePart::Kind::End);
 }
 
+bool UpstreamCall::setOpenResponse(UpstreamResponse *response)
+{
+    const std::lock_guard lock(this->mutex);
+    this->openResponse = this->cancelled ? nullptr : response;
+    return !this->cancelled;
+}
+
 ResponsePart UpstreamCall::reportMismatch()
 {
     this->request.onMismatch();
@@ -215,6 +243,9 @@
 {
     const std::lock_guard lock(this->mutex);
     this->cancelled = true;
+    if (this->openResponse != nullptr) {
+        this->openResponse->cancel();
+    }
     this->wake = nullptr;
     this->spaceFreed.notify_all();
 }
