--- a/Tests/Services/Gateway/TestSupersededWeights.cpp
+++ b/Tests/Services/Gateway/TestSupersededWeights.cpp
@@ -115,8 +115,7 @@
     EXPECT_TRUE(table.allowsWeights("s", 2));
 }
 
-INSTANTIATE_TEST_SUITE_P(Table, OldNamingTest,
-                         testing::Values(OldNamingCase{"recent", 30'000, 0}, OldNamingCase{"older_than_the_news", 61'000, 2'000}),
+INSTANTIATE_TEST_SUITE_P(Table, OldNamingTest, testing::Values(OldNamingCase{"recent", 30'000, 0}, OldNamingCase{"older_than_the_news", 61'000, 2'000}),
                          [](const auto &info) { return std::string(info.param.name); });
 
 } // namespace
--- a/Tests/Services/WeightAgent/LoneAgent.cpp
+++ b/Tests/Services/WeightAgent/LoneAgent.cpp
@@ -74,7 +74,8 @@
     return absl::UnavailableError("no store");
 }
 
-void NoDecoder::decode(LibFleet::ObjectKind /*kind*/, const std::map<std::string, std::string> & /*specs*/, AK::Milliseconds /*unnoticed*/, LibFleet::FleetState & /*state*/)
+void NoDecoder::decode(LibFleet::ObjectKind /*kind*/, const std::map<std::string, std::string> & /*specs*/, AK::Milliseconds /*unnoticed*/,
+                       LibFleet::FleetState & /*state*/)
 {
 }
 
