--- a/Userland/Libraries/LibHttp/HttpClient.cpp
+++ b/Userland/Libraries/LibHttp/HttpClient.cpp
@@ -111,7 +111,7 @@
     while (true) {
         const absl::StatusOr<std::string_view> arrived = this->reader.peek();
         if (!arrived.ok()) {
-            return absl::Status(arrived.status().code(), AK::concat("response body after ", body.size(), " bytes: ", arrived.status().message()));
+            return absl::Status(arrived.status().code(), AK::concat(arrived.status().message(), " after ", body.size(), " bytes"));
         }
         if (arrived->empty()) {
             return body;
--- a/Userland/Libraries/LibHttp/ResponseReader.cpp
+++ b/Userland/Libraries/LibHttp/ResponseReader.cpp
@@ -26,7 +26,7 @@
 
 absl::Status cut()
 {
-    return absl::DataLossError("response was cut");
+    return absl::DataLossError("response body was cut");
 }
 
 std::optional<uint64_t> parseChunkSize(std::string_view line)
@@ -62,7 +62,7 @@
         if (size == std::string_view::npos) {
             CATKINLINK_ASSIGN(const bool more, this->fill());
             if (!more) {
-                return cut();
+                return absl::DataLossError("response head was cut");
             }
             continue;
         }
--- a/Userland/Services/WeightAgent/SwarmFetch.cpp
+++ b/Userland/Services/WeightAgent/SwarmFetch.cpp
@@ -268,9 +268,10 @@
         if (data.ok()) {
             this->originBytes += data->size();
         }
-        if (data.ok() != this->originReached) {
-            this->originReached = data.ok();
-            this->logger.info(data.ok() ? "origin_reached" : "origin_lost",
+        const bool reached = data.ok();
+        if (reached != this->originReached) {
+            this->originReached = reached;
+            this->logger.info(reached ? "origin_reached" : "origin_lost",
                               {{"version", this->version}, {"chunks", this->held->heldCount()}, {"reason", std::string(data.status().message())}});
         }
         if (!data.ok()) {
