Gateway: Take comments for no answer of a silent upstream

Callers saw a stream stop although another upstream could go on with it: an upstream that sends comments alone was asked again and again, and the call ended with a cut stream.

Cause: while others are tried beside a silent upstream, any whole block from it counted as its answer, also a comment, and the attempt at the others was dropped. Likewise a comment of another upstream ended the call to the silent one, which could have gone on. Elsewhere progress is an event with an id. Ruled out: a late answer on a busy machine (the new case needs no load), a comment that is cut.

--- a/Tests/Services/Gateway/TestFaultyUpstreams.cpp
+++ b/Tests/Services/Gateway/TestFaultyUpstreams.cpp
@@ -17,6 +17,8 @@
     TricklesAfterEvents,
     /// Three events, then comments without an id.
     CommentsAfterEvents,
+    /// The same, while the other upstream is slow to go on.
+    CommentsBesideASlowOne,
     EndlessEvent,
     EndlessHead,
     EndlessEmptyLines,
@@ -62,7 +64,8 @@
             ++this->record.faults;
         }
         if (!isFaulty || this->fault == Fault::SlowEvents) {
-            return this->sendEvents(scope, channel, streamHead, first, isFaulty ? 700 : 0);
+            const bool isSlow = isFaulty || this->fault == Fault::CommentsBesideASlowOne;
+            return this->sendEvents(scope, channel, streamHead, first, isSlow ? 700 : 0);
         }
         std::string threeEvents = streamHead;
         for (int event = 1; event <= 3; ++event) {
@@ -73,6 +76,7 @@
         case Fault::TricklesAfterEvents:
             return this->sendForever(scope, channel, threeEvents, LibHttpStream::encodeChunk("x"), 100);
         case Fault::CommentsAfterEvents:
+        case Fault::CommentsBesideASlowOne:
             return this->sendForever(scope, channel, threeEvents, LibHttpStream::encodeChunk(comment), 100);
         case Fault::EndlessEvent:
             return this->sendForever(scope, channel, threeEvents, LibHttpStream::encodeChunk(block), 0);
@@ -180,6 +184,7 @@
 INSTANTIATE_TEST_SUITE_P(Table, FaultyUpstreamTest,
                          testing::Values(FaultCase{"trickles_after_events", Fault::TricklesAfterEvents, RouteKind::Stream, 2},
                                          FaultCase{"comments_after_events", Fault::CommentsAfterEvents, RouteKind::Stream, 2},
+                                         FaultCase{"comments_beside_a_slow_one", Fault::CommentsBesideASlowOne, RouteKind::Stream, 2},
                                          FaultCase{"endless_event", Fault::EndlessEvent, RouteKind::Stream, 2},
                                          FaultCase{"endless_head", Fault::EndlessHead, RouteKind::Stream, 2},
                                          FaultCase{"endless_empty_lines", Fault::EndlessEmptyLines, RouteKind::Stream, 2},
--- a/Tests/Services/Gateway/TestSilentUpstreams.cpp
+++ b/Tests/Services/Gateway/TestSilentUpstreams.cpp
@@ -15,7 +15,7 @@
 enum class SilentAt { BeforeTheHead, AfterTheHead, AfterThreeEvents, InsideAnEvent };
 
 /// What else there is to try while the first upstream is silent.
-enum class Others { None, Rejecting, SoundWhileTheFirstFails, Resetting, Failing, Silent, Draining, Leaving, Paused, Sound };
+enum class Others { None, Rejecting, SoundWhileTheFirstFails, Resetting, Failing, Silent, Commenting, Draining, Leaving, Paused, Sound };
 
 std::string eventText(int id)
 {
@@ -59,7 +59,10 @@
             channel.resetOnClose();
             return false;
         }
-        if (!isFirst && this->row.others == Others::Silent) {
+        if (!isFirst && this->row.others == Others::Commenting) {
+            this->send(scope, channel, streamHead(id) + LibHttpStream::encodeChunk(": busy\n\n"));
+        }
+        if (!isFirst && (this->row.others == Others::Silent || this->row.others == Others::Commenting)) {
             this->loop->awaitDone(scope, channel.whenClosed(), this->loop->clock().now() + callTimeout).IgnoreError();
             return false;
         }
@@ -84,10 +87,7 @@
     bool stream(kj::WaitScope &scope, LibFiber::ByteChannel &channel, const LibHttpStream::RequestHead &head, const std::string &id, bool pauses)
     {
         const std::string *last = LibHttpStream::findHeader(head.headers, "Last-Event-Id");
-        bool ok = this->pauseAt(SilentAt::BeforeTheHead, scope, pauses)
-            && this->send(scope, channel,
-                          AK::concat("HTTP/1.1 200 OK\r\nX-Attempt-Id: ", id,
-                                     "\r\nX-Server-Seal: seal\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"));
+        bool ok = this->pauseAt(SilentAt::BeforeTheHead, scope, pauses) && this->send(scope, channel, streamHead(id));
         ok = ok && this->pauseAt(SilentAt::AfterTheHead, scope, pauses);
         for (int event = last == nullptr ? 1 : std::stoi(*last) + 1; event <= events && ok; ++event) {
             ok = event != 4 || this->pauseAt(SilentAt::AfterThreeEvents, scope, pauses);
@@ -99,6 +99,12 @@
         return ok && this->send(scope, channel, std::string(LibHttpStream::lastChunk));
     }
 
+    static std::string streamHead(const std::string &id)
+    {
+        return AK::concat("HTTP/1.1 200 OK\r\nX-Attempt-Id: ", id,
+                          "\r\nX-Server-Seal: seal\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    }
+
     bool pauseAt(SilentAt place, kj::WaitScope &scope, bool pauses)
     {
         if (pauses && this->row.silentAt == place) {
@@ -180,6 +186,7 @@
                     SilentCase{"stream_beside_one_that_rejects", RouteKind::Stream, SilentAt::AfterThreeEvents, Others::Rejecting, 2, true},
                     SilentCase{"stream_beside_one_that_resets", RouteKind::Stream, SilentAt::AfterThreeEvents, Others::Resetting, 2, true},
                     SilentCase{"stream_beside_one_that_is_silent", RouteKind::Stream, SilentAt::AfterThreeEvents, Others::Silent, 2, true},
+                    SilentCase{"stream_beside_one_that_sends_a_comment", RouteKind::Stream, SilentAt::AfterThreeEvents, Others::Commenting, 2, true},
                     SilentCase{"stream_beside_one_that_drains", RouteKind::Stream, SilentAt::AfterThreeEvents, Others::Draining, 2, true},
                     SilentCase{"stream_beside_one_that_leaves", RouteKind::Stream, SilentAt::AfterThreeEvents, Others::Leaving, 2, true},
                     SilentCase{"stream_beside_one_that_is_paused", RouteKind::Stream, SilentAt::InsideAnEvent, Others::Paused, 2, true},
--- a/Userland/Libraries/LibGateway/EventSplitter.cpp
+++ b/Userland/Libraries/LibGateway/EventSplitter.cpp
@@ -48,6 +48,20 @@
 
 } // namespace
 
+bool isComment(const StreamEvent &event)
+{
+    std::string_view text = event.text;
+    while (!text.empty()) {
+        const size_t end = std::min(text.find('\n'), text.size());
+        const std::string_view line = text.substr(0, end);
+        text.remove_prefix(std::min(end + 1, text.size()));
+        if (!line.empty() && line != "\r" && line.front() != ':') {
+            return false;
+        }
+    }
+    return true;
+}
+
 void EventSplitter::feed(std::string_view bytes)
 {
     this->buffer.append(bytes);
--- a/Userland/Libraries/LibGateway/EventSplitter.h
+++ b/Userland/Libraries/LibGateway/EventSplitter.h
@@ -15,6 +15,9 @@
     std::optional<std::string> id;
 };
 
+/// Whether an event holds comments alone. They show that the connection is open, not that the response goes on.
+bool isComment(const StreamEvent &event);
+
 /// Splits the bytes of an event stream into complete events, so that a client never gets part of an event when the stream breaks off inside it.
 class EventSplitter
 {
--- a/Userland/Libraries/LibGateway/StreamContinuation.cpp
+++ b/Userland/Libraries/LibGateway/StreamContinuation.cpp
@@ -23,19 +23,6 @@
     return LibHttpStream::equalsIgnoringCase(mediaType, eventStreamType);
 }
 
-bool isComment(std::string_view event)
-{
-    while (!event.empty()) {
-        const size_t end = std::min(event.find('\n'), event.size());
-        const std::string_view line = event.substr(0, end);
-        event.remove_prefix(std::min(end + 1, event.size()));
-        if (!line.empty() && line != "\r" && line.front() != ':') {
-            return false;
-        }
-    }
-    return true;
-}
-
 } // namespace
 
 std::string describeContinuationFault(ContinuationFault fault, int status)
@@ -57,7 +44,7 @@
 ContinuationFault checkContinuationEvent(const std::optional<std::string> &lastEventId, const StreamEvent &event)
 {
     if (!event.id) {
-        return isComment(event.text) ? ContinuationFault::None : ContinuationFault::NoEventId;
+        return isComment(event) ? ContinuationFault::None : ContinuationFault::NoEventId;
     }
     // A client that has only comments so far has no event to follow.
     if (!lastEventId) {
@@ -76,6 +63,7 @@
         if (batch.fault != ContinuationFault::None) {
             break;
         }
+        batch.hasEvent = batch.hasEvent || !isComment(*event);
         batch.text += event->text;
         if (event->id) {
             batch.lastId = std::move(event->id);
--- a/Userland/Libraries/LibGateway/StreamContinuation.h
+++ b/Userland/Libraries/LibGateway/StreamContinuation.h
@@ -46,6 +46,8 @@
     std::string text;
     /// Id of the last event that has one.
     std::optional<std::string> lastId;
+    /// Whether there is anything but comments.
+    bool hasEvent = false;
     /// Why the event after these was not taken.
     ContinuationFault fault = ContinuationFault::None;
 };
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -308,6 +308,10 @@
     if (batch.text.empty()) {
         return batch.fault;
     }
+    // Comments do not show that this upstream goes on with the stream, so they end no call beside it.
+    if (!batch.hasEvent && this->silentCall != nullptr) {
+        return batch.fault;
+    }
     this->takeOver();
     const bool begins = !this->client.begun();
     if (begins) {
--- a/Userland/Services/Gateway/CallTaskStream.cpp
+++ b/Userland/Services/Gateway/CallTaskStream.cpp
@@ -188,10 +188,12 @@
         const auto probe = [&] {
             while (part.take(call.read(scope, this->now()))) {
                 ahead.feed(part.newest);
-                if (ahead.next()) {
-                    return SilentCall::Sign::Answer;
+                for (std::optional<LibGateway::StreamEvent> event = ahead.next(); event; event = ahead.next()) {
+                    if (!LibGateway::isComment(*event)) {
+                        return SilentCall::Sign::Answer;
+                    }
                 }
-                if (ahead.partialBytes() > maxEventBytes) {
+                if (part.text.size() > maxEventBytes) {
                     return SilentCall::Sign::Failure;
                 }
             }
