Gateway: Count a stream as begun with its first event, not with a comment

A stream that an engine with older weights has not begun is withdrawn before the bound for beginning on them (VERSION). A comment counted as the beginning, so that a call which had got only comments stayed and could begin too late.

OldWeightsTest comment_before_the_first_event failed on (not withdrawn within 4 s) and passes.

--- a/Tests/Services/Gateway/TestOldWeights.cpp
+++ b/Tests/Services/Gateway/TestOldWeights.cpp
@@ -15,11 +15,13 @@
 constexpr int events = 4;
 const std::string model = "m";
 const std::string newEngine = "i-3";
+const std::string comment = ": busy\n\n";
 
 /// What the engine with the older weights does with its request.
 enum class OldEngine {
     SendsNothing,
     SendsTheHead,
+    SendsAComment,
     /// Sends two events and breaks off; the next request, which resumes the stream, gets nothing.
     BreaksOffOnce,
     /// Sends its events over a time that goes on beyond the limit.
@@ -125,6 +127,9 @@
         case OldEngine::SendsTheHead:
             this->send(scope, channel, this->streamHead(head));
             break;
+        case OldEngine::SendsAComment:
+            this->send(scope, channel, this->streamHead(head) + LibHttpStream::encodeChunk(comment));
+            break;
         case OldEngine::BreaksOffOnce:
             if (!resumes) {
                 this->send(scope, channel, this->streamHead(head) + this->chunks(1, 2));
@@ -194,7 +199,8 @@
     const ClientResponse response = rollout.call();
     EXPECT_EQ(response.status, row.status) << response.body;
     EXPECT_EQ(response.complete, row.complete);
-    EXPECT_TRUE(!row.complete || row.status != 200 || response.body == eventTexts(1, events)) << response.body;
+    const std::string expected = (row.engine == OldEngine::SendsAComment ? comment : "") + eventTexts(1, events);
+    EXPECT_TRUE(!row.complete || row.status != 200 || response.body == expected) << response.body;
     ASSERT_EQ(rollout.withdrawnAt > 0, row.withdrawn);
     if (row.withdrawn) {
         EXPECT_TRUE(rollout.wasReset) << "a host that stands still holds the unread request, and only a reset drops it";
@@ -208,6 +214,7 @@
     Table, OldWeightsTest,
     testing::Values(OldWeightsCase{"nothing_sent", OldEngine::SendsNothing, 0, true}, OldWeightsCase{"named_later", OldEngine::SendsNothing, 500, true},
                     OldWeightsCase{"head_without_event", OldEngine::SendsTheHead, 0, true}, OldWeightsCase{"resumed_stream", OldEngine::BreaksOffOnce, 0, true},
+                    OldWeightsCase{"comment_before_the_first_event", OldEngine::SendsAComment, 0, true},
                     OldWeightsCase{"last_attempt", OldEngine::SendsNothing, 0, true, 1, 502, true},
                     OldWeightsCase{"last_attempt_of_a_stream", OldEngine::BreaksOffOnce, 0, true, 2, 200, false},
                     OldWeightsCase{"begun", OldEngine::SendsSlowly, 0, false}, OldWeightsCase{"loaded_meanwhile", OldEngine::LoadsMeanwhile, 0, false},
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -321,7 +321,7 @@
         this->report.longestGap = std::max(this->report.longestGap, this->now() - this->report.lastPartAt);
     }
     this->report.lastPartAt = this->now();
-    this->streamBegun = true;
+    this->streamBegun = this->streamBegun || batch.hasEvent;
     const absl::Status written = begins ? this->client.beginStream(scope, call.responseHead(), batch.text) : this->client.writeStream(scope, batch.text);
     return written.ok() ? absl::StatusOr<ContinuationFault>(batch.fault) : written;
 }
