LibHttpStream, Gateway: Bound the memory of all message bodies together

Bytes without end, in many bodies at once: each body of a client or of an upstream may have 4 MB, and an entry held as many of them as there were calls.

Bodies beyond 16 KB each now share an eighth of limits.memoryMb (BodyMemory). A request that finds none left is rejected with 503 and Retry-After before anything is sent to an upstream; a response is given up as one that was cut, without blame of its upstream; small bodies pass. The status for a request that can't be read no longer depends on the text of an error. catkinlink_body_memory_bytes.

With BodyShare::grow() allowing everything, ManyBodiesTest failed (24 clients: 109 MB where 50 are allowed; 11 calls: 59 MB where 37 are) and so did FullBodyMemoryTest large_request and large_response; all pass with it. EndlessClientTest passes unchanged.

--- a/Tests/Services/Gateway/GatewaySite.cpp
+++ b/Tests/Services/Gateway/GatewaySite.cpp
@@ -106,8 +106,9 @@
     , connections(loop, fleet)
     , crashes(loop, metrics)
     , quarantine(loop.clock(), fleet)
+    , bodyMemory(siteBodyMemory)
     , address{Loopback::processHost(), nextPort()}
-    , gateway({loop, fleet, codec, dispatcher, connections, crashes, quarantine, metrics}, address)
+    , gateway({loop, fleet, codec, dispatcher, connections, crashes, quarantine, metrics, bodyMemory}, address)
 {
     this->dispatcher.setRegions({{"lima-1", "lima"}});
     this->dispatcher.setEntries({{"e1", "lima-1"}});
--- a/Tests/Services/Gateway/GatewaySite.h
+++ b/Tests/Services/Gateway/GatewaySite.h
@@ -52,6 +52,9 @@
     LibHttpStream::Headers headers;
 };
 
+/// Bytes that the bodies of all messages of a site may hold.
+constexpr uint64_t siteBodyMemory = 8UL << 20;
+
 /// One entry with its gateway and fake upstreams on loopback.
 class GatewaySite
 {
@@ -81,6 +84,7 @@
     Gateway::UpstreamConnectionPool connections;
     Gateway::CrashDetector crashes;
     Gateway::PromptQuarantine quarantine;
+    LibHttpStream::BodyMemory bodyMemory;
     AK::Endpoint address;
     Gateway::GatewayService gateway;
     std::vector<std::unique_ptr<FakeUpstream>> upstreams;
--- a/Userland/Libraries/LibHttpStream/MessageReader.cpp
+++ b/Userland/Libraries/LibHttpStream/MessageReader.cpp
@@ -206,7 +206,7 @@
     return std::optional<std::string>(std::move(data));
 }
 
-absl::StatusOr<std::string> readBody(BodyReader &reader, kj::WaitScope &scope, uint64_t bodyBytes, AK::Milliseconds deadline)
+absl::StatusOr<std::string> readBody(BodyReader &reader, kj::WaitScope &scope, uint64_t bodyBytes, AK::Milliseconds deadline, BodyShare *share)
 {
     std::string body;
     while (true) {
@@ -217,6 +217,9 @@
         if (body.size() + data->size() > bodyBytes) {
             return absl::ResourceExhaustedError(absl::StrCat("the body exceeds ", bodyBytes, " bytes"));
         }
+        if (share != nullptr && !share->grow(data->size())) {
+            return absl::AbortedError("other bodies hold the memory for bodies");
+        }
         body += *data;
     }
 }
--- a/Userland/Libraries/LibHttpStream/MessageReader.h
+++ b/Userland/Libraries/LibHttpStream/MessageReader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibFiber/ByteChannel.h>
+#include <LibHttpStream/BodyMemory.h>
 #include <LibHttpStream/MessageHead.h>
 #include <optional>
 
@@ -61,8 +62,8 @@
     bool done = false;
 };
 
-/// Reads a whole body.
-/// Errors: those of BodyReader::next(), kResourceExhausted above `bodyBytes`.
-absl::StatusOr<std::string> readBody(BodyReader &reader, kj::WaitScope &scope, uint64_t bodyBytes, AK::Milliseconds deadline);
+/// Reads a whole body. `share`: takes the memory for it; must live as long as the body; nullptr for bodies that are small.
+/// Errors: those of BodyReader::next(), kResourceExhausted above `bodyBytes`, kAborted when other bodies hold the memory.
+absl::StatusOr<std::string> readBody(BodyReader &reader, kj::WaitScope &scope, uint64_t bodyBytes, AK::Milliseconds deadline, BodyShare *share = nullptr);
 
 } // namespace LibHttpStream
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -33,6 +33,7 @@
     , head(std::move(head))
     , body(std::move(body))
     , client(client)
+    , responseShare(context.bodyMemory)
     , arrivedAt(context.loop.clock().now())
 {
 }
@@ -268,6 +269,9 @@
         if (!*data) {
             break;
         }
+        if (!this->responseShare.grow((*data)->size())) {
+            return this->retryOrGiveUp(scope, upstream, true, "other bodies hold the memory for bodies");
+        }
         responseBody += **data;
         if (responseBody.size() > maxResponseBodyBytes) {
             this->context.dispatcher.recordOutcome(upstream, true);
--- a/Userland/Services/Gateway/CallTask.h
+++ b/Userland/Services/Gateway/CallTask.h
@@ -22,6 +22,7 @@
     CrashDetector &crashes;
     PromptQuarantine &quarantine;
     LibMetrics::MetricRegistry &metrics;
+    LibHttpStream::BodyMemory &bodyMemory;
 };
 
 /// How a call ended, for its log line.
@@ -142,6 +143,8 @@
     const LibFleet::Route *route = nullptr;
     std::shared_ptr<const LibFleet::ClientAccount> account;
     CallRequirements requirements;
+    /// Memory of response bodies that are held until they are complete.
+    LibHttpStream::BodyShare responseShare;
     AK::Milliseconds arrivedAt;
     /// Time at which the client gives up or the timeout of the route ends the call, less responseMargin.
     AK::Milliseconds deadline = 0;
--- a/Userland/Services/Gateway/GatewayService.cpp
+++ b/Userland/Services/Gateway/GatewayService.cpp
@@ -15,19 +15,28 @@
 constexpr AK::Milliseconds lingerTime = 300;
 // Short, because another entry can take the call at once.
 constexpr AK::Milliseconds drainRetryAfter = 50;
+// Large bodies of other clients are held for about as long as a call takes.
+constexpr AK::Milliseconds noMemoryRetryAfter = 500;
+constexpr int unavailable = 503;
 // Added to the idle timeout of the configuration; clients reuse a connection for up to 80 % of that timeout.
 constexpr AK::Milliseconds idleMargin = 1'000;
 
-int statusFor(const absl::Status &status)
+int statusFor(const absl::Status &status, bool headRead)
 {
     constexpr int payloadTooLarge = 413;
     constexpr int headTooLarge = 431;
     constexpr int timedOut = 408;
     constexpr int badRequest = 400;
-    if (absl::IsResourceExhausted(status)) {
-        return status.message().find("body") != absl::string_view::npos ? payloadTooLarge : headTooLarge;
+    switch (status.code()) {
+    case absl::StatusCode::kResourceExhausted:
+        return headRead ? payloadTooLarge : headTooLarge;
+    case absl::StatusCode::kAborted:
+        return unavailable;
+    case absl::StatusCode::kDeadlineExceeded:
+        return timedOut;
+    default:
+        return badRequest;
     }
-    return absl::IsDeadlineExceeded(status) ? timedOut : badRequest;
 }
 
 } // namespace
@@ -69,13 +78,12 @@
         if (channel.buffered().empty() && !this->awaitRequest(scope, channel, connection)) {
             return;
         }
-        std::string body;
-        absl::StatusOr<LibHttpStream::RequestHead> head = this->readRequest(scope, channel, body);
-        if (!head.ok()) {
-            this->refuseUnreadableRequest(scope, channel, head.status());
+        ReceivedRequest request{LibHttpStream::BodyShare(this->context.bodyMemory)};
+        if (const absl::Status status = this->readRequest(scope, channel, request); !status.ok()) {
+            this->refuseUnreadableRequest(scope, channel, request, status);
             return;
         }
-        if (!this->serveCall(scope, channel, std::move(*head), std::move(body))) {
+        if (!this->serveCall(scope, channel, std::move(request.head), std::move(request.body))) {
             return;
         }
     }
@@ -105,30 +113,31 @@
     return channel.fill(scope, loop.clock().now()).ok();
 }
 
-absl::StatusOr<LibHttpStream::RequestHead> GatewayService::readRequest(kj::WaitScope &scope, LibFiber::ByteChannel &channel, std::string &body)
+absl::Status GatewayService::readRequest(kj::WaitScope &scope, LibFiber::ByteChannel &channel, ReceivedRequest &request)
 {
     const LibFleet::ClientLimits limits = this->limits();
     const AK::Milliseconds deadline = this->context.loop.clock().now() + limits.headTimeout;
     CATKINLINK_ASSIGN(const std::string text, LibHttpStream::readHeadText(channel, scope, limits.headBytes, deadline));
-    CATKINLINK_ASSIGN(LibHttpStream::RequestHead head, LibHttpStream::parseRequestHead(text));
-    CATKINLINK_ASSIGN(const LibHttpStream::BodyFraming framing, LibHttpStream::requestBodyFraming(head.headers));
+    CATKINLINK_ASSIGN(request.head, LibHttpStream::parseRequestHead(text));
+    request.headRead = true;
+    CATKINLINK_ASSIGN(const LibHttpStream::BodyFraming framing, LibHttpStream::requestBodyFraming(request.head.headers));
     if (framing.kind == LibHttpStream::FramingKind::Length && framing.length > limits.bodyBytes) {
         return absl::ResourceExhaustedError(AK::concat("the request body of ", framing.length, " bytes exceeds the limit of ", limits.bodyBytes, " bytes"));
     }
     LibHttpStream::BodyReader reader(channel, framing);
-    CATKINLINK_ASSIGN(body, LibHttpStream::readBody(reader, scope, limits.bodyBytes, deadline + limits.idleTimeout));
-    return head;
+    CATKINLINK_ASSIGN(request.body, LibHttpStream::readBody(reader, scope, limits.bodyBytes, deadline + limits.idleTimeout, &request.share));
+    return absl::OkStatus();
 }
 
-void GatewayService::refuseUnreadableRequest(kj::WaitScope &scope, LibFiber::ByteChannel &channel, const absl::Status &status)
+void GatewayService::refuseUnreadableRequest(kj::WaitScope &scope, LibFiber::ByteChannel &channel, const ReceivedRequest &request, const absl::Status &status)
 {
     if (absl::IsOutOfRange(status) || absl::IsUnavailable(status) || absl::IsDataLoss(status)) {
         return;
     }
     this->logger.info("request_unreadable", {{"reason", std::string(status.message())}});
     ClientChannel client(this->context.loop, channel, true);
-    const int code = statusFor(status);
-    if (client.refuse(scope, code, LibHttpStream::reasonPhrase(code), 0).ok()) {
+    const int code = statusFor(status, request.headRead);
+    if (client.refuse(scope, code, LibHttpStream::reasonPhrase(code), code == unavailable ? noMemoryRetryAfter : 0).ok()) {
         // Closing a socket with unread bytes resets the connection, and the client could lose the response.
         this->closeGracefully(scope, channel);
     }
@@ -147,7 +156,6 @@
     const bool lastCall = this->draining || LibHttpStream::hasToken(head.headers, "Connection", "close");
     ClientChannel client(this->context.loop, channel, lastCall);
     if (this->draining && this->context.loop.clock().now() >= this->acceptUntil) {
-        constexpr int unavailable = 503;
         this->logger.info("call_refused", {{"reason", "this entry is about to stop"}});
         if (client.refuse(scope, unavailable, "this entry is about to stop", drainRetryAfter).ok()) {
             this->closeGracefully(scope, channel);
--- a/Userland/Services/Gateway/GatewayService.h
+++ b/Userland/Services/Gateway/GatewayService.h
@@ -34,17 +34,27 @@
         kj::Own<kj::PromiseFulfiller<void>> closeWhenIdle;
     };
 
+    struct ReceivedRequest {
+        /// Memory of the body.
+        LibHttpStream::BodyShare share;
+        /// False while the head has not been read.
+        bool headRead = false;
+        LibHttpStream::RequestHead head;
+        std::string body;
+    };
+
     void serve(kj::WaitScope &scope, kj::Own<kj::AsyncIoStream> stream);
     /// Waits for the first byte of a request. Returns false when the connection has ended, has been idle for too long or is to be closed.
     bool awaitRequest(kj::WaitScope &scope, LibFiber::ByteChannel &channel, Connection &connection);
-    absl::StatusOr<LibHttpStream::RequestHead> readRequest(kj::WaitScope &scope, LibFiber::ByteChannel &channel, std::string &body);
+    /// Errors: those of LibHttpStream::readHeadText(), parseRequestHead() and readBody().
+    absl::Status readRequest(kj::WaitScope &scope, LibFiber::ByteChannel &channel, ReceivedRequest &request);
     /// Closes the sending side and waits a short time until the client has closed its side.
     void closeGracefully(kj::WaitScope &scope, LibFiber::ByteChannel &channel);
     /// Returns whether the connection may carry another call.
     bool serveCall(kj::WaitScope &scope, LibFiber::ByteChannel &channel, LibHttpStream::RequestHead head, std::string body);
     /// Runs a call until its response is complete or has to end. Returns whether the client has left.
     bool runCall(kj::WaitScope &scope, LibFiber::ByteChannel &channel, ClientChannel &client, LibHttpStream::RequestHead head, std::string body);
-    void refuseUnreadableRequest(kj::WaitScope &scope, LibFiber::ByteChannel &channel, const absl::Status &status);
+    void refuseUnreadableRequest(kj::WaitScope &scope, LibFiber::ByteChannel &channel, const ReceivedRequest &request, const absl::Status &status);
     LibFleet::ClientLimits limits() const;
 
     CallContext context;
--- a/Userland/Utilities/catkinlinkd/EntryProcess.cpp
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.cpp
@@ -21,6 +21,15 @@
 constexpr AK::Milliseconds removeInterval = 5'000;
 constexpr AK::Milliseconds drainPoll = 50;
 
+// A body takes about three times its size: the buffer grows ahead of it, and it is copied when it is sent. The rest is for everything else.
+constexpr double bodyMemoryShare = 0.125;
+constexpr double bytesPerMegabyte = 1e6;
+
+uint64_t bodyMemoryLimit(const Platform::NodeSettings &settings)
+{
+    return static_cast<uint64_t>(settings.memoryMb * bytesPerMegabyte * bodyMemoryShare);
+}
+
 } // namespace
 
 EntryProcess::EntryProcess(LibFiber::Loop &loop, const Platform::NodeSettings &settings)
@@ -34,8 +43,10 @@
     , quarantine(loop.clock(), this->node.fleet)
     , quarantineKeeper(loop, this->node.store, this->node.fleet, this->quarantine,
                        [this](const std::string &part) { return this->node.feeds.isStored(LibFleet::ObjectKind::QuarantinedParts, part); })
-    , gateway({loop, this->node.fleet, this->codec, this->dispatcher, this->upstreamConnections, this->crashes, this->quarantine, this->metrics},
-              *settings.clientAddress)
+    , bodyMemory(bodyMemoryLimit(settings))
+    , gateway(
+          {loop, this->node.fleet, this->codec, this->dispatcher, this->upstreamConnections, this->crashes, this->quarantine, this->metrics, this->bodyMemory},
+          *settings.clientAddress)
     , peers(loop, this->node.exchange, nullptr, &this->dispatcher)
     , readiness(loop, *settings.readinessAddress, [this](const auto &head) { return this->readinessResponse(head); })
     , directory(loop, *settings.directoryAddress, [this](const auto &head) { return this->directoryResponse(head); })
@@ -83,6 +94,7 @@
     this->dispatcher.setRegions(changed.regionsByDomain);
     this->node.exchange.setSeeds(changed.seeds);
     this->node.feeds.setTimes(changed.bounds.store);
+    this->bodyMemory.setLimit(bodyMemoryLimit(changed));
 }
 
 void EntryProcess::drain()
@@ -136,6 +148,7 @@
 {
     this->metrics.set("catkinlink_calls_waiting", {}, static_cast<double>(this->dispatcher.waitingCalls()));
     this->metrics.set("catkinlink_calls_in_flight", {}, this->dispatcher.callsInFlight());
+    this->metrics.set("catkinlink_body_memory_bytes", {}, static_cast<double>(this->bodyMemory.heldBytes()));
     this->dispatcher.exportMetrics(this->metrics);
     return {200, "text/plain; version=0.0.4", this->metrics.text()};
 }
--- a/Userland/Utilities/catkinlinkd/EntryProcess.h
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.h
@@ -56,6 +56,7 @@
     Gateway::CrashDetector crashes;
     Gateway::PromptQuarantine quarantine;
     Gateway::QuarantineKeeper quarantineKeeper;
+    LibHttpStream::BodyMemory bodyMemory;
     Gateway::GatewayService gateway;
     LibPeers::PeerServer peers;
     Gateway::SimpleHttpServer readiness;
--- a/Userland/Utilities/catkinlinkd/SettingsWatch.cpp
+++ b/Userland/Utilities/catkinlinkd/SettingsWatch.cpp
@@ -23,6 +23,7 @@
     addIfDifferent(changes.applied, before.regionsByDomain != after.regionsByDomain, "regionsByDomain");
     addIfDifferent(changes.applied, before.seeds != after.seeds, "seeds");
     addIfDifferent(changes.applied, before.linkMbps != after.linkMbps, "linkMbps");
+    addIfDifferent(changes.applied, before.memoryMb != after.memoryMb, "memoryMb");
     addIfDifferent(changes.needRestart, before.name != after.name, "name");
     addIfDifferent(changes.needRestart, before.ip != after.ip, "ip");
     addIfDifferent(changes.needRestart, before.failureDomain != after.failureDomain, "failureDomain");
