LibHttp: Give the body of a request one deadline

A client that sent a byte of a body now and then held a thread of an entry, of the operator API or of the metrics for as long as it went on; as many such clients as threads kept out all others.

Cause: CivetWeb waits for each next byte anew and tells nobody the socket of a connection. ReadDeadlines looks for the socket among the files of the process, by the addresses of both ends, and shuts it down when the body, or what is left of it after the response, is late. A guard in the handler keeps the connection open meanwhile, so that the number can't have passed to another file.

--- a/Userland/Libraries/LibHttp/HttpServer.cpp
+++ b/Userland/Libraries/LibHttp/HttpServer.cpp
@@ -184,6 +184,7 @@
     };
     mg_callbacks callbacks{};
     callbacks.begin_request = &HttpServer::beginRequest;
+    this->deadlines = std::make_unique<ReadDeadlines>();
     this->context = mg_start(&callbacks, this, options);
     if (this->context == nullptr) {
         return absl::UnavailableError(AK::concat("cannot listen on http address ", address));
@@ -204,14 +205,28 @@
     // Otherwise CivetWeb reads what the client has not sent yet of the body once the handler returns, however long that is.
     mg_disable_connection_keep_alive(connection);
     this->respondTo(connection);
+    const ReadDeadlines::Guard deadline = this->limitRead(connection);
     discardBody(connection, this->limits.discardBytes);
 }
 
+ReadDeadlines::Guard HttpServer::limitRead(mg_connection *connection)
+{
+    const mg_request_info *info = mg_get_request_info(connection);
+    const AK::Endpoint peer{info->remote_addr, static_cast<uint16_t>(info->remote_port)};
+    return ReadDeadlines::Guard(*this->deadlines, peer, static_cast<uint16_t>(info->server_port), this->limits.requestTimeout);
+}
+
+std::optional<std::string> HttpServer::receiveBody(mg_connection *connection)
+{
+    const ReadDeadlines::Guard deadline = this->limitRead(connection);
+    return readBody(connection, this->limits.bodyBytes);
+}
+
 void HttpServer::respondTo(mg_connection *connection)
 {
     HttpRequest request = readHead(connection);
     const bool hasBody = request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
-    std::optional<std::string> body = hasBody ? readBody(connection, this->limits.bodyBytes) : std::string();
+    std::optional<std::string> body = hasBody ? this->receiveBody(connection) : std::string();
     const bool complete = body.has_value();
     request.body = std::move(body).value_or("");
     HttpExchange exchange(connection, std::move(request));
@@ -253,6 +268,7 @@
         mg_stop(this->context);
         this->context = nullptr;
     }
+    this->deadlines.reset();
 }
 
 } // namespace LibHttp
--- a/Userland/Libraries/LibHttp/HttpServer.h
+++ b/Userland/Libraries/LibHttp/HttpServer.h
@@ -3,10 +3,12 @@
 #include <AK/Clock.h>
 #include <AK/Endpoint.h>
 #include <LibHttp/HttpMessage.h>
+#include <LibHttp/ReadDeadlines.h>
 #include <LibLog/Logger.h>
 #include <absl/status/status.h>
 #include <atomic>
 #include <functional>
+#include <memory>
 
 struct mg_connection;
 struct mg_context;
@@ -57,7 +59,7 @@
     size_t bodyBytes = 1 << 20;
     /// What is read of a body beyond that, so that a client which still sends it sees the response.
     size_t discardBytes = 32 << 20;
-    /// Requests whose head takes longer (ms) are broken off, as are bodies that pause for longer.
+    /// Requests whose head takes longer (ms) are broken off, and so are bodies.
     AK::Milliseconds requestTimeout = 30'000;
 };
 
@@ -89,10 +91,16 @@
     static int beginRequest(mg_connection *connection);
     void serve(mg_connection *connection);
     void respondTo(mg_connection *connection);
+    /// Limits the time in which the rest of a request is read.
+    ReadDeadlines::Guard limitRead(mg_connection *connection);
+    /// The body of a request, or nothing when it is incomplete, too large or late.
+    std::optional<std::string> receiveBody(mg_connection *connection);
 
     AK::Endpoint endpoint;
     HttpServerLimits limits;
     Handler handler;
+    /// While the server runs.
+    std::unique_ptr<ReadDeadlines> deadlines;
     mg_context *context = nullptr;
     std::atomic<int> active{0};
     LibLog::Logger logger{"http"};
