Catkinlink: Show from the logs where the time of a rollout goes

Operators could see that new weights came late, not which step was late: the times stood in the logs of some hundred processes.

`catkinlink rollout explain VERSION LOG...` shows for each agent when it knew of a version, had its chunks, ordered the load and had it loaded, then the first, the middle and the last of them, and the share of each step at the last engine.

--- a/Userland/Utilities/catkinlink/CommandLine.cpp
+++ b/Userland/Utilities/catkinlink/CommandLine.cpp
@@ -301,6 +301,7 @@
         {"rollout pause", "stop later waves", "SERVICE", "!entry !key-file !reason wait json"},
         {"rollout resume", "let later waves go on", "SERVICE", "!entry !key-file !reason wait json"},
         {"rollout rollback", "return to the previous version", "SERVICE", "!entry !key-file !reason wait json"},
+        {"rollout explain", "show from the logs when each agent on the platform reached each step", "VERSION LOG...", "json"},
         {"audit", "show the audit trail", "", "!entry !key-file json"},
         {"audit verify", "check the hash chain of the audit trail", "", "!entry !key-file json"},
         {"claims", "show calls whose outcome is not known", "", "!entry !key-file state json"},
--- a/Userland/Utilities/catkinlink/Commands.h
+++ b/Userland/Utilities/catkinlink/Commands.h
@@ -31,6 +31,7 @@
 
 // The subcommands; each prints its result and returns a status for exitCodeOf().
 absl::Status runExplain(const CommandOptions &options, const CommandEnvironment &environment);
+absl::Status runRolloutExplain(const CommandOptions &options, const CommandEnvironment &environment);
 absl::Status runValidate(const CommandOptions &options, const CommandEnvironment &environment);
 absl::Status runDiff(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment);
 absl::Status runApply(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment);
--- a/Userland/Utilities/catkinlink/Explain.cpp
+++ b/Userland/Utilities/catkinlink/Explain.cpp
@@ -305,16 +305,22 @@
     return explanation;
 }
 
-absl::Status runExplain(const CommandOptions &options, const CommandEnvironment &environment)
+absl::StatusOr<std::vector<LogLine>> readLogs(const std::vector<std::string> &paths)
 {
     std::vector<LogLine> lines;
-    for (const std::string &path : options.files) {
+    for (const std::string &path : paths) {
         std::ifstream file(path);
         if (!file) {
             return absl::NotFoundError(AK::concat("log file \"", path, "\" cannot be opened"));
         }
         readLog(file, lines);
     }
+    return lines;
+}
+
+absl::Status runExplain(const CommandOptions &options, const CommandEnvironment &environment)
+{
+    CATKINLINK_ASSIGN(std::vector<LogLine> lines, readLogs(options.files));
     CATKINLINK_ASSIGN(const RequestExplanation explanation, explainRequest(options.operand, std::move(lines)));
     if (options.json) {
         nlohmann::json list = nlohmann::json::array();
--- a/Userland/Utilities/catkinlink/Explain.h
+++ b/Userland/Utilities/catkinlink/Explain.h
@@ -26,6 +26,9 @@
 /// Appends the lines of a log; lines without an object are skipped.
 void readLog(std::istream &input, std::vector<LogLine> &lines);
 
+/// Reads log files. Errors: kNotFound when one cannot be opened.
+absl::StatusOr<std::vector<LogLine>> readLogs(const std::vector<std::string> &paths);
+
 /// Log lines and cause for the end of one request.
 struct RequestExplanation {
     /// Lines that name the request and lines that the cause refers to, by time.
--- a/Userland/Utilities/catkinlink/RunCommand.cpp
+++ b/Userland/Utilities/catkinlink/RunCommand.cpp
@@ -19,6 +19,9 @@
     if (options.command == "explain") {
         return runExplain(options, environment);
     }
+    if (options.command == "rollout explain") {
+        return runRolloutExplain(options, environment);
+    }
     const absl::StatusOr<std::string> key = readKeyFile(options.keyFile);
     if (!key.ok()) {
         return absl::OutOfRangeError(AK::concat("--key-file: ", key.status().message()));
--- a/Userland/Utilities/catkinlink/catkinlink.bash
+++ b/Userland/Utilities/catkinlink/catkinlink.bash
@@ -17,7 +17,7 @@
     if [ "$COMP_CWORD" -eq 1 ]; then
         choices="validate diff apply status domain upstream rollout audit claims address call explain --help --version"
     elif [ "$COMP_CWORD" -eq 2 ] && [ "$first" = rollout ]; then
-        choices="start status pause resume rollback"
+        choices="start status pause resume rollback explain"
     elif [ "$COMP_CWORD" -eq 2 ] && { [ "$first" = domain ] || [ "$first" = upstream ]; }; then
         choices="out in"
     else
@@ -38,6 +38,10 @@
             [ "$second" = out ] && choices="--force --emergency --ttl $change"
             ;;
         rollout)
+            if [ "$second" = explain ]; then
+                mapfile -t COMPREPLY < <(compgen -f -- "$current")
+                return
+            fi
             choices=$change
             [ "$second" = status ] && choices="--watch --wait $_catkinlink_json_flags"
             [ "$second" = start ] && choices="--model --adapter --weights-version --root --weight-store --force $change"
