Gateway: Take no report for proof of a run that was read before the call

A call that is no stream is withdrawn from an engine with older weights unless a report shows that nothing waits there (VERSION). Reports that arrived 500 ms after the call counted; an agent passes on a status of up to 600 ms, in an exchange that may take as long, so that the report may have been read before the call came, and no later one corrects it when the engine hangs. 1,200 ms now.

OldWeightsTest no_stream_with_an_old_report failed on (not withdrawn) and passes. The report of no_stream_that_runs comes 1,210 ms after its call instead of 550, because it has to be a new one; the row checks what it did.

--- a/Tests/Services/Gateway/TestOldWeights.cpp
+++ b/Tests/Services/Gateway/TestOldWeights.cpp
@@ -220,7 +220,8 @@
                     OldWeightsCase{"begun", OldEngine::SendsSlowly, 0, false}, OldWeightsCase{"loaded_meanwhile", OldEngine::LoadsMeanwhile, 0, false},
                     OldWeightsCase{"named_earlier", OldEngine::SendsNothing, 100, true, 3, 200, true, RouteKind::Stream, false, 400},
                     OldWeightsCase{"no_stream", OldEngine::SendsNothing, 0, true, 3, 200, true, RouteKind::Idempotent},
-                    OldWeightsCase{"no_stream_that_runs", OldEngine::RespondsLate, 0, false, 3, 200, true, RouteKind::Idempotent, true},
+                    OldWeightsCase{"no_stream_that_runs", OldEngine::RespondsLate, 660, false, 3, 200, true, RouteKind::Idempotent, true},
+                    OldWeightsCase{"no_stream_with_an_old_report", OldEngine::SendsNothing, 400, true, 3, 200, true, RouteKind::Idempotent, true},
                     OldWeightsCase{"no_stream_that_runs_once", OldEngine::RespondsLate, 0, false, 3, 200, true, RouteKind::AtMostOnce}),
     [](const auto &info) { return std::string(info.param.name); });
 
--- a/Userland/Services/Gateway/UpstreamTable.cpp
+++ b/Userland/Services/Gateway/UpstreamTable.cpp
@@ -374,8 +374,8 @@
 
 bool UpstreamTable::mayStillWait(const LibFleet::UpstreamRecord &record, AK::Milliseconds sentAt) const
 {
-    // What a report says was read up to this long before it arrives.
-    constexpr AK::Milliseconds reportDelay = 500;
+    // What a report says was read up to this long before it arrives: an agent passes on a status that is up to 600 ms old, in an exchange that takes as long.
+    constexpr AK::Milliseconds reportDelay = 1'200;
     const auto load = this->loads.find(record.address.text());
     if (load == this->loads.end() || !load->second.report) {
         return true;
