LibHttpStream, Gateway: Give back the memory of a body with its attempt

The memory of a response that broke off was held until the whole call ended, so that the next attempt could find none left, and it was then tried again for nothing. Each attempt has its own share now, a call for which no memory is left ends, and a request that is refused gives its share back before the response is written. Bodies of responses to other requests, which are not counted, may have 64 KB instead of 1 MB.

--- a/Tests/Services/Gateway/TestManyBodies.cpp
+++ b/Tests/Services/Gateway/TestManyBodies.cpp
@@ -149,4 +149,25 @@
                                          FullMemoryCase{"large_response", 100, 65'536, 502, true}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+// Guards against a response that is given up for want of memory which a broken attempt of the same call still holds.
+TEST(BodyMemory, IsGivenBackBeforeTheNextAttempt)
+{
+    constexpr size_t bodyBytes = 3UL << 20;
+    LibFiber::Loop *loop = nullptr;
+    int requests = 0;
+    const auto script = [&](kj::WaitScope &scope, LibFiber::ByteChannel &channel, const LibHttpStream::RequestHead &head, const std::string &) {
+        const std::string id = *LibHttpStream::findHeader(head.headers, "X-Attempt-Id");
+        const bool breaksOff = ++requests == 1;
+        writeResponse(scope, channel, *loop, id, 200, std::string(bodyBytes, 'r'), bodyBytes + (breaksOff ? 1 : 0));
+        return !breaksOff;
+    };
+    GatewaySite site({script, script});
+    loop = &site.loop;
+    site.configure(RouteKind::Idempotent, false, 2, callTimeout);
+    BodyShare others(site.bodyMemory);
+    ASSERT_TRUE(others.grow(siteBodyMemory - bodyBytes));
+    EXPECT_EQ(site.call().status, 200);
+    EXPECT_EQ(requests, 2);
+}
+
 } // namespace
--- a/Userland/Libraries/LibHttpStream/BodyMemory.cpp
+++ b/Userland/Libraries/LibHttpStream/BodyMemory.cpp
@@ -26,8 +26,15 @@
 }
 
 BodyShare::~BodyShare()
+{
+    this->release();
+}
+
+void BodyShare::release()
 {
     this->memory.held -= this->counted;
+    this->size = 0;
+    this->counted = 0;
 }
 
 bool BodyShare::grow(uint64_t bytes)
--- a/Userland/Libraries/LibHttpStream/BodyMemory.h
+++ b/Userland/Libraries/LibHttpStream/BodyMemory.h
@@ -40,6 +40,9 @@
     /// Takes memory for further bytes of the body. Returns false, and takes nothing, when the limit does not allow it.
     bool grow(uint64_t bytes);
 
+    /// Gives back what is held.
+    void release();
+
 private:
     BodyMemory &memory;
     uint64_t size = 0;
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -33,7 +33,6 @@
     , head(std::move(head))
     , body(std::move(body))
     , client(client)
-    , responseShare(context.bodyMemory)
     , arrivedAt(context.loop.clock().now())
 {
 }
@@ -256,6 +255,8 @@
 CallTask::NextStep CallTask::forwardResponse(kj::WaitScope &scope, UpstreamCall &call, const LibFleet::UpstreamRecord &upstream)
 {
     this->mayHaveRun = true;
+    // Held until the body is complete, and given back when another attempt follows.
+    auto share = std::make_unique<LibHttpStream::BodyShare>(this->context.bodyMemory);
     std::string responseBody;
     while (true) {
         absl::StatusOr<std::optional<std::string>> data = call.read(scope, this->deadline);
@@ -269,8 +270,10 @@
         if (!*data) {
             break;
         }
-        if (!this->responseShare.grow((*data)->size())) {
-            return this->retryOrGiveUp(scope, upstream, true, "other bodies hold the memory for bodies");
+        if (!share->grow((*data)->size())) {
+            // Another attempt would find no memory either.
+            this->giveUp(scope, "other bodies hold the memory for bodies", 0);
+            return NextStep::Done;
         }
         responseBody += **data;
         if (responseBody.size() > maxResponseBodyBytes) {
@@ -287,11 +290,13 @@
     if (failed && this->route->repeatable() && this->report.sends < this->route->maxAttempts && this->now() < this->endsBy()
         && this->context.dispatcher.trySpendRetry(this->requirements.service)) {
         this->failedResponse.emplace(responseHead, std::move(responseBody));
+        this->failedResponseShare = std::move(share);
         this->requirements.excluded.insert(upstream.id);
         return NextStep::TryAnother;
     }
     if (failed && this->silentCall != nullptr) {
         this->failedResponse.emplace(responseHead, std::move(responseBody));
+        this->failedResponseShare = std::move(share);
         return NextStep::Done;
     }
     this->takeOver();
--- a/Userland/Services/Gateway/CallTask.h
+++ b/Userland/Services/Gateway/CallTask.h
@@ -8,6 +8,7 @@
 #include "UpstreamCall.h"
 #include <LibGateway/StreamContinuation.h>
 #include <LibMetrics/MetricRegistry.h>
+#include <memory>
 
 namespace Gateway
 {
@@ -143,8 +144,6 @@
     const LibFleet::Route *route = nullptr;
     std::shared_ptr<const LibFleet::ClientAccount> account;
     CallRequirements requirements;
-    /// Memory of response bodies that are held until they are complete.
-    LibHttpStream::BodyShare responseShare;
     AK::Milliseconds arrivedAt;
     /// Time at which the client gives up or the timeout of the route ends the call, less responseMargin.
     AK::Milliseconds deadline = 0;
@@ -169,6 +168,8 @@
     SilentCall *silentCall = nullptr;
     /// Response with status 5xx, kept while another upstream is tried.
     std::optional<std::pair<LibHttpStream::ResponseHead, std::string>> failedResponse;
+    /// Memory of its body.
+    std::unique_ptr<LibHttpStream::BodyShare> failedResponseShare;
     CallReport report;
     LibLog::Logger logger{"call"};
 };
--- a/Userland/Services/Gateway/GatewayService.cpp
+++ b/Userland/Services/Gateway/GatewayService.cpp
@@ -80,6 +80,8 @@
         }
         ReceivedRequest request{LibHttpStream::BodyShare(this->context.bodyMemory)};
         if (const absl::Status status = this->readRequest(scope, channel, request); !status.ok()) {
+            // What was read is dropped; the client may take its time to read the response.
+            request.share.release();
             this->refuseUnreadableRequest(scope, channel, request, status);
             return;
         }
--- a/Userland/Services/Gateway/UpstreamCall.cpp
+++ b/Userland/Services/Gateway/UpstreamCall.cpp
@@ -16,7 +16,7 @@
 constexpr size_t maxResponseHeadBytes = 16384;
 // Responses to other requests that are dropped before the call fails.
 constexpr int maxMismatchedResponses = 3;
-constexpr uint64_t maxMismatchedBodyBytes = 1UL << 20;
+constexpr uint64_t maxMismatchedBodyBytes = 64UL << 10;
 constexpr int64_t maxKeepAliveSeconds = 24 * 3'600;
 
 AK::Milliseconds keepAliveOf(const LibHttpStream::Headers &headers)
