Daemon: Take over a changed limit of the memory

A change of limits.memoryMb was reported as applied and was not: mergeSettings() did not copy it, so the entry kept its old limit for bodies until its next start.

--- a/Userland/Utilities/catkinlinkd/SettingsWatch.cpp
+++ b/Userland/Utilities/catkinlinkd/SettingsWatch.cpp
@@ -46,6 +46,7 @@
     merged.regionsByDomain = read.regionsByDomain;
     merged.seeds = read.seeds;
     merged.linkMbps = read.linkMbps;
+    merged.memoryMb = read.memoryMb;
     return merged;
 }
 
