Gateway: Send nothing to an incarnation that is not at its address

After a loss of power of all hosts the engines return as new instances while the registrations of the old ones last for three more renewals. Nothing was learned from a 421, and a later incarnation at the same address was not taken as proof that the earlier one is gone.

A refusal with 421 now keeps calls with the same expectation (incarnation and weights) from the upstream for 500 ms, doubled up to 4 s; news of it end that. Of several registrations at one address only the latest start is used. Processes that have not read the fleet's state exchange every 100 ms instead of 250 to 500, because agents learned of the weights only 0.4 to 0.6 s after their start.

--- a/Tests/LibFleet/TestFleet.cpp
+++ b/Tests/LibFleet/TestFleet.cpp
@@ -60,6 +60,45 @@
                          [](const auto &info) { return std::string(info.param.name); });
 
 // Guards against an older configuration that arrives late and replaces a newer one.
+struct AddressCase {
+    const char *name;
+    /// Start times of two incarnations at one address, 0 for unknown.
+    int64_t first;
+    int64_t second;
+    bool firstReplaced;
+    bool secondReplaced;
+};
+
+class SharedAddressTest : public testing::TestWithParam<AddressCase>
+{
+};
+
+// Guards against calls to an incarnation whose registration lasts although its host has been started again.
+TEST_P(SharedAddressTest, LeavesTheLatestIncarnation)
+{
+    const AddressCase &row = GetParam();
+    ManualClock clock;
+    FleetState state(clock);
+    std::map<std::string, UpstreamRecord> records;
+    for (const auto &[id, start] : {std::pair("a", row.first), std::pair("b", row.second)}) {
+        records[id].id = id;
+        records[id].address = {"10.0.0.1", 80};
+        records[id].startTime = start;
+    }
+    records["c"].address = {"10.0.0.2", 80};
+    records["c"].startTime = 1;
+    state.setUpstreams(records);
+    EXPECT_EQ(state.upstreams().at("a").replaced, row.firstReplaced);
+    EXPECT_EQ(state.upstreams().at("b").replaced, row.secondReplaced);
+    EXPECT_FALSE(state.upstreams().at("c").replaced);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, SharedAddressTest,
+                         testing::Values(AddressCase{"second_is_later", 5, 7, true, false}, AddressCase{"first_is_later", 7, 5, false, true},
+                                         AddressCase{"started_together", 5, 5, false, false}, AddressCase{"one_unknown", 0, 7, false, false},
+                                         AddressCase{"both_unknown", 0, 0, false, false}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 TEST(FleetState, ConfigurationNeverGoesBack)
 {
     const ManualClock clock;
--- a/Userland/Libraries/LibFleet/FleetState.cpp
+++ b/Userland/Libraries/LibFleet/FleetState.cpp
@@ -11,6 +11,19 @@
 // Targets can be named seconds apart, and each limits the use of older versions for some seconds.
 constexpr size_t maxTargetsPerModel = 16;
 
+void markReplaced(std::map<std::string, UpstreamRecord> &upstreams)
+{
+    std::map<std::string, int64_t> lastStart;
+    for (const auto &[id, record] : upstreams) {
+        int64_t &last = lastStart[record.address.text()];
+        last = std::max(last, record.startTime);
+    }
+    for (auto &[id, record] : upstreams) {
+        // Without a start time nothing shows which incarnation came later.
+        record.replaced = record.startTime > 0 && record.startTime < lastStart[record.address.text()];
+    }
+}
+
 } // namespace
 
 FleetState::FleetState(const AK::Clock &clock)
@@ -84,6 +97,7 @@
 
 void FleetState::setUpstreams(std::map<std::string, UpstreamRecord> upstreams)
 {
+    markReplaced(upstreams);
     for (const auto &[id, record] : upstreams) {
         const auto known = this->upstreamsById.find(id);
         if (known == this->upstreamsById.end()) {
--- a/Userland/Libraries/LibFleet/FleetState.h
+++ b/Userland/Libraries/LibFleet/FleetState.h
@@ -25,6 +25,8 @@
     /// Version of the weights that it holds completely, 0 for none.
     int64_t weightsVersion = 0;
     bool isEngine = false;
+    /// A later incarnation is registered at the same address, so that this one is gone although its lease lasts. Set by FleetState.
+    bool replaced = false;
 };
 
 /// An entry: a process of the system that accepts calls of clients.
--- a/Userland/Libraries/LibGateway/Availability.cpp
+++ b/Userland/Libraries/LibGateway/Availability.cpp
@@ -9,6 +9,7 @@
 {
     const std::array lasting{
         std::pair{!conditions.sameService, Obstacle::OtherService},
+        std::pair{conditions.replaced, Obstacle::Replaced},
         std::pair{conditions.draining, Obstacle::Draining},
         std::pair{conditions.leaving, Obstacle::Leaving},
         std::pair{conditions.evacuated, Obstacle::Evacuated},
--- a/Userland/Libraries/LibGateway/Availability.h
+++ b/Userland/Libraries/LibGateway/Availability.h
@@ -14,7 +14,7 @@
     OtherService,
     /// No registration names the upstream any more.
     Unregistered,
-    /// Another incarnation is registered under its id, or it is registered at another address.
+    /// Another incarnation is registered under its id or at its address, or it is registered at another address.
     Replaced,
     /// Its registration says that it is draining.
     Draining,
@@ -78,6 +78,8 @@
 /// What an entry knows of an upstream with regard to one call.
 struct UpstreamConditions {
     bool sameService = true;
+    /// A later incarnation is registered at its address.
+    bool replaced = false;
     bool draining = false;
     bool leaving = false;
     bool evacuated = false;
--- a/Userland/Libraries/LibGateway/RefusalProof.cpp
+++ b/Userland/Libraries/LibGateway/RefusalProof.cpp
@@ -9,7 +9,6 @@
 {
 
 constexpr int firstErrorStatus = 400;
-constexpr int misdirectedStatus = 421;
 // Clients take these for "not run, try again", whoever sends them.
 constexpr std::array promisingStatuses{408, 429, 503};
 
--- a/Userland/Libraries/LibGateway/RefusalProof.h
+++ b/Userland/Libraries/LibGateway/RefusalProof.h
@@ -6,6 +6,9 @@
 namespace LibGateway
 {
 
+/// Status by which an upstream refuses a request that is meant for another incarnation or other weights (421 Misdirected Request, RFC 9110).
+inline constexpr int misdirectedStatus = 421;
+
 /// What a response proves about the request that it was received for.
 enum class RefusalProof {
     /// The response is no refusal: the request has run or may have.
--- a/Userland/Services/Fleet/PeerExchange.cpp
+++ b/Userland/Services/Fleet/PeerExchange.cpp
@@ -215,6 +215,12 @@
     return peer.status();
 }
 
+bool PeerExchange::knowsFleet() const
+{
+    constexpr std::array needed{LibFleet::ObjectKind::Configuration, LibFleet::ObjectKind::Upstreams, LibFleet::ObjectKind::Entries};
+    return std::all_of(needed.begin(), needed.end(), [&](LibFleet::ObjectKind kind) { return this->feeds.position(kind) > 0; });
+}
+
 void PeerExchange::exchangeWith(kj::WaitScope &scope, const Partner &partner)
 {
     const std::string address = partner.address.text();
@@ -240,7 +246,7 @@
         if (now - answeredAt > liveMaxAge) {
             this->silentUntil[address] = now + silentTime;
         }
-        this->waitForTurn(scope, partner, reached ? partner.interval : unreachedInterval, sentPushes);
+        this->waitForTurn(scope, partner, reached && this->knowsFleet() ? partner.interval : unreachedInterval, sentPushes);
     }
     this->activeAddresses.erase(address);
 }
--- a/Userland/Services/Fleet/PeerExchange.h
+++ b/Userland/Services/Fleet/PeerExchange.h
@@ -103,6 +103,9 @@
     /// Reads the newer objects of an entry that has just announced them.
     void pullSoon(const LibPeers::NodeState &peer);
     bool hasNewer(const LibPeers::NodeState &peer) const;
+    /// Whether this process has read what it needs from the store or from others. Until then it exchanges at short intervals. Load pattern: all hosts of a
+    /// deployment return from a loss of power, and engines wait for the agents, which wait for the entries.
+    bool knowsFleet() const;
     /// Decides whether this entry or others of its region watch the store.
     void chooseStoreWatchers();
     EntryViews::Revisions ownRevisions() const;
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -159,6 +159,9 @@
             if (sent.unproven) {
                 this->context.dispatcher.suspend(upstream);
             }
+            if (sent.misdirected) {
+                this->context.dispatcher.recordMisdirection(upstream, (*grant)->heldWeights());
+            }
             if (sent.connectionEnded) {
                 this->recordBrokenCall(upstream);
             }
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -332,6 +332,11 @@
     this->table.suspend(upstream);
 }
 
+void Dispatcher::recordMisdirection(const LibFleet::UpstreamRecord &upstream, int64_t heldWeights)
+{
+    this->table.notices().recordMisdirection(upstream, heldWeights);
+}
+
 void Dispatcher::recordResponse(const LibFleet::UpstreamRecord &upstream, const LibGateway::ResponseInfo &response, AK::Milliseconds sentAt)
 {
     this->table.recordRateLimit(upstream, response.callsPerSecondLimit, sentAt);
--- a/Userland/Services/Gateway/Dispatcher.h
+++ b/Userland/Services/Gateway/Dispatcher.h
@@ -86,6 +86,8 @@
     void recordOutcome(const LibFleet::UpstreamRecord &upstream, bool failed);
     /// Sends no calls to an upstream for a while; for a failure that no sound upstream shows.
     void suspend(const LibFleet::UpstreamRecord &upstream);
+    /// Records that an upstream, which was taken to hold `heldWeights`, refused a call as misdirected.
+    void recordMisdirection(const LibFleet::UpstreamRecord &upstream, int64_t heldWeights);
     void recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting);
     void recordReport(const LibPeers::EngineReport &report);
     /// Records what the head of a response says about the upstream's rate limit and leaving. `sentAt`: monotonic time at which the call was sent.
--- a/Userland/Services/Gateway/UpstreamCall.cpp
+++ b/Userland/Services/Gateway/UpstreamCall.cpp
@@ -137,7 +137,9 @@
     if (this->isContradicted(scope)) {
         return {SendOutcome::Unknown, false, AK::concat("unproven refusal: status ", this->head.status, " is followed by more bytes")};
     }
-    return {SendOutcome::NotRun, true, AK::concat("refused with ", this->head.status)};
+    Result refused{SendOutcome::NotRun, true, AK::concat("refused with ", this->head.status)};
+    refused.misdirected = this->head.status == LibGateway::misdirectedStatus;
+    return refused;
 }
 
 bool UpstreamCall::isContradicted(kj::WaitScope &scope)
--- a/Userland/Services/Gateway/UpstreamCall.h
+++ b/Userland/Services/Gateway/UpstreamCall.h
@@ -51,6 +51,8 @@
         bool unproven = false;
         /// Nothing was sent, because the upstream may not get the call any more.
         std::optional<LibGateway::Obstacle> withheldBy;
+        /// The refusal says that another incarnation, or other weights than expected, are at the address.
+        bool misdirected = false;
     };
 
     /// Names what keeps the call from its upstream by now.
--- a/Userland/Services/Gateway/UpstreamNotices.cpp
+++ b/Userland/Services/Gateway/UpstreamNotices.cpp
@@ -8,6 +8,8 @@
 
 // Far above the upstreams of a deployment that leave within hours.
 constexpr size_t maxLeavingNotices = 4'096;
+// More than the upstreams of the largest deployment.
+constexpr size_t maxMisdirections = 4'096;
 // News are sent with every exchange for this long, so that they reach the entries that don't exchange with this one.
 constexpr AK::Milliseconds newsTime = 2'000;
 
@@ -59,6 +61,23 @@
     return this->pauses;
 }
 
+void UpstreamNotices::recordMisdirection(const LibFleet::UpstreamRecord &upstream, int64_t heldWeights)
+{
+    const AK::Milliseconds now = this->clock.now();
+    const AK::Milliseconds before = this->misdirectedUntil(upstream, heldWeights);
+    const AK::Milliseconds until = LibGateway::recordMisdirection(this->misdirections, upstream.id, {upstream.startTime, heldWeights}, now, maxMisdirections);
+    if (until != before) {
+        ++this->uncounted[NoticeKind::Misdirected];
+        this->logger.info("upstream_misdirected",
+                          {{"upstream", upstream.id}, {"born", upstream.startTime}, {"version", heldWeights}, {"pause_ms", until - now}});
+    }
+}
+
+AK::Milliseconds UpstreamNotices::misdirectedUntil(const LibFleet::UpstreamRecord &upstream, int64_t heldWeights) const
+{
+    return LibGateway::misdirectedUntil(this->misdirections, upstream.id, {upstream.startTime, heldWeights});
+}
+
 void UpstreamNotices::recordLeaving(const std::string &upstream, int64_t startTime, std::string_view from)
 {
     if (LibGateway::recordLeaving(this->leaving, upstream, startTime, this->clock.now(), maxLeavingNotices)) {
--- a/Userland/Services/Gateway/UpstreamNotices.h
+++ b/Userland/Services/Gateway/UpstreamNotices.h
@@ -4,6 +4,7 @@
 #include <LibFleet/FleetState.h>
 #include <LibGateway/Codec.h>
 #include <LibGateway/Leaving.h>
+#include <LibGateway/Misdirection.h>
 #include <LibGateway/Pause.h>
 #include <LibLog/Logger.h>
 #include <LibMetrics/MetricRegistry.h>
@@ -18,11 +19,14 @@
     Leaving,
     /// It wants none of this entry for some time.
     Pause,
+    /// It is not the incarnation, or does not hold the weights, that the call was meant for.
+    Misdirected,
 };
 
 inline constexpr std::array noticeKindNames{
     AK::EnumName{NoticeKind::Leaving, "leaving"},
     AK::EnumName{NoticeKind::Pause, "pause"},
+    AK::EnumName{NoticeKind::Misdirected, "misdirected"},
 };
 
 /// What the upstreams themselves have said about new calls, in their responses to this entry. It holds whatever the store or another entry says of them.
@@ -44,6 +48,12 @@
 
     const LibGateway::PauseSettings &pauseSettings() const;
 
+    /// Records that an upstream, which was taken to hold `heldWeights`, refused a call as misdirected.
+    void recordMisdirection(const LibFleet::UpstreamRecord &upstream, int64_t heldWeights);
+
+    /// Monotonic time before which an upstream gets no call because of such a refusal; 0 without one.
+    AK::Milliseconds misdirectedUntil(const LibFleet::UpstreamRecord &upstream, int64_t heldWeights) const;
+
     /// Adds what other entries may not know yet to the state that they get: recent news, and notices of upstreams that are still registered as ready, so that
     /// an entry that has just started learns of them.
     void addTo(LibPeers::NodeState &state) const;
@@ -62,6 +72,7 @@
     LibGateway::PauseSettings pauses;
     /// By id of the upstream, so that a registration which changes to and fro does not end a pause.
     std::map<std::string, LibGateway::Pause> pauseOf;
+    LibGateway::Misdirections misdirections;
     AK::Random random;
     std::map<NoticeKind, int64_t> uncounted;
     LibLog::Logger logger{"dispatcher"};
--- a/Userland/Services/Gateway/UpstreamTable.cpp
+++ b/Userland/Services/Gateway/UpstreamTable.cpp
@@ -50,6 +50,7 @@
     if (!conditions.sameService) {
         return LibGateway::hindranceTo(conditions, this->clock.now());
     }
+    conditions.replaced = record.replaced;
     conditions.draining = record.state != LibFleet::UpstreamState::Ready;
     conditions.leaving = this->upstreamNotices.isLeaving(record);
     conditions.evacuated = this->fleet.isEvacuated(record.failureDomain);
@@ -57,7 +58,8 @@
     conditions.excluded = requirements.excluded.contains(record.id);
     const LibGateway::UpstreamLoad *load = this->knownLoad(record);
     conditions.pausedUntil = this->upstreamNotices.pausedUntil(record);
-    conditions.suspendedUntil = load == nullptr ? 0 : load->suspendedUntil;
+    conditions.suspendedUntil =
+        std::max(load == nullptr ? 0 : load->suspendedUntil, this->upstreamNotices.misdirectedUntil(record, this->heldWeightsVersion(record)));
     if (stage != CallStage::Send) {
         conditions.resuming = this->upstreamNotices.isResuming(record, load == nullptr ? 0 : load->ownInFlight);
         const bool freshReport = this->hasFreshReport(record);
