LibFleet: End the grace of a marked upstream with that of its sender

A mark of a lapsed or outdated object began the whole grace time anew at each process that learned of it, and put an upstream back in force at processes that knew it to be removed. The mark now carries what is left of the grace (`lapsedLeftMs`; 0 from an older build means all of it), and a process ignores a mark for a state that it has taken out of force itself, unless its own store may have been away.

--- a/Tests/LibFleet/TestRestoredCopy.cpp
+++ b/Tests/LibFleet/TestRestoredCopy.cpp
@@ -53,4 +53,32 @@
                                          RepeatCase{"lapsed_once_more", true, true, true}),
                          [](const auto &info) { return info.param.name; });
 
+struct GraceLeftCase {
+    const char *name;
+    bool lapsed;
+    AK::Milliseconds told;
+    AK::Milliseconds kept;
+};
+
+class GraceLeftTest : public testing::TestWithParam<GraceLeftCase>
+{
+};
+
+// Guards against grace times that add up: each process that learned of a mark began the whole time anew.
+TEST_P(GraceLeftTest, EndsWithThatOfTheSender)
+{
+    const bool lapsed = GetParam().lapsed;
+    LibFleet::RestoredCopy restored;
+    LibFleet::ObjectSnapshot snapshot;
+    snapshot.replace({20, lapsed ? std::vector<StoredObject>{} : std::vector<StoredObject>{{"x", "state", false, false, 5}}});
+    restored.adopt({20, {{"x", "state", false, lapsed, lapsed ? 0 : 5, !lapsed, GetParam().told}}}, start, grace);
+    EXPECT_EQ(restored.merge(snapshot, start + GetParam().kept - 1).contains("x"), lapsed);
+    EXPECT_EQ(restored.merge(snapshot, start + GetParam().kept).contains("x"), !lapsed);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, GraceLeftTest,
+                         testing::Values(GraceLeftCase{"lapsed", true, 700, 700}, GraceLeftCase{"out_of_date", false, 700, 700},
+                                         GraceLeftCase{"older_build", true, 0, grace}, GraceLeftCase{"longer_than_the_grace", true, 90'000, grace}),
+                         [](const auto &info) { return info.param.name; });
+
 } // namespace
--- a/Tests/Services/Fleet/TestRemovedUpstreams.cpp
+++ b/Tests/Services/Fleet/TestRemovedUpstreams.cpp
@@ -201,4 +201,44 @@
     EXPECT_LE(this->timeUntilRemoved(), 1'000);
 }
 
+struct MarkCase {
+    const char *name;
+    /// Spec of the upstream in the mark of the other process.
+    const char *marked;
+    /// The store of this process was away when the mark comes.
+    bool storeAway;
+    bool inForce;
+};
+
+class MarkTest : public ObjectFeedsTest, public testing::WithParamInterface<MarkCase>
+{
+};
+
+// Guards against a mark of a process that was cut off, which puts an upstream back in force at one that knows it to be removed from the store.
+TEST_P(MarkTest, PutsBackOnlyWhatMayHaveBeenMissed)
+{
+    this->feeds.watchStore();
+    ASSERT_TRUE(this->waitForNames({"a", "b"}));
+    this->source.change = {20, {{"a", "", true}}};
+    ASSERT_TRUE(this->waitForNames({"b"}));
+    this->source.all = {20, {{"b", "1", false}}};
+    if (GetParam().storeAway) {
+        ASSERT_TRUE(this->loseStore());
+    }
+    constexpr AK::Milliseconds graceLeft = 200;
+    this->feeds.accept(ObjectKind::Upstreams, {21, {{"a", GetParam().marked, false, true, 0, false, graceLeft}, {"b", "1", false}}}, "peer");
+    EXPECT_EQ(this->decoder.names, GetParam().inForce ? (std::vector<std::string>{"a", "b"}) : std::vector<std::string>{"b"});
+    const AK::Milliseconds begin = this->loop.clock().now();
+    this->source.down = false;
+    EXPECT_TRUE(this->waitForNames({"b"}));
+    if (!GetParam().storeAway) {
+        EXPECT_LT(this->loop.clock().now() - begin, 2 * graceLeft) << "ends with the grace of the sender";
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, MarkTest,
+                         testing::Values(MarkCase{"removed", "1", false, false}, MarkCase{"registered_again_since", "2", false, true},
+                                         MarkCase{"store_was_away", "1", true, true}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
--- a/Userland/Libraries/LibFleet/ObjectFeed.cpp
+++ b/Userland/Libraries/LibFleet/ObjectFeed.cpp
@@ -93,6 +93,11 @@
     return this->awaitingAnswer;
 }
 
+AK::Milliseconds ExpiredLeases::graceLeft(AK::Milliseconds now) const
+{
+    return this->awaitingAnswer ? expiredLeaseGrace : std::max<AK::Milliseconds>(0, this->recoveredAt + expiredLeaseGrace - now);
+}
+
 std::map<std::string, std::string> ExpiredLeases::merge(const std::map<std::string, std::string> &previous, const std::map<std::string, std::string> &current,
                                                         AK::Milliseconds now, AK::Milliseconds &expiresAt) const
 {
--- a/Userland/Libraries/LibFleet/ObjectFeed.h
+++ b/Userland/Libraries/LibFleet/ObjectFeed.h
@@ -44,6 +44,8 @@
     int64_t revision = 0;
     /// Sent between processes: in the store, which came back from an older copy, but known to be out of date and not in force.
     bool outOfDate = false;
+    /// Sent between processes: what is left of the grace time of `lapsed` or `outOfDate`, in ms; 0 when unknown.
+    AK::Milliseconds graceLeft = 0;
 };
 
 /// All objects of a kind, or only those that have changed, up to `position`.
@@ -97,6 +99,8 @@
     bool storeAnswered(AK::Milliseconds now);
     /// Whether the last call failed, so that it is not known yet whether the store is away.
     bool awaitsAnswer() const;
+    /// Time for which upstreams that the store has lost stay in force, in ms; all of the grace while an answer is awaited.
+    AK::Milliseconds graceLeft(AK::Milliseconds now) const;
 
     /// Returns `current`, and while an answer is awaited and in the grace period also the objects that only `previous` has. `expiresAt` is set to the time at
     /// which these are to be removed, or 0 when there are none or an answer is awaited.
--- a/Userland/Libraries/LibFleet/RestoredCopy.cpp
+++ b/Userland/Libraries/LibFleet/RestoredCopy.cpp
@@ -14,6 +14,11 @@
 constexpr AK::Milliseconds replacedStateAge = 60'000;
 constexpr AK::Milliseconds forgetInterval = 5'000;
 
+AK::Milliseconds graceOf(const StoredObject &object, AK::Milliseconds grace)
+{
+    return object.graceLeft > 0 ? std::min(grace, object.graceLeft) : grace;
+}
+
 } // namespace
 
 void RestoredCopy::recordReplaced(const std::string &name, const ObjectSnapshot &snapshot, AK::Milliseconds now)
@@ -78,12 +83,12 @@
 {
     for (const StoredObject &object : page.objects) {
         if (object.lapsed && addMark(this->lapsedMarks, object.name, object.spec, now)) {
-            this->known[object.name] = {object.spec, now + grace};
+            this->known[object.name] = {object.spec, now + graceOf(object, grace)};
             this->copy = std::max(this->copy, page.position);
         }
         if (object.outOfDate && addMark(this->outOfDateMarks, object.name, object.spec, now)) {
             this->replaced[object.name].push_back({object.revision, AK::stableHash(object.spec), now});
-            this->unusedUntil[object.name] = now + grace;
+            this->unusedUntil[object.name] = now + graceOf(object, grace);
             this->copy = std::max(this->copy, page.position);
         }
     }
@@ -112,11 +117,27 @@
     return merged;
 }
 
-bool RestoredCopy::isOutOfUse(const std::string &name, int64_t revision, const std::string &spec, AK::Milliseconds now) const
+bool RestoredCopy::withinGrace(AK::Milliseconds now) const
+{
+    return now < this->endsAt;
+}
+
+AK::Milliseconds RestoredCopy::keptLeft(const std::string &name, AK::Milliseconds now) const
+{
+    const auto object = this->known.find(name);
+    return object == this->known.end() ? 0 : std::max<AK::Milliseconds>(0, object->second.endsAt - now);
+}
+
+AK::Milliseconds RestoredCopy::unusedLeft(const std::string &name, AK::Milliseconds now) const
 {
     const auto until = this->unusedUntil.find(name);
-    const bool withinGrace = now < this->endsAt || (until != this->unusedUntil.end() && now < until->second);
-    return withinGrace && revision <= this->copy.revision && this->isReplaced(name, revision, spec);
+    const AK::Milliseconds end = until == this->unusedUntil.end() ? this->endsAt : std::max(this->endsAt, until->second);
+    return std::max<AK::Milliseconds>(0, end - now);
+}
+
+bool RestoredCopy::isOutOfUse(const std::string &name, int64_t revision, const std::string &spec, AK::Milliseconds now) const
+{
+    return this->unusedLeft(name, now) > 0 && revision <= this->copy.revision && this->isReplaced(name, revision, spec);
 }
 
 bool RestoredCopy::isReplaced(const std::string &name, int64_t revision, const std::string &spec) const
--- a/Userland/Libraries/LibFleet/RestoredCopy.h
+++ b/Userland/Libraries/LibFleet/RestoredCopy.h
@@ -23,12 +23,20 @@
     void storeRestored(std::map<std::string, std::string> inForce, StorePosition position, AK::Milliseconds now, AK::Milliseconds grace);
 
     /// Takes over what another process keeps in force against the copy, and what it keeps out of force, according to the marks of the objects in `page`. Each
-    /// state is taken over once: processes that repeat each other's marks would otherwise keep it for as long as objects change.
+    /// state is taken over once: processes that repeat each other's marks would otherwise keep it for as long as objects change. It ends with the grace of the
+    /// other process, or after `grace` if that is unknown.
     void adopt(const ObjectPage &page, AK::Milliseconds now, AK::Milliseconds grace);
 
     /// The object has been removed in the new history.
     void forget(const std::string &name);
 
+    /// Whether what this process keeps itself against a restored copy is still in its grace.
+    bool withinGrace(AK::Milliseconds now) const;
+
+    /// What is left of the grace of an object that is kept, or of one that is kept out of force, in ms.
+    AK::Milliseconds keptLeft(const std::string &name, AK::Milliseconds now) const;
+    AK::Milliseconds unusedLeft(const std::string &name, AK::Milliseconds now) const;
+
     /// Objects to be in force when the store holds `snapshot`.
     std::map<std::string, std::string> merge(const ObjectSnapshot &snapshot, AK::Milliseconds now);
 
--- a/Userland/Libraries/LibPeers/PeerClient.cpp
+++ b/Userland/Libraries/LibPeers/PeerClient.cpp
@@ -227,8 +227,8 @@
             page.position = {response.getRevision(), response.getEra()};
             requireRows(response.getObjects().size(), LibFleet::maxObjects);
             for (const auto object : response.getObjects()) {
-                page.objects.push_back(
-                    {std::string(object.getName().cStr()), toBytes(object.getSpec()), false, object.getLapsed(), object.getRevision(), object.getOutOfDate()});
+                page.objects.push_back({std::string(object.getName().cStr()), toBytes(object.getSpec()), false, object.getLapsed(), object.getRevision(),
+                                        object.getOutOfDate(), object.getLapsedLeftMs()});
             }
             return page;
         });
--- a/Userland/Libraries/LibPeers/PeerServer.cpp
+++ b/Userland/Libraries/LibPeers/PeerServer.cpp
@@ -5,6 +5,7 @@
 #include <LibPeers/MessageLimits.h>
 #include <LibPeers/WireCodec.h>
 #include <LibPeers/generated/peers.capnp.h>
+#include <algorithm>
 #include <capnp/rpc-twoparty.h>
 #include <kj/debug.h>
 
@@ -120,6 +121,7 @@
             objects[i].setName(page.objects[i].name.c_str());
             objects[i].setSpec(asData(page.objects[i].spec));
             objects[i].setLapsed(page.objects[i].lapsed);
+            objects[i].setLapsedLeftMs(static_cast<uint32_t>(std::clamp<AK::Milliseconds>(page.objects[i].graceLeft, 0, UINT32_MAX)));
             objects[i].setRevision(page.objects[i].revision);
             objects[i].setOutOfDate(page.objects[i].outOfDate);
         }
--- a/Userland/Libraries/LibPeers/peers.capnp
+++ b/Userland/Libraries/LibPeers/peers.capnp
@@ -41,6 +41,9 @@
   eras @19 :List(Int64);      # era of the store to which each of `revisions` belongs; missing ones are 0
   leavingUpstreams @20 :List(LeavingUpstream);  # between entries: those of which others may not know yet
   weightsTargets @21 :List(WeightsTargetReport);  # weights named lately, also those that newer ones have replaced
+  # Ages of the begin and the end of a period in which the store answered without an absence in which leases can lapse; both 0 when unknown.
+  storeSteadyFromMs @22 :UInt32;
+  storeSteadyToMs @23 :UInt32;
 }
 
 struct CrashReport {
@@ -89,6 +92,7 @@
   lapsed @2 :Bool;            # not in the store in this state; in force for a grace time
   revision @3 :Int64;         # of its last change
   outOfDate @4 :Bool;         # in the store, which came back from an older copy, but not in force for a grace time
+  lapsedLeftMs @5 :UInt32;    # what is left of the grace time of `lapsed` or `outOfDate`; 0 from an older build, which means all of it
 }
 
 # Asks for a slot (`place` on the wire) at an upstream that the other entry owns.
--- a/Userland/Services/Fleet/ObjectFeeds.cpp
+++ b/Userland/Services/Fleet/ObjectFeeds.cpp
@@ -2,6 +2,7 @@
 
 #include <AK/StatusMacros.h>
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace Fleet
@@ -261,7 +262,7 @@
                               {"previous_era", before.era},
                               {"previous_revision", before.revision}});
         feed.restored.storeRestored(feed.inForce, page.position, now, graceFor(kind));
-        this->endGraceLater(kind);
+        this->endGraceLater(kind, graceFor(kind));
     } else {
         feed.restored.recordReplaced(feed.snapshot, page, true, now);
     }
@@ -313,13 +314,13 @@
 {
     if (this->expiredLeases.storeAnswered(this->loop.clock().now())) {
         this->logger.info("leases_may_have_lapsed", {{"grace_ms", LibFleet::expiredLeaseGrace}});
-        this->endGraceLater(ObjectKind::Upstreams);
+        this->endGraceLater(ObjectKind::Upstreams, LibFleet::expiredLeaseGrace);
     }
 }
 
-void ObjectFeeds::endGraceLater(ObjectKind kind)
+void ObjectFeeds::endGraceLater(ObjectKind kind, AK::Milliseconds grace)
 {
-    const AK::Milliseconds graceEnd = this->loop.clock().now() + graceFor(kind);
+    const AK::Milliseconds graceEnd = this->loop.clock().now() + grace;
     this->loop.spawn([this, kind, graceEnd](kj::WaitScope &scope) {
         // The loop's timers count from its last turn, which may be some ms ago, so a sleep can end too early.
         while (this->loop.clock().now() < graceEnd) {
@@ -341,10 +342,17 @@
     }
     const AK::Milliseconds now = this->loop.clock().now();
     this->logger.info("objects_from_peer", {{"kind", nameOf(kind)}, {"era", page.position.era}, {"revision", page.position.revision}, {"peer", from}});
-    feed.restored.adopt(page, now, graceFor(kind));
+    const LibFleet::ObjectPage adopted = this->withoutRefutedMarks(kind, page, from);
+    feed.restored.adopt(adopted, now, graceFor(kind));
     this->publish(kind, feed.restored.merge(feed.snapshot, now), this->loop.clock().uninterruptedTime() - feed.currentAt);
-    if (std::any_of(page.objects.begin(), page.objects.end(), [](const auto &object) { return object.lapsed || object.outOfDate; })) {
-        this->endGraceLater(kind);
+    std::set<AK::Milliseconds> graces;
+    for (const LibFleet::StoredObject &object : adopted.objects) {
+        if (object.lapsed || object.outOfDate) {
+            graces.insert(object.graceLeft > 0 ? std::min(object.graceLeft, graceFor(kind)) : graceFor(kind));
+        }
+    }
+    for (const AK::Milliseconds grace : graces) {
+        this->endGraceLater(kind, grace);
     }
 }
 
--- a/Userland/Services/Fleet/ObjectFeeds.h
+++ b/Userland/Services/Fleet/ObjectFeeds.h
@@ -3,6 +3,7 @@
 #include <AK/StandstillWatch.h>
 #include <Fleet/ObjectSource.h>
 #include <LibFleet/ObjectFeed.h>
+#include <LibFleet/RemovedObjects.h>
 #include <LibFleet/RestoredCopy.h>
 #include <LibFleet/StoreTimes.h>
 #include <array>
@@ -76,6 +77,7 @@
         AK::Milliseconds currentAt = 0;
         /// What stays in force, or out of force, against a restored copy.
         LibFleet::RestoredCopy restored;
+        LibFleet::RemovedObjects removed;
         /// A list is under way.
         bool listing = false;
     };
@@ -97,8 +99,12 @@
     void publish(LibFleet::ObjectKind kind, std::map<std::string, std::string> inForce, AK::Milliseconds unnoticed);
     /// Publishes the objects of the store, with upstreams whose leases expired in an outage.
     void publishFromStore(LibFleet::ObjectKind kind, AK::Milliseconds unnoticed = 0);
-    /// Publishes the objects again when the time is over in which those that the store has lost stay in force.
-    void endGraceLater(LibFleet::ObjectKind kind);
+    /// Publishes the objects again when the time `grace` in ms is over in which those that the store has lost stay in force.
+    void endGraceLater(LibFleet::ObjectKind kind, AK::Milliseconds grace);
+    /// The objects of another process without the marks that would put back in force what is known to be removed.
+    LibFleet::ObjectPage withoutRefutedMarks(LibFleet::ObjectKind kind, const LibFleet::ObjectPage &page, std::string_view from) const;
+    /// What is left of the time for which an object stays in force that the store lacks, in ms.
+    AK::Milliseconds keptLeft(LibFleet::ObjectKind kind, const std::string &name) const;
     void logKeptObjects(LibFleet::ObjectKind kind) const;
     /// Lists a kind whose watch ended without an answer. `askedAt`: when it began, by AK::Clock::uninterruptedTime().
     absl::Status listAfterCut(kj::WaitScope &scope, LibFleet::ObjectKind kind, const absl::Status &reason, AK::Milliseconds askedAt);
--- a/Userland/Services/Fleet/ObjectFeedsContent.cpp
+++ b/Userland/Services/Fleet/ObjectFeedsContent.cpp
@@ -1,5 +1,6 @@
 #include <Fleet/ObjectFeeds.h>
 
+#include <algorithm>
 #include <set>
 
 namespace Fleet
@@ -42,6 +43,7 @@
 void ObjectFeeds::publish(ObjectKind kind, std::map<std::string, std::string> inForce, AK::Milliseconds unnoticed)
 {
     Feed &feed = this->feed(kind);
+    feed.removed.record(feed.inForce, inForce, this->loop.clock().now());
     feed.inForce = std::move(inForce);
     feed.agentParts.clear();
     for (const auto &[name, spec] : feed.inForce) {
@@ -92,6 +94,35 @@
     return used != feed.inForce.end() && stored != feed.snapshot.specs.end() && used->second == stored->second;
 }
 
+AK::Milliseconds ObjectFeeds::keptLeft(ObjectKind kind, const std::string &name) const
+{
+    const AK::Milliseconds now = this->loop.clock().now();
+    const AK::Milliseconds leaseGrace = kind == ObjectKind::Upstreams ? this->expiredLeases.graceLeft(now) : 0;
+    // 0 would mean that it is unknown.
+    return std::max<AK::Milliseconds>({1, leaseGrace, this->feed(kind).restored.keptLeft(name, now)});
+}
+
+LibFleet::ObjectPage ObjectFeeds::withoutRefutedMarks(ObjectKind kind, const LibFleet::ObjectPage &page, std::string_view from) const
+{
+    const Feed &feed = this->feed(kind);
+    const AK::Milliseconds now = this->loop.clock().now();
+    // Another process may know of a state that this one missed while its store was away.
+    const bool mayHaveMissedIt = feed.restored.withinGrace(now) || (kind == ObjectKind::Upstreams && this->expiredLeases.graceLeft(now) > 0);
+    LibFleet::ObjectPage accepted{page.position, {}};
+    std::set<std::string> refuted;
+    for (const LibFleet::StoredObject &object : page.objects) {
+        if (object.lapsed && !mayHaveMissedIt && feed.removed.contains(object.name, object.spec)) {
+            refuted.insert(object.name);
+        } else {
+            accepted.objects.push_back(object);
+        }
+    }
+    if (!refuted.empty()) {
+        this->logger.info("marks_refuted", {{"kind", AK::nameOf(LibFleet::objectKindNames, kind)}, {"removed", refuted}, {"peer", from}});
+    }
+    return accepted;
+}
+
 LibFleet::ObjectPage ObjectFeeds::objects(ObjectKind kind, LibFleet::StorePosition newerThan, bool agentPart) const
 {
     const Feed &feed = this->feed(kind);
@@ -104,11 +135,12 @@
     };
     for (const auto &[name, spec] : agentPart ? feed.agentParts : feed.inForce) {
         const bool stored = this->isStored(kind, name);
-        page.objects.push_back({name, spec, false, !stored, stored ? revisionOf(name) : 0});
+        page.objects.push_back({name, spec, false, !stored, stored ? revisionOf(name) : 0, false, stored ? 0 : this->keptLeft(kind, name)});
     }
     for (const auto &[name, spec] : feed.snapshot.specs) {
         if (!this->isStored(kind, name)) {
-            page.objects.push_back({name, agentPart ? this->decoder.agentPart(kind, spec) : spec, false, false, revisionOf(name), true});
+            const AK::Milliseconds left = std::max<AK::Milliseconds>(1, feed.restored.unusedLeft(name, this->loop.clock().now()));
+            page.objects.push_back({name, agentPart ? this->decoder.agentPart(kind, spec) : spec, false, false, revisionOf(name), true, left});
         }
     }
     return page;
