Fleet: End the grace of a process that was cut off from a steady store

A process that was cut off from the store took its own absence for one of the store: it kept removed upstreams for 2,300 ms, and an entry that had been on standby did so after a single cut watch, because its last answer was old.

Each process now keeps the period in which the store answered it or others without an absence in which leases can lapse, and sends it with each exchange (`storeSteadyFromMs`, `storeSteadyToMs`). If that covers its own absence, it starts no grace period or ends the one that runs, and drops the marks that it took over. The ages of a response count so that a slow call never makes the period longer.

--- a/Tests/LibPeers/TestWireCodec.cpp
+++ b/Tests/LibPeers/TestWireCodec.cpp
@@ -135,6 +135,19 @@
     EXPECT_EQ(decoded.leavingUpstreams[1].startTime, 0);
 }
 
+// Guards against a begin and an end of a steady period that are taken for each other.
+TEST(SteadyStoreCodec, ReturnsWhatWasSent)
+{
+    NodeState state;
+    state.storeSteadyFrom = 90'000;
+    state.storeSteadyTo = 1'250;
+    capnp::MallocMessageBuilder message;
+    encode(state, message.initRoot<PeerWire::NodeState>());
+    const NodeState decoded = decode(message.getRoot<PeerWire::NodeState>().asReader());
+    EXPECT_EQ(decoded.storeSteadyFrom, 90'000);
+    EXPECT_EQ(decoded.storeSteadyTo, 1'250);
+}
+
 // Guards against the age of a version of the weights that is taken for another one's on the way to another entry.
 TEST(WeightsTargetCodec, ReturnsWhatWasSent)
 {
--- a/Tests/Services/Fleet/TestRemovedUpstreams.cpp
+++ b/Tests/Services/Fleet/TestRemovedUpstreams.cpp
@@ -201,6 +201,85 @@
     EXPECT_LE(this->timeUntilRemoved(), 1'000);
 }
 
+// Guards against entries that take each other's answers from before and after an outage for a steady store, and remove the upstreams whose leases lapsed.
+TEST_F(RemovedUpstreamTest, StaysInForceAfterAnAbsenceOfTheStore)
+{
+    constexpr AK::Milliseconds awayTime = 4'000;
+    // Longer than the pause between two calls to a store that does not answer.
+    constexpr AK::Milliseconds recoveryTime = 1'000;
+    this->sleep(LibFleet::expiredLeaseGrace + 200);
+    this->store.away = true;
+    this->sleep(awayTime);
+    this->removeFirstUpstream();
+    this->store.away = false;
+    this->sleep(recoveryTime);
+    for (const auto &entry : this->entries) {
+        EXPECT_EQ(entry->decoder.names, (std::vector<std::string>{"a", "b"})) << entry->name;
+    }
+    EXPECT_LE(this->timeUntilRemoved(), LibFleet::expiredLeaseGrace) << "graces don't add up";
+}
+
+struct EvidenceCase {
+    const char *name;
+    /// Whether others tell of a steady store before the store has answered, or afterwards.
+    bool toldBefore;
+    bool toldAfter;
+    bool kept;
+};
+
+class SteadyStoreTest : public ObjectFeedsTest, public testing::WithParamInterface<EvidenceCase>
+{
+protected:
+    void tellSteadyStore()
+    {
+        const AK::Milliseconds now = this->loop.clock().now();
+        this->feeds.noteSteadyStore({now - 60'000, now}, "peer");
+    }
+};
+
+// Guards against an entry that has been on standby, so that its last answer is old, and takes one cut watch for an absence in which leases lapsed; and against
+// one that learns only after the first answer that the store was there.
+TEST_P(SteadyStoreTest, EndsTheGraceOfAnAbsenceOfThisProcess)
+{
+    this->feeds.watchStore();
+    ASSERT_TRUE(this->waitForNames({"a", "b"}));
+    this->feeds.setWatching(false);
+    // Ends the watch that is waiting.
+    this->source.change = {15, {}};
+    this->loop.sleep(this->loop.rootScope(), 4 * LibFleet::shortestLapse(times.leaseRenewal));
+    this->source.change = {};
+    if (GetParam().toldBefore) {
+        this->tellSteadyStore();
+    }
+    this->source.watchEnd = absl::UnavailableError("reset");
+    this->source.all = {20, {{"b", "1", false}}};
+    this->feeds.setWatching(true);
+    ASSERT_TRUE(this->waitFor([&] { return this->feeds.position(ObjectKind::Upstreams).revision == 20; }));
+    if (GetParam().toldAfter) {
+        this->tellSteadyStore();
+    }
+    EXPECT_EQ(this->decoder.names.size(), GetParam().kept ? 2U : 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, SteadyStoreTest,
+                         testing::Values(EvidenceCase{"not_told", false, false, true}, EvidenceCase{"told_on_standby", true, false, false},
+                                         EvidenceCase{"told_in_the_grace", false, true, false}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+// Guards against an upstream that stays in force at a process which learned of its mark while the store was there for others.
+TEST_P(SteadyStoreTest, EndsTheGraceOfMarks)
+{
+    this->feeds.accept(ObjectKind::Upstreams, {20, {{"a", "1", false, false, 8}, {"b", "1", false, false, 9}}}, "peer");
+    if (GetParam().toldBefore) {
+        this->tellSteadyStore();
+    }
+    this->feeds.accept(ObjectKind::Upstreams, {21, {{"a", "1", false, true, 0, false, 2'000}, {"b", "1", false, false, 9}}}, "peer");
+    if (GetParam().toldAfter) {
+        this->tellSteadyStore();
+    }
+    EXPECT_EQ(this->decoder.names.size(), GetParam().kept ? 2U : 1U);
+}
+
 struct MarkCase {
     const char *name;
     /// Spec of the upstream in the mark of the other process.
--- a/Userland/Libraries/LibFleet/ObjectFeed.cpp
+++ b/Userland/Libraries/LibFleet/ObjectFeed.cpp
@@ -64,11 +64,13 @@
 bool ExpiredLeases::storeAnswered(AK::Milliseconds now)
 {
     const bool away = this->awaitingAnswer && this->mayHaveLapsed(now);
-    this->awaitingAnswer = false;
-    this->lastAnswer = now;
     if (away) {
         this->recoveredAt = now;
+        // Before the first answer, nothing is known of the begin.
+        this->possibleLapse = this->lastAnswer ? this->absence : StoreAbsence{0, 0, now};
     }
+    this->awaitingAnswer = false;
+    this->lastAnswer = now;
     return away;
 }
 
@@ -84,6 +86,7 @@
     if (*this->lastAnswer - this->absence.end >= this->leaseRenewal) {
         this->absence.begin = *this->lastAnswer;
     }
+    this->absence.lastAnswer = *this->lastAnswer;
     this->absence.end = now;
     return now - this->absence.begin >= shortestLapse(this->leaseRenewal);
 }
@@ -93,6 +96,17 @@
     return this->awaitingAnswer;
 }
 
+const std::optional<StoreAbsence> &ExpiredLeases::lapse() const
+{
+    return this->possibleLapse;
+}
+
+void ExpiredLeases::endGrace()
+{
+    this->recoveredAt = -expiredLeaseGrace;
+    this->possibleLapse.reset();
+}
+
 AK::Milliseconds ExpiredLeases::graceLeft(AK::Milliseconds now) const
 {
     return this->awaitingAnswer ? expiredLeaseGrace : std::max<AK::Milliseconds>(0, this->recoveredAt + expiredLeaseGrace - now);
--- a/Userland/Libraries/LibFleet/ObjectFeed.h
+++ b/Userland/Libraries/LibFleet/ObjectFeed.h
@@ -83,6 +83,14 @@
     return (intervalsUntilLapse - 1) * leaseRenewal;
 }
 
+/// Time without an answer of the store, at least one interval of the renewals; absences that are closer than that count as one.
+struct StoreAbsence {
+    AK::Milliseconds begin = 0;
+    /// The last answer before `end`; later than `begin` when the absence consists of several.
+    AK::Milliseconds lastAnswer = 0;
+    AK::Milliseconds end = 0;
+};
+
 /// Keeps upstreams whose leases expired during a store outage until expiredLeaseGrace after the store has recovered. Load pattern: all leases expire in an
 /// outage, and all upstreams would be removed at once. A failed call, or a watch that is cut, is no outage by itself: the store has been away only if nothing
 /// has been answered for as long as a lease takes to lapse.
@@ -99,6 +107,10 @@
     bool storeAnswered(AK::Milliseconds now);
     /// Whether the last call failed, so that it is not known yet whether the store is away.
     bool awaitsAnswer() const;
+    /// The absence in which leases may have lapsed; nothing before the first one.
+    const std::optional<StoreAbsence> &lapse() const;
+    /// No lease has lapsed in the absence.
+    void endGrace();
     /// Time for which upstreams that the store has lost stay in force, in ms; all of the grace while an answer is awaited.
     AK::Milliseconds graceLeft(AK::Milliseconds now) const;
 
@@ -111,16 +123,11 @@
     /// Whether leases may have lapsed unseen since the last answer, which is followed by one at `now`.
     bool mayHaveLapsed(AK::Milliseconds now);
 
-    /// Time without an answer, at least one interval of the renewals; absences that are closer than that count as one.
-    struct Absence {
-        AK::Milliseconds begin = 0;
-        AK::Milliseconds end = 0;
-    };
-
     AK::Milliseconds leaseRenewal;
     bool awaitingAnswer = false;
     std::optional<AK::Milliseconds> lastAnswer;
-    Absence absence;
+    StoreAbsence absence;
+    std::optional<StoreAbsence> possibleLapse;
     AK::Milliseconds recoveredAt = -expiredLeaseGrace;
 };
 
--- a/Userland/Libraries/LibFleet/RestoredCopy.cpp
+++ b/Userland/Libraries/LibFleet/RestoredCopy.cpp
@@ -94,6 +94,15 @@
     }
 }
 
+bool RestoredCopy::dropAdopted(AK::Milliseconds now)
+{
+    if (this->withinGrace(now) || this->known.empty()) {
+        return false;
+    }
+    this->known.clear();
+    return true;
+}
+
 void RestoredCopy::forget(const std::string &name)
 {
     this->known.erase(name);
--- a/Userland/Libraries/LibFleet/RestoredCopy.h
+++ b/Userland/Libraries/LibFleet/RestoredCopy.h
@@ -27,6 +27,9 @@
     /// other process, or after `grace` if that is unknown.
     void adopt(const ObjectPage &page, AK::Milliseconds now, AK::Milliseconds grace);
 
+    /// Nothing that is kept after other processes stays in force. Returns whether there was any.
+    bool dropAdopted(AK::Milliseconds now);
+
     /// The object has been removed in the new history.
     void forget(const std::string &name);
 
--- a/Userland/Libraries/LibPeers/PeerRecords.h
+++ b/Userland/Libraries/LibPeers/PeerRecords.h
@@ -124,6 +124,9 @@
     std::vector<LeavingUpstreamReport> leavingUpstreams;
     /// Weights named lately, also those that newer ones have replaced.
     std::vector<LibFleet::WeightsTargetAge> weightsTargets;
+    /// Ages in ms of the begin and the end of a period in which the store answered without an absence in which leases can lapse; both 0 when unknown.
+    AK::Milliseconds storeSteadyFrom = 0;
+    AK::Milliseconds storeSteadyTo = 0;
 };
 
 /// Asks for a slot at an upstream that another entry owns.
--- a/Userland/Libraries/LibPeers/WireCodec.cpp
+++ b/Userland/Libraries/LibPeers/WireCodec.cpp
@@ -190,6 +190,8 @@
     builder.setHeartbeat(state.heartbeat);
     builder.setOpenSlots(state.openSlots);
     builder.setStoreLost(state.storeLost);
+    builder.setStoreSteadyFromMs(toUnsigned(state.storeSteadyFrom));
+    builder.setStoreSteadyToMs(toUnsigned(state.storeSteadyTo));
     if (!state.sightings.empty()) {
         encodeSightings(state.sightings, builder);
     }
@@ -237,6 +239,8 @@
     state.heartbeat = reader.getHeartbeat();
     state.openSlots = reader.getOpenSlots();
     state.storeLost = reader.getStoreLost();
+    state.storeSteadyFrom = reader.getStoreSteadyFromMs();
+    state.storeSteadyTo = reader.getStoreSteadyToMs();
     return state;
 }
 
--- a/Userland/Services/Fleet/ObjectFeeds.cpp
+++ b/Userland/Services/Fleet/ObjectFeeds.cpp
@@ -275,6 +275,7 @@
         return;
     }
     this->newestEra = era;
+    this->evidence.storeRestored(this->loop.clock().now());
     for (const auto &row : LibFleet::objectKindNames) {
         if (this->started && this->position(row.value) > 0) {
             this->loop.spawn([this, kind = row.value](kj::WaitScope &scope) { this->listNewEra(scope, kind); });
@@ -312,10 +313,22 @@
 
 void ObjectFeeds::noteAnswer()
 {
-    if (this->expiredLeases.storeAnswered(this->loop.clock().now())) {
-        this->logger.info("leases_may_have_lapsed", {{"grace_ms", LibFleet::expiredLeaseGrace}});
-        this->endGraceLater(ObjectKind::Upstreams, LibFleet::expiredLeaseGrace);
+    const AK::Milliseconds now = this->loop.clock().now();
+    const bool away = this->expiredLeases.storeAnswered(now);
+    const bool refuted = away && this->lapseIsRefuted();
+    this->evidence.storeAnswered(now, away && !refuted, this->times.leaseRenewal);
+    if (!away) {
+        return;
+    }
+    const LibFleet::StoreAbsence absence = *this->expiredLeases.lapse();
+    if (refuted) {
+        this->logger.info("no_lease_lapsed", {{"absent_ms", absence.end - absence.begin}});
+        this->expiredLeases.endGrace();
+        return;
     }
+    this->logger.info("leases_may_have_lapsed",
+                      {{"grace_ms", LibFleet::expiredLeaseGrace}, {"absent_ms", absence.end - absence.begin}, {"silent_ms", absence.end - absence.lastAnswer}});
+    this->endGraceLater(ObjectKind::Upstreams, LibFleet::expiredLeaseGrace);
 }
 
 void ObjectFeeds::endGraceLater(ObjectKind kind, AK::Milliseconds grace)
@@ -327,7 +340,7 @@
             this->loop.sleep(scope, graceEnd - this->loop.clock().now());
         }
         // Upstreams are kept as long as the store may be away, and nothing else would end that.
-        while (kind == ObjectKind::Upstreams && this->expiredLeases.awaitsAnswer()) {
+        while (kind == ObjectKind::Upstreams && this->expiredLeases.awaitsAnswer() && !this->leaseGraceIsOver()) {
             this->loop.sleep(scope, awaitedAnswerInterval);
         }
         this->publishFromStore(kind);
--- a/Userland/Services/Fleet/ObjectFeeds.h
+++ b/Userland/Services/Fleet/ObjectFeeds.h
@@ -5,6 +5,7 @@
 #include <LibFleet/ObjectFeed.h>
 #include <LibFleet/RemovedObjects.h>
 #include <LibFleet/RestoredCopy.h>
+#include <LibFleet/StoreEvidence.h>
 #include <LibFleet/StoreTimes.h>
 #include <array>
 #include <functional>
@@ -58,6 +59,12 @@
     /// Reports the era of a response of the store, or one that another process has seen. Kinds that are known only up to an older era are listed again.
     void noteEra(int64_t era);
 
+    /// Period in which the store has answered this process or others, in monotonic time; nothing when there is none that lasts until now.
+    std::optional<LibFleet::SteadyPeriod> steadyPeriod() const;
+
+    /// Takes over such a period of another process. Ends the grace of upstreams whose leases can't have lapsed then.
+    void noteSteadyStore(const LibFleet::SteadyPeriod &told, std::string_view from);
+
     /// Returns the objects in force if they changed after `newerThan`, else a page with position 0. `agentPart` leaves out what only entries use.
     LibFleet::ObjectPage objects(LibFleet::ObjectKind kind, LibFleet::StorePosition newerThan, bool agentPart) const;
 
@@ -109,6 +116,10 @@
     /// Lists a kind whose watch ended without an answer. `askedAt`: when it began, by AK::Clock::uninterruptedTime().
     absl::Status listAfterCut(kj::WaitScope &scope, LibFleet::ObjectKind kind, const absl::Status &reason, AK::Milliseconds askedAt);
     void noteAnswer();
+    /// Whether the store answered others in the absence in which leases may have lapsed.
+    bool lapseIsRefuted() const;
+    /// Whether the store has answered for so long that no upstream is kept for a lease that may have lapsed.
+    bool leaseGraceIsOver() const;
     void noteStoreStatus(LibFleet::ObjectKind kind, const absl::Status &status);
 
     LibFiber::Loop &loop;
@@ -118,6 +129,7 @@
     LibFleet::StoreTimes times;
     std::array<Feed, LibFleet::objectKindCount> feeds;
     LibFleet::ExpiredLeases expiredLeases;
+    LibFleet::StoreEvidence evidence;
     AK::StandstillWatch standstill;
     /// Highest era that a response of the store or another process has shown.
     int64_t newestEra = 0;
--- a/Userland/Services/Fleet/ObjectFeedsContent.cpp
+++ b/Userland/Services/Fleet/ObjectFeedsContent.cpp
@@ -1,6 +1,7 @@
 #include <Fleet/ObjectFeeds.h>
 
 #include <algorithm>
+#include <optional>
 #include <set>
 
 namespace Fleet
@@ -33,7 +34,7 @@
     Feed &feed = this->feed(kind);
     const AK::Milliseconds now = this->loop.clock().now();
     std::map<std::string, std::string> inForce = feed.restored.merge(feed.snapshot, now);
-    if (kind == ObjectKind::Upstreams) {
+    if (kind == ObjectKind::Upstreams && !this->leaseGraceIsOver()) {
         AK::Milliseconds expiresAt = 0;
         inForce = this->expiredLeases.merge(feed.inForce, inForce, now, expiresAt);
     }
@@ -94,10 +95,44 @@
     return used != feed.inForce.end() && stored != feed.snapshot.specs.end() && used->second == stored->second;
 }
 
+std::optional<LibFleet::SteadyPeriod> ObjectFeeds::steadyPeriod() const
+{
+    const std::optional<LibFleet::SteadyPeriod> period = this->evidence.period();
+    return period && this->loop.clock().now() - period->to <= LibFleet::steadyPeriodMaxAge ? period : std::nullopt;
+}
+
+bool ObjectFeeds::lapseIsRefuted() const
+{
+    const std::optional<LibFleet::SteadyPeriod> period = this->evidence.period();
+    return period && this->expiredLeases.lapse() && LibFleet::showsNoLapse(*period, *this->expiredLeases.lapse(), this->times.leaseRenewal);
+}
+
+bool ObjectFeeds::leaseGraceIsOver() const
+{
+    return this->evidence.graceIsOver(this->loop.clock().now(), this->times.leaseRenewal);
+}
+
+void ObjectFeeds::noteSteadyStore(const LibFleet::SteadyPeriod &told, std::string_view from)
+{
+    const AK::Milliseconds now = this->loop.clock().now();
+    this->evidence.adopt(told, now, this->times.leaseRenewal);
+    const AK::Milliseconds graceLeft = this->expiredLeases.graceLeft(now);
+    const bool endsOwn = !this->expiredLeases.awaitsAnswer() && graceLeft > 0 && this->lapseIsRefuted();
+    if (endsOwn) {
+        this->expiredLeases.endGrace();
+    }
+    const bool endsAdopted = (endsOwn || this->leaseGraceIsOver()) && this->feed(ObjectKind::Upstreams).restored.dropAdopted(now);
+    if (endsOwn || endsAdopted) {
+        this->logger.info("grace_ended_early",
+                          {{"left_ms", graceLeft}, {"own", endsOwn}, {"marks", endsAdopted}, {"steady_ms", told.to - told.from}, {"peer", from}});
+        this->publishFromStore(ObjectKind::Upstreams);
+    }
+}
+
 AK::Milliseconds ObjectFeeds::keptLeft(ObjectKind kind, const std::string &name) const
 {
     const AK::Milliseconds now = this->loop.clock().now();
-    const AK::Milliseconds leaseGrace = kind == ObjectKind::Upstreams ? this->expiredLeases.graceLeft(now) : 0;
+    const AK::Milliseconds leaseGrace = kind == ObjectKind::Upstreams && !this->leaseGraceIsOver() ? this->expiredLeases.graceLeft(now) : 0;
     // 0 would mean that it is unknown.
     return std::max<AK::Milliseconds>({1, leaseGrace, this->feed(kind).restored.keptLeft(name, now)});
 }
@@ -107,11 +142,12 @@
     const Feed &feed = this->feed(kind);
     const AK::Milliseconds now = this->loop.clock().now();
     // Another process may know of a state that this one missed while its store was away.
-    const bool mayHaveMissedIt = feed.restored.withinGrace(now) || (kind == ObjectKind::Upstreams && this->expiredLeases.graceLeft(now) > 0);
+    const bool steady = kind == ObjectKind::Upstreams && this->leaseGraceIsOver() && !feed.restored.withinGrace(now);
+    const bool mayHaveMissedIt = !steady && (feed.restored.withinGrace(now) || (kind == ObjectKind::Upstreams && this->expiredLeases.graceLeft(now) > 0));
     LibFleet::ObjectPage accepted{page.position, {}};
     std::set<std::string> refuted;
     for (const LibFleet::StoredObject &object : page.objects) {
-        if (object.lapsed && !mayHaveMissedIt && feed.removed.contains(object.name, object.spec)) {
+        if (object.lapsed && (steady || (!mayHaveMissedIt && feed.removed.contains(object.name, object.spec)))) {
             refuted.insert(object.name);
         } else {
             accepted.objects.push_back(object);
--- a/Userland/Services/Fleet/PeerExchange.cpp
+++ b/Userland/Services/Fleet/PeerExchange.cpp
@@ -127,6 +127,11 @@
     own.clientAddress = this->settings.clientAddress ? this->settings.clientAddress->text() : "";
     own.revisions = this->ownRevisions();
     own.weightsTargets = this->state.weightsTargetAges(weightsNewsTime);
+    if (const std::optional<LibFleet::SteadyPeriod> steady = this->feeds.steadyPeriod()) {
+        const AK::Milliseconds now = this->loop.clock().now();
+        own.storeSteadyFrom = std::max<AK::Milliseconds>(1, now - steady->from);
+        own.storeSteadyTo = std::max<AK::Milliseconds>(0, now - steady->to);
+    }
     if (this->completeState) {
         this->completeState(own);
     }
@@ -163,6 +168,13 @@
     }
 }
 
+void PeerExchange::noteSteadyStore(const LibPeers::NodeState &peer, AK::Milliseconds askedAt)
+{
+    if (peer.storeSteadyFrom > 0) {
+        this->feeds.noteSteadyStore({this->loop.clock().now() - peer.storeSteadyFrom, askedAt - peer.storeSteadyTo}, peer.name);
+    }
+}
+
 LibPeers::NodeState PeerExchange::exchange(const LibPeers::NodeState &from)
 {
     this->record(from);
@@ -203,9 +215,10 @@
 
 absl::Status PeerExchange::exchangeOnce(kj::WaitScope &scope, LibPeers::PeerClient &link, const Partner &partner, AK::Milliseconds timeout)
 {
-    const absl::StatusOr<LibPeers::NodeState> peer =
-        link.exchange(scope, this->ownState(this->settings.clientAddress.has_value()), this->loop.clock().now() + timeout);
+    const AK::Milliseconds askedAt = this->loop.clock().now();
+    const absl::StatusOr<LibPeers::NodeState> peer = link.exchange(scope, this->ownState(this->settings.clientAddress.has_value()), askedAt + timeout);
     if (peer.ok()) {
+        this->noteSteadyStore(*peer, askedAt);
         this->record(*peer);
         this->pullNewer(scope, link, *peer, partner.inOtherRegion);
         if (!this->settings.clientAddress) {
--- a/Userland/Services/Fleet/PeerExchange.h
+++ b/Userland/Services/Fleet/PeerExchange.h
@@ -111,6 +111,10 @@
     void waitForTurn(kj::WaitScope &scope, const Partner &partner, AK::Milliseconds interval, uint64_t sentPushes);
     void wakePartners();
     void record(const LibPeers::NodeState &peer);
+    /// Takes over what a response tells about the store. `askedAt`: when the call began. The ages count from then for the end of the period, and from now for
+    /// its begin, so that a slow call never makes it longer, however many processes pass it on. What a request tells is not used: its time on the way is
+    /// unknown.
+    void noteSteadyStore(const LibPeers::NodeState &peer, AK::Milliseconds askedAt);
 
     LibFiber::Loop &loop;
     Settings settings;
