--- a/Userland/Services/Fleet/ObjectFeeds.cpp
+++ b/Userland/Services/Fleet/ObjectFeeds.cpp
@@ -321,13 +321,13 @@
         return;
     }
     const LibFleet::StoreAbsence absence = *this->expiredLeases.lapse();
+    const AK::Milliseconds absent = absence.begin > 0 ? absence.end - absence.begin : 0;
     if (refuted) {
-        this->logger.info("no_lease_lapsed", {{"absent_ms", absence.end - absence.begin}});
+        this->logger.info("no_lease_lapsed", {{"absent_ms", absent}});
         this->expiredLeases.endGrace();
         return;
     }
-    this->logger.info("leases_may_have_lapsed",
-                      {{"grace_ms", LibFleet::expiredLeaseGrace}, {"absent_ms", absence.end - absence.begin}, {"silent_ms", absence.end - absence.lastAnswer}});
+    this->logger.info("leases_may_have_lapsed", {{"grace_ms", LibFleet::expiredLeaseGrace}, {"absent_ms", absent}});
     this->endGraceLater(ObjectKind::Upstreams, LibFleet::expiredLeaseGrace);
 }
 
