--- a/Userland/Services/Fleet/ObjectFeeds.h
+++ b/Userland/Services/Fleet/ObjectFeeds.h
@@ -3,7 +3,9 @@
 #include <AK/StandstillWatch.h>
 #include <Fleet/ObjectSource.h>
 #include <LibFleet/ObjectFeed.h>
+#include <LibFleet/RemovedObjects.h>
 #include <LibFleet/RestoredCopy.h>
+#include <LibFleet/StoreEvidence.h>
 #include <LibFleet/StoreTimes.h>
 #include <array>
 #include <functional>
@@ -57,6 +59,12 @@
     /// Reports the era of a response of the store, or one that another process has seen. Kinds that are known only up to an older era are listed again.
     void noteEra(int64_t era);
 
+    /// Period in which the store has answered this process or others, in monotonic time; nothing when there is none that lasts until now.
+    std::optional<LibFleet::SteadyPeriod> steadyPeriod() const;
+
+    /// Takes over such a period of another process. Ends the grace of upstreams whose leases can't have lapsed then.
+    void noteSteadyStore(const LibFleet::SteadyPeriod &told, std::string_view from);
+
     /// Returns the objects in force if they changed after `newerThan`, else a page with position 0. `agentPart` leaves out what only entries use.
     LibFleet::ObjectPage objects(LibFleet::ObjectKind kind, LibFleet::StorePosition newerThan, bool agentPart) const;
 
@@ -76,6 +84,7 @@
         AK::Milliseconds currentAt = 0;
         /// What stays in force, or out of force, against a restored copy.
         LibFleet::RestoredCopy restored;
+        LibFleet::RemovedObjects removed;
         /// A list is under way.
         bool listing = false;
     };
@@ -97,12 +106,20 @@
     void publish(LibFleet::ObjectKind kind, std::map<std::string, std::string> inForce, AK::Milliseconds unnoticed);
     /// Publishes the objects of the store, with upstreams whose leases expired in an outage.
     void publishFromStore(LibFleet::ObjectKind kind, AK::Milliseconds unnoticed = 0);
-    /// Publishes the objects again when the time is over in which those that the store has lost stay in force.
-    void endGraceLater(LibFleet::ObjectKind kind);
+    /// Publishes the objects again when the time `grace` in ms is over in which those that the store has lost stay in force.
+    void endGraceLater(LibFleet::ObjectKind kind, AK::Milliseconds grace);
+    /// The objects of another process without the marks that would put back in force what is known to be removed.
+    LibFleet::ObjectPage withoutRefutedMarks(LibFleet::ObjectKind kind, const LibFleet::ObjectPage &page, std::string_view from) const;
+    /// What is left of the time for which an object stays in force that the store lacks, in ms.
+    AK::Milliseconds keptLeft(LibFleet::ObjectKind kind, const std::string &name) const;
     void logKeptObjects(LibFleet::ObjectKind kind) const;
     /// Lists a kind whose watch ended without an answer. `askedAt`: when it began, by AK::Clock::uninterruptedTime().
     absl::Status listAfterCut(kj::WaitScope &scope, LibFleet::ObjectKind kind, const absl::Status &reason, AK::Milliseconds askedAt);
     void noteAnswer();
+    /// Whether the store answered others in the absence in which leases may have lapsed.
+    bool lapseIsRefuted() const;
+    /// Whether the store has answered for so long that no upstream is kept for a lease that may have lapsed.
+    bool leaseGraceIsOver() const;
     void noteStoreStatus(LibFleet::ObjectKind kind, const absl::Status &status);
 
     LibFiber::Loop &loop;
@@ -112,6 +129,7 @@
     LibFleet::StoreTimes times;
     std::array<Feed, LibFleet::objectKindCount> feeds;
     LibFleet::ExpiredLeases expiredLeases;
+    LibFleet::StoreEvidence evidence;
     AK::StandstillWatch standstill;
     /// Highest era that a response of the store or another process has shown.
     int64_t newestEra = 0;
