WeightAgent: Read the origin by a schedule

With dozens of agents in the origin's region all of them read at once, so that no chunk was complete until most of the time had passed. While the origin could not be reached the clocks of allowedScope() kept running, and when it was back every agent could read every chunk.

When the rate of the origin's link is configured, a few readers now share the chunks in lanes: as many as fill the link with a reserve of two and a half times. A chunk that is overdue by the plan is taken over by the next rank, which then goes on with the lane, unless a peer or one of the readers holds it. An origin that is away is probed by connections, by two agents of a region every 150 ms and by the others less often; the plan starts again when it is back. Without a configured rate the rule stays as it was. A fetch that ends no longer waits for transfers that send nothing.

--- a/Tests/Services/WeightAgent/LoneAgent.cpp
+++ b/Tests/Services/WeightAgent/LoneAgent.cpp
@@ -89,6 +89,11 @@
     return "{}";
 }
 
+absl::Status SoundOrigin::probe(kj::WaitScope & /*scope*/, const AK::Endpoint & /*origin*/)
+{
+    return absl::OkStatus();
+}
+
 absl::StatusOr<std::string> SoundOrigin::manifestText(kj::WaitScope & /*scope*/, const AK::Endpoint & /*origin*/, const std::string & /*name*/, int64_t version)
 {
     return nlohmann::json{{"version", version}, {"digests", soundManifest(version).digests}}.dump();
--- a/Tests/Services/WeightAgent/LoneAgent.h
+++ b/Tests/Services/WeightAgent/LoneAgent.h
@@ -37,6 +37,7 @@
 class SoundOrigin : public WeightAgent::WeightsOrigin
 {
 public:
+    absl::Status probe(kj::WaitScope &scope, const AK::Endpoint &origin) override;
     absl::StatusOr<std::string> manifestText(kj::WaitScope &scope, const AK::Endpoint &origin, const std::string &name, int64_t version) override;
     absl::StatusOr<std::string> chunk(kj::WaitScope &scope, const AK::Endpoint &origin, const std::string &name, int64_t version, uint32_t index) override;
     absl::StatusOr<WeightAgent::WeightsManifest> parseManifest(const std::string &text) const override;
--- a/Tests/Services/WeightAgent/TestOriginConcurrency.cpp
+++ b/Tests/Services/WeightAgent/TestOriginConcurrency.cpp
@@ -16,6 +16,10 @@
     {
     }
 
+    absl::Status probe(kj::WaitScope &, const AK::Endpoint &) override
+    {
+        return absl::OkStatus();
+    }
     absl::StatusOr<std::string> manifestText(kj::WaitScope &scope, const AK::Endpoint &, const std::string &, int64_t) override
     {
         constexpr AK::Milliseconds readTime = 100;
--- a/Userland/Services/WeightAgent/AgentService.cpp
+++ b/Userland/Services/WeightAgent/AgentService.cpp
@@ -50,6 +50,7 @@
     this->settings.regionsByDomain = changed.regionsByDomain;
     this->settings.switchTimeLimit = changed.switchTimeLimit;
     this->settings.uploadBytesPerSecond = changed.uploadBytesPerSecond;
+    this->settings.linkMbps = changed.linkMbps;
     this->store.setUploadRate(changed.uploadBytesPerSecond);
 }
 
@@ -164,11 +165,16 @@
         swarmView.peers.push_back(
             {{record.address.text(), region == this->settings.regionsByDomain.end() ? "" : region->second}, {record.address.host, this->settings.rpcPort}});
     }
+    swarmView.originLink.agentMbps = this->settings.linkMbps;
     const auto configuration = this->fleet.configuration();
     for (const auto &[name, service] : configuration->services) {
+        if (name == this->settings.service && service.engine) {
+            swarmView.originLink.chunkBytes = service.engine->chunkBytes;
+        }
         if (service.origin) {
             swarmView.origin = service.origin;
             swarmView.originConnections = service.maxConnections;
+            swarmView.originLink.originMbps = service.originLinkMbps;
             const auto region = this->settings.regionsByDomain.find(service.originFailureDomain);
             swarmView.originRegion = region == this->settings.regionsByDomain.end() ? "" : region->second;
         }
--- a/Userland/Services/WeightAgent/AgentService.h
+++ b/Userland/Services/WeightAgent/AgentService.h
@@ -23,6 +23,8 @@
         AK::Milliseconds statusInterval = 100;
         /// Bandwidth limit for chunks sent to other agents, in bytes per second.
         double uploadBytesPerSecond = 0;
+        /// Bandwidth of this host's link in Mbit/s, 0 when unknown.
+        double linkMbps = 0;
     };
 
     AgentService(LibFiber::Loop &loop, Settings settings, const LibFleet::FleetState &fleet, EngineControl &engine, WeightsOrigin &origin,
@@ -30,7 +32,7 @@
 
     void start();
 
-    /// Applies changed settings. Only the regions, the switch time limit and the upload rate take effect; all others keep their values from the start.
+    /// Applies changed settings. Only the regions, the switch time limit and the rates take effect; all others keep their values from the start.
     void reconfigure(const Settings &changed);
 
     VersionStore &versions();
--- a/Userland/Services/WeightAgent/EngineControl.h
+++ b/Userland/Services/WeightAgent/EngineControl.h
@@ -68,6 +68,8 @@
 public:
     virtual ~WeightsOrigin() = default;
 
+    /// Opens a connection and closes it. Unlike a read it ends soon when the origin is away, and it sends no bytes when the origin is back.
+    virtual absl::Status probe(kj::WaitScope &scope, const AK::Endpoint &origin) = 0;
     /// Text of the manifest as the origin sends it; see parseManifest().
     virtual absl::StatusOr<std::string> manifestText(kj::WaitScope &scope, const AK::Endpoint &origin, const std::string &model, int64_t version) = 0;
     virtual absl::StatusOr<std::string> chunk(kj::WaitScope &scope, const AK::Endpoint &origin, const std::string &model, int64_t version, uint32_t index) = 0;
--- a/Userland/Services/WeightAgent/SwarmFetch.cpp
+++ b/Userland/Services/WeightAgent/SwarmFetch.cpp
@@ -1,6 +1,5 @@
 #include "SwarmFetch.h"
 
-#include <AK/StatusMacros.h>
 #include <AK/Text.h>
 #include <LibWeights/ChunkChoice.h>
 #include <algorithm>
@@ -15,8 +14,6 @@
 constexpr AK::Milliseconds chunkTimeout = 1'500;
 constexpr AK::Milliseconds peerQueryTimeout = 600;
 constexpr AK::Milliseconds manifestTimeout = 800;
-// Reads of the manifest from the origin, one after another, before the peers are asked again.
-constexpr int maxManifestReads = 3;
 // Pause before a peer without needed chunks is asked again.
 constexpr AK::Milliseconds idlePollInterval = 60;
 constexpr AK::Milliseconds errorRetryDelay = 300;
@@ -24,10 +21,13 @@
 // Concurrent chunk fetches from other agents: enough to fill the link, but few enough that live requests are not queued behind them for long.
 constexpr int maxPeerFetches = 4;
 constexpr AK::Milliseconds fetchSlotPollInterval = 15;
-// Number of peers to fetch from, by region.
-constexpr size_t neighboursInOwnRegion = 7;
-constexpr size_t neighboursInOriginRegion = 16;
-constexpr size_t neighboursInOtherRegions = 2;
+// While an agent reads from the origin, its own link must not be filled by other transfers: the reads of all readers together have to fill the origin's link.
+constexpr int maxPeerFetchesBesideOrigin = 2;
+// Age at which the chunks offered by a peer are asked for again while no fetch from it is possible.
+constexpr AK::Milliseconds maxOfferAge = 150;
+constexpr AK::Milliseconds endPollInterval = 20;
+// Time for transfers that are under way when a fetch is given up; a chunk takes some 110 ms while four share the link.
+constexpr AK::Milliseconds transferGracePeriod = 200;
 
 std::vector<bool> unpackBitmap(const std::string &bytes, size_t count)
 {
@@ -52,29 +52,12 @@
     , startedAt(startedAt)
     , random(AK::seededFromSystem())
 {
-    std::vector<std::string> regionAgents{this->self.name};
-    std::vector<std::string> otherAgents{this->self.name};
-    std::vector<std::string> originRegionAgents{this->self.name};
-    for (const SwarmPeer &peer : this->view.peers) {
-        this->members.push_back(peer.member);
-        if (peer.member.region == this->self.region) {
-            regionAgents.push_back(peer.member.name);
-        } else {
-            (peer.member.region == this->view.originRegion ? originRegionAgents : otherAgents).push_back(peer.member.name);
-        }
-    }
-    const std::string key = AK::concat(this->model, "/", this->version);
-    std::vector<std::string> chosen = LibWeights::chooseNeighbours(this->self.name, key, regionAgents, neighboursInOwnRegion);
-    // A chunk that this agent fetches into its region first arrives at one agent of the origin's region, which may be any of them.
-    for (const auto &[names, count] : {std::pair(originRegionAgents, neighboursInOriginRegion), std::pair(otherAgents, neighboursInOtherRegions)}) {
-        for (const std::string &name : LibWeights::chooseNeighbours(this->self.name, key, names, count)) {
-            chosen.push_back(name);
-        }
-    }
-    for (const SwarmPeer &peer : this->view.peers) {
-        if (std::find(chosen.begin(), chosen.end(), peer.member.name) != chosen.end()) {
-            this->peers.push_back({peer, {}, false});
-        }
+    this->members = membersOf(this->view);
+    const bool scheduled = isScheduled(this->view.originLink);
+    this->originReads = scheduled ? scheduledConcurrency(this->regionSize(this->view.originRegion), this->view.originConnections, this->view.originLink)
+                                  : originConcurrency(this->regionSize(this->self.region), this->view.originConnections);
+    for (ChosenPeer &chosen : chooseSwarmPeers(this->self, this->view, this->versionKey(), scheduled ? this->originReads.readers : 0)) {
+        this->peers.push_back({std::move(chosen.peer), chosen.standby, {}, 0, false});
     }
 }
 
@@ -83,31 +66,20 @@
     return this->self.region == this->view.originRegion;
 }
 
-size_t SwarmFetch::regionSize() const
+size_t SwarmFetch::regionSize(const std::string &region) const
 {
-    const auto others =
-        std::count_if(this->members.begin(), this->members.end(), [&](const SwarmMember &member) { return member.region == this->self.region; });
-    return static_cast<size_t>(others) + 1;
+    const auto others = static_cast<size_t>(std::ranges::count(this->members, region, &SwarmMember::region));
+    return std::max<size_t>(1, others + (region == this->self.region ? 1 : 0));
 }
 
-absl::StatusOr<std::string> SwarmFetch::readManifestFromOrigin(kj::WaitScope &scope)
+std::string SwarmFetch::versionKey() const
 {
-    for (int read = 0; read < maxManifestReads; ++read) {
-        CATKINLINK_ASSIGN(std::string text, this->origin.manifestText(scope, *this->view.origin, this->model, this->version));
-        CATKINLINK_ASSIGN(const WeightsManifest manifest, this->origin.parseManifest(text));
-        if (manifest.version != this->version) {
-            return absl::DataLossError(AK::concat("the origin sent a manifest of version ", manifest.version, " instead of ", this->version));
-        }
-        if (this->proof.confirm(this->model, manifest)) {
-            return text;
-        }
-    }
-    return absl::DataLossError(AK::concat(maxManifestReads, " reads of the manifest of version ", this->version, " differ"));
+    return AK::concat(this->model, "/", this->version);
 }
 
 absl::StatusOr<std::string> SwarmFetch::readManifest(kj::WaitScope &scope)
 {
-    const size_t rank = regionRank(this->self.name, this->self.region, this->members, AK::concat(this->model, "/", this->version), 0);
+    const size_t rank = regionRank(this->self.name, this->self.region, this->members, this->versionKey(), 0);
     const auto mayReadFromOrigin = [&] {
         return this->view.origin && mayReadManifestFromOrigin(this->inOriginRegion(), rank, this->loop.clock().now() - this->startedAt);
     };
@@ -140,34 +112,91 @@
     this->held = &target;
     this->shouldContinue = continueCondition;
     this->lastProgressAt = this->loop.clock().now();
-    this->originReads = originConcurrency(this->regionSize(), this->view.originConnections);
-    const size_t readers = this->inOriginRegion() ? this->originReads.readers : this->regionSize();
-    for (uint32_t i = 0; i < target.chunkCount(); ++i) {
-        this->ranks.push_back(regionRank(this->self.name, this->self.region, this->members, AK::concat(this->model, "/", this->version), i, readers));
+    this->rankChunks();
+    if (isScheduled(this->view.originLink)) {
+        this->startReadPlan();
     }
-    auto fetches = kj::heapArrayBuilder<kj::Promise<void>>(this->peers.size() + this->originReads.readsPerReader);
-    for (size_t i = 0; i < this->peers.size(); ++i) {
-        fetches.add(this->loop.fiber([this, i](kj::WaitScope &inner) { this->fetchFromPeer(inner, i); }));
-    }
-    for (size_t i = 0; i < this->originReads.readsPerReader; ++i) {
-        fetches.add(this->loop.fiber([this](kj::WaitScope &inner) { this->fetchFromOrigin(inner); }));
-    }
-    kj::joinPromises(fetches.finish()).wait(scope);
+    this->runFibers(scope);
     this->logger.info("fetched",
                       {{"model", this->model},
                        {"version", this->version},
                        {"chunks", target.heldCount()},
                        {"of", target.chunkCount()},
                        {"origin_bytes", this->originBytes},
+                       {"taken_over", this->chunksTakenOver},
+                       {"origin_readers", this->originReads.readers},
                        {"peers", this->peers.size()}});
 }
 
-std::vector<bool> SwarmFetch::allowedChunks(FetchScope scope) const
+void SwarmFetch::rankChunks()
+{
+    const std::string key = this->versionKey();
+    const size_t count = this->regionSize(this->self.region);
+    const size_t position = regionPosition(this->self, this->members, key);
+    const bool inLanes = this->inOriginRegion() && isScheduled(this->view.originLink);
+    this->ranks.clear();
+    for (uint32_t i = 0; i < this->held->chunkCount(); ++i) {
+        this->ranks.push_back(
+            inLanes ? laneRank(position, count, i, this->originReads.readers)
+                    : regionRank(this->self.name, this->self.region, this->members, key, i, this->inOriginRegion() ? this->originReads.readers : count));
+    }
+}
+
+void SwarmFetch::runFibers(kj::WaitScope &scope)
+{
+    std::vector<kj::Promise<void>> fibers;
+    for (PeerState &state : this->peers) {
+        fibers.push_back(this->loop.fiber([this, &state](kj::WaitScope &inner) { this->fetchFromPeer(inner, state); }));
+    }
+    for (size_t i = 0; i < this->originReads.readsPerReader; ++i) {
+        fibers.push_back(this->loop.fiber([this](kj::WaitScope &inner) { this->fetchFromOrigin(inner, ReadKind::Own); }));
+    }
+    if (this->plan) {
+        fibers.push_back(this->loop.fiber([this](kj::WaitScope &inner) { this->fetchFromOrigin(inner, ReadKind::TakenOver); }));
+    }
+    while (this->active()) {
+        this->loop.sleep(scope, endPollInterval);
+    }
+    // A transfer without bytes must not delay the next version until its timeout, so the fibers are cancelled.
+    const AK::Milliseconds until = this->loop.clock().now() + transferGracePeriod;
+    while (!this->held->complete() && !this->inFlight.empty() && this->loop.clock().now() < until) {
+        this->loop.sleep(scope, endPollInterval);
+    }
+}
+
+std::vector<uint32_t> SwarmFetch::sourceCounts() const
+{
+    std::vector<uint32_t> counts(this->held->chunkCount(), 0);
+    for (const PeerState &state : this->peers) {
+        for (size_t i = 0; i < state.offered.size() && !state.excluded; ++i) {
+            counts[i] += state.offered[i] ? 1 : 0;
+        }
+    }
+    return counts;
+}
+
+std::vector<bool> SwarmFetch::seenChunks() const
+{
+    const std::vector<uint32_t> sources = this->sourceCounts();
+    std::vector<bool> seen(sources.size(), false);
+    for (uint32_t i = 0; i < seen.size(); ++i) {
+        seen[i] = sources[i] > 0 || this->held->has(i);
+    }
+    return seen;
+}
+
+FetchScope SwarmFetch::scopeOf(uint32_t chunk, bool offered, AK::Milliseconds now) const
+{
+    if (this->plan) {
+        return scheduledScope({this->inOriginRegion(), this->ranks[chunk], overdueTime(*this->plan, chunk, now), offered, isTakenOver(*this->plan, chunk)});
+    }
+    return allowedScope({this->inOriginRegion(), this->ranks[chunk], now - this->lastProgressAt, now - this->startedAt}, FetchRuleSettings{});
+}
+
+std::vector<bool> SwarmFetch::allowedChunks(FetchScope scope, const std::vector<uint32_t> &sources) const
 {
     std::vector<bool> result(this->held->chunkCount(), false);
-    const FetchRuleSettings settings;
     const AK::Milliseconds now = this->loop.clock().now();
-    const AK::Milliseconds stalled = now - this->lastProgressAt;
     for (uint32_t i = 0; i < result.size(); ++i) {
         if (this->held->has(i) || this->inFlight.contains(i)) {
             continue;
@@ -176,7 +205,7 @@
         if (scope == FetchScope::Origin && refused.count > 0 && now - refused.lastAt < refusedReadDelay(refused.count)) {
             continue;
         }
-        const FetchScope allowed = allowedScope({this->inOriginRegion(), this->ranks[i], stalled, now - this->startedAt}, settings);
+        const FetchScope allowed = this->scopeOf(i, sources[i] > 0, now);
         // From the origin an agent reads only the chunks that it is responsible for.
         result[i] = scope == FetchScope::Origin ? allowed == FetchScope::Origin : static_cast<int>(scope) <= static_cast<int>(allowed);
     }
@@ -185,13 +214,13 @@
 
 std::optional<uint32_t> SwarmFetch::chooseChunk(const std::vector<bool> &offered, FetchScope scope)
 {
-    std::vector<uint32_t> sourceCounts(this->held->chunkCount(), 0);
-    for (const PeerState &state : this->peers) {
-        for (size_t i = 0; i < state.offered.size(); ++i) {
-            sourceCounts[i] += state.offered[i] ? 1 : 0;
-        }
-    }
-    return LibWeights::chooseRarest(this->allowedChunks(scope), offered, sourceCounts, this->random);
+    const std::vector<uint32_t> sources = this->sourceCounts();
+    return LibWeights::chooseRarest(this->allowedChunks(scope, sources), offered, sources, this->random);
+}
+
+int SwarmFetch::peerFetchLimit() const
+{
+    return this->plan && this->originReadsInFlight > 0 ? maxPeerFetchesBesideOrigin : maxPeerFetches;
 }
 
 bool SwarmFetch::storeChunk(uint32_t index, std::string data)
@@ -211,25 +240,38 @@
     }
 }
 
-void SwarmFetch::fetchFromPeer(kj::WaitScope &scope, size_t index)
+bool SwarmFetch::refreshOffers(kj::WaitScope &scope, LibPeers::PeerClient &client, PeerState &state)
+{
+    const auto bits = client.heldChunks(scope, this->model, this->version, this->loop.clock().now() + peerQueryTimeout);
+    if (!bits.ok()) {
+        state.offered.clear();
+        return false;
+    }
+    state.offered = unpackBitmap(*bits, this->held->chunkCount());
+    state.offeredAt = this->loop.clock().now();
+    return true;
+}
+
+void SwarmFetch::fetchFromPeer(kj::WaitScope &scope, PeerState &state)
 {
-    PeerState &state = this->peers[index];
     LibPeers::PeerClient client(this->loop, state.peer.rpcAddress);
     const FetchScope fetchScope = state.peer.member.region == this->self.region ? FetchScope::SameRegion : FetchScope::AnyRegion;
     while (this->active() && !state.excluded) {
-        if (this->peerFetches >= maxPeerFetches) {
-            this->pause(scope, fetchSlotPollInterval);
+        if (state.standby && !this->needsStandby()) {
+            this->pause(scope, idlePollInterval);
+            continue;
+        }
+        if (this->peerFetches >= this->peerFetchLimit()) {
+            const bool outdated = this->plan && this->loop.clock().now() - state.offeredAt > maxOfferAge;
+            this->pause(scope, outdated && !this->refreshOffers(scope, client, state) ? errorRetryDelay : fetchSlotPollInterval);
             continue;
         }
         std::optional<uint32_t> chunk = this->chooseChunk(state.offered, fetchScope);
         if (!chunk) {
-            const auto bits = client.heldChunks(scope, this->model, this->version, this->loop.clock().now() + peerQueryTimeout);
-            if (!bits.ok()) {
-                state.offered.clear();
+            if (!this->refreshOffers(scope, client, state)) {
                 this->pause(scope, errorRetryDelay);
                 continue;
             }
-            state.offered = unpackBitmap(*bits, this->held->chunkCount());
             chunk = this->chooseChunk(state.offered, fetchScope);
         }
         if (!chunk) {
@@ -253,33 +295,4 @@
     }
 }
 
-void SwarmFetch::fetchFromOrigin(kj::WaitScope &scope)
-{
-    const std::vector<bool> allChunks(this->held->chunkCount(), true);
-    while (this->active() && this->view.origin) {
-        const std::optional<uint32_t> chunk = this->chooseChunk(allChunks, FetchScope::Origin);
-        if (!chunk) {
-            this->pause(scope, idlePollInterval);
-            continue;
-        }
-        this->inFlight.insert(*chunk);
-        auto data = this->origin.chunk(scope, *this->view.origin, this->model, this->version, *chunk);
-        this->inFlight.erase(*chunk);
-        if (data.ok()) {
-            this->originBytes += data->size();
-        }
-        const bool reached = data.ok();
-        if (reached != this->originReached) {
-            this->originReached = reached;
-            this->logger.info(reached ? "origin_reached" : "origin_lost",
-                              {{"version", this->version}, {"chunks", this->held->heldCount()}, {"reason", std::string(data.status().message())}});
-        }
-        if (!data.ok()) {
-            this->pause(scope, errorRetryDelay);
-        } else if (!this->storeChunk(*chunk, std::move(*data))) {
-            this->held->noteRefusedRead(*chunk, this->loop.clock().now());
-        }
-    }
-}
-
 } // namespace WeightAgent
--- a/Userland/Services/WeightAgent/SwarmFetch.h
+++ b/Userland/Services/WeightAgent/SwarmFetch.h
@@ -1,40 +1,20 @@
 #pragma once
 
-#include "FetchRules.h"
 #include "ManifestProof.h"
+#include "OriginSchedule.h"
+#include "SwarmView.h"
 #include "VersionStore.h"
 #include <AK/Random.h>
 #include <LibPeers/PeerClient.h>
+#include <deque>
 #include <functional>
 #include <set>
 
 namespace WeightAgent
 {
 
-/// An agent that may have chunks.
-struct SwarmPeer {
-    SwarmMember member;
-    AK::Endpoint rpcAddress;
-
-    bool operator==(const SwarmPeer &) const = default;
-};
-
-/// The peers and the origin of the deployment as a fetch needs them.
-struct SwarmView {
-    std::vector<SwarmPeer> peers;
-    std::optional<AK::Endpoint> origin;
-    std::string originRegion;
-    /// Connections that the origin serves at a time, 0 for no limit.
-    int originConnections = 0;
-};
-
-/// Name and region of this agent.
-struct SwarmSelf {
-    std::string name;
-    std::string region;
-};
-
-/// Fetches all chunks of one version: from other agents, rarest first, and from the origin where allowedScope() permits it.
+/// Fetches all chunks of one version: from other agents, rarest first, and from the origin where scheduledScope() permits it, or allowedScope() when the
+/// configuration does not name the rate of the origin's link.
 class SwarmFetch
 {
 public:
@@ -53,20 +33,47 @@
 private:
     struct PeerState {
         SwarmPeer peer;
+        /// See ChosenPeer::standby.
+        bool standby = false;
         std::vector<bool> offered;
+        /// Time at which `offered` was read.
+        AK::Milliseconds offeredAt = 0;
         bool excluded = false;
     };
 
     absl::StatusOr<std::string> readManifestFromOrigin(kj::WaitScope &scope);
     bool inOriginRegion() const;
-    /// Number of agents in this agent's region, including itself.
-    size_t regionSize() const;
-    void fetchFromPeer(kj::WaitScope &scope, size_t index);
-    void fetchFromOrigin(kj::WaitScope &scope);
+    /// Number of agents in a region, this one included.
+    size_t regionSize(const std::string &region) const;
+    void rankChunks();
+    std::string versionKey() const;
+    /// Fetches until `held` is complete or active() is false.
+    void runFibers(kj::WaitScope &scope);
+    void fetchFromPeer(kj::WaitScope &scope, PeerState &state);
+    /// Reads the chunks that this agent is responsible for, or those that it takes over from others.
+    enum class ReadKind { Own, TakenOver };
+    void fetchFromOrigin(kj::WaitScope &scope, ReadKind kind);
+    void readFromOrigin(kj::WaitScope &scope, uint32_t chunk);
+    void noteOriginRead(const absl::Status &status);
+    /// Tries to connect to the origin after reads have failed; when it is back, the plan starts from that moment.
+    void probeOrigin(kj::WaitScope &scope);
+    /// Asks a peer for its chunks. False when it does not answer.
+    bool refreshOffers(kj::WaitScope &scope, LibPeers::PeerClient &client, PeerState &state);
     bool active() const;
+    int peerFetchLimit() const;
+    /// Starts a plan for the chunks that have not been seen.
+    void startReadPlan();
+    /// Whether a chunk is overdue that no other peer than the standby ones offers.
+    bool needsStandby() const;
+    /// Number of known sources by chunk.
+    std::vector<uint32_t> sourceCounts() const;
+    /// Chunks that this agent holds or that a peer offers.
+    std::vector<bool> seenChunks() const;
+    FetchScope scopeOf(uint32_t chunk, bool offered, AK::Milliseconds now) const;
     /// Chunks that are missing, not in flight and may be fetched from sources of `scope` now.
-    std::vector<bool> allowedChunks(FetchScope scope) const;
+    std::vector<bool> allowedChunks(FetchScope scope, const std::vector<uint32_t> &sources) const;
     std::optional<uint32_t> chooseChunk(const std::vector<bool> &offered, FetchScope scope);
+    std::optional<uint32_t> chooseOriginChunk(ReadKind kind);
     bool storeChunk(uint32_t index, std::string data);
     void pause(kj::WaitScope &scope, AK::Milliseconds duration);
 
@@ -80,16 +87,22 @@
     AK::Milliseconds startedAt;
     std::vector<SwarmMember> members;
     OriginConcurrency originReads;
-    /// regionRank() of this agent by chunk.
+    /// laneRank() or regionRank() of this agent by chunk.
     std::vector<size_t> ranks;
-    std::vector<PeerState> peers;
+    std::deque<PeerState> peers;
     std::set<uint32_t> inFlight;
     int peerFetches = 0;
+    int originReadsInFlight = 0;
+    /// Empty when the rate of the origin's link is not known.
+    std::optional<ReadPlan> plan;
     HeldVersion *held = nullptr;
     std::function<bool()> shouldContinue;
     AK::Milliseconds lastProgressAt = 0;
     uint64_t originBytes = 0;
+    size_t chunksTakenOver = 0;
     bool originReached = true;
+    AK::Milliseconds originLostAt = 0;
+    bool probing = false;
     AK::Random random;
     LibLog::Logger logger{"swarm"};
 };
--- /dev/null
+++ b/Userland/Services/WeightAgent/SwarmOriginReads.cpp
@@ -0,0 +1,150 @@
+// The reads of SwarmFetch from the origin.
+
+#include "SwarmFetch.h"
+
+#include <AK/StatusMacros.h>
+#include <AK/Text.h>
+#include <algorithm>
+
+namespace WeightAgent
+{
+
+namespace
+{
+
+// Reads of the manifest from the origin, one after another, before the peers are asked again.
+constexpr int maxManifestReads = 3;
+// Pause before the plan is looked at again when no chunk may be read.
+constexpr AK::Milliseconds idlePollInterval = 60;
+constexpr AK::Milliseconds errorRetryDelay = 300;
+
+} // namespace
+
+absl::StatusOr<std::string> SwarmFetch::readManifestFromOrigin(kj::WaitScope &scope)
+{
+    for (int read = 0; read < maxManifestReads; ++read) {
+        CATKINLINK_ASSIGN(std::string text, this->origin.manifestText(scope, *this->view.origin, this->model, this->version));
+        CATKINLINK_ASSIGN(const WeightsManifest manifest, this->origin.parseManifest(text));
+        if (manifest.version != this->version) {
+            return absl::DataLossError(AK::concat("the origin sent a manifest of version ", manifest.version, " instead of ", this->version));
+        }
+        if (this->proof.confirm(this->model, manifest)) {
+            return text;
+        }
+    }
+    return absl::DataLossError(AK::concat(maxManifestReads, " reads of the manifest of version ", this->version, " differ"));
+}
+
+void SwarmFetch::startReadPlan()
+{
+    this->plan = startPlan(this->seenChunks(), chunkLinkTime(this->view.originLink), this->originReads.readers, this->loop.clock().now());
+}
+
+std::optional<uint32_t> SwarmFetch::chooseOriginChunk(ReadKind kind)
+{
+    if (!this->plan) {
+        return this->chooseChunk(std::vector<bool>(this->held->chunkCount(), true), FetchScope::Origin);
+    }
+    noteSeen(*this->plan, this->seenChunks(), this->loop.clock().now());
+    const std::vector<bool> allowed = this->allowedChunks(FetchScope::Origin, this->sourceCounts());
+    for (uint32_t i = 0; i < allowed.size(); ++i) {
+        const bool own = this->inOriginRegion() && this->ranks[i] == 0;
+        if (allowed[i] && own == (kind == ReadKind::Own)) {
+            return i;
+        }
+    }
+    return std::nullopt;
+}
+
+bool SwarmFetch::needsStandby() const
+{
+    const AK::Milliseconds now = this->loop.clock().now();
+    for (uint32_t i = 0; i < this->held->chunkCount(); ++i) {
+        const auto offers = [i](const PeerState &state) {
+            return !state.standby && !state.excluded && i < state.offered.size() && state.offered[i];
+        };
+        if (!this->held->has(i) && !this->inFlight.contains(i) && overdueTime(*this->plan, i, now) >= 0 && std::ranges::none_of(this->peers, offers)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void SwarmFetch::fetchFromOrigin(kj::WaitScope &scope, ReadKind kind)
+{
+    while (this->active() && this->view.origin) {
+        if (this->plan && !this->originReached) {
+            this->probeOrigin(scope);
+            continue;
+        }
+        if (const std::optional<uint32_t> chunk = this->chooseOriginChunk(kind)) {
+            this->readFromOrigin(scope, *chunk);
+        } else {
+            this->pause(scope, idlePollInterval);
+        }
+    }
+}
+
+void SwarmFetch::readFromOrigin(kj::WaitScope &scope, uint32_t chunk)
+{
+    const bool takenOver = this->plan && !(this->inOriginRegion() && this->ranks[chunk] == 0);
+    if (takenOver) {
+        ++this->chunksTakenOver;
+        this->logger.info("chunk_taken_over",
+                          {{"version", this->version},
+                           {"chunk", chunk},
+                           {"rank", this->ranks[chunk]},
+                           {"overdue_ms", overdueTime(*this->plan, chunk, this->loop.clock().now())}});
+    }
+    this->inFlight.insert(chunk);
+    ++this->originReadsInFlight;
+    auto data = this->origin.chunk(scope, *this->view.origin, this->model, this->version, chunk);
+    --this->originReadsInFlight;
+    this->inFlight.erase(chunk);
+    this->noteOriginRead(data.status());
+    if (!data.ok()) {
+        this->pause(scope, errorRetryDelay);
+        return;
+    }
+    this->originBytes += data->size();
+    if (!this->storeChunk(chunk, std::move(*data))) {
+        this->held->noteRefusedRead(chunk, this->loop.clock().now());
+    } else if (takenOver && this->inOriginRegion()) {
+        noteTakenOver(*this->plan, chunk, this->loop.clock().now());
+    }
+}
+
+void SwarmFetch::noteOriginRead(const absl::Status &status)
+{
+    // An origin that does not have the chunk is reachable, so that only a later read can tell when it has.
+    const bool reached = status.ok() || (this->plan && absl::IsNotFound(status));
+    if (reached == this->originReached) {
+        return;
+    }
+    const AK::Milliseconds now = this->loop.clock().now();
+    const AK::Milliseconds away = reached ? now - this->originLostAt : 0;
+    this->originReached = reached;
+    this->originLostAt = now;
+    this->logger.info(reached ? "origin_reached" : "origin_lost",
+                      {{"version", this->version}, {"chunks", this->held->heldCount()}, {"away_ms", away}, {"reason", std::string(status.message())}});
+}
+
+void SwarmFetch::probeOrigin(kj::WaitScope &scope)
+{
+    if (this->probing) {
+        this->pause(scope, idlePollInterval);
+        return;
+    }
+    this->probing = true;
+    KJ_DEFER(this->probing = false);
+    const AK::Milliseconds startedAt = this->loop.clock().now();
+    if (const absl::Status status = this->origin.probe(scope, *this->view.origin); status.ok()) {
+        this->noteOriginRead(status);
+        this->startReadPlan();
+        return;
+    }
+    const size_t rank = regionPosition(this->self, this->members, this->versionKey());
+    this->pause(scope, std::max<AK::Milliseconds>(0, startedAt + probeInterval(rank) - this->loop.clock().now()));
+}
+
+} // namespace WeightAgent
--- a/Userland/Utilities/catkinlinkd/PlatformDaemon.cpp
+++ b/Userland/Utilities/catkinlinkd/PlatformDaemon.cpp
@@ -27,6 +27,7 @@
     result.region = settings.region;
     result.regionsByDomain = settings.regionsByDomain;
     result.uploadBytesPerSecond = uploadShare * settings.linkMbps * bytesPerMegabit;
+    result.linkMbps = settings.linkMbps;
     result.rpcPort = settings.innerPort;
     result.switchTimeLimit = weightsSwitchDelay(settings);
     return result;
