WeightAgent: Read announced manifests at once and go on when peers change

The manifest of a version was read only when its fetch began, by which time the origin could be away. The manifests of all announced versions are now read as soon as they are named, each by a fiber of its own, and given to peers; a manifest alone takes no version's place in memory.

A change of the set of peers ended a fetch, which forgot what the others had offered. The fetch now looks at the peers four times a second, adds those that join and leaves out those that are gone.

--- a/Tests/Services/WeightAgent/LoneAgent.cpp
+++ b/Tests/Services/WeightAgent/LoneAgent.cpp
@@ -156,6 +156,11 @@
     this->service.start();
 }
 
+void LoneAgent::name(int64_t version)
+{
+    this->fleet.setWeightsTargets({{model, version}}, 0);
+}
+
 bool LoneAgent::runUntil(const std::function<bool()> &condition, AK::Milliseconds limit)
 {
     const AK::Milliseconds until = this->loop.clock().now() + limit;
--- a/Tests/Services/WeightAgent/LoneAgent.h
+++ b/Tests/Services/WeightAgent/LoneAgent.h
@@ -65,6 +65,9 @@
 public:
     LoneAgent(LibFiber::Loop &loop, WeightAgent::EngineControl &engine, WeightAgent::WeightsOrigin &origin);
 
+    /// Names a version as the operator does.
+    void name(int64_t version);
+
     /// Runs the agent until `condition` holds; false after `limit` ms.
     bool runUntil(const std::function<bool()> &condition, AK::Milliseconds limit = 20'000);
 
--- a/Userland/Services/WeightAgent/AgentService.h
+++ b/Userland/Services/WeightAgent/AgentService.h
@@ -11,6 +11,9 @@
 class AgentService
 {
 public:
+    /// Version that engines have at the start of a deployment, before the operator names one.
+    static constexpr int64_t initialVersion = 1;
+
     struct Settings {
         std::string service;
         AK::Endpoint engineAddress;
@@ -44,7 +47,11 @@
     void pollEngine(kj::WaitScope &scope);
     void runFetchLoop(kj::WaitScope &scope);
     void runLoadLoop(kj::WaitScope &scope);
+    /// Reads the manifests of all announced versions as soon as they are known, also while another version is fetched.
+    void runManifestLoop(kj::WaitScope &scope);
+    void readManifest(kj::WaitScope &scope, const LibFleet::EngineSpec &spec, int64_t version);
     void fetch(kj::WaitScope &scope, const LibFleet::EngineSpec &spec, int64_t version);
+    SwarmFetch makeFetch(const LibFleet::EngineSpec &spec, int64_t version);
     std::shared_ptr<HeldVersion> newestCompleteVersion(const std::string &model) const;
     /// Adds the chunks that are already staged at the engine to `held`.
     void adoptStagedChunks(kj::WaitScope &scope, const std::string &model, HeldVersion &held);
@@ -60,6 +67,8 @@
     bool waitForLoadTurn(kj::WaitScope &scope, const std::string &model, int64_t version);
     void drainCalls(kj::WaitScope &scope) const;
     std::optional<LibFleet::EngineSpec> engineSpec() const;
+    /// Targets that are newer than the loaded version, and the newest, oldest first.
+    std::vector<LibFleet::WeightsTarget> targetsToFetch(const std::string &model) const;
     int64_t versionToFetch(const LibFleet::EngineSpec &spec) const;
     AK::Milliseconds timeLeft(const std::string &model, int64_t version) const;
     SwarmView swarmView() const;
@@ -75,8 +84,10 @@
     std::optional<EngineStatus> status;
     AK::Milliseconds statusReadAt = 0;
     bool switchPending = false;
-    /// Time at which the fetch of each version started.
+    /// Time at which this agent first looked for each version.
     std::map<int64_t, AK::Milliseconds> fetchStartedAt;
+    /// Versions whose manifest is being read.
+    std::set<int64_t> manifestReads;
     LibLog::Logger logger{"agent"};
 };
 
--- a/Userland/Services/WeightAgent/SwarmFetch.cpp
+++ b/Userland/Services/WeightAgent/SwarmFetch.cpp
@@ -26,6 +26,9 @@
 // Age at which the chunks offered by a peer are asked for again while no fetch from it is possible.
 constexpr AK::Milliseconds maxOfferAge = 150;
 constexpr AK::Milliseconds endPollInterval = 20;
+constexpr AK::Milliseconds viewInterval = 250;
+// The most that originConcurrency() gives.
+constexpr size_t maxReadsPerReader = 2;
 // Time for transfers that are under way when a fetch is given up; a chunk takes some 110 ms while four share the link.
 constexpr AK::Milliseconds transferGracePeriod = 200;
 
@@ -51,16 +54,51 @@
     , view(std::move(view))
     , startedAt(startedAt)
     , random(AK::seededFromSystem())
+{
+    this->useView();
+}
+
+void SwarmFetch::useView()
 {
     this->members = membersOf(this->view);
     const bool scheduled = isScheduled(this->view.originLink);
     this->originReads = scheduled ? scheduledConcurrency(this->regionSize(this->view.originRegion), this->view.originConnections, this->view.originLink)
                                   : originConcurrency(this->regionSize(this->self.region), this->view.originConnections);
+    for (PeerState &state : this->peers) {
+        state.gone = state.gone || std::ranges::find(this->view.peers, state.peer) == this->view.peers.end();
+    }
     for (ChosenPeer &chosen : chooseSwarmPeers(this->self, this->view, this->versionKey(), scheduled ? this->originReads.readers : 0)) {
-        this->peers.push_back({std::move(chosen.peer), chosen.standby, {}, 0, false});
+        const auto known = std::ranges::find_if(this->peers, [&](const PeerState &state) { return !state.gone && state.peer == chosen.peer; });
+        if (known == this->peers.end()) {
+            this->peers.push_back({std::move(chosen.peer), chosen.standby, {}, 0, false, false});
+        } else {
+            known->standby = known->standby && chosen.standby;
+        }
     }
 }
 
+void SwarmFetch::followView()
+{
+    SwarmView now = this->watch.currentView();
+    if (now == this->view) {
+        return;
+    }
+    const size_t lanes = this->originReads.readers;
+    const size_t known = this->peers.size();
+    this->view = std::move(now);
+    this->useView();
+    this->rankChunks();
+    if (!isScheduled(this->view.originLink)) {
+        this->plan.reset();
+    } else if (!this->plan || this->originReads.readers != lanes) {
+        this->startReadPlan();
+    }
+    for (size_t i = known; i < this->peers.size(); ++i) {
+        this->fibers.push_back(this->loop.fiber([this, &state = this->peers[i]](kj::WaitScope &inner) { this->fetchFromPeer(inner, state); }));
+    }
+    this->logger.info("peers_changed", {{"version", this->version}, {"agents", this->members.size() + 1}, {"new_peers", this->peers.size() - known}});
+}
+
 bool SwarmFetch::inOriginRegion() const
 {
     return this->self.region == this->view.originRegion;
@@ -104,13 +142,13 @@
 
 bool SwarmFetch::active() const
 {
-    return !this->held->complete() && this->shouldContinue();
+    return !this->held->complete() && this->watch.shouldContinue();
 }
 
-void SwarmFetch::fetchAll(kj::WaitScope &scope, HeldVersion &target, const std::function<bool()> &continueCondition)
+void SwarmFetch::fetchAll(kj::WaitScope &scope, HeldVersion &target, Watch watched)
 {
     this->held = &target;
-    this->shouldContinue = continueCondition;
+    this->watch = std::move(watched);
     this->lastProgressAt = this->loop.clock().now();
     this->rankChunks();
     if (isScheduled(this->view.originLink)) {
@@ -144,31 +182,34 @@
 
 void SwarmFetch::runFibers(kj::WaitScope &scope)
 {
-    std::vector<kj::Promise<void>> fibers;
     for (PeerState &state : this->peers) {
-        fibers.push_back(this->loop.fiber([this, &state](kj::WaitScope &inner) { this->fetchFromPeer(inner, state); }));
-    }
-    for (size_t i = 0; i < this->originReads.readsPerReader; ++i) {
-        fibers.push_back(this->loop.fiber([this](kj::WaitScope &inner) { this->fetchFromOrigin(inner, ReadKind::Own); }));
+        this->fibers.push_back(this->loop.fiber([this, &state](kj::WaitScope &inner) { this->fetchFromPeer(inner, state); }));
     }
-    if (this->plan) {
-        fibers.push_back(this->loop.fiber([this](kj::WaitScope &inner) { this->fetchFromOrigin(inner, ReadKind::TakenOver); }));
+    for (size_t i = 0; i < maxReadsPerReader; ++i) {
+        this->fibers.push_back(this->loop.fiber([this, i](kj::WaitScope &inner) { this->fetchFromOrigin(inner, ReadKind::Own, i); }));
     }
+    this->fibers.push_back(this->loop.fiber([this](kj::WaitScope &inner) { this->fetchFromOrigin(inner, ReadKind::TakenOver, 0); }));
+    AK::Milliseconds viewedAt = this->loop.clock().now();
     while (this->active()) {
         this->loop.sleep(scope, endPollInterval);
+        if (this->loop.clock().now() - viewedAt >= viewInterval) {
+            viewedAt = this->loop.clock().now();
+            this->followView();
+        }
     }
     // A transfer without bytes must not delay the next version until its timeout, so the fibers are cancelled.
     const AK::Milliseconds until = this->loop.clock().now() + transferGracePeriod;
     while (!this->held->complete() && !this->inFlight.empty() && this->loop.clock().now() < until) {
         this->loop.sleep(scope, endPollInterval);
     }
+    this->fibers.clear();
 }
 
 std::vector<uint32_t> SwarmFetch::sourceCounts() const
 {
     std::vector<uint32_t> counts(this->held->chunkCount(), 0);
     for (const PeerState &state : this->peers) {
-        for (size_t i = 0; i < state.offered.size() && !state.excluded; ++i) {
+        for (size_t i = 0; i < state.offered.size() && state.usable(); ++i) {
             counts[i] += state.offered[i] ? 1 : 0;
         }
     }
@@ -256,7 +297,7 @@
 {
     LibPeers::PeerClient client(this->loop, state.peer.rpcAddress);
     const FetchScope fetchScope = state.peer.member.region == this->self.region ? FetchScope::SameRegion : FetchScope::AnyRegion;
-    while (this->active() && !state.excluded) {
+    while (this->active() && state.usable()) {
         if (state.standby && !this->needsStandby()) {
             this->pause(scope, idlePollInterval);
             continue;
--- a/Userland/Services/WeightAgent/SwarmFetch.h
+++ b/Userland/Services/WeightAgent/SwarmFetch.h
@@ -18,7 +18,15 @@
 class SwarmFetch
 {
 public:
-    /// `startedAt`: time at which this agent first looked for the version; the fetch itself is restarted when the set of peers changes.
+    /// What a fetch asks for while it runs.
+    struct Watch {
+        /// Whether the version is still to be fetched.
+        std::function<bool()> shouldContinue;
+        /// The peers and the origin now. The fetch goes on with what it knows when they change.
+        std::function<SwarmView()> currentView;
+    };
+
+    /// `startedAt`: time at which this agent first looked for the version.
     SwarmFetch(LibFiber::Loop &loop, WeightsOrigin &origin, ManifestProof &proof, SwarmSelf self, std::string model, int64_t version, SwarmView view,
                AK::Milliseconds startedAt);
 
@@ -27,8 +35,8 @@
     /// WeightsOrigin::manifestText() and parseManifest().
     absl::StatusOr<std::string> readManifest(kj::WaitScope &scope);
 
-    /// Returns when `held` is complete or `shouldContinue` returns false.
-    void fetchAll(kj::WaitScope &scope, HeldVersion &held, const std::function<bool()> &shouldContinue);
+    /// Returns when `held` is complete or `Watch::shouldContinue` returns false.
+    void fetchAll(kj::WaitScope &scope, HeldVersion &held, Watch watch);
 
 private:
     struct PeerState {
@@ -39,6 +47,13 @@
         /// Time at which `offered` was read.
         AK::Milliseconds offeredAt = 0;
         bool excluded = false;
+        /// The deployment no longer lists the peer.
+        bool gone = false;
+
+        bool usable() const
+        {
+            return !this->excluded && !this->gone;
+        }
     };
 
     absl::StatusOr<std::string> readManifestFromOrigin(kj::WaitScope &scope);
@@ -49,10 +64,14 @@
     std::string versionKey() const;
     /// Fetches until `held` is complete or active() is false.
     void runFibers(kj::WaitScope &scope);
+    /// Derives the concurrency and the peers from the view. Known peers keep what they have offered.
+    void useView();
+    void followView();
     void fetchFromPeer(kj::WaitScope &scope, PeerState &state);
     /// Reads the chunks that this agent is responsible for, or those that it takes over from others.
     enum class ReadKind { Own, TakenOver };
-    void fetchFromOrigin(kj::WaitScope &scope, ReadKind kind);
+    /// `number`: number of the fiber among those for `kind`.
+    void fetchFromOrigin(kj::WaitScope &scope, ReadKind kind, size_t number);
     void readFromOrigin(kj::WaitScope &scope, uint32_t chunk);
     void noteOriginRead(const absl::Status &status);
     /// Tries to connect to the origin after reads have failed; when it is back, the plan starts from that moment.
@@ -96,7 +115,9 @@
     /// Empty when the rate of the origin's link is not known.
     std::optional<ReadPlan> plan;
     HeldVersion *held = nullptr;
-    std::function<bool()> shouldContinue;
+    Watch watch;
+    /// The fetches from peers and from the origin.
+    std::vector<kj::Promise<void>> fibers;
     AK::Milliseconds lastProgressAt = 0;
     uint64_t originBytes = 0;
     size_t chunksTakenOver = 0;
--- a/Userland/Services/WeightAgent/SwarmOriginReads.cpp
+++ b/Userland/Services/WeightAgent/SwarmOriginReads.cpp
@@ -61,7 +61,7 @@
     const AK::Milliseconds now = this->loop.clock().now();
     for (uint32_t i = 0; i < this->held->chunkCount(); ++i) {
         const auto offers = [i](const PeerState &state) {
-            return !state.standby && !state.excluded && i < state.offered.size() && state.offered[i];
+            return !state.standby && state.usable() && i < state.offered.size() && state.offered[i];
         };
         if (!this->held->has(i) && !this->inFlight.contains(i) && overdueTime(*this->plan, i, now) >= 0 && std::ranges::none_of(this->peers, offers)) {
             return true;
@@ -70,9 +70,14 @@
     return false;
 }
 
-void SwarmFetch::fetchFromOrigin(kj::WaitScope &scope, ReadKind kind)
+void SwarmFetch::fetchFromOrigin(kj::WaitScope &scope, ReadKind kind, size_t number)
 {
-    while (this->active() && this->view.origin) {
+    while (this->active()) {
+        const bool idle = kind == ReadKind::Own ? number >= this->originReads.readsPerReader : !this->plan;
+        if (idle || !this->view.origin) {
+            this->pause(scope, idlePollInterval);
+            continue;
+        }
         if (this->plan && !this->originReached) {
             this->probeOrigin(scope);
             continue;
@@ -109,7 +114,7 @@
     this->originBytes += data->size();
     if (!this->storeChunk(chunk, std::move(*data))) {
         this->held->noteRefusedRead(chunk, this->loop.clock().now());
-    } else if (takenOver && this->inOriginRegion()) {
+    } else if (takenOver && this->plan && this->inOriginRegion()) {
         noteTakenOver(*this->plan, chunk, this->loop.clock().now());
     }
 }
@@ -140,7 +145,9 @@
     const AK::Milliseconds startedAt = this->loop.clock().now();
     if (const absl::Status status = this->origin.probe(scope, *this->view.origin); status.ok()) {
         this->noteOriginRead(status);
-        this->startReadPlan();
+        if (isScheduled(this->view.originLink)) {
+            this->startReadPlan();
+        }
         return;
     }
     const size_t rank = regionPosition(this->self, this->members, this->versionKey());
--- a/Userland/Services/WeightAgent/VersionStore.cpp
+++ b/Userland/Services/WeightAgent/VersionStore.cpp
@@ -10,6 +10,7 @@
 
 // The current version and its successor; a third would not fit the memory of a small host.
 constexpr size_t maxVersions = 2;
+constexpr size_t maxAnnounced = 4;
 // Longest time that a chunk is queued for upload; with a longer queue the request is refused, and the peer asks another agent.
 constexpr AK::Milliseconds maxUploadWait = 250;
 
@@ -121,10 +122,31 @@
     return held;
 }
 
+void VersionStore::announce(const std::string &model, std::string manifestText, WeightsManifest manifest)
+{
+    const int64_t version = manifest.version;
+    this->announced[{model, version}] = {std::move(manifestText), std::move(manifest)};
+    if (this->announced.size() > maxAnnounced) {
+        this->announced.erase(this->announced.begin());
+    }
+}
+
+bool VersionStore::hasManifest(const std::string &model, int64_t version) const
+{
+    return this->versions.contains({model, version}) || this->announced.contains({model, version});
+}
+
+std::shared_ptr<HeldVersion> VersionStore::begin(const std::string &model, int64_t version)
+{
+    auto manifest = this->announced.extract({model, version});
+    return manifest.empty() ? this->find(model, version) : this->add(model, std::move(manifest.mapped().text), std::move(manifest.mapped().manifest));
+}
+
 std::string VersionStore::manifest(const std::string &model, int64_t version)
 {
     const auto held = this->find(model, version);
-    return held ? held->manifestText() : "";
+    const auto found = this->announced.find({model, version});
+    return held ? held->manifestText() : found == this->announced.end() ? "" : found->second.text;
 }
 
 std::string VersionStore::heldChunks(const std::string &model, int64_t version)
--- a/Userland/Services/WeightAgent/VersionStore.h
+++ b/Userland/Services/WeightAgent/VersionStore.h
@@ -44,7 +44,8 @@
     size_t held = 0;
 };
 
-/// Holds the newest two versions in memory for the engine of this host and for other agents.
+/// Holds the newest two versions in memory for the engine of this host and for other agents, and the manifests of announced ones. A manifest alone takes no
+/// version's place: the version before it may be the only one that can be complete in time.
 class VersionStore final : public LibPeers::ChunkProvider
 {
 public:
@@ -57,6 +58,12 @@
     std::shared_ptr<HeldVersion> find(const std::string &model, int64_t version) const;
     std::shared_ptr<HeldVersion> add(const std::string &model, std::string manifestText, WeightsManifest manifest);
 
+    /// Keeps the manifest of a version that is not fetched yet, for other agents and for begin().
+    void announce(const std::string &model, std::string manifestText, WeightsManifest manifest);
+    bool hasManifest(const std::string &model, int64_t version) const;
+    /// The version with its chunks; adds one without chunks whose manifest was announced. Nothing without a manifest.
+    std::shared_ptr<HeldVersion> begin(const std::string &model, int64_t version);
+
     std::string manifest(const std::string &model, int64_t version) override;
     std::string heldChunks(const std::string &model, int64_t version) override;
     std::string chunk(const std::string &model, int64_t version, uint32_t index) override;
@@ -67,7 +74,14 @@
     double uploadBytesPerSecond;
     LibWeights::TokenBucket uploadBucket;
     AK::Milliseconds uploadsBusyUntil = 0;
+    struct AnnouncedManifest {
+        std::string text;
+        WeightsManifest manifest;
+    };
+
     std::map<std::pair<std::string, int64_t>, std::shared_ptr<HeldVersion>> versions;
+    /// Manifests of versions that are not among `versions`.
+    std::map<std::pair<std::string, int64_t>, AnnouncedManifest> announced;
 };
 
 } // namespace WeightAgent
