WeightAgent: Choose the version by rates and by what can be had

The choice used constant estimates, so that agents went on with a version whose last chunks nobody could get, and gave up a nearly complete one for a newer one that the origin could not send any more. With known rates the time of each version now follows from the links, the chunks held, the chunks that peers offer and whether the origin answers. An older version that is mostly here is finished first when the newest can follow in time; one whose missing chunks nobody has is dropped while the origin is away, and asked for again at intervals. An agent that does not read from the origin checks it when nothing arrives.

--- a/Tests/Services/WeightAgent/TestChanges.cpp
+++ b/Tests/Services/WeightAgent/TestChanges.cpp
@@ -87,8 +87,12 @@
         return now;
     };
     HeldVersion held("text", soundManifest(newVersion));
-    SwarmFetch fetch(loop, origin, proof, {"self", "lima"}, model, newVersion, view, startedAt);
-    fetch.fetchAll(loop.rootScope(), held, {[&] { return loop.clock().now() - startedAt < 4'000; }, currentView});
+    OriginContact contact;
+    SwarmFetch fetch(loop, origin, proof, contact, {"self", "lima"}, model, newVersion, view, startedAt);
+    fetch.fetchAll(loop.rootScope(), held,
+                   {[&] { return loop.clock().now() - startedAt < 4'000; }, currentView,
+                    [](size_t) {
+                    }});
     EXPECT_TRUE(held.complete());
     loop.cancelSpawned();
 }
--- a/Tests/Services/WeightAgent/TestOriginConcurrency.cpp
+++ b/Tests/Services/WeightAgent/TestOriginConcurrency.cpp
@@ -78,8 +78,9 @@
                 }
             }
             ManifestProof proof;
+            OriginContact contact;
             while (loop.clock().now() - startedAt < testDuration) {
-                SwarmFetch fetch(loop, origin, proof, {"a" + std::to_string(i), "lima"}, "m", 3, view, startedAt);
+                SwarmFetch fetch(loop, origin, proof, contact, {"a" + std::to_string(i), "lima"}, "m", 3, view, startedAt);
                 if (fetch.readManifest(scope).ok()) {
                     ++manifestsRead;
                     return;
--- a/Tests/Services/WeightAgent/TestOriginSchedule.cpp
+++ b/Tests/Services/WeightAgent/TestOriginSchedule.cpp
@@ -1,5 +1,6 @@
 #include "OriginReplay.h"
 
+#include <WeightAgent/VersionChoice.h>
 #include <gtest/gtest.h>
 #include <set>
 
@@ -101,6 +102,43 @@
     EXPECT_FALSE(isTakenOver(plan, 5)) << "another agent delivers";
 }
 
+struct VersionCase {
+    const char *name;
+    std::vector<VersionOutlook> targets;
+    bool originReachable;
+    int64_t version;
+};
+
+class VersionByRatesTest : public testing::TestWithParam<VersionCase>
+{
+};
+
+// Guards against agents that go on with a version whose missing chunks nobody has, and against giving up one that the fleet holds for one that it cannot get.
+TEST_P(VersionByRatesTest, ChoosesWhatCanBeCompleteInTime)
+{
+    EXPECT_EQ(chooseVersionByRates(GetParam().targets, replayLink, GetParam().originReachable), GetParam().version);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, VersionByRatesTest,
+                         testing::Values(VersionCase{"none", {}, true, 0}, VersionCase{"one", {{2, 7'000, 64, 0, 0}}, true, 2},
+                                         VersionCase{"complete", {{2, 7'000, 64, 64, 0}}, true, 0},
+                                         VersionCase{"older_begun_lately", {{2, 6'500, 64, 5, 5}, {3, 7'000, 64, 0, 0}}, true, 3},
+                                         VersionCase{"older_mostly_here", {{2, 6'000, 64, 40, 24}, {3, 8'000, 64, 0, 0}}, true, 2},
+                                         VersionCase{"older_offered_while_away", {{2, 3'000, 64, 40, 24}, {3, 5'000, 64, 10, 0}}, false, 2},
+                                         VersionCase{"older_not_offered_while_away", {{2, 3'000, 64, 40, 17}, {3, 5'000, 64, 10, 0}}, false, 3},
+                                         VersionCase{"older_too_late", {{2, 500, 64, 40, 24}, {3, 5'000, 64, 0, 0}}, true, 3},
+                                         VersionCase{"third_named", {{2, 600, 64, 40, 24}, {3, 3'500, 64, 40, 24}, {4, 5'500, 64, 0, 0}}, true, 3}),
+                         [](const auto &info) { return info.param.name; });
+
+// Guards against an agent that never asks again for the chunks of a version while the origin is away.
+TEST(AssumedOffers, AreCompleteWhenUnknownAndTheOriginIsAway)
+{
+    EXPECT_EQ(assumedOffers({}, 20, true, 5'000), 0U);
+    EXPECT_EQ(assumedOffers({}, 20, false, 5'000), 20U);
+    EXPECT_EQ(assumedOffers({7, 4'000}, 20, false, 5'000), 7U);
+    EXPECT_EQ(assumedOffers({7, 3'000}, 20, false, 5'000), 20U);
+}
+
 class ReplayTest : public testing::TestWithParam<Replay>
 {
 };
--- a/Userland/Services/WeightAgent/AgentService.cpp
+++ b/Userland/Services/WeightAgent/AgentService.cpp
@@ -131,15 +131,47 @@
     return result;
 }
 
+OriginLink AgentService::originLink() const
+{
+    OriginLink link;
+    link.agentMbps = this->settings.linkMbps;
+    const auto configuration = this->fleet.configuration();
+    for (const auto &[name, service] : configuration->services) {
+        if (name == this->settings.service && service.engine) {
+            link.chunkBytes = service.engine->chunkBytes;
+        }
+        if (service.origin) {
+            link.originMbps = service.originLinkMbps;
+        }
+    }
+    return link;
+}
+
+VersionOutlook AgentService::outlookOf(const LibFleet::EngineSpec &spec, const LibFleet::WeightsTarget &target) const
+{
+    const std::shared_ptr<HeldVersion> held = this->store.find(spec.model, target.version);
+    VersionOutlook outlook;
+    outlook.version = target.version;
+    outlook.timeLeft = this->settings.switchTimeLimit - (this->loop.clock().uninterruptedTime() - target.learnedAt);
+    outlook.chunks = held ? held->chunkCount() : spec.chunks;
+    outlook.held = held ? held->heldCount() : 0;
+    const auto offers = this->offersByVersion.find(target.version);
+    outlook.offered = assumedOffers(offers == this->offersByVersion.end() ? KnownOffers() : offers->second, outlook.chunks - outlook.held,
+                                    this->originContact.reached, this->loop.clock().now());
+    return outlook;
+}
+
 int64_t AgentService::versionToFetch(const LibFleet::EngineSpec &spec) const
 {
+    std::vector<VersionOutlook> outlooks;
     std::vector<VersionProgress> candidates;
     for (const LibFleet::WeightsTarget &target : this->targetsToFetch(spec.model)) {
-        const std::shared_ptr<HeldVersion> held = this->store.find(spec.model, target.version);
-        const double heldShare = held ? static_cast<double>(held->heldCount()) / static_cast<double>(held->chunkCount()) : 0.0;
-        candidates.push_back({target.version, this->settings.switchTimeLimit - (this->loop.clock().uninterruptedTime() - target.learnedAt), heldShare});
+        const VersionOutlook &outlook = outlooks.emplace_back(this->outlookOf(spec, target));
+        const double heldShare = outlook.chunks == 0 ? 0.0 : static_cast<double>(outlook.held) / static_cast<double>(outlook.chunks);
+        candidates.push_back({outlook.version, outlook.timeLeft, heldShare});
     }
-    return chooseVersionToFetch(candidates, DurationEstimates{});
+    const OriginLink link = this->originLink();
+    return isScheduled(link) ? chooseVersionByRates(outlooks, link, this->originContact.reached) : chooseVersionToFetch(candidates, DurationEstimates{});
 }
 
 SwarmView AgentService::swarmView() const
@@ -155,16 +187,12 @@
         swarmView.peers.push_back(
             {{record.address.text(), region == this->settings.regionsByDomain.end() ? "" : region->second}, {record.address.host, this->settings.rpcPort}});
     }
-    swarmView.originLink.agentMbps = this->settings.linkMbps;
+    swarmView.originLink = this->originLink();
     const auto configuration = this->fleet.configuration();
     for (const auto &[name, service] : configuration->services) {
-        if (name == this->settings.service && service.engine) {
-            swarmView.originLink.chunkBytes = service.engine->chunkBytes;
-        }
         if (service.origin) {
             swarmView.origin = service.origin;
             swarmView.originConnections = service.maxConnections;
-            swarmView.originLink.originMbps = service.originLinkMbps;
             const auto region = this->settings.regionsByDomain.find(service.originFailureDomain);
             swarmView.originRegion = region == this->settings.regionsByDomain.end() ? "" : region->second;
         }
@@ -175,8 +203,8 @@
 SwarmFetch AgentService::makeFetch(const LibFleet::EngineSpec &spec, int64_t version)
 {
     const AK::Milliseconds startedAt = this->fetchStartedAt.try_emplace(version, this->loop.clock().now()).first->second;
-    return SwarmFetch(this->loop, this->origin, this->manifestProof, {this->settings.engineAddress.text(), this->settings.region}, spec.model, version,
-                      this->swarmView(), startedAt);
+    return SwarmFetch(this->loop, this->origin, this->manifestProof, this->originContact, {this->settings.engineAddress.text(), this->settings.region},
+                      spec.model, version, this->swarmView(), startedAt);
 }
 
 void AgentService::runManifestLoop(kj::WaitScope &scope)
@@ -232,12 +260,17 @@
         held = this->store.begin(spec.model, version);
         this->adoptStagedChunks(scope, spec.model, *held);
     }
-    this->makeFetch(spec, version)
-        .fetchAll(scope, *held,
-                  {[&] { return this->versionToFetch(spec) == version; },
-                   [&] {
-                       return this->swarmView();
-                   }});
+    SwarmFetch::Watch watch;
+    watch.shouldContinue = [&] {
+        return this->versionToFetch(spec) == version;
+    };
+    watch.currentView = [&] {
+        return this->swarmView();
+    };
+    watch.noteOffers = [&](size_t count) {
+        this->offersByVersion[version] = {count, this->loop.clock().now()};
+    };
+    this->makeFetch(spec, version).fetchAll(scope, *held, std::move(watch));
 }
 
 } // namespace WeightAgent
--- a/Userland/Services/WeightAgent/AgentService.h
+++ b/Userland/Services/WeightAgent/AgentService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "SwarmFetch.h"
+#include "VersionChoice.h"
 #include <AK/RecentCheck.h>
 #include <Fleet/PeerExchange.h>
 
@@ -72,6 +73,8 @@
     int64_t versionToFetch(const LibFleet::EngineSpec &spec) const;
     AK::Milliseconds timeLeft(const std::string &model, int64_t version) const;
     SwarmView swarmView() const;
+    OriginLink originLink() const;
+    VersionOutlook outlookOf(const LibFleet::EngineSpec &spec, const LibFleet::WeightsTarget &target) const;
 
     LibFiber::Loop &loop;
     Settings settings;
@@ -81,6 +84,8 @@
     Fleet::PeerExchange &exchange;
     VersionStore store;
     ManifestProof manifestProof;
+    OriginContact originContact;
+    std::map<int64_t, KnownOffers> offersByVersion;
     std::optional<EngineStatus> status;
     AK::Milliseconds statusReadAt = 0;
     bool switchPending = false;
--- a/Userland/Services/WeightAgent/OriginSchedule.cpp
+++ b/Userland/Services/WeightAgent/OriginSchedule.cpp
@@ -23,6 +23,8 @@
 constexpr size_t otherRegionDivisor = 2;
 // Time for an agent that offers a chunk to send it. The chunk is then read from the origin although it is offered.
 constexpr AK::Milliseconds offerTimeLimit = 2'000;
+// Longer than the reserve and a few reads of other agents in place of the failed ones.
+constexpr AK::Milliseconds stallTime = 700;
 constexpr AK::Milliseconds shortestProbeInterval = 150;
 constexpr AK::Milliseconds longestProbeInterval = 3'000;
 constexpr size_t probers = 2;
@@ -111,6 +113,12 @@
     return plan.takenOver[chunk % plan.takenOver.size()];
 }
 
+bool isStalled(const ReadPlan &plan, AK::Milliseconds now)
+{
+    const AK::Milliseconds lastProgressAt = std::max(plan.startAt, std::ranges::max(plan.progressAt));
+    return now - lastProgressAt >= stallTime && std::ranges::find(plan.seen, false) != plan.seen.end();
+}
+
 FetchScope scheduledScope(const ScheduledPosition &position)
 {
     const size_t replaceableRanks = position.overdue < 0 ? 0 : 1 + static_cast<size_t>(position.overdue / takeOverInterval);
--- a/Userland/Services/WeightAgent/OriginSchedule.h
+++ b/Userland/Services/WeightAgent/OriginSchedule.h
@@ -65,6 +65,9 @@
 /// Whether the lane of a chunk has been taken over by this agent.
 bool isTakenOver(const ReadPlan &plan, uint32_t chunk);
 
+/// Whether chunks are missing and none has been seen for so long that the origin may be away.
+bool isStalled(const ReadPlan &plan, AK::Milliseconds now);
+
 /// Input of the rule for one chunk.
 struct ScheduledPosition {
     bool inOriginRegion = false;
--- a/Userland/Services/WeightAgent/SwarmFetch.cpp
+++ b/Userland/Services/WeightAgent/SwarmFetch.cpp
@@ -27,6 +27,8 @@
 constexpr AK::Milliseconds maxOfferAge = 150;
 constexpr AK::Milliseconds endPollInterval = 20;
 constexpr AK::Milliseconds viewInterval = 250;
+// Time in which reachable peers have answered the first question for their chunks.
+constexpr AK::Milliseconds firstAnswersTime = 500;
 // The most that originConcurrency() gives.
 constexpr size_t maxReadsPerReader = 2;
 // Time for transfers that are under way when a fetch is given up; a chunk takes some 110 ms while four share the link.
@@ -43,11 +45,12 @@
 
 } // namespace
 
-SwarmFetch::SwarmFetch(LibFiber::Loop &loop, WeightsOrigin &origin, ManifestProof &proof, SwarmSelf self, std::string model, int64_t version, SwarmView view,
-                       AK::Milliseconds startedAt)
+SwarmFetch::SwarmFetch(LibFiber::Loop &loop, WeightsOrigin &origin, ManifestProof &proof, OriginContact &contact, SwarmSelf self, std::string model,
+                       int64_t version, SwarmView view, AK::Milliseconds startedAt)
     : loop(loop)
     , origin(origin)
     , proof(proof)
+    , contact(contact)
     , self(std::move(self))
     , model(std::move(model))
     , version(version)
@@ -189,13 +192,17 @@
         this->fibers.push_back(this->loop.fiber([this, i](kj::WaitScope &inner) { this->fetchFromOrigin(inner, ReadKind::Own, i); }));
     }
     this->fibers.push_back(this->loop.fiber([this](kj::WaitScope &inner) { this->fetchFromOrigin(inner, ReadKind::TakenOver, 0); }));
-    AK::Milliseconds viewedAt = this->loop.clock().now();
+    const AK::Milliseconds startedAt = this->loop.clock().now();
+    AK::Milliseconds viewedAt = startedAt;
     while (this->active()) {
         this->loop.sleep(scope, endPollInterval);
         if (this->loop.clock().now() - viewedAt >= viewInterval) {
             viewedAt = this->loop.clock().now();
             this->followView();
         }
+        if (this->loop.clock().now() - startedAt >= firstAnswersTime) {
+            this->watch.noteOffers(this->offeredCount());
+        }
     }
     // A transfer without bytes must not delay the next version until its timeout, so the fibers are cancelled.
     const AK::Milliseconds until = this->loop.clock().now() + transferGracePeriod;
@@ -216,6 +223,16 @@
     return counts;
 }
 
+size_t SwarmFetch::offeredCount() const
+{
+    const std::vector<uint32_t> sources = this->sourceCounts();
+    size_t count = 0;
+    for (uint32_t i = 0; i < sources.size(); ++i) {
+        count += sources[i] > 0 && !this->held->has(i) ? 1 : 0;
+    }
+    return count;
+}
+
 std::vector<bool> SwarmFetch::seenChunks() const
 {
     const std::vector<uint32_t> sources = this->sourceCounts();
--- a/Userland/Services/WeightAgent/SwarmFetch.h
+++ b/Userland/Services/WeightAgent/SwarmFetch.h
@@ -13,6 +13,12 @@
 namespace WeightAgent
 {
 
+/// What an agent knows of the way to the origin; it outlasts the fetches.
+struct OriginContact {
+    bool reached = true;
+    AK::Milliseconds lostAt = 0;
+};
+
 /// Fetches all chunks of one version: from other agents, rarest first, and from the origin where scheduledScope() permits it, or allowedScope() when the
 /// configuration does not name the rate of the origin's link.
 class SwarmFetch
@@ -24,11 +30,13 @@
         std::function<bool()> shouldContinue;
         /// The peers and the origin now. The fetch goes on with what it knows when they change.
         std::function<SwarmView()> currentView;
+        /// Called with the number of missing chunks that peers offer, once they have had time to answer.
+        std::function<void(size_t)> noteOffers;
     };
 
     /// `startedAt`: time at which this agent first looked for the version.
-    SwarmFetch(LibFiber::Loop &loop, WeightsOrigin &origin, ManifestProof &proof, SwarmSelf self, std::string model, int64_t version, SwarmView view,
-               AK::Milliseconds startedAt);
+    SwarmFetch(LibFiber::Loop &loop, WeightsOrigin &origin, ManifestProof &proof, OriginContact &contact, SwarmSelf self, std::string model, int64_t version,
+               SwarmView view, AK::Milliseconds startedAt);
 
     /// Reads the manifest from another agent, which has proof of it, or, when mayReadManifestFromOrigin() permits it, from the origin until two reads agree.
     /// Errors: kUnavailable when no peer has it and the origin must not be read yet, kDataLoss when the reads of the origin do not agree, and those of
@@ -76,6 +84,8 @@
     void noteOriginRead(const absl::Status &status);
     /// Tries to connect to the origin after reads have failed; when it is back, the plan starts from that moment.
     void probeOrigin(kj::WaitScope &scope);
+    /// Tries to connect to the origin when nothing arrives: an agent that does not read from it would not learn that it is away.
+    void checkOrigin(kj::WaitScope &scope);
     /// Asks a peer for its chunks. False when it does not answer.
     bool refreshOffers(kj::WaitScope &scope, LibPeers::PeerClient &client, PeerState &state);
     bool active() const;
@@ -86,6 +96,7 @@
     bool needsStandby() const;
     /// Number of known sources by chunk.
     std::vector<uint32_t> sourceCounts() const;
+    size_t offeredCount() const;
     /// Chunks that this agent holds or that a peer offers.
     std::vector<bool> seenChunks() const;
     FetchScope scopeOf(uint32_t chunk, bool offered, AK::Milliseconds now) const;
@@ -99,6 +110,7 @@
     LibFiber::Loop &loop;
     WeightsOrigin &origin;
     ManifestProof &proof;
+    OriginContact &contact;
     SwarmSelf self;
     std::string model;
     int64_t version;
@@ -121,9 +133,8 @@
     AK::Milliseconds lastProgressAt = 0;
     uint64_t originBytes = 0;
     size_t chunksTakenOver = 0;
-    bool originReached = true;
-    AK::Milliseconds originLostAt = 0;
     bool probing = false;
+    AK::Milliseconds nextCheckAt = 0;
     AK::Random random;
     LibLog::Logger logger{"swarm"};
 };
--- a/Userland/Services/WeightAgent/SwarmOriginReads.cpp
+++ b/Userland/Services/WeightAgent/SwarmOriginReads.cpp
@@ -17,6 +17,8 @@
 // Pause before the plan is looked at again when no chunk may be read.
 constexpr AK::Milliseconds idlePollInterval = 60;
 constexpr AK::Milliseconds errorRetryDelay = 300;
+// Shortest time between two checks of an origin from which nothing arrives, and the spread of the checks of all agents.
+constexpr AK::Milliseconds checkInterval = 500;
 
 } // namespace
 
@@ -78,13 +80,16 @@
             this->pause(scope, idlePollInterval);
             continue;
         }
-        if (this->plan && !this->originReached) {
+        if (this->plan && !this->contact.reached) {
             this->probeOrigin(scope);
             continue;
         }
         if (const std::optional<uint32_t> chunk = this->chooseOriginChunk(kind)) {
             this->readFromOrigin(scope, *chunk);
         } else {
+            if (kind == ReadKind::TakenOver) {
+                this->checkOrigin(scope);
+            }
             this->pause(scope, idlePollInterval);
         }
     }
@@ -123,15 +128,28 @@
 {
     // An origin that does not have the chunk is reachable, so that only a later read can tell when it has.
     const bool reached = status.ok() || (this->plan && absl::IsNotFound(status));
-    if (reached == this->originReached) {
+    if (reached == this->contact.reached) {
         return;
     }
     const AK::Milliseconds now = this->loop.clock().now();
-    const AK::Milliseconds away = reached ? now - this->originLostAt : 0;
-    this->originReached = reached;
-    this->originLostAt = now;
+    const AK::Milliseconds away = reached ? now - this->contact.lostAt : 0;
+    this->contact.reached = reached;
+    this->contact.lostAt = now;
     this->logger.info(reached ? "origin_reached" : "origin_lost",
                       {{"version", this->version}, {"chunks", this->held->heldCount()}, {"away_ms", away}, {"reason", std::string(status.message())}});
+    if (reached && this->plan) {
+        this->startReadPlan();
+    }
+}
+
+void SwarmFetch::checkOrigin(kj::WaitScope &scope)
+{
+    const AK::Milliseconds now = this->loop.clock().now();
+    if (now < this->nextCheckAt || !isStalled(*this->plan, now)) {
+        return;
+    }
+    this->nextCheckAt = now + checkInterval + static_cast<AK::Milliseconds>(AK::uniformBelow(this->random, checkInterval));
+    this->noteOriginRead(this->origin.probe(scope, *this->view.origin));
 }
 
 void SwarmFetch::probeOrigin(kj::WaitScope &scope)
@@ -145,9 +163,6 @@
     const AK::Milliseconds startedAt = this->loop.clock().now();
     if (const absl::Status status = this->origin.probe(scope, *this->view.origin); status.ok()) {
         this->noteOriginRead(status);
-        if (isScheduled(this->view.originLink)) {
-            this->startReadPlan();
-        }
         return;
     }
     const size_t rank = regionPosition(this->self, this->members, this->versionKey());
