WeightAgent: Stage chunks while they arrive

All chunks were staged only after the last one had arrived, and then compared twice. A fiber now stages the chunks of the version that is being fetched as they arrive, except while a complete version waits for its load, whose staging area it must not touch. A load waits for a chunk that is on its way, and two seconds after one of another version that was not staged in time. The second comparison is left out when the first found all chunks in place and the load follows at once; the bound on the age of a comparison stays as it was.

--- a/Tests/Services/WeightAgent/TestChanges.cpp
+++ b/Tests/Services/WeightAgent/TestChanges.cpp
@@ -12,24 +12,26 @@
 
 constexpr int64_t nextVersion = newVersion + 1;
 
-/// An origin that sends no chunk until it is opened.
+/// An origin that withholds chunks from a number on until it is opened.
 class GatedOrigin final : public SoundOrigin
 {
 public:
-    explicit GatedOrigin(LibFiber::Loop &loop)
+    GatedOrigin(LibFiber::Loop &loop, uint32_t firstWithheld)
         : loop(loop)
+        , firstWithheld(firstWithheld)
     {
     }
 
     absl::StatusOr<std::string> chunk(kj::WaitScope &scope, const AK::Endpoint &origin, const std::string &name, int64_t version, uint32_t index) override
     {
-        while (!this->open) {
+        while (!this->open && index >= this->firstWithheld) {
             this->loop.sleep(scope, 10);
         }
         return SoundOrigin::chunk(scope, origin, name, version, index);
     }
 
     LibFiber::Loop &loop;
+    uint32_t firstWithheld;
     bool open = false;
 };
 
@@ -38,7 +40,7 @@
 {
     LibFiber::Loop loop;
     MemoryEngine engine;
-    GatedOrigin origin(loop);
+    GatedOrigin origin(loop, 0);
     LoneAgent agent(loop, engine, origin);
     ASSERT_TRUE(agent.runUntil([&] { return !agent.service.versions().manifest(model, newVersion).empty(); }));
     agent.name(nextVersion);
@@ -47,6 +49,22 @@
     EXPECT_TRUE(agent.runUntil([&] { return engine.loadedVersion == nextVersion; }));
 }
 
+// Guards against engines that idle while all chunks are staged after the last one has arrived.
+TEST(Staging, FollowsTheChunks)
+{
+    LibFiber::Loop loop;
+    MemoryEngine engine;
+    GatedOrigin origin(loop, chunkCount - 1);
+    LoneAgent agent(loop, engine, origin);
+    EXPECT_TRUE(agent.runUntil([&] { return engine.staged.size() == chunkCount - 1; }, 4'000));
+    EXPECT_EQ(engine.loads, 0);
+    origin.open = true;
+    EXPECT_TRUE(agent.runUntil([&] { return engine.loadedVersion == newVersion; }));
+    for (uint32_t i = 0; i < chunkCount; ++i) {
+        EXPECT_EQ(engine.loaded[i], soundChunk(i));
+    }
+}
+
 class NoExchange final : public LibPeers::PeerHandler
 {
 public:
--- a/Userland/Services/WeightAgent/AgentLoads.cpp
+++ b/Userland/Services/WeightAgent/AgentLoads.cpp
@@ -14,6 +14,11 @@
 
 constexpr AK::Milliseconds loadLoopInterval = 50;
 constexpr AK::Milliseconds retryDelay = 200;
+constexpr AK::Milliseconds stagePollInterval = 20;
+// A chunk that was not staged in time may still be on its way to the engine for a while.
+constexpr AK::Milliseconds lateStagingTime = 2'000;
+// A comparison takes some hundred ms on a busy host; an older one was followed by a wait for the turn of this engine.
+constexpr AK::Milliseconds immediateLoadAge = 600;
 // A status is read every 100 ms, so the engine does not answer when none arrives for this long.
 constexpr AK::Milliseconds freshStatusTimeout = 600;
 // Longest wait for calls to finish before a load. Entries send no new calls meanwhile; calls that still run are then aborted, and the entries resume their
@@ -44,6 +49,61 @@
     return initial && initial->complete() ? initial : nullptr;
 }
 
+bool AgentService::loadPending(const std::string &model) const
+{
+    const std::shared_ptr<HeldVersion> held = this->newestCompleteVersion(model);
+    return this->switchPending || this->status->busy || (held && this->status->report.weightsVersion < held->manifest().version);
+}
+
+std::optional<uint32_t> AgentService::nextToStage(const std::string &model, const HeldVersion &held) const
+{
+    if (this->loadPending(model) || held.manifest().version <= this->status->report.weightsVersion) {
+        return std::nullopt;
+    }
+    for (uint32_t i = 0; i < held.chunkCount(); ++i) {
+        if (held.has(i) && !this->stagedChunks.contains(i)) {
+            return i;
+        }
+    }
+    return std::nullopt;
+}
+
+void AgentService::runStageLoop(kj::WaitScope &scope)
+{
+    while (true) {
+        const std::optional<LibFleet::EngineSpec> spec = this->engineSpec();
+        const std::shared_ptr<HeldVersion> held = spec && this->fetchedVersion != 0 ? this->store.find(spec->model, this->fetchedVersion) : nullptr;
+        if (held && held->manifest().version != this->stagedVersion) {
+            this->stagedVersion = held->manifest().version;
+            this->stagedChunks.clear();
+        }
+        const std::optional<uint32_t> chunk = held ? this->nextToStage(spec->model, *held) : std::nullopt;
+        if (!chunk) {
+            this->loop.sleep(scope, stagePollInterval);
+            continue;
+        }
+        this->staging = true;
+        const absl::Status put = this->engine.stageChunk(scope, spec->model, *chunk, held->chunk(*chunk));
+        this->staging = false;
+        if (put.ok()) {
+            this->stagedChunks.insert(*chunk);
+        } else {
+            this->stagingFailedAt = this->loop.clock().now();
+            this->loop.sleep(scope, retryDelay);
+        }
+    }
+}
+
+void AgentService::waitForStaging(kj::WaitScope &scope, int64_t version) const
+{
+    const auto mayArriveLate = [&] {
+        return this->stagingFailedAt && version != this->stagedVersion && this->loop.clock().now() - *this->stagingFailedAt < lateStagingTime;
+    };
+    while (this->staging || mayArriveLate()) {
+        this->loop.sleep(scope, loadPollInterval);
+    }
+}
+
 void AgentService::runLoadLoop(kj::WaitScope &scope)
 {
     while (true) {
@@ -53,16 +113,21 @@
         if (!held || this->status->report.weightsVersion >= held->manifest().version) {
             continue;
         }
-        if (!this->compareStaged(scope, spec->model, *held) || !this->waitForLoadTurn(scope, spec->model, held->manifest().version)) {
+        this->waitForStaging(scope, held->manifest().version);
+        std::optional<Comparison> compared = this->compareStaged(scope, spec->model, *held);
+        if (!compared || !this->waitForLoadTurn(scope, spec->model, held->manifest().version)) {
             this->loop.sleep(scope, retryDelay);
             continue;
         }
-        const std::optional<AK::RecentCheck> compared = this->compareStaged(scope, spec->model, *held);
+        // Chunks that were staged have to be read back. Without them, and without a wait, a second comparison tells nothing new.
+        if (compared->staged > 0 || compared->check.age() > immediateLoadAge) {
+            compared = this->compareStaged(scope, spec->model, *held);
+        }
         if (!compared) {
             this->loop.sleep(scope, retryDelay);
             continue;
         }
-        this->switchTo(scope, spec->model, *held, *compared);
+        this->switchTo(scope, spec->model, *held, compared->check);
     }
 }
 
@@ -78,9 +143,9 @@
     this->logger.info("staged_chunks_taken", {{"version", held.manifest().version}, {"chunks", held.heldCount()}, {"of", held.chunkCount()}});
 }
 
-std::optional<AK::RecentCheck> AgentService::compareStaged(kj::WaitScope &scope, const std::string &model, const HeldVersion &held)
+std::optional<AgentService::Comparison> AgentService::compareStaged(kj::WaitScope &scope, const std::string &model, const HeldVersion &held)
 {
-    const AK::RecentCheck compared(this->loop.clock(), comparisonMaxAge);
+    Comparison compared{AK::RecentCheck(this->loop.clock(), comparisonMaxAge)};
     for (uint32_t i = 0; i < held.chunkCount(); ++i) {
         const absl::StatusOr<std::string> staged = this->engine.stagedChunk(scope, model, i);
         if (staged.ok() && *staged == held.chunk(i)) {
@@ -94,6 +159,7 @@
             this->logger.warning("chunk_not_staged", {{"chunk", i}, {"reason", std::string(put.message())}});
             return std::nullopt;
         }
+        ++compared.staged;
     }
     return compared;
 }
@@ -154,11 +220,11 @@
             return *status;
         }
         this->logger.info("staged_chunks_compared_again", {{"version", held.manifest().version}, {"age_ms", compared.age()}});
-        const std::optional<AK::RecentCheck> again = this->compareStaged(scope, model, held);
+        const std::optional<Comparison> again = this->compareStaged(scope, model, held);
         if (!again) {
             return std::nullopt;
         }
-        compared = *again;
+        compared = again->check;
     }
     this->logger.warning("load_put_off", {{"version", held.manifest().version}, {"reason", "comparing the staged chunks takes too long"}});
     return std::nullopt;
--- a/Userland/Services/WeightAgent/AgentService.cpp
+++ b/Userland/Services/WeightAgent/AgentService.cpp
@@ -58,6 +58,7 @@
     this->loop.spawn([this](kj::WaitScope &scope) { this->pollEngine(scope); });
     this->loop.spawn([this](kj::WaitScope &scope) { this->runManifestLoop(scope); });
     this->loop.spawn([this](kj::WaitScope &scope) { this->runFetchLoop(scope); });
+    this->loop.spawn([this](kj::WaitScope &scope) { this->runStageLoop(scope); });
     this->loop.spawn([this](kj::WaitScope &scope) { this->runLoadLoop(scope); });
 }
 
@@ -270,6 +271,8 @@
     watch.noteOffers = [&](size_t count) {
         this->offersByVersion[version] = {count, this->loop.clock().now()};
     };
+    this->fetchedVersion = version;
+    KJ_DEFER(this->fetchedVersion = 0);
     this->makeFetch(spec, version).fetchAll(scope, *held, std::move(watch));
 }
 
--- a/Userland/Services/WeightAgent/AgentService.h
+++ b/Userland/Services/WeightAgent/AgentService.h
@@ -56,8 +56,21 @@
     std::shared_ptr<HeldVersion> newestCompleteVersion(const std::string &model) const;
     /// Adds the chunks that are already staged at the engine to `held`.
     void adoptStagedChunks(kj::WaitScope &scope, const std::string &model, HeldVersion &held);
+    struct Comparison {
+        AK::RecentCheck check;
+        /// Chunks that were missing or differed. They have not been read back.
+        size_t staged = 0;
+    };
+
+    /// Stages the chunks of the version that is being fetched as they arrive, so that only the comparison is left when it is complete.
+    void runStageLoop(kj::WaitScope &scope);
+    /// The chunk to stage next. Nothing while a complete version waits to be loaded: the staging area is then that version's.
+    std::optional<uint32_t> nextToStage(const std::string &model, const HeldVersion &held) const;
+    bool loadPending(const std::string &model) const;
+    /// Waits until no chunk of another version can reach the staging area any more.
+    void waitForStaging(kj::WaitScope &scope, int64_t version) const;
     /// Compares all staged chunks with `held` and stages those that are missing or differ. Returns nothing when the engine fails.
-    std::optional<AK::RecentCheck> compareStaged(kj::WaitScope &scope, const std::string &model, const HeldVersion &held);
+    std::optional<Comparison> compareStaged(kj::WaitScope &scope, const std::string &model, const HeldVersion &held);
     /// Returns the status on which a load command is to be based. `compared` holds then, after more comparisons if necessary. Nothing when the engine must not
     /// or need not load the version now.
     std::optional<EngineStatus> statusForLoad(kj::WaitScope &scope, const std::string &model, const HeldVersion &held, AK::RecentCheck compared);
@@ -86,6 +99,14 @@
     ManifestProof manifestProof;
     OriginContact originContact;
     std::map<int64_t, KnownOffers> offersByVersion;
+    /// Version that is being fetched, 0 for none.
+    int64_t fetchedVersion = 0;
+    /// Version of which chunks are staged as they arrive, and these chunks.
+    int64_t stagedVersion = 0;
+    std::set<uint32_t> stagedChunks;
+    bool staging = false;
+    /// Time of the last chunk that was not staged; the engine may still receive it.
+    std::optional<AK::Milliseconds> stagingFailedAt;
     std::optional<EngineStatus> status;
     AK::Milliseconds statusReadAt = 0;
     bool switchPending = false;
