--- a/Tests/Services/WeightAgent/LoneAgent.cpp
+++ b/Tests/Services/WeightAgent/LoneAgent.cpp
@@ -89,6 +89,11 @@
     return "{}";
 }
 
+absl::Status SoundOrigin::probe(kj::WaitScope & /*scope*/, const AK::Endpoint & /*origin*/)
+{
+    return absl::OkStatus();
+}
+
 absl::StatusOr<std::string> SoundOrigin::manifestText(kj::WaitScope & /*scope*/, const AK::Endpoint & /*origin*/, const std::string & /*name*/, int64_t version)
 {
     return nlohmann::json{{"version", version}, {"digests", soundManifest(version).digests}}.dump();
@@ -151,6 +156,11 @@
     this->service.start();
 }
 
+void LoneAgent::name(int64_t version)
+{
+    this->fleet.setWeightsTargets({{model, version}}, 0);
+}
+
 bool LoneAgent::runUntil(const std::function<bool()> &condition, AK::Milliseconds limit)
 {
     const AK::Milliseconds until = this->loop.clock().now() + limit;
--- a/Tests/Services/WeightAgent/TestOriginConcurrency.cpp
+++ b/Tests/Services/WeightAgent/TestOriginConcurrency.cpp
@@ -16,6 +16,10 @@
     {
     }
 
+    absl::Status probe(kj::WaitScope &, const AK::Endpoint &) override
+    {
+        return absl::OkStatus();
+    }
     absl::StatusOr<std::string> manifestText(kj::WaitScope &scope, const AK::Endpoint &, const std::string &, int64_t) override
     {
         constexpr AK::Milliseconds readTime = 100;
@@ -74,8 +78,9 @@
                 }
             }
             ManifestProof proof;
+            OriginContact contact;
             while (loop.clock().now() - startedAt < testDuration) {
-                SwarmFetch fetch(loop, origin, proof, {"a" + std::to_string(i), "lima"}, "m", 3, view, startedAt);
+                SwarmFetch fetch(loop, origin, proof, contact, {"a" + std::to_string(i), "lima"}, "m", 3, view, startedAt);
                 if (fetch.readManifest(scope).ok()) {
                     ++manifestsRead;
                     return;
