--- a/Userland/Libraries/LibSettings/JsonSchema.cpp
+++ b/Userland/Libraries/LibSettings/JsonSchema.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 
-constexpr int maxReportedViolations = 5;
+constexpr size_t maxReportedViolations = 5;
 
 // Converts a path from valijson, such as ["<root>", "[field]", "[0]"], to a JSON Pointer.
 std::string toJsonPointer(const std::vector<std::string> &context)
@@ -30,32 +30,42 @@
 
 } // namespace
 
-absl::Status validateAgainstSchema(const nlohmann::json &document, std::string_view schema, std::string_view documentName)
+std::vector<Violation> violationsOf(const nlohmann::json &document, std::string_view schema)
 {
     valijson::Schema parsed;
     const nlohmann::json schemaJson = nlohmann::json::parse(schema);
     valijson::SchemaParser().populateSchema(valijson::adapters::NlohmannJsonAdapter(schemaJson), parsed);
     valijson::ValidationResults results;
     valijson::Validator validator;
+    std::vector<Violation> violations;
     if (validator.validate(parsed, valijson::adapters::NlohmannJsonAdapter(document), &results)) {
-        return absl::OkStatus();
+        return violations;
     }
-    std::string message(documentName);
     valijson::ValidationResults::Error error;
     size_t maxDepth = 0;
-    std::vector<valijson::ValidationResults::Error> violations;
+    std::vector<valijson::ValidationResults::Error> errors;
     while (results.popError(error)) {
         maxDepth = std::max(maxDepth, error.context.size());
-        violations.push_back(error);
+        errors.push_back(error);
     }
-    int reported = 0;
-    for (const auto &violation : violations) {
+    for (const auto &candidate : errors) {
         // Errors at a lower depth only repeat that a nested value is invalid.
-        if (violation.context.size() == maxDepth && reported < maxReportedViolations) {
-            message += AK::concat(reported == 0 ? ": " : "; ", toJsonPointer(violation.context), ": ", violation.description);
-            ++reported;
+        if (candidate.context.size() == maxDepth) {
+            violations.push_back({toJsonPointer(candidate.context), candidate.description});
         }
     }
+    return violations;
+}
+
+absl::Status statusOf(const std::vector<Violation> &violations, std::string_view documentName)
+{
+    if (violations.empty()) {
+        return absl::OkStatus();
+    }
+    std::string message(documentName);
+    for (size_t i = 0; i < violations.size() && i < maxReportedViolations; ++i) {
+        message += AK::concat(i == 0 ? ": " : "; ", violations[i].path, ": ", violations[i].reason);
+    }
     return absl::InvalidArgumentError(message);
 }
 
--- a/Userland/Libraries/LibSettings/ProcessSettings.cpp
+++ b/Userland/Libraries/LibSettings/ProcessSettings.cpp
@@ -102,14 +102,14 @@
     }
 }
 
-absl::Status readEndpoint(const nlohmann::json &object, const std::string &pointer, AK::Endpoint &target)
+void readEndpoint(const nlohmann::json &object, const std::string &pointer, AK::Endpoint &target, std::vector<Violation> &violations)
 {
-    absl::StatusOr<AK::Endpoint> parsed = AK::parseEndpoint(object.at(nlohmann::json::json_pointer(pointer)).get<std::string>());
+    const absl::StatusOr<AK::Endpoint> parsed = AK::parseEndpoint(object.at(nlohmann::json::json_pointer(pointer)).get<std::string>());
     if (!parsed.ok()) {
-        return absl::InvalidArgumentError(AK::concat("process settings: ", pointer, ": ", parsed.status().message()));
+        violations.push_back({pointer, AK::concat(parsed.status().message())});
+        return;
     }
     target = *parsed;
-    return absl::OkStatus();
 }
 
 TimingSettings readTiming(const nlohmann::json &json)
@@ -140,18 +140,19 @@
     return entry;
 }
 
-absl::StatusOr<AgentSettings> readAgent(const nlohmann::json &processJson)
+AgentSettings readAgent(const nlohmann::json &processJson, std::vector<Violation> &violations)
 {
     const nlohmann::json &json = processJson.at("agent");
     AgentSettings agent;
-    CATKINLINK_TRY(readEndpoint(processJson, "/agent/upstream_address", agent.upstreamAddress));
+    readEndpoint(processJson, "/agent/upstream_address", agent.upstreamAddress, violations);
     agent.upstreamKind = *AK::valueOf(upstreamKindNames, json.at("upstream_kind").get<std::string>());
     readOptional(json, "service", agent.service);
     if (agent.upstreamKind == UpstreamKind::Engine) {
-        if (!json.contains("weight_store")) {
-            return absl::InvalidArgumentError("process settings: /agent/weight_store: is required when /agent/upstream_kind is \"engine\"");
+        if (json.contains("weight_store")) {
+            readEndpoint(processJson, "/agent/weight_store", agent.weightStore, violations);
+        } else {
+            violations.push_back({"/agent/weight_store", "is required when /agent/upstream_kind is \"engine\""});
         }
-        CATKINLINK_TRY(readEndpoint(processJson, "/agent/weight_store", agent.weightStore));
     }
     readOptional(json, "origin_region", agent.originRegion);
     readOptional(json, "weight_buffer_bytes", agent.weightBufferBytes);
@@ -168,22 +169,24 @@
 
 } // namespace
 
-absl::StatusOr<ProcessSettings> parseProcessSettings(const nlohmann::json &json)
+std::vector<Violation> parseProcessSettings(const nlohmann::json &json, ProcessSettings &settings)
 {
-    CATKINLINK_TRY(validateAgainstSchema(json, processSettingsSchema(), "process settings"));
-    ProcessSettings settings;
+    std::vector<Violation> violations = violationsOf(json, processSettingsSchema());
+    if (!violations.empty()) {
+        return violations;
+    }
     settings.role = *AK::valueOf(processRoleNames, json.at("role").get<std::string>());
     readOptional(json, "name", settings.name);
     readOptional(json, "site", settings.site);
     readOptional(json, "region", settings.region);
     readOptional(json, "failure_domain", settings.failureDomain);
     readOptional(json, "log_level", settings.logLevel);
-    CATKINLINK_TRY(readEndpoint(json, "/http_address", settings.httpAddress));
-    CATKINLINK_TRY(readEndpoint(json, "/rpc_address", settings.rpcAddress));
-    CATKINLINK_TRY(readEndpoint(json, "/object_api", settings.objectApi));
+    readEndpoint(json, "/http_address", settings.httpAddress, violations);
+    readEndpoint(json, "/rpc_address", settings.rpcAddress, violations);
+    readEndpoint(json, "/object_api", settings.objectApi, violations);
     const size_t seedCount = json.contains("seeds") ? json["seeds"].size() : 0;
     for (size_t i = 0; i < seedCount; ++i) {
-        CATKINLINK_TRY(readEndpoint(json, AK::concat("/seeds/", i), settings.seeds.emplace_back()));
+        readEndpoint(json, AK::concat("/seeds/", i), settings.seeds.emplace_back(), violations);
     }
     for (const nlohmann::json &key : json.at("keys")) {
         settings.keys.push_back({key.at("id"), key.at("secret")});
@@ -200,12 +203,20 @@
         settings.entry = readEntry(json["entry"]);
     }
     if (settings.entry.callLimit >= settings.entry.callThreads) {
-        return absl::InvalidArgumentError(AK::concat("process settings: /entry/call_limit: ", settings.entry.callLimit, " must be below /entry/call_threads, ",
-                                                     settings.entry.callThreads, ", so that a thread stays free to send refusals"));
+        violations.push_back({"/entry/call_limit",
+                              AK::concat(settings.entry.callLimit, " must be below /entry/call_threads, ", settings.entry.callThreads,
+                                         ", so that a thread stays free to send refusals")});
     }
     if (settings.role == ProcessRole::Agent) {
-        CATKINLINK_ASSIGN(settings.agent, readAgent(json));
+        settings.agent = readAgent(json, violations);
     }
+    return violations;
+}
+
+absl::StatusOr<ProcessSettings> parseProcessSettings(const nlohmann::json &json)
+{
+    ProcessSettings settings;
+    CATKINLINK_TRY(statusOf(parseProcessSettings(json, settings), "process settings"));
     return settings;
 }
 
--- a/Userland/Libraries/LibSettings/ProcessSettings.h
+++ b/Userland/Libraries/LibSettings/ProcessSettings.h
@@ -3,6 +3,7 @@
 #include <AK/Clock.h>
 #include <AK/Endpoint.h>
 #include <AK/EnumNames.h>
+#include <LibSettings/JsonSchema.h>
 #include <absl/status/statusor.h>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -110,6 +111,9 @@
 /// Validates and parses the settings of a process. Errors: kInvalidArgument with the path of the invalid field.
 absl::StatusOr<ProcessSettings> parseProcessSettings(const nlohmann::json &json);
 
+/// The same into default settings. Returns every violation found; the settings may be used only when there is none.
+std::vector<Violation> parseProcessSettings(const nlohmann::json &json, ProcessSettings &settings);
+
 /// JSON Schema of the settings file of a process.
 std::string_view processSettingsSchema();
 
--- a/Userland/Libraries/LibSettings/SiteDocument.cpp
+++ b/Userland/Libraries/LibSettings/SiteDocument.cpp
@@ -43,42 +43,43 @@
     return service;
 }
 
-absl::Status checkServices(const SiteDocument &document)
+void checkServices(const SiteDocument &document, std::vector<Violation> &violations)
 {
     for (const auto &[name, service] : document.services) {
         const std::string pointer = AK::concat("/services/", name);
         if (service.kind == UpstreamKind::Engine && !service.target) {
-            return invalid(AK::concat(pointer, "/target"), "is required when kind is \"engine\"");
+            violations.push_back({AK::concat(pointer, "/target"), "is required when kind is \"engine\""});
         }
         if (service.kind == UpstreamKind::Plain && (service.target || service.previous)) {
-            return invalid(pointer, "a plain service has no weights");
+            violations.push_back({pointer, "a plain service has no weights"});
         }
         if (service.kind == UpstreamKind::Plain && service.routes.empty()) {
-            return invalid(AK::concat(pointer, "/routes"), "a plain service needs at least one route");
+            violations.push_back({AK::concat(pointer, "/routes"), "a plain service needs at least one route"});
         }
     }
-    return absl::OkStatus();
 }
 
-absl::Status checkReferences(const SiteDocument &document)
+void checkReferences(const SiteDocument &document, std::vector<Violation> &violations)
 {
     for (const auto &[name, upstream] : document.upstreams) {
+        const std::string pointer = AK::concat("/upstreams/", name);
         if (!document.services.contains(upstream.service)) {
-            return invalid(AK::concat("/upstreams/", name, "/service"), AK::concat("names unknown service \"", upstream.service, "\""));
+            violations.push_back({AK::concat(pointer, "/service"), AK::concat("names unknown service \"", upstream.service, "\"")});
         }
         if (!document.failureDomains.contains(upstream.failureDomain)) {
-            return invalid(AK::concat("/upstreams/", name, "/failure_domain"), AK::concat("names unknown failure domain \"", upstream.failureDomain, "\""));
+            violations.push_back({AK::concat(pointer, "/failure_domain"), AK::concat("names unknown failure domain \"", upstream.failureDomain, "\"")});
         }
     }
-    return absl::OkStatus();
 }
 
 } // namespace
 
-absl::StatusOr<SiteDocument> parseSiteDocument(const nlohmann::json &json)
+std::vector<Violation> parseSiteDocument(const nlohmann::json &json, SiteDocument &document)
 {
-    CATKINLINK_TRY(validateAgainstSchema(json, siteDocumentSchema(), "site document"));
-    SiteDocument document;
+    std::vector<Violation> violations = violationsOf(json, siteDocumentSchema());
+    if (!violations.empty()) {
+        return violations;
+    }
     document.site = json.at("site");
     for (const auto &[name, value] : json.at("failure_domains").items()) {
         document.failureDomains[name] = {value.at("region"), value.value("in_service", true)};
@@ -93,8 +94,15 @@
         document.upstreams[name] = {value.at("service"), value.at("failure_domain"), value.value("in_service", true)};
     }
     document.settledRestrictions = json.value("settled_restrictions", std::vector<std::string>());
-    CATKINLINK_TRY(checkServices(document));
-    CATKINLINK_TRY(checkReferences(document));
+    checkServices(document, violations);
+    checkReferences(document, violations);
+    return violations;
+}
+
+absl::StatusOr<SiteDocument> parseSiteDocument(const nlohmann::json &json)
+{
+    SiteDocument document;
+    CATKINLINK_TRY(statusOf(parseSiteDocument(json, document), "site document"));
     return document;
 }
 
--- a/Userland/Libraries/LibSettings/SiteDocument.h
+++ b/Userland/Libraries/LibSettings/SiteDocument.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <AK/Clock.h>
+#include <LibSettings/JsonSchema.h>
 #include <LibSettings/ProcessSettings.h>
 #include <absl/status/statusor.h>
 #include <map>
@@ -82,6 +83,9 @@
 /// Validates and parses a site document. Errors: kInvalidArgument with the path of the invalid field.
 absl::StatusOr<SiteDocument> parseSiteDocument(const nlohmann::json &json);
 
+/// The same into an empty `document`. Returns every violation found; the document may be used only when there is none.
+std::vector<Violation> parseSiteDocument(const nlohmann::json &json, SiteDocument &document);
+
 /// Applies an overlay to a base (JSON Merge Patch, RFC 7396) and validates the result like parseSiteDocument().
 /// Errors: kInvalidArgument when the result is invalid, or when the overlay names an upstream, failure domain or service that the base does not contain without
 /// defining it in full.
--- a/Userland/Services/Entry/CallParser.cpp
+++ b/Userland/Services/Entry/CallParser.cpp
@@ -3,6 +3,7 @@
 #include <AK/Hash.h>
 #include <AK/Text.h>
 #include <LibJson/BoundedJson.h>
+#include <LibSettings/RouteChoice.h>
 #include <algorithm>
 
 namespace Entry
@@ -43,32 +44,17 @@
     std::optional<std::string> decoded = percentDecode(path);
     const bool encodedSlash = AK::toLower(path).find("%2f") != std::string::npos;
     const bool controlCharacter = decoded && std::any_of(decoded->begin(), decoded->end(), [](unsigned char c) { return c < 0x20 || c == 0x7f || c == '\\'; });
-    if (!decoded || encodedSlash || controlCharacter || decoded->find("//") != std::string::npos) {
-        return std::nullopt;
-    }
-    const std::string terminated = *decoded + "/";
-    if (terminated.find("/../") != std::string::npos || terminated.find("/./") != std::string::npos || terminated.find(';') != std::string::npos) {
+    if (!decoded || encodedSlash || controlCharacter || LibSettings::isAmbiguousPath(*decoded)) {
         return std::nullopt;
     }
     return decoded;
 }
 
-bool routeMatches(const LibSettings::Route &route, const std::string &method, const std::string &path)
-{
-    return route.method == method && path.starts_with(route.path)
-        && (path.size() == route.path.size() || route.path.ends_with('/') || path[route.path.size()] == '/');
-}
-
-// The longest matching route decides; without a match only GET is repeatable.
+// Without a route only GET is repeatable.
 bool isRepeatable(const LibSettings::ServiceSpec &service, const std::string &method, const std::string &path)
 {
-    const LibSettings::Route *best = nullptr;
-    for (const auto &route : service.routes) {
-        if (routeMatches(route, method, path) && (best == nullptr || route.path.size() > best->path.size())) {
-            best = &route;
-        }
-    }
-    return best != nullptr ? best->repeatable : method == "GET";
+    const LibSettings::Route *route = LibSettings::routeFor(service, method, path);
+    return route != nullptr ? route->repeatable : method == "GET";
 }
 
 std::optional<RequestError> authenticate(EntryCall &call)
@@ -123,7 +109,7 @@
     const size_t slash = rest.find('/');
     call.service = rest.substr(0, slash);
     const std::string path = slash == std::string_view::npos ? "/" : std::string(rest.substr(slash));
-    if (call.request.method != "POST" && call.request.method != "GET") {
+    if (!LibSettings::isPlainCallMethod(call.request.method)) {
         return RequestError{405, "method", AK::concat("method ", call.request.method, " is not allowed on ", call.request.path), 0};
     }
     const std::optional<std::string> decoded = decodeUnambiguousPath(path);
