catkinlink: Add the command config check

It exits with 0 when nothing is found, 1 with findings and 2 when a file cannot be read. A settings file that cannot be opened is reported with the reason.

--- a/Userland/Libraries/LibSettings/JsonFile.cpp
+++ b/Userland/Libraries/LibSettings/JsonFile.cpp
@@ -2,9 +2,12 @@
 
 #include <AK/Text.h>
 #include <LibJson/BoundedJson.h>
+#include <cerrno>
+#include <filesystem>
 #include <fstream>
 #include <set>
 #include <sstream>
+#include <system_error>
 #include <vector>
 
 namespace LibSettings
@@ -47,9 +50,13 @@
 
 absl::StatusOr<nlohmann::json> readJsonFile(const std::string &path)
 {
+    std::error_code ignored;
+    if (std::filesystem::is_directory(path, ignored)) {
+        return absl::NotFoundError(AK::concat("settings file \"", path, "\" is a directory"));
+    }
     std::ifstream file(path, std::ios::binary);
     if (!file) {
-        return absl::NotFoundError(AK::concat("settings file \"", path, "\" cannot be opened"));
+        return absl::NotFoundError(AK::concat("settings file \"", path, "\" cannot be opened: ", std::generic_category().message(errno)));
     }
     std::ostringstream text;
     text << file.rdbuf();
--- a/Userland/Utilities/catkinlink/CommandLine.cpp
+++ b/Userland/Utilities/catkinlink/CommandLine.cpp
@@ -36,7 +36,7 @@
         {"reason", "TEXT", "reason of the change, kept in the audit trail"},
         {"base", "FILE", "base settings file of the site"},
         {"overlay", "FILE", "overlay of the site, merged into the base"},
-        {"against", "FILE", "compare with this document instead of the revision in force"},
+        {"against", "FILE", "compare with this document (diff: instead of the revision in force)"},
         {"expected-revision", "NUMBER", "apply only if this revision is in force (default: the revision read first)"},
         {"force", "", "go on even if this takes out the last upstream of a service or drops a version that hosts still serve"},
         {"wait", "SECONDS", "wait until the revision is in force on every live member (default: 8, 0 does not wait); rollout status: longest time to watch"},
@@ -288,6 +288,7 @@
 {
     static const std::vector<CommandSpec> specs{
         {"validate", "check settings files without a connection", "", "!base overlay json"},
+        {"config check", "find errors, parts without effect and contradictory limits in a settings file", "FILE", "against json"},
         {"diff", "compare settings files with the revision in force", "", "!base overlay against entry key-file json"},
         {"apply", "put settings files in force", "", "!base overlay !entry !key-file !reason expected-revision force wait json"},
         {"status", "show members and restrictions", "", "!entry !key-file json"},
--- a/Userland/Utilities/catkinlink/Commands.h
+++ b/Userland/Utilities/catkinlink/Commands.h
@@ -3,6 +3,7 @@
 #include "CommandLine.h"
 #include "CommandOutput.h"
 #include "EntryClient.h"
+#include "ExitCode.h"
 
 namespace Catkinlink
 {
@@ -23,6 +24,12 @@
 /// Prints "path: before -> after" per field.
 void printDifferences(const std::vector<FieldDifference> &differences, std::ostream &out);
 
+/// The same after a line that counts the fields and names the `source` of the earlier values.
+void printDifferences(const std::vector<FieldDifference> &differences, const std::string &source, std::ostream &out);
+
+/// JSON array of objects with path, before and after.
+nlohmann::json listDifferences(const std::vector<FieldDifference> &differences);
+
 /// Reads the base and, when given, merges the overlay. Errors: kNotFound, kInvalidArgument with the path of the field.
 absl::StatusOr<nlohmann::json> readSettings(const CommandOptions &options);
 
@@ -33,6 +40,8 @@
 absl::Status runExplain(const CommandOptions &options, const CommandEnvironment &environment);
 absl::Status runRolloutExplain(const CommandOptions &options, const CommandEnvironment &environment);
 absl::Status runValidate(const CommandOptions &options, const CommandEnvironment &environment);
+/// Returns ExitCode::Failed when there are findings. Errors: kOutOfRange when a file cannot be read.
+absl::StatusOr<ExitCode> runConfigCheck(const CommandOptions &options, const CommandEnvironment &environment);
 absl::Status runDiff(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment);
 absl::Status runApply(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment);
 absl::Status runStatus(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment);
--- a/Userland/Utilities/catkinlink/FileCommands.cpp
+++ b/Userland/Utilities/catkinlink/FileCommands.cpp
@@ -82,6 +82,21 @@
     }
 }
 
+void printDifferences(const std::vector<FieldDifference> &differences, const std::string &source, std::ostream &out)
+{
+    out << differences.size() << (differences.size() == 1 ? " field differs from " : " fields differ from ") << source << "\n";
+    printDifferences(differences, out);
+}
+
+nlohmann::json listDifferences(const std::vector<FieldDifference> &differences)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const FieldDifference &difference : differences) {
+        list.push_back({{"path", difference.path}, {"before", difference.before}, {"after", difference.after}});
+    }
+    return list;
+}
+
 absl::StatusOr<nlohmann::json> readSettings(const CommandOptions &options)
 {
     absl::StatusOr<nlohmann::json> result = LibSettings::readJsonFile(options.base);
@@ -133,15 +148,10 @@
     }
     const std::vector<FieldDifference> differences = compareDocuments(inForce, document);
     if (options.json) {
-        nlohmann::json list = nlohmann::json::array();
-        for (const FieldDifference &difference : differences) {
-            list.push_back({{"path", difference.path}, {"before", difference.before}, {"after", difference.after}});
-        }
-        environment.out << nlohmann::json{{"against", source}, {"differences", list}} << "\n";
+        environment.out << nlohmann::json{{"against", source}, {"differences", listDifferences(differences)}} << "\n";
         return absl::OkStatus();
     }
-    environment.out << differences.size() << (differences.size() == 1 ? " field differs from " : " fields differ from ") << source << "\n";
-    printDifferences(differences, environment.out);
+    printDifferences(differences, source, environment.out);
     return absl::OkStatus();
 }
 
--- a/Userland/Utilities/catkinlink/RunCommand.cpp
+++ b/Userland/Utilities/catkinlink/RunCommand.cpp
@@ -63,8 +63,15 @@
         return ExitCode::Done;
     }
     absl::Status status;
+    ExitCode success = ExitCode::Done;
     try {
-        status = dispatch(*options, environment);
+        if (options->command == "config check") {
+            const absl::StatusOr<ExitCode> checked = runConfigCheck(*options, environment);
+            status = checked.status();
+            success = checked.value_or(success);
+        } else {
+            status = dispatch(*options, environment);
+        }
     } catch (const nlohmann::json::exception &exception) {
         // Responses of an entry are not checked against a schema.
         status = absl::InternalError(AK::concat("a response has an unexpected form: ", exception.what()));
@@ -75,7 +82,7 @@
             environment.out << nlohmann::json{{"error", std::string(status.message())}, {"exit_code", static_cast<int>(exitCodeOf(status))}} << "\n";
         }
     }
-    return exitCodeOf(status);
+    return status.ok() ? success : exitCodeOf(status);
 }
 
 } // namespace Catkinlink
--- a/Userland/Utilities/catkinlink/catkinlink.bash
+++ b/Userland/Utilities/catkinlink/catkinlink.bash
@@ -15,7 +15,9 @@
     --entry | --weight-store | --reason | --wait | --ttl | --state | --expected-revision) return ;;
     esac
     if [ "$COMP_CWORD" -eq 1 ]; then
-        choices="validate diff apply status domain upstream rollout audit claims address call explain --help --version"
+        choices="validate config diff apply status domain upstream rollout audit claims address call explain --help --version"
+    elif [ "$COMP_CWORD" -eq 2 ] && [ "$first" = config ]; then
+        choices="check"
     elif [ "$COMP_CWORD" -eq 2 ] && [ "$first" = rollout ]; then
         choices="start status pause resume rollback explain"
     elif [ "$COMP_CWORD" -eq 2 ] && { [ "$first" = domain ] || [ "$first" = upstream ]; }; then
@@ -23,6 +25,10 @@
     else
         case $first in
         validate) choices="--base --overlay --json --help --version" ;;
+        config)
+            mapfile -t COMPREPLY < <(compgen -f -- "$current"; compgen -W "--against --json --help --version" -- "$current")
+            return
+            ;;
         diff) choices="--base --overlay --against $_catkinlink_json_flags" ;;
         apply) choices="--base --overlay --expected-revision --force $change" ;;
         status | address) choices=$_catkinlink_json_flags ;;
