--- a/Tests/OperatorPages/PageRunner.cpp
+++ b/Tests/OperatorPages/PageRunner.cpp
@@ -82,6 +82,8 @@
                                                << "\n";
     std::ofstream(this->folder + "/mistake.json") << R"({"accounts": {"exports": {"weight": "many"}}})"
                                                   << "\n";
+    std::ofstream(this->folder + "/changes.json") << R"({"accounts": {"kiosk": {"weight": 2}}, "upstreams": {"ledger-1": {"in_service": false}}})"
+                                                  << "\n";
     std::ofstream(this->folder + "/shipment.json") << R"({"order": 4711})"
                                                    << "\n";
     return absl::OkStatus();
--- a/Userland/Utilities/catkinlink/CommandLine.cpp
+++ b/Userland/Utilities/catkinlink/CommandLine.cpp
@@ -288,7 +288,7 @@
 {
     static const std::vector<CommandSpec> specs{
         {"validate", "check settings files without a connection", "", "!base overlay json"},
-        {"config check", "find errors, parts without effect and contradictory limits in a settings file", "FILE", "against json"},
+        {"config check", "find errors, parts without effect and contradictory limits in a settings file", "FILE", "overlay against json"},
         {"diff", "compare settings files with the revision in force", "", "!base overlay against entry key-file json"},
         {"apply", "put settings files in force", "", "!base overlay !entry !key-file !reason expected-revision force wait json"},
         {"status", "show members and restrictions", "", "!entry !key-file json"},
--- a/Userland/Utilities/catkinlink/ConfigCheck.cpp
+++ b/Userland/Utilities/catkinlink/ConfigCheck.cpp
@@ -46,7 +46,13 @@
 
 absl::StatusOr<ExitCode> runConfigCheck(const CommandOptions &options, const CommandEnvironment &environment)
 {
-    CATKINLINK_ASSIGN(const nlohmann::json json, readChecked(options.operand));
+    CATKINLINK_ASSIGN(nlohmann::json json, readChecked(options.operand));
+    absl::Status merged;
+    if (!options.overlay.empty()) {
+        CATKINLINK_ASSIGN(const nlohmann::json overlay, readChecked(options.overlay));
+        merged = LibSettings::mergeOverlay(json, overlay).status();
+        json.merge_patch(overlay);
+    }
     std::vector<FieldDifference> differences;
     if (!options.against.empty()) {
         CATKINLINK_ASSIGN(const nlohmann::json current, readChecked(options.against));
@@ -57,7 +63,11 @@
         }
         differences = compareDocuments(current, json);
     }
-    const std::vector<LibSettings::Finding> findings = LibSettings::checkConfiguration(json);
+    std::vector<LibSettings::Finding> findings = LibSettings::checkConfiguration(json);
+    if (findings.empty() && !merged.ok()) {
+        // An overlay that removes what the base does not contain leaves a valid document.
+        findings.push_back({LibSettings::FindingKind::Invalid, LibSettings::FindingSeverity::Error, "", std::string(merged.message())});
+    }
     if (options.json) {
         nlohmann::json result{{"file", options.operand}, {"findings", listFindings(findings)}};
         if (!options.against.empty()) {
--- a/Userland/Utilities/catkinlink/catkinlink.bash
+++ b/Userland/Utilities/catkinlink/catkinlink.bash
@@ -26,7 +26,7 @@
         case $first in
         validate) choices="--base --overlay --json --help --version" ;;
         config)
-            mapfile -t COMPREPLY < <(compgen -f -- "$current"; compgen -W "--against --json --help --version" -- "$current")
+            mapfile -t COMPREPLY < <(compgen -f -- "$current"; compgen -W "--overlay --against --json --help --version" -- "$current")
             return
             ;;
         diff) choices="--base --overlay --against $_catkinlink_json_flags" ;;
