--- a/Tests/Fuzz/TestParsers.cpp
+++ b/Tests/Fuzz/TestParsers.cpp
@@ -1,6 +1,7 @@
 #include "Mutation.h"
 
 #include <AK/Endpoint.h>
+#include <LibSettings/ConfigurationCheck.h>
 #include <LibSettings/JsonFile.h>
 #include <LibSettings/ProcessSettings.h>
 #include <LibSettings/Revision.h>
@@ -81,12 +82,15 @@
     });
 }
 
-// Guards against a document that passes validation but is rejected or read differently by the process that receives it.
+// Guards against a document that passes validation but is rejected or read differently by the process that receives it, and against a check that reports no
+// error for a document that is rejected.
 TEST(Fuzz, SiteDocuments)
 {
     runCheck(siteDocument().dump(), 1'500, [](const std::string &text) {
         const auto json = LibSettings::parseJson(text, "input");
         const auto document = json.ok() ? LibSettings::parseSiteDocument(*json) : json.status();
+        const auto findings = json.ok() ? LibSettings::checkConfiguration(*json) : std::vector<LibSettings::Finding>();
+        EXPECT_EQ(!findings.empty() && findings[0].severity == LibSettings::FindingSeverity::Error, json.ok() && !document.ok());
         if (!document.ok()) {
             EXPECT_EQ(document.status().code(), absl::StatusCode::kInvalidArgument);
             return false;
--- a/Userland/Utilities/catkinlink/Commands.h
+++ b/Userland/Utilities/catkinlink/Commands.h
@@ -40,7 +40,8 @@
 absl::Status runExplain(const CommandOptions &options, const CommandEnvironment &environment);
 absl::Status runRolloutExplain(const CommandOptions &options, const CommandEnvironment &environment);
 absl::Status runValidate(const CommandOptions &options, const CommandEnvironment &environment);
-/// Checks the operand, with the overlay merged into it when one is given. Returns ExitCode::Failed when there are findings. Errors: kOutOfRange when a file cannot be read.
+/// Checks the operand, with the overlay merged into it when one is given. Returns ExitCode::Failed when there are findings. Errors: kOutOfRange when a file
+/// cannot be read.
 absl::StatusOr<ExitCode> runConfigCheck(const CommandOptions &options, const CommandEnvironment &environment);
 absl::Status runDiff(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment);
 absl::Status runApply(const EntryClient &client, const CommandOptions &options, const CommandEnvironment &environment);
