LibPeers: Bound the messages that are queued for a peer that reads nothing

TwoPartyVatNetwork queues outgoing messages without bound, and the destructor of the RPC system recurses through them: a server that sent its caller calls and read nothing ended the caller with a stack overflow.

--- a/Userland/Libraries/LibPeers/PeerClient.cpp
+++ b/Userland/Libraries/LibPeers/PeerClient.cpp
@@ -75,12 +75,13 @@
 
 PeerClient::Connection::Connection(LibFiber::Loop &loop, kj::Own<kj::AsyncIoStream> stream)
     : loop(loop)
-    , stream(kj::mv(stream))
-    , network(*this->stream, capnp::rpc::twoparty::Side::CLIENT, readerOptions(maxResponseBytes))
+    , stream(loop, kj::mv(stream))
+    , network(this->stream, capnp::rpc::twoparty::Side::CLIENT, readerOptions(maxResponseBytes))
     , rpc(capnp::makeRpcClient(this->network))
     , peer(serverInterface(this->rpc).castAs<PeerWire::FleetPeer>())
     , watch(this->network.onDisconnect().then([this] { this->ended = true; }).eagerlyEvaluate(nullptr))
 {
+    this->stream.setNetwork(this->network);
 }
 
 void PeerClient::Connection::startKeepAlive()
--- a/Userland/Libraries/LibPeers/PeerClient.h
+++ b/Userland/Libraries/LibPeers/PeerClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibFiber/Loop.h>
+#include <LibPeers/BackpressureStream.h>
 #include <LibPeers/PeerRecords.h>
 #include <LibPeers/generated/peers.capnp.h>
 #include <capnp/rpc-twoparty.h>
@@ -39,7 +40,7 @@
         kj::Promise<void> sendKeepAlives();
 
         LibFiber::Loop &loop;
-        kj::Own<kj::AsyncIoStream> stream;
+        BackpressureStream stream;
         capnp::TwoPartyVatNetwork network;
         capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
         /// Asked for once: bootstrap() of a connection that has just been reset throws while it unwinds, which ends the process.
--- a/Userland/Libraries/LibPeers/PeerServer.cpp
+++ b/Userland/Libraries/LibPeers/PeerServer.cpp
@@ -1,6 +1,7 @@
 #include <LibPeers/PeerServer.h>
 
 #include <LibFiber/SocketOptions.h>
+#include <LibPeers/BackpressureStream.h>
 #include <LibPeers/KeepAlive.h>
 #include <LibPeers/MessageLimits.h>
 #include <LibPeers/WireCodec.h>
@@ -193,14 +194,15 @@
 } // namespace
 
 struct PeerServer::Connection {
-    Connection(kj::Own<kj::AsyncIoStream> accepted, kj::Own<FleetPeerImplementation> implementation, std::shared_ptr<CallerState> caller,
+    Connection(LibFiber::Loop &loop, kj::Own<kj::AsyncIoStream> accepted, kj::Own<FleetPeerImplementation> implementation, std::shared_ptr<CallerState> caller,
                const std::function<void()> &closeEnded)
         : caller(std::move(caller))
-        , stream(kj::mv(accepted))
-        , network(*this->stream, capnp::rpc::twoparty::Side::SERVER, readerOptions(maxRequestBytes))
+        , stream(loop, kj::mv(accepted))
+        , network(this->stream, capnp::rpc::twoparty::Side::SERVER, readerOptions(maxRequestBytes))
         , rpc(capnp::makeRpcServer(this->network, kj::mv(implementation)))
         , watch(this->network.onDisconnect().then([this] { this->ended = true; }).eagerlyEvaluate(nullptr))
     {
+        this->stream.setNetwork(this->network);
         auto paf = kj::newPromiseAndFulfiller<void>();
         this->caller->network = &this->network;
         this->caller->overrun = kj::mv(paf.fulfiller);
@@ -218,7 +220,7 @@
     }
 
     std::shared_ptr<CallerState> caller;
-    kj::Own<kj::AsyncIoStream> stream;
+    BackpressureStream stream;
     capnp::TwoPartyVatNetwork network;
     capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
     bool ended = false;
@@ -263,7 +265,7 @@
         const auto closeEnded = [this] {
             this->loop.spawn([this](kj::WaitScope &) { this->closeEndedConnections(); });
         };
-        this->connections.push_back(kj::heap<Connection>(kj::mv(stream), kj::mv(implementation), std::move(caller), closeEnded));
+        this->connections.push_back(kj::heap<Connection>(this->loop, kj::mv(stream), kj::mv(implementation), std::move(caller), closeEnded));
     }
 }
 
