LibPeers: Count responses that wait for upload bandwidth as unread

Thousands of calls for small chunks could wait at the same time and join the queue of outgoing messages all at once, whether or not the peer reads. The test of the queue's bound now also destroys the connection on a fiber: 1,200 messages pass, 2,400 overflow its stack.

--- a/Tests/LibPeers/TestBackpressureStream.cpp
+++ b/Tests/LibPeers/TestBackpressureStream.cpp
@@ -1,6 +1,8 @@
 #include <LibPeers/BackpressureStream.h>
 #include <LibPeers/MessageLimits.h>
+#include <LibPeers/PeerServer.h>
 #include <LibPeers/generated/peers.capnp.h>
+#include <Loopback/ProcessHost.h>
 #include <capnp/rpc.capnp.h>
 #include <capnp/serialize.h>
 #include <gtest/gtest.h>
@@ -156,37 +158,117 @@
     EXPECT_EQ(atSecond.received, calls * textBytes);
 }
 
-/// Counts the messages that are queued for a peer that sends `message` without end and reads nothing.
-size_t longestQueue(LibFiber::Loop &loop, const std::string &message, size_t count)
-{
-    kj::WaitScope &scope = loop.rootScope();
-    constexpr AK::Milliseconds sendTime = 500;
-    auto pipe = kj::newTwoWayPipe();
-    TwoWayEnd end(loop, kj::mv(pipe.ends[0]), capnp::rpc::twoparty::Side::CLIENT, kj::heap<LargeAnswers>(0));
-    std::string all;
-    for (size_t i = 0; i < count; ++i) {
-        all += message;
-    }
-    const auto sent = loop.awaitDone(scope, pipe.ends[1]->write(all.data(), all.size()), loop.clock().now() + sendTime);
-    EXPECT_FALSE(sent.ok()) << "all messages were read";
-    return end.network.getCurrentQueueCount();
-}
-
-// Guards against a stack overflow in the destructor of the RPC system: messages that are no calls pass by all checks of calls, and each is sent back.
+// Guards against a stack overflow in the destructor of the RPC system, which runs on a fiber: messages that are no calls pass by all checks of calls, and each
+// is sent back.
 TEST(BackpressureStream, BoundsTheQueueOfMessagesThatAreNoCalls)
 {
-    constexpr size_t messages = 48'000;
+    constexpr int messages = 48'000;
     constexpr size_t messagesInProgress = 10;
+    constexpr AK::Milliseconds sendTime = 500;
     LibFiber::Loop loop;
+    kj::WaitScope &scope = loop.rootScope();
     capnp::MallocMessageBuilder message;
     message.initRoot<capnp::rpc::Message>().initObsoleteSave();
     const auto words = capnp::messageToFlatArray(message);
-    const auto bytes = words.asBytes();
-    const size_t queued = longestQueue(loop, {reinterpret_cast<const char *>(bytes.begin()), bytes.size()}, messages);
-    EXPECT_GT(queued, maxQueuedMessages / 2);
-    EXPECT_LE(queued, maxQueuedMessages + messagesInProgress);
+    kj::Vector<kj::byte> all;
+    for (int i = 0; i < messages; ++i) {
+        all.addAll(words.asBytes());
+    }
+    auto pipe = kj::newTwoWayPipe();
+    auto end = kj::heap<TwoWayEnd>(loop, kj::mv(pipe.ends[0]), capnp::rpc::twoparty::Side::CLIENT, kj::heap<LargeAnswers>(0));
+    EXPECT_FALSE(loop.awaitDone(scope, pipe.ends[1]->write(all.begin(), all.size()), loop.clock().now() + sendTime).ok()) << "all messages were read";
+    EXPECT_GT(end->network.getCurrentQueueCount(), maxQueuedMessages / 2);
+    EXPECT_LE(end->network.getCurrentQueueCount(), maxQueuedMessages + messagesInProgress);
+    loop.fiber([&end](kj::WaitScope &) { end = nullptr; }).wait(scope);
 }
 
+class EmptyPeerHandler final : public PeerHandler
+{
+public:
+    NodeState exchange(const NodeState & /*from*/) override
+    {
+        return {};
+    }
+    LibFleet::ObjectPage objects(LibFleet::ObjectKind /*kind*/, LibFleet::StorePosition /*newerThan*/, bool /*agentPart*/) override
+    {
+        return {};
+    }
+};
+
+/// Holds small chunks, whose uploads wait.
+class WaitingChunks final : public ChunkProvider
+{
+public:
+    explicit WaitingChunks(AK::Milliseconds wait)
+        : wait(wait)
+    {
+    }
+    std::string manifest(const std::string & /*model*/, int64_t /*version*/) override
+    {
+        return "";
+    }
+    std::string heldChunks(const std::string & /*model*/, int64_t /*version*/) override
+    {
+        return "";
+    }
+    std::string chunk(const std::string & /*model*/, int64_t /*version*/, uint32_t /*index*/) override
+    {
+        return "x";
+    }
+    std::optional<AK::Milliseconds> reserveUpload(size_t /*bytes*/) override
+    {
+        return this->wait;
+    }
+
+private:
+    AK::Milliseconds wait;
+};
+
+struct ChunkCase {
+    const char *name;
+    size_t calls;
+    bool answered;
+};
+
+class WaitingChunksTest : public testing::TestWithParam<ChunkCase>
+{
+public:
+    ~WaitingChunksTest() noexcept override = default;
+};
+
+// Guards against responses without bound that wait for upload bandwidth and then are queued all at once.
+TEST_P(WaitingChunksTest, AreBounded)
+{
+    constexpr uint16_t port = 17'819;
+    constexpr AK::Milliseconds uploadWait = 1'000;
+    constexpr AK::Milliseconds callTime = 3'000;
+    LibFiber::Loop loop;
+    kj::WaitScope &scope = loop.rootScope();
+    EmptyPeerHandler handler;
+    WaitingChunks chunks(uploadWait);
+    PeerServer server(loop, handler, &chunks, nullptr);
+    const LibFiber::SpawnedFibersGuard guard(loop);
+    const AK::Endpoint address{Loopback::processHost(), port};
+    ASSERT_TRUE(server.listen(address).ok());
+    auto target = LibFiber::networkAddress(loop, address);
+    ASSERT_TRUE(target.ok());
+    TwoWayEnd end(loop, (*target)->connect().wait(scope), capnp::rpc::twoparty::Side::CLIENT, kj::heap<LargeAnswers>(0));
+    const AK::Milliseconds started = loop.clock().now();
+    auto sent = kj::heapArrayBuilder<kj::Promise<size_t>>(GetParam().calls);
+    for (size_t i = 0; i < GetParam().calls; ++i) {
+        sent.add(end.peer.chunkRequest().send().then([](auto &&response) -> size_t { return response.getData().size(); }));
+    }
+    const auto received = loop.await(scope, kj::joinPromises(sent.finish()), started + callTime);
+    EXPECT_EQ(received.ok(), GetParam().answered) << received.status();
+    if (!GetParam().answered) {
+        EXPECT_TRUE(loop.awaitDone(scope, end.network.onDisconnect(), started + uploadWait / 2).ok()) << "the connection";
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, WaitingChunksTest,
+                         testing::Values(ChunkCase{"some", maxUnreadResponses / 2, true}, ChunkCase{"too_many", 4 * maxUnreadResponses, false}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 // Guards against a connection that stays open for good while its peer reads nothing.
 TEST(BackpressureStream, EndsAConnectionWhoseWritesStall)
 {
--- a/Userland/Libraries/LibPeers/BackpressureStream.h
+++ b/Userland/Libraries/LibPeers/BackpressureStream.h
@@ -7,10 +7,11 @@
 namespace LibPeers
 {
 
-/// Reads pause while this many outgoing messages wait. The destructor of the RPC system recurses through them, and may run on the stack of a fiber (256 KB);
-/// some 48,000 messages exceed 8 MB. More than maxUnreadResponses, so that a server still receives the call that makes it close the connection.
+/// Reads pause while more outgoing messages than this wait. The destructor of the RPC system recurses through them, and may run on a fiber, whose stack of 256
+/// KB holds 1,200 of them but not 2,400. More than maxUnreadResponses, so that a server still receives the call that makes it close the connection.
 inline constexpr size_t maxQueuedMessages = 600;
-/// Reads pause while this many outgoing bytes wait: maxUnreadBytes and one message of the largest size. Two ends can block each other only when both exceed it.
+/// Reads pause while more outgoing bytes than this wait: maxUnreadBytes and one message of the largest size. Two ends can block each other only when both
+/// exceed it.
 inline constexpr size_t maxQueuedBytes = 25UL << 20;
 /// A connection ends when the peer has accepted nothing of a pending write for this long.
 inline constexpr AK::Milliseconds writeStallLimit = 5'000;
--- a/Userland/Libraries/LibPeers/PeerServer.cpp
+++ b/Userland/Libraries/LibPeers/PeerServer.cpp
@@ -28,6 +28,8 @@
     bool keepsAlive = false;
     /// Checks since a call has arrived. Checks are counted instead of time, so that a pause of this process does not count against the caller.
     int silentChecks = 0;
+    /// Responses with chunks that wait for upload bandwidth. They count as unread, because they join the queue of outgoing messages whether it is read or not.
+    size_t waitingChunks = 0;
     /// Its connection; set while calls can arrive over it.
     capnp::TwoPartyVatNetwork *network = nullptr;
     /// Fulfilled when the connection must be closed, because it doesn't read the responses to its calls.
@@ -35,7 +37,7 @@
 
     bool isOverrun() const
     {
-        return this->network->getCurrentQueueSize() > maxUnreadBytes || this->network->getCurrentQueueCount() > maxUnreadResponses;
+        return this->network->getCurrentQueueSize() > maxUnreadBytes || this->network->getCurrentQueueCount() + this->waitingChunks > maxUnreadResponses;
     }
 };
 
@@ -161,7 +163,10 @@
         if (!wait) {
             return kj::READY_NOW;
         }
-        return this->loop.after(*wait).then([context, held = std::move(data)]() mutable { context.getResults().setData(asData(held)); });
+        ++this->caller->waitingChunks;
+        return this->loop.after(*wait)
+            .then([context, held = std::move(data)]() mutable { context.getResults().setData(asData(held)); })
+            .attach(kj::defer([caller = this->caller] { --caller->waitingChunks; }));
     }
 
     kj::Promise<void> place(PlaceContext context) override
