--- a/Userland/Libraries/LibPeers/PeerServer.cpp
+++ b/Userland/Libraries/LibPeers/PeerServer.cpp
@@ -1,6 +1,7 @@
 #include <LibPeers/PeerServer.h>
 
 #include <LibFiber/SocketOptions.h>
+#include <LibPeers/BackpressureStream.h>
 #include <LibPeers/KeepAlive.h>
 #include <LibPeers/MessageLimits.h>
 #include <LibPeers/WireCodec.h>
@@ -28,6 +29,8 @@
     bool keepsAlive = false;
     /// Checks since a call has arrived. Checks are counted instead of time, so that a pause of this process does not count against the caller.
     int silentChecks = 0;
+    /// Responses with chunks that wait for upload bandwidth. They count as unread, because they join the queue of outgoing messages whether it is read or not.
+    size_t waitingChunks = 0;
     /// Its connection; set while calls can arrive over it.
     capnp::TwoPartyVatNetwork *network = nullptr;
     /// Fulfilled when the connection must be closed, because it doesn't read the responses to its calls.
@@ -35,7 +38,7 @@
 
     bool isOverrun() const
     {
-        return this->network->getCurrentQueueSize() > maxUnreadBytes || this->network->getCurrentQueueCount() > maxUnreadResponses;
+        return this->network->getCurrentQueueSize() > maxUnreadBytes || this->network->getCurrentQueueCount() + this->waitingChunks > maxUnreadResponses;
     }
 };
 
@@ -162,7 +165,10 @@
         if (!wait) {
             return kj::READY_NOW;
         }
-        return this->loop.after(*wait).then([context, held = std::move(data)]() mutable { context.getResults().setData(asData(held)); });
+        ++this->caller->waitingChunks;
+        return this->loop.after(*wait)
+            .then([context, held = std::move(data)]() mutable { context.getResults().setData(asData(held)); })
+            .attach(kj::defer([caller = this->caller] { --caller->waitingChunks; }));
     }
 
     kj::Promise<void> place(PlaceContext context) override
@@ -195,14 +201,15 @@
 } // namespace
 
 struct PeerServer::Connection {
-    Connection(kj::Own<kj::AsyncIoStream> accepted, kj::Own<FleetPeerImplementation> implementation, std::shared_ptr<CallerState> caller,
+    Connection(LibFiber::Loop &loop, kj::Own<kj::AsyncIoStream> accepted, kj::Own<FleetPeerImplementation> implementation, std::shared_ptr<CallerState> caller,
                const std::function<void()> &closeEnded)
         : caller(std::move(caller))
-        , stream(kj::mv(accepted))
-        , network(*this->stream, capnp::rpc::twoparty::Side::SERVER, readerOptions(maxRequestBytes))
+        , stream(loop, kj::mv(accepted))
+        , network(this->stream, capnp::rpc::twoparty::Side::SERVER, readerOptions(maxRequestBytes))
         , rpc(capnp::makeRpcServer(this->network, kj::mv(implementation)))
         , watch(this->network.onDisconnect().then([this] { this->ended = true; }).eagerlyEvaluate(nullptr))
     {
+        this->stream.setNetwork(this->network);
         auto paf = kj::newPromiseAndFulfiller<void>();
         this->caller->network = &this->network;
         this->caller->overrun = kj::mv(paf.fulfiller);
@@ -220,7 +227,7 @@
     }
 
     std::shared_ptr<CallerState> caller;
-    kj::Own<kj::AsyncIoStream> stream;
+    BackpressureStream stream;
     capnp::TwoPartyVatNetwork network;
     capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
     bool ended = false;
@@ -265,7 +272,7 @@
         const auto closeEnded = [this] {
             this->loop.spawn([this](kj::WaitScope &) { this->closeEndedConnections(); });
         };
-        this->connections.push_back(kj::heap<Connection>(kj::mv(stream), kj::mv(implementation), std::move(caller), closeEnded));
+        this->connections.push_back(kj::heap<Connection>(this->loop, kj::mv(stream), kj::mv(implementation), std::move(caller), closeEnded));
     }
 }
 
