LibGateway: Use the slowness that upstreams state in the load header

Of the response and the agent's report, the newer one counts. Upstreams that send three figures are placed as before.

--- a/Tests/Platform/TestCallHeaders.cpp
+++ b/Tests/Platform/TestCallHeaders.cpp
@@ -225,4 +225,35 @@
                                          AnswerCase{"negative_load", {{"X-Worker-Load", "3,-1,8"}}, false, false, -1}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+struct LoadCase {
+    const char *name;
+    std::string header;
+    int slots;
+    std::optional<double> slowness;
+};
+
+class LoadHeaderTest : public testing::TestWithParam<LoadCase>
+{
+};
+
+// Guards against a load that is lost because of its fourth figure, and against a host that counts as slow because of text.
+TEST_P(LoadHeaderTest, IsDecoded)
+{
+    const auto load = CallHeaders().decodeResponse({200, "", {{"X-Worker-Load", GetParam().header}}}).load;
+    EXPECT_EQ(load ? load->slots : -1, GetParam().slots);
+    EXPECT_EQ(load ? load->slowness : std::nullopt, GetParam().slowness);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, LoadHeaderTest,
+                         testing::Values(LoadCase{"three", "3,0,8", 8, std::nullopt}, LoadCase{"as_usual", "3,0,8,100", 8, 1.0},
+                                         LoadCase{"slow", "3,0,8,250", 8, 2.5}, LoadCase{"least", "3,0,8,1", 8, 0.01},
+                                         LoadCase{"most", "3,0,8,100000", 8, 1'000.0}, LoadCase{"zero", "3,0,8,0", 8, std::nullopt},
+                                         LoadCase{"too_large", "3,0,8,100001", 8, std::nullopt},
+                                         LoadCase{"overflow", "3,0,8,99999999999999999999", 8, std::nullopt},
+                                         LoadCase{"negative", "3,0,8,-250", 8, std::nullopt}, LoadCase{"text", "3,0,8,slow", 8, std::nullopt},
+                                         LoadCase{"fraction", "3,0,8,2.5", 8, std::nullopt}, LoadCase{"empty_fourth", "3,0,8,", 8, std::nullopt},
+                                         LoadCase{"broken_third", "3,0,x,250", -1, std::nullopt}, LoadCase{"five", "3,0,8,100,1", -1, std::nullopt},
+                                         LoadCase{"two", "3,0", -1, std::nullopt}, LoadCase{"empty", "", -1, std::nullopt}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
--- a/Userland/Libraries/LibGateway/Codec.h
+++ b/Userland/Libraries/LibGateway/Codec.h
@@ -59,6 +59,8 @@
         int running = 0;
         int waiting = 0;
         int slots = 0;
+        /// Time that work takes on the upstream's host now, relative to the usual time; nothing when it is not stated.
+        std::optional<double> slowness;
     };
     std::optional<Load> load;
     /// Calls a second that the upstream takes from all entries together, while its responses say so.
--- a/Userland/Libraries/LibGateway/Placement.cpp
+++ b/Userland/Libraries/LibGateway/Placement.cpp
@@ -30,6 +30,14 @@
     return load.ownInFlight + std::max(0.0, others);
 }
 
+double slowness(const UpstreamLoad &load, AK::Milliseconds now, const LoadEstimateSettings &settings)
+{
+    if (load.slowness && (!load.report || load.reportAt < load.slowness->statedAt)) {
+        return slownessNow(*load.slowness, now, settings);
+    }
+    return load.report ? load.report->slowdown : 1.0;
+}
+
 bool recordRateLimit(UpstreamLoad &load, std::optional<double> callsPerSecond, AK::Milliseconds sentAt, AK::Milliseconds now)
 {
     if (!callsPerSecond && (!isRateLimited(load) || sentAt <= load.rateLimit->toldAt)) {
--- a/Userland/Libraries/LibGateway/Placement.h
+++ b/Userland/Libraries/LibGateway/Placement.h
@@ -3,6 +3,7 @@
 #include <AK/Random.h>
 #include <LibFleet/FleetState.h>
 #include <LibFleet/Partners.h>
+#include <LibGateway/LoadEstimate.h>
 #include <LibPeers/PeerRecords.h>
 #include <optional>
 #include <vector>
@@ -36,6 +37,7 @@
     int loadInResponse = 0;
     AK::Milliseconds responseAt = 0;
     int ownInFlightAtResponse = 0;
+    std::optional<StatedSlowness> slowness;
     /// Moving average of the share of calls that failed, 0 to 1.
     double failureShare = 0;
     int failuresInRow = 0;
@@ -79,6 +81,9 @@
 /// Estimated calls at the upstream, of this entry and of all others.
 double estimatedLoad(const UpstreamLoad &load, AK::Milliseconds now, const PlacementSettings &settings);
 
+/// Time that work takes at an upstream, relative to the usual time: what its host states in responses or its agent reports, whichever is newer.
+double slowness(const UpstreamLoad &load, AK::Milliseconds now, const LoadEstimateSettings &settings);
+
 /// Records what the response to a call that was sent at `sentAt` tells of the upstream's rate limit. A response without one ends the limit, unless the call was
 /// sent before the limit was last named. Returns whether the limit has changed.
 bool recordRateLimit(UpstreamLoad &load, std::optional<double> callsPerSecond, AK::Milliseconds sentAt, AK::Milliseconds now);
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -164,8 +164,8 @@
             }
             return this->retryOrGiveUp(scope, upstream, sent.outcome == SendOutcome::Unknown, sent.reason);
         }
-        if (call.responseInfo().load) {
-            this->context.dispatcher.recordResponseLoad(upstream, call.responseInfo().load->running, call.responseInfo().load->waiting);
+        if (const auto &load = call.responseInfo().load) {
+            this->context.dispatcher.recordResponseLoad(upstream, load->running, load->waiting, load->slowness);
         }
         if (this->client.begun()) {
             if (const auto fault = LibGateway::checkContinuationHead(call.responseHead(), call.responseInfo()); fault != ContinuationFault::None) {
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -345,9 +345,9 @@
     exportWeights(this->table, this->fleet, this->loop.clock(), metrics);
 }
 
-void Dispatcher::recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting)
+void Dispatcher::recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting, std::optional<double> slowness)
 {
-    this->table.recordResponseLoad(upstream, running, waiting);
+    this->table.recordResponseLoad(upstream, running, waiting, slowness);
 }
 
 void Dispatcher::recordRateLimit(const LibFleet::UpstreamRecord &upstream, std::optional<double> callsPerSecond, AK::Milliseconds sentAt)
--- a/Userland/Services/Gateway/Dispatcher.h
+++ b/Userland/Services/Gateway/Dispatcher.h
@@ -86,7 +86,7 @@
     void recordOutcome(const LibFleet::UpstreamRecord &upstream, bool failed);
     /// Sends no calls to an upstream for a while; for a failure that no sound upstream shows.
     void suspend(const LibFleet::UpstreamRecord &upstream);
-    void recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting);
+    void recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting, std::optional<double> slowness = std::nullopt);
     void recordReport(const LibPeers::EngineReport &report);
     /// Records what the head of a response says about the upstream's rate limit and leaving. `sentAt`: monotonic time at which the call was sent.
     void recordResponse(const LibFleet::UpstreamRecord &upstream, const LibGateway::ResponseInfo &response, AK::Milliseconds sentAt);
--- a/Userland/Services/Gateway/UpstreamTable.cpp
+++ b/Userland/Services/Gateway/UpstreamTable.cpp
@@ -158,24 +158,11 @@
         load.failuresInRow = 0;
         load.suspendedUntil = 0;
         load.rateLimit.reset();
+        load.slowness.reset();
     }
     return load;
 }
 
-LibGateway::PlacementCandidate UpstreamTable::candidateOf(const LibFleet::UpstreamRecord &record)
-{
-    const LibGateway::UpstreamLoad &load = this->loadOf(record);
-    LibGateway::PlacementCandidate candidate;
-    candidate.load = LibGateway::estimatedLoad(load, this->clock.now(), this->settings.placement);
-    candidate.limit = std::max(1, record.slots);
-    candidate.prefillBacklogMs = this->prefillMs(record.service, load.pendingPromptTokens);
-    candidate.preferred = this->isOwn(record);
-    candidate.sameRegion = this->regionOf(record.failureDomain) == this->settings.region;
-    candidate.failureShare = load.failureShare;
-    candidate.slowdown = load.report ? load.report->slowdown : 1.0;
-    return candidate;
-}
-
 size_t UpstreamTable::enginesOf(const std::string &owner)
 {
     if (this->clock.now() - this->enginesCountedAt >= countInterval) {
@@ -190,19 +177,6 @@
     return this->engineCounts[owner];
 }
 
-LibGateway::PlacementCandidate UpstreamTable::remoteCandidateOf(const LibFleet::UpstreamRecord &record)
-{
-    LibGateway::PlacementCandidate candidate = this->candidateOf(record);
-    // The owner decides by its own backlog and load, which it knows better.
-    candidate.prefillBacklogMs = 0;
-    candidate.preferred = true;
-    const std::string &owner = this->ownerOf(record);
-    if (const auto open = this->openSlotsByEntry.find(owner); open != this->openSlotsByEntry.end() && !this->hasFreshReport(record)) {
-        candidate.load = candidate.limit - static_cast<double>(open->second) / static_cast<double>(std::max<size_t>(1, this->enginesOf(owner)));
-    }
-    return candidate;
-}
-
 bool UpstreamTable::isOwn(const LibFleet::UpstreamRecord &record)
 {
     return this->ownerOf(record) == this->settings.name;
@@ -277,22 +251,6 @@
     }
 }
 
-void UpstreamTable::recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting)
-{
-    LibGateway::UpstreamLoad &load = this->loadOf(upstream);
-    load.loadInResponse = running + waiting;
-    load.responseAt = this->clock.now();
-    load.ownInFlightAtResponse = load.ownInFlight;
-}
-
-void UpstreamTable::recordReport(const LibPeers::EngineReport &report)
-{
-    LibGateway::UpstreamLoad &load = this->loads[report.upstream];
-    load.report = report;
-    load.reportAt = this->clock.now();
-    load.ownInFlightAtReport = load.ownInFlight;
-}
-
 void UpstreamTable::recordRateLimit(const LibFleet::UpstreamRecord &upstream, std::optional<double> callsPerSecond, AK::Milliseconds sentAt)
 {
     if (LibGateway::recordRateLimit(this->loadOf(upstream), callsPerSecond, sentAt, this->clock.now())) {
--- a/Userland/Services/Gateway/UpstreamTable.h
+++ b/Userland/Services/Gateway/UpstreamTable.h
@@ -109,7 +109,8 @@
 
     void recordOutcome(const LibFleet::UpstreamRecord &upstream, bool failed);
     void suspend(const LibFleet::UpstreamRecord &upstream);
-    void recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting);
+    /// `slowness`: see LibGateway::ResponseInfo::Load.
+    void recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting, std::optional<double> slowness);
     void recordReport(const LibPeers::EngineReport &report);
     /// Records which limit the response to a call has named, if any. `sentAt`: monotonic time at which the call was sent.
     void recordRateLimit(const LibFleet::UpstreamRecord &upstream, std::optional<double> callsPerSecond, AK::Milliseconds sentAt);
