LibGateway: Estimate the load of upstreams that several entries share

Their load is now the last figure, moved toward the mean number of calls with its age, and a slow host gets fewer calls in proportion. Among all upstreams the least work wins; where many entries follow the same fresh figures, two random ones are compared. It applies for a minute after an upstream of the service has stated its slowness; other services are served as before.

--- a/Userland/Libraries/LibGateway/Placement.cpp
+++ b/Userland/Libraries/LibGateway/Placement.cpp
@@ -159,6 +159,70 @@
     return chosen;
 }
 
+namespace
+{
+
+// A slow upstream gets fewer calls in the proportion of its slowness, so it is never left without any.
+double estimatedWork(const PlacementCandidate &candidate, const PlacementSettings &settings)
+{
+    return settings.loadPenaltyMs * candidate.slowdown * (1 + candidate.load + candidate.sentSince) + (candidate.sameRegion ? 0 : settings.regionPenaltyMs)
+        + settings.failurePenaltyMs * candidate.failureShare;
+}
+
+// Moves `count` random elements to the front and removes the others.
+void keepRandom(std::vector<size_t> &indexes, size_t count, AK::Random &random)
+{
+    for (size_t i = 0; i < std::min(count, indexes.size()); ++i) {
+        std::swap(indexes[i], indexes[i + AK::uniformBelow(random, indexes.size() - i)]);
+    }
+    indexes.resize(std::min(count, indexes.size()));
+}
+
+} // namespace
+
+std::optional<size_t> chooseSharedUpstream(const std::vector<PlacementCandidate> &candidates, const PlacementSettings &settings,
+                                           const LoadEstimateSettings &estimate, AK::Random &random)
+{
+    std::vector<size_t> near;
+    std::vector<size_t> far;
+    double contention = 0;
+    for (size_t i = 0; i < candidates.size(); ++i) {
+        if (candidates[i].load < candidates[i].limit) {
+            (candidates[i].sameRegion ? near : far).push_back(i);
+            contention += candidates[i].contention;
+        }
+    }
+    if (contention > estimate.contentionToDraw * static_cast<double>(near.size() + far.size())) {
+        keepRandom(near, 2, random);
+        keepRandom(far, near.empty() ? 2 : 1, random);
+    }
+    near.insert(near.end(), far.begin(), far.end());
+    keepRandom(near, near.size(), random);
+    const auto least = std::min_element(near.begin(), near.end(), [&](size_t left, size_t right) {
+        return estimatedWork(candidates[left], settings) < estimatedWork(candidates[right], settings);
+    });
+    return least == near.end() ? std::nullopt : std::optional(*least);
+}
+
+void estimateShared(PlacementCandidate &candidate, const UpstreamLoad &load, const ServiceFlow &flow, double othersPerMs, AK::Milliseconds now,
+                    const PlacementSettings &settings, const LoadEstimateSettings &estimate)
+{
+    candidate.estimated = true;
+    candidate.slowdown = slowness(load, now, estimate);
+    SharedUpstream upstream;
+    upstream.figureAge = now - load.responseAt;
+    // A figure that is too old must not keep calls from an upstream, which would then send no newer one.
+    if (load.responseAt > 0 && upstream.figureAge <= settings.reportMaxAge) {
+        upstream.othersAtFigure = load.loadInResponse - load.ownInFlightAtResponse;
+    }
+    upstream.othersPerMs = othersPerMs;
+    upstream.serviceMs = flow.serviceMs * std::max(1.0, candidate.slowdown);
+    const SharedEstimate others = estimateOthers(upstream);
+    candidate.load = load.ownInFlight + others.stillRunning;
+    candidate.sentSince = others.sentSince;
+    candidate.contention = others.contention;
+}
+
 std::string preferredEntry(const std::string &upstream, const std::string &failureDomain, const std::vector<LibFleet::EntryLocation> &entries)
 {
     const std::vector<LibFleet::EntryLocation> ranked = LibFleet::rankOwners(upstream, failureDomain, entries);
--- a/Userland/Libraries/LibGateway/Placement.h
+++ b/Userland/Libraries/LibGateway/Placement.h
@@ -128,6 +128,11 @@
     double failureShare = 0;
     /// Time that the engine takes relative to its configured speed; 1 is as configured, 2 takes twice as long.
     double slowdown = 1;
+    /// The load of an upstream without an owner is estimated: `load` holds the calls that are known to run there.
+    bool estimated = false;
+    /// See SharedEstimate.
+    double sentSince = 0;
+    double contention = 0;
 };
 
 /// Index of the candidate with the least expected time to the first event, or nothing when all are full. Load pattern: prompts that an engine reads in the
@@ -137,6 +142,16 @@
 std::optional<size_t> chooseUpstream(const std::vector<PlacementCandidate> &candidates, double prefillMs, bool ignoreBacklog, const PlacementSettings &settings,
                                      AK::Random &random);
 
+/// The same for upstreams without an owner whose load is estimated: the one with the least estimated work among all, or under contention among two random ones
+/// of this region and one elsewhere. Only known calls make an upstream full. Load pattern: many entries see the same upstream as the least loaded one,
+/// some hundred ms late, and all send to it.
+std::optional<size_t> chooseSharedUpstream(const std::vector<PlacementCandidate> &candidates, const PlacementSettings &settings,
+                                           const LoadEstimateSettings &estimate, AK::Random &random);
+
+/// Takes over the load of an upstream that other entries use too. `othersPerMs`: see LibGateway::othersPerMs().
+void estimateShared(PlacementCandidate &candidate, const UpstreamLoad &load, const ServiceFlow &flow, double othersPerMs, AK::Milliseconds now,
+                    const PlacementSettings &settings, const LoadEstimateSettings &estimate);
+
 /// The entry that prefers an upstream, the first of LibFleet::rankOwners(); empty without entries. Entries
 /// learn of each other's calls with a delay; with one preferred entry per upstream, most of its calls come from an entry that knows them all. Load pattern:
 /// several entries choose the same least loaded upstream at once.
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -93,7 +93,7 @@
 Dispatcher::Availability Dispatcher::tryGrant(const CallRequirements &requirements, bool ignoreBacklog, GrantKind kind, kj::Maybe<kj::Own<Grant>> &grant)
 {
     const AK::RecentCheck check(this->loop.clock(), slotMaxAge);
-    const UpstreamChoice choice = chooseUpstream(this->table, this->fleet, requirements, kind, ignoreBacklog, this->settings.upstreams.placement, this->random);
+    const UpstreamChoice choice = chooseUpstream(this->table, this->fleet, requirements, kind, ignoreBacklog, this->settings.upstreams, this->random);
     if (choice.upstream == nullptr) {
         return choice.anyUsable ? Availability::Full : Availability::None;
     }
@@ -102,6 +102,7 @@
     ++load.ownInFlight;
     load.pendingPromptTokens += requirements.promptTokens;
     this->table.takeRateToken(record);
+    this->table.recordSend(record.service);
     this->callsForPeers += kind == GrantKind::ForPeer ? 1 : 0;
     grant = kj::heap<Grant>(*this, kind, record, this->table.heldWeightsVersion(record), requirements.promptTokens, choice.load, check);
     return Availability::Granted;
@@ -336,6 +337,9 @@
 {
     this->table.recordRateLimit(upstream, response.callsPerSecondLimit, sentAt);
     this->table.notices().record(upstream, response);
+    if (!response.notRun && !response.pause) {
+        this->table.recordServiceTime(upstream, this->loop.clock().now() - sentAt);
+    }
 }
 
 void Dispatcher::exportMetrics(LibMetrics::MetricRegistry &metrics)
--- a/Userland/Services/Gateway/UpstreamChoice.cpp
+++ b/Userland/Services/Gateway/UpstreamChoice.cpp
@@ -1,10 +1,12 @@
 #include "UpstreamChoice.h"
 
+#include <algorithm>
+
 namespace Gateway
 {
 
 UpstreamChoice chooseUpstream(UpstreamTable &table, const LibFleet::FleetState &fleet, const CallRequirements &requirements, GrantKind kind, bool ignoreBacklog,
-                              const LibGateway::PlacementSettings &settings, AK::Random &random)
+                              const TableSettings &settings, AK::Random &random)
 {
     UpstreamChoice choice;
     std::vector<LibGateway::PlacementCandidate> candidates;
@@ -22,8 +24,11 @@
             records.push_back(&record);
         }
     }
-    const std::optional<size_t> chosen =
-        LibGateway::chooseUpstream(candidates, table.prefillMs(requirements.service, requirements.promptTokens), ignoreBacklog, settings, random);
+    const bool estimated =
+        std::any_of(candidates.begin(), candidates.end(), [](const LibGateway::PlacementCandidate &candidate) { return candidate.estimated; });
+    const std::optional<size_t> chosen = estimated
+        ? LibGateway::chooseSharedUpstream(candidates, settings.placement, settings.estimate, random)
+        : LibGateway::chooseUpstream(candidates, table.prefillMs(requirements.service, requirements.promptTokens), ignoreBacklog, settings.placement, random);
     if (chosen) {
         choice.upstream = records[*chosen];
         choice.load = candidates[*chosen].load;
--- a/Userland/Services/Gateway/UpstreamChoice.h
+++ b/Userland/Services/Gateway/UpstreamChoice.h
@@ -20,8 +20,8 @@
 };
 
 /// Chooses among the upstreams that this entry decides on: for a call of its clients those that it owns or that have no owner, for a call of another entry
-/// those that it owns. See LibGateway::chooseUpstream() for `ignoreBacklog`.
+/// those that it owns. See LibGateway::chooseUpstream() for `ignoreBacklog`, and chooseSharedUpstream() for upstreams whose load is estimated.
 UpstreamChoice chooseUpstream(UpstreamTable &table, const LibFleet::FleetState &fleet, const CallRequirements &requirements, GrantKind kind, bool ignoreBacklog,
-                              const LibGateway::PlacementSettings &settings, AK::Random &random);
+                              const TableSettings &settings, AK::Random &random);
 
 } // namespace Gateway
--- a/Userland/Services/Gateway/UpstreamTable.h
+++ b/Userland/Services/Gateway/UpstreamTable.h
@@ -19,6 +19,7 @@
     std::string name;
     std::string region;
     LibGateway::PlacementSettings placement;
+    LibGateway::LoadEstimateSettings estimate;
     /// Upstreams with an older version of the weights get no more calls this long after a new version became known, in ms.
     AK::Milliseconds weightsSwitchDelay = 6'000;
     /// Calls that have not begun at such an upstream are withdrawn this long after a new version became known, in ms.
@@ -111,6 +112,9 @@
     void suspend(const LibFleet::UpstreamRecord &upstream);
     /// `slowness`: see LibGateway::ResponseInfo::Load.
     void recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting, std::optional<double> slowness);
+    /// Counts a call that this entry sends to a service, and the time after which an upstream has responded to one, in ms.
+    void recordSend(const std::string &service);
+    void recordServiceTime(const LibFleet::UpstreamRecord &upstream, AK::Milliseconds duration);
     void recordReport(const LibPeers::EngineReport &report);
     /// Records which limit the response to a call has named, if any. `sentAt`: monotonic time at which the call was sent.
     void recordRateLimit(const LibFleet::UpstreamRecord &upstream, std::optional<double> callsPerSecond, AK::Milliseconds sentAt);
@@ -126,6 +130,17 @@
     int callsInFlight() const;
 
 private:
+    /// What is known of a service whose upstreams several entries share.
+    struct SharedService {
+        LibGateway::ServiceFlow flow;
+        /// Upstreams that may get calls, and the monotonic time of the count.
+        size_t upstreams = 0;
+        AK::Milliseconds countedAt = 0;
+    };
+
+    /// Whether the load of the upstream is estimated: its service is enabled for it and no entry decides on all calls there.
+    bool isEstimated(const LibFleet::UpstreamRecord &record) const;
+    size_t upstreamsOf(const std::string &service);
     /// Whether the rate of the upstream allows another call now: the whole rate for an upstream that has an owner, else an equal share for each entry.
     bool rateAllows(const LibFleet::UpstreamRecord &record);
     /// Calls per second that the upstream may get from all entries, 0 for any number.
@@ -159,6 +174,7 @@
     AK::Milliseconds openSlotsCountedAt = 0;
     /// By address, because the report of an agent names its upstream by address.
     std::map<std::string, LibGateway::UpstreamLoad> loads;
+    std::map<std::string, SharedService> sharedServices;
     UpstreamNotices upstreamNotices;
     LibLog::Logger logger{"dispatcher"};
 };
--- a/Userland/Services/Gateway/UpstreamTableLoad.cpp
+++ b/Userland/Services/Gateway/UpstreamTableLoad.cpp
@@ -5,6 +5,14 @@
 namespace Gateway
 {
 
+namespace
+{
+
+// Counts over all upstreams are made again at this interval.
+constexpr AK::Milliseconds countInterval = 100;
+
+} // namespace
+
 LibGateway::PlacementCandidate UpstreamTable::candidateOf(const LibFleet::UpstreamRecord &record)
 {
     const LibGateway::UpstreamLoad &load = this->loadOf(record);
@@ -15,10 +23,36 @@
     candidate.preferred = this->isOwn(record);
     candidate.sameRegion = this->regionOf(record.failureDomain) == this->settings.region;
     candidate.failureShare = load.failureShare;
-    candidate.slowdown = LibGateway::slowness(load, this->clock.now(), {});
+    candidate.slowdown = LibGateway::slowness(load, this->clock.now(), this->settings.estimate);
+    if (this->isEstimated(record)) {
+        const LibGateway::ServiceFlow &flow = this->sharedServices[record.service].flow;
+        const double own = LibGateway::callsPerMs(flow, this->clock.now(), this->settings.estimate);
+        LibGateway::estimateShared(candidate, load, flow, LibGateway::othersPerMs(own, this->entries.size(), this->upstreamsOf(record.service)),
+                                   this->clock.now(), this->settings.placement, this->settings.estimate);
+    }
     return candidate;
 }
 
+bool UpstreamTable::isEstimated(const LibFleet::UpstreamRecord &record) const
+{
+    const auto service = this->sharedServices.find(record.service);
+    return !record.isEngine && !this->hasOwner(record) && service != this->sharedServices.end()
+        && LibGateway::isEnabled(service->second.flow, this->clock.now(), this->settings.estimate);
+}
+
+size_t UpstreamTable::upstreamsOf(const std::string &service)
+{
+    SharedService &shared = this->sharedServices[service];
+    if (shared.upstreams == 0 || this->clock.now() - shared.countedAt >= countInterval) {
+        shared.countedAt = this->clock.now();
+        shared.upstreams = static_cast<size_t>(std::count_if(this->fleet.upstreams().begin(), this->fleet.upstreams().end(), [&](const auto &upstream) {
+            const LibFleet::UpstreamRecord &record = upstream.second;
+            return record.service == service && record.state == LibFleet::UpstreamState::Ready && !this->fleet.isEvacuated(record.failureDomain);
+        }));
+    }
+    return shared.upstreams;
+}
+
 LibGateway::PlacementCandidate UpstreamTable::remoteCandidateOf(const LibFleet::UpstreamRecord &record)
 {
     LibGateway::PlacementCandidate candidate = this->candidateOf(record);
@@ -40,9 +74,20 @@
     load.ownInFlightAtResponse = load.ownInFlight;
     if (slowness) {
         load.slowness = {*slowness, load.responseAt};
+        this->sharedServices[upstream.service].flow.slownessStatedAt = load.responseAt;
     }
 }
 
+void UpstreamTable::recordSend(const std::string &service)
+{
+    LibGateway::recordCall(this->sharedServices[service].flow, this->clock.now(), this->settings.estimate);
+}
+
+void UpstreamTable::recordServiceTime(const LibFleet::UpstreamRecord &upstream, AK::Milliseconds duration)
+{
+    LibGateway::recordServiceTime(this->sharedServices[upstream.service].flow, duration);
+}
+
 void UpstreamTable::recordReport(const LibPeers::EngineReport &report)
 {
     LibGateway::UpstreamLoad &load = this->loads[report.upstream];
