Gateway: Weigh the work of calls at engines, export load estimates

Answers differ in length by a factor of thirty, but each call counted the same in the choice of an engine. Under the switch of the load estimates, the answer tokens that clients expect weigh a call against the mean (a quarter to four), and the prompt counts with the slowness of the engine. Gauges per service show whether estimates are in use, the largest slowness and the oldest figure.

--- a/Tests/LibGateway/TestLoadEstimate.cpp
+++ b/Tests/LibGateway/TestLoadEstimate.cpp
@@ -102,4 +102,28 @@
     EXPECT_EQ(chooseSharedUpstream(candidates, {}, {}, random), std::nullopt);
 }
 
+// Guards against an engine with few long answers that gets the next call because it has fewer calls.
+TEST(ChooseUpstream, WeighsWork)
+{
+    ServiceFlow flow;
+    EXPECT_EQ(expectedWork(flow, std::nullopt), 1);
+    EXPECT_EQ(expectedWork(flow, 100), 1);
+    EXPECT_NEAR(expectedWork(flow, 300), 2.9, 0.1);
+    EXPECT_EQ(expectedWork(flow, 1'000'000'000), 4);
+    PlacementCandidate longAnswers;
+    longAnswers.load = 3;
+    longAnswers.extraWork = 6;
+    longAnswers.limit = 12;
+    longAnswers.preferred = true;
+    PlacementCandidate meanAnswers = longAnswers;
+    meanAnswers.load = 5;
+    meanAnswers.extraWork = 0;
+    for (const bool weighs : {false, true}) {
+        longAnswers.weighsWork = weighs;
+        meanAnswers.weighsWork = weighs;
+        AK::Random random(1);
+        EXPECT_EQ(chooseUpstream({longAnswers, meanAnswers}, 10, false, {}, random), weighs ? 1U : 0U);
+    }
+}
+
 } // namespace
--- a/Userland/Libraries/LibGateway/LoadEstimate.cpp
+++ b/Userland/Libraries/LibGateway/LoadEstimate.cpp
@@ -57,6 +57,19 @@
     return weighted / (time * (1 - std::exp(-observed / time)));
 }
 
+double expectedWork(ServiceFlow &flow, std::optional<int64_t> answerTokenHint)
+{
+    constexpr double answerTokenDecay = 0.98;
+    // Clients' estimates are rough; none may make an engine look empty or full.
+    constexpr double mostWork = 4;
+    if (!answerTokenHint || *answerTokenHint <= 0) {
+        return 1;
+    }
+    const auto tokens = static_cast<double>(*answerTokenHint);
+    flow.answerTokens = flow.answerTokens > 0 ? answerTokenDecay * flow.answerTokens + (1 - answerTokenDecay) * tokens : tokens;
+    return std::clamp(tokens / flow.answerTokens, 1 / mostWork, mostWork);
+}
+
 bool isEnabled(const ServiceFlow &flow, AK::Milliseconds now, const LoadEstimateSettings &settings)
 {
     return flow.slownessStatedAt && now - *flow.slownessStatedAt <= settings.enabledFor;
--- a/Userland/Libraries/LibGateway/LoadEstimate.h
+++ b/Userland/Libraries/LibGateway/LoadEstimate.h
@@ -2,6 +2,7 @@
 
 #include <AK/Clock.h>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 
 namespace LibGateway
@@ -44,6 +45,8 @@
     double weightedCalls = 0;
     /// Moving average of the time of a call at an upstream, in ms; 0 before the first response.
     double serviceMs = 0;
+    /// Moving average of the answer tokens that clients expect; 0 before the first call that states them.
+    double answerTokens = 0;
     /// Monotonic time at which an upstream of the service last stated its slowness.
     std::optional<AK::Milliseconds> slownessStatedAt;
 };
@@ -55,6 +58,10 @@
 /// entry which has just started isn't underestimated.
 double callsPerMs(const ServiceFlow &flow, AK::Milliseconds now, const LoadEstimateSettings &settings);
 
+/// Work of a call relative to a mean one, by the answer tokens that its client expects, between a quarter and four; 1 when it does not state them. Takes the
+/// number into the mean. Load pattern: answers differ in length by a factor of thirty, and a long one holds its slot and slows the others for longer.
+double expectedWork(ServiceFlow &flow, std::optional<int64_t> answerTokenHint);
+
 /// Whether upstreams of the service without an owner are chosen by estimated load.
 bool isEnabled(const ServiceFlow &flow, AK::Milliseconds now, const LoadEstimateSettings &settings);
 
--- a/Userland/Libraries/LibGateway/Placement.cpp
+++ b/Userland/Libraries/LibGateway/Placement.cpp
@@ -149,7 +149,8 @@
             continue;
         }
         const double distance = (candidate.preferred ? 0 : settings.nonPreferredPenaltyMs) + (candidate.sameRegion ? 0 : settings.regionPenaltyMs);
-        const double score = slowdown * (candidate.prefillBacklogMs + settings.loadPenaltyMs * candidate.load) + distance
+        const double workMs = candidate.weighsWork ? prefillMs + settings.loadPenaltyMs * candidate.extraWork : 0;
+        const double score = slowdown * (candidate.prefillBacklogMs + settings.loadPenaltyMs * candidate.load + workMs) + distance
             + settings.failurePenaltyMs * candidate.failureShare + noise(random);
         if (!chosen || score < lowestScore) {
             chosen = i;
--- a/Userland/Libraries/LibGateway/Placement.h
+++ b/Userland/Libraries/LibGateway/Placement.h
@@ -27,6 +27,8 @@
     std::string instance;
     /// Calls of this entry in flight at the upstream.
     int ownInFlight = 0;
+    /// Their work beyond that of as many mean calls; a mean call counts as 1.
+    double ownExtraWork = 0;
     /// Prompt tokens of those that have not sent their first event.
     int64_t pendingPromptTokens = 0;
     /// Newest report of its agent, and the calls of this entry in flight when it arrived.
@@ -128,6 +130,9 @@
     double failureShare = 0;
     /// Time that the engine takes relative to its configured speed; 1 is as configured, 2 takes twice as long.
     double slowdown = 1;
+    /// Work of the calls there beyond that of as many mean calls, and whether it and the prompt of the call count.
+    double extraWork = 0;
+    bool weighsWork = false;
     /// The load of an upstream without an owner is estimated: `load` holds the calls that are known to run there.
     bool estimated = false;
     /// See SharedEstimate.
--- a/Userland/Services/Gateway/CallRequirements.cpp
+++ b/Userland/Services/Gateway/CallRequirements.cpp
@@ -17,6 +17,7 @@
         requirements.accountRegions = account->allowedRegions;
     }
     requirements.promptTokens = route.kind == LibFleet::RouteKind::Stream ? request.promptTokens : 0;
+    requirements.answerTokenHint = request.answerTokenHint;
     return requirements;
 }
 
--- a/Userland/Services/Gateway/CallRequirements.h
+++ b/Userland/Services/Gateway/CallRequirements.h
@@ -16,6 +16,8 @@
     LibGateway::QueueRank rank;
     AK::Milliseconds arrivedAt = 0;
     int64_t promptTokens = 0;
+    /// See LibGateway::CallRequest.
+    std::optional<int64_t> answerTokenHint;
     /// The call is refused if it has not got a slot by this time.
     AK::Milliseconds startBy = 0;
     /// Regions that the route allows; empty for any.
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -105,6 +105,7 @@
     this->table.recordSend(record.service);
     this->callsForPeers += kind == GrantKind::ForPeer ? 1 : 0;
     grant = kj::heap<Grant>(*this, kind, record, this->table.heldWeightsVersion(record), requirements.promptTokens, choice.load, check);
+    KJ_ASSERT_NONNULL(grant)->countWork(this->table.expectedWork(record.service, requirements.answerTokenHint));
     return Availability::Granted;
 }
 
@@ -345,6 +346,7 @@
 void Dispatcher::exportMetrics(LibMetrics::MetricRegistry &metrics)
 {
     this->table.notices().exportTo(metrics);
+    this->table.exportLoad(metrics);
     exportHindrances(this->table, this->fleet, metrics);
     exportWeights(this->table, this->fleet, this->loop.clock(), metrics);
 }
--- a/Userland/Services/Gateway/Grant.cpp
+++ b/Userland/Services/Gateway/Grant.cpp
@@ -28,6 +28,12 @@
     }
 }
 
+void Grant::countWork(double expected)
+{
+    this->extraWork += expected - 1;
+    this->dispatcher.table.loadOf(this->record).ownExtraWork += expected - 1;
+}
+
 void Grant::clearPendingPrompt()
 {
     if (this->pendingPromptTokens > 0) {
@@ -42,6 +48,7 @@
 Grant::~Grant() noexcept(false)
 {
     this->clearPendingPrompt();
+    this->dispatcher.table.loadOf(this->record).ownExtraWork -= this->extraWork;
     this->dispatcher.release(this->record, this->kind);
 }
 
--- a/Userland/Services/Gateway/Grant.h
+++ b/Userland/Services/Gateway/Grant.h
@@ -40,6 +40,8 @@
     bool isRecent() const;
 
     void promptRead() override;
+    /// Adds the work of the call to its upstream until the grant ends; see LibGateway::expectedWork().
+    void countWork(double expected);
 
 private:
     /// Removes the prompt from the prefill backlog of the upstream.
@@ -51,6 +53,7 @@
     int64_t weights;
     int64_t pendingPromptTokens;
     double load;
+    double extraWork = 0;
     AK::RecentCheck check;
     kj::Maybe<kj::Own<LibPeers::HeldSlot>> heldByOwner;
 };
--- a/Userland/Services/Gateway/UpstreamTable.h
+++ b/Userland/Services/Gateway/UpstreamTable.h
@@ -114,11 +114,16 @@
     void recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting, std::optional<double> slowness);
     /// Counts a call that this entry sends to a service, and the time after which an upstream has responded to one, in ms.
     void recordSend(const std::string &service);
+    /// See LibGateway::expectedWork().
+    double expectedWork(const std::string &service, std::optional<int64_t> answerTokenHint);
     void recordServiceTime(const LibFleet::UpstreamRecord &upstream, AK::Milliseconds duration);
     void recordReport(const LibPeers::EngineReport &report);
     /// Records which limit the response to a call has named, if any. `sentAt`: monotonic time at which the call was sent.
     void recordRateLimit(const LibFleet::UpstreamRecord &upstream, std::optional<double> callsPerSecond, AK::Milliseconds sentAt);
 
+    /// Writes per service whether calls are placed by estimates, and the slowness and the age of the load figures of its upstreams.
+    void exportLoad(LibMetrics::MetricRegistry &metrics) const;
+
     /// What the upstreams have said about new calls.
     UpstreamNotices &notices();
 
@@ -138,6 +143,8 @@
         AK::Milliseconds countedAt = 0;
     };
 
+    /// Whether an upstream of the service has stated its slowness lately.
+    bool isEnabled(const std::string &service) const;
     /// Whether the load of the upstream is estimated: its service is enabled for it and no entry decides on all calls there.
     bool isEstimated(const LibFleet::UpstreamRecord &record) const;
     size_t upstreamsOf(const std::string &service);
--- a/Userland/Services/Gateway/UpstreamTableLoad.cpp
+++ b/Userland/Services/Gateway/UpstreamTableLoad.cpp
@@ -24,6 +24,8 @@
     candidate.sameRegion = this->regionOf(record.failureDomain) == this->settings.region;
     candidate.failureShare = load.failureShare;
     candidate.slowdown = LibGateway::slowness(load, this->clock.now(), this->settings.estimate);
+    candidate.weighsWork = record.isEngine && this->isEnabled(record.service);
+    candidate.extraWork = load.ownExtraWork;
     if (this->isEstimated(record)) {
         const LibGateway::ServiceFlow &flow = this->sharedServices[record.service].flow;
         const double own = LibGateway::callsPerMs(flow, this->clock.now(), this->settings.estimate);
@@ -33,11 +35,20 @@
     return candidate;
 }
 
+bool UpstreamTable::isEnabled(const std::string &service) const
+{
+    const auto shared = this->sharedServices.find(service);
+    return shared != this->sharedServices.end() && LibGateway::isEnabled(shared->second.flow, this->clock.now(), this->settings.estimate);
+}
+
 bool UpstreamTable::isEstimated(const LibFleet::UpstreamRecord &record) const
 {
-    const auto service = this->sharedServices.find(record.service);
-    return !record.isEngine && !this->hasOwner(record) && service != this->sharedServices.end()
-        && LibGateway::isEnabled(service->second.flow, this->clock.now(), this->settings.estimate);
+    return !record.isEngine && !this->hasOwner(record) && this->isEnabled(record.service);
+}
+
+double UpstreamTable::expectedWork(const std::string &service, std::optional<int64_t> answerTokenHint)
+{
+    return LibGateway::expectedWork(this->sharedServices[service].flow, answerTokenHint);
 }
 
 size_t UpstreamTable::upstreamsOf(const std::string &service)
@@ -88,6 +99,31 @@
     LibGateway::recordServiceTime(this->sharedServices[upstream.service].flow, duration);
 }
 
+void UpstreamTable::exportLoad(LibMetrics::MetricRegistry &metrics) const
+{
+    struct Overview {
+        double slowness = 0;
+        AK::Milliseconds figureAge = 0;
+    };
+    std::map<std::string, Overview> services;
+    for (const auto &[id, record] : this->fleet.upstreams()) {
+        const LibGateway::UpstreamLoad *load = this->knownLoad(record);
+        if (load != nullptr && load->slowness && record.state == LibFleet::UpstreamState::Ready) {
+            Overview &overview = services[record.service];
+            overview.slowness = std::max(overview.slowness, LibGateway::slowness(*load, this->clock.now(), this->settings.estimate));
+            overview.figureAge = std::max(overview.figureAge, this->clock.now() - load->responseAt);
+        }
+    }
+    for (const auto &[service, shared] : this->sharedServices) {
+        if (!shared.flow.slownessStatedAt) {
+            continue;
+        }
+        metrics.set("catkinlink_load_estimated", {{"service", service}}, this->isEnabled(service) ? 1 : 0);
+        metrics.set("catkinlink_upstream_slowness_max", {{"service", service}}, services[service].slowness);
+        metrics.set("catkinlink_load_figure_age_max_ms", {{"service", service}}, static_cast<double>(services[service].figureAge));
+    }
+}
+
 void UpstreamTable::recordReport(const LibPeers::EngineReport &report)
 {
     LibGateway::UpstreamLoad &load = this->loads[report.upstream];
