--- a/Tests/LibGateway/TestEvenLoad.cpp
+++ b/Tests/LibGateway/TestEvenLoad.cpp
@@ -238,7 +238,7 @@
             anyWaits = anyWaits || server.calls.size() > slots;
         }
         this->figures.spread += sum > 0 ? (most - least) * serverCount / sum : 0;
-        this->figures.wastedShare += anyWaits && least <= slots / 2 ? 1 : 0;
+        this->figures.wastedShare += anyWaits && 2 * least <= slots ? 1 : 0;
     }
 
     ReplayCase row;
