--- a/Userland/Libraries/LibGateway/Placement.h
+++ b/Userland/Libraries/LibGateway/Placement.h
@@ -3,6 +3,7 @@
 #include <AK/Random.h>
 #include <LibFleet/FleetState.h>
 #include <LibFleet/Partners.h>
+#include <LibGateway/LoadEstimate.h>
 #include <LibPeers/PeerRecords.h>
 #include <optional>
 #include <vector>
@@ -26,6 +27,8 @@
     std::string instance;
     /// Calls of this entry in flight at the upstream.
     int ownInFlight = 0;
+    /// Their work beyond that of as many mean calls; a mean call counts as 1.
+    double ownExtraWork = 0;
     /// Prompt tokens of those that have not sent their first event.
     int64_t pendingPromptTokens = 0;
     /// Newest report of its agent, and the calls of this entry in flight when it arrived.
@@ -36,6 +39,7 @@
     int loadInResponse = 0;
     AK::Milliseconds responseAt = 0;
     int ownInFlightAtResponse = 0;
+    std::optional<StatedSlowness> slowness;
     /// Moving average of the share of calls that failed, 0 to 1.
     double failureShare = 0;
     int failuresInRow = 0;
@@ -79,6 +83,9 @@
 /// Estimated calls at the upstream, of this entry and of all others.
 double estimatedLoad(const UpstreamLoad &load, AK::Milliseconds now, const PlacementSettings &settings);
 
+/// Time that work takes at an upstream, relative to the usual time: what its host states in responses or its agent reports, whichever is newer.
+double slowness(const UpstreamLoad &load, AK::Milliseconds now, const LoadEstimateSettings &settings);
+
 /// Records what the response to a call that was sent at `sentAt` tells of the upstream's rate limit. A response without one ends the limit, unless the call was
 /// sent before the limit was last named. Returns whether the limit has changed.
 bool recordRateLimit(UpstreamLoad &load, std::optional<double> callsPerSecond, AK::Milliseconds sentAt, AK::Milliseconds now);
@@ -123,6 +130,14 @@
     double failureShare = 0;
     /// Time that the engine takes relative to its configured speed; 1 is as configured, 2 takes twice as long.
     double slowdown = 1;
+    /// Work of the calls there beyond that of as many mean calls, and whether it and the prompt of the call count.
+    double extraWork = 0;
+    bool weighsWork = false;
+    /// The load of an upstream without an owner is estimated: `load` holds the calls that are known to run there.
+    bool estimated = false;
+    /// See SharedEstimate.
+    double sentSince = 0;
+    double contention = 0;
 };
 
 /// Index of the candidate with the least expected time to the first event, or nothing when all are full. Load pattern: prompts that an engine reads in the
@@ -132,6 +147,16 @@
 std::optional<size_t> chooseUpstream(const std::vector<PlacementCandidate> &candidates, double prefillMs, bool ignoreBacklog, const PlacementSettings &settings,
                                      AK::Random &random);
 
+/// The same for upstreams without an owner whose load is estimated: the one with the least estimated work among all, or under contention among two random ones
+/// of this region and one elsewhere. Only known calls make an upstream full. Load pattern: many entries see the same upstream as the least loaded one,
+/// some hundred ms late, and all send to it.
+std::optional<size_t> chooseSharedUpstream(const std::vector<PlacementCandidate> &candidates, const PlacementSettings &settings,
+                                           const LoadEstimateSettings &estimate, AK::Random &random);
+
+/// Takes over the load of an upstream that other entries use too. `othersPerMs`: see LibGateway::othersPerMs().
+void estimateShared(PlacementCandidate &candidate, const UpstreamLoad &load, const ServiceFlow &flow, double othersPerMs, AK::Milliseconds now,
+                    const PlacementSettings &settings, const LoadEstimateSettings &estimate);
+
 /// The entry that prefers an upstream, the first of LibFleet::rankOwners(); empty without entries. Entries
 /// learn of each other's calls with a delay; with one preferred entry per upstream, most of its calls come from an entry that knows them all. Load pattern:
 /// several entries choose the same least loaded upstream at once.
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -93,7 +93,7 @@
 Dispatcher::Availability Dispatcher::tryGrant(const CallRequirements &requirements, bool ignoreBacklog, GrantKind kind, kj::Maybe<kj::Own<Grant>> &grant)
 {
     const AK::RecentCheck check(this->loop.clock(), slotMaxAge);
-    const UpstreamChoice choice = chooseUpstream(this->table, this->fleet, requirements, kind, ignoreBacklog, this->settings.upstreams.placement, this->random);
+    const UpstreamChoice choice = chooseUpstream(this->table, this->fleet, requirements, kind, ignoreBacklog, this->settings.upstreams, this->random);
     if (choice.upstream == nullptr) {
         return choice.anyUsable ? Availability::Full : Availability::None;
     }
@@ -102,8 +102,10 @@
     ++load.ownInFlight;
     load.pendingPromptTokens += requirements.promptTokens;
     this->table.takeRateToken(record);
+    this->table.recordSend(record.service);
     this->callsForPeers += kind == GrantKind::ForPeer ? 1 : 0;
     grant = kj::heap<Grant>(*this, kind, record, this->table.heldWeightsVersion(record), requirements.promptTokens, choice.load, check);
+    KJ_ASSERT_NONNULL(grant)->countWork(this->table.expectedWork(record.service, requirements.answerTokenHint));
     return Availability::Granted;
 }
 
@@ -341,18 +343,22 @@
 {
     this->table.recordRateLimit(upstream, response.callsPerSecondLimit, sentAt);
     this->table.notices().record(upstream, response);
+    if (!response.notRun && !response.pause) {
+        this->table.recordServiceTime(upstream, this->loop.clock().now() - sentAt);
+    }
 }
 
 void Dispatcher::exportMetrics(LibMetrics::MetricRegistry &metrics)
 {
     this->table.notices().exportTo(metrics);
+    this->table.exportLoad(metrics);
     exportHindrances(this->table, this->fleet, metrics);
     exportWeights(this->table, this->fleet, this->loop.clock(), metrics);
 }
 
-void Dispatcher::recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting)
+void Dispatcher::recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting, std::optional<double> slowness)
 {
-    this->table.recordResponseLoad(upstream, running, waiting);
+    this->table.recordResponseLoad(upstream, running, waiting, slowness);
 }
 
 void Dispatcher::recordRateLimit(const LibFleet::UpstreamRecord &upstream, std::optional<double> callsPerSecond, AK::Milliseconds sentAt)
--- a/Userland/Services/Gateway/Dispatcher.h
+++ b/Userland/Services/Gateway/Dispatcher.h
@@ -88,7 +88,7 @@
     void suspend(const LibFleet::UpstreamRecord &upstream);
     /// Records that an upstream, which was taken to hold `heldWeights`, refused a call as misdirected.
     void recordMisdirection(const LibFleet::UpstreamRecord &upstream, int64_t heldWeights);
-    void recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting);
+    void recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting, std::optional<double> slowness = std::nullopt);
     void recordReport(const LibPeers::EngineReport &report);
     /// Records what the head of a response says about the upstream's rate limit and leaving. `sentAt`: monotonic time at which the call was sent.
     void recordResponse(const LibFleet::UpstreamRecord &upstream, const LibGateway::ResponseInfo &response, AK::Milliseconds sentAt);
--- a/Userland/Services/Gateway/UpstreamTable.h
+++ b/Userland/Services/Gateway/UpstreamTable.h
@@ -19,6 +19,7 @@
     std::string name;
     std::string region;
     LibGateway::PlacementSettings placement;
+    LibGateway::LoadEstimateSettings estimate;
     /// Upstreams with an older version of the weights get no more calls this long after a new version became known, in ms.
     AK::Milliseconds weightsSwitchDelay = 6'000;
     /// Calls that have not begun at such an upstream are withdrawn this long after a new version became known, in ms.
@@ -109,11 +110,20 @@
 
     void recordOutcome(const LibFleet::UpstreamRecord &upstream, bool failed);
     void suspend(const LibFleet::UpstreamRecord &upstream);
-    void recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting);
+    /// `slowness`: see LibGateway::ResponseInfo::Load.
+    void recordResponseLoad(const LibFleet::UpstreamRecord &upstream, int running, int waiting, std::optional<double> slowness);
+    /// Counts a call that this entry sends to a service, and the time after which an upstream has responded to one, in ms.
+    void recordSend(const std::string &service);
+    /// See LibGateway::expectedWork().
+    double expectedWork(const std::string &service, std::optional<int64_t> answerTokenHint);
+    void recordServiceTime(const LibFleet::UpstreamRecord &upstream, AK::Milliseconds duration);
     void recordReport(const LibPeers::EngineReport &report);
     /// Records which limit the response to a call has named, if any. `sentAt`: monotonic time at which the call was sent.
     void recordRateLimit(const LibFleet::UpstreamRecord &upstream, std::optional<double> callsPerSecond, AK::Milliseconds sentAt);
 
+    /// Writes per service whether calls are placed by estimates, and the slowness and the age of the load figures of its upstreams.
+    void exportLoad(LibMetrics::MetricRegistry &metrics) const;
+
     /// What the upstreams have said about new calls.
     UpstreamNotices &notices();
 
@@ -125,6 +135,19 @@
     int callsInFlight() const;
 
 private:
+    /// What is known of a service whose upstreams several entries share.
+    struct SharedService {
+        LibGateway::ServiceFlow flow;
+        /// Upstreams that may get calls, and the monotonic time of the count.
+        size_t upstreams = 0;
+        AK::Milliseconds countedAt = 0;
+    };
+
+    /// Whether an upstream of the service has stated its slowness lately.
+    bool isEnabled(const std::string &service) const;
+    /// Whether the load of the upstream is estimated: its service is enabled for it and no entry decides on all calls there.
+    bool isEstimated(const LibFleet::UpstreamRecord &record) const;
+    size_t upstreamsOf(const std::string &service);
     /// Whether the rate of the upstream allows another call now: the whole rate for an upstream that has an owner, else an equal share for each entry.
     bool rateAllows(const LibFleet::UpstreamRecord &record);
     /// Calls per second that the upstream may get from all entries, 0 for any number.
@@ -158,6 +181,7 @@
     AK::Milliseconds openSlotsCountedAt = 0;
     /// By address, because the report of an agent names its upstream by address.
     std::map<std::string, LibGateway::UpstreamLoad> loads;
+    std::map<std::string, SharedService> sharedServices;
     UpstreamNotices upstreamNotices;
     LibLog::Logger logger{"dispatcher"};
 };
