WeightAgent: Avoid second reads after the origin's return

In the replay an agent whose turn came at the moment of the return took two lanes over and read each chunk at the same time as its reader, without noticing: up to 1.43 copies. A lane that was taken over is now read in random order, readers find the return before their chunks are overdue, and the replay has the check of a stalled fetch that the agents have.

--- a/Tests/Services/WeightAgent/OriginReplay.cpp
+++ b/Tests/Services/WeightAgent/OriginReplay.cpp
@@ -177,13 +177,13 @@
                 : allowedScope({true, agent.ranks[i], this->now - agent.lastProgressAt, this->now}, {});
             allowed[i] = allowed[i] && scope == FetchScope::Origin && (!this->scheduled || own == (agent.ranks[i] == 0));
         }
-        const auto first = static_cast<uint32_t>(std::ranges::find(allowed, true) - allowed.begin());
-        const uint32_t chunk = this->scheduled
-            ? first
-            : LibWeights::chooseRarest(allowed, std::vector<bool>(replayChunks, true), this->holders(agent), this->random).value_or(replayChunks);
+        const uint32_t chunk = (this->scheduled ? chooseRead(agent.plan, allowed, own, this->now, this->random)
+                                                : LibWeights::chooseRarest(allowed, std::vector<bool>(replayChunks, true), this->holders(agent), this->random))
+                                   .value_or(replayChunks);
+        agent.originReached = agent.originReached && !(this->scheduled && this->away() && isStalled(agent.plan, this->now));
         if (this->away() && (chunk < replayChunks || !agent.originReached)) {
             agent.originReached = false;
-            agent.nextReadAt = this->now + (this->scheduled ? probeInterval(agent.ranks[0]) : 2 * retryDelay);
+            agent.nextReadAt = this->now + (this->scheduled ? probeInterval(agent.ranks[0], this->reads.readers) : 2 * retryDelay);
         } else if (chunk < replayChunks) {
             agent.transfers.push_back({chunk, std::nullopt, this->now, 0});
         }
--- a/Userland/Services/WeightAgent/OriginSchedule.cpp
+++ b/Userland/Services/WeightAgent/OriginSchedule.cpp
@@ -26,6 +26,8 @@
 // Longer than the reserve and a few reads of other agents in place of the failed ones.
 constexpr AK::Milliseconds stallTime = 700;
 constexpr AK::Milliseconds shortestProbeInterval = 150;
+// Shorter than overdueReserve: a reader that finds the return of the origin later would be replaced, and its first chunks read twice.
+constexpr AK::Milliseconds readerProbeInterval = 300;
 constexpr AK::Milliseconds longestProbeInterval = 3'000;
 constexpr size_t probers = 2;
 
@@ -135,9 +137,27 @@
     return position.regionRank <= replaceableRanks / otherRegionDivisor ? FetchScope::AnyRegion : FetchScope::SameRegion;
 }
 
-AK::Milliseconds probeInterval(size_t rank)
+std::optional<uint32_t> chooseRead(const ReadPlan &plan, const std::vector<bool> &allowed, bool own, AK::Milliseconds now, AK::Random &random)
 {
-    return rank < probers ? shortestProbeInterval : std::min(longestProbeInterval, shortestProbeInterval * static_cast<AK::Milliseconds>(rank + 1));
+    std::vector<uint32_t> others;
+    for (uint32_t i = 0; i < allowed.size(); ++i) {
+        if (!allowed[i]) {
+            continue;
+        }
+        if (own || overdueTime(plan, i, now) >= 0) {
+            return i;
+        }
+        others.push_back(i);
+    }
+    return others.empty() ? std::nullopt : std::optional(others[AK::uniformBelow(random, others.size())]);
+}
+
+AK::Milliseconds probeInterval(size_t rank, size_t readers)
+{
+    if (rank < probers) {
+        return shortestProbeInterval;
+    }
+    return rank < readers ? readerProbeInterval : std::min(longestProbeInterval, shortestProbeInterval * static_cast<AK::Milliseconds>(rank + 1));
 }
 
 } // namespace WeightAgent
--- a/Userland/Services/WeightAgent/OriginSchedule.h
+++ b/Userland/Services/WeightAgent/OriginSchedule.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "FetchRules.h"
+#include <AK/Random.h>
+#include <optional>
 
 namespace WeightAgent
 {
@@ -85,8 +87,12 @@
 /// reader of a few chunks crashes or hangs while the others go on, so that the fetch as a whole does not stall.
 FetchScope scheduledScope(const ScheduledPosition &position);
 
-/// Time in ms between two connection attempts to an origin that is away. Two agents of a region find its return quickly; the others stand by in case these
-/// have failed. Load pattern: all agents of a site wait for the same origin.
-AK::Milliseconds probeInterval(size_t rank);
+/// The chunk to read next: the first of `own`, or of the others the first that is overdue, else any. An agent that goes on with a lane reads in random order,
+/// so that it seldom reads a chunk at the same time as another successor, or as a reader that is slow or has come back.
+std::optional<uint32_t> chooseRead(const ReadPlan &plan, const std::vector<bool> &allowed, bool own, AK::Milliseconds now, AK::Random &random);
+
+/// Time in ms between two connection attempts to an origin that is away. Two agents of a region find its return quickly, and the other readers before their
+/// chunks are overdue; the others stand by in case these have failed. Load pattern: all agents of a site wait for the same origin.
+AK::Milliseconds probeInterval(size_t rank, size_t readers);
 
 } // namespace WeightAgent
--- a/Userland/Services/WeightAgent/SwarmOriginReads.cpp
+++ b/Userland/Services/WeightAgent/SwarmOriginReads.cpp
@@ -47,15 +47,14 @@
     if (!this->plan) {
         return this->chooseChunk(std::vector<bool>(this->held->chunkCount(), true), FetchScope::Origin);
     }
-    noteSeen(*this->plan, this->seenChunks(), this->loop.clock().now());
-    const std::vector<bool> allowed = this->allowedChunks(FetchScope::Origin, this->sourceCounts());
+    const AK::Milliseconds now = this->loop.clock().now();
+    noteSeen(*this->plan, this->seenChunks(), now);
+    std::vector<bool> allowed = this->allowedChunks(FetchScope::Origin, this->sourceCounts());
     for (uint32_t i = 0; i < allowed.size(); ++i) {
         const bool own = this->inOriginRegion() && this->ranks[i] == 0;
-        if (allowed[i] && own == (kind == ReadKind::Own)) {
-            return i;
-        }
+        allowed[i] = allowed[i] && own == (kind == ReadKind::Own);
     }
-    return std::nullopt;
+    return chooseRead(*this->plan, allowed, kind == ReadKind::Own, now, this->random);
 }
 
 bool SwarmFetch::needsStandby() const
@@ -166,7 +165,9 @@
         return;
     }
     const size_t rank = regionPosition(this->self, this->members, this->versionKey());
-    this->pause(scope, std::max<AK::Milliseconds>(0, startedAt + probeInterval(rank) - this->loop.clock().now()));
+    this->pause(
+        scope,
+        std::max<AK::Milliseconds>(0, startedAt + probeInterval(rank, this->inOriginRegion() ? this->originReads.readers : 0) - this->loop.clock().now()));
 }
 
 } // namespace WeightAgent
