LibGateway: Predict whether a call may wait and when its client may return

With the new switch 'competition' (settings: contracts contains "pressure") the longest wait of a call is its target less the predicted time from the slot to the first event, instead of 0.3 of the target. An urgent call with a target of 400 ms is no longer refused before a batch call with 800 ms. A call that would be late only waits while slots are left over by those that can be in time. The time after which a refused client is told to retry follows from the rate of freed slots, what waits and the refusals; when no room is expected, it is the longest that the client honours.

--- a/Tests/Platform/TestHostileSettings.cpp
+++ b/Tests/Platform/TestHostileSettings.cpp
@@ -60,4 +60,29 @@
                                          HostileSettingsCase{"too_large", "1e300", "", false}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+struct ContractCase {
+    const char *name;
+    std::string line;
+    bool callersCompete;
+};
+
+class ContractTest : public testing::TestWithParam<ContractCase>
+{
+};
+
+// Guards against a deployment that is served by the rules for competing callers without having asked for them, and against settings refused for a contract
+// that this build does not know.
+TEST_P(ContractTest, DecidesWhetherCallersCompete)
+{
+    const auto settings = Platform::parseNodeSettings(AK::concat(validSettings, GetParam().line, "\n"));
+    ASSERT_TRUE(settings.ok()) << settings.status();
+    EXPECT_EQ(settings->callersCompete, GetParam().callersCompete);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, ContractTest,
+                         testing::Values(ContractCase{"none", "", false}, ContractCase{"pressure", "contracts: [pressure]", true},
+                                         ContractCase{"among_unknown_ones", "contracts: [other, {a: 1}, pressure]", true},
+                                         ContractCase{"unknown_only", "contracts: [other]", false}, ContractCase{"no_list", "contracts: pressure", false}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
--- a/Userland/Services/Gateway/CallRequirements.h
+++ b/Userland/Services/Gateway/CallRequirements.h
@@ -18,6 +18,9 @@
     int64_t promptTokens = 0;
     /// The call is refused if it has not got a slot by this time.
     AK::Milliseconds startBy = 0;
+    /// With DispatchSettings::competition: a call that starts until this time is in time, and its client leaves at the other one. Both monotonic.
+    AK::Milliseconds inTimeUntil = 0;
+    AK::Milliseconds clientLeavesAt = 0;
     /// Regions that the route allows; empty for any.
     std::vector<std::string> regions;
     /// Regions that the client account allows; empty for any.
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -177,6 +177,7 @@
         }
         return this->forwardResponse(scope, call, upstream);
     }
+    this->report.predictedWaitMs = granted.predictedWaitMs;
     this->giveUp(scope, std::string(AK::nameOf(refusalReasonNames, granted.reason)), granted.retryAfter);
     return NextStep::Done;
 }
--- a/Userland/Services/Gateway/CallTask.h
+++ b/Userland/Services/Gateway/CallTask.h
@@ -39,6 +39,10 @@
     AK::Milliseconds longestGap = 0;
     AK::Milliseconds lastPartAt = 0;
     double loadAtChoice = 0;
+    /// See GrantOrRefusal.
+    double predictedWaitMs = 0;
+    /// Time after which the client was told to retry, in ms.
+    AK::Milliseconds retryAfter = 0;
 };
 
 /// Runs one call of a client: finds its route and account, waits for a slot, sends the request to an upstream and forwards the response. Dropping the fiber
--- a/Userland/Services/Gateway/CallTaskEnd.cpp
+++ b/Userland/Services/Gateway/CallTaskEnd.cpp
@@ -42,6 +42,7 @@
 {
     this->report.status = status;
     this->report.reason = reason;
+    this->report.retryAfter = retryAfter;
     const absl::Status written = this->client.refuse(scope, status, LibHttpStream::reasonPhrase(status), retryAfter);
     this->report.result = written.ok() ? "refused" : "client_left";
 }
@@ -102,6 +103,9 @@
                        {"prompt_tokens", this->request.promptTokens},
                        {"prompt_parts", this->request.sharedPromptParts},
                        {"late", late},
+                       {"priority", this->requirements.rank.priority},
+                       {"predicted_wait_ms", this->report.predictedWaitMs},
+                       {"retry_after_ms", this->report.retryAfter},
                        {"returning", this->requirements.rank.returning},
                        {"patience_ms", this->request.clientTimeout.value_or(-1)},
                        {"took_ms", took}});
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -13,10 +13,6 @@
 namespace
 {
 
-// Slots can become free without an event (a rate refills, a suspension ends), so queues with waiting calls are served again at this interval.
-constexpr AK::Milliseconds pollInterval = 20;
-// The first call in a queue repeats its requests to the owners of other engines at this interval.
-constexpr AK::Milliseconds ownerRequestInterval = 40;
 // A slot must be used within this time, which is longer than three owners may take to respond and a connection to open. Later, its owner may have taken it
 // back, and rates that it was granted by have been refilled.
 constexpr AK::Milliseconds slotMaxAge = 1'500;
@@ -82,6 +78,15 @@
     LibGateway::ClientTimeoutRecord &record = this->clientTimeouts[route.name];
     LibGateway::recordClientTimeout(record, clientTimeout);
     requirements.rank.returning = LibGateway::isReturning(route.kind, clientTimeout, record, this->settings.queue);
+    if (this->settings.competition) {
+        const AK::Milliseconds clientWaits = route.clientGapLimit > 0 ? std::min(clientTimeout, route.clientGapLimit) : clientTimeout;
+        const LibGateway::WaitLimits limits = LibGateway::waitLimits(requirements.arrivedAt, route.targetLatency, this->responseTime(requirements, route),
+                                                                     clientWaits, requirements.rank.returning, this->settings.waits);
+        requirements.startBy = limits.startBy;
+        requirements.inTimeUntil = limits.inTimeUntil;
+        requirements.clientLeavesAt = requirements.arrivedAt + clientTimeout;
+        return;
+    }
     requirements.startBy = requirements.arrivedAt + LibGateway::longestWait(route.kind, requirements.rank.returning, route.targetLatency, this->settings.queue);
 }
 
@@ -172,81 +177,6 @@
     return LibPeers::OfferedSlot{std::move(upstream), kj::mv(held), version};
 }
 
-bool Dispatcher::waitInQueue(kj::WaitScope &scope, ServiceQueue &queue, Waiter &waiter, kj::ForkedPromise<void> &granted)
-{
-    while (true) {
-        const AK::Milliseconds now = this->loop.clock().now();
-        if (waiter.grant != nullptr) {
-            return true;
-        }
-        if (waiter.refused || now >= waiter.requirements->startBy) {
-            return false;
-        }
-        const AK::Milliseconds until =
-            this->slotSource == nullptr ? waiter.requirements->startBy : std::min(waiter.requirements->startBy, now + ownerRequestInterval);
-        const absl::Status waited = this->loop.awaitDone(scope, granted.addBranch(), until);
-        if (waited.ok() || queue.waiters.empty() || queue.waiters.front() != &waiter) {
-            continue;
-        }
-        kj::Maybe<kj::Own<Grant>> fromPeer = this->requestFromOwners(scope, *waiter.requirements);
-        if (waiter.grant == nullptr && fromPeer != nullptr) {
-            waiter.grant = kj::mv(fromPeer);
-            return true;
-        }
-    }
-}
-
-GrantOrRefusal Dispatcher::acquire(kj::WaitScope &scope, const CallRequirements &requirements)
-{
-    ServiceQueue &queue = this->queue(requirements.service);
-    GrantOrRefusal result;
-    if (!requirements.rank.returning) {
-        LibGateway::recordFreshCall(queue.intervals, this->loop.clock().now());
-    }
-    if (queue.waiters.empty()) {
-        const Availability availability = this->tryGrant(requirements, false, GrantKind::Local, result.grant);
-        if (availability == Availability::Full) {
-            result.grant = this->requestFromOwners(scope, requirements);
-        }
-        if (result.grant != nullptr) {
-            return result;
-        }
-        if (availability == Availability::None) {
-            return this->refusalWithoutUpstream(requirements);
-        }
-    }
-    if (LibGateway::startsTooLate(queue.intervals, requirements.rank, callsAhead(queue, requirements.rank), this->loop.clock().now(), requirements.startBy)) {
-        result.reason = RefusalReason::QueueTooLong;
-        result.retryAfter = Gateway::retryAfter(queue, this->settings.queue, this->random);
-        return result;
-    }
-    auto paf = kj::newPromiseAndFulfiller<void>();
-    kj::ForkedPromise<void> granted = paf.promise.fork();
-    Waiter waiter{&requirements, kj::mv(paf.fulfiller), nullptr, false};
-    insert(queue, waiter);
-    KJ_DEFER(queue.waiters.remove(&waiter));
-    this->schedulePoll(requirements.service);
-    if (this->waitInQueue(scope, queue, waiter, granted)) {
-        result.grant = kj::mv(waiter.grant);
-        return result;
-    }
-    if (waiter.refused) {
-        return this->refusalWithoutUpstream(requirements);
-    }
-    result.reason = RefusalReason::WaitedTooLong;
-    result.retryAfter = Gateway::retryAfter(queue, this->settings.queue, this->random);
-    return result;
-}
-
-GrantOrRefusal Dispatcher::refusalWithoutUpstream(const CallRequirements &requirements)
-{
-    GrantOrRefusal result;
-    const std::optional<AK::Milliseconds> afterPause = this->retryAfterPause(requirements);
-    result.reason = afterPause ? RefusalReason::AllPaused : RefusalReason::NoUpstream;
-    result.retryAfter = afterPause ? *afterPause : Gateway::retryAfter(this->queue(requirements.service), this->settings.queue, this->random);
-    return result;
-}
-
 std::optional<AK::Milliseconds> Dispatcher::retryAfterPause(CallRequirements requirements)
 {
     requirements.excluded.clear();
@@ -258,55 +188,7 @@
     return LibGateway::retryAfterPause(*firstEnd, this->loop.clock().now(), spread, this->table.notices().pauseSettings());
 }
 
-void Dispatcher::serveWaiters(const std::string &service)
-{
-    ServiceQueue &queue = this->queue(service);
-    for (auto it = queue.waiters.begin(); it != queue.waiters.end();) {
-        Waiter &waiter = **it;
-        // A call that has waited for half of its time in the queue is sent to an engine even if its prompt must wait there.
-        const bool ignoreBacklog = this->loop.clock().now() >= (waiter.requirements->arrivedAt + waiter.requirements->startBy) / 2;
-        const Availability availability = this->tryGrant(*waiter.requirements, ignoreBacklog, GrantKind::Local, waiter.grant);
-        waiter.refused = availability == Availability::None && this->retryAfterPause(*waiter.requirements);
-        if (availability != Availability::Granted && !waiter.refused) {
-            if (waiter.requirements->excluded.empty() && waiter.requirements->regions.empty() && waiter.requirements->accountRegions.empty()) {
-                // No upstream has room for a call without restrictions, so none has room for the calls behind it.
-                break;
-            }
-            ++it;
-            continue;
-        }
-        it = queue.waiters.erase(it);
-        waiter.fulfiller->fulfill();
-    }
-    if (!queue.waiters.empty()) {
-        this->schedulePoll(service);
-    }
-}
-
-void Dispatcher::serveAllWaiters()
-{
-    for (const auto &[service, queue] : this->queues) {
-        if (!queue->waiters.empty()) {
-            this->serveWaiters(service);
-        }
-    }
-}
-
-void Dispatcher::schedulePoll(const std::string &service)
-{
-    ServiceQueue &queue = this->queue(service);
-    if (queue.pollScheduled) {
-        return;
-    }
-    queue.pollScheduled = true;
-    this->loop.spawn([this, service](kj::WaitScope &scope) {
-        this->loop.sleep(scope, pollInterval);
-        this->queue(service).pollScheduled = false;
-        this->serveWaiters(service);
-    });
-}
-
-void Dispatcher::release(const LibFleet::UpstreamRecord &record, GrantKind kind)
+void Dispatcher::release(const LibFleet::UpstreamRecord &record, GrantKind kind, AK::Milliseconds heldFor)
 {
     LibGateway::UpstreamLoad &load = this->table.loadOf(record);
     load.ownInFlight = std::max(0, load.ownInFlight - 1);
@@ -316,6 +198,11 @@
     } else {
         // Slots freed by this entry's own calls measure how fast its queue moves, wherever the calls ran.
         LibGateway::recordFreedSlot(queue.intervals, this->loop.clock().now());
+        LibGateway::recordEvent(queue.rates.freedSlots, this->loop.clock().now());
+        if (!record.isEngine) {
+            constexpr double smoothing = 0.9;
+            queue.holdMs = queue.holdMs == 0 ? static_cast<double>(heldFor) : smoothing * queue.holdMs + (1 - smoothing) * static_cast<double>(heldFor);
+        }
     }
     if (kind != GrantKind::FromPeer && !queue.waiters.empty()) {
         this->serveWaiters(record.service);
--- a/Userland/Services/Gateway/Dispatcher.h
+++ b/Userland/Services/Gateway/Dispatcher.h
@@ -19,6 +19,9 @@
     TableSettings upstreams;
     LibGateway::RetryBudgetSettings retries;
     LibGateway::QueueSettings queue;
+    /// Calls compete for too little capacity: waits and refusals follow LibGateway::decideWait().
+    bool competition = false;
+    LibGateway::WaitSettings waits;
 };
 
 /// Why a call got no slot at an upstream.
@@ -36,6 +39,8 @@
     RefusalReason reason = RefusalReason::NoUpstream;
     /// Time after which a refused client should retry, in ms.
     AK::Milliseconds retryAfter = 0;
+    /// With DispatchSettings::competition: the predicted time to a slot when the call was refused, in ms; negative when none was expected.
+    double predictedWaitMs = 0;
 };
 
 /// Assigns calls to upstreams. While every upstream is full, calls wait in a queue per service, ordered by rank and arrival; a call that is not expected to
@@ -122,10 +127,17 @@
     /// Requests a slot at an upstream of another entry.
     kj::Maybe<kj::Own<Grant>> requestFromOwners(kj::WaitScope &scope, const CallRequirements &requirements);
     bool waitInQueue(kj::WaitScope &scope, ServiceQueue &queue, Waiter &waiter, kj::ForkedPromise<void> &granted);
-    void release(const LibFleet::UpstreamRecord &record, GrantKind kind);
+    /// `heldFor`: how long the slot was held, in ms.
+    void release(const LibFleet::UpstreamRecord &record, GrantKind kind, AK::Milliseconds heldFor);
     void serveWaiters(const std::string &service);
     void serveAllWaiters();
     void schedulePoll(const std::string &service);
+    /// Predicted time from a slot to the first event, or to the response of other calls.
+    AK::Milliseconds responseTime(const CallRequirements &requirements, const LibFleet::Route &route);
+    /// Whether a call goes on waiting. `own`: its place in the queue, nullptr before it has one.
+    bool mayWait(const CallRequirements &requirements, const Waiter *own);
+    /// The refusal of a call for lack of a slot.
+    GrantOrRefusal refusalForLackOfRoom(const CallRequirements &requirements, RefusalReason reason);
     /// The refusal of a call that no upstream may get.
     GrantOrRefusal refusalWithoutUpstream(const CallRequirements &requirements);
 
--- a/Userland/Services/Gateway/Grant.cpp
+++ b/Userland/Services/Gateway/Grant.cpp
@@ -14,6 +14,7 @@
     , pendingPromptTokens(promptTokens)
     , load(load)
     , check(check)
+    , grantedAt(dispatcher.loop.clock().now())
     , heldByOwner(kj::mv(heldByOwner))
 {
 }
@@ -42,7 +43,7 @@
 Grant::~Grant() noexcept(false)
 {
     this->clearPendingPrompt();
-    this->dispatcher.release(this->record, this->kind);
+    this->dispatcher.release(this->record, this->kind, this->dispatcher.loop.clock().now() - this->grantedAt);
 }
 
 const LibFleet::UpstreamRecord &Grant::upstream() const
--- a/Userland/Services/Gateway/Grant.h
+++ b/Userland/Services/Gateway/Grant.h
@@ -52,6 +52,7 @@
     int64_t pendingPromptTokens;
     double load;
     AK::RecentCheck check;
+    AK::Milliseconds grantedAt;
     kj::Maybe<kj::Own<LibPeers::HeldSlot>> heldByOwner;
 };
 
--- a/Userland/Services/Gateway/ServiceQueue.h
+++ b/Userland/Services/Gateway/ServiceQueue.h
@@ -6,6 +6,7 @@
 #include <AK/Random.h>
 #include <LibGateway/QueueRules.h>
 #include <LibGateway/RetryBudget.h>
+#include <LibGateway/WaitPrediction.h>
 #include <kj/async.h>
 #include <list>
 
@@ -28,6 +29,10 @@
     std::list<Waiter *> waiters;
     LibGateway::RetryBudget budget;
     LibGateway::QueueIntervals intervals;
+    /// With DispatchSettings::competition.
+    LibGateway::QueueRates rates;
+    /// Moving average of the time for which calls hold slots of upstreams that are no engines, in ms; 0 before the first.
+    double holdMs = 0;
     bool pollScheduled = false;
 };
 
--- a/Userland/Utilities/catkinlinkd/EntryProcess.cpp
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.cpp
@@ -134,6 +134,7 @@
     result.upstreams.name = settings.name;
     result.upstreams.region = settings.region;
     result.retries = {settings.bounds.retryRatio, settings.bounds.retryExtra, settings.bounds.retryWindow};
+    result.competition = settings.callersCompete;
     result.upstreams.weightsSwitchDelay = weightsSwitchDelay(settings);
     result.upstreams.weightsBeginLimit = weightsBeginLimit(settings);
     return result;
