Gateway: Let slot requests of other entries wait in the owner's queue

A waiting call requests a slot of up to two owners, chosen at random by the number of their engines, and the requests wait in the queue of the owners' own calls. Each freed slot goes to the first by: in time, priority, new before returning, fewest recent starts of the client account, time of arrival, whichever entry the call came from. One of ten slots goes to a less urgent call. The other request is withdrawn when the call gets a slot, and a slot that comes too late is released at once. Requests end with their connection; an owner keeps at most 512.

Only with the switch 'competition'.

--- a/Tests/Services/Gateway/SlotSite.h
+++ b/Tests/Services/Gateway/SlotSite.h
@@ -37,9 +37,10 @@
     return record;
 }
 
-inline Gateway::DispatchSettings settingsOf(const std::string &name, const std::string &region)
+inline Gateway::DispatchSettings settingsOf(const std::string &name, const std::string &region, bool competition = false)
 {
     Gateway::DispatchSettings settings;
+    settings.competition = competition;
     settings.upstreams.name = name;
     settings.upstreams.region = region;
     return settings;
@@ -49,18 +50,18 @@
 class SlotSite
 {
 public:
-    explicit SlotSite(double coldCallsPerSecond = 0)
+    explicit SlotSite(double coldCallsPerSecond = 0, bool competition = false)
         : fleet(loop.clock())
         , firstClient(loop, fleet)
         , secondClient(loop, fleet)
-        , first(loop, fleet, settingsOf("e1", "lima"), &firstClient)
-        , second(loop, fleet, settingsOf("e2", "cusco"), &secondClient)
-        , server(loop, handler, nullptr, &second)
+        , first(loop, fleet, settingsOf("e1", "lima", competition), &firstClient)
+        , second(loop, fleet, settingsOf("e2", "cusco", competition), &secondClient)
+        , server(kj::heap<LibPeers::PeerServer>(loop, handler, nullptr, &second))
     {
         // Above the ports of GatewaySite.
         static uint16_t port = 18'400;
         const AK::Endpoint address{Loopback::processHost(), ++port};
-        KJ_ASSERT(this->server.listen(address).ok());
+        KJ_ASSERT(this->server->listen(address).ok());
         LibFleet::Configuration configuration;
         configuration.version = 1;
         LibFleet::ServiceSpec service;
@@ -108,7 +109,7 @@
     Gateway::Dispatcher first;
     Gateway::Dispatcher second;
     EmptyPeerHandler handler;
-    LibPeers::PeerServer server;
+    kj::Own<LibPeers::PeerServer> server;
     LibFiber::SpawnedFibersGuard fibersGuard{this->loop};
 };
 
--- a/Userland/Libraries/LibPeers/PeerClient.cpp
+++ b/Userland/Libraries/LibPeers/PeerClient.cpp
@@ -277,6 +277,8 @@
             wireRequest.setPromptTokens(request.promptTokens);
             wireRequest.setPriority(request.priority);
             wireRequest.setReturning(request.returning);
+            wireRequest.setWaitMs(static_cast<uint32_t>(request.wait));
+            wireRequest.setAccount(request.account.c_str());
             setStrings(wireRequest.initRegions(static_cast<capnp::uint>(request.regions.size())), request.regions);
             setStrings(wireRequest.initExcluded(static_cast<capnp::uint>(request.excluded.size())), request.excluded);
             return call;
--- a/Userland/Libraries/LibPeers/PeerRecords.h
+++ b/Userland/Libraries/LibPeers/PeerRecords.h
@@ -5,6 +5,7 @@
 #include <LibFleet/FleetState.h>
 #include <LibFleet/ObjectFeed.h>
 #include <array>
+#include <kj/async.h>
 #include <kj/memory.h>
 #include <optional>
 #include <string>
@@ -138,6 +139,10 @@
     std::vector<std::string> regions;
     /// Upstreams that may not get the call.
     std::vector<std::string> excluded;
+    /// How long the request may wait at the owner, in ms.
+    AK::Milliseconds wait = 0;
+    /// Client account of the call; empty without one.
+    std::string account;
 };
 
 /// A slot at an upstream; the destructor releases it.
@@ -168,6 +173,12 @@
 
     /// Returns nothing when no slot is free. Must not block.
     virtual kj::Maybe<OfferedSlot> offerSlot(const SlotRequest &request) = 0;
+
+    /// The same for a request that may wait; dropping the promise withdraws it. Must be dropped before this object is destroyed.
+    virtual kj::Promise<kj::Maybe<OfferedSlot>> awaitSlot(const SlotRequest &request)
+    {
+        return this->offerSlot(request);
+    }
 };
 
 /// Answers the calls of other processes. The functions must not block.
--- a/Userland/Libraries/LibPeers/PeerServer.cpp
+++ b/Userland/Libraries/LibPeers/PeerServer.cpp
@@ -171,15 +171,17 @@
         }
         const auto wireRequest = context.getParams().getRequest();
         SlotRequest request{
-            std::string(wireRequest.getService().cStr()), wireRequest.getPromptTokens(),       wireRequest.getPriority(), wireRequest.getReturning(),
-            toStrings(wireRequest.getRegions()),          toStrings(wireRequest.getExcluded())};
-        auto offered = this->slots->offerSlot(request);
-        KJ_IF_MAYBE (offer, offered) {
-            context.getResults().setUpstream(offer->upstream.c_str());
-            context.getResults().setWeightsVersion(offer->weightsVersion);
-            context.getResults().setPlace(kj::heap<SlotImplementation>(kj::mv(offer->slot), this->caller));
-        }
-        return kj::READY_NOW;
+            std::string(wireRequest.getService().cStr()), wireRequest.getPromptTokens(),        wireRequest.getPriority(), wireRequest.getReturning(),
+            toStrings(wireRequest.getRegions()),          toStrings(wireRequest.getExcluded()), wireRequest.getWaitMs(),   wireRequest.getAccount().cStr()};
+        // A waiting request ends with its connection, or when the caller has got another slot.
+        context.allowCancellation();
+        return this->slots->awaitSlot(request).then([context, caller = this->caller](kj::Maybe<OfferedSlot> offered) mutable {
+            KJ_IF_MAYBE (offer, offered) {
+                context.getResults().setUpstream(offer->upstream.c_str());
+                context.getResults().setWeightsVersion(offer->weightsVersion);
+                context.getResults().setPlace(kj::heap<SlotImplementation>(kj::mv(offer->slot), caller));
+            }
+        });
     }
 
 private:
--- a/Userland/Libraries/LibPeers/peers.capnp
+++ b/Userland/Libraries/LibPeers/peers.capnp
@@ -99,6 +99,8 @@
   returning @3 :Bool;
   regions @4 :List(Text);     # allowed ones; empty for any
   excluded @5 :List(Text);    # upstreams that must not receive the call
+  waitMs @6 :UInt32;          # how long the request may wait for a slot; 0 to be answered at once
+  account @7 :Text;           # client account of the call; empty without one
 }
 
 # A slot at an upstream, held until the last reference to it is dropped or the connection ends.
@@ -119,6 +121,6 @@
   heldChunks @3 (model :Text, version :Int64) -> (held :Data);
   # Empty when the peer does not hold the chunk or when too many bytes already wait for upload bandwidth.
   chunk @4 (model :Text, version :Int64, index :UInt32) -> (data :Data);
-  # Returns an empty upstream when no slot is free; never waits. `weightsVersion` is the version that the engine has loaded, 0 when unknown.
+  # Returns an empty upstream when no slot is free, after up to `waitMs` if the owner lets requests wait; the caller withdraws by dropping the call. `weightsVersion` is the version that the engine has loaded, 0 when unknown.
   place @5 (request :PlaceRequest) -> (upstream :Text, place :Place, weightsVersion :Int64);
 }
--- a/Userland/Services/Gateway/CallRequirements.cpp
+++ b/Userland/Services/Gateway/CallRequirements.cpp
@@ -15,6 +15,7 @@
     requirements.regions = route.allowedRegions;
     if (account != nullptr) {
         requirements.accountRegions = account->allowedRegions;
+        requirements.account = account->name;
     }
     requirements.promptTokens = route.kind == LibFleet::RouteKind::Stream ? request.promptTokens : 0;
     return requirements;
--- a/Userland/Services/Gateway/CallRequirements.h
+++ b/Userland/Services/Gateway/CallRequirements.h
@@ -27,6 +27,8 @@
     std::vector<std::string> accountRegions;
     /// Ids of upstreams that this call must not be sent to again.
     std::set<std::string> excluded;
+    /// Name of the client account; empty for calls without one.
+    std::string account;
 };
 
 /// Requirements of a call on a route, without its rank among others and its deadline. `account` is null for calls without one.
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -112,10 +112,12 @@
     return Availability::Granted;
 }
 
-kj::Maybe<kj::Own<Grant>> Dispatcher::requestFromOwners(kj::WaitScope &scope, const CallRequirements &requirements)
+kj::Maybe<kj::Own<Grant>> Dispatcher::requestFromOwners(kj::WaitScope &scope, const CallRequirements &requirements, AK::Milliseconds wait,
+                                                        std::set<std::string> *asked)
 {
-    const AK::RecentCheck check(this->loop.clock(), slotMaxAge);
-    kj::Maybe<RequestedSlot> requested = this->slotRequester.request(scope, requirements);
+    const AK::RecentCheck check(this->loop.clock(), slotMaxAge + wait);
+    kj::Maybe<RequestedSlot> requested =
+        asked == nullptr ? this->slotRequester.request(scope, requirements) : this->slotRequester.requestAndWait(scope, requirements, wait, *asked);
     KJ_IF_MAYBE (slot, requested) {
         LibGateway::UpstreamLoad &load = this->table.loadOf(slot->upstream);
         const double estimated = LibGateway::estimatedLoad(load, this->loop.clock().now(), this->settings.upstreams.placement);
@@ -156,25 +158,44 @@
     return grant.upstream().isEngine && this->table.mayStillWait(grant.upstream(), sentAt);
 }
 
-kj::Maybe<LibPeers::OfferedSlot> Dispatcher::offerSlot(const LibPeers::SlotRequest &request)
+CallRequirements Dispatcher::requirementsOf(const LibPeers::SlotRequest &request) const
 {
     CallRequirements requirements;
+    const AK::Milliseconds now = this->loop.clock().now();
+    const LibGateway::RequestedRank requested = LibGateway::rankOfRequest(request.priority);
     requirements.service = request.service;
-    requirements.rank = {request.priority, request.returning};
+    requirements.rank = {requested.priority, request.returning};
     requirements.promptTokens = request.promptTokens;
     requirements.regions = request.regions;
     requirements.excluded.insert(request.excluded.begin(), request.excluded.end());
-    if (!isBeforeAll(this->queue(request.service), requirements.rank)) {
+    requirements.account = request.account;
+    requirements.arrivedAt = now;
+    requirements.startBy = now + request.wait;
+    requirements.inTimeUntil = requested.inTime ? now + std::max<AK::Milliseconds>(1, request.wait) : now;
+    return requirements;
+}
+
+LibPeers::OfferedSlot Dispatcher::offerOf(kj::Own<Grant> grant) const
+{
+    std::string upstream = grant->upstream().id;
+    const int64_t version = this->table.heldWeightsVersion(grant->upstream());
+    return LibPeers::OfferedSlot{std::move(upstream), kj::mv(grant), version};
+}
+
+kj::Maybe<LibPeers::OfferedSlot> Dispatcher::offerSlot(const LibPeers::SlotRequest &request)
+{
+    const CallRequirements requirements = this->requirementsOf(request);
+    const ServiceQueue &queue = this->queue(request.service);
+    const bool isNext = this->settings.competition ? isServedBeforeAll(queue, requirements, this->loop.clock().now()) : isBeforeAll(queue, requirements.rank);
+    if (!isNext) {
         return nullptr;
     }
     kj::Maybe<kj::Own<Grant>> grant;
     if (this->tryGrant(requirements, false, GrantKind::ForPeer, grant) != Availability::Granted) {
         return nullptr;
     }
-    kj::Own<Grant> &held = KJ_ASSERT_NONNULL(grant);
-    std::string upstream = held->upstream().id;
-    const int64_t version = this->table.heldWeightsVersion(held->upstream());
-    return LibPeers::OfferedSlot{std::move(upstream), kj::mv(held), version};
+    this->recordStart(this->queue(request.service), requirements);
+    return this->offerOf(kj::mv(KJ_ASSERT_NONNULL(grant)));
 }
 
 std::optional<AK::Milliseconds> Dispatcher::retryAfterPause(CallRequirements requirements)
@@ -264,7 +285,7 @@
 {
     size_t count = 0;
     for (const auto &[service, queue] : this->queues) {
-        count += queue->waiters.size();
+        count += ownCalls(*queue);
     }
     return count;
 }
--- a/Userland/Services/Gateway/Dispatcher.h
+++ b/Userland/Services/Gateway/Dispatcher.h
@@ -69,6 +69,8 @@
     GrantOrRefusal acquire(kj::WaitScope &scope, const CallRequirements &requirements);
 
     kj::Maybe<LibPeers::OfferedSlot> offerSlot(const LibPeers::SlotRequest &request) override;
+    /// With DispatchSettings::competition the request waits in the queue of this entry's own calls.
+    kj::Promise<kj::Maybe<LibPeers::OfferedSlot>> awaitSlot(const LibPeers::SlotRequest &request) override;
 
     /// What keeps a call from the upstream of its grant by now; to be asked right before the request is written. See UpstreamTable::hindranceToSend().
     std::optional<LibGateway::Hindrance> hindranceToSend(const Grant &grant, const CallRequirements &requirements);
@@ -120,12 +122,25 @@
 private:
     friend class Grant;
 
+    /// The request of another entry in the queue; the destructor withdraws it.
+    class RemoteWaiter;
+    /// The requests of a waiting call at the owners of other upstreams.
+    struct OwnerWaits;
+
     enum class Availability { None, Full, Granted };
 
     ServiceQueue &queue(const std::string &service);
     Availability tryGrant(const CallRequirements &requirements, bool ignoreBacklog, GrantKind kind, kj::Maybe<kj::Own<Grant>> &grant);
-    /// Requests a slot at an upstream of another entry.
-    kj::Maybe<kj::Own<Grant>> requestFromOwners(kj::WaitScope &scope, const CallRequirements &requirements);
+    /// Requests a slot at an upstream of another entry, one that waits at its owner when `asked` is set; see SlotRequester::requestAndWait().
+    kj::Maybe<kj::Own<Grant>> requestFromOwners(kj::WaitScope &scope, const CallRequirements &requirements, AK::Milliseconds wait = 0,
+                                                std::set<std::string> *asked = nullptr);
+    /// Starts the requests of a waiting call at other owners. The first slot ends its wait.
+    void startOwnerWaits(OwnerWaits &waits, ServiceQueue &queue, Waiter &waiter);
+    void waitAtOwner(kj::WaitScope &scope, OwnerWaits &waits, ServiceQueue &queue, Waiter &waiter);
+    LibPeers::OfferedSlot offerOf(kj::Own<Grant> grant) const;
+    CallRequirements requirementsOf(const LibPeers::SlotRequest &request) const;
+    /// Records a slot that the dispatcher has granted, for the order of the next ones.
+    void recordStart(ServiceQueue &queue, const CallRequirements &requirements);
     bool waitInQueue(kj::WaitScope &scope, ServiceQueue &queue, Waiter &waiter, kj::ForkedPromise<void> &granted);
     /// `heldFor`: how long the slot was held, in ms.
     void release(const LibFleet::UpstreamRecord &record, GrantKind kind, AK::Milliseconds heldFor);
@@ -148,6 +163,9 @@
     UpstreamTable table;
     SlotRequester slotRequester;
     int callsForPeers = 0;
+    /// Requests of other entries in the queues, and of this entry's calls at other owners.
+    size_t remoteWaiters = 0;
+    size_t ownerWaits = 0;
     std::map<std::string, std::unique_ptr<ServiceQueue>> queues;
     /// By route name.
     std::map<std::string, LibGateway::ClientTimeoutRecord> clientTimeouts;
--- a/Userland/Services/Gateway/DispatcherQueue.cpp
+++ b/Userland/Services/Gateway/DispatcherQueue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <kj/debug.h>
+#include <set>
 
 namespace Gateway
 {
@@ -14,6 +15,15 @@
 // The first call in a queue repeats its requests to the owners of other engines at this interval.
 constexpr AK::Milliseconds ownerRequestInterval = 40;
 
+// Owners at which a call waits at the same time, besides this entry.
+constexpr int ownersPerCall = 2;
+// A request waits this long at most. A slot that comes after the wait must be used within slotMaxAge; both together end before its owner takes it back.
+constexpr AK::Milliseconds longestOwnerWait = 1'400;
+// Requests of this entry's calls that wait at owners. Each takes a fiber; the calls beyond them wait for slots of this entry only.
+constexpr size_t maxOwnerWaits = 128;
+// Requests of other entries that wait here, of about 1 KB each. The others are answered at once.
+constexpr size_t maxRemoteWaiters = 512;
+
 /// Figures of the engines of a service, with all of their slots in use; zeros when it has none.
 LibGateway::EngineFigures engineFigures(const LibFleet::FleetState &fleet, const std::string &service)
 {
@@ -31,6 +41,114 @@
 
 } // namespace
 
+class Dispatcher::RemoteWaiter
+{
+public:
+    RemoteWaiter(Dispatcher &dispatcher, CallRequirements requirements, kj::Own<kj::PromiseFulfiller<void>> fulfiller)
+        : dispatcher(dispatcher)
+        , requirements(std::move(requirements))
+        , waiter{&this->requirements, kj::mv(fulfiller), nullptr, false, GrantKind::ForPeer}
+    {
+        ++dispatcher.remoteWaiters;
+        insert(dispatcher.queue(this->requirements.service), this->waiter);
+    }
+
+    ~RemoteWaiter()
+    {
+        --this->dispatcher.remoteWaiters;
+        this->dispatcher.queue(this->requirements.service).waiters.remove(&this->waiter);
+    }
+
+    KJ_DISALLOW_COPY(RemoteWaiter);
+
+    kj::Maybe<LibPeers::OfferedSlot> takeSlot()
+    {
+        KJ_IF_MAYBE (grant, this->waiter.grant) {
+            LibPeers::OfferedSlot offer = this->dispatcher.offerOf(kj::mv(*grant));
+            this->waiter.grant = nullptr;
+            return kj::mv(offer);
+        }
+        return nullptr;
+    }
+
+private:
+    Dispatcher &dispatcher;
+    CallRequirements requirements;
+    Waiter waiter;
+};
+
+struct Dispatcher::OwnerWaits {
+    explicit OwnerWaits(Dispatcher &dispatcher)
+        : dispatcher(dispatcher)
+    {
+    }
+
+    ~OwnerWaits()
+    {
+        this->dispatcher.ownerWaits -= this->fibers.size();
+    }
+
+    KJ_DISALLOW_COPY(OwnerWaits);
+
+    Dispatcher &dispatcher;
+    std::set<std::string> asked;
+    /// Dropping one withdraws its request.
+    std::vector<kj::Promise<void>> fibers;
+};
+
+kj::Promise<kj::Maybe<LibPeers::OfferedSlot>> Dispatcher::awaitSlot(const LibPeers::SlotRequest &request)
+{
+    if (!this->settings.competition || request.wait <= 0 || this->remoteWaiters >= maxRemoteWaiters) {
+        return this->offerSlot(request);
+    }
+    auto paf = kj::newPromiseAndFulfiller<void>();
+    auto waiter = kj::heap<RemoteWaiter>(*this, this->requirementsOf(request), kj::mv(paf.fulfiller));
+    this->serveWaiters(request.service);
+    const AK::Milliseconds wait = std::min(request.wait, longestOwnerWait);
+    return paf.promise.exclusiveJoin(this->loop.after(wait)).then([waiter = kj::mv(waiter)]() mutable { return waiter->takeSlot(); });
+}
+
+void Dispatcher::recordStart(ServiceQueue &queue, const CallRequirements &requirements)
+{
+    if (this->settings.competition) {
+        queue.accountStarts.record(requirements.account, this->loop.clock().now());
+    }
+}
+
+void Dispatcher::startOwnerWaits(OwnerWaits &waits, ServiceQueue &queue, Waiter &waiter)
+{
+    for (int i = 0; i < ownersPerCall && this->slotSource != nullptr && waiter.grant == nullptr && this->ownerWaits < maxOwnerWaits; ++i) {
+        ++this->ownerWaits;
+        waits.fibers.push_back(this->loop.fiber([this, &waits, &queue, &waiter](kj::WaitScope &scope) { this->waitAtOwner(scope, waits, queue, waiter); }));
+    }
+}
+
+void Dispatcher::waitAtOwner(kj::WaitScope &scope, OwnerWaits &waits, ServiceQueue &queue, Waiter &waiter)
+{
+    const CallRequirements &requirements = *waiter.requirements;
+    while (waiter.grant == nullptr && !waiter.refused) {
+        const AK::Milliseconds now = this->loop.clock().now();
+        const AK::Milliseconds until = now < requirements.inTimeUntil ? std::min(requirements.inTimeUntil, requirements.startBy) : requirements.startBy;
+        if (until <= now) {
+            return;
+        }
+        kj::Maybe<kj::Own<Grant>> grant = this->requestFromOwners(scope, requirements, std::min(until - now, longestOwnerWait), &waits.asked);
+        if (waiter.grant != nullptr || waiter.refused) {
+            // The call has got another slot meanwhile; this one is released.
+            return;
+        }
+        if (grant != nullptr) {
+            queue.waiters.remove(&waiter);
+            waiter.grant = kj::mv(grant);
+            this->recordStart(queue, requirements);
+            waiter.fulfiller->fulfill();
+            return;
+        }
+        // An owner of an older build, or one that has no room for waiting requests, answers at once.
+        this->loop.sleep(scope, ownerRequestInterval);
+    }
+}
+
 bool Dispatcher::waitInQueue(kj::WaitScope &scope, ServiceQueue &queue, Waiter &waiter, kj::ForkedPromise<void> &granted)
 {
     while (true) {
@@ -47,7 +165,7 @@
         const bool checksAgain = this->slotSource != nullptr || this->settings.competition;
         const AK::Milliseconds until = checksAgain ? std::min(waiter.requirements->startBy, now + ownerRequestInterval) : waiter.requirements->startBy;
         const absl::Status waited = this->loop.awaitDone(scope, granted.addBranch(), until);
-        if (waited.ok() || queue.waiters.empty() || queue.waiters.front() != &waiter) {
+        if (waited.ok() || this->settings.competition || queue.waiters.empty() || queue.waiters.front() != &waiter) {
             continue;
         }
         kj::Maybe<kj::Own<Grant>> fromPeer = this->requestFromOwners(scope, *waiter.requirements);
@@ -72,6 +190,7 @@
             result.grant = this->requestFromOwners(scope, requirements);
         }
         if (result.grant != nullptr) {
+            this->recordStart(queue, requirements);
             return result;
         }
         if (availability == Availability::None) {
@@ -87,6 +206,12 @@
     insert(queue, waiter);
     KJ_DEFER(queue.waiters.remove(&waiter));
     this->schedulePoll(requirements.service);
+    // Destroyed first, because the requests refer to the waiter.
+    OwnerWaits ownerWaits(*this);
+    if (this->settings.competition) {
+        this->serveWaiters(requirements.service);
+        this->startOwnerWaits(ownerWaits, queue, waiter);
+    }
     if (this->waitInQueue(scope, queue, waiter, granted)) {
         result.grant = kj::mv(waiter.grant);
         return result;
@@ -125,10 +250,11 @@
     const AK::Milliseconds now = this->loop.clock().now();
     LibGateway::recordEvent(queue.rates.refusals, now);
     const bool inTime = now < requirements.inTimeUntil;
-    const size_t ahead = inTime ? callsAhead(queue, requirements.rank) : queue.waiters.size();
+    const size_t waiting = ownCalls(queue);
+    const size_t ahead = inTime ? callsAheadInTime(queue, requirements.rank, nullptr, now) : waiting;
     result.predictedWaitMs =
         LibGateway::timeToSlot(LibGateway::outlookOf(queue.rates, requirements.rank.priority, inTime, ahead, now), inTime, this->settings.waits);
-    result.retryAfter = LibGateway::retryAfter(queue.rates, queue.waiters.size(), requirements.clientLeavesAt - now,
+    result.retryAfter = LibGateway::retryAfter(queue.rates, waiting, requirements.clientLeavesAt - now,
                                                std::uniform_real_distribution<double>(0, 1)(this->random), now, this->settings.waits);
     return result;
 }
@@ -152,8 +278,9 @@
         return !LibGateway::startsTooLate(queue.intervals, requirements.rank, callsAhead(queue, requirements.rank), now, requirements.startBy);
     }
     const int priority = requirements.rank.priority;
-    const size_t others = queue.waiters.size() - (own == nullptr ? 0 : 1);
-    const LibGateway::WaitOutlook inTime = LibGateway::outlookOf(queue.rates, priority, true, callsAhead(queue, requirements.rank), now);
+    const size_t others = ownCalls(queue) - (own == nullptr ? 0 : 1);
+    const size_t aheadInTime = callsAheadInTime(queue, requirements.rank, own, now);
+    const LibGateway::WaitOutlook inTime = LibGateway::outlookOf(queue.rates, priority, true, aheadInTime, now);
     const LibGateway::WaitOutlook late = LibGateway::outlookOf(queue.rates, priority, false, others, now);
     return LibGateway::decideWait(inTime, late, {requirements.inTimeUntil, requirements.startBy}, now, this->settings.waits)
         != LibGateway::WaitDecision::Refuse;
@@ -162,22 +289,36 @@
 void Dispatcher::serveWaiters(const std::string &service)
 {
     ServiceQueue &queue = this->queue(service);
+    const Waiter *forShare = this->settings.competition ? sortByServiceOrder(queue, this->loop.clock().now()) : nullptr;
+    bool peersFull = false;
     for (auto it = queue.waiters.begin(); it != queue.waiters.end();) {
         Waiter &waiter = **it;
+        if (peersFull && waiter.kind == GrantKind::ForPeer) {
+            ++it;
+            continue;
+        }
         // A call that has waited for half of its time in the queue is sent to an engine even if its prompt must wait there.
         const AK::Milliseconds waitsUntil = this->settings.competition ? waiter.requirements->inTimeUntil : waiter.requirements->startBy;
         const bool ignoreBacklog = this->loop.clock().now() >= (waiter.requirements->arrivedAt + waitsUntil) / 2;
-        const Availability availability = this->tryGrant(*waiter.requirements, ignoreBacklog, GrantKind::Local, waiter.grant);
-        waiter.refused = availability == Availability::None && this->retryAfterPause(*waiter.requirements);
+        const Availability availability = this->tryGrant(*waiter.requirements, ignoreBacklog, waiter.kind, waiter.grant);
+        waiter.refused = availability == Availability::None && (waiter.kind == GrantKind::ForPeer || this->retryAfterPause(*waiter.requirements));
         if (availability != Availability::Granted && !waiter.refused) {
             if (waiter.requirements->excluded.empty() && waiter.requirements->regions.empty() && waiter.requirements->accountRegions.empty()) {
-                // No upstream has room for a call without restrictions, so none has room for the calls behind it.
-                break;
+                // No upstream has room for a call without restrictions, so none has room for the calls behind it. Calls of this entry may also use upstreams
+                // without an owner.
+                if (waiter.kind == GrantKind::Local) {
+                    break;
+                }
+                peersFull = true;
             }
             ++it;
             continue;
         }
         it = queue.waiters.erase(it);
+        if (availability == Availability::Granted) {
+            queue.minimumShare.slotsSince = &waiter == forShare ? 0 : queue.minimumShare.slotsSince + 1;
+            this->recordStart(queue, *waiter.requirements);
+        }
         waiter.fulfiller->fulfill();
     }
     if (!queue.waiters.empty()) {
--- a/Userland/Services/Gateway/SlotClient.cpp
+++ b/Userland/Services/Gateway/SlotClient.cpp
@@ -40,7 +40,7 @@
         peer.client = std::make_shared<LibPeers::PeerClient>(this->loop, found->second.rpcAddress);
     }
     const std::shared_ptr<LibPeers::PeerClient> client = peer.client;
-    auto offered = client->requestSlot(scope, request, now + (isNewClient ? connectAndRequestTimeout : requestTimeout));
+    auto offered = client->requestSlot(scope, request, now + request.wait + (isNewClient ? connectAndRequestTimeout : requestTimeout));
     if (!offered.ok()) {
         Peer &failedPeer = this->peers[address];
         failedPeer.skippedUntil = this->loop.clock().now() + skipTime;
--- a/Userland/Services/Gateway/SlotRequester.cpp
+++ b/Userland/Services/Gateway/SlotRequester.cpp
@@ -1,5 +1,6 @@
 #include "SlotRequester.h"
 
+#include <LibGateway/ServiceOrder.h>
 #include <algorithm>
 
 namespace Gateway
@@ -28,6 +29,7 @@
         std::erase_if(request.regions, [&](const std::string &region) { return !allowsRegion(requirements.accountRegions, region); });
     }
     request.excluded.assign(requirements.excluded.begin(), requirements.excluded.end());
+    request.account = requirements.account;
     return request;
 }
 
@@ -76,6 +78,43 @@
     return nullptr;
 }
 
+kj::Maybe<RequestedSlot> SlotRequester::requestAndWait(kj::WaitScope &scope, const CallRequirements &requirements, AK::Milliseconds wait,
+                                                       std::set<std::string> &asked)
+{
+    LibPeers::SlotRequest request = slotRequest(requirements);
+    this->excludeByNotice(requirements, request);
+    request.priority = LibGateway::requestedPriority(request.priority, this->loop.clock().now() < requirements.inTimeUntil);
+    request.wait = wait;
+    const std::string owner = this->drawOwner(requirements, request, asked);
+    if (owner.empty()) {
+        return nullptr;
+    }
+    asked.insert(owner);
+    KJ_DEFER(asked.erase(owner));
+    auto offered = this->slotSource->requestSlot(scope, owner, request);
+    if (offered.ok()) {
+        KJ_IF_MAYBE (offer, *offered) {
+            return this->accept(kj::mv(*offer), requirements);
+        }
+    }
+    return nullptr;
+}
+
+std::string SlotRequester::drawOwner(const CallRequirements &requirements, const LibPeers::SlotRequest &request, const std::set<std::string> &asked)
+{
+    std::vector<const LibFleet::UpstreamRecord *> records;
+    for (const auto &[id, record] : this->fleet.upstreams()) {
+        if (record.service == requirements.service && this->table.hasOwner(record) && !this->table.isOwn(record) && !asked.contains(this->table.ownerOf(record))
+            && !isExcluded(request, id) && !this->table.hindranceTo(record, requirements, CallStage::Request)) {
+            records.push_back(&record);
+        }
+    }
+    if (records.empty()) {
+        return "";
+    }
+    return this->table.ownerOf(*records[std::uniform_int_distribution<size_t>(0, records.size() - 1)(this->random)]);
+}
+
 void SlotRequester::excludeByNotice(const CallRequirements &requirements, LibPeers::SlotRequest &request)
 {
     using LibGateway::Obstacle;
--- a/Userland/Services/Gateway/SlotRequester.h
+++ b/Userland/Services/Gateway/SlotRequester.h
@@ -5,6 +5,7 @@
 
 #include <AK/Random.h>
 #include <LibFiber/Loop.h>
+#include <set>
 
 namespace Gateway
 {
@@ -28,11 +29,17 @@
     /// Returns nothing when none of the owners asked has a free slot.
     kj::Maybe<RequestedSlot> request(kj::WaitScope &scope, const CallRequirements &requirements);
 
+    /// Requests a slot that the call may wait for at its owner, from an owner chosen at random by the number of its engines. `asked`: owners at which the call
+    /// waits already; the one chosen is added for the time of the request.
+    kj::Maybe<RequestedSlot> requestAndWait(kj::WaitScope &scope, const CallRequirements &requirements, AK::Milliseconds wait, std::set<std::string> &asked);
+
 private:
     /// Excludes what the upstreams have told this entry and their owners may not know.
     void excludeByNotice(const CallRequirements &requirements, LibPeers::SlotRequest &request);
     /// The owner with the best upstream for the call that was not asked yet; empty when there is none.
     std::string chooseOwner(const CallRequirements &requirements, const LibPeers::SlotRequest &request, const std::set<std::string> &askedOwners);
+    /// An owner of upstreams that the call may use, apart from lack of room, with a probability by their number; empty when there is none.
+    std::string drawOwner(const CallRequirements &requirements, const LibPeers::SlotRequest &request, const std::set<std::string> &asked);
     /// The offered slot if the call may use it.
     kj::Maybe<RequestedSlot> accept(LibPeers::OfferedSlot offer, const CallRequirements &requirements);
 
