--- a/Tests/LibGateway/TestWaitPrediction.cpp
+++ b/Tests/LibGateway/TestWaitPrediction.cpp
@@ -148,9 +148,9 @@
 INSTANTIATE_TEST_SUITE_P(Table, RetryTest,
                          testing::Values(RetryCase{"after_a_burst", 100, 50, 10, 9, 6'000, 150, 500},
                                          RetryCase{"after_a_burst_with_many_refusals", 100, 50, 50, 9, 6'000, 150, 1'400},
-                                         RetryCase{"lasting_overload", 50, 100, 50, 9, 6'000, 1'600, 2'000},
-                                         RetryCase{"lasting_overload_and_little_time", 50, 100, 50, 9, 1'200, 320, 400},
-                                         RetryCase{"nothing_becomes_free", 0, 100, 50, 9, 6'000, 1'600, 2'000}),
+                                         RetryCase{"lasting_overload", 50, 100, 50, 9, 6'000, 1'000, 2'000},
+                                         RetryCase{"lasting_overload_and_little_time", 50, 100, 50, 9, 1'200, 200, 400},
+                                         RetryCase{"nothing_becomes_free", 0, 100, 50, 9, 6'000, 1'000, 2'000}),
                          [](const auto &info) { return std::string(info.param.name); });
 
 // Guards against a time of a second or two while every engine waits for weights: the client comes back to the same refusal.
--- a/Userland/Libraries/LibGateway/WaitPrediction.cpp
+++ b/Userland/Libraries/LibGateway/WaitPrediction.cpp
@@ -12,7 +12,10 @@
 constexpr double millisecondsPerSecond = 1'000;
 // Priorities with a rate of their own; calls of others count as the least urgent known one.
 constexpr size_t maxPriorities = 16;
-// Part of the longest honoured time over which retries are spread when it is unknown when there will be room.
+// Part of the longest honoured time over which retries are spread when room is not expected within it. After a standstill, the few slots that new calls leave
+// take up more of the returning ones when these come over a longer time.
+constexpr double overloadSpread = 0.5;
+// The same when no upstream may begin a call: later is better then, and room comes at once for all.
 constexpr double lateSpread = 0.2;
 
 double decayed(const DecayingRate &rate, AK::Milliseconds now)
@@ -121,7 +124,7 @@
     const double spare = eventsPerSecond(rates.freedSlots, now) - eventsPerSecond(rates.sustainedCalls, now);
     const double expected = spare > 0 ? static_cast<double>(waiting + 1) * millisecondsPerSecond / spare : longest;
     if (expected >= longest) {
-        return retryAfterWithoutUpstream(timeLeft, random, settings);
+        return atLeastShortest(longest * (1 - overloadSpread * random), settings);
     }
     const double refused = eventsPerSecond(rates.refusals, now);
     const double spread = std::max(static_cast<double>(settings.shortestRetryAfter), refused * millisecondsPerSecond / spare);
--- a/Userland/Libraries/LibGateway/WaitPrediction.h
+++ b/Userland/Libraries/LibGateway/WaitPrediction.h
@@ -36,8 +36,8 @@
     /// For the network between client, entries and upstream and for pauses of the processes, in ms: two round trips between regions of 4 ms each and a third of
     /// the 100 ms for which a process without CPU quota stands still.
     AK::Milliseconds reserve = 40;
-    /// Longest wait of a call whose client was refused before, in ms.
-    AK::Milliseconds returningWaitLimit = 1'200;
+    /// Longest wait of a call whose client was refused before, in ms. Clients leave a stream that shows no event for 2 s.
+    AK::Milliseconds returningWaitLimit = 1'800;
     /// Share of the freed slots that calls get which others go before.
     double minimumShare = 0.1;
     AK::Milliseconds shortestRetryAfter = 100;
