Gateway: Count waiting, started and refused calls by priority

While callers compete, the metrics tell by priority what waits, starts and is refused for which reason, and how many requests of other entries wait. Requests that outlive the dispatcher at the end of the process no longer refer to it.

--- a/Tests/Services/Gateway/TestCompetition.cpp
+++ b/Tests/Services/Gateway/TestCompetition.cpp
@@ -146,4 +146,23 @@
     EXPECT_FALSE(waiting.front().wait(scope));
 }
 
+// Guards against an operator who can't see which priority waits, starts or is refused, and for what reason.
+TEST(CompetitionMetrics, CountByPriority)
+{
+    CompetitionSite site(true);
+    CallRequirements late = site.requirements(2, "");
+    late.startBy = late.arrivedAt + settleTime;
+    late.inTimeUntil = late.startBy;
+    EXPECT_EQ(upstreamOf(site.site.acquire(site.site.first, late)), "");
+    const auto waiting = site.wait(site.site.first, 0, "waiting");
+    site.sleep(settleTime);
+    LibMetrics::MetricRegistry metrics;
+    site.site.first.exportMetrics(metrics);
+    const std::string text = metrics.text();
+    for (const char *line :
+         {"calls_waiting{priority=\"0\"} 1", "calls_started{priority=\"0\"} 4", "calls_refused{priority=\"2\",reason=\"waited_too_long\"} 1"}) {
+        EXPECT_NE(text.find(line), std::string::npos) << line << "\n" << text;
+    }
+}
+
 } // namespace
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -248,6 +248,7 @@
 
 void Dispatcher::exportMetrics(LibMetrics::MetricRegistry &metrics)
 {
+    this->exportCompetition(metrics);
     this->table.notices().exportTo(metrics);
     exportHindrances(this->table, this->fleet, metrics);
     exportWeights(this->table, this->fleet, this->loop.clock(), metrics);
--- a/Userland/Services/Gateway/Dispatcher.h
+++ b/Userland/Services/Gateway/Dispatcher.h
@@ -10,6 +10,7 @@
 #include <LibGateway/RetryBudget.h>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace Gateway
 {
@@ -52,6 +53,8 @@
 public:
     /// `slotSource` is nullptr for an entry that owns all upstreams.
     Dispatcher(LibFiber::Loop &loop, const LibFleet::FleetState &fleet, DispatchSettings settings, SlotSource *slotSource);
+    ~Dispatcher() override;
+    KJ_DISALLOW_COPY(Dispatcher);
 
     /// Applies changed settings; calls and retries counted so far still count.
     void setBounds(const LibGateway::RetryBudgetSettings &retries, AK::Milliseconds weightsSwitchDelay, AK::Milliseconds weightsBeginLimit);
@@ -141,6 +144,8 @@
     CallRequirements requirementsOf(const LibPeers::SlotRequest &request) const;
     /// Records a slot that the dispatcher has granted, for the order of the next ones.
     void recordStart(ServiceQueue &queue, const CallRequirements &requirements);
+    GrantOrRefusal acquireOrWait(kj::WaitScope &scope, const CallRequirements &requirements);
+    void exportCompetition(LibMetrics::MetricRegistry &metrics) const;
     bool waitInQueue(kj::WaitScope &scope, ServiceQueue &queue, Waiter &waiter, kj::ForkedPromise<void> &granted);
     /// `heldFor`: how long the slot was held, in ms.
     void release(const LibFleet::UpstreamRecord &record, GrantKind kind, AK::Milliseconds heldFor);
@@ -164,8 +169,11 @@
     SlotRequester slotRequester;
     int callsForPeers = 0;
     /// Requests of other entries in the queues, and of this entry's calls at other owners.
-    size_t remoteWaiters = 0;
+    std::set<RemoteWaiter *> remoteWaiters;
     size_t ownerWaits = 0;
+    /// With DispatchSettings::competition, by priority: own calls that have started, and those refused by reason.
+    std::map<int, uint64_t> startedCalls;
+    std::map<std::pair<int, RefusalReason>, uint64_t> refusedCalls;
     std::map<std::string, std::unique_ptr<ServiceQueue>> queues;
     /// By route name.
     std::map<std::string, LibGateway::ClientTimeoutRecord> clientTimeouts;
--- a/Userland/Services/Gateway/DispatcherQueue.cpp
+++ b/Userland/Services/Gateway/DispatcherQueue.cpp
@@ -24,6 +24,12 @@
 // Requests of other entries that wait here, of about 1 KB each. The others are answered at once.
 constexpr size_t maxRemoteWaiters = 512;
 
+/// Priority under which a call is counted: those from 9 on together, so that accounts can't add series without end.
+int countedPriority(int priority)
+{
+    return std::clamp(priority, 0, 9);
+}
+
 /// Figures of the engines of a service, with all of their slots in use; zeros when it has none.
 LibGateway::EngineFigures engineFigures(const LibFleet::FleetState &fleet, const std::string &service)
 {
@@ -45,18 +51,27 @@
 {
 public:
     RemoteWaiter(Dispatcher &dispatcher, CallRequirements requirements, kj::Own<kj::PromiseFulfiller<void>> fulfiller)
-        : dispatcher(dispatcher)
+        : dispatcher(&dispatcher)
         , requirements(std::move(requirements))
         , waiter{&this->requirements, kj::mv(fulfiller), nullptr, false, GrantKind::ForPeer}
     {
-        ++dispatcher.remoteWaiters;
+        dispatcher.remoteWaiters.insert(this);
         insert(dispatcher.queue(this->requirements.service), this->waiter);
     }
 
     ~RemoteWaiter()
     {
-        --this->dispatcher.remoteWaiters;
-        this->dispatcher.queue(this->requirements.service).waiters.remove(&this->waiter);
+        if (this->dispatcher != nullptr) {
+            this->dispatcher->remoteWaiters.erase(this);
+            this->dispatcher->queue(this->requirements.service).waiters.remove(&this->waiter);
+        }
+    }
+
+    /// Must be called before the dispatcher is destroyed: a call over a connection that is closed lives until the next turn of the loop.
+    void detach()
+    {
+        this->waiter.grant = nullptr;
+        this->dispatcher = nullptr;
     }
 
     KJ_DISALLOW_COPY(RemoteWaiter);
@@ -64,7 +79,7 @@
     kj::Maybe<LibPeers::OfferedSlot> takeSlot()
     {
         KJ_IF_MAYBE (grant, this->waiter.grant) {
-            LibPeers::OfferedSlot offer = this->dispatcher.offerOf(kj::mv(*grant));
+            LibPeers::OfferedSlot offer = this->dispatcher->offerOf(kj::mv(*grant));
             this->waiter.grant = nullptr;
             return kj::mv(offer);
         }
@@ -72,11 +87,21 @@
     }
 
 private:
-    Dispatcher &dispatcher;
+    Dispatcher *dispatcher;
     CallRequirements requirements;
     Waiter waiter;
 };
 
+Dispatcher::~Dispatcher()
+{
+    for (const auto &[service, queue] : this->queues) {
+        queue->waiters.clear();
+    }
+    for (RemoteWaiter *waiter : this->remoteWaiters) {
+        waiter->detach();
+    }
+}
+
 struct Dispatcher::OwnerWaits {
     explicit OwnerWaits(Dispatcher &dispatcher)
         : dispatcher(dispatcher)
@@ -98,7 +123,7 @@
 
 kj::Promise<kj::Maybe<LibPeers::OfferedSlot>> Dispatcher::awaitSlot(const LibPeers::SlotRequest &request)
 {
-    if (!this->settings.competition || request.wait <= 0 || this->remoteWaiters >= maxRemoteWaiters) {
+    if (!this->settings.competition || request.wait <= 0 || this->remoteWaiters.size() >= maxRemoteWaiters) {
         return this->offerSlot(request);
     }
     auto paf = kj::newPromiseAndFulfiller<void>();
@@ -177,6 +202,42 @@
 }
 
 GrantOrRefusal Dispatcher::acquire(kj::WaitScope &scope, const CallRequirements &requirements)
+{
+    GrantOrRefusal result = this->acquireOrWait(scope, requirements);
+    if (this->settings.competition) {
+        const int priority = countedPriority(requirements.rank.priority);
+        ++(result.grant != nullptr ? this->startedCalls[priority] : this->refusedCalls[{priority, result.reason}]);
+    }
+    return result;
+}
+
+void Dispatcher::exportCompetition(LibMetrics::MetricRegistry &metrics) const
+{
+    if (!this->settings.competition) {
+        return;
+    }
+    std::map<int, int> waiting;
+    for (const auto &[priority, count] : this->startedCalls) {
+        waiting[priority] = 0;
+        metrics.set("catkinlink_priority_calls_started", {{"priority", std::to_string(priority)}}, static_cast<double>(count));
+    }
+    for (const auto &[key, count] : this->refusedCalls) {
+        waiting[key.first] = 0;
+        metrics.set("catkinlink_priority_calls_refused",
+                    {{"priority", std::to_string(key.first)}, {"reason", std::string(AK::nameOf(refusalReasonNames, key.second))}}, static_cast<double>(count));
+    }
+    for (const auto &[service, queue] : this->queues) {
+        for (const Waiter *waiter : queue->waiters) {
+            waiting[countedPriority(waiter->requirements->rank.priority)] += waiter->kind == GrantKind::Local ? 1 : 0;
+        }
+    }
+    for (const auto &[priority, count] : waiting) {
+        metrics.set("catkinlink_priority_calls_waiting", {{"priority", std::to_string(priority)}}, count);
+    }
+    metrics.set("catkinlink_peer_requests_waiting", {}, static_cast<double>(this->remoteWaiters.size()));
+}
+
+GrantOrRefusal Dispatcher::acquireOrWait(kj::WaitScope &scope, const CallRequirements &requirements)
 {
     ServiceQueue &queue = this->queue(requirements.service);
     GrantOrRefusal result;
