--- a/Tests/LibGateway/TestServiceOrder.cpp
+++ b/Tests/LibGateway/TestServiceOrder.cpp
@@ -297,6 +297,7 @@
     size_t shareOf(Entry &own, const std::vector<std::pair<Call, size_t>> &waiting)
     {
         std::vector<WaitingCall> order;
+        order.reserve(waiting.size());
         for (const auto &[call, from] : waiting) {
             order.push_back(call.order);
         }
--- a/Tests/Services/Gateway/TestCompetition.cpp
+++ b/Tests/Services/Gateway/TestCompetition.cpp
@@ -131,7 +131,7 @@
     CompetitionSite site(true);
     const LibPeers::SlotRequest request{"s", 0, 0, false, {}, {}, settleTime, ""};
     const auto isOffered = [&] {
-        return site.site.second.awaitSlot(request).then([](kj::Maybe<LibPeers::OfferedSlot> offer) { return offer != nullptr; });
+        return site.site.second.awaitSlot(request).then([](const kj::Maybe<LibPeers::OfferedSlot> &offer) { return offer != nullptr; });
     };
     std::vector<kj::Promise<bool>> waiting;
     constexpr size_t most = 512;
--- a/Userland/Services/Gateway/ServiceQueue.cpp
+++ b/Userland/Services/Gateway/ServiceQueue.cpp
@@ -30,6 +30,7 @@
 const Waiter *sortByServiceOrder(ServiceQueue &queue, AK::Milliseconds now)
 {
     std::vector<std::pair<LibGateway::WaitingCall, Waiter *>> sorted;
+    sorted.reserve(queue.waiters.size());
     for (Waiter *waiter : queue.waiters) {
         sorted.emplace_back(waitingCall(queue, *waiter->requirements, now), waiter);
     }
@@ -41,6 +42,7 @@
     size_t forShare = 0;
     if (LibGateway::isShareDue(queue.minimumShare)) {
         std::vector<LibGateway::WaitingCall> calls;
+        calls.reserve(sorted.size());
         for (const auto &[call, waiter] : sorted) {
             calls.push_back(call);
         }
