--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -230,6 +230,22 @@
     }
 }
 
+void Dispatcher::recordStart(ServiceQueue &queue, const CallRequirements &requirements)
+{
+    if (this->settings.competition) {
+        queue.accountStarts.record(requirements.account, this->loop.clock().now());
+    }
+}
+
+void Dispatcher::serveAllWaiters()
+{
+    for (const auto &[service, queue] : this->queues) {
+        if (!queue->waiters.empty()) {
+            this->serveWaiters(service);
+        }
+    }
+}
+
 void Dispatcher::recordOutcome(const LibFleet::UpstreamRecord &upstream, bool failed)
 {
     this->table.recordOutcome(upstream, failed);
--- a/Userland/Services/Gateway/DispatcherQueue.cpp
+++ b/Userland/Services/Gateway/DispatcherQueue.cpp
@@ -133,13 +133,6 @@
     return paf.promise.exclusiveJoin(this->loop.after(wait)).then([waiter = kj::mv(waiter)]() mutable { return waiter->takeSlot(); });
 }
 
-void Dispatcher::recordStart(ServiceQueue &queue, const CallRequirements &requirements)
-{
-    if (this->settings.competition) {
-        queue.accountStarts.record(requirements.account, this->loop.clock().now());
-    }
-}
-
 void Dispatcher::startOwnerWaits(OwnerWaits &waits, ServiceQueue &queue, Waiter &waiter)
 {
     for (int i = 0; i < ownersPerCall && this->slotSource != nullptr && waiter.grant == nullptr && this->ownerWaits < maxOwnerWaits; ++i) {
@@ -387,15 +380,6 @@
     }
 }
 
-void Dispatcher::serveAllWaiters()
-{
-    for (const auto &[service, queue] : this->queues) {
-        if (!queue->waiters.empty()) {
-            this->serveWaiters(service);
-        }
-    }
-}
-
 void Dispatcher::schedulePoll(const std::string &service)
 {
     ServiceQueue &queue = this->queue(service);
