--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -180,6 +180,7 @@
         }
         return this->forwardResponse(scope, call, upstream);
     }
+    this->report.predictedWaitMs = granted.predictedWaitMs;
     this->giveUp(scope, std::string(AK::nameOf(refusalReasonNames, granted.reason)), granted.retryAfter);
     return NextStep::Done;
 }
--- a/Userland/Services/Gateway/Dispatcher.cpp
+++ b/Userland/Services/Gateway/Dispatcher.cpp
@@ -13,10 +13,6 @@
 namespace
 {
 
-// Slots can become free without an event (a rate refills, a suspension ends), so queues with waiting calls are served again at this interval.
-constexpr AK::Milliseconds pollInterval = 20;
-// The first call in a queue repeats its requests to the owners of other engines at this interval.
-constexpr AK::Milliseconds ownerRequestInterval = 40;
 // A slot must be used within this time, which is longer than three owners may take to respond and a connection to open. Later, its owner may have taken it
 // back, and rates that it was granted by have been refilled.
 constexpr AK::Milliseconds slotMaxAge = 1'500;
@@ -82,6 +78,15 @@
     LibGateway::ClientTimeoutRecord &record = this->clientTimeouts[route.name];
     LibGateway::recordClientTimeout(record, clientTimeout);
     requirements.rank.returning = LibGateway::isReturning(route.kind, clientTimeout, record, this->settings.queue);
+    if (this->settings.competition) {
+        const AK::Milliseconds clientWaits = route.clientGapLimit > 0 ? std::min(clientTimeout, route.clientGapLimit) : clientTimeout;
+        const LibGateway::WaitLimits limits = LibGateway::waitLimits(requirements.arrivedAt, route.targetLatency, this->responseTime(requirements, route),
+                                                                     clientWaits, requirements.rank.returning, this->settings.waits);
+        requirements.startBy = limits.startBy;
+        requirements.inTimeUntil = limits.inTimeUntil;
+        requirements.clientLeavesAt = requirements.arrivedAt + clientTimeout;
+        return;
+    }
     requirements.startBy = requirements.arrivedAt + LibGateway::longestWait(route.kind, requirements.rank.returning, route.targetLatency, this->settings.queue);
 }
 
@@ -109,10 +114,12 @@
     return Availability::Granted;
 }
 
-kj::Maybe<kj::Own<Grant>> Dispatcher::requestFromOwners(kj::WaitScope &scope, const CallRequirements &requirements)
+kj::Maybe<kj::Own<Grant>> Dispatcher::requestFromOwners(kj::WaitScope &scope, const CallRequirements &requirements, AK::Milliseconds wait,
+                                                        std::set<std::string> *asked)
 {
-    const AK::RecentCheck check(this->loop.clock(), slotMaxAge);
-    kj::Maybe<RequestedSlot> requested = this->slotRequester.request(scope, requirements);
+    const AK::RecentCheck check(this->loop.clock(), slotMaxAge + wait);
+    kj::Maybe<RequestedSlot> requested =
+        asked == nullptr ? this->slotRequester.request(scope, requirements) : this->slotRequester.requestAndWait(scope, requirements, wait, *asked);
     KJ_IF_MAYBE (slot, requested) {
         LibGateway::UpstreamLoad &load = this->table.loadOf(slot->upstream);
         const double estimated = LibGateway::estimatedLoad(load, this->loop.clock().now(), this->settings.upstreams.placement);
@@ -153,100 +160,44 @@
     return grant.upstream().isEngine && this->table.mayStillWait(grant.upstream(), sentAt);
 }
 
-kj::Maybe<LibPeers::OfferedSlot> Dispatcher::offerSlot(const LibPeers::SlotRequest &request)
+CallRequirements Dispatcher::requirementsOf(const LibPeers::SlotRequest &request) const
 {
     CallRequirements requirements;
+    const AK::Milliseconds now = this->loop.clock().now();
+    const LibGateway::RequestedRank requested = LibGateway::rankOfRequest(request.priority);
     requirements.service = request.service;
-    requirements.rank = {request.priority, request.returning};
+    requirements.rank = {requested.priority, request.returning};
     requirements.promptTokens = request.promptTokens;
     requirements.regions = request.regions;
     requirements.excluded.insert(request.excluded.begin(), request.excluded.end());
-    if (!isBeforeAll(this->queue(request.service), requirements.rank)) {
-        return nullptr;
-    }
-    kj::Maybe<kj::Own<Grant>> grant;
-    if (this->tryGrant(requirements, false, GrantKind::ForPeer, grant) != Availability::Granted) {
-        return nullptr;
-    }
-    kj::Own<Grant> &held = KJ_ASSERT_NONNULL(grant);
-    std::string upstream = held->upstream().id;
-    const int64_t version = this->table.heldWeightsVersion(held->upstream());
-    return LibPeers::OfferedSlot{std::move(upstream), kj::mv(held), version};
+    requirements.account = request.account;
+    requirements.arrivedAt = now;
+    requirements.startBy = now + request.wait;
+    requirements.inTimeUntil = requested.inTime ? now + std::max<AK::Milliseconds>(1, request.wait) : now;
+    return requirements;
 }
 
-bool Dispatcher::waitInQueue(kj::WaitScope &scope, ServiceQueue &queue, Waiter &waiter, kj::ForkedPromise<void> &granted)
+LibPeers::OfferedSlot Dispatcher::offerOf(kj::Own<Grant> grant) const
 {
-    while (true) {
-        const AK::Milliseconds now = this->loop.clock().now();
-        if (waiter.grant != nullptr) {
-            return true;
-        }
-        if (waiter.refused || now >= waiter.requirements->startBy) {
-            return false;
-        }
-        const AK::Milliseconds until =
-            this->slotSource == nullptr ? waiter.requirements->startBy : std::min(waiter.requirements->startBy, now + ownerRequestInterval);
-        const absl::Status waited = this->loop.awaitDone(scope, granted.addBranch(), until);
-        if (waited.ok() || queue.waiters.empty() || queue.waiters.front() != &waiter) {
-            continue;
-        }
-        kj::Maybe<kj::Own<Grant>> fromPeer = this->requestFromOwners(scope, *waiter.requirements);
-        if (waiter.grant == nullptr && fromPeer != nullptr) {
-            waiter.grant = kj::mv(fromPeer);
-            return true;
-        }
-    }
+    std::string upstream = grant->upstream().id;
+    const int64_t version = this->table.heldWeightsVersion(grant->upstream());
+    return LibPeers::OfferedSlot{std::move(upstream), kj::mv(grant), version};
 }
 
-GrantOrRefusal Dispatcher::acquire(kj::WaitScope &scope, const CallRequirements &requirements)
+kj::Maybe<LibPeers::OfferedSlot> Dispatcher::offerSlot(const LibPeers::SlotRequest &request)
 {
-    ServiceQueue &queue = this->queue(requirements.service);
-    GrantOrRefusal result;
-    if (!requirements.rank.returning) {
-        LibGateway::recordFreshCall(queue.intervals, this->loop.clock().now());
-    }
-    if (queue.waiters.empty()) {
-        const Availability availability = this->tryGrant(requirements, false, GrantKind::Local, result.grant);
-        if (availability == Availability::Full) {
-            result.grant = this->requestFromOwners(scope, requirements);
-        }
-        if (result.grant != nullptr) {
-            return result;
-        }
-        if (availability == Availability::None) {
-            return this->refusalWithoutUpstream(requirements);
-        }
-    }
-    if (LibGateway::startsTooLate(queue.intervals, requirements.rank, callsAhead(queue, requirements.rank), this->loop.clock().now(), requirements.startBy)) {
-        result.reason = RefusalReason::QueueTooLong;
-        result.retryAfter = Gateway::retryAfter(queue, this->settings.queue, this->random);
-        return result;
-    }
-    auto paf = kj::newPromiseAndFulfiller<void>();
-    kj::ForkedPromise<void> granted = paf.promise.fork();
-    Waiter waiter{&requirements, kj::mv(paf.fulfiller), nullptr, false};
-    insert(queue, waiter);
-    KJ_DEFER(queue.waiters.remove(&waiter));
-    this->schedulePoll(requirements.service);
-    if (this->waitInQueue(scope, queue, waiter, granted)) {
-        result.grant = kj::mv(waiter.grant);
-        return result;
+    const CallRequirements requirements = this->requirementsOf(request);
+    const ServiceQueue &queue = this->queue(request.service);
+    const bool isNext = this->settings.competition ? isServedBeforeAll(queue, requirements, this->loop.clock().now()) : isBeforeAll(queue, requirements.rank);
+    if (!isNext) {
+        return nullptr;
     }
-    if (waiter.refused) {
-        return this->refusalWithoutUpstream(requirements);
+    kj::Maybe<kj::Own<Grant>> grant;
+    if (this->tryGrant(requirements, false, GrantKind::ForPeer, grant) != Availability::Granted) {
+        return nullptr;
     }
-    result.reason = RefusalReason::WaitedTooLong;
-    result.retryAfter = Gateway::retryAfter(queue, this->settings.queue, this->random);
-    return result;
-}
-
-GrantOrRefusal Dispatcher::refusalWithoutUpstream(const CallRequirements &requirements)
-{
-    GrantOrRefusal result;
-    const std::optional<AK::Milliseconds> afterPause = this->retryAfterPause(requirements);
-    result.reason = afterPause ? RefusalReason::AllPaused : RefusalReason::NoUpstream;
-    result.retryAfter = afterPause ? *afterPause : Gateway::retryAfter(this->queue(requirements.service), this->settings.queue, this->random);
-    return result;
+    this->recordStart(this->queue(request.service), requirements);
+    return this->offerOf(kj::mv(KJ_ASSERT_NONNULL(grant)));
 }
 
 std::optional<AK::Milliseconds> Dispatcher::retryAfterPause(CallRequirements requirements)
@@ -260,55 +211,7 @@
     return LibGateway::retryAfterPause(*firstEnd, this->loop.clock().now(), spread, this->table.notices().pauseSettings());
 }
 
-void Dispatcher::serveWaiters(const std::string &service)
-{
-    ServiceQueue &queue = this->queue(service);
-    for (auto it = queue.waiters.begin(); it != queue.waiters.end();) {
-        Waiter &waiter = **it;
-        // A call that has waited for half of its time in the queue is sent to an engine even if its prompt must wait there.
-        const bool ignoreBacklog = this->loop.clock().now() >= (waiter.requirements->arrivedAt + waiter.requirements->startBy) / 2;
-        const Availability availability = this->tryGrant(*waiter.requirements, ignoreBacklog, GrantKind::Local, waiter.grant);
-        waiter.refused = availability == Availability::None && this->retryAfterPause(*waiter.requirements);
-        if (availability != Availability::Granted && !waiter.refused) {
-            if (waiter.requirements->excluded.empty() && waiter.requirements->regions.empty() && waiter.requirements->accountRegions.empty()) {
-                // No upstream has room for a call without restrictions, so none has room for the calls behind it.
-                break;
-            }
-            ++it;
-            continue;
-        }
-        it = queue.waiters.erase(it);
-        waiter.fulfiller->fulfill();
-    }
-    if (!queue.waiters.empty()) {
-        this->schedulePoll(service);
-    }
-}
-
-void Dispatcher::serveAllWaiters()
-{
-    for (const auto &[service, queue] : this->queues) {
-        if (!queue->waiters.empty()) {
-            this->serveWaiters(service);
-        }
-    }
-}
-
-void Dispatcher::schedulePoll(const std::string &service)
-{
-    ServiceQueue &queue = this->queue(service);
-    if (queue.pollScheduled) {
-        return;
-    }
-    queue.pollScheduled = true;
-    this->loop.spawn([this, service](kj::WaitScope &scope) {
-        this->loop.sleep(scope, pollInterval);
-        this->queue(service).pollScheduled = false;
-        this->serveWaiters(service);
-    });
-}
-
-void Dispatcher::release(const LibFleet::UpstreamRecord &record, GrantKind kind)
+void Dispatcher::release(const LibFleet::UpstreamRecord &record, GrantKind kind, AK::Milliseconds heldFor)
 {
     LibGateway::UpstreamLoad &load = this->table.loadOf(record);
     load.ownInFlight = std::max(0, load.ownInFlight - 1);
@@ -318,12 +221,33 @@
     } else {
         // Slots freed by this entry's own calls measure how fast its queue moves, wherever the calls ran.
         LibGateway::recordFreedSlot(queue.intervals, this->loop.clock().now());
+        LibGateway::recordEvent(queue.rates.freedSlots, this->loop.clock().now());
+        if (!record.isEngine) {
+            constexpr double smoothing = 0.9;
+            queue.holdMs = queue.holdMs == 0 ? static_cast<double>(heldFor) : smoothing * queue.holdMs + (1 - smoothing) * static_cast<double>(heldFor);
+        }
     }
     if (kind != GrantKind::FromPeer && !queue.waiters.empty()) {
         this->serveWaiters(record.service);
     }
 }
 
+void Dispatcher::recordStart(ServiceQueue &queue, const CallRequirements &requirements)
+{
+    if (this->settings.competition) {
+        queue.accountStarts.record(requirements.account, this->loop.clock().now());
+    }
+}
+
+void Dispatcher::serveAllWaiters()
+{
+    for (const auto &[service, queue] : this->queues) {
+        if (!queue->waiters.empty()) {
+            this->serveWaiters(service);
+        }
+    }
+}
+
 void Dispatcher::recordOutcome(const LibFleet::UpstreamRecord &upstream, bool failed)
 {
     this->table.recordOutcome(upstream, failed);
@@ -350,6 +274,7 @@
 
 void Dispatcher::exportMetrics(LibMetrics::MetricRegistry &metrics)
 {
+    this->exportCompetition(metrics);
     this->table.notices().exportTo(metrics);
     this->table.exportLoad(metrics);
     exportHindrances(this->table, this->fleet, metrics);
@@ -388,7 +313,7 @@
 {
     size_t count = 0;
     for (const auto &[service, queue] : this->queues) {
-        count += queue->waiters.size();
+        count += ownCalls(*queue);
     }
     return count;
 }
--- a/Userland/Services/Gateway/Dispatcher.h
+++ b/Userland/Services/Gateway/Dispatcher.h
@@ -10,6 +10,7 @@
 #include <LibGateway/RetryBudget.h>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace Gateway
 {
@@ -19,6 +20,9 @@
     TableSettings upstreams;
     LibGateway::RetryBudgetSettings retries;
     LibGateway::QueueSettings queue;
+    /// Calls compete for too little capacity: waits and refusals follow LibGateway::decideWait().
+    bool competition = false;
+    LibGateway::WaitSettings waits;
 };
 
 /// Why a call got no slot at an upstream.
@@ -36,6 +40,8 @@
     RefusalReason reason = RefusalReason::NoUpstream;
     /// Time after which a refused client should retry, in ms.
     AK::Milliseconds retryAfter = 0;
+    /// With DispatchSettings::competition: the predicted time to a slot when the call was refused, in ms; negative when none was expected.
+    double predictedWaitMs = 0;
 };
 
 /// Assigns calls to upstreams. While every upstream is full, calls wait in a queue per service, ordered by rank and arrival; a call that is not expected to
@@ -47,6 +53,8 @@
 public:
     /// `slotSource` is nullptr for an entry that owns all upstreams.
     Dispatcher(LibFiber::Loop &loop, const LibFleet::FleetState &fleet, DispatchSettings settings, SlotSource *slotSource);
+    ~Dispatcher() override;
+    KJ_DISALLOW_COPY(Dispatcher);
 
     /// Applies changed settings; calls and retries counted so far still count.
     void setBounds(const LibGateway::RetryBudgetSettings &retries, AK::Milliseconds weightsSwitchDelay, AK::Milliseconds weightsBeginLimit);
@@ -64,6 +72,8 @@
     GrantOrRefusal acquire(kj::WaitScope &scope, const CallRequirements &requirements);
 
     kj::Maybe<LibPeers::OfferedSlot> offerSlot(const LibPeers::SlotRequest &request) override;
+    /// With DispatchSettings::competition the request waits in the queue of this entry's own calls.
+    kj::Promise<kj::Maybe<LibPeers::OfferedSlot>> awaitSlot(const LibPeers::SlotRequest &request) override;
 
     /// What keeps a call from the upstream of its grant by now; to be asked right before the request is written. See UpstreamTable::hindranceToSend().
     std::optional<LibGateway::Hindrance> hindranceToSend(const Grant &grant, const CallRequirements &requirements);
@@ -117,17 +127,39 @@
 private:
     friend class Grant;
 
+    /// The request of another entry in the queue; the destructor withdraws it.
+    class RemoteWaiter;
+    /// The requests of a waiting call at the owners of other upstreams.
+    struct OwnerWaits;
+
     enum class Availability { None, Full, Granted };
 
     ServiceQueue &queue(const std::string &service);
     Availability tryGrant(const CallRequirements &requirements, bool ignoreBacklog, GrantKind kind, kj::Maybe<kj::Own<Grant>> &grant);
-    /// Requests a slot at an upstream of another entry.
-    kj::Maybe<kj::Own<Grant>> requestFromOwners(kj::WaitScope &scope, const CallRequirements &requirements);
+    /// Requests a slot at an upstream of another entry, one that waits at its owner when `asked` is set; see SlotRequester::requestAndWait().
+    kj::Maybe<kj::Own<Grant>> requestFromOwners(kj::WaitScope &scope, const CallRequirements &requirements, AK::Milliseconds wait = 0,
+                                                std::set<std::string> *asked = nullptr);
+    /// Starts the requests of a waiting call at other owners. The first slot ends its wait.
+    void startOwnerWaits(OwnerWaits &waits, ServiceQueue &queue, Waiter &waiter);
+    void waitAtOwner(kj::WaitScope &scope, OwnerWaits &waits, ServiceQueue &queue, Waiter &waiter);
+    LibPeers::OfferedSlot offerOf(kj::Own<Grant> grant) const;
+    CallRequirements requirementsOf(const LibPeers::SlotRequest &request) const;
+    /// Records a slot that the dispatcher has granted, for the order of the next ones.
+    void recordStart(ServiceQueue &queue, const CallRequirements &requirements);
+    GrantOrRefusal acquireOrWait(kj::WaitScope &scope, const CallRequirements &requirements);
+    void exportCompetition(LibMetrics::MetricRegistry &metrics) const;
     bool waitInQueue(kj::WaitScope &scope, ServiceQueue &queue, Waiter &waiter, kj::ForkedPromise<void> &granted);
-    void release(const LibFleet::UpstreamRecord &record, GrantKind kind);
+    /// `heldFor`: how long the slot was held, in ms.
+    void release(const LibFleet::UpstreamRecord &record, GrantKind kind, AK::Milliseconds heldFor);
     void serveWaiters(const std::string &service);
     void serveAllWaiters();
     void schedulePoll(const std::string &service);
+    /// Predicted time from a slot to the first event, or to the response of other calls.
+    AK::Milliseconds responseTime(const CallRequirements &requirements, const LibFleet::Route &route);
+    /// Whether a call goes on waiting. `own`: its place in the queue, nullptr before it has one.
+    bool mayWait(const CallRequirements &requirements, const Waiter *own);
+    /// The refusal of a call for lack of a slot.
+    GrantOrRefusal refusalForLackOfRoom(const CallRequirements &requirements, RefusalReason reason);
     /// The refusal of a call that no upstream may get.
     GrantOrRefusal refusalWithoutUpstream(const CallRequirements &requirements);
 
@@ -138,6 +170,12 @@
     UpstreamTable table;
     SlotRequester slotRequester;
     int callsForPeers = 0;
+    /// Requests of other entries in the queues, and of this entry's calls at other owners.
+    std::set<RemoteWaiter *> remoteWaiters;
+    size_t ownerWaits = 0;
+    /// With DispatchSettings::competition, by priority: own calls that have started, and those refused by reason.
+    std::map<int, uint64_t> startedCalls;
+    std::map<std::pair<int, RefusalReason>, uint64_t> refusedCalls;
     std::map<std::string, std::unique_ptr<ServiceQueue>> queues;
     /// By route name.
     std::map<std::string, LibGateway::ClientTimeoutRecord> clientTimeouts;
--- a/Userland/Services/Gateway/Grant.h
+++ b/Userland/Services/Gateway/Grant.h
@@ -55,6 +55,7 @@
     double load;
     double extraWork = 0;
     AK::RecentCheck check;
+    AK::Milliseconds grantedAt;
     kj::Maybe<kj::Own<LibPeers::HeldSlot>> heldByOwner;
 };
 
