--- a/Userland/Libraries/LibGateway/Availability.cpp
+++ b/Userland/Libraries/LibGateway/Availability.cpp
@@ -8,14 +8,10 @@
 std::optional<Hindrance> hindranceTo(const UpstreamConditions &conditions, AK::Milliseconds now)
 {
     const std::array lasting{
-        std::pair{!conditions.sameService, Obstacle::OtherService},
-        std::pair{conditions.replaced, Obstacle::Replaced},
-        std::pair{conditions.draining, Obstacle::Draining},
-        std::pair{conditions.leaving, Obstacle::Leaving},
-        std::pair{conditions.evacuated, Obstacle::Evacuated},
-        std::pair{!conditions.regionAllowed, Obstacle::OtherRegion},
-        std::pair{conditions.excluded, Obstacle::Excluded},
-        std::pair{!conditions.weightsAllowed, Obstacle::Weights},
+        std::pair{!conditions.sameService, Obstacle::OtherService}, std::pair{conditions.replaced, Obstacle::Replaced},
+        std::pair{conditions.draining, Obstacle::Draining},         std::pair{conditions.leaving, Obstacle::Leaving},
+        std::pair{conditions.evacuated, Obstacle::Evacuated},       std::pair{!conditions.regionAllowed, Obstacle::OtherRegion},
+        std::pair{conditions.excluded, Obstacle::Excluded},         std::pair{!conditions.weightsAllowed, Obstacle::Weights},
         std::pair{conditions.switching, Obstacle::Switching},
     };
     for (const auto &[hinders, obstacle] : lasting) {
