--- a/Userland/Services/Gateway/UpstreamTable.cpp
+++ b/Userland/Services/Gateway/UpstreamTable.cpp
@@ -50,11 +50,11 @@
     if (!conditions.sameService) {
         return LibGateway::hindranceTo(conditions, this->clock.now());
     }
-    conditions.replaced = record.replaced;
     conditions.draining = record.state != LibFleet::UpstreamState::Ready;
     conditions.leaving = this->upstreamNotices.isLeaving(record);
     conditions.evacuated = this->fleet.isEvacuated(record.failureDomain);
     conditions.regionAllowed = this->regionAllowed(record, requirements);
+    conditions.replaced = record.replaced;
     conditions.excluded = requirements.excluded.contains(record.id);
     const LibGateway::UpstreamLoad *load = this->knownLoad(record);
     conditions.pausedUntil = this->upstreamNotices.pausedUntil(record);
