--- a/Userland/Services/WeightAgent/AgentService.cpp
+++ b/Userland/Services/WeightAgent/AgentService.cpp
@@ -201,9 +201,8 @@
     return swarmView;
 }
 
-SwarmFetch AgentService::makeFetch(const LibFleet::EngineSpec &spec, int64_t version)
+SwarmFetch AgentService::makeFetch(const LibFleet::EngineSpec &spec, int64_t version, AK::Milliseconds startedAt)
 {
-    const AK::Milliseconds startedAt = this->fetchStartedAt.try_emplace(version, this->loop.clock().now()).first->second;
     return SwarmFetch(this->loop, this->origin, this->manifestProof, this->originContact, {this->settings.engineAddress.text(), this->settings.region},
                       spec.model, version, this->swarmView(), startedAt);
 }
@@ -226,7 +225,8 @@
 
 void AgentService::readManifest(kj::WaitScope &scope, const LibFleet::EngineSpec &spec, int64_t version)
 {
-    absl::StatusOr<std::string> text = this->makeFetch(spec, version).readManifest(scope);
+    const AK::Milliseconds wantedAt = this->manifestWantedAt.try_emplace(version, this->loop.clock().now()).first->second;
+    absl::StatusOr<std::string> text = this->makeFetch(spec, version, wantedAt).readManifest(scope);
     if (!text.ok()) {
         this->logger.info("manifest_not_read", {{"version", version}, {"reason", std::string(text.status().message())}});
         this->loop.sleep(scope, retryDelay);
@@ -238,7 +238,7 @@
         this->loop.sleep(scope, retryDelay);
         return;
     }
-    this->logger.info("manifest_read", {{"version", version}, {"after_ms", this->loop.clock().now() - this->fetchStartedAt[version]}});
+    this->logger.info("manifest_read", {{"version", version}, {"after_ms", this->loop.clock().now() - wantedAt}});
     this->store.announce(spec.model, std::move(*text), std::move(*manifest));
 }
 
@@ -273,7 +273,9 @@
     };
     this->fetchedVersion = version;
     KJ_DEFER(this->fetchedVersion = 0);
-    this->makeFetch(spec, version).fetchAll(scope, *held, std::move(watch));
+    // Not the time at which the manifest was first wanted: while an older version is fetched, this one is not overdue.
+    const AK::Milliseconds startedAt = this->fetchStartedAt.try_emplace(version, this->loop.clock().now()).first->second;
+    this->makeFetch(spec, version, startedAt).fetchAll(scope, *held, std::move(watch));
 }
 
 } // namespace WeightAgent
--- a/Userland/Services/WeightAgent/AgentService.h
+++ b/Userland/Services/WeightAgent/AgentService.h
@@ -52,7 +52,7 @@
     void runManifestLoop(kj::WaitScope &scope);
     void readManifest(kj::WaitScope &scope, const LibFleet::EngineSpec &spec, int64_t version);
     void fetch(kj::WaitScope &scope, const LibFleet::EngineSpec &spec, int64_t version);
-    SwarmFetch makeFetch(const LibFleet::EngineSpec &spec, int64_t version);
+    SwarmFetch makeFetch(const LibFleet::EngineSpec &spec, int64_t version, AK::Milliseconds startedAt);
     std::shared_ptr<HeldVersion> newestCompleteVersion(const std::string &model) const;
     /// Adds the chunks that are already staged at the engine to `held`.
     void adoptStagedChunks(kj::WaitScope &scope, const std::string &model, HeldVersion &held);
@@ -110,8 +110,10 @@
     std::optional<EngineStatus> status;
     AK::Milliseconds statusReadAt = 0;
     bool switchPending = false;
-    /// Time at which this agent first looked for each version.
+    /// Time at which this agent began to fetch the chunks of each version.
     std::map<int64_t, AK::Milliseconds> fetchStartedAt;
+    /// Time at which it first looked for the manifest of each version.
+    std::map<int64_t, AK::Milliseconds> manifestWantedAt;
     /// Versions whose manifest is being read.
     std::set<int64_t> manifestReads;
     LibLog::Logger logger{"agent"};
