LibGateway: Read streams and heads in linear time, in turns

Cause: EventSplitter searched all buffered bytes for each piece it was fed, so the time grew with the square of the bytes, and BodyReader returned the thousand tiny chunks of a buffer without a turn for others. The same in heads that come byte by byte (LibHttpStream, LibHttp), in the comparison of each header with each name in Connection, in whole bodies, and in thousands of events in one chunk. Streams whose bytes come faster than they are read also went on past the deadline of their call.

Change: EventSplitter and ByteChannel::find() search each byte once; BodyReader yields after 64 pieces that were there already and CallTask after 256 events; endToEndHeaders() collects the names in Connection once; calls end 200 ms after their deadline whatever still comes.

--- a/Userland/Libraries/LibFiber/ByteChannel.cpp
+++ b/Userland/Libraries/LibFiber/ByteChannel.cpp
@@ -1,6 +1,7 @@
 #include <LibFiber/ByteChannel.h>
 
 #include <LibFiber/SocketOptions.h>
+#include <algorithm>
 #include <kj/debug.h>
 #include <sys/socket.h>
 
@@ -44,8 +45,31 @@
     return std::string_view(this->buffer).substr(this->consumed);
 }
 
+Loop &ByteChannel::eventLoop() const
+{
+    return this->loop;
+}
+
+std::optional<size_t> ByteChannel::find(std::string_view delimiter)
+{
+    if (delimiter != this->searchedDelimiter) {
+        this->searchedDelimiter = delimiter;
+        this->searched = 0;
+    }
+    const std::string_view bytes = this->buffered();
+    const size_t found = bytes.find(delimiter, this->searched);
+    if (found != std::string_view::npos) {
+        this->searched = found;
+        return found;
+    }
+    // The delimiter may begin in the last bytes.
+    this->searched = bytes.size() - std::min(bytes.size(), delimiter.size() - 1);
+    return std::nullopt;
+}
+
 void ByteChannel::consume(size_t bytes)
 {
+    this->searched = 0;
     this->consumed += bytes;
     if (this->consumed >= this->buffer.size()) {
         this->buffer.clear();
--- a/Userland/Libraries/LibFiber/ByteChannel.h
+++ b/Userland/Libraries/LibFiber/ByteChannel.h
@@ -2,6 +2,7 @@
 
 #include <AK/Endpoint.h>
 #include <LibFiber/Loop.h>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -22,9 +23,14 @@
 
     /// Bytes received and not consumed.
     std::string_view buffered() const;
+    /// Position of a delimiter in the buffered bytes. Bytes are searched once for the same delimiter, however often it is asked for while more arrive.
+    std::optional<size_t> find(std::string_view delimiter);
     /// Removes bytes from the front of the buffer.
     void consume(size_t bytes);
 
+    /// The loop that the channel runs on.
+    Loop &eventLoop() const;
+
     /// Waits until more bytes are buffered.
     /// Errors: kOutOfRange when the peer closed its sending side, kUnavailable after a reset, kDeadlineExceeded.
     absl::Status fill(kj::WaitScope &scope, AK::Milliseconds deadline);
@@ -58,6 +64,9 @@
     kj::Own<kj::AsyncIoStream> stream;
     std::string buffer;
     size_t consumed = 0;
+    /// Delimiter that find() last looked for, and how many of the buffered bytes don't contain it.
+    std::string searchedDelimiter;
+    size_t searched = 0;
     ReadState state = ReadState::Idle;
     kj::Maybe<kj::ForkedPromise<void>> pending;
     kj::Array<kj::byte> scratch;
--- a/Userland/Libraries/LibFiber/Loop.cpp
+++ b/Userland/Libraries/LibFiber/Loop.cpp
@@ -99,6 +99,11 @@
     this->after(duration).wait(scope);
 }
 
+void Loop::yield(kj::WaitScope &scope)
+{
+    kj::evalLater([] {}).wait(scope);
+}
+
 absl::Status Loop::awaitDone(kj::WaitScope &scope, kj::Promise<void> promise, AK::Milliseconds deadline)
 {
     return this->withDeadline(kj::mv(promise), deadline)
--- a/Userland/Libraries/LibFiber/Loop.h
+++ b/Userland/Libraries/LibFiber/Loop.h
@@ -62,6 +62,9 @@
     /// Suspends the calling fiber for `duration` ms.
     void sleep(kj::WaitScope &scope, AK::Milliseconds duration);
 
+    /// Lets everything else that is ready run before the calling fiber goes on.
+    void yield(kj::WaitScope &scope);
+
     /// Waits for a promise until the monotonic time `deadline` (ms).
     /// Errors: kDeadlineExceeded; those of toStatus().
     template <typename Type>
--- a/Userland/Libraries/LibGateway/EventSplitter.cpp
+++ b/Userland/Libraries/LibGateway/EventSplitter.cpp
@@ -8,22 +8,6 @@
 namespace
 {
 
-struct EventEnd {
-    size_t position = std::string::npos;
-    size_t size = 0;
-};
-
-// Finds the empty line that ends the first event. Lines end with LF or CRLF.
-EventEnd findEnd(std::string_view text)
-{
-    const size_t lineFeedEnd = text.find("\n\n");
-    const size_t carriageReturnEnd = text.find("\r\n\r\n");
-    if (carriageReturnEnd != std::string_view::npos && (lineFeedEnd == std::string_view::npos || carriageReturnEnd < lineFeedEnd)) {
-        return {carriageReturnEnd, 4};
-    }
-    return {lineFeedEnd, 2};
-}
-
 std::optional<std::string> idOf(std::string_view event)
 {
     static constexpr std::string_view field = "id:";
@@ -69,19 +53,38 @@
 
 std::optional<StreamEvent> EventSplitter::next()
 {
-    const EventEnd end = findEnd(this->buffer);
-    if (end.position == std::string::npos) {
-        return std::nullopt;
+    while (true) {
+        const size_t lineEnd = this->buffer.find('\n', this->searched);
+        if (lineEnd == std::string::npos) {
+            this->searched = this->buffer.size();
+            this->compact();
+            return std::nullopt;
+        }
+        // Lines end with LF or CRLF.
+        const std::string_view line = std::string_view(this->buffer).substr(this->lineStart, lineEnd - this->lineStart);
+        const bool endsEvent = line.empty() || line == "\r";
+        this->lineStart = lineEnd + 1;
+        this->searched = this->lineStart;
+        if (endsEvent) {
+            StreamEvent event{this->buffer.substr(this->taken, this->lineStart - this->taken), std::nullopt};
+            event.id = idOf(event.text);
+            this->taken = this->lineStart;
+            return event;
+        }
     }
-    StreamEvent event{this->buffer.substr(0, end.position + end.size), std::nullopt};
-    event.id = idOf(event.text);
-    this->buffer.erase(0, end.position + end.size);
-    return event;
+}
+
+void EventSplitter::compact()
+{
+    this->buffer.erase(0, this->taken);
+    this->lineStart -= this->taken;
+    this->searched -= this->taken;
+    this->taken = 0;
 }
 
 size_t EventSplitter::partialBytes() const
 {
-    return this->buffer.size();
+    return this->buffer.size() - this->taken;
 }
 
 } // namespace LibGateway
--- a/Userland/Libraries/LibGateway/EventSplitter.h
+++ b/Userland/Libraries/LibGateway/EventSplitter.h
@@ -18,7 +18,8 @@
 /// Whether an event holds comments alone. They show that the connection is open, not that the response goes on.
 bool isComment(const StreamEvent &event);
 
-/// Splits the bytes of an event stream into complete events, so that a client never gets part of an event when the stream breaks off inside it.
+/// Splits the bytes of an event stream into complete events, so that a client never gets part of an event when the stream breaks off inside it. Each byte is
+/// searched once, in however many pieces it is fed. An empty line with nothing before it is an event of its own, so that all bytes are passed on.
 class EventSplitter
 {
 public:
@@ -31,7 +32,16 @@
     size_t partialBytes() const;
 
 private:
+    /// Drops the bytes that have been returned.
+    void compact();
+
     std::string buffer;
+    /// Bytes of the buffer that next() has returned.
+    size_t taken = 0;
+    /// Start of the first line whose end has not been found.
+    size_t lineStart = 0;
+    /// Bytes of the buffer that have been searched for the end of a line.
+    size_t searched = 0;
 };
 
 } // namespace LibGateway
--- a/Userland/Libraries/LibGateway/StreamContinuation.cpp
+++ b/Userland/Libraries/LibGateway/StreamContinuation.cpp
@@ -58,10 +58,14 @@
 EventBatch takeEvents(EventSplitter &splitter, const std::optional<std::string> &lastEventId, bool continues)
 {
     EventBatch batch;
-    while (std::optional<StreamEvent> event = splitter.next()) {
+    for (size_t count = 0; count < maxBatchEvents; ++count) {
+        std::optional<StreamEvent> event = splitter.next();
+        if (!event) {
+            return batch;
+        }
         batch.fault = continues ? checkContinuationEvent(batch.lastId ? batch.lastId : lastEventId, *event) : ContinuationFault::None;
         if (batch.fault != ContinuationFault::None) {
-            break;
+            return batch;
         }
         batch.hasEvent = batch.hasEvent || !isComment(*event);
         batch.text += event->text;
@@ -69,6 +73,7 @@
             batch.lastId = std::move(event->id);
         }
     }
+    batch.isFull = true;
     return batch;
 }
 
--- a/Userland/Libraries/LibGateway/StreamContinuation.h
+++ b/Userland/Libraries/LibGateway/StreamContinuation.h
@@ -48,12 +48,17 @@
     std::optional<std::string> lastId;
     /// Whether there is anything but comments.
     bool hasEvent = false;
+    /// The splitter may hold more whole events.
+    bool isFull = false;
     /// Why the event after these was not taken.
     ContinuationFault fault = ContinuationFault::None;
 };
 
-/// Takes the whole events out of a splitter. `continues`: the client has a part of the stream from another upstream, so that each event is checked; the events
-/// of its first upstream are passed on as they are.
+/// Events in one batch. The caller lets others run between two batches, because an upstream may send thousands of tiny events at once.
+inline constexpr size_t maxBatchEvents = 256;
+
+/// Takes up to maxBatchEvents whole events out of a splitter. `continues`: the client has a part of the stream from another upstream, so that each event is
+/// checked; the events of its first upstream are passed on as they are.
 EventBatch takeEvents(EventSplitter &splitter, const std::optional<std::string> &lastEventId, bool continues);
 
 /// What is known of a stream whose body has ended as its framing says.
--- a/Userland/Libraries/LibHttp/ResponseReader.cpp
+++ b/Userland/Libraries/LibHttp/ResponseReader.cpp
@@ -50,12 +50,17 @@
 absl::StatusOr<LibHttpStream::ResponseHead> ResponseReader::readHead(const std::string &method)
 {
     size_t skipped = 0;
+    // Bytes of the buffer without the end of a head.
+    size_t searched = 0;
     while (true) {
         while (this->buffered().starts_with(lineEnd) && skipped <= headLimitBytes) {
             this->begin += lineEnd.size();
             skipped += lineEnd.size();
+            searched = 0;
         }
-        const size_t size = this->buffered().find(headEnd);
+        const size_t size = this->buffered().find(headEnd, searched);
+        // The end of the head may begin in the last bytes.
+        searched = this->buffered().size() - std::min(this->buffered().size(), headEnd.size() - 1);
         if (skipped + std::min(size, this->buffered().size()) > headLimitBytes) {
             return absl::DataLossError(AK::concat("head of the response exceeds ", headLimitBytes, " bytes"));
         }
@@ -72,6 +77,7 @@
         }
         this->begin += size + headEnd.size();
         skipped += size + headEnd.size();
+        searched = 0;
         if (head->status / hundred == 1) {
             continue;
         }
--- a/Userland/Libraries/LibHttpStream/MessageHead.cpp
+++ b/Userland/Libraries/LibHttpStream/MessageHead.cpp
@@ -3,7 +3,9 @@
 #include <AK/Text.h>
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <kj/compat/http.h>
+#include <unordered_set>
 
 namespace LibHttpStream
 {
@@ -52,6 +54,24 @@
     return absl::InvalidArgumentError(std::string(error.description.cStr()));
 }
 
+// The tokens in the comma-separated values of a header.
+std::vector<std::string_view> tokensOf(const Headers &headers, std::string_view name)
+{
+    std::vector<std::string_view> tokens;
+    for (const Header &header : headers) {
+        if (!equalsIgnoringCase(header.name, name)) {
+            continue;
+        }
+        std::string_view rest = header.value;
+        while (!rest.empty()) {
+            const size_t comma = std::min(rest.find(','), rest.size());
+            tokens.push_back(trim(rest.substr(0, comma)));
+            rest.remove_prefix(std::min(comma + 1, rest.size()));
+        }
+    }
+    return tokens;
+}
+
 size_t countHeaders(const Headers &headers, std::string_view name)
 {
     return static_cast<size_t>(std::count_if(headers.begin(), headers.end(), [&](const Header &header) { return equalsIgnoringCase(header.name, name); }));
@@ -107,26 +127,22 @@
 
 bool hasToken(const Headers &headers, std::string_view name, std::string_view token)
 {
-    for (const Header &header : headers) {
-        if (!equalsIgnoringCase(header.name, name)) {
-            continue;
-        }
-        std::string_view rest = header.value;
-        while (!rest.empty()) {
-            const size_t comma = std::min(rest.find(','), rest.size());
-            if (equalsIgnoringCase(trim(rest.substr(0, comma)), token)) {
-                return true;
-            }
-            rest.remove_prefix(std::min(comma + 1, rest.size()));
-        }
-    }
-    return false;
+    const std::vector<std::string_view> tokens = tokensOf(headers, name);
+    return std::any_of(tokens.begin(), tokens.end(), [&](std::string_view listed) { return equalsIgnoringCase(listed, token); });
 }
 
-bool isHopByHop(const Headers &headers, std::string_view name)
+Headers endToEndHeaders(const Headers &headers)
 {
-    return std::any_of(hopByHopNames.begin(), hopByHopNames.end(), [&](std::string_view hop) { return equalsIgnoringCase(hop, name); })
-        || hasToken(headers, "Connection", name);
+    std::unordered_set<std::string> dropped;
+    for (const std::string_view name : hopByHopNames) {
+        dropped.emplace(name);
+    }
+    for (const std::string_view token : tokensOf(headers, "Connection")) {
+        dropped.insert(AK::toLower(token));
+    }
+    Headers result;
+    std::copy_if(headers.begin(), headers.end(), std::back_inserter(result), [&](const Header &header) { return !dropped.contains(AK::toLower(header.name)); });
+    return result;
 }
 
 absl::StatusOr<RequestHead> parseRequestHead(std::string_view text)
--- a/Userland/Libraries/LibHttpStream/MessageHead.h
+++ b/Userland/Libraries/LibHttpStream/MessageHead.h
@@ -25,8 +25,9 @@
 /// True when the comma-separated value of a header contains the token.
 bool hasToken(const Headers &headers, std::string_view name, std::string_view token);
 
-/// True for headers that apply to a single connection and are not forwarded (RFC 9110, 7.6.1), and for those that frame the body.
-bool isHopByHop(const Headers &headers, std::string_view name);
+/// The headers without those that apply to a single connection (RFC 9110, 7.6.1) and those that frame the body. Takes time in proportion to their size, also
+/// when Connection lists thousands of names.
+Headers endToEndHeaders(const Headers &headers);
 
 struct RequestHead {
     std::string method;
--- a/Userland/Libraries/LibHttpStream/MessageReader.cpp
+++ b/Userland/Libraries/LibHttpStream/MessageReader.cpp
@@ -17,6 +17,8 @@
 constexpr size_t chunkSizeBytes = 16;
 // Extensions of all chunks of a body together, in bytes, beyond as many as the body has.
 constexpr uint64_t extensionsLimitBytes = 16'384;
+// Pieces of a body that have arrived and are read in a row before others run. Each takes the reader well under a microsecond.
+constexpr int maxPiecesPerTurn = 64;
 // All trailers of a body together, in bytes.
 constexpr size_t trailersLimitBytes = 16'384;
 
@@ -52,10 +54,10 @@
             channel.consume(lineEnd.size());
             skipped += lineEnd.size();
         }
-        const size_t end = channel.buffered().find(headEnd);
-        if (end != std::string_view::npos && end <= headBytes) {
-            std::string text(channel.buffered().substr(0, end + lineEnd.size()));
-            channel.consume(end + headEnd.size());
+        const std::optional<size_t> end = channel.find(headEnd);
+        if (end && *end <= headBytes) {
+            std::string text(channel.buffered().substr(0, *end + lineEnd.size()));
+            channel.consume(*end + headEnd.size());
             return text;
         }
         if (channel.buffered().size() > headBytes || skipped > headBytes) {
@@ -81,6 +83,7 @@
     if (this->done) {
         return std::optional<std::string>();
     }
+    this->yieldBetweenPieces(scope);
     switch (this->framing.kind) {
     case FramingKind::Length:
         return this->nextSized(scope, deadline);
@@ -94,6 +97,21 @@
     return std::optional<std::string>();
 }
 
+void BodyReader::yieldBetweenPieces(kj::WaitScope &scope)
+{
+    // A read that finds an empty buffer waits for bytes, and others run meanwhile.
+    this->piecesInTurn = this->channel.buffered().empty() ? 0 : this->piecesInTurn + 1;
+    if (this->piecesInTurn > maxPiecesPerTurn) {
+        this->piecesInTurn = 0;
+        this->channel.eventLoop().yield(scope);
+    }
+}
+
+AK::Milliseconds BodyReader::now() const
+{
+    return this->channel.eventLoop().clock().now();
+}
+
 bool BodyReader::reusable() const
 {
     return this->done && this->framing.kind != FramingKind::UntilClose;
@@ -132,10 +150,10 @@
 absl::StatusOr<std::string> BodyReader::readLine(kj::WaitScope &scope, AK::Milliseconds deadline)
 {
     while (true) {
-        const size_t end = this->channel.buffered().find(lineEnd);
-        if (end != std::string_view::npos) {
-            std::string line(this->channel.buffered().substr(0, end));
-            this->channel.consume(end + lineEnd.size());
+        const std::optional<size_t> end = this->channel.find(lineEnd);
+        if (end) {
+            std::string line(this->channel.buffered().substr(0, *end));
+            this->channel.consume(*end + lineEnd.size());
             return line;
         }
         if (this->channel.buffered().size() > chunkLineLimitBytes) {
@@ -209,11 +227,15 @@
 absl::StatusOr<std::string> readBody(BodyReader &reader, kj::WaitScope &scope, uint64_t bodyBytes, AK::Milliseconds deadline, BodyShare *share)
 {
     std::string body;
-    while (true) {
+    for (size_t pieces = 1;; ++pieces) {
         CATKINLINK_ASSIGN(std::optional<std::string> data, reader.next(scope, deadline));
         if (!data) {
             return body;
         }
+        // A read returns bytes that have arrived also after its deadline, and a sender of tiny chunks may be faster than this loop.
+        if (pieces % maxPiecesPerTurn == 0 && reader.now() >= deadline) {
+            return absl::DeadlineExceededError("the body goes on past the deadline");
+        }
         if (body.size() + data->size() > bodyBytes) {
             return absl::ResourceExhaustedError(absl::StrCat("the body exceeds ", bodyBytes, " bytes"));
         }
--- a/Userland/Libraries/LibHttpStream/MessageReader.h
+++ b/Userland/Libraries/LibHttpStream/MessageReader.h
@@ -19,7 +19,7 @@
 /// the head exceeds `headBytes`, kDeadlineExceeded, kUnavailable.
 absl::StatusOr<std::string> readHeadText(LibFiber::ByteChannel &channel, kj::WaitScope &scope, size_t headBytes, AK::Milliseconds deadline);
 
-/// Reads one message body from a channel incrementally, as it arrives.
+/// Reads one message body from a channel incrementally, as it arrives. Lets others run between the pieces of a body that arrives faster than it is read.
 class BodyReader
 {
 public:
@@ -30,6 +30,9 @@
     /// lost, and the next call goes on.
     absl::StatusOr<std::optional<std::string>> next(kj::WaitScope &scope, AK::Milliseconds deadline);
 
+    /// Monotonic time of the loop that the channel runs on.
+    AK::Milliseconds now() const;
+
     /// True when the whole body was read and the connection can be used for another message.
     bool reusable() const;
 
@@ -40,6 +43,7 @@
     /// What follows next in a chunked body.
     enum class ChunkPart { Size, Data, DataEnd, Trailers };
 
+    void yieldBetweenPieces(kj::WaitScope &scope);
     absl::StatusOr<std::optional<std::string>> nextSized(kj::WaitScope &scope, AK::Milliseconds deadline);
     absl::StatusOr<std::optional<std::string>> nextChunked(kj::WaitScope &scope, AK::Milliseconds deadline);
     // Reads up to the data of the next chunk, or to the end of the body.
@@ -60,10 +64,13 @@
     size_t trailerBytes = 0;
     ChunkPart chunkPart = ChunkPart::Size;
     bool done = false;
+    /// Pieces read in a row without waiting.
+    int piecesInTurn = 0;
 };
 
 /// Reads a whole body. `share`: takes the memory for it; must live as long as the body; nullptr for bodies that are small.
-/// Errors: those of BodyReader::next(), kResourceExhausted above `bodyBytes`, kAborted when other bodies hold the memory.
+/// Errors: those of BodyReader::next(), also kDeadlineExceeded when bytes keep arriving past the deadline, kResourceExhausted above `bodyBytes`, kAborted when
+/// other bodies hold the memory.
 absl::StatusOr<std::string> readBody(BodyReader &reader, kj::WaitScope &scope, uint64_t bodyBytes, AK::Milliseconds deadline, BodyShare *share = nullptr);
 
 } // namespace LibHttpStream
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -264,6 +264,9 @@
     std::string responseBody;
     while (true) {
         absl::StatusOr<std::optional<std::string>> data = call.read(scope, this->deadline);
+        if (data.ok() && *data && this->now() >= this->deadline + lateBytesTime) {
+            data = absl::DeadlineExceededError("bytes go on past the deadline");
+        }
         if (!data.ok()) {
             this->context.dispatcher.recordOutcome(upstream, true);
             if (!absl::IsDeadlineExceeded(data.status())) {
@@ -312,18 +315,28 @@
 
 absl::StatusOr<ContinuationFault> CallTask::forwardEvents(kj::WaitScope &scope, const UpstreamCall &call, LibGateway::EventSplitter &splitter, bool continues)
 {
-    const LibGateway::EventBatch batch = LibGateway::takeEvents(splitter, this->lastEventId, continues);
+    while (true) {
+        const LibGateway::EventBatch batch = LibGateway::takeEvents(splitter, this->lastEventId, continues);
+        if (absl::Status status = this->forwardBatch(scope, call, batch); !status.ok()) {
+            return status;
+        }
+        if (!batch.isFull) {
+            return batch.fault;
+        }
+        this->context.loop.yield(scope);
+    }
+}
+
+absl::Status CallTask::forwardBatch(kj::WaitScope &scope, const UpstreamCall &call, const LibGateway::EventBatch &batch)
+{
     if (batch.lastId) {
         this->lastEventId = batch.lastId;
         this->lastEventAt = this->now();
         this->firstEventAt = this->firstEventAt > 0 ? this->firstEventAt : this->now();
     }
-    if (batch.text.empty()) {
-        return batch.fault;
-    }
     // Comments do not show that this upstream goes on with the stream, so they end no call beside it.
-    if (!batch.hasEvent && this->silentCall != nullptr) {
-        return batch.fault;
+    if (batch.text.empty() || (!batch.hasEvent && this->silentCall != nullptr)) {
+        return absl::OkStatus();
     }
     this->takeOver();
     const bool begins = !this->client.begun();
@@ -335,8 +348,7 @@
     }
     this->report.lastPartAt = this->now();
     this->streamBegun = this->streamBegun || batch.hasEvent;
-    const absl::Status written = begins ? this->client.beginStream(scope, call.responseHead(), batch.text) : this->client.writeStream(scope, batch.text);
-    return written.ok() ? absl::StatusOr<ContinuationFault>(batch.fault) : written;
+    return begins ? this->client.beginStream(scope, call.responseHead(), batch.text) : this->client.writeStream(scope, batch.text);
 }
 
 CallTask::NextStep CallTask::rejectContinuation(kj::WaitScope &scope, const UpstreamCall &call, const LibFleet::UpstreamRecord &upstream,
--- a/Userland/Services/Gateway/CallTask.h
+++ b/Userland/Services/Gateway/CallTask.h
@@ -63,6 +63,8 @@
     static constexpr AK::Milliseconds refusalRetryAfter = 500;
     // Far above the text of the few tokens in an event.
     static constexpr size_t maxEventBytes = 256UL << 10;
+    // Bytes that arrive faster than they are read are read on for this long after the deadline: the rest of a response may be among them.
+    static constexpr AK::Milliseconds lateBytesTime = 200;
 
     enum class NextStep { Done, TryAnother };
 
@@ -118,6 +120,8 @@
         /// Adds the result of UpstreamCall::read(). Returns whether it has bytes.
         bool take(absl::StatusOr<std::optional<std::string>> data);
     };
+    /// Why a stream whose bytes keep coming must end, or an empty text. `partialBytes`: bytes of an event that is not complete.
+    std::string_view endlessReason(const StreamPart &part, size_t partialBytes) const;
     StreamPart readStream(kj::WaitScope &scope, UpstreamCall &call, kj::Own<Grant> &grant, const LibGateway::EventSplitter &splitter);
 
     /// Rejects a call whose prompt has a quarantined part. Returns whether it did.
@@ -130,6 +134,7 @@
     /// left.
     absl::StatusOr<LibGateway::ContinuationFault> forwardEvents(kj::WaitScope &scope, const UpstreamCall &call, LibGateway::EventSplitter &splitter,
                                                                 bool continues);
+    absl::Status forwardBatch(kj::WaitScope &scope, const UpstreamCall &call, const LibGateway::EventBatch &batch);
     NextStep rejectContinuation(kj::WaitScope &scope, const UpstreamCall &call, const LibFleet::UpstreamRecord &upstream, LibGateway::ContinuationFault fault);
     void refuse(kj::WaitScope &scope, int status, const std::string &reason, AK::Milliseconds retryAfter);
     void giveUp(kj::WaitScope &scope, const std::string &reason, AK::Milliseconds retryAfter);
--- a/Userland/Services/Gateway/CallTaskStream.cpp
+++ b/Userland/Services/Gateway/CallTaskStream.cpp
@@ -219,6 +219,19 @@
     return !this->newest.empty();
 }
 
+std::string_view CallTask::endlessReason(const StreamPart &part, size_t partialBytes) const
+{
+    if (partialBytes > maxEventBytes) {
+        return "stream cut: an event is too long";
+    }
+    // read() returns bytes that have arrived also after its deadline.
+    const bool goesOn = part.status.ok() && !part.ended;
+    if (goesOn && this->now() >= this->endsBy() && this->lastEventAt + this->streamSilenceLimit() <= this->now()) {
+        return "stream stalled: bytes without an event";
+    }
+    return goesOn && this->now() >= this->deadline + lateBytesTime ? "stream cut: events go on past the deadline" : "";
+}
+
 CallTask::NextStep CallTask::forwardStream(kj::WaitScope &scope, UpstreamCall &call, kj::Own<Grant> &grant)
 {
     const LibFleet::UpstreamRecord upstream = grant->upstream();
@@ -244,11 +257,9 @@
             return this->withdraw(scope, call, upstream);
         }
         const bool timedOut = absl::IsDeadlineExceeded(part.status);
-        // read() returns buffered bytes also after its deadline.
-        const bool stalled = this->now() >= this->endsBy() && this->lastEventAt + this->streamSilenceLimit() <= this->now();
-        if (splitter.partialBytes() > maxEventBytes || (part.status.ok() && !part.ended && stalled)) {
+        if (const std::string_view reason = this->endlessReason(part, splitter.partialBytes()); !reason.empty()) {
             this->context.dispatcher.recordOutcome(upstream, true);
-            return this->retryOrGiveUp(scope, upstream, true, stalled ? "stream stalled: bytes without an event" : "stream cut: an event is too long");
+            return this->retryOrGiveUp(scope, upstream, true, std::string(reason));
         }
         if ((timedOut && this->client.begun() && this->now() < this->deadline) || (part.status.ok() && !part.ended)) {
             continue;
--- a/Userland/Services/Gateway/ClientChannel.cpp
+++ b/Userland/Services/Gateway/ClientChannel.cpp
@@ -52,12 +52,7 @@
 
 LibHttpStream::ResponseHead ClientChannel::forwardedHead(const LibHttpStream::ResponseHead &head) const
 {
-    LibHttpStream::ResponseHead result{head.status, head.reason, {}};
-    for (const LibHttpStream::Header &header : head.headers) {
-        if (!LibHttpStream::isHopByHop(head.headers, header.name)) {
-            result.headers.push_back(header);
-        }
-    }
+    LibHttpStream::ResponseHead result{head.status, head.reason, LibHttpStream::endToEndHeaders(head.headers)};
     if (this->close) {
         result.headers.push_back({"Connection", "close"});
     }
