LibGateway: Find parts that crash upstreams at any pace

Cause: crashes were forgotten after 30 s, so one prompt at most was left, which is no proof; parts answered before needed four prompts in that time; crashes that a known part explains didn't count for others; and an entry that started knew of no crash. Crashes could not be kept longer as they were, since the memory of answers that clear parts holds half a minute of a busy entry.

A part that explains the crashes of known ones and two more takes their place. Crashes of parts that recur are stored in one object that entries read at their start. All parts of a prompt count; evidence is bounded by 128 crashes and 8,192 parts, of which those that recur stay longest.

--- a/Tests/LibGateway/TestCrashEvidence.cpp
+++ b/Tests/LibGateway/TestCrashEvidence.cpp
@@ -1,4 +1,4 @@
-#include <LibGateway/CrashEvidence.h>
+#include <LibGateway/CrashingParts.h>
 #include <gtest/gtest.h>
 
 namespace
@@ -143,6 +143,62 @@
     EXPECT_EQ(evidence.crashes[0].suspects.size(), 2U);
 }
 
+// Guards against crashes of long prompts that fill the memory of an entry, and against a fleet that goes down and pushes out the crashes of a part that recurs.
+TEST(RecordCrash, KeepsARecurringPartInBoundedMemory)
+{
+    const QuarantineSettings settings;
+    CrashEvidence evidence;
+    const auto record = [&](const std::string &upstream, AK::Milliseconds at, uint64_t prompt, const Parts &parts) {
+        recordCrash(evidence, {upstream, at, {{prompt, at - 50, parts}}}, at, settings);
+    };
+    record("u1", start, 1, {"bad"});
+    record("u2", start + 100, 1, {"bad"});
+    constexpr int others = 400;
+    for (int i = 0; i < others; ++i) {
+        Parts parts;
+        for (int part = 0; part < 4'000; ++part) {
+            parts.push_back(std::to_string(i) + "-" + std::to_string(part));
+        }
+        record("v" + std::to_string(i), start + 200, static_cast<uint64_t>(1'000 + i), parts);
+    }
+    size_t remembered = 0;
+    for (const Crash &crash : evidence.crashes) {
+        for (const CrashSuspect &suspect : crash.suspects) {
+            remembered += suspect.parts.size();
+        }
+    }
+    EXPECT_LE(remembered, 20'000U);
+    EXPECT_LE(evidence.byPart.size(), 20'000U);
+    record("u3", start + 60'000, 2, {"bad"});
+    EXPECT_EQ(findCrashingParts(evidence, {}, start + 60'000, settings), Parts{"bad"});
+}
+
+struct SupersededCase {
+    const char *name;
+    std::vector<SuspectRow> suspects;
+    std::set<std::string> known;
+    Parts superseded;
+};
+
+class SupersededPartsTest : public testing::TestWithParam<SupersededCase>
+{
+};
+
+// Guards against the part of a session that stays quarantined although another part of its prompts is the cause, and against two causes of which one is
+// released.
+TEST_P(SupersededPartsTest, ExplainNothingOfTheirOwn)
+{
+    EXPECT_EQ(findSupersededParts(evidenceOf({"", GetParam().suspects, {}, {}}), GetParam().known, QuarantineSettings{}), GetParam().superseded);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, SupersededPartsTest,
+    testing::Values(SupersededCase{"session", join(crashesInTurn(3, {"bad", "s1"}), crashesInTurn(2, {"bad", "s2"}, "w")), {"bad", "s1"}, {"s1"}},
+                    SupersededCase{"one_more_crash", join(crashesInTurn(3, {"bad", "s1"}), crashesInTurn(1, {"bad", "s2"}, "w")), {"bad", "s1"}, {}},
+                    SupersededCase{"two_causes", join(crashesInTurn(5, {"a", "bad"}), crashesInTurn(3, {"a", "bad2"}, "w")), {"bad", "bad2"}, {}},
+                    SupersededCase{"same_crashes", crashesInTurn(5, {"bad", "s1"}), {"bad", "s1"}, {}}),
+    [](const auto &info) { return std::string(info.param.name); });
+
 // Guards against a memory of parts that grows with the number of prompts.
 TEST(SoundParts, ForgetsTheOldest)
 {
@@ -172,7 +228,7 @@
 TEST_P(IsSuspectedTest, ByAnotherPromptWithThePart)
 {
     const CrashEvidence evidence = evidenceOf({"", crashesInTurn(1, {"a", "bad"}), GetParam().sound, {}});
-    EXPECT_EQ(isSuspected(evidence, GetParam().parts, GetParam().prompt), GetParam().suspected);
+    EXPECT_EQ(isSuspected(evidence, GetParam().parts, GetParam().prompt, QuarantineSettings{}), GetParam().suspected);
 }
 
 INSTANTIATE_TEST_SUITE_P(Table, IsSuspectedTest,
--- a/Tests/Platform/TestCallHeaders.cpp
+++ b/Tests/Platform/TestCallHeaders.cpp
@@ -43,7 +43,7 @@
                                          PromptPartsCase{"empty_parts", ",,5c:1,,91:2", {"5c"}, "91"},
                                          PromptPartsCase{"long_id", std::string(65, 'a') + ":1,5c:1,91:1", {"5c"}, "91"},
                                          PromptPartsCase{"not_an_id", "../config/main:1,5c:1,91:1", {"5c"}, "91"},
-                                         PromptPartsCase{"many", manyParts(40), std::vector<std::string>(32, "ab"), "cd"}),
+                                         PromptPartsCase{"many", manyParts(40), std::vector<std::string>(40, "ab"), "cd"}),
                          [](const auto &info) { return std::string(info.param.name); });
 
 struct RateLimitCase {
--- a/Tests/Platform/TestCodec.cpp
+++ b/Tests/Platform/TestCodec.cpp
@@ -131,6 +131,10 @@
     EXPECT_EQ(state.quarantinedParts(), (std::set<std::string>{"5c1e07a2", "91bd3f06"}));
     codec.decode(LibFleet::ObjectKind::QuarantinedParts, {{"91bd3f06", "null"}}, 0, state);
     EXPECT_EQ(state.quarantinedParts(), (std::set<std::string>{"91bd3f06"}));
+    // The crashes are no part.
+    codec.decode(LibFleet::ObjectKind::QuarantinedParts, {{"91bd3f06", "null"}, {"crashes", R"({"crashes":[]})"}}, 0, state);
+    EXPECT_EQ(state.quarantinedParts(), (std::set<std::string>{"91bd3f06"}));
+    EXPECT_EQ(state.storedCrashes(), R"({"crashes":[]})");
 }
 
 TEST(ObjectCodec, DecodesAConfiguration)
--- a/Tests/Services/Gateway/TestPromptQuarantine.cpp
+++ b/Tests/Services/Gateway/TestPromptQuarantine.cpp
@@ -22,14 +22,19 @@
     {
         return LibFleet::ObjectPage{};
     }
-    absl::Status put(kj::WaitScope & /*scope*/, LibFleet::ObjectKind kind, const std::string &name, const std::string & /*spec*/) override
+    absl::Status put(kj::WaitScope & /*scope*/, LibFleet::ObjectKind kind, const std::string &name, const std::string &spec) override
     {
-        ++this->writes;
+        const bool isPart = name != LibFleet::storedCrashesName;
+        ++(isPart ? this->writes : this->crashWrites);
         EXPECT_EQ(kind, LibFleet::ObjectKind::QuarantinedParts);
         if (this->down) {
             return absl::UnavailableError("down");
         }
-        this->parts.insert(name);
+        if (isPart) {
+            this->parts.insert(name);
+        } else {
+            this->crashes = spec;
+        }
         this->publish();
         return absl::OkStatus();
     }
@@ -45,13 +50,17 @@
     {
         for (LibFleet::FleetState *reader : this->readers) {
             reader->setQuarantinedParts(this->parts);
+            reader->setStoredCrashes(this->crashes);
         }
     }
 
     std::set<std::string> parts;
+    std::string crashes;
     std::vector<LibFleet::FleetState *> readers;
     bool down = false;
+    /// Of parts, and of crashes.
     int writes = 0;
+    int crashWrites = 0;
 };
 
 /// What an entry has for its quarantine.
@@ -92,11 +101,16 @@
 
     /// A crash that one entry saw, by a call that it sent after the crash before.
     void crash(size_t entry, const Parts &parts)
+    {
+        this->crash(entry, parts, this->crashes + 1);
+    }
+
+    void crash(size_t entry, const Parts &parts, uint64_t prompt)
     {
         this->sleep(2);
         ++this->crashes;
         const AK::Milliseconds now = this->loop.clock().now();
-        this->entries[entry]->quarantine.recordCrash({"i-" + std::to_string(this->crashes), now, {{this->crashes, now - 1, parts}}});
+        this->entries[entry]->quarantine.recordCrash({"i-" + std::to_string(this->crashes), now, {{prompt, now - 1, parts}}});
     }
 
     /// Each entry tells its neighbour, as often as it takes until all know.
@@ -178,10 +192,47 @@
     site.exchange();
     ASSERT_TRUE(site.waitUntil([&] { return site.store.parts.contains("bad"); }));
     EXPECT_EQ(site.store.writes, 1);
+    EXPECT_LE(site.store.crashWrites, 1);
     site.entries.push_back(std::make_unique<EntryFixture>(site.loop, site.store));
     EXPECT_TRUE(site.entries.back()->quarantine.isQuarantined({"bad"}));
 }
 
+// Guards against a part that is never found because the entries that saw its crashes have been restarted, and against as many writes as there are entries.
+TEST(PromptQuarantine, CrashesOutliveEveryEntry)
+{
+    QuarantineSite site(4);
+    // One prompt, sent twice.
+    site.crashes = 10;
+    site.crash(0, {"bad"}, 7);
+    site.crash(1, {"bad"}, 7);
+    site.exchange();
+    ASSERT_TRUE(site.waitUntil([&] { return !site.store.crashes.empty(); }));
+    // Entries that come later in turn had no reason to write.
+    site.sleep(1'500);
+    EXPECT_EQ(site.store.crashWrites, 1);
+    site.entries.push_back(std::make_unique<EntryFixture>(site.loop, site.store));
+    site.entries.erase(site.entries.begin(), site.entries.end() - 1);
+    site.store.readers = {&site.entries.front()->fleet};
+    site.crash(0, {"bad"}, 8);
+    EXPECT_TRUE(site.entries.front()->quarantine.isQuarantined({"bad"}));
+}
+
+// Guards against a part that is found again by its old crashes after it has been released.
+TEST(PromptQuarantine, ReleasedPartsLeaveTheStoredCrashes)
+{
+    QuarantineSite site(2);
+    for (size_t i = 0; i < 4; ++i) {
+        site.crash(i % 2, {"bad"});
+    }
+    site.exchange();
+    ASSERT_TRUE(site.waitUntil([&] { return site.store.parts.contains("bad") && site.store.crashes.find("bad") != std::string::npos; }));
+    // By an operator.
+    site.store.parts.erase("bad");
+    site.store.publish();
+    EXPECT_TRUE(site.waitUntil([&] { return site.store.crashes.find("bad") == std::string::npos; }));
+    EXPECT_TRUE(site.store.parts.empty());
+}
+
 // Guards against a part that is sent to upstreams again because the store came back from a copy without it: it is in force, and nobody writes it again.
 TEST(PromptQuarantine, IsStoredAgainWhenTheStoreHasLostIt)
 {
--- a/Userland/Libraries/LibFleet/FleetState.cpp
+++ b/Userland/Libraries/LibFleet/FleetState.cpp
@@ -146,6 +146,20 @@
     this->notifyObservers();
 }
 
+const std::string &FleetState::storedCrashes() const
+{
+    return this->crashes;
+}
+
+void FleetState::setStoredCrashes(std::string text)
+{
+    if (text == this->crashes) {
+        return;
+    }
+    this->crashes = std::move(text);
+    this->notifyObservers();
+}
+
 void FleetState::setWeightsTargets(const std::map<std::string, int64_t> &versions, AK::Milliseconds initialAge, AK::Milliseconds unnoticed)
 {
     bool added = false;
--- a/Userland/Libraries/LibFleet/FleetState.h
+++ b/Userland/Libraries/LibFleet/FleetState.h
@@ -57,6 +57,9 @@
     bool assumed = false;
 };
 
+/// Name of the object among the quarantined parts that holds crashes. Names of parts are hexadecimal, so none has it.
+inline constexpr const char *storedCrashesName = "crashes";
+
 /// The state of the deployment as this process knows it. Updated from the object feeds; read by the services.
 class FleetState
 {
@@ -71,6 +74,8 @@
     bool isEvacuated(const std::string &failureDomain) const;
     /// Parts of prompts that crash upstreams; calls with one of them are rejected.
     const std::set<std::string> &quarantinedParts() const;
+    /// Crashes that may still show such a part, as an entry wrote them; empty when there are none.
+    const std::string &storedCrashes() const;
     /// Whether the targets have been read. Until then a model without a target may still have one.
     bool weightsTargetsKnown() const;
     /// The newest target of a model; version 0 when it has none.
@@ -84,6 +89,7 @@
     void setEntries(std::map<std::string, EntryRecord> entries);
     void setEvacuations(std::set<std::string> failureDomains);
     void setQuarantinedParts(std::set<std::string> parts);
+    void setStoredCrashes(std::string text);
     /// Adds targets that are newer than the known ones. `initialAge` is the assumed age at the start of this process, in ms, of targets that it finds first.
     /// `unnoticed`: time in ms for which a naming may have gone unnoticed; it is taken for the age of the new targets, up to `initialAge`.
     void setWeightsTargets(const std::map<std::string, int64_t> &versions, AK::Milliseconds initialAge, AK::Milliseconds unnoticed = 0);
@@ -111,6 +117,7 @@
     std::map<std::string, EntryRecord> entriesByName;
     std::set<std::string> evacuated;
     std::set<std::string> quarantined;
+    std::string crashes;
     std::map<std::string, std::vector<WeightsTarget>> targetsByModel;
     bool targetsKnown = false;
     std::vector<std::function<void()>> observers;
--- a/Userland/Libraries/LibGateway/CrashEvidence.cpp
+++ b/Userland/Libraries/LibGateway/CrashEvidence.cpp
@@ -1,7 +1,6 @@
 #include <LibGateway/CrashEvidence.h>
 
 #include <algorithm>
-#include <map>
 
 namespace LibGateway
 {
@@ -13,145 +12,213 @@
 constexpr AK::Milliseconds sameCrashTime = 2'000;
 constexpr size_t maxCrashes = 128;
 constexpr size_t maxSuspectsPerCrash = 64;
+// Parts of one call that are kept, and of all calls together. A prompt may have thousands, but one of few kilobytes has tens.
+constexpr size_t maxPartsPerSuspect = 512;
+constexpr size_t maxParts = 8'192;
 // Parts remembered are between this number and its double.
 constexpr size_t minSoundParts = 8'192;
 
-bool isSameSuspect(const CrashSuspect &left, const CrashSuspect &right)
+size_t partsOf(const Crash &crash)
 {
-    return left.prompt == right.prompt && left.parts == right.parts;
+    size_t count = 0;
+    for (const CrashSuspect &suspect : crash.suspects) {
+        count += suspect.parts.size();
+    }
+    return count;
 }
 
-bool hasPart(const CrashSuspect &suspect, const std::string &part)
+// Adds a suspect of a crash to the index of parts.
+void addToIndex(CrashEvidence &evidence, const Crash &crash, const CrashSuspect &suspect)
 {
-    return std::find(suspect.parts.begin(), suspect.parts.end(), part) != suspect.parts.end();
+    for (const std::string &part : suspect.parts) {
+        std::vector<CrashEvidence::PartCrash> &rows = evidence.byPart[part];
+        auto row = std::find_if(rows.begin(), rows.end(), [&](const CrashEvidence::PartCrash &known) { return known.number == crash.number; });
+        if (row == rows.end()) {
+            rows.push_back({crash.number, crash.crashedAt, suspect.sentAt, {}});
+            row = std::prev(rows.end());
+        }
+        row->sentAt = std::min(row->sentAt, suspect.sentAt);
+        row->prompts.insert(suspect.prompt);
+    }
 }
 
-bool isExplained(const Crash &crash, const std::set<std::string> &causes)
+// Whether a crash has a suspect with the same prompt and at least the same parts. Entries may know answers to different parts.
+bool isKnown(const CrashEvidence &evidence, uint64_t crash, const CrashSuspect &suspect)
 {
-    return std::any_of(crash.suspects.begin(), crash.suspects.end(), [&](const CrashSuspect &suspect) {
-        return std::any_of(suspect.parts.begin(), suspect.parts.end(), [&](const std::string &part) { return causes.contains(part); });
+    return std::all_of(suspect.parts.begin(), suspect.parts.end(), [&](const std::string &part) {
+        const auto rows = evidence.byPart.find(part);
+        return rows != evidence.byPart.end() && std::any_of(rows->second.begin(), rows->second.end(), [&](const CrashEvidence::PartCrash &row) {
+                   return row.number == crash && row.prompts.contains(suspect.prompt);
+               });
     });
 }
 
-/// What speaks against one part.
-struct PartCase {
-    std::string part;
-    size_t position = 0;
-    bool answeredBefore = false;
-    /// Time of each crash, and the earliest send of a suspect with the part.
-    std::vector<std::pair<AK::Milliseconds, AK::Milliseconds>> crashes;
-    std::set<uint64_t> prompts;
-};
+void removeFromIndex(CrashEvidence &evidence, const Crash &crash)
+{
+    for (const CrashSuspect &suspect : crash.suspects) {
+        for (const std::string &part : suspect.parts) {
+            const auto found = evidence.byPart.find(part);
+            if (found == evidence.byPart.end()) {
+                continue;
+            }
+            std::erase_if(found->second, [&](const CrashEvidence::PartCrash &row) { return row.number == crash.number; });
+            if (found->second.empty()) {
+                evidence.byPart.erase(found);
+            }
+        }
+    }
+}
 
-std::vector<PartCase> collectCases(const CrashEvidence &evidence, AK::Milliseconds now, const std::set<std::string> &causes, const QuarantineSettings &settings)
+void removeOldCrashes(CrashEvidence &evidence, AK::Milliseconds now, const QuarantineSettings &settings)
 {
-    std::map<std::string, PartCase> cases;
-    for (const Crash &crash : evidence.crashes) {
-        if (now - crash.crashedAt > settings.evidenceMaxAge || isExplained(crash, causes)) {
-            continue;
+    std::erase_if(evidence.crashes, [&](const Crash &crash) {
+        const bool isOld = now - crash.crashedAt > settings.evidenceMaxAge;
+        if (isOld) {
+            removeFromIndex(evidence, crash);
         }
-        std::map<std::string, AK::Milliseconds> sentAt;
-        for (const CrashSuspect &suspect : crash.suspects) {
-            for (size_t position = 0; position < suspect.parts.size(); ++position) {
-                const std::string &part = suspect.parts[position];
-                const std::optional<AK::Milliseconds> sound = lastSound(evidence.soundParts, part);
-                if (sound && *sound >= crash.crashedAt) {
-                    continue;
+        return isOld;
+    });
+}
+
+// Removes what speaks against a part up to a time, and crashes of which nothing is left. Returns whether there was anything.
+bool clearPart(CrashEvidence &evidence, const std::string &part, AK::Milliseconds until)
+{
+    const auto found = evidence.byPart.find(part);
+    if (found == evidence.byPart.end()) {
+        return false;
+    }
+    std::set<uint64_t> cleared;
+    std::erase_if(found->second, [&](const CrashEvidence::PartCrash &row) {
+        const bool isCleared = row.crashedAt <= until;
+        if (isCleared) {
+            cleared.insert(row.number);
+        }
+        return isCleared;
+    });
+    if (found->second.empty()) {
+        evidence.byPart.erase(found);
+    }
+    std::erase_if(evidence.crashes, [&](Crash &crash) {
+        if (!cleared.contains(crash.number)) {
+            return false;
+        }
+        for (CrashSuspect &suspect : crash.suspects) {
+            std::erase(suspect.parts, part);
+        }
+        std::erase_if(crash.suspects, [](const CrashSuspect &suspect) { return suspect.parts.empty(); });
+        return crash.suspects.empty();
+    });
+    return !cleared.empty();
+}
+
+// Removes crashes above the limits: first those none of whose parts stands in another one, the oldest first. A fleet that goes down at once must not make room
+// for itself with the crashes of a part that recurs.
+void enforceLimits(CrashEvidence &evidence)
+{
+    size_t parts = 0;
+    for (const Crash &crash : evidence.crashes) {
+        parts += partsOf(crash);
+    }
+    while (evidence.crashes.size() > maxCrashes || (parts > maxParts && evidence.crashes.size() > 1)) {
+        const auto recurrence = [&](const Crash &crash) {
+            size_t most = 0;
+            for (const CrashSuspect &suspect : crash.suspects) {
+                for (const std::string &part : suspect.parts) {
+                    const auto found = evidence.byPart.find(part);
+                    most = std::max(most, found == evidence.byPart.end() ? 0 : found->second.size());
                 }
-                PartCase &partCase = cases[part];
-                partCase.part = part;
-                partCase.position = std::max(partCase.position, position);
-                partCase.answeredBefore = sound.has_value();
-                partCase.prompts.insert(suspect.prompt);
-                const auto [earliest, isNew] = sentAt.try_emplace(part, suspect.sentAt);
-                earliest->second = std::min(earliest->second, suspect.sentAt);
+            }
+            return most;
+        };
+        // The newest one is not removed, or it would never be seen to recur.
+        auto least = evidence.crashes.begin();
+        size_t leastRecurrence = recurrence(*least);
+        for (auto it = std::next(least); it != std::prev(evidence.crashes.end()); ++it) {
+            if (const size_t other = recurrence(*it); other < leastRecurrence) {
+                least = it;
+                leastRecurrence = other;
             }
         }
-        for (const auto &[part, sent] : sentAt) {
-            cases[part].crashes.emplace_back(crash.crashedAt, sent);
-        }
+        parts -= partsOf(*least);
+        removeFromIndex(evidence, *least);
+        evidence.crashes.erase(least);
     }
-    std::vector<PartCase> result;
-    result.reserve(cases.size());
-    for (auto &[part, partCase] : cases) {
-        result.push_back(std::move(partCase));
+}
+
+// Leaves the parts of a crash that have not been answered since.
+Crash withoutSoundParts(const Crash &crash, const SoundParts &sound)
+{
+    Crash result = crash;
+    for (CrashSuspect &suspect : result.suspects) {
+        std::erase_if(suspect.parts, [&](const std::string &part) { return lastSound(sound, part).value_or(crash.crashedAt - 1) >= crash.crashedAt; });
+    }
+    std::erase_if(result.suspects, [](const CrashSuspect &suspect) { return suspect.parts.empty(); });
+    for (CrashSuspect &suspect : result.suspects) {
+        suspect.parts = suspectedParts(sound, suspect.parts);
     }
     return result;
 }
 
-size_t countRounds(std::vector<std::pair<AK::Milliseconds, AK::Milliseconds>> crashes)
+bool isSameCrash(const Crash &left, const Crash &right)
 {
-    std::sort(crashes.begin(), crashes.end());
-    size_t rounds = 0;
-    AK::Milliseconds lastCrashAt = 0;
-    for (const auto &[crashedAt, sentAt] : crashes) {
-        if (rounds == 0 || sentAt >= lastCrashAt) {
-            ++rounds;
-            lastCrashAt = crashedAt;
-        }
-    }
-    return rounds;
+    return left.upstream == right.upstream && std::abs(left.crashedAt - right.crashedAt) <= sameCrashTime;
 }
 
-bool isProven(const PartCase &partCase, const QuarantineSettings &settings)
+} // namespace
+
+std::vector<std::string> partsToLog(const std::vector<std::string> &parts)
 {
-    const bool sound = partCase.answeredBefore;
-    return partCase.crashes.size() >= (sound ? settings.crashesOfSoundPart : settings.crashes)
-        && partCase.prompts.size() >= (sound ? settings.promptsOfSoundPart : settings.prompts)
-        && countRounds(partCase.crashes) >= (sound ? settings.roundsOfSoundPart : settings.rounds);
+    constexpr size_t maxLoggedParts = 48;
+    return {parts.begin(), parts.begin() + static_cast<std::ptrdiff_t>(std::min(parts.size(), maxLoggedParts))};
 }
 
-const PartCase *chooseCause(const std::vector<PartCase> &cases, bool answeredBefore, const QuarantineSettings &settings)
+std::vector<std::string> suspectedParts(const SoundParts &sound, const std::vector<std::string> &parts)
 {
-    const auto isCandidate = [&](const PartCase &partCase) {
-        return partCase.answeredBefore == answeredBefore && isProven(partCase, settings);
-    };
-    size_t most = 0;
-    for (const PartCase &partCase : cases) {
-        most = std::max(most, isCandidate(partCase) ? partCase.crashes.size() : 0);
+    if (parts.size() <= maxPartsPerSuspect) {
+        return parts;
     }
-    const PartCase *chosen = nullptr;
-    for (const PartCase &partCase : cases) {
-        if (!isCandidate(partCase) || static_cast<double>(partCase.crashes.size()) < settings.equalShare * static_cast<double>(most)) {
-            continue;
-        }
-        if (chosen == nullptr || partCase.position > chosen->position
-            || (partCase.position == chosen->position && partCase.crashes.size() > chosen->crashes.size())) {
-            chosen = &partCase;
+    std::vector<std::string> chosen;
+    for (const bool answered : {false, true}) {
+        for (const std::string &part : parts) {
+            if (lastSound(sound, part).has_value() == answered && chosen.size() < maxPartsPerSuspect) {
+                chosen.push_back(part);
+            }
         }
     }
     return chosen;
 }
 
-} // namespace
-
 bool recordCrash(CrashEvidence &evidence, const Crash &crash, AK::Milliseconds now, const QuarantineSettings &settings)
 {
-    std::erase_if(evidence.crashes, [&](const Crash &known) { return now - known.crashedAt > settings.evidenceMaxAge; });
-    const auto found = std::find_if(evidence.crashes.begin(), evidence.crashes.end(), [&](const Crash &known) {
-        return known.upstream == crash.upstream && std::abs(known.crashedAt - crash.crashedAt) <= sameCrashTime;
-    });
+    const Crash news = withoutSoundParts(crash, evidence.soundParts);
+    if (news.suspects.empty() || now - crash.crashedAt > settings.evidenceMaxAge) {
+        return false;
+    }
+    removeOldCrashes(evidence, now, settings);
+    auto found = std::find_if(evidence.crashes.begin(), evidence.crashes.end(), [&](const Crash &known) { return isSameCrash(known, news); });
     if (found == evidence.crashes.end()) {
-        if (evidence.crashes.size() >= maxCrashes) {
-            evidence.crashes.erase(evidence.crashes.begin());
-        }
-        evidence.crashes.push_back(crash);
-        evidence.crashes.back().learnedAt = now;
-        return true;
+        evidence.crashes.push_back({news.upstream, news.crashedAt, {}, now, ++evidence.lastNumber});
+        found = std::prev(evidence.crashes.end());
     }
     bool isNews = false;
-    for (const CrashSuspect &suspect : crash.suspects) {
-        const bool isKnown =
-            std::any_of(found->suspects.begin(), found->suspects.end(), [&](const CrashSuspect &known) { return isSameSuspect(known, suspect); });
-        if (!isKnown && found->suspects.size() < maxSuspectsPerCrash) {
+    for (const CrashSuspect &suspect : news.suspects) {
+        if (!isKnown(evidence, found->number, suspect) && found->suspects.size() < maxSuspectsPerCrash) {
             found->suspects.push_back(suspect);
+            addToIndex(evidence, *found, found->suspects.back());
             found->learnedAt = now;
             isNews = true;
         }
     }
+    enforceLimits(evidence);
     return isNews;
 }
 
+bool recordSoundPart(CrashEvidence &evidence, const std::string &part, AK::Milliseconds at)
+{
+    recordSoundPart(evidence.soundParts, part, at);
+    return clearPart(evidence, part, at);
+}
+
 void recordSoundPart(SoundParts &parts, const std::string &part, AK::Milliseconds at)
 {
     if (parts.newer.size() >= minSoundParts) {
@@ -172,31 +239,4 @@
     return std::nullopt;
 }
 
-std::vector<std::string> findCrashingParts(const CrashEvidence &evidence, const std::set<std::string> &known, AK::Milliseconds now,
-                                           const QuarantineSettings &settings)
-{
-    std::vector<std::string> found;
-    std::set<std::string> causes = known;
-    while (true) {
-        const std::vector<PartCase> cases = collectCases(evidence, now, causes, settings);
-        const PartCase *cause = chooseCause(cases, false, settings);
-        cause = cause == nullptr ? chooseCause(cases, true, settings) : cause;
-        if (cause == nullptr) {
-            return found;
-        }
-        found.push_back(cause->part);
-        causes.insert(cause->part);
-    }
-}
-
-bool isSuspected(const CrashEvidence &evidence, const std::vector<std::string> &parts, uint64_t prompt)
-{
-    return std::any_of(parts.begin(), parts.end(), [&](const std::string &part) {
-        return !lastSound(evidence.soundParts, part) && std::any_of(evidence.crashes.begin(), evidence.crashes.end(), [&](const Crash &crash) {
-            return std::any_of(crash.suspects.begin(), crash.suspects.end(),
-                               [&](const CrashSuspect &suspect) { return suspect.prompt != prompt && hasPart(suspect, part); });
-        });
-    });
-}
-
 } // namespace LibGateway
--- a/Userland/Services/Gateway/CallTaskEnd.cpp
+++ b/Userland/Services/Gateway/CallTaskEnd.cpp
@@ -101,7 +101,7 @@
                        {"first_byte_ms", this->report.firstByteAfter},
                        {"longest_gap_ms", this->report.longestGap},
                        {"prompt_tokens", this->request.promptTokens},
-                       {"prompt_parts", this->request.sharedPromptParts},
+                       {"prompt_parts", LibGateway::partsToLog(this->request.sharedPromptParts)},
                        {"late", late},
                        {"priority", this->requirements.rank.priority},
                        {"predicted_wait_ms", this->report.predictedWaitMs},
--- a/Userland/Services/Gateway/CrashDetector.cpp
+++ b/Userland/Services/Gateway/CrashDetector.cpp
@@ -18,7 +18,7 @@
     std::vector<std::string> texts;
     for (const LibGateway::CrashSuspect &suspect : suspects) {
         std::string text;
-        for (const std::string &part : suspect.parts) {
+        for (const std::string &part : LibGateway::partsToLog(suspect.parts)) {
             text += (text.empty() ? "" : ",") + part;
         }
         texts.push_back(std::move(text));
--- a/Userland/Services/Gateway/PromptQuarantine.cpp
+++ b/Userland/Services/Gateway/PromptQuarantine.cpp
@@ -1,6 +1,8 @@
 #include "PromptQuarantine.h"
 
 #include <AK/Hash.h>
+#include <LibGateway/CrashingParts.h>
+#include <LibGateway/StoredCrashes.h>
 #include <algorithm>
 
 namespace Gateway
@@ -11,6 +13,15 @@
 
 // News are sent with every exchange for this long; a lost exchange is repeated after 600 ms.
 constexpr AK::Milliseconds newsTime = 2'500;
+// A part that is found may be cleared by news of others for this long, and by answers to calls in flight later.
+constexpr AK::Milliseconds reviewTime = 15'000;
+// A part that is answered all the time is cleared at once; its crashes are not worth telling.
+constexpr AK::Milliseconds recentAnswerTime = 1'000;
+// Answers that clear parts of a crash arrive within about this time.
+constexpr AK::Milliseconds storeAfter = 1'000;
+constexpr size_t maxStoredCrashes = 32;
+// Entries write the stored crashes again without a part for this long after its release.
+constexpr AK::Milliseconds releaseNewsTime = 30'000;
 
 } // namespace
 
@@ -32,18 +43,39 @@
     // Parts that are known to be sound tell the others nothing.
     const bool anyUnknown = std::any_of(crash.suspects.begin(), crash.suspects.end(), [&](const LibGateway::CrashSuspect &suspect) {
         return std::any_of(suspect.parts.begin(), suspect.parts.end(),
-                           [&](const std::string &part) { return !this->isSoundSince(part, crash.crashedAt - this->settings.evidenceMaxAge); });
+                           [&](const std::string &part) { return !this->isSoundSince(part, crash.crashedAt - recentAnswerTime); });
     });
-    if (!anyUnknown || !LibGateway::recordCrash(this->evidence, crash, this->clock.now(), this->settings)) {
-        return;
+    if (anyUnknown && this->record(crash)) {
+        this->findParts();
+    }
+}
+
+bool PromptQuarantine::record(const LibGateway::Crash &crash)
+{
+    const AK::Milliseconds now = this->clock.now();
+    // Others may not know of the answers that clear parts of the crash.
+    for (const LibGateway::CrashSuspect &suspect : crash.suspects) {
+        for (const std::string &part : suspect.parts) {
+            if (this->isSoundSince(part, crash.crashedAt)) {
+                this->clearedParts[part] = now;
+            }
+        }
+    }
+    std::erase_if(this->clearedParts, [&](const auto &row) { return now - row.second > newsTime; });
+    return LibGateway::recordCrash(this->evidence, crash, now, this->settings);
+}
+
+void PromptQuarantine::recordSoundPart(const std::string &part, AK::Milliseconds at)
+{
+    if (LibGateway::recordSoundPart(this->evidence, part, at)) {
+        this->clearedParts[part] = this->clock.now();
     }
-    this->findParts();
 }
 
 void PromptQuarantine::recordSoundPrompt(const std::vector<std::string> &parts)
 {
     for (const std::string &part : parts) {
-        LibGateway::recordSoundPart(this->evidence.soundParts, part, this->clock.now());
+        this->recordSoundPart(part, this->clock.now());
         if (const auto found = this->quarantined.find(part); found != this->quarantined.end() && !found->second.isStored) {
             this->quarantined.erase(found);
         }
@@ -60,13 +92,13 @@
 {
     return !this->quarantined.empty() && std::any_of(parts.begin(), parts.end(), [&](const std::string &part) {
         const auto found = this->quarantined.find(part);
-        return found != this->quarantined.end() && !this->isSoundSince(part, found->second.since);
+        return found != this->quarantined.end() && found->second.supersededAt == 0 && !this->isSoundSince(part, found->second.since);
     });
 }
 
 bool PromptQuarantine::isSuspected(const LibGateway::CallRequest &request) const
 {
-    return LibGateway::isSuspected(this->evidence, request.sharedPromptParts, AK::stableHash(request.lastPromptPart));
+    return LibGateway::isSuspected(this->evidence, request.sharedPromptParts, AK::stableHash(request.lastPromptPart), this->settings);
 }
 
 void PromptQuarantine::findParts()
@@ -75,8 +107,7 @@
     const std::vector<std::string> found = LibGateway::findCrashingParts(this->evidence, this->fleet.quarantinedParts(), now, this->settings);
     // News may show that a part found before is sound and another one is the cause.
     std::erase_if(this->quarantined, [&](const auto &row) {
-        const bool cleared = !row.second.isStored && now - row.second.since < this->settings.evidenceMaxAge / 2
-            && std::find(found.begin(), found.end(), row.first) == found.end();
+        const bool cleared = !row.second.isStored && now - row.second.since < reviewTime && std::find(found.begin(), found.end(), row.first) == found.end();
         if (cleared) {
             this->logger.info("part_cleared", {{"part", row.first}});
         }
@@ -89,11 +120,53 @@
             this->logger.warning("part_quarantined", {{"part", part}, {"crashes_known", this->evidence.crashes.size()}});
         }
     }
+    if (isNew) {
+        this->supersedeParts();
+    }
     if (isNew && this->foundObserver) {
         this->foundObserver();
     }
 }
 
+void PromptQuarantine::supersedeParts()
+{
+    std::set<std::string> known;
+    for (const auto &[part, entry] : this->quarantined) {
+        known.insert(part);
+    }
+    for (const std::string &part : LibGateway::findSupersededParts(this->evidence, known, this->settings)) {
+        const auto found = this->quarantined.find(part);
+        this->logger.info("part_superseded", {{"part", part}, {"stored", found->second.isStored}});
+        if (found->second.isStored) {
+            found->second.supersededAt = this->clock.now();
+        } else {
+            this->quarantined.erase(found);
+        }
+    }
+}
+
+void PromptQuarantine::readStoredCrashes()
+{
+    const std::string &text = this->fleet.storedCrashes();
+    if (this->storedCrashesRead || text.empty()) {
+        return;
+    }
+    this->storedCrashesRead = true;
+    const absl::StatusOr<std::vector<LibGateway::Crash>> crashes = LibGateway::decodeCrashes(text, {this->clock.now(), this->clock.wallTime()});
+    if (!crashes.ok()) {
+        this->logger.warning("stored_crashes_unreadable", {{"reason", std::string(crashes.status().message())}});
+        return;
+    }
+    bool isNews = false;
+    for (const LibGateway::Crash &crash : *crashes) {
+        isNews = this->record(crash) || isNews;
+    }
+    this->logger.info("stored_crashes_read", {{"crashes", crashes->size()}});
+    if (isNews) {
+        this->findParts();
+    }
+}
+
 void PromptQuarantine::followStore()
 {
     const std::set<std::string> &stored = this->fleet.quarantinedParts();
@@ -102,7 +175,8 @@
         if (it->second.isStored && !stored.contains(it->first)) {
             this->logger.info("part_released", {{"part", it->first}});
             // The crashes so far no longer speak against it.
-            LibGateway::recordSoundPart(this->evidence.soundParts, it->first, now);
+            LibGateway::recordSoundPart(this->evidence, it->first, now);
+            this->released[it->first] = now;
             it = this->quarantined.erase(it);
         } else {
             ++it;
@@ -111,6 +185,8 @@
     for (const std::string &part : stored) {
         this->quarantined.try_emplace(part, Entry{now, true}).first->second.isStored = true;
     }
+    std::erase_if(this->released, [&](const auto &row) { return now - row.second > releaseNewsTime; });
+    this->readStoredCrashes();
 }
 
 void PromptQuarantine::addTo(LibPeers::NodeState &state) const
@@ -129,6 +205,11 @@
             parts.insert(suspect.parts.begin(), suspect.parts.end());
         }
     }
+    for (const auto &[part, clearedAt] : this->clearedParts) {
+        if (now - clearedAt <= newsTime) {
+            parts.insert(part);
+        }
+    }
     for (const std::string &part : parts) {
         if (const std::optional<AK::Milliseconds> sound = LibGateway::lastSound(this->evidence.soundParts, part)) {
             state.soundParts.push_back({part, now - *sound});
@@ -141,7 +222,7 @@
     const AK::Milliseconds now = this->clock.now();
     bool changesFinding = false;
     for (const LibPeers::SoundPartReport &report : state.soundParts) {
-        LibGateway::recordSoundPart(this->evidence.soundParts, report.part, now - report.age);
+        this->recordSoundPart(report.part, now - report.age);
         changesFinding = changesFinding || this->quarantined.contains(report.part);
     }
     bool isNews = false;
@@ -150,7 +231,7 @@
         for (const LibPeers::SuspectReport &suspect : report.suspects) {
             crash.suspects.push_back({suspect.prompt, crash.crashedAt - suspect.sentBefore, suspect.parts});
         }
-        isNews = LibGateway::recordCrash(this->evidence, crash, now, this->settings) || isNews;
+        isNews = this->record(crash) || isNews;
     }
     if (isNews || changesFinding) {
         this->findParts();
@@ -179,4 +260,32 @@
     return parts;
 }
 
+std::map<std::string, AK::Milliseconds> PromptQuarantine::supersededParts() const
+{
+    std::map<std::string, AK::Milliseconds> parts;
+    for (const auto &[part, entry] : this->quarantined) {
+        if (entry.isStored && entry.supersededAt > 0) {
+            parts[part] = entry.supersededAt;
+        }
+    }
+    return parts;
+}
+
+std::set<std::string> PromptQuarantine::releasedParts() const
+{
+    const AK::Milliseconds now = this->clock.now();
+    std::set<std::string> parts;
+    for (const auto &[part, releasedAt] : this->released) {
+        if (now - releasedAt <= releaseNewsTime) {
+            parts.insert(part);
+        }
+    }
+    return parts;
+}
+
+std::vector<LibGateway::Crash> PromptQuarantine::crashesToStore() const
+{
+    return LibGateway::recurringCrashes(this->evidence, this->clock.now(), storeAfter, maxStoredCrashes);
+}
+
 } // namespace Gateway
--- a/Userland/Services/Gateway/PromptQuarantine.h
+++ b/Userland/Services/Gateway/PromptQuarantine.h
@@ -12,7 +12,8 @@
 {
 
 /// Finds the parts of prompts that crash upstreams and keeps calls with such a part from being sent. The entries exchange what they saw, because each of them
-/// may see too few crashes; each then comes to the same result. QuarantineKeeper stores the parts, so that they outlive every process.
+/// may see too few crashes; each then comes to the same result. QuarantineKeeper stores the parts and the crashes that may still show another one, so that they
+/// outlive every process.
 class PromptQuarantine
 {
 public:
@@ -42,24 +43,44 @@
     std::map<std::string, AK::Milliseconds> unstoredParts() const;
     /// Stored parts that turned out to be sound.
     std::vector<std::string> partsToRelease() const;
+    /// Stored parts whose crashes another part explains, and the monotonic time at which this process found that.
+    std::map<std::string, AK::Milliseconds> supersededParts() const;
+    /// Parts that have been released lately. The crashes before no longer speak against them.
+    std::set<std::string> releasedParts() const;
+    /// Crashes that are worth storing; see LibGateway::recurringCrashes().
+    std::vector<LibGateway::Crash> crashesToStore() const;
 
 private:
     struct Entry {
         /// Monotonic time at which this process found the part or learned of it.
         AK::Milliseconds since = 0;
         bool isStored = false;
+        /// Monotonic time at which another part turned out to be the cause, 0 for none.
+        AK::Milliseconds supersededAt = 0;
     };
 
     bool isSoundSince(const std::string &part, AK::Milliseconds since) const;
     /// Takes over the stored parts. A part that is no longer stored has been released.
     void followStore();
+    /// Takes over the stored crashes once after the start; later ones come from the other entries.
+    void readStoredCrashes();
     void findParts();
+    void supersedeParts();
+    /// Records an answer, and that others have to learn of it if a crash spoke against the part.
+    void recordSoundPart(const std::string &part, AK::Milliseconds at);
+    /// Records a crash. Returns whether there is anything new.
+    bool record(const LibGateway::Crash &crash);
 
     const AK::Clock &clock;
     LibFleet::FleetState &fleet;
     LibGateway::QuarantineSettings settings;
     LibGateway::CrashEvidence evidence;
     std::map<std::string, Entry> quarantined;
+    /// Monotonic time at which this process learned that a part is sound although a crash spoke against it.
+    std::map<std::string, AK::Milliseconds> clearedParts;
+    /// Monotonic time of the release of a part.
+    std::map<std::string, AK::Milliseconds> released;
+    bool storedCrashesRead = false;
     std::function<void()> foundObserver;
     LibLog::Logger logger{"quarantine"};
 };
--- a/Userland/Services/Gateway/QuarantineKeeper.cpp
+++ b/Userland/Services/Gateway/QuarantineKeeper.cpp
@@ -1,6 +1,7 @@
 #include "QuarantineKeeper.h"
 
 #include <AK/Hash.h>
+#include <LibGateway/StoredCrashes.h>
 #include <algorithm>
 
 namespace Gateway
@@ -44,6 +45,7 @@
             this->storeParts(scope);
             this->storeLostParts(scope);
             this->removeParts(scope);
+            this->storeCrashes(scope);
         }
     });
 }
@@ -99,6 +101,11 @@
     const AK::Milliseconds now = this->loop.clock().now();
     std::vector<std::string> toRemove = this->quarantine.partsToRelease();
     std::erase_if(this->storedSince, [&](const auto &row) { return !this->fleet.quarantinedParts().contains(row.first); });
+    for (const auto &[part, since] : this->quarantine.supersededParts()) {
+        if (now >= since + static_cast<AK::Milliseconds>(this->rankFor(part)) * takeoverTime) {
+            toRemove.push_back(part);
+        }
+    }
     for (const std::string &part : this->fleet.quarantinedParts()) {
         const AK::Milliseconds since = this->storedSince.try_emplace(part, now).first->second;
         if (now - since >= quarantineTime + static_cast<AK::Milliseconds>(this->rankFor(part)) * takeoverTime) {
@@ -112,4 +119,33 @@
     }
 }
 
+void QuarantineKeeper::storeCrashes(kj::WaitScope &scope)
+{
+    const LibGateway::ClockReading now{this->loop.clock().now(), this->loop.clock().wallTime()};
+    std::vector<LibGateway::Crash> known = this->quarantine.crashesToStore();
+    const std::set<std::string> released = this->quarantine.releasedParts();
+    if (known.empty() && (released.empty() || this->fleet.storedCrashes().empty())) {
+        this->crashesStaleSince.reset();
+        return;
+    }
+    // Crashes that can't be read are replaced.
+    std::vector<LibGateway::Crash> stored = LibGateway::decodeCrashes(this->fleet.storedCrashes(), now).value_or(std::vector<LibGateway::Crash>());
+    if (!stored.empty() && this->fleet.storedCrashes().size() > LibGateway::maxCrashReportBytes / 2) {
+        // Older crashes would be left out again.
+        std::erase_if(known, [&](const LibGateway::Crash &crash) { return crash.crashedAt < stored.front().crashedAt; });
+    }
+    if (!LibGateway::mergeCrashes(stored, known, released)) {
+        this->crashesStaleSince.reset();
+        return;
+    }
+    this->crashesStaleSince = this->crashesStaleSince.value_or(now.monotonic);
+    if (now.monotonic < *this->crashesStaleSince + static_cast<AK::Milliseconds>(this->rankFor(LibFleet::storedCrashesName)) * takeoverTime) {
+        return;
+    }
+    const absl::Status status =
+        this->store.put(scope, LibFleet::ObjectKind::QuarantinedParts, LibFleet::storedCrashesName, LibGateway::encodeCrashes(stored, now));
+    this->logger.info("crashes_stored", {{"crashes", stored.size()}, {"reason", std::string(status.message())}});
+    this->loop.sleep(scope, retryInterval);
+}
+
 } // namespace Gateway
--- a/Userland/Services/Gateway/QuarantineKeeper.h
+++ b/Userland/Services/Gateway/QuarantineKeeper.h
@@ -7,7 +7,8 @@
 {
 
 /// Stores the parts of prompts that are quarantined, one object each, so that they stay in force when all entries have been restarted, and removes the objects
-/// after a time. The entries find the same parts at about the same time; they write one after the other, until one of them has succeeded.
+/// after a time. One more object holds the crashes that may still show a part: requests with it may be minutes apart, and an entry restarted in between. The
+/// entries find the same parts at about the same time; they write one after the other, until one of them has succeeded.
 class QuarantineKeeper
 {
 public:
@@ -29,6 +30,8 @@
     void storeLostParts(kj::WaitScope &scope);
     void storePart(kj::WaitScope &scope, const std::string &part);
     void removeParts(kj::WaitScope &scope);
+    /// Stores crashes that the store lacks, and removes parts that have been released from those it has.
+    void storeCrashes(kj::WaitScope &scope);
 
     LibFiber::Loop &loop;
     Fleet::ObjectSource &store;
@@ -41,6 +44,8 @@
     std::map<std::string, AK::Milliseconds> storedSince;
     /// Monotonic time at which this process found that the store lacks each part that is in force.
     std::map<std::string, AK::Milliseconds> lostSince;
+    /// Monotonic time at which this process found that the stored crashes must change.
+    std::optional<AK::Milliseconds> crashesStaleSince;
     LibLog::Logger logger{"quarantine"};
 };
 
