LibHttpStream: Let no status that is none reach a client

Here a status line with a tab before it did the same, and the head of a second response inside the body of a stream was passed on as an event.

Cause: the check of the status looked behind the first space, the parser behind the first blank of any kind; and the blocks of a stream were passed on whatever stood in them. 101 counted as a head before the answer.

Change: one function reads the status, and the parser must read the same; 101 is refused; a block with a line that begins like a status line fails the attempt.

--- a/Userland/Libraries/LibGateway/EventSplitter.cpp
+++ b/Userland/Libraries/LibGateway/EventSplitter.cpp
@@ -46,6 +46,18 @@
     return true;
 }
 
+bool holdsMessageHead(const StreamEvent &event)
+{
+    static constexpr std::string_view head = "HTTP/1.";
+    const std::string_view text = event.text;
+    for (size_t at = text.find(head); at != std::string_view::npos; at = text.find(head, at + 1)) {
+        if (at == 0 || text[at - 1] == '\n') {
+            return true;
+        }
+    }
+    return false;
+}
+
 void EventSplitter::feed(std::string_view bytes)
 {
     this->buffer.append(bytes);
--- a/Userland/Libraries/LibGateway/EventSplitter.h
+++ b/Userland/Libraries/LibGateway/EventSplitter.h
@@ -18,6 +18,9 @@
 /// Whether an event holds comments alone. They show that the connection is open, not that the response goes on.
 bool isComment(const StreamEvent &event);
 
+/// Whether a line of an event begins like the head of another response. Such a block is no event: an upstream in trouble has begun anew inside its body.
+bool holdsMessageHead(const StreamEvent &event);
+
 /// Splits the bytes of an event stream into complete events, so that a client never gets part of an event when the stream breaks off inside it. Each byte is
 /// searched once, in however many pieces it is fed. An empty line with nothing before it is an event of its own, so that all bytes are passed on.
 class EventSplitter
--- a/Userland/Libraries/LibGateway/StreamContinuation.cpp
+++ b/Userland/Libraries/LibGateway/StreamContinuation.cpp
@@ -63,6 +63,10 @@
         if (!event) {
             return batch;
         }
+        if (holdsMessageHead(*event)) {
+            batch.fault = ContinuationFault::MessageHead;
+            return batch;
+        }
         batch.fault = continues ? checkContinuationEvent(batch.lastId ? batch.lastId : lastEventId, *event) : ContinuationFault::None;
         if (batch.fault != ContinuationFault::None) {
             return batch;
--- a/Userland/Libraries/LibGateway/StreamContinuation.h
+++ b/Userland/Libraries/LibGateway/StreamContinuation.h
@@ -21,6 +21,8 @@
     NoEventId,
     /// The id is not the one that follows the last event the client has.
     EventOrder,
+    /// The head of another response stands where an event is due; also in a stream that is not a resumption.
+    MessageHead,
 };
 
 inline constexpr std::array continuationFaultNames{
@@ -29,6 +31,7 @@
     AK::EnumName{ContinuationFault::ContentType, "the body is not a plain event stream"},
     AK::EnumName{ContinuationFault::NoReceipt, "the receipt is missing"},
     AK::EnumName{ContinuationFault::NoEventId, "an event has no id"},
+    AK::EnumName{ContinuationFault::MessageHead, "the head of another response stands inside the stream"},
     AK::EnumName{ContinuationFault::EventOrder, "an event does not follow the last one sent"},
 };
 
@@ -58,7 +61,7 @@
 inline constexpr size_t maxBatchEvents = 256;
 
 /// Takes up to maxBatchEvents whole events out of a splitter. `continues`: the client has a part of the stream from another upstream, so that each event is
-/// checked; the events of its first upstream are passed on as they are.
+/// checked; the events of its first upstream are passed on as they are, unless they hold the head of another response.
 EventBatch takeEvents(EventSplitter &splitter, const std::optional<std::string> &lastEventId, bool continues);
 
 /// What is known of a stream whose body has ended as its framing says.
--- a/Userland/Libraries/LibHttpStream/MessageHead.cpp
+++ b/Userland/Libraries/LibHttpStream/MessageHead.cpp
@@ -100,16 +100,18 @@
     return BodyFraming{};
 }
 
-// A status code has exactly three digits (RFC 9112, 4); the parser would take any number and narrow it.
-bool hasValidStatus(std::string_view text)
+// The status in the first line of a response, or 0 when it has none. A status code has exactly three digits, behind one space (RFC 9112, 4); the parser would
+// take any number behind any blanks and narrow it. No request of ours asks for another protocol, so nothing may switch to one.
+int statusIn(std::string_view text)
 {
+    constexpr int switchingProtocols = 101;
     std::string_view line = text.substr(0, text.find_first_of("\r\n"));
-    line.remove_prefix(std::min(line.find(' '), line.size()));
+    line.remove_prefix(std::min(line.find_first_of(" \t"), line.size()));
     line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
     const std::string_view digits = line.substr(0, line.find(' '));
     const bool threeDigits = digits.size() == 3 && digits.find_first_not_of("0123456789") == std::string_view::npos;
-    const int64_t status = threeDigits ? AK::parseInteger(digits).value_or(0) : 0;
-    return status >= lowestStatus && status <= highestStatus;
+    const auto status = static_cast<int>(threeDigits ? AK::parseInteger(digits).value_or(0) : 0);
+    return status >= lowestStatus && status <= highestStatus && status != switchingProtocols ? status : 0;
 }
 
 } // namespace
@@ -166,8 +168,9 @@
 
 absl::StatusOr<ResponseHead> parseResponseHead(std::string_view text)
 {
-    if (!hasValidStatus(text)) {
-        return absl::InvalidArgumentError(AK::concat("the status must be three digits from ", lowestStatus, " to ", highestStatus));
+    const int status = statusIn(text);
+    if (status == 0) {
+        return absl::InvalidArgumentError(AK::concat("the status must be three digits from ", lowestStatus, " to ", highestStatus, " and not 101"));
     }
     kj::Array<char> content = kj::heapArray<char>(text.data(), text.size());
     kj::HttpHeaders parsed(headerTable());
@@ -176,7 +179,10 @@
     {
         KJ_CASE_ONEOF(response, kj::HttpHeaders::Response)
         {
-            return ResponseHead{static_cast<int>(response.statusCode), std::string(response.statusText.cStr()), copyHeaders(parsed)};
+            if (response.statusCode != static_cast<kj::uint>(status)) {
+                return absl::InvalidArgumentError("the status line is ambiguous");
+            }
+            return ResponseHead{status, std::string(response.statusText.cStr()), copyHeaders(parsed)};
         }
         KJ_CASE_ONEOF(error, kj::HttpHeaders::ProtocolError)
         {
