Gateway: Send nothing for a client that has left

Cause that was found: an entry that is late finds a request, a free slot and the end of the client's connection in the same turn of its loop, and sent the request on before it came to the end. Entries there have a sixth of a core. Nothing in the logs told how late a loop was.

Change: a call asks the kernel for the end of its client's connection before each attempt and right before the request is written.

Evidence: LateLoopTest, an entry that stands still for 100 ms while a client sends a request and leaves: on the code before the upstream got the request in three of four cases (all but the one of a stream, which opens a connection of its own first), with the change in none.

--- a/Tests/LibGateway/TestAvailability.cpp
+++ b/Tests/LibGateway/TestAvailability.cpp
@@ -66,7 +66,7 @@
 // Guards against an obstacle whose name is missing in logs and metrics.
 TEST(Obstacles, HaveNames)
 {
-    for (int value = 0; value <= static_cast<int>(Obstacle::ColdRate); ++value) {
+    for (int value = 0; value <= static_cast<int>(Obstacle::ClientLeft); ++value) {
         EXPECT_NE(AK::nameOf(obstacleNames, static_cast<Obstacle>(value)), "?") << value;
     }
 }
--- a/Tests/Services/Gateway/GatewaySite.cpp
+++ b/Tests/Services/Gateway/GatewaySite.cpp
@@ -107,8 +107,9 @@
     , crashes(loop, metrics)
     , quarantine(loop.clock(), fleet)
     , bodyMemory(siteBodyMemory)
+    , loopWatch(loop, metrics)
     , address{Loopback::processHost(), nextPort()}
-    , gateway({loop, fleet, codec, dispatcher, connections, crashes, quarantine, metrics, bodyMemory}, address)
+    , gateway({loop, fleet, codec, dispatcher, connections, crashes, quarantine, metrics, bodyMemory, loopWatch}, address)
 {
     this->dispatcher.setRegions({{"lima-1", "lima"}});
     this->dispatcher.setEntries({{"e1", "lima-1"}});
--- a/Tests/Services/Gateway/GatewaySite.h
+++ b/Tests/Services/Gateway/GatewaySite.h
@@ -85,6 +85,7 @@
     Gateway::CrashDetector crashes;
     Gateway::PromptQuarantine quarantine;
     LibHttpStream::BodyMemory bodyMemory;
+    Gateway::LoopWatch loopWatch;
     AK::Endpoint address;
     Gateway::GatewayService gateway;
     std::vector<std::unique_ptr<FakeUpstream>> upstreams;
--- a/Tests/Services/Gateway/TestAbandonedCalls.cpp
+++ b/Tests/Services/Gateway/TestAbandonedCalls.cpp
@@ -1,6 +1,8 @@
 #include "GatewaySite.h"
 #include <AK/Text.h>
 #include <gtest/gtest.h>
+#include <list>
+#include <thread>
 
 namespace
 {
@@ -82,4 +84,57 @@
                                          AbandonedCase{"deadline_before_the_response", RouteKind::AtMostOnce, Sent::Nothing, false}),
                          [](const auto &info) { return info.param.name; });
 
+struct LateLoopCase {
+    const char *name;
+    RouteKind kind;
+    /// All slots are taken until the client has left.
+    bool waits;
+};
+
+class LateLoopTest : public testing::TestWithParam<LateLoopCase>
+{
+};
+
+// Guards against a request that is sent on although its client had left before: an entry that is late finds the request, a free slot and the end of the
+// connection in the same turn, and the slot may come first.
+TEST_P(LateLoopTest, SendsNothingForAClientThatHasLeft)
+{
+    constexpr AK::Milliseconds standstill = 100;
+    LibFiber::Loop *loop = nullptr;
+    GatewaySite site({[&](kj::WaitScope &scope, LibFiber::ByteChannel &channel, const LibHttpStream::RequestHead &, const std::string &) {
+        const std::string event = "id: 1\ndata: word\n\n";
+        writeResponse(scope, channel, *loop, "a1", 200, event, event.size(), {{"Content-Type", "text/event-stream"}});
+        return true;
+    }});
+    loop = &site.loop;
+    site.configure(GetParam().kind, false, 1, callTimeout);
+    kj::WaitScope &scope = site.loop.rootScope();
+    // Leaves a connection to the upstream that the next request may use at once.
+    ASSERT_EQ(site.call().status, 200);
+    std::list<kj::Own<Gateway::Grant>> held;
+    if (GetParam().waits) {
+        held = holdAllSlots(site);
+    }
+    auto client = LibFiber::ByteChannel::connect(site.loop, scope, site.address, site.loop.clock().now() + testLimit);
+    ASSERT_TRUE(client.ok());
+    // The entry waits for a request on the connection.
+    site.loop.sleep(scope, 20);
+    const std::string request = "POST /r/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a1\r\nX-Deadline-Ms: 900\r\nX-Api-Key: k\r\nContent-Length: 0\r\n\r\n";
+    ASSERT_TRUE((*client)->write(scope, request, site.loop.clock().now() + testLimit).ok());
+    while (GetParam().waits && site.dispatcher.waitingCalls() == 0) {
+        site.loop.sleep(scope, 1);
+    }
+    *client = nullptr;
+    std::this_thread::sleep_for(std::chrono::milliseconds(standstill));
+    held.clear();
+    site.loop.sleep(scope, 200);
+    EXPECT_EQ(site.upstreams[0]->requests.size(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, LateLoopTest,
+                         testing::Values(LateLoopCase{"at_once", RouteKind::Idempotent, false}, LateLoopCase{"after_a_wait", RouteKind::Idempotent, true},
+                                         LateLoopCase{"stream_at_once", RouteKind::Stream, false},
+                                         LateLoopCase{"once_only_after_a_wait", RouteKind::AtMostOnce, true}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
--- a/Tests/Services/Gateway/TestFailingCalls.cpp
+++ b/Tests/Services/Gateway/TestFailingCalls.cpp
@@ -78,7 +78,8 @@
     const ThrowingCodec codec(GetParam());
     const AK::Endpoint address{Loopback::processHost(), static_cast<uint16_t>(site.address.port + 500)};
     Gateway::GatewayService gateway(
-        {site.loop, site.fleet, codec, site.dispatcher, site.connections, site.crashes, site.quarantine, site.metrics, site.bodyMemory}, address);
+        {site.loop, site.fleet, codec, site.dispatcher, site.connections, site.crashes, site.quarantine, site.metrics, site.bodyMemory, site.loopWatch},
+        address);
     ASSERT_TRUE(gateway.start().ok());
     site.address = address;
     const ClientResponse response = site.call();
--- a/Userland/Libraries/LibFiber/ByteChannel.cpp
+++ b/Userland/Libraries/LibFiber/ByteChannel.cpp
@@ -2,6 +2,7 @@
 
 #include <LibFiber/SocketOptions.h>
 #include <algorithm>
+#include <cerrno>
 #include <kj/debug.h>
 #include <sys/socket.h>
 
@@ -153,6 +154,19 @@
     return this->state == ReadState::Ended || this->state == ReadState::Broken;
 }
 
+bool ByteChannel::peerHasClosed() const
+{
+    if (this->ended()) {
+        return true;
+    }
+    KJ_IF_MAYBE (descriptor, this->stream->getFd()) {
+        char next = 0;
+        const ssize_t size = ::recv(*descriptor, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+        return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+    }
+    return false;
+}
+
 void ByteChannel::finishWriting()
 {
     kj::runCatchingExceptions([&] { this->stream->shutdownWrite(); });
--- a/Userland/Libraries/LibFiber/ByteChannel.h
+++ b/Userland/Libraries/LibFiber/ByteChannel.h
@@ -48,6 +48,10 @@
     /// True when a read has seen the end of the stream or a reset.
     bool ended() const;
 
+    /// Whether the peer has closed its sending side or reset the connection, also when that has arrived and not been read yet. Asks the kernel. An end behind
+    /// bytes that have not been read is not seen.
+    bool peerHasClosed() const;
+
     /// Closes the sending side after all data written so far (TCP half-close).
     void finishWriting();
 
--- a/Userland/Libraries/LibGateway/Availability.h
+++ b/Userland/Libraries/LibGateway/Availability.h
@@ -44,6 +44,8 @@
     RateLimit,
     /// The calls per second that it may get while cold are used up.
     ColdRate,
+    /// The client has closed its connection.
+    ClientLeft,
 };
 
 inline constexpr std::array obstacleNames{
@@ -64,6 +66,7 @@
     AK::EnumName{Obstacle::Resuming, "resuming"},
     AK::EnumName{Obstacle::RateLimit, "rate_limit"},
     AK::EnumName{Obstacle::ColdRate, "cold_rate"},
+    AK::EnumName{Obstacle::ClientLeft, "client_left"},
 };
 
 /// What keeps a call from an upstream, and for how long.
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -110,6 +110,9 @@
 
 CallTask::NextStep CallTask::runAttempt(kj::WaitScope &scope)
 {
+    if (this->client.hasLeft()) {
+        return NextStep::Done;
+    }
     if (this->now() >= this->endsBy()) {
         this->giveUp(scope, "the deadline of the call has passed", refusalRetryAfter);
         return NextStep::Done;
@@ -187,6 +190,10 @@
 
 std::optional<LibGateway::Hindrance> CallTask::hindranceToSend(const Grant &grant) const
 {
+    // The loop cancels the call when it comes to the end of the client's connection, but a busy one may come to the slot first.
+    if (this->client.hasLeft()) {
+        return LibGateway::Hindrance{LibGateway::Obstacle::ClientLeft, 0};
+    }
     if (this->now() >= this->endsBy()) {
         return LibGateway::Hindrance{LibGateway::Obstacle::DeadlinePassed, 0};
     }
--- a/Userland/Services/Gateway/CallTask.h
+++ b/Userland/Services/Gateway/CallTask.h
@@ -3,6 +3,7 @@
 #include "ClientChannel.h"
 #include "CrashDetector.h"
 #include "Dispatcher.h"
+#include "LoopWatch.h"
 #include "PromptQuarantine.h"
 #include "SilentCall.h"
 #include "UpstreamCall.h"
@@ -24,6 +25,7 @@
     PromptQuarantine &quarantine;
     LibMetrics::MetricRegistry &metrics;
     LibHttpStream::BodyMemory &bodyMemory;
+    const LoopWatch &loopWatch;
 };
 
 /// How a call ended, for its log line.
--- a/Userland/Services/Gateway/CallTaskEnd.cpp
+++ b/Userland/Services/Gateway/CallTaskEnd.cpp
@@ -108,6 +108,8 @@
                        {"retry_after_ms", this->report.retryAfter},
                        {"returning", this->requirements.rank.returning},
                        {"patience_ms", this->request.clientTimeout.value_or(-1)},
+                       {"since_send_ms", this->report.sends > 0 ? this->now() - this->sentAt : -1},
+                       {"loop_late_ms", this->context.loopWatch.lateness()},
                        {"took_ms", took}});
 }
 
--- a/Userland/Services/Gateway/ClientChannel.cpp
+++ b/Userland/Services/Gateway/ClientChannel.cpp
@@ -111,6 +111,11 @@
     return this->state == State::Complete;
 }
 
+bool ClientChannel::hasLeft() const
+{
+    return this->channel.peerHasClosed();
+}
+
 bool ClientChannel::closeAfter() const
 {
     return this->close;
--- a/Userland/Services/Gateway/ClientChannel.h
+++ b/Userland/Services/Gateway/ClientChannel.h
@@ -31,6 +31,8 @@
     bool begun() const;
     /// A complete response has been written.
     bool complete() const;
+    /// The client has closed its connection, as far as this host knows by now; see LibFiber::ByteChannel::peerHasClosed().
+    bool hasLeft() const;
     bool closeAfter() const;
     /// Ends the connection after the response in progress.
     void requestClose();
--- a/Userland/Utilities/catkinlinkd/EntryProcess.cpp
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.cpp
@@ -44,9 +44,10 @@
     , quarantineKeeper(loop, this->node.store, this->node.fleet, this->quarantine,
                        [this](const std::string &part) { return this->node.feeds.isStored(LibFleet::ObjectKind::QuarantinedParts, part); })
     , bodyMemory(bodyMemoryLimit(settings))
-    , gateway(
-          {loop, this->node.fleet, this->codec, this->dispatcher, this->upstreamConnections, this->crashes, this->quarantine, this->metrics, this->bodyMemory},
-          *settings.clientAddress)
+    , loopWatch(loop, this->metrics)
+    , gateway({loop, this->node.fleet, this->codec, this->dispatcher, this->upstreamConnections, this->crashes, this->quarantine, this->metrics,
+               this->bodyMemory, this->loopWatch},
+              *settings.clientAddress)
     , peers(loop, this->node.exchange, nullptr, &this->dispatcher)
     , readiness(loop, *settings.readinessAddress, [this](const auto &head) { return this->readinessResponse(head); })
     , directory(loop, *settings.directoryAddress, [this](const auto &head) { return this->directoryResponse(head); })
@@ -83,6 +84,7 @@
     this->loop.spawn([this](kj::WaitScope &scope) { this->updateDispatcherEntries(scope); });
     this->loop.spawn([this](kj::WaitScope &scope) { this->removeSilentEntries(scope); });
     this->quarantineKeeper.start();
+    this->loopWatch.start();
     return absl::OkStatus();
 }
 
--- a/Userland/Utilities/catkinlinkd/EntryProcess.h
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.h
@@ -57,6 +57,7 @@
     Gateway::PromptQuarantine quarantine;
     Gateway::QuarantineKeeper quarantineKeeper;
     LibHttpStream::BodyMemory bodyMemory;
+    Gateway::LoopWatch loopWatch;
     Gateway::GatewayService gateway;
     LibPeers::PeerServer peers;
     Gateway::SimpleHttpServer readiness;
