Gateway: Compare stored crashes only after a change

With full evidence (8,192 parts) that is a hash look-up and a sort for each part, ten times per second, on entries that have a sixth of a core.

Change: QuarantineKeeper compares again when the crashes or the stored text have changed. The parts of one crash and the news of cleared parts are bounded too.

Evidence: no measurement of the cost; RecordCrash, SlowCrashTest, PromptQuarantine, SpreadTest and CrashingPromptTest pass as before.

--- a/Tests/LibGateway/TestCrashEvidence.cpp
+++ b/Tests/LibGateway/TestCrashEvidence.cpp
@@ -153,13 +153,13 @@
     };
     record("u1", start, 1, {"bad"});
     record("u2", start + 100, 1, {"bad"});
-    constexpr int others = 400;
-    for (int i = 0; i < others; ++i) {
+    constexpr uint64_t others = 400;
+    for (uint64_t i = 0; i < others; ++i) {
         Parts parts;
         for (int part = 0; part < 4'000; ++part) {
             parts.push_back(std::to_string(i) + "-" + std::to_string(part));
         }
-        record("v" + std::to_string(i), start + 200, static_cast<uint64_t>(1'000 + i), parts);
+        record("v" + std::to_string(i), start + 200, 1'000 + i, parts);
     }
     size_t remembered = 0;
     for (const Crash &crash : evidence.crashes) {
--- a/Userland/Libraries/LibGateway/CrashEvidence.cpp
+++ b/Userland/Libraries/LibGateway/CrashEvidence.cpp
@@ -202,7 +202,8 @@
     }
     bool isNews = false;
     for (const CrashSuspect &suspect : news.suspects) {
-        if (!isKnown(evidence, found->number, suspect) && found->suspects.size() < maxSuspectsPerCrash) {
+        const bool hasRoom = found->suspects.size() < maxSuspectsPerCrash && partsOf(*found) + suspect.parts.size() <= maxParts;
+        if (hasRoom && !isKnown(evidence, found->number, suspect)) {
             found->suspects.push_back(suspect);
             addToIndex(evidence, *found, found->suspects.back());
             found->learnedAt = now;
--- a/Userland/Libraries/LibGateway/CrashingParts.cpp
+++ b/Userland/Libraries/LibGateway/CrashingParts.cpp
@@ -118,15 +118,18 @@
 
 size_t countRounds(const PartCrashes &crashes)
 {
-    PartCrashes sorted = crashes;
-    std::sort(sorted.begin(), sorted.end(),
-              [](const auto &left, const auto &right) { return std::pair(left.crashedAt, left.sentAt) < std::pair(right.crashedAt, right.sentAt); });
+    std::vector<std::pair<AK::Milliseconds, AK::Milliseconds>> times;
+    times.reserve(crashes.size());
+    for (const CrashEvidence::PartCrash &crash : crashes) {
+        times.emplace_back(crash.crashedAt, crash.sentAt);
+    }
+    std::sort(times.begin(), times.end());
     size_t rounds = 0;
     AK::Milliseconds lastCrashAt = 0;
-    for (const CrashEvidence::PartCrash &crash : sorted) {
-        if (rounds == 0 || crash.sentAt >= lastCrashAt) {
+    for (const auto &[crashedAt, sentAt] : times) {
+        if (rounds == 0 || sentAt >= lastCrashAt) {
             ++rounds;
-            lastCrashAt = crash.crashedAt;
+            lastCrashAt = crashedAt;
         }
     }
     return rounds;
--- a/Userland/Services/Gateway/PromptQuarantine.cpp
+++ b/Userland/Services/Gateway/PromptQuarantine.cpp
@@ -17,9 +17,9 @@
 constexpr AK::Milliseconds reviewTime = 15'000;
 // A part that is answered all the time is cleared at once; its crashes are not worth telling.
 constexpr AK::Milliseconds recentAnswerTime = 1'000;
-// Answers that clear parts of a crash arrive within about this time.
-constexpr AK::Milliseconds storeAfter = 1'000;
 constexpr size_t maxStoredCrashes = 32;
+// Parts cleared lately that others are told of; the next answer clears a part again.
+constexpr size_t maxClearedParts = 1'024;
 // Entries write the stored crashes again without a part for this long after its release.
 constexpr AK::Milliseconds releaseNewsTime = 30'000;
 
@@ -53,22 +53,33 @@
 bool PromptQuarantine::record(const LibGateway::Crash &crash)
 {
     const AK::Milliseconds now = this->clock.now();
+    std::erase_if(this->clearedParts, [&](const auto &row) { return now - row.second > newsTime; });
     // Others may not know of the answers that clear parts of the crash.
     for (const LibGateway::CrashSuspect &suspect : crash.suspects) {
         for (const std::string &part : suspect.parts) {
-            if (this->isSoundSince(part, crash.crashedAt)) {
+            if (this->clearedParts.size() < maxClearedParts && this->isSoundSince(part, crash.crashedAt)) {
                 this->clearedParts[part] = now;
             }
         }
     }
-    std::erase_if(this->clearedParts, [&](const auto &row) { return now - row.second > newsTime; });
-    return LibGateway::recordCrash(this->evidence, crash, now, this->settings);
+    if (!LibGateway::recordCrash(this->evidence, crash, now, this->settings)) {
+        return false;
+    }
+    this->noteChange();
+    return true;
+}
+
+void PromptQuarantine::noteChange()
+{
+    ++this->changes;
+    this->changedAt = this->clock.now();
 }
 
 void PromptQuarantine::recordSoundPart(const std::string &part, AK::Milliseconds at)
 {
     if (LibGateway::recordSoundPart(this->evidence, part, at)) {
         this->clearedParts[part] = this->clock.now();
+        this->noteChange();
     }
 }
 
@@ -176,6 +187,7 @@
             this->logger.info("part_released", {{"part", it->first}});
             // The crashes so far no longer speak against it.
             LibGateway::recordSoundPart(this->evidence, it->first, now);
+            this->noteChange();
             this->released[it->first] = now;
             it = this->quarantined.erase(it);
         } else {
@@ -285,7 +297,17 @@
 
 std::vector<LibGateway::Crash> PromptQuarantine::crashesToStore() const
 {
-    return LibGateway::recurringCrashes(this->evidence, this->clock.now(), storeAfter, maxStoredCrashes);
+    return LibGateway::recurringCrashes(this->evidence, this->clock.now(), crashSettleTime, maxStoredCrashes);
+}
+
+uint64_t PromptQuarantine::evidenceChanges() const
+{
+    return this->changes;
+}
+
+AK::Milliseconds PromptQuarantine::evidenceChangedAt() const
+{
+    return this->changedAt;
 }
 
 } // namespace Gateway
--- a/Userland/Services/Gateway/PromptQuarantine.h
+++ b/Userland/Services/Gateway/PromptQuarantine.h
@@ -47,8 +47,14 @@
     std::map<std::string, AK::Milliseconds> supersededParts() const;
     /// Parts that have been released lately. The crashes before no longer speak against them.
     std::set<std::string> releasedParts() const;
-    /// Crashes that are worth storing; see LibGateway::recurringCrashes().
+    /// Crashes that are worth storing; see LibGateway::recurringCrashes(). They change when evidenceChanges() does, or within crashSettleTime after it.
     std::vector<LibGateway::Crash> crashesToStore() const;
+    /// Number of changes of the crashes so far, and the monotonic time of the last one.
+    uint64_t evidenceChanges() const;
+    AK::Milliseconds evidenceChangedAt() const;
+
+    /// Answers that clear parts of a crash arrive within about this time.
+    static constexpr AK::Milliseconds crashSettleTime = 1'000;
 
 private:
     struct Entry {
@@ -70,6 +76,8 @@
     void recordSoundPart(const std::string &part, AK::Milliseconds at);
     /// Records a crash. Returns whether there is anything new.
     bool record(const LibGateway::Crash &crash);
+    /// Counts a change of the crashes.
+    void noteChange();
 
     const AK::Clock &clock;
     LibFleet::FleetState &fleet;
@@ -81,6 +89,8 @@
     /// Monotonic time of the release of a part.
     std::map<std::string, AK::Milliseconds> released;
     bool storedCrashesRead = false;
+    uint64_t changes = 0;
+    AK::Milliseconds changedAt = 0;
     std::function<void()> foundObserver;
     LibLog::Logger logger{"quarantine"};
 };
--- a/Userland/Services/Gateway/QuarantineKeeper.cpp
+++ b/Userland/Services/Gateway/QuarantineKeeper.cpp
@@ -121,21 +121,25 @@
 
 void QuarantineKeeper::storeCrashes(kj::WaitScope &scope)
 {
-    const LibGateway::ClockReading now{this->loop.clock().now(), this->loop.clock().wallTime()};
-    std::vector<LibGateway::Crash> known = this->quarantine.crashesToStore();
-    const std::set<std::string> released = this->quarantine.releasedParts();
-    if (known.empty() && (released.empty() || this->fleet.storedCrashes().empty())) {
-        this->crashesStaleSince.reset();
+    const uint64_t changes = this->quarantine.evidenceChanges();
+    const std::string &text = this->fleet.storedCrashes();
+    if (this->comparedChanges == changes && this->comparedText == text) {
         return;
     }
+    const LibGateway::ClockReading now{this->loop.clock().now(), this->loop.clock().wallTime()};
+    std::vector<LibGateway::Crash> known = this->quarantine.crashesToStore();
     // Crashes that can't be read are replaced.
-    std::vector<LibGateway::Crash> stored = LibGateway::decodeCrashes(this->fleet.storedCrashes(), now).value_or(std::vector<LibGateway::Crash>());
-    if (!stored.empty() && this->fleet.storedCrashes().size() > LibGateway::maxCrashReportBytes / 2) {
+    std::vector<LibGateway::Crash> stored = LibGateway::decodeCrashes(text, now).value_or(std::vector<LibGateway::Crash>());
+    if (!stored.empty() && text.size() > LibGateway::maxCrashReportBytes / 2) {
         // Older crashes would be left out again.
         std::erase_if(known, [&](const LibGateway::Crash &crash) { return crash.crashedAt < stored.front().crashedAt; });
     }
-    if (!LibGateway::mergeCrashes(stored, known, released)) {
+    if (!LibGateway::mergeCrashes(stored, known, this->quarantine.releasedParts())) {
         this->crashesStaleSince.reset();
+        if (now.monotonic > this->quarantine.evidenceChangedAt() + PromptQuarantine::crashSettleTime) {
+            this->comparedChanges = changes;
+            this->comparedText = text;
+        }
         return;
     }
     this->crashesStaleSince = this->crashesStaleSince.value_or(now.monotonic);
--- a/Userland/Services/Gateway/QuarantineKeeper.h
+++ b/Userland/Services/Gateway/QuarantineKeeper.h
@@ -46,6 +46,9 @@
     std::map<std::string, AK::Milliseconds> lostSince;
     /// Monotonic time at which this process found that the stored crashes must change.
     std::optional<AK::Milliseconds> crashesStaleSince;
+    /// What was compared last, with nothing to write: see PromptQuarantine::evidenceChanges().
+    std::optional<uint64_t> comparedChanges;
+    std::string comparedText;
     LibLog::Logger logger{"quarantine"};
 };
 
