--- a/Userland/Libraries/LibGateway/CrashingParts.cpp
+++ b/Userland/Libraries/LibGateway/CrashingParts.cpp
@@ -166,13 +166,14 @@
         }
     }
     std::vector<std::string> superseded;
-    for (const auto &[part, crashes] : explained) {
+    for (const auto &row : explained) {
+        const std::set<size_t> &crashes = row.second;
         const bool isCovered = std::any_of(explained.begin(), explained.end(), [&](const auto &other) {
             return other.second.size() >= crashes.size() + settings.crashesBeyondKnown
                 && std::includes(other.second.begin(), other.second.end(), crashes.begin(), crashes.end());
         });
         if (isCovered) {
-            superseded.push_back(part);
+            superseded.push_back(row.first);
         }
     }
     return superseded;
