--- a/Userland/Libraries/LibHttpStream/MessageReader.cpp
+++ b/Userland/Libraries/LibHttpStream/MessageReader.cpp
@@ -17,7 +17,7 @@
 constexpr size_t chunkSizeBytes = 16;
 // Extensions of all chunks of a body together, in bytes, beyond as many as the body has.
 constexpr uint64_t extensionsLimitBytes = 16'384;
-// Pieces of a body that have arrived and are read in a row before others run. Each takes the reader well under a microsecond.
+// Pieces of a body that have arrived and are read in a row before others run.
 constexpr int maxPiecesPerTurn = 64;
 // All trailers of a body together, in bytes.
 constexpr size_t trailersLimitBytes = 16'384;
