--- a/review/lib-3/http11.py
+++ b/review/lib-3/http11.py
@@ -35,9 +35,10 @@
     if headers.get("transfer-encoding", "").lower() == "chunked":
         body = b""
         while True:
-            size = int((await reader.readline()).split(b";")[0].strip() or b"0", 16)
+            line = await reader.readuntil(b"\r\n")
+            size = int(line.split(b";")[0].strip(), 16)
             if size == 0:
-                while (await reader.readline()).strip():
+                while (await reader.readuntil(b"\r\n")).strip():
                     pass
                 return body
             body += await reader.readexactly(size)
