--- a/review/lib-3/worker.py
+++ b/review/lib-3/worker.py
@@ -4,6 +4,7 @@
 import asyncio
 import json
 import os
+import signal
 import sys
 import time
 
@@ -118,6 +119,10 @@
         if self.loaded == 0 or self.running >= 16:
             await responder.send(503, b"", echo + [("X-Not-Executed", "1")], "Service Unavailable")
             return
+        parts = [part.strip().split(":")[0] for part in request.header("X-Prompt-Prefix", "").split(",")]
+        crashing = self.settings.get("crashing_part") in parts[:-1]
+        if crashing:
+            self.log("crashing_part", attempt=attempt, last_event_id=request.header("Last-Event-Id"))
         self.running += 1
         version = self.loaded
         try:
@@ -125,6 +130,8 @@
             self.log("token", attempt=attempt, version=version, bad_pieces=len(self.bad_pieces))
             await responder.begin_stream(echo + [("X-Server-Seal", f"seal-{self.id}"), ("Content-Type", "text/event-stream"),
                                                  ("X-Weight-Versions", version)])
+            if crashing and self.settings["crash_after_s"] is not None:
+                asyncio.get_running_loop().call_later(self.settings["crash_after_s"], self.crash, attempt)
             for number in range(first, self.settings["events"] + 1):
                 if self.loaded != version:
                     # The weights change: what still runs is cut.
@@ -135,6 +142,10 @@
         finally:
             self.running -= 1
 
+    def crash(self, attempt):
+        self.log("crash", attempt=attempt)
+        os.kill(os.getpid(), signal.SIGKILL)
+
     async def handle(self, request, responder, _reader):
         if request.path == "/v1/report":
             await responder.send(200, json.dumps({"stage": "both", "busy": self.busy, "seq": self.sequence, "waiting": 0, "running": self.running,
