--- a/review/13/run.py
+++ b/review/13/run.py
@@ -158,6 +158,8 @@
         await asyncio.sleep(1)
 
     def judge(self):
+        for zone in ZONES:
+            self.record += self.site.log_of(f"worker-{zone}")
         total = sum(count for count, _ in self.sent.values())
         elsewhere = sum(count for _, count in self.sent.values())
         summary = [f"requests by the client's zone, and those sent to a machine in a region that is neither the home nor the client's: {self.sent}",
