LibFiber: Report a reset also when a write has seen it first

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was being written. A stream that may be resumed ended instead of going on at another upstream.

Cause: Linux reports the error of a connection once. The upload is written beside the reading of the answer; when the write got ECONNRESET, the next read saw the end of the stream, which ends a body without a length. peerHasClosed() took the error in the same way.

Change: ByteChannel remembers that a write or a look at the socket has got the error, and a read that then sees the end reports a reset. A read that sees the end while a write is in progress lets that write fail first. When the peer had ended its side before the reset, Linux fails the write with EPIPE; what was read until that end stays whole.

--- a/Userland/Libraries/LibFiber/ByteChannel.cpp
+++ b/Userland/Libraries/LibFiber/ByteChannel.cpp
@@ -1,8 +1,10 @@
 #include <LibFiber/ByteChannel.h>
 
 #include <LibFiber/SocketOptions.h>
+#include <absl/strings/match.h>
 #include <algorithm>
 #include <cerrno>
+#include <cstring>
 #include <kj/debug.h>
 #include <sys/socket.h>
 
@@ -16,6 +18,13 @@
 // Bytes read ahead while a response is being produced; further bytes stay in the kernel's buffer.
 constexpr size_t readAheadLimit = 64UL * 1024;
 
+// Whether a write has failed because the peer had ended its side before the connection broke: Linux then reports EPIPE, and ECONNRESET or ETIMEDOUT otherwise.
+// A failed write keeps its error number only in its text.
+bool failedAfterEnd(const absl::Status &status)
+{
+    return absl::StrContains(status.message(), std::strerror(EPIPE));
+}
+
 } // namespace
 
 ByteChannel::ByteChannel(Loop &loop, kj::Own<kj::AsyncIoStream> stream)
@@ -115,10 +124,14 @@
 {
     const size_t before = this->buffered().size();
     while (this->buffered().size() == before) {
-        if (this->state == ReadState::Ended) {
+        if (this->state == ReadState::Ended && this->writesInProgress > 0) {
+            // A write that has got the error of the connection fails in this turn.
+            this->loop.yield(scope);
+        }
+        if (this->state == ReadState::Ended && !this->errorTaken) {
             return absl::OutOfRangeError("the peer closed the connection");
         }
-        if (this->state == ReadState::Broken) {
+        if (this->ended()) {
             return absl::UnavailableError("the peer reset the connection");
         }
         if (absl::Status status = this->loop.awaitDone(scope, this->readMore(), deadline); !status.ok()) {
@@ -130,7 +143,13 @@
 
 absl::Status ByteChannel::write(kj::WaitScope &scope, std::string_view data, AK::Milliseconds deadline)
 {
-    return this->loop.awaitDone(scope, kj::evalNow([&] { return this->stream->write(data.data(), data.size()); }), deadline);
+    ++this->writesInProgress;
+    KJ_DEFER(--this->writesInProgress);
+    absl::Status status = this->loop.awaitDone(scope, kj::evalNow([&] { return this->stream->write(data.data(), data.size()); }), deadline);
+    if (!status.ok() && !absl::IsDeadlineExceeded(status) && !failedAfterEnd(status)) {
+        this->errorTaken = true;
+    }
+    return status;
 }
 
 kj::Promise<void> ByteChannel::whenClosed()
@@ -154,7 +173,7 @@
     return this->state == ReadState::Ended || this->state == ReadState::Broken;
 }
 
-bool ByteChannel::peerHasClosed() const
+bool ByteChannel::peerHasClosed()
 {
     if (this->ended()) {
         return true;
@@ -162,7 +181,9 @@
     KJ_IF_MAYBE (descriptor, this->stream->getFd()) {
         char next = 0;
         const ssize_t size = ::recv(*descriptor, &next, 1, MSG_PEEK | MSG_DONTWAIT);
-        return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+        const bool failed = size < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+        this->errorTaken = this->errorTaken || failed;
+        return size == 0 || failed;
     }
     return false;
 }
--- a/Userland/Libraries/LibFiber/ByteChannel.h
+++ b/Userland/Libraries/LibFiber/ByteChannel.h
@@ -32,10 +32,10 @@
     Loop &eventLoop() const;
 
     /// Waits until more bytes are buffered.
-    /// Errors: kOutOfRange when the peer closed its sending side, kUnavailable after a reset, kDeadlineExceeded.
+    /// Errors: kOutOfRange when the peer closed its sending side, kUnavailable after a reset, also one that a write has seen first, kDeadlineExceeded.
     absl::Status fill(kj::WaitScope &scope, AK::Milliseconds deadline);
 
-    /// Errors: kUnavailable, kDeadlineExceeded. The channel must not be used after an error.
+    /// Errors: kUnavailable, kDeadlineExceeded. After an error nothing more must be written; what the peer has sent can still be read.
     absl::Status write(kj::WaitScope &scope, std::string_view data, AK::Milliseconds deadline);
 
     /// Resolves when the peer has closed its sending side or reset the connection. Reads ahead into the buffer up to 64 KiB; once those are buffered it does
@@ -50,7 +50,7 @@
 
     /// Whether the peer has closed its sending side or reset the connection, also when that has arrived and not been read yet. Asks the kernel. An end behind
     /// bytes that have not been read is not seen.
-    bool peerHasClosed() const;
+    bool peerHasClosed();
 
     /// Closes the sending side after all data written so far (TCP half-close).
     void finishWriting();
@@ -72,6 +72,9 @@
     std::string searchedDelimiter;
     size_t searched = 0;
     ReadState state = ReadState::Idle;
+    int writesInProgress = 0;
+    /// A write or a look at the socket has got the error of the connection. The kernel reports it once, and reads then see a clean end.
+    bool errorTaken = false;
     kj::Maybe<kj::ForkedPromise<void>> pending;
     kj::Array<kj::byte> scratch;
 };
