LibHttpStream: Refuse heads and trailers with a line that is no field

What callers saw: an answer in whose head the name of a field held a blank reached the caller as an answer, with that line passed on, or with another body than the upstream's when the line declared the body's length. Requests of clients with such lines reached upstreams, and trailers were not looked at.

Cause: the parser is lenient: it drops blanks behind a name, joins a line that begins with a blank to the one before it, ends a line at a lone CR or LF, and takes bytes over 127 in names. The next reader may read the same text in another way. Control bytes in names were refused in heads already.

Change: each line of a head, also of an interim one, and of trailers is checked before the parser sees it: a token, directly followed by a colon, without CR, LF or NUL in the value. The first line must have none of these bytes either. All readers of heads and bodies use this check.

--- a/Tests/LibHttpStream/TestMessages.cpp
+++ b/Tests/LibHttpStream/TestMessages.cpp
@@ -1,5 +1,10 @@
+#include <AK/EnumNames.h>
+#include <AK/Text.h>
 #include <LibHttpStream/MessageReader.h>
+#include <Loopback/InvalidFieldLines.h>
+#include <array>
 #include <gtest/gtest.h>
+#include <tuple>
 
 namespace
 {
@@ -221,4 +226,84 @@
                                          StatusCase{"text", "HTTP/1.1 OK 200", 0}, StatusCase{"missing", "HTTP/1.1", 0}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+enum class Message { Request, Response, Trailers };
+
+constexpr std::array messageNames{
+    AK::EnumName{Message::Request, "request"},
+    AK::EnumName{Message::Response, "response"},
+    AK::EnumName{Message::Trailers, "trailers"},
+};
+
+// What a reader of the message says of these field lines.
+absl::Status read(Message message, const std::string &lines)
+{
+    switch (message) {
+    case Message::Request:
+        return parseRequestHead("POST / HTTP/1.1\r\n" + lines).status();
+    case Message::Response:
+        return parseResponseHead("HTTP/1.1 200 OK\r\n" + lines).status();
+    case Message::Trailers:
+        break;
+    }
+    Connection connection;
+    connection.send("0\r\n" + lines + "\r\n", true);
+    BodyReader reader(connection.channel, {FramingKind::Chunked, 0});
+    return readBody(reader, connection.loop.rootScope(), 1000, connection.deadline()).status();
+}
+
+class FieldNameTest : public testing::TestWithParam<std::tuple<Message, Loopback::InvalidFieldLine>>
+{
+};
+
+// Guards against a field whose name is none and that is passed on, or read as another field than others read it.
+TEST_P(FieldNameTest, MakesTheMessageInvalid)
+{
+    const auto &[message, invalid] = GetParam();
+    const std::string line = invalid.line + "\r\n";
+    EXPECT_EQ(read(message, line).code(), absl::StatusCode::kInvalidArgument);
+    EXPECT_EQ(read(message, "X-First: 1\r\n" + line).code(), absl::StatusCode::kInvalidArgument);
+    EXPECT_EQ(read(message, line + "X-Last: 1\r\n").code(), absl::StatusCode::kInvalidArgument);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, FieldNameTest,
+                         testing::Combine(testing::Values(Message::Request, Message::Response, Message::Trailers),
+                                          testing::ValuesIn(Loopback::invalidFieldLines(1))),
+                         [](const auto &info) { return AK::concat(AK::nameOf(messageNames, std::get<0>(info.param)), "_", std::get<1>(info.param).name); });
+
+struct FieldLineCase {
+    const char *name;
+    std::string line;
+    std::string fieldName;
+    std::string value;
+};
+
+class SoundFieldTest : public testing::TestWithParam<std::tuple<Message, FieldLineCase>>
+{
+};
+
+// Guards against a sound field that makes its message invalid or is changed.
+TEST_P(SoundFieldTest, IsRead)
+{
+    const auto &[message, field] = GetParam();
+    const std::string line = field.line + "\r\n";
+    EXPECT_TRUE(read(message, line + "X-Last: 1\r\n").ok());
+    if (message == Message::Response) {
+        const auto head = parseResponseHead("HTTP/1.1 200 OK\r\n" + line);
+        ASSERT_TRUE(head.ok()) << head.status();
+        ASSERT_EQ(head->headers.size(), 1U);
+        EXPECT_EQ(head->headers.front().name, field.fieldName);
+        EXPECT_EQ(head->headers.front().value, field.value);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, SoundFieldTest,
+                         testing::Combine(testing::Values(Message::Request, Message::Response, Message::Trailers),
+                                          testing::Values(FieldLineCase{"usual", "X-Odd: 1", "X-Odd", "1"}, FieldLineCase{"no_blank", "X-Odd:1", "X-Odd", "1"},
+                                                          FieldLineCase{"no_value", "X-Odd:", "X-Odd", ""},
+                                                          FieldLineCase{"colons", "X-Odd: a:b: c", "X-Odd", "a:b: c"},
+                                                          FieldLineCase{"blanks_in_the_value", "X-Odd: a \t b", "X-Odd", "a \t b"},
+                                                          FieldLineCase{"high_byte_in_the_value", "X-Odd: \xe9", "X-Odd", "\xe9"},
+                                                          FieldLineCase{"all_signs", "!#$%&'*+-.^_`|~09azAZ: 1", "!#$%&'*+-.^_`|~09azAZ", "1"})),
+                         [](const auto &info) { return AK::concat(AK::nameOf(messageNames, std::get<0>(info.param)), "_", std::get<1>(info.param).name); });
+
 } // namespace
--- a/Userland/Libraries/LibHttp/ResponseReader.cpp
+++ b/Userland/Libraries/LibHttp/ResponseReader.cpp
@@ -202,6 +202,9 @@
             if (this->trailerBytes > headLimitBytes) {
                 return absl::DataLossError(AK::concat("trailers of the response exceed ", headLimitBytes, " bytes"));
             }
+            if (!empty && !LibHttpStream::isFieldLine(line.substr(0, line.size() - lineEnd.size()))) {
+                return absl::DataLossError("a line of the trailers is no field");
+            }
             this->chunkPart = empty ? ChunkPart::End : ChunkPart::Trailers;
         }
         this->begin += line.size();
--- a/Userland/Libraries/LibHttpStream/MessageHead.cpp
+++ b/Userland/Libraries/LibHttpStream/MessageHead.cpp
@@ -1,5 +1,6 @@
 #include <LibHttpStream/MessageHead.h>
 
+#include <AK/StatusMacros.h>
 #include <AK/Text.h>
 #include <algorithm>
 #include <array>
@@ -17,6 +18,8 @@
     "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length",
 };
 
+constexpr std::string_view lineEnd = "\r\n";
+
 constexpr int lowestStatus = 100;
 constexpr int highestStatus = 599;
 
@@ -54,6 +57,13 @@
     return absl::InvalidArgumentError(std::string(error.description.cStr()));
 }
 
+// Whether no byte of the line ends it in the eyes of another reader.
+bool hasOnlyLineBytes(std::string_view line)
+{
+    constexpr std::string_view lineEnders("\r\n\0", 3);
+    return line.find_first_of(lineEnders) == std::string_view::npos;
+}
+
 // The tokens in the comma-separated values of a header.
 std::vector<std::string_view> tokensOf(const Headers &headers, std::string_view name)
 {
@@ -114,8 +124,37 @@
     return status >= lowestStatus && status <= highestStatus && status != switchingProtocols ? status : 0;
 }
 
+// Checks that each line of a head but the first is a field, and that none holds the end of another. The parser would take names with blanks, join folded lines
+// and end a line at a lone CR or LF.
+absl::Status checkLines(std::string_view text)
+{
+    for (bool first = true; !text.empty(); first = false) {
+        const size_t size = std::min(text.find(lineEnd), text.size());
+        const std::string_view line = text.substr(0, size);
+        text.remove_prefix(std::min(size + lineEnd.size(), text.size()));
+        if (first ? !hasOnlyLineBytes(line) : !isFieldLine(line)) {
+            return absl::InvalidArgumentError(first ? "the first line holds a CR, LF or NUL" : "a line of the head is no field");
+        }
+    }
+    return absl::OkStatus();
+}
+
 } // namespace
 
+bool isToken(std::string_view text)
+{
+    constexpr std::string_view signs = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [&](char byte) {
+        return (byte >= '0' && byte <= '9') || (byte >= 'A' && byte <= 'Z') || (byte >= 'a' && byte <= 'z') || signs.find(byte) != std::string_view::npos;
+    });
+}
+
+bool isFieldLine(std::string_view line)
+{
+    const size_t colon = line.find(':');
+    return colon != std::string_view::npos && isToken(line.substr(0, colon)) && hasOnlyLineBytes(line);
+}
+
 bool equalsIgnoringCase(std::string_view left, std::string_view right)
 {
     return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char a, char b) { return lower(a) == lower(b); });
@@ -149,6 +188,7 @@
 
 absl::StatusOr<RequestHead> parseRequestHead(std::string_view text)
 {
+    CATKINLINK_TRY(checkLines(text));
     kj::Array<char> content = kj::heapArray<char>(text.data(), text.size());
     kj::HttpHeaders parsed(headerTable());
     const auto result = parsed.tryParseRequest(content);
@@ -172,6 +212,7 @@
     if (status == 0) {
         return absl::InvalidArgumentError(AK::concat("the status must be three digits from ", lowestStatus, " to ", highestStatus, " and not 101"));
     }
+    CATKINLINK_TRY(checkLines(text));
     kj::Array<char> content = kj::heapArray<char>(text.data(), text.size());
     kj::HttpHeaders parsed(headerTable());
     const auto result = parsed.tryParseResponse(content);
--- a/Userland/Libraries/LibHttpStream/MessageHead.h
+++ b/Userland/Libraries/LibHttpStream/MessageHead.h
@@ -54,8 +54,15 @@
     uint64_t length = 0;
 };
 
+/// Whether the text is a token (RFC 9110, 5.6.2), as each name of a field is.
+bool isToken(std::string_view text);
+
+/// Whether a line without its end is a field of a head or of trailers: a token, directly followed by a colon (RFC 9112, 5). A value that is folded over several
+/// lines (5.2), and a lone CR, LF or a NUL in a value (RFC 9110, 5.5), are refused.
+bool isFieldLine(std::string_view line);
+
 /// Parses a head without the empty line that ends it.
-/// Errors: kInvalidArgument naming the fault. A status that is not three digits from 100 to 599 is one.
+/// Errors: kInvalidArgument naming the fault. A status that is not three digits from 100 to 599 is one, and a line that is no field another.
 absl::StatusOr<RequestHead> parseRequestHead(std::string_view text);
 absl::StatusOr<ResponseHead> parseResponseHead(std::string_view text);
 
--- a/Userland/Libraries/LibHttpStream/MessageReader.cpp
+++ b/Userland/Libraries/LibHttpStream/MessageReader.cpp
@@ -191,6 +191,9 @@
         if (this->trailerBytes > trailersLimitBytes) {
             return absl::InvalidArgumentError(absl::StrCat("the trailers exceed ", trailersLimitBytes, " bytes"));
         }
+        if (!trailer.empty() && !isFieldLine(trailer)) {
+            return absl::InvalidArgumentError("a line of the trailers is no field");
+        }
         this->done = trailer.empty();
     }
     return absl::OkStatus();
