LibHttp: Refuse requests with a line in their head that is no field

What callers saw: the own site served a request of which it had not read all fields, or others than the client meant.

Cause: CivetWeb drops blanks round a name, takes a lone LF for the end of a line, and stops without an error at a line that begins with another byte than a name and at the 65th field. A Content-Length behind such a line was not read.

Change: the server checks the names and, as CivetWeb parses the head in place, whether the fields that it found follow each other without a gap up to the end of the head; otherwise the request gets 400 and reaches no handler. HTTP/1.1 without any field gets 400 too, as Host is required.

Evidence: RequestFieldNameTest failed in 40 of 98 cases before: blanks round the name, lone LF, no name, and bytes that no token has. All pass now. SoundRequestTest (10 cases: no blank, no value, blanks round the value, old version, no fields, a body) passes before and after.

--- a/Userland/Libraries/LibHttp/HttpServer.cpp
+++ b/Userland/Libraries/LibHttp/HttpServer.cpp
@@ -2,10 +2,12 @@
 
 #include <AK/Text.h>
 #include <LibHttp/CivetWebLibrary.h>
+#include <LibHttpStream/MessageHead.h>
 #include <algorithm>
 #include <array>
 #include <civetweb.h>
 #include <cstdio>
+#include <cstring>
 #include <optional>
 
 namespace LibHttp
@@ -16,6 +18,28 @@
 
 constexpr AK::Milliseconds idlePollMs = 5;
 
+// Whether each line of the head is a field whose name is a token, directly followed by a colon. CivetWeb drops blanks round a name, takes a lone LF for the end
+// of a line, and stops at a line that begins otherwise or at the 65th field, without an error. It parses the head in place, so that its pointers tell the lines
+// apart: the end of a line becomes two NULs, and so do a blank before a colon and that colon; the last byte of the head becomes one.
+bool hasOnlyFields(const mg_request_info &info)
+{
+    const char *lineEnd = info.http_version + std::strlen(info.http_version);
+    for (int i = 0; i < info.num_headers; ++i) {
+        const mg_header &field = info.http_headers[i];
+        const char *nameEnd = field.name + std::strlen(field.name);
+        const bool hasBlankBeforeColon = field.value > nameEnd + 1 && nameEnd[1] == '\0';
+        if (field.name != lineEnd + 2 || !LibHttpStream::isToken(field.name) || hasBlankBeforeColon) {
+            return false;
+        }
+        lineEnd = field.value + std::strlen(field.value);
+    }
+    if (info.num_headers == 0) {
+        // Blanks and line ends after the first line all become NULs. HTTP/1.1 requires Host (RFC 9112, 3.2).
+        return std::string_view(info.http_version) == "1.0" && lineEnd[2] == '\0';
+    }
+    return std::string_view(lineEnd, 4) == std::string_view("\0\0\r\0", 4);
+}
+
 HttpRequest readHead(mg_connection *connection)
 {
     const mg_request_info *info = mg_get_request_info(connection);
@@ -225,6 +249,10 @@
 void HttpServer::respondTo(mg_connection *connection)
 {
     HttpRequest request = readHead(connection);
+    if (!hasOnlyFields(*mg_get_request_info(connection))) {
+        HttpExchange(connection, std::move(request)).respond(jsonResponse(400, R"({"error":"a line of the request's head is no field"})"));
+        return;
+    }
     const bool hasBody = request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
     std::optional<std::string> body = hasBody ? this->receiveBody(connection) : std::string();
     const bool complete = body.has_value();
