Tests: Let the stand-in of the store keep lost parts in force

Cause: a fault of the test. Its store told the readers with the next write, whatever it was for, that a part which it had lost is released. That write comes when an entry has stored its crashes before the exchange, and stores them again 1.2 s later, while the part is lost. The product's feeds keep such a part for a grace time (LibFleet::RestoredCopy).

Change: the store keeps lost parts in force for its readers until they are written again. The test is a table now, with and without the pause; what it expects is unchanged.

--- a/Tests/Services/Gateway/TestPromptQuarantine.cpp
+++ b/Tests/Services/Gateway/TestPromptQuarantine.cpp
@@ -32,6 +32,7 @@
         }
         if (isPart) {
             this->parts.insert(name);
+            this->lost.erase(name);
         } else {
             this->crashes = spec;
         }
@@ -46,15 +47,25 @@
         return absl::OkStatus();
     }
 
+    /// The store comes back from a copy without its parts. Readers keep a part that the copy lacks for a grace time (LibFleet::RestoredCopy).
+    void loseParts()
+    {
+        this->lost.merge(this->parts);
+        this->parts.clear();
+    }
+
     void publish()
     {
+        std::set<std::string> inForce = this->parts;
+        inForce.insert(this->lost.begin(), this->lost.end());
         for (LibFleet::FleetState *reader : this->readers) {
-            reader->setQuarantinedParts(this->parts);
+            reader->setQuarantinedParts(inForce);
             reader->setStoredCrashes(this->crashes);
         }
     }
 
     std::set<std::string> parts;
+    std::set<std::string> lost;
     std::string crashes;
     std::vector<LibFleet::FleetState *> readers;
     bool down = false;
@@ -232,22 +243,29 @@
     EXPECT_TRUE(site.store.parts.empty());
 }
 
+class LostPartTest : public testing::TestWithParam<AK::Milliseconds>
+{
+};
+
 // Guards against a part that is sent to upstreams again because the store came back from a copy without it: it is in force, and nobody writes it again.
-TEST(PromptQuarantine, IsStoredAgainWhenTheStoreHasLostIt)
+TEST_P(LostPartTest, IsStoredAgain)
 {
     QuarantineSite site(4);
     for (size_t i = 0; i < 4; ++i) {
         site.crash(i, {"a1", "bad"});
     }
+    site.sleep(GetParam());
     site.exchange();
     ASSERT_TRUE(site.waitUntil([&] { return site.store.parts.contains("bad"); }));
     const int writesBefore = site.store.writes;
-    // The entries keep it in force.
-    site.store.parts.clear();
+    site.store.loseParts();
     EXPECT_TRUE(site.waitUntil([&] { return site.store.parts.contains("bad"); }));
     EXPECT_EQ(site.store.writes, writesBefore + 1);
 }
 
+// After a late exchange the crashes are written a second time, while the part is lost.
+INSTANTIATE_TEST_SUITE_P(ExchangeAfter, LostPartTest, testing::Values(0, 150), testing::PrintToStringParamName());
+
 // Guards against a part that is never stored because the store was out of service when it was found.
 TEST(PromptQuarantine, IsStoredWhenTheStoreIsBack)
 {
