LibPeers: Read a chunk again after its wait for bandwidth

A chunk was read from the store of versions and then waited up to 250 ms for upload bandwidth. When a newer version had taken its version's place meanwhile, it was sent all the same and took the link from the newer one. Change: the chunk is read after the wait; one that is gone is answered as not held.

--- a/Tests/Services/WeightAgent/TestRules.cpp
+++ b/Tests/Services/WeightAgent/TestRules.cpp
@@ -197,4 +197,44 @@
     loop.cancelSpawned();
 }
 
+/// Holds a chunk until it is asked for an upload, as a store does that drops the version for a newer one.
+class DroppingProvider final : public LibPeers::ChunkProvider
+{
+public:
+    std::string manifest(const std::string &, int64_t) override
+    {
+        return "";
+    }
+    std::string heldChunks(const std::string &, int64_t) override
+    {
+        return "";
+    }
+    std::string chunk(const std::string &, int64_t, uint32_t) override
+    {
+        return this->dropped ? "" : "aaaa";
+    }
+    std::optional<AK::Milliseconds> reserveUpload(size_t) override
+    {
+        this->dropped = true;
+        return 50;
+    }
+    bool dropped = false;
+};
+
+// Guards against chunks of a replaced version that take the link from the newer one, because they were read before they waited for bandwidth.
+TEST(PeerServer, SendsNoChunkThatWasDroppedWhileItWaited)
+{
+    LibFiber::Loop loop;
+    StaticPeerHandler handler;
+    DroppingProvider provider;
+    const AK::Endpoint address{Loopback::processHost(), 17'921};
+    LibPeers::PeerServer server(loop, handler, &provider, nullptr);
+    ASSERT_TRUE(server.listen(address).ok());
+    LibPeers::PeerClient client(loop, address);
+    const absl::StatusOr<std::string> chunk = client.chunk(loop.rootScope(), "m", 1, 0, loop.clock().now() + 2'000);
+    ASSERT_TRUE(chunk.ok()) << chunk.status();
+    EXPECT_EQ(*chunk, "");
+    loop.cancelSpawned();
+}
+
 } // namespace
--- a/Userland/Libraries/LibPeers/PeerServer.cpp
+++ b/Userland/Libraries/LibPeers/PeerServer.cpp
@@ -160,14 +160,18 @@
             return kj::READY_NOW;
         }
         const auto params = context.getParams();
-        std::string data = this->chunks->chunk(params.getModel().cStr(), params.getVersion(), params.getIndex());
+        const auto read = [chunks = this->chunks, model = std::string(params.getModel().cStr()), version = params.getVersion(), index = params.getIndex()] {
+            return chunks->chunk(model, version, index);
+        };
+        const std::string data = read();
         const std::optional<AK::Milliseconds> wait = data.empty() ? std::nullopt : this->chunks->reserveUpload(data.size());
         if (!wait) {
             return kj::READY_NOW;
         }
         ++this->caller->waitingChunks;
+        // Read again after the wait: the version may have been dropped for a newer one meanwhile, and the link is that one's then.
         return this->loop.after(*wait)
-            .then([context, held = std::move(data)]() mutable { context.getResults().setData(asData(held)); })
+            .then([context, read]() mutable { context.getResults().setData(asData(read())); })
             .attach(kj::defer([caller = this->caller] { --caller->waitingChunks; }));
     }
 
