WeightAgent: Keep the newest complete version when newer ones begin

Three namings in a row drop the only complete version from an agent's memory, and an engine that restarts then stays without weights until the third version has arrived. And a version whose fetch begins behind two newer ones, because only it can still be in time, was dropped in the moment in which it was added, so that nobody found its chunks. Cause: the store kept the two highest numbers and nothing else. Change: it also keeps the newest complete version and the one that is just added; at most one more copy each.

--- a/Tests/Services/WeightAgent/TestRules.cpp
+++ b/Tests/Services/WeightAgent/TestRules.cpp
@@ -121,6 +121,36 @@
     EXPECT_NE(store.find("m", 3), nullptr);
 }
 
+// Guards against an engine that stays without weights after a restart, because its agent has dropped the only complete version for two that are on their way.
+TEST(VersionStore, KeepsTheNewestCompleteVersion)
+{
+    const AK::SystemClock clock;
+    VersionStore store(clock, 1'000'000);
+    ASSERT_TRUE(store.add("m", "text", manifestOf(1, {"aaaa"}))->put(0, "aaaa").ok());
+    for (int64_t version = 2; version <= 4; ++version) {
+        store.add("m", "text", manifestOf(version, {"bbbb"}));
+    }
+    EXPECT_NE(store.find("m", 1), nullptr);
+    EXPECT_EQ(store.find("m", 2), nullptr) << "it is not complete, and two newer ones are held";
+    ASSERT_TRUE(store.find("m", 3)->put(0, "bbbb").ok());
+    store.add("m", "text", manifestOf(5, {"cccc"}));
+    EXPECT_EQ(store.find("m", 1), nullptr) << "version 3 is complete";
+    EXPECT_NE(store.find("m", 3), nullptr);
+}
+
+// Guards against a fetch whose chunks nobody finds, because the version is older than the two that are held.
+TEST(VersionStore, KeepsAnOlderVersionThatIsBegun)
+{
+    const AK::SystemClock clock;
+    VersionStore store(clock, 1'000'000);
+    store.add("m", "text", manifestOf(3, {"aaaa"}));
+    store.add("m", "text", manifestOf(4, {"bbbb"}));
+    store.add("m", "text", manifestOf(2, {"cccc"}));
+    for (int64_t version = 2; version <= 4; ++version) {
+        EXPECT_NE(store.find("m", version), nullptr) << version;
+    }
+}
+
 // Guards against chunks that delay live answers on the link.
 TEST(VersionStore, PacesUploads)
 {
--- a/Userland/Services/WeightAgent/VersionStore.cpp
+++ b/Userland/Services/WeightAgent/VersionStore.cpp
@@ -1,6 +1,7 @@
 #include "VersionStore.h"
 
 #include <AK/Hash.h>
+#include <algorithm>
 
 namespace WeightAgent
 {
@@ -116,12 +117,26 @@
     const int64_t version = manifest.version;
     auto held = std::make_shared<HeldVersion>(std::move(manifestText), std::move(manifest));
     this->versions[{model, version}] = held;
-    while (this->versions.size() > maxVersions) {
-        this->versions.erase(this->versions.begin());
-    }
+    this->dropOldVersions(*held);
     return held;
 }
 
+void VersionStore::dropOldVersions(const HeldVersion &added)
+{
+    size_t newer = 0;
+    bool newerComplete = false;
+    for (auto entry = this->versions.end(); entry != this->versions.begin();) {
+        --entry;
+        const bool complete = entry->second->complete();
+        const bool newestComplete = complete && !newerComplete;
+        if (newer >= maxVersions && !newestComplete && entry->second.get() != &added) {
+            entry = this->versions.erase(entry);
+        }
+        newerComplete = newerComplete || complete;
+        ++newer;
+    }
+}
+
 void VersionStore::announce(const std::string &model, std::string manifestText, WeightsManifest manifest)
 {
     const int64_t version = manifest.version;
--- a/Userland/Services/WeightAgent/VersionStore.h
+++ b/Userland/Services/WeightAgent/VersionStore.h
@@ -44,8 +44,8 @@
     size_t held = 0;
 };
 
-/// Holds the newest two versions in memory for the engine of this host and for other agents, and the manifests of announced ones. A manifest alone takes no
-/// version's place: the version before it may be the only one that can be complete in time.
+/// Holds the newest two versions in memory for the engine of this host and for other agents, older ones while they are needed, and the manifests of announced
+/// ones. A manifest alone takes no version's place: the version before it may be the only one that can be complete in time.
 class VersionStore final : public LibPeers::ChunkProvider
 {
 public:
@@ -70,6 +70,10 @@
     std::optional<AK::Milliseconds> reserveUpload(size_t bytes) override;
 
 private:
+    /// Drops versions that newer ones replace, but not the newest complete one, which is the only one that the engine can be given when it restarts, and not
+    /// the one that was just added.
+    void dropOldVersions(const HeldVersion &added);
+
     const AK::Clock &clock;
     double uploadBytesPerSecond;
     LibWeights::TokenBucket uploadBucket;
