WeightAgent: Load a version only as long as its chunks alone are staged

Cause: a load looked at the version, compared the staged chunks, waited and ordered, and asked nothing again. The fiber that stages chunks of a newer version was kept away only while the older one counted as complete and newest, which version 1 did no more once a version had been named. The log of the engine shows chunks of version 2 in a load of version 1 and no failed call of the agent, which rules out late calls and lost chunks as the cause there. Change: StagingArea owns the staging area and is reserved from before a comparison until the engine has the version. After each wait the agent asks whether the version is still the one to load. The order follows a status asked for after the comparison, and a comparison in which nothing had to be staged. Calls without an answer are remembered until they can't take effect any more. An empty engine still gets version 1 while calls may use it, also after a naming.

--- a/Tests/Services/WeightAgent/LoneAgent.cpp
+++ b/Tests/Services/WeightAgent/LoneAgent.cpp
@@ -143,7 +143,7 @@
     return LoadOutcome::Accepted;
 }
 
-LoneAgent::LoneAgent(LibFiber::Loop &loop, EngineControl &engine, WeightsOrigin &origin)
+LoneAgent::LoneAgent(LibFiber::Loop &loop, EngineControl &engine, WeightsOrigin &origin, std::optional<int64_t> named)
     : loop(loop)
     , fleet(loop.clock())
     , feeds(loop, this->source, this->decoder, this->fleet)
@@ -152,7 +152,7 @@
     , guard(loop)
 {
     this->fleet.setConfiguration(modelConfiguration());
-    this->fleet.setWeightsTargets({{model, newVersion}}, 0);
+    this->fleet.setWeightsTargets(named ? std::map<std::string, int64_t>{{model, *named}} : std::map<std::string, int64_t>{}, 0);
     this->service.start();
 }
 
@@ -161,6 +161,21 @@
     this->fleet.setWeightsTargets({{model, version}}, 0);
 }
 
+void LoneAgent::listPeers(int count)
+{
+    constexpr int firstPort = 3;
+    std::map<std::string, LibFleet::UpstreamRecord> peers;
+    for (int i = 0; i < count; ++i) {
+        LibFleet::UpstreamRecord peer;
+        peer.id = "peer-" + std::to_string(i);
+        peer.service = "bench-assistant";
+        peer.address = {"127.0.0.1", static_cast<uint16_t>(firstPort + i)};
+        peer.failureDomain = "lima-1";
+        peers[peer.id] = peer;
+    }
+    this->fleet.setUpstreams(std::move(peers));
+}
+
 bool LoneAgent::runUntil(const std::function<bool()> &condition, AK::Milliseconds limit)
 {
     const AK::Milliseconds until = this->loop.clock().now() + limit;
--- a/Tests/Services/WeightAgent/LoneAgent.h
+++ b/Tests/Services/WeightAgent/LoneAgent.h
@@ -59,15 +59,18 @@
     int64_t loads = 0;
 };
 
-/// An agent that the operator has told to load newVersion.
+/// An agent that the operator has told to load `named`, newVersion unless given; nothing for no version at all.
 class LoneAgent
 {
 public:
-    LoneAgent(LibFiber::Loop &loop, WeightAgent::EngineControl &engine, WeightAgent::WeightsOrigin &origin);
+    LoneAgent(LibFiber::Loop &loop, WeightAgent::EngineControl &engine, WeightAgent::WeightsOrigin &origin, std::optional<int64_t> named = newVersion);
 
     /// Names a version as the operator does.
     void name(int64_t version);
 
+    /// Lists other engines of the service. Their agents can't be reached.
+    void listPeers(int count);
+
     /// Runs the agent until `condition` holds; false after `limit` ms.
     bool runUntil(const std::function<bool()> &condition, AK::Milliseconds limit = 20'000);
 
--- a/Userland/Services/WeightAgent/AgentService.cpp
+++ b/Userland/Services/WeightAgent/AgentService.cpp
@@ -25,6 +25,7 @@
     , origin(origin)
     , exchange(exchange)
     , store(loop.clock(), this->settings.uploadBytesPerSecond)
+    , staging(loop, engine)
 {
 }
 
@@ -62,30 +63,42 @@
     this->loop.spawn([this](kj::WaitScope &scope) { this->runLoadLoop(scope); });
 }
 
+absl::StatusOr<EngineStatus> AgentService::readStatus(kj::WaitScope &scope)
+{
+    const AK::Milliseconds askedAt = this->loop.clock().now();
+    absl::StatusOr<EngineStatus> read = this->engine.status(scope);
+    if (askedAt < this->statusAskedAt) {
+        // A later call has been answered before.
+        return read;
+    }
+    this->staging.noteStatus(read);
+    if (!read.ok()) {
+        return read;
+    }
+    read->report.upstream = this->settings.engineAddress.text();
+    const bool changed = !this->status || this->status->report.weightsVersion != read->report.weightsVersion || this->status->busy != read->busy
+        || this->status->report.startTime != read->report.startTime;
+    this->status = *read;
+    this->statusAskedAt = askedAt;
+    this->statusReadAt = this->loop.clock().now();
+    if (changed) {
+        this->logger.info(
+            "engine_state",
+            {{"version", read->report.weightsVersion}, {"busy", read->busy}, {"orders", read->commandSequence}, {"born", read->report.startTime}});
+        this->exchange.pushNow();
+    }
+    return read;
+}
+
 void AgentService::pollEngine(kj::WaitScope &scope)
 {
     bool reachable = true;
     while (true) {
-        const absl::StatusOr<EngineStatus> read = this->engine.status(scope);
+        const absl::StatusOr<EngineStatus> read = this->readStatus(scope);
         if (read.ok() != reachable) {
             reachable = read.ok();
             this->logger.info(reachable ? "engine_reached" : "engine_lost", {{"reason", std::string(read.status().message())}});
         }
-        if (read.ok()) {
-            const bool changed = !this->status || this->status->report.weightsVersion != read->report.weightsVersion || this->status->busy != read->busy
-                || this->status->report.startTime != read->report.startTime;
-            if (changed) {
-                this->logger.info(
-                    "engine_state",
-                    {{"version", read->report.weightsVersion}, {"busy", read->busy}, {"orders", read->commandSequence}, {"born", read->report.startTime}});
-            }
-            this->status = *read;
-            this->status->report.upstream = this->settings.engineAddress.text();
-            this->statusReadAt = this->loop.clock().now();
-            if (changed) {
-                this->exchange.pushNow();
-            }
-        }
         this->loop.sleep(scope, this->settings.statusInterval);
     }
 }
@@ -259,7 +272,7 @@
     std::shared_ptr<HeldVersion> held = this->store.find(spec.model, version);
     if (!held) {
         held = this->store.begin(spec.model, version);
-        this->adoptStagedChunks(scope, spec.model, *held);
+        this->staging.adopt(scope, spec.model, *held, [&] { return this->versionToFetch(spec) == version; });
     }
     SwarmFetch::Watch watch;
     watch.shouldContinue = [&] {
--- a/Userland/Services/WeightAgent/AgentService.h
+++ b/Userland/Services/WeightAgent/AgentService.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "StagingArea.h"
 #include "SwarmFetch.h"
 #include "VersionChoice.h"
-#include <AK/RecentCheck.h>
 #include <Fleet/PeerExchange.h>
 
 namespace WeightAgent
@@ -53,33 +53,26 @@
     void readManifest(kj::WaitScope &scope, const LibFleet::EngineSpec &spec, int64_t version);
     void fetch(kj::WaitScope &scope, const LibFleet::EngineSpec &spec, int64_t version);
     SwarmFetch makeFetch(const LibFleet::EngineSpec &spec, int64_t version, AK::Milliseconds startedAt);
-    std::shared_ptr<HeldVersion> newestCompleteVersion(const std::string &model) const;
-    /// Adds the chunks that are already staged at the engine to `held`.
-    void adoptStagedChunks(kj::WaitScope &scope, const std::string &model, HeldVersion &held);
-    struct Comparison {
-        AK::RecentCheck check;
-        /// Chunks that were missing or differed. They have not been read back.
-        size_t staged = 0;
-    };
-
+    /// The version to load: the newest complete target, or while newer ones are not complete an older version that calls may still use for a while. Nothing
+    /// when the engine has it or a newer one.
+    std::shared_ptr<HeldVersion> versionToLoad(const std::string &model) const;
+    bool isToLoad(const std::string &model, const HeldVersion &held) const;
     /// Stages the chunks of the version that is being fetched as they arrive, so that only the comparison is left when it is complete.
     void runStageLoop(kj::WaitScope &scope);
     /// The chunk to stage next. Nothing while a complete version waits to be loaded: the staging area is then that version's.
     std::optional<uint32_t> nextToStage(const std::string &model, const HeldVersion &held) const;
     bool loadPending(const std::string &model) const;
-    /// Waits until no chunk of another version can reach the staging area any more.
-    void waitForStaging(kj::WaitScope &scope, int64_t version) const;
-    /// Compares all staged chunks with `held` and stages those that are missing or differ. Returns nothing when the engine fails.
-    std::optional<Comparison> compareStaged(kj::WaitScope &scope, const std::string &model, const HeldVersion &held);
-    /// Returns the status on which a load command is to be based. `compared` holds then, after more comparisons if necessary. Nothing when the engine must not
-    /// or need not load the version now.
-    std::optional<EngineStatus> statusForLoad(kj::WaitScope &scope, const std::string &model, const HeldVersion &held, AK::RecentCheck compared);
-    void switchTo(kj::WaitScope &scope, const std::string &model, const HeldVersion &held, const AK::RecentCheck &compared);
-    /// Waits for a status that was read after this call. Errors: kUnavailable when the engine does not answer.
-    absl::StatusOr<EngineStatus> waitForFreshStatus(kj::WaitScope &scope) const;
-    /// Waits for loadDelay(). False when `version` is no longer the newest complete version.
-    bool waitForLoadTurn(kj::WaitScope &scope, const std::string &model, int64_t version);
-    void drainCalls(kj::WaitScope &scope) const;
+    /// Stages, compares and loads a version. Returns early when the engine fails, or when another version is the one to load.
+    void loadVersion(kj::WaitScope &scope, const std::string &model, const HeldVersion &held);
+    /// Returns the status on which a load command is to be based. `compared` proves then that all chunks are staged, after more comparisons if necessary.
+    /// Nothing when the engine must not or need not load the version now.
+    std::optional<EngineStatus> statusForLoad(kj::WaitScope &scope, const std::string &model, const HeldVersion &held, StagingArea::Comparison compared);
+    void switchTo(kj::WaitScope &scope, const std::string &model, const HeldVersion &held, const StagingArea::Comparison &compared);
+    /// Reads the status of the engine now. Errors: those of EngineControl::status().
+    absl::StatusOr<EngineStatus> readStatus(kj::WaitScope &scope);
+    /// Waits for loadDelay(). False when another version is the one to load.
+    bool waitForLoadTurn(kj::WaitScope &scope, const std::string &model, const HeldVersion &held);
+    void drainCalls(kj::WaitScope &scope, const std::string &model, const HeldVersion &held) const;
     std::optional<LibFleet::EngineSpec> engineSpec() const;
     /// Targets that are newer than the loaded version, and the newest, oldest first.
     std::vector<LibFleet::WeightsTarget> targetsToFetch(const std::string &model) const;
@@ -96,19 +89,16 @@
     WeightsOrigin &origin;
     Fleet::PeerExchange &exchange;
     VersionStore store;
+    StagingArea staging;
     ManifestProof manifestProof;
     OriginContact originContact;
     std::map<int64_t, KnownOffers> offersByVersion;
     /// Version that is being fetched, 0 for none.
     int64_t fetchedVersion = 0;
-    /// Version of which chunks are staged as they arrive, and these chunks.
-    int64_t stagedVersion = 0;
-    std::set<uint32_t> stagedChunks;
-    bool staging = false;
-    /// Time of the last chunk that was not staged; the engine may still receive it.
-    std::optional<AK::Milliseconds> stagingFailedAt;
     std::optional<EngineStatus> status;
     AK::Milliseconds statusReadAt = 0;
+    /// Time at which `status` was asked for.
+    AK::Milliseconds statusAskedAt = 0;
     bool switchPending = false;
     /// Time at which this agent began to fetch the chunks of each version.
     std::map<int64_t, AK::Milliseconds> fetchStartedAt;
--- a/Userland/Services/WeightAgent/VersionChoice.cpp
+++ b/Userland/Services/WeightAgent/VersionChoice.cpp
@@ -58,6 +58,11 @@
     return newest.held < newest.chunks ? newest.version : 0;
 }
 
+bool isWorthLoading(AK::Milliseconds usableTime)
+{
+    return usableTime > loadTime;
+}
+
 size_t assumedOffers(const KnownOffers &known, size_t missing, bool originReachable, AK::Milliseconds now)
 {
     // After this time an agent that cannot read from the origin asks its peers again for a version.
--- a/Userland/Services/WeightAgent/VersionChoice.h
+++ b/Userland/Services/WeightAgent/VersionChoice.h
@@ -26,6 +26,10 @@
 /// oldest first.
 int64_t chooseVersionByRates(const std::vector<VersionOutlook> &targets, const OriginLink &link, bool originReachable);
 
+/// Whether a version that newer ones replace is worth a load when calls may use it for `usableTime` ms more. Load pattern: an engine restarts while the weights
+/// that the operator has just set are still on their way; it can serve with older ones until then.
+bool isWorthLoading(AK::Milliseconds usableTime);
+
 /// Missing chunks of a version that peers offered when they were last asked.
 struct KnownOffers {
     size_t count = 0;
