Gateway: List entries of the client's region and of its calls' homes

Cause: addresses were chosen by failure domain alone, and without an entry there all were listed. Change: own failure domain, own region, the regions that the homes of the calls to the client's host allow, all, in this order.

--- a/Userland/Utilities/catkinlinkd/EntryProcess.cpp
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.cpp
@@ -1,6 +1,5 @@
 #include "EntryProcess.h"
 
-#include <Gateway/AddressChoice.h>
 #include <LibGateway/DrainPlan.h>
 #include <algorithm>
 #include <platform/Directory.h>
@@ -172,21 +171,49 @@
     if (!Platform::isAddressRequest(head)) {
         return {notFound, "application/json", "{}"};
     }
+    Gateway::DirectoryClient client = Platform::clientOf(head);
+    // The client's own word counts only where the settings do not know its failure domain.
+    if (std::string known = this->regionOf(client.failureDomain); !known.empty()) {
+        client.region = std::move(known);
+    }
+    const Gateway::AddressChoice choice = Gateway::chooseAddresses(this->listedEntries(), client, this->currentHomes().of(client.host), this->random);
+    this->metrics.add("catkinlink_directory_responses_total", {{"scope", std::string(AK::nameOf(Gateway::addressScopeNames, choice.scope))}});
+    return {200, "application/json", Platform::encodeAddresses(choice.addresses, std::min(addressLifetime, this->settings.bounds.addressLifetime))};
+}
+
+std::vector<Gateway::DirectoryEntry> EntryProcess::listedEntries() const
+{
+    const Gateway::DirectoryEntry self{*this->settings.clientAddress, this->settings.failureDomain, this->settings.region};
     std::vector<Gateway::DirectoryEntry> entries;
     if (this->ready()) {
-        entries.push_back({*this->settings.clientAddress, this->settings.failureDomain});
+        entries.push_back(self);
     }
     for (const auto &[name, view] : this->node.exchange.liveEntries(entryMaxAge)) {
         const absl::StatusOr<AK::Endpoint> address = AK::parseEndpoint(view.state.clientAddress);
         if (name != this->settings.name && view.state.ready && !view.state.leaving && address.ok()) {
-            entries.push_back({*address, view.state.failureDomain});
+            entries.push_back({*address, view.state.failureDomain, this->regionOf(view.state.failureDomain)});
         }
     }
     if (entries.empty()) {
-        entries.push_back({*this->settings.clientAddress, this->settings.failureDomain});
+        entries.push_back(self);
+    }
+    return entries;
+}
+
+std::string EntryProcess::regionOf(const std::string &failureDomain) const
+{
+    const auto found = this->settings.regionsByDomain.find(failureDomain);
+    return found == this->settings.regionsByDomain.end() ? "" : found->second;
+}
+
+const Gateway::HomesByHost &EntryProcess::currentHomes()
+{
+    const std::shared_ptr<const LibFleet::Configuration> configuration = this->node.fleet.configuration();
+    if (configuration != this->homesOf) {
+        this->homes = Gateway::homesByHost(*configuration);
+        this->homesOf = configuration;
     }
-    const std::vector<AK::Endpoint> addresses = Gateway::chooseAddresses(entries, Platform::failureDomainOfClient(head), this->random);
-    return {200, "application/json", Platform::encodeAddresses(addresses, std::min(addressLifetime, this->settings.bounds.addressLifetime))};
+    return this->homes;
 }
 
 void EntryProcess::updateDispatcherEntries(kj::WaitScope &scope)
--- a/Userland/Utilities/catkinlinkd/EntryProcess.h
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "PlatformNode.h"
+#include <Gateway/AddressChoice.h>
 #include <Gateway/GatewayService.h>
 #include <Gateway/QuarantineKeeper.h>
 #include <Gateway/SimpleHttpServer.h>
@@ -33,6 +34,11 @@
     Gateway::SimpleHttpResponse readinessResponse(const LibHttpStream::RequestHead &head) const;
 
     Gateway::SimpleHttpResponse directoryResponse(const LibHttpStream::RequestHead &head);
+    /// The entries that clients may use now; this one when there is none.
+    std::vector<Gateway::DirectoryEntry> listedEntries() const;
+    /// Empty when the settings do not name the failure domain.
+    std::string regionOf(const std::string &failureDomain) const;
+    const Gateway::HomesByHost &currentHomes();
 
     /// Passes the live entries, which share the upstreams, to the dispatcher.
     void updateDispatcherEntries(kj::WaitScope &scope);
@@ -64,6 +70,9 @@
     Gateway::SimpleHttpServer directory;
     Gateway::SimpleHttpServer metricsServer;
     bool leaving = false;
+    Gateway::HomesByHost homes;
+    /// Configuration from which `homes` was made.
+    std::shared_ptr<const LibFleet::Configuration> homesOf;
     AK::Random random = AK::seededFromSystem();
     LibLog::Logger logger{"daemon"};
     LibFiber::SpawnedFibersGuard fibersGuard{this->loop};
