Gateway: Judge a crash by the responses that were not complete

Cause: a call was a suspect only until 500 ms after its first event, and from then on its parts counted as sound. Found by reading beside it: the rest of a resumed response counted as proof of soundness. CrashDetectorTest, row process_ends_long_after_the_first_event, expected no suspect 550 ms after the first event: it asserted the constant. It now expects the one call that the engine was working on, with its parts; the new row process_ends_after_the_response expects none when the response was complete.

--- a/Tests/Services/Gateway/TestCrashDetector.cpp
+++ b/Tests/Services/Gateway/TestCrashDetector.cpp
@@ -11,7 +11,7 @@
 constexpr AK::Milliseconds callTimeout = 700;
 constexpr AK::Milliseconds downTime = 400;
 
-enum class Ending { ProcessEnds, ConnectionEnds, Silence, ProcessEndsLongAfterTheFirstEvent };
+enum class Ending { ProcessEnds, ConnectionEnds, Silence, ProcessEndsLongAfterTheFirstEvent, ProcessEndsAfterTheResponse };
 
 struct DetectionCase {
     const char *name;
@@ -44,6 +44,11 @@
             site->loop.sleep(scope, longTime);
             site->crashUpstream(0, downTime);
             break;
+        case Ending::ProcessEndsAfterTheResponse:
+            EXPECT_TRUE(channel.write(scope, LibHttpStream::lastChunk, site->loop.clock().now() + callTimeout).ok());
+            site->loop.sleep(scope, longTime / 2);
+            site->crashUpstream(0, downTime);
+            break;
         case Ending::ProcessEnds:
             site->crashUpstream(0, downTime);
             break;
@@ -73,7 +78,8 @@
 INSTANTIATE_TEST_SUITE_P(Table, CrashDetectorTest,
                          testing::Values(DetectionCase{"process_ends", Ending::ProcessEnds, 1, 1},
                                          DetectionCase{"connection_ends", Ending::ConnectionEnds, 0, 0}, DetectionCase{"silence", Ending::Silence, 0, 0},
-                                         DetectionCase{"process_ends_long_after_the_first_event", Ending::ProcessEndsLongAfterTheFirstEvent, 1, 0}),
+                                         DetectionCase{"process_ends_long_after_the_first_event", Ending::ProcessEndsLongAfterTheFirstEvent, 1, 1},
+                                         DetectionCase{"process_ends_after_the_response", Ending::ProcessEndsAfterTheResponse, 0, 0}),
                          [](const auto &info) { return std::string(info.param.name); });
 
 } // namespace
--- a/Tests/Services/Gateway/TestCrashingPrompts.cpp
+++ b/Tests/Services/Gateway/TestCrashingPrompts.cpp
@@ -13,13 +13,15 @@
 // Upstreams take this long to read a prompt, so that other calls are in flight when one crashes.
 constexpr AK::Milliseconds readingTime = 10;
 constexpr AK::Milliseconds downTime = 60;
+constexpr AK::Milliseconds longAnswerGap = 40;
 
-/// Upstreams that crash when they begin to write a response to a prompt with the part "bad".
+/// Upstreams that crash `crashAfter` ms after they have begun to write a response to a prompt with the part "bad".
 class CrashingSite
 {
 public:
-    CrashingSite()
-        : site(this->scripts())
+    explicit CrashingSite(AK::Milliseconds crashAfter = 0)
+        : crashAfter(crashAfter)
+        , site(this->scripts())
     {
         this->loop = &this->site.loop;
         this->site.configure(RouteKind::Stream, true, 2, callTimeout);
@@ -33,6 +35,7 @@
             scope, {{"X-Attempt-Id", id}, {"X-Deadline-Ms", std::to_string(callTimeout)}, {"X-Prompt-Prefix", AK::concat(sharedParts, ",", "f", id, ":5")}});
     }
 
+    AK::Milliseconds crashAfter;
     GatewaySite site;
     LibFiber::Loop *loop = nullptr;
     int crashes = 0;
@@ -61,15 +64,21 @@
             AK::concat("HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\nX-Attempt-Id: ", *LibHttpStream::findHeader(head.headers, "X-Attempt-Id"),
                        "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
         bool ok = channel.write(scope, startLine, deadline).ok();
+        const std::string *last = LibHttpStream::findHeader(head.headers, "Last-Event-Id");
+        const int first = last == nullptr ? 1 : std::stoi(*last) + 1;
         if (bad) {
+            const AK::Milliseconds crashAt = this->loop->clock().now() + this->crashAfter;
+            for (int event = first; ok && this->loop->clock().now() < crashAt && !this->site.upstreams[index]->isDown(); ++event) {
+                ok = channel.write(scope, LibHttpStream::encodeChunk(AK::concat("id: ", event, "\ndata: word\n\n")), deadline).ok();
+                this->loop->sleep(scope, longAnswerGap);
+            }
             if (!this->site.upstreams[index]->isDown()) {
                 ++this->crashes;
                 this->site.crashUpstream(index, downTime);
             }
             return false;
         }
-        const std::string *last = LibHttpStream::findHeader(head.headers, "Last-Event-Id");
-        for (int event = last == nullptr ? 1 : std::stoi(*last) + 1; event <= events && ok; ++event) {
+        for (int event = first; event <= events && ok; ++event) {
             ok = channel.write(scope, LibHttpStream::encodeChunk(AK::concat("id: ", event, "\ndata: word\n\n")), deadline).ok();
             this->loop->sleep(scope, readingTime);
         }
@@ -144,6 +153,76 @@
     EXPECT_EQ(requests, (std::vector<int>{2, 1}));
 }
 
+class LateCrashTest : public testing::TestWithParam<AK::Milliseconds>
+{
+};
+
+// Guards against a part that is never quarantined because upstreams crash on it only after they have written for some time (review/12).
+TEST_P(LateCrashTest, StopsReachingUpstreams)
+{
+    constexpr int rounds = 6;
+    // Two prompts and three crashes find a part: the first prompt is sent to two upstreams, the next ones to one each.
+    constexpr int toleratedRequests = 4;
+    CrashingSite crashing(GetParam());
+    kj::WaitScope &scope = crashing.site.loop.rootScope();
+    for (int round = 0; round < rounds; ++round) {
+        ClientResponse sound;
+        ClientResponse bad;
+        kj::Promise<void> soundCall = crashing.site.loop.fiber([&](kj::WaitScope &inner) { sound = crashing.call(inner, "a1:40,c3:9"); });
+        kj::Promise<void> badCall = crashing.site.loop.fiber([&](kj::WaitScope &inner) { bad = crashing.call(inner, "a1:40,bad:20,c3:9"); });
+        soundCall.wait(scope);
+        badCall.wait(scope);
+        EXPECT_FALSE(bad.complete && bad.status == 200) << "round " << round;
+        EXPECT_EQ(crashing.call(scope, "a1:40,c3:9").status, 200) << "round " << round;
+        crashing.site.loop.sleep(scope, 2 * downTime);
+    }
+    EXPECT_LE(crashing.badRequests, toleratedRequests);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, LateCrashTest, testing::Values(100, 600, 1'200),
+                         [](const auto &info) { return "after_" + std::to_string(info.param) + "_ms"; });
+
+struct ProofCase {
+    const char *name;
+    /// Headers of a call that is answered to the end between two crashes.
+    LibHttpStream::Headers headers;
+    bool provesSoundness;
+};
+
+class SoundnessTest : public testing::TestWithParam<ProofCase>
+{
+};
+
+// Guards against a part that counts as sound because the rest of a resumed response was short enough to be completed before the upstream crashed.
+TEST_P(SoundnessTest, IsProvenByAWholeResponseAlone)
+{
+    LibFiber::Loop *loop = nullptr;
+    const UpstreamScript answer = [&](kj::WaitScope &scope, LibFiber::ByteChannel &channel, const LibHttpStream::RequestHead &head, const std::string &) {
+        const std::string event = LibHttpStream::findHeader(head.headers, "Last-Event-Id") == nullptr ? "id: 1\ndata: word\n\n" : "id: 2\ndata: word\n\n";
+        writeResponse(scope, channel, *loop, *LibHttpStream::findHeader(head.headers, "X-Attempt-Id"), 200, event, event.size());
+        return true;
+    };
+    GatewaySite site({answer});
+    loop = &site.loop;
+    site.configure(RouteKind::Stream, true, 2, callTimeout);
+    const auto crash = [&](uint64_t prompt) {
+        const AK::Milliseconds now = site.loop.clock().now();
+        site.quarantine.recordCrash({AK::concat("i-", prompt + 10), now, {{prompt, now - 1, {"ab"}}}});
+        site.loop.sleep(site.loop.rootScope(), readingTime);
+    };
+    crash(1);
+    crash(2);
+    EXPECT_EQ(site.call(GetParam().headers).status, 200);
+    crash(3);
+    EXPECT_EQ(site.quarantine.isQuarantined({"ab"}), !GetParam().provesSoundness);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, SoundnessTest,
+                         testing::Values(ProofCase{"whole", {{"X-Prompt-Prefix", "ab:4,f1:5"}}, true},
+                                         ProofCase{"resumed", {{"X-Prompt-Prefix", "ab:4,f1:5"}, {"Last-Event-Id", "1"}}, false},
+                                         ProofCase{"another_part", {{"X-Prompt-Prefix", "cd:4,f1:5"}}, false}),
+                         [](const auto &info) { return info.param.name; });
+
 // Guards against calls that are given up because an upstream refused the connection, only because another call with their part was beside a crash.
 TEST(CrashingPrompt, CallsThatHaveNotRunAreSentOn)
 {
--- a/Userland/Libraries/LibGateway/CrashEvidence.h
+++ b/Userland/Libraries/LibGateway/CrashEvidence.h
@@ -10,7 +10,7 @@
 namespace LibGateway
 {
 
-/// A call that broke off when its upstream crashed and that may be the cause: its response had hardly begun.
+/// A call that broke off when its upstream crashed and that may be the cause: the upstream was working on it.
 struct CrashSuspect {
     /// Hash of the last part of the prompt: a call and its repetitions have the same.
     uint64_t prompt = 0;
--- a/Userland/Services/Gateway/CallTask.cpp
+++ b/Userland/Services/Gateway/CallTask.cpp
@@ -16,8 +16,6 @@
 constexpr AK::Milliseconds defaultClientTimeout = 10'000;
 // Responses are held until they are complete, so that one that is cut can be retried; some hundred calls share the memory of an entry.
 constexpr uint64_t maxResponseBodyBytes = 4UL << 20;
-// A request that crashes upstreams does so when they begin to write its response; one whose events have come for this long is not the cause.
-constexpr AK::Milliseconds crashTime = 500;
 // Longer than clients wait: sent again, the call would be rejected again.
 constexpr AK::Milliseconds quarantineRetryAfter = 60'000;
 
@@ -246,10 +244,9 @@
     return true;
 }
 
-void CallTask::noteSoundPrompt(bool complete)
+void CallTask::noteSoundPrompt(bool resumed)
 {
-    if (!this->soundNoted && this->firstEventAt > 0 && (complete || this->now() - this->firstEventAt >= crashTime)) {
-        this->soundNoted = true;
+    if (this->firstEventAt > 0 && !resumed) {
         this->context.quarantine.recordSoundPrompt(this->request.sharedPromptParts);
     }
 }
@@ -257,7 +254,8 @@
 void CallTask::recordBrokenCall(const LibFleet::UpstreamRecord &upstream)
 {
     std::optional<LibGateway::CrashSuspect> suspect;
-    if (!this->request.sharedPromptParts.empty() && (this->firstEventAt == 0 || this->now() - this->firstEventAt < crashTime)) {
+    // However long it has been writing the response: a prompt may crash it at any event.
+    if (!this->request.sharedPromptParts.empty()) {
         suspect = {AK::stableHash(this->request.lastPromptPart), this->sentAt, this->request.sharedPromptParts};
     }
     this->context.crashes.recordBrokenCall(upstream, std::move(suspect));
--- a/Userland/Services/Gateway/CallTask.h
+++ b/Userland/Services/Gateway/CallTask.h
@@ -128,8 +128,9 @@
 
     /// Rejects a call whose prompt has a quarantined part. Returns whether it did.
     bool rejectQuarantined(kj::WaitScope &scope);
-    /// Records once that the parts of the prompt are sound: the response is complete, or has gone on for longer than a crash takes.
-    void noteSoundPrompt(bool complete);
+    /// Records that the parts of the prompt are sound, because the response is complete. The rest of a `resumed` one proves nothing: it may be shorter than
+    /// the time that an upstream takes to crash.
+    void noteSoundPrompt(bool resumed);
     /// Records that the upstream has ended the connection before the end of its response.
     void recordBrokenCall(const LibFleet::UpstreamRecord &upstream);
     /// Sends the whole events to the client. `continues`: see LibGateway::takeEvents(). Returns why the next event was not sent; an error when the client has
@@ -166,8 +167,6 @@
     AK::Milliseconds firstEventAt = 0;
     /// The upstream has sent a part of its stream since the last send.
     bool streamBegun = false;
-    /// The prompt has been recorded as sound.
-    bool soundNoted = false;
     /// An upstream may have run the request.
     bool mayHaveRun = false;
     std::optional<std::string> lastEventId;
--- a/Userland/Services/Gateway/CallTaskStream.cpp
+++ b/Userland/Services/Gateway/CallTaskStream.cpp
@@ -237,6 +237,7 @@
     const LibFleet::UpstreamRecord upstream = grant->upstream();
     this->mayHaveRun = true;
     const bool continues = this->client.begun();
+    const bool resumed = this->lastEventId.has_value();
     LibGateway::EventSplitter splitter;
     this->lastEventAt = this->now();
     while (true) {
@@ -247,7 +248,6 @@
         if (!part.text.empty()) {
             splitter.feed(part.text);
             grant->promptRead();
-            this->noteSoundPrompt(false);
             const absl::StatusOr<ContinuationFault> forwarded = this->forwardEvents(scope, call, splitter, continues);
             if (!forwarded.ok() || *forwarded != ContinuationFault::None) {
                 return forwarded.ok() ? this->rejectContinuation(scope, call, upstream, *forwarded) : NextStep::Done;
@@ -277,7 +277,7 @@
         break;
     }
     this->context.dispatcher.recordOutcome(upstream, false);
-    this->noteSoundPrompt(true);
+    this->noteSoundPrompt(resumed);
     call.finish();
     this->takeOver();
     const absl::Status written = this->client.begun() ? this->client.endStream(scope) : this->client.sendResponse(scope, call.responseHead(), "", true);
