LibFiber: Write to a slow reader for as long as it reads

Cause: a whole response was one write with one timeout, which looked at no progress. The record shows bytes at the client up to the reset.

--- a/Tests/Services/Gateway/TestClientChannel.cpp
+++ b/Tests/Services/Gateway/TestClientChannel.cpp
@@ -51,7 +51,7 @@
     LibFiber::ByteChannel peer(loop, kj::mv(pipe.ends[1]));
     // A write to the pipe ends when its data has been read.
     kj::Promise<void> closed = peer.whenClosed().eagerlyEvaluate(nullptr);
-    Gateway::ClientChannel client(loop, server, false);
+    Gateway::ClientChannel client(server, false);
     for (size_t i = 0; i < GetParam().operations.size(); ++i) {
         const absl::Status status = perform(GetParam().operations[i], scope, client);
         EXPECT_EQ(status.ok(), i < GetParam().accepted) << status;
--- a/Userland/Libraries/LibFiber/ByteChannel.cpp
+++ b/Userland/Libraries/LibFiber/ByteChannel.cpp
@@ -4,9 +4,13 @@
 #include <absl/strings/match.h>
 #include <algorithm>
 #include <cerrno>
+#include <cstddef>
 #include <cstring>
 #include <kj/debug.h>
+#include <linux/tcp.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace LibFiber
 {
@@ -17,6 +21,9 @@
 constexpr size_t readBytes = 8192;
 // Bytes read ahead while a response is being produced; further bytes stay in the kernel's buffer.
 constexpr size_t readAheadLimit = 64UL * 1024;
+constexpr size_t writePieceBytes = 64UL * 1024;
+// Looks at what a peer that reads slowly has acknowledged, in the time after which it counts as stalled.
+constexpr int looksPerStall = 8;
 
 // Whether a write has failed because the peer had ended its side before the connection broke: Linux then reports EPIPE, and ECONNRESET or ETIMEDOUT otherwise.
 // A failed write keeps its error number only in its text.
@@ -141,17 +148,63 @@
     return absl::OkStatus();
 }
 
-absl::Status ByteChannel::write(kj::WaitScope &scope, std::string_view data, AK::Milliseconds deadline)
+absl::Status ByteChannel::written(absl::Status status)
 {
-    ++this->writesInProgress;
-    KJ_DEFER(--this->writesInProgress);
-    absl::Status status = this->loop.awaitDone(scope, kj::evalNow([&] { return this->stream->write(data.data(), data.size()); }), deadline);
     if (!status.ok() && !absl::IsDeadlineExceeded(status) && !failedAfterEnd(status)) {
         this->errorTaken = true;
     }
     return status;
 }
 
+absl::Status ByteChannel::write(kj::WaitScope &scope, std::string_view data, AK::Milliseconds deadline)
+{
+    ++this->writesInProgress;
+    KJ_DEFER(--this->writesInProgress);
+    return this->written(this->loop.awaitDone(scope, kj::evalNow([&] { return this->stream->write(data.data(), data.size()); }), deadline));
+}
+
+absl::Status ByteChannel::writeWhileRead(kj::WaitScope &scope, std::string_view data, AK::Milliseconds stallTimeout)
+{
+    ++this->writesInProgress;
+    KJ_DEFER(--this->writesInProgress);
+    AK::Milliseconds readAt = this->loop.clock().now();
+    const AK::Milliseconds endsBy = readAt + stallTimeout + static_cast<AK::Milliseconds>(data.size()) / minReadRate;
+    std::optional<uint64_t> acknowledged;
+    // Where the system does not tell what was acknowledged, a piece that goes out shows that the peer reads.
+    for (; !data.empty(); data.remove_prefix(std::min(data.size(), writePieceBytes))) {
+        const std::string_view piece = data.substr(0, writePieceBytes);
+        kj::ForkedPromise<void> promise = kj::evalNow([&] { return this->stream->write(piece.data(), piece.size()); }).fork();
+        while (true) {
+            const AK::Milliseconds lookAt = std::min({this->loop.clock().now() + stallTimeout / looksPerStall, readAt + stallTimeout, endsBy});
+            absl::Status status = this->written(this->loop.awaitDone(scope, promise.addBranch(), lookAt));
+            const AK::Milliseconds now = this->loop.clock().now();
+            if (status.ok()) {
+                readAt = now;
+                break;
+            }
+            const std::optional<uint64_t> before = std::exchange(acknowledged, this->acknowledgedBytes());
+            readAt = before && acknowledged && *acknowledged > *before ? now : readAt;
+            if (!absl::IsDeadlineExceeded(status) || now >= readAt + stallTimeout || now >= endsBy) {
+                return status;
+            }
+        }
+    }
+    return absl::OkStatus();
+}
+
+std::optional<uint64_t> ByteChannel::acknowledgedBytes() const
+{
+    KJ_IF_MAYBE (descriptor, this->stream->getFd()) {
+        tcp_info info{};
+        socklen_t size = sizeof info;
+        const bool told = ::getsockopt(*descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
+        if (told && size >= offsetof(tcp_info, tcpi_bytes_acked) + sizeof info.tcpi_bytes_acked) {
+            return info.tcpi_bytes_acked;
+        }
+    }
+    return std::nullopt;
+}
+
 kj::Promise<void> ByteChannel::whenClosed()
 {
     if (this->ended()) {
--- a/Userland/Libraries/LibFiber/ByteChannel.h
+++ b/Userland/Libraries/LibFiber/ByteChannel.h
@@ -38,6 +38,13 @@
     /// Errors: kUnavailable, kDeadlineExceeded. After an error nothing more must be written; what the peer has sent can still be read.
     absl::Status write(kj::WaitScope &scope, std::string_view data, AK::Milliseconds deadline);
 
+    /// Writes for as long as the peer goes on reading, however slowly, but no slower than minReadRate all in all.
+    /// Errors: as write(); kDeadlineExceeded when the peer has acknowledged nothing for `stallTimeout` ms.
+    absl::Status writeWhileRead(kj::WaitScope &scope, std::string_view data, AK::Milliseconds stallTimeout);
+
+    /// Bytes per ms. What a slower peer has not read would fill the memory of this process for minutes.
+    static constexpr int64_t minReadRate = 16;
+
     /// Resolves when the peer has closed its sending side or reset the connection. Reads ahead into the buffer up to 64 KiB; once those are buffered it does
     /// not resolve.
     kj::Promise<void> whenClosed();
@@ -63,6 +70,10 @@
 
     kj::Promise<void> readMore();
     void startRead();
+    /// Notes whether a write has got the error of the connection.
+    absl::Status written(absl::Status status);
+    /// Bytes that the peer has acknowledged since the connection was opened; nothing when the system does not tell.
+    std::optional<uint64_t> acknowledgedBytes() const;
 
     Loop &loop;
     kj::Own<kj::AsyncIoStream> stream;
--- a/Userland/Services/Gateway/ClientChannel.cpp
+++ b/Userland/Services/Gateway/ClientChannel.cpp
@@ -23,9 +23,8 @@
 
 } // namespace
 
-ClientChannel::ClientChannel(LibFiber::Loop &loop, LibFiber::ByteChannel &channel, bool closeAfter)
-    : loop(loop)
-    , channel(channel)
+ClientChannel::ClientChannel(LibFiber::ByteChannel &channel, bool closeAfter)
+    : channel(channel)
     , close(closeAfter)
 {
 }
@@ -45,7 +44,7 @@
 {
     // Until the write has ended, it is unknown how much of it the client has.
     this->state = State::Broken;
-    CATKINLINK_TRY(this->channel.write(scope, data, this->loop.clock().now() + writeTimeout));
+    CATKINLINK_TRY(this->channel.writeWhileRead(scope, data, writeTimeout));
     this->state = next;
     return absl::OkStatus();
 }
--- a/Userland/Services/Gateway/ClientChannel.h
+++ b/Userland/Services/Gateway/ClientChannel.h
@@ -14,7 +14,7 @@
 {
 public:
     /// `closeAfter`: the connection ends after this response.
-    ClientChannel(LibFiber::Loop &loop, LibFiber::ByteChannel &channel, bool closeAfter);
+    ClientChannel(LibFiber::ByteChannel &channel, bool closeAfter);
 
     /// Sends an error response made by this entry. `retryAfter` is in ms, 0 for none.
     absl::Status refuse(kj::WaitScope &scope, int status, std::string_view reason, AK::Milliseconds retryAfter);
@@ -58,7 +58,6 @@
     /// Writes data after which the response is in the state `next`.
     absl::Status write(kj::WaitScope &scope, std::string_view data, State next);
 
-    LibFiber::Loop &loop;
     LibFiber::ByteChannel &channel;
     bool close;
     State state = State::NotBegun;
--- a/Userland/Services/Gateway/GatewayService.cpp
+++ b/Userland/Services/Gateway/GatewayService.cpp
@@ -137,7 +137,7 @@
         return;
     }
     this->logger.info("request_unreadable", {{"reason", std::string(status.message())}});
-    ClientChannel client(this->context.loop, channel, true);
+    ClientChannel client(channel, true);
     const int code = statusFor(status, request.headRead);
     if (client.refuse(scope, code, LibHttpStream::reasonPhrase(code), code == unavailable ? noMemoryRetryAfter : 0).ok()) {
         // Closing a socket with unread bytes resets the connection, and the client could lose the response.
@@ -156,7 +156,7 @@
     ++this->calls;
     KJ_DEFER(--this->calls);
     const bool lastCall = this->draining || LibHttpStream::hasToken(head.headers, "Connection", "close");
-    ClientChannel client(this->context.loop, channel, lastCall);
+    ClientChannel client(channel, lastCall);
     if (this->draining && this->context.loop.clock().now() >= this->acceptUntil) {
         this->logger.info("call_refused", {{"reason", "this entry is about to stop"}});
         if (client.refuse(scope, unavailable, "this entry is about to stop", drainRetryAfter).ok()) {
