LibFleet: Record the newest weights targets in the store

Change: the records of entries name the newest version of each model; two entries write theirs again at a naming. ObjectCodec.TakesTheNewestVersionThatEntriesRecorded passes; the record has a new field, so the test doesn't compile on the code before.

--- a/Tests/Platform/TestCodec.cpp
+++ b/Tests/Platform/TestCodec.cpp
@@ -120,6 +120,34 @@
     EXPECT_EQ(state.upstreams().size(), 1U) << "an upstream of an unknown service is skipped";
 }
 
+// Guards against an older version in force after a loss of power of all hosts, because a late write of the operator has put it back into the store (review/7).
+TEST(ObjectCodec, TakesTheNewestVersionThatEntriesRecorded)
+{
+    constexpr AK::Milliseconds ageAtStart = 4'000;
+    const AK::SystemClock clock;
+    LibMetrics::MetricRegistry metrics;
+    ObjectCodec codec(clock, ageAtStart, metrics);
+    const LibFleet::EntryRecord record{"e1", {"10.1.0.40", 8000}, {"10.1.0.40", 8005}, "lima", "lima-1", {{"m", 3}}};
+    const std::string stale = R"({"model":"m","version":2})";
+    for (const bool recordFirst : {true, false}) {
+        LibFleet::FleetState state(clock);
+        if (recordFirst) {
+            codec.decode(LibFleet::ObjectKind::Entries, {{"e1", codec.encodeEntry(record)}}, 0, state);
+            EXPECT_FALSE(state.weightsTargetsKnown()) << "the operator's own object has not been read";
+        }
+        codec.decode(LibFleet::ObjectKind::WeightsTargets, {{"m", stale}}, 0, state);
+        codec.decode(LibFleet::ObjectKind::Entries, {{"e1", codec.encodeEntry(record)}}, 0, state);
+        EXPECT_EQ(state.weightsTarget("m").version, 3) << recordFirst;
+        EXPECT_GE(clock.uninterruptedTime() - state.weightsTarget("m").learnedAt, ageAtStart) << "nobody knows when it was named";
+        EXPECT_EQ(state.newestWeightsTargets(), record.weightsTargets);
+        EXPECT_EQ(state.entries().at("e1").weightsTargets, record.weightsTargets);
+        // A version that is named later counts from then on.
+        codec.decode(LibFleet::ObjectKind::WeightsTargets, {{"m", R"({"model":"m","version":4})"}}, 0, state);
+        EXPECT_EQ(state.weightsTarget("m").version, 4);
+        EXPECT_LT(clock.uninterruptedTime() - state.weightsTarget("m").learnedAt, ageAtStart);
+    }
+}
+
 // Guards against a quarantined part that is lost between the store and the entries, and against one that stays after its object is gone.
 TEST(ObjectCodec, DecodesQuarantinedParts)
 {
--- a/Userland/Libraries/LibFleet/FleetState.cpp
+++ b/Userland/Libraries/LibFleet/FleetState.cpp
@@ -222,6 +222,29 @@
     *target = adopted;
 }
 
+void FleetState::adoptRecordedTargets(const std::map<std::string, int64_t> &versions, AK::Milliseconds initialAge)
+{
+    const AK::Milliseconds sinceStart = this->clock.uninterruptedTime() - this->startedAt;
+    // A process that has run for a while hears of a naming soon, here or from the store.
+    const AK::Milliseconds age = sinceStart <= initialAge ? initialAge + sinceStart : 0;
+    for (const auto &[model, version] : versions) {
+        if (version > this->weightsTarget(model).version) {
+            this->adoptWeightsTarget({model, version, age, true});
+        }
+    }
+}
+
+std::map<std::string, int64_t> FleetState::newestWeightsTargets() const
+{
+    std::map<std::string, int64_t> newest;
+    for (const auto &[model, targets] : this->targetsByModel) {
+        if (!targets.empty()) {
+            newest[model] = targets.back().version;
+        }
+    }
+    return newest;
+}
+
 std::vector<WeightsTargetAge> FleetState::weightsTargetAges(AK::Milliseconds maxAge) const
 {
     std::vector<WeightsTargetAge> ages;
--- a/Userland/Libraries/LibFleet/FleetState.h
+++ b/Userland/Libraries/LibFleet/FleetState.h
@@ -36,6 +36,8 @@
     AK::Endpoint clientAddress;
     std::string region;
     std::string failureDomain;
+    /// Newest target version that it knew by model, when it wrote the record.
+    std::map<std::string, int64_t> weightsTargets;
 };
 
 /// A version of a model's weights that the operator named as the target, and when this process or another one first learned of it.
@@ -94,10 +96,17 @@
     /// `unnoticed`: time in ms for which a naming may have gone unnoticed; it is taken for the age of the new targets, up to `initialAge`.
     void setWeightsTargets(const std::map<std::string, int64_t> &versions, AK::Milliseconds initialAge, AK::Milliseconds unnoticed = 0);
 
+    /// Takes over targets that an entry has recorded in the store. The operator's own object may name an older version after a late write, and only these
+    /// records outlive a loss of power of all hosts. `initialAge`: see setWeightsTargets().
+    void adoptRecordedTargets(const std::map<std::string, int64_t> &versions, AK::Milliseconds initialAge);
+
     /// Takes over what another process knows of a target. The first to learn of it is closest to the operator; a process that stood still, was cut off or has
     /// been restarted learns late, and never of a target that a newer one had replaced by then, because the store lists the newest alone.
     void adoptWeightsTarget(const WeightsTargetAge &told);
 
+    /// The newest target version of each model.
+    std::map<std::string, int64_t> newestWeightsTargets() const;
+
     /// The targets of all models that became known within `maxAge` ms, and of each model the newest one before those: a process that starts must not take the
     /// weights before it for usable.
     std::vector<WeightsTargetAge> weightsTargetAges(AK::Milliseconds maxAge) const;
--- a/Userland/Utilities/catkinlinkd/EntryProcess.cpp
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.cpp
@@ -1,5 +1,6 @@
 #include "EntryProcess.h"
 
+#include <AK/Hash.h>
 #include <LibGateway/DrainPlan.h>
 #include <algorithm>
 #include <platform/Directory.h>
@@ -15,6 +16,9 @@
 // Time after a registration in which it may not have come back with the objects of the store.
 constexpr AK::Milliseconds registrationReadTime = 2'000;
 constexpr AK::Milliseconds dispatcherUpdateInterval = 250;
+// Entries that record new targets of weights; one of them may be away at that moment.
+constexpr int weightsRecorders = 2;
+constexpr const char *weightsRecordKey = "weights_targets";
 // Entries that were silent for this long are removed from the store. A restart takes only seconds.
 constexpr AK::Milliseconds removeAfter = 60'000;
 constexpr AK::Milliseconds removeInterval = 5'000;
@@ -238,15 +242,30 @@
     }
 }
 
+bool EntryProcess::mustRegister(const LibFleet::EntryRecord &self) const
+{
+    const auto known = this->node.fleet.entries().find(self.name);
+    const bool registered = known != this->node.fleet.entries().end() && known->second.rpcAddress == self.rpcAddress
+        && known->second.clientAddress == self.clientAddress && this->node.feeds.isStored(LibFleet::ObjectKind::Entries, self.name);
+    if (!registered) {
+        return true;
+    }
+    // Few entries record each new target, because all of them read each record that changes.
+    const auto own = AK::rendezvousWeight(weightsRecordKey, self.name);
+    const auto live = this->node.exchange.liveEntries(entryMaxAge);
+    const auto before = std::ranges::count_if(live, [&](const auto &entry) { return AK::rendezvousWeight(weightsRecordKey, entry.first) > own; });
+    return before < weightsRecorders && known->second.weightsTargets != self.weightsTargets;
+}
+
 void EntryProcess::registerSelf(kj::WaitScope &scope)
 {
-    const LibFleet::EntryRecord self{this->settings.name, *this->settings.rpcAddress, *this->settings.clientAddress, this->settings.region,
-                                     this->settings.failureDomain};
+    const AK::Milliseconds startedAt = this->loop.clock().now();
     while (!this->leaving) {
-        const auto known = this->node.fleet.entries().find(self.name);
-        const bool registered = known != this->node.fleet.entries().end() && known->second.rpcAddress == self.rpcAddress
-            && known->second.clientAddress == self.clientAddress && this->node.feeds.isStored(LibFleet::ObjectKind::Entries, self.name);
-        if (!registered) {
+        const LibFleet::EntryRecord self{this->settings.name,   *this->settings.rpcAddress,   *this->settings.clientAddress,
+                                         this->settings.region, this->settings.failureDomain, this->node.fleet.newestWeightsTargets()};
+        // What the record of an earlier process of this entry tells must be read before it is replaced.
+        const bool mayReplace = this->node.feeds.position(LibFleet::ObjectKind::Entries) > 0 || this->loop.clock().now() - startedAt > registrationReadTime;
+        if (mayReplace && this->mustRegister(self)) {
             const absl::Status status = this->node.store.put(scope, LibFleet::ObjectKind::Entries, self.name, this->node.decoder.encodeEntry(self));
             if (status.ok()) {
                 this->logger.info("registered");
--- a/Userland/Utilities/catkinlinkd/EntryProcess.h
+++ b/Userland/Utilities/catkinlinkd/EntryProcess.h
@@ -43,6 +43,8 @@
     /// Passes the live entries, which share the upstreams, to the dispatcher.
     void updateDispatcherEntries(kj::WaitScope &scope);
 
+    /// Whether the store lacks the record of this entry, or the newest targets in it that this entry is to record.
+    bool mustRegister(const LibFleet::EntryRecord &self) const;
     void registerSelf(kj::WaitScope &scope);
 
     /// Removes entries from the store that have been silent for so long that their machines are gone, because the number of entries limits what each of them
