WeightAgent: Expect calls of an earlier process for a shorter time

Cause: agents that start took calls of the process before them for as late as calls that had already been given up, and loaded nothing for 2 s. The log has the loads at 37.0 s instead of 35.6, with all agents started at 35.0. Change: such calls were under way and healthy, so they are expected for as long as a call may take, 0.8 s. Also renames ByteChannel::written() and mends a doc comment.

--- a/Tests/Services/WeightAgent/TestStagedVersions.cpp
+++ b/Tests/Services/WeightAgent/TestStagedVersions.cpp
@@ -350,7 +350,8 @@
                                          LateCallCase{"start_times_unknown", {1, 9'900, 0, std::nullopt}, {0, 0, 1'000}, true},
                                          LateCallCase{"load_in_its_place", {1, 9'900, 5, 3}, {5, 3, 1'000}, true},
                                          LateCallCase{"load_overtaken", {1, 9'900, 5, 3}, {5, 4, 1'000}, false},
-                                         LateCallCase{"previous_process", {std::nullopt, 9'900, 0, std::nullopt}, {5, 0, 9'950}, true}),
+                                         LateCallCase{"previous_process", {std::nullopt, 9'900, 0, std::nullopt}, {5, 0, 9'950}, true},
+                                         LateCallCase{"previous_process_ended_before", {std::nullopt, 9'000, 0, std::nullopt}, {5, 0, 9'100}, false}),
                          [](const auto &info) { return info.param.name; });
 
 } // namespace
--- a/Userland/Libraries/LibFiber/ByteChannel.cpp
+++ b/Userland/Libraries/LibFiber/ByteChannel.cpp
@@ -148,7 +148,7 @@
     return absl::OkStatus();
 }
 
-absl::Status ByteChannel::written(absl::Status status)
+absl::Status ByteChannel::noteWriteError(absl::Status status)
 {
     if (!status.ok() && !absl::IsDeadlineExceeded(status) && !failedAfterEnd(status)) {
         this->errorTaken = true;
@@ -160,7 +160,7 @@
 {
     ++this->writesInProgress;
     KJ_DEFER(--this->writesInProgress);
-    return this->written(this->loop.awaitDone(scope, kj::evalNow([&] { return this->stream->write(data.data(), data.size()); }), deadline));
+    return this->noteWriteError(this->loop.awaitDone(scope, kj::evalNow([&] { return this->stream->write(data.data(), data.size()); }), deadline));
 }
 
 absl::Status ByteChannel::writeWhileRead(kj::WaitScope &scope, std::string_view data, AK::Milliseconds stallTimeout)
@@ -176,7 +176,7 @@
         kj::ForkedPromise<void> promise = kj::evalNow([&] { return this->stream->write(piece.data(), piece.size()); }).fork();
         while (true) {
             const AK::Milliseconds lookAt = std::min({this->loop.clock().now() + stallTimeout / looksPerStall, readAt + stallTimeout, endsBy});
-            absl::Status status = this->written(this->loop.awaitDone(scope, promise.addBranch(), lookAt));
+            absl::Status status = this->noteWriteError(this->loop.awaitDone(scope, promise.addBranch(), lookAt));
             const AK::Milliseconds now = this->loop.clock().now();
             if (status.ok()) {
                 readAt = now;
--- a/Userland/Libraries/LibFiber/ByteChannel.h
+++ b/Userland/Libraries/LibFiber/ByteChannel.h
@@ -70,8 +70,8 @@
 
     kj::Promise<void> readMore();
     void startRead();
-    /// Notes whether a write has got the error of the connection.
-    absl::Status written(absl::Status status);
+    /// Notes whether a write has got the error of the connection, and returns its status.
+    absl::Status noteWriteError(absl::Status status);
     /// Bytes that the peer has acknowledged since the connection was opened; nothing when the system does not tell.
     std::optional<uint64_t> acknowledgedBytes() const;
 
--- a/Userland/Services/Gateway/AddressChoice.h
+++ b/Userland/Services/Gateway/AddressChoice.h
@@ -71,8 +71,8 @@
     std::vector<AK::Endpoint> addresses;
 };
 
-/// Addresses for a client: usually the nearest entries that may take its calls. One response in some lists more, but none outside its region and the homes of
-/// its calls when there are any. Load pattern: all entries of a failure domain leave, or it never had one, and its clients come to the others at once.
+/// Addresses for a client: usually the nearest entries that may take its calls. Now and then a response lists more, but none outside its region and the homes
+/// of its calls when there are any. Load pattern: all entries of a failure domain leave, or it never had one, and its clients come to the others at once.
 AddressChoice chooseAddresses(const std::vector<DirectoryEntry> &entries, const DirectoryClient &client, const CallHomes &homes, AK::Random &random);
 
 } // namespace Gateway
--- a/Userland/Services/WeightAgent/UnansweredCalls.cpp
+++ b/Userland/Services/WeightAgent/UnansweredCalls.cpp
@@ -8,8 +8,10 @@
 namespace
 {
 
-// An engine that answers executes what it received before within this time.
+// An engine that answers executes within this time what it has not executed before its caller gave up.
 constexpr AK::Milliseconds lateCallTime = 2'000;
+// The same for calls that were under way when another process ended. They are no slower than others, which are given up after this time.
+constexpr AK::Milliseconds interruptedCallTime = 800;
 
 } // namespace
 
@@ -20,7 +22,8 @@
     if (engineRestarted || overtaken) {
         return false;
     }
-    return !contact.answeringSince || now - std::max(call.endedAt, *contact.answeringSince) < lateCallTime;
+    const AK::Milliseconds limit = call.version ? lateCallTime : interruptedCallTime;
+    return !contact.answeringSince || now - std::max(call.endedAt, *contact.answeringSince) < limit;
 }
 
 } // namespace WeightAgent
