--- a/Tests/Services/WeightAgent/TestStagedVersions.cpp
+++ b/Tests/Services/WeightAgent/TestStagedVersions.cpp
@@ -241,6 +241,7 @@
     constexpr int maxNamings = 3;
     std::vector<std::string> failures(stepNames.size() * maxNamings);
     std::vector<std::thread> threads;
+    threads.reserve(failures.size());
     for (size_t i = 0; i < failures.size(); ++i) {
         // A loop belongs to one thread.
         threads.emplace_back([&failures, i] {
@@ -260,6 +261,7 @@
 std::vector<Trouble> allTroubles()
 {
     std::vector<Trouble> troubles;
+    troubles.reserve(troubleNames.size());
     for (const auto &[trouble, name] : troubleNames) {
         troubles.push_back(trouble);
     }
--- a/Userland/Services/WeightAgent/StagingArea.cpp
+++ b/Userland/Services/WeightAgent/StagingArea.cpp
@@ -106,7 +106,7 @@
     }
     this->contents.erase(index);
     const auto written = this->writing.insert(version);
-    const absl::Status status = this->engine.stageChunk(scope, model, index, held.chunk(index));
+    absl::Status status = this->engine.stageChunk(scope, model, index, held.chunk(index));
     this->writing.erase(written);
     if (status.ok()) {
         this->contents[index] = version;
